--- /dev/null
+++ b/include/currantstack/clock.h
@@ -0,0 +1,86 @@
+// Time as an interface, so that decisions can be tested without waiting.
+#pragma once
+
+#include <chrono>
+
+namespace currantstack
+{
+
+using Duration = std::chrono::nanoseconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Source of monotonic and wall time.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    virtual auto now() const -> TimePoint = 0;
+    virtual auto wall() const -> WallTime = 0;
+};
+
+/// The machine's clocks.
+class SystemClock : public Clock
+{
+public:
+    auto now() const -> TimePoint override
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    auto wall() const -> WallTime override
+    {
+        return std::chrono::system_clock::now();
+    }
+};
+
+/// A clock that stands still until it is advanced.
+class ManualClock : public Clock
+{
+public:
+    auto now() const -> TimePoint override
+    {
+        return m_now;
+    }
+
+    auto wall() const -> WallTime override
+    {
+        return WallTime(std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch()));
+    }
+
+    auto advance(Duration step) -> void
+    {
+        m_now += step;
+    }
+
+private:
+    TimePoint m_now{seconds(1000)};
+};
+
+/// Returns the length in milliseconds with fractions.
+inline auto toMilliseconds(Duration length) -> double
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+/// Returns the length in seconds with fractions.
+inline auto toSeconds(Duration length) -> double
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+/// Returns a duration from milliseconds with fractions.
+inline auto fromMilliseconds(double value) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+/// Returns wall time as milliseconds since 1970.
+inline auto epochMilliseconds(WallTime time) -> long long
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/codec.h
@@ -0,0 +1,29 @@
+// Encodings and digests, by OpenSSL and xxHash.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace currantstack
+{
+
+auto toBase64(std::string_view bytes) -> std::string;
+
+/// Returns the bytes, or nothing where the text is no base64.
+auto fromBase64(std::string_view text) -> std::optional<std::string>;
+
+/// Returns the SHA-256 digest in lower-case hexadecimal.
+auto sha256(std::string_view bytes) -> std::string;
+
+/// Returns the HMAC-SHA-256 in lower-case hexadecimal.
+auto hmac(std::string_view key, std::string_view bytes) -> std::string;
+
+/// Compares in a time that does not depend on where the texts differ.
+auto equalDigests(std::string_view left, std::string_view right) -> bool;
+
+/// Returns a fast 64-bit hash that is the same on every machine.
+auto hash64(std::string_view bytes, std::uint64_t seed = 0) -> std::uint64_t;
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/counters.h
@@ -0,0 +1,52 @@
+// Counters and gauges of one process, read as JSON.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace currantstack
+{
+
+/// One number; a counter only rises, a gauge is set.
+class Counter
+{
+public:
+    auto add(std::int64_t amount = 1) -> void
+    {
+        m_value += amount;
+    }
+
+    auto set(std::int64_t value) -> void
+    {
+        m_value = value;
+    }
+
+    auto value() const -> std::int64_t
+    {
+        return m_value;
+    }
+
+private:
+    std::int64_t m_value = 0;
+};
+
+/// Named counters; references stay valid for the registry's life.
+class Counters
+{
+public:
+    /// Returns the counter with the name, made at first use. Names carry their unit, such as "tokens_sent".
+    auto at(std::string_view name) -> Counter &;
+
+    /// Returns the value, or 0 where the counter does not exist.
+    auto value(std::string_view name) const -> std::int64_t;
+
+    /// Returns all counters as a JSON object, sorted by name.
+    auto dump() const -> std::string;
+
+private:
+    std::map<std::string, Counter, std::less<>> m_counters;
+};
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/gateway.h
@@ -0,0 +1,73 @@
+// The callers' side of a VM: takes requests, runs the filter chain and starts relays.
+#pragma once
+
+#include "currantstack/announcer.h"
+#include "currantstack/filters.h"
+#include "currantstack/model_relay.h"
+#include "currantstack/service_relay.h"
+
+#include <map>
+
+namespace currantstack
+{
+
+/// Serves callers. While draining it takes nothing new, and what is under way finishes.
+class Gateway
+{
+public:
+    Gateway(Context &context, Announcer &announcer, SlotService &slots, Cancels &cancels, JournalService &journal);
+
+    auto open() -> Result<void>;
+
+    /// Stops taking requests: `/readyz` fails and new requests are refused as not run.
+    auto drain() -> void;
+
+    auto inFlight() const -> std::size_t
+    {
+        return m_relays.size();
+    }
+
+    auto usage() const -> const UsageBook &
+    {
+        return m_usage;
+    }
+
+    /// Takes over a new configuration.
+    auto reconsider() -> void;
+
+private:
+    auto handle(const ExchangePtr &exchange) -> void;
+    auto handleAdmin(const ExchangePtr &exchange) -> bool;
+    auto startRelay(CallerRequest request) -> void;
+    auto admit(CallerRequest &request) -> Result<void>;
+    auto checkQuarantine(CallerRequest &request) -> Result<void>;
+    auto reportDeath(Fingerprint fingerprint, const std::string &upstream) -> void;
+    auto takeDeath(Fingerprint fingerprint, const std::string &upstream) -> void;
+    auto readLoads() -> void;
+    auto readCacheEvents() -> void;
+    auto poolOf(const Config &config, std::string_view model, Role role) const -> std::string;
+
+    Context &m_context;
+    SlotService &m_slots;
+    Quarantine m_quarantine;
+    UsageBook m_usage;
+    RetryBudget m_retries{0.1};
+    PrefixMap m_prefixes;
+    ServiceBoard m_board;
+    std::map<std::string, ModelEstimate, std::less<>> m_estimates;
+    std::map<std::string, double, std::less<>> m_reportedLoads;
+    std::map<std::string, std::int64_t> m_cacheEvents; // last sequence read, by engine
+    RelayParts m_parts;
+    FilterChain m_chain;
+    std::map<std::string, std::shared_ptr<Relay>> m_relays;
+    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<Timer> m_loadTimer;
+    std::unique_ptr<Timer> m_eventTimer;
+    std::int64_t m_sequence = 0;
+    bool m_draining = false;
+};
+
+/// Splits "IP:port"; the port is 0 where the text has none.
+auto splitAddress(std::string_view address) -> std::pair<std::string, std::uint16_t>;
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/http.h
@@ -0,0 +1,53 @@
+// HTTP messages that the server and the client share.
+#pragma once
+
+#include "currantstack/error.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantstack
+{
+
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+using Headers = std::vector<Header>;
+
+/// Returns the first value of the header, compared without case; empty where it is absent.
+auto findHeader(const Headers &headers, std::string_view name) -> std::string_view;
+
+struct HttpRequest {
+    std::string method;
+    std::string path;
+    Headers query; // decoded arguments of the URL
+    Headers headers;
+    std::string body;
+
+    auto header(std::string_view name) const -> std::string_view
+    {
+        return findHeader(headers, name);
+    }
+
+    auto argument(std::string_view name) const -> std::string_view
+    {
+        return findHeader(query, name);
+    }
+};
+
+struct HttpResponse {
+    int status = 200;
+    Headers headers;
+    std::string body;
+};
+
+/// Returns "?name=value&...", percent-encoded, or an empty text without arguments.
+auto encodeQuery(const Headers &arguments) -> std::string;
+
+/// Returns a JSON response.
+auto jsonResponse(int status, std::string body) -> HttpResponse;
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/slot_service.h
@@ -0,0 +1,139 @@
+// Slots over all VMs: asks the owner of a pool's engines, and serves the engines that this VM owns.
+#pragma once
+
+#include "currantstack/announcer.h"
+#include "currantstack/cancels.h"
+#include "currantstack/health.h"
+#include "currantstack/slots.h"
+
+#include <map>
+#include <set>
+
+namespace currantstack
+{
+
+/// A slot that was granted.
+struct SlotGrant {
+    std::string requestId;
+    std::string engine;
+    std::string owner;
+    TimePoint usableUntil; // a dispatch must begin before
+};
+
+/// What a request saw of an engine, reported with the release.
+struct SlotObservation {
+    bool failed = false;
+    double ratio = 1;          // seen over expected time
+    double microsPerToken = 0; // of a prefill; 0: none
+};
+
+/// Asks for slots and grants those of owned engines.
+class SlotService
+{
+public:
+    using Done = std::function<void(Result<SlotGrant>)>;
+
+    static constexpr Duration GrantLife = milliseconds(1000); // within which a granted slot must be used
+    static constexpr Duration DecidePeriod = milliseconds(10);
+    static constexpr Duration ListPeriod = seconds(2); // between readings of an engine's own list
+    static constexpr Duration UnknownVmAge = seconds(20);
+
+    SlotService(Context &context, Announcer &announcer, Cancels &cancels);
+
+    auto start() -> void;
+
+    /// Asks an owner of the pool for a slot. `prefillMs` weighs prefix affinity. The result comes before the request's deadline.
+    auto ask(SlotRequest request, Role role, double prefillMs, Done done) -> void;
+
+    /// Forgets an ask; its hook does not run afterwards.
+    auto abandon(const std::string &requestId) -> void;
+
+    /// Gives a slot back to the engine's owner.
+    auto release(const std::string &engine, const std::string &requestId, const SlotObservation &seen) -> void;
+
+    /// Records how fast an engine is, as seen by this VM, and tells its owner when it is slow.
+    auto observe(const std::string &engine, const SlotObservation &seen) -> void;
+
+    /// Returns the shortest wait for a slot of the pool that is expected anywhere.
+    auto bestWait(std::string_view pool, Role role, double prefillMs) -> Duration;
+
+    /// Takes over a new configuration or a new list of live VMs.
+    auto reconsider() -> void;
+
+    /// Gives up all engines, because others own them by now.
+    auto surrender() -> void;
+
+    auto ledger() const -> const SlotLedger &
+    {
+        return m_ledger;
+    }
+
+    auto health() -> HealthTracker &
+    {
+        return m_health;
+    }
+
+private:
+    struct PeerViews {
+        std::map<std::string, PoolView, std::less<>> pools;
+        TimePoint heardAt;
+        std::map<std::string, int, std::less<>> pending; // own asks since
+    };
+
+    struct Ask {
+        SlotRequest request;
+        Role role = Role::Decode;
+        double prefillMs = 0;
+        Done done;
+        std::string owner;
+        HttpClient::CallId call = 0;
+        int tries = 0;
+        std::set<std::string> refusedBy;
+    };
+
+    struct RemoteAsk {
+        PeerRouter::Reply reply;
+    };
+
+    auto ownerViews(std::string_view pool, const Ask &ask) -> std::vector<OwnerView>;
+    auto place(const std::string &requestId) -> void;
+    auto askPeer(Ask &ask) -> void;
+    auto finish(const std::string &requestId, Result<SlotGrant> result) -> void;
+    auto decide() -> void;
+    auto deliver(const SlotDecision &decision) -> void;
+    auto handleAsk(const std::string &sender, const Json &body, const PeerRouter::Reply &reply) -> void;
+    auto handleRelease(const Json &body) -> void;
+    auto releaseLocal(const std::string &engine, const std::string &requestId, const SlotObservation &seen) -> void;
+    auto noteLocal(const std::string &engine, const SlotObservation &seen) -> void;
+    auto applyWeights() -> void;
+    auto listEngine(const std::string &engine) -> void;
+    auto listAll() -> void;
+    auto dropOrphans(const Engine &engine, std::span<const RunningRequest> running) -> void;
+    auto isGone(const RunningRequest &request) const -> bool;
+    auto produceViews() -> Json;
+    auto takeViews(const std::string &vm, const Json &section) -> void;
+    auto distanceTo(std::string_view vm) const -> Duration;
+    auto flushReleases() -> void;
+
+    Context &m_context;
+    Cancels &m_cancels;
+    SlotLedger m_ledger;
+    HealthTracker m_health;
+    std::map<std::string, PeerViews, std::less<>> m_views;
+    std::map<std::string, Ask> m_asks;
+    std::map<std::string, RemoteAsk> m_remote;
+    std::map<std::string, Json> m_releases; // by owner, to be sent together
+    std::map<std::string, TimePoint> m_toldSlow;
+    std::set<std::string> m_unread; // adopted engines whose list was not read yet
+    std::unique_ptr<Timer> m_decider;
+    std::unique_ptr<Timer> m_lister;
+    bool m_flushScheduled = false;
+    bool m_decideScheduled = false;
+};
+
+auto toJson(const PoolView &view) -> Json;
+auto poolViewFromJson(const Json &value) -> Result<PoolView>;
+auto toJson(const SlotRequest &request, TimePoint now) -> Json;
+auto slotRequestFromJson(const Json &value, TimePoint now) -> Result<SlotRequest>;
+
+} // namespace currantstack
--- /dev/null
+++ b/src/announcer.cc
@@ -0,0 +1,255 @@
+#include "currantstack/announcer.h"
+
+#include "currantstack/log.h"
+
+#include <algorithm>
+#include <random>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Log MemberLog("members");
+constexpr Duration DiscoveryPeriod = seconds(10);
+constexpr std::int64_t Large = 1LL << 53;
+
+} // namespace
+
+auto toJson(const Vm &vm) -> Json
+{
+    Json value = {{"n", vm.name}, {"a", vm.address}, {"p", vm.place}, {"g", vm.region}, {"b", vm.boot}, {"i", vm.incarnation}, {"h", vm.heartbeat}, {"r", vm.revision}};
+    if (vm.leaving) {
+        value["leaving"] = true;
+    }
+    if (vm.dead) {
+        value["dead"] = true;
+    }
+    return value;
+}
+
+auto vmsFromJson(const Json &list) -> std::vector<Vm>
+{
+    std::vector<Vm> vms;
+    if (!list.is_array()) {
+        return vms;
+    }
+    for (const auto &value : list) {
+        Faults faults;
+        ObjectReader reader(value, "", faults);
+        Vm vm;
+        vm.name = reader.text("n");
+        vm.address = reader.text("a");
+        vm.place = reader.text("p", "");
+        vm.region = reader.text("g", "");
+        vm.boot = reader.integer("b", 0, Large, 0);
+        vm.incarnation = reader.integer("i", 0, Large);
+        vm.heartbeat = reader.integer("h", 0, Large);
+        vm.revision = reader.integer("r", 0, Large, 0);
+        vm.leaving = reader.boolean("leaving", false);
+        vm.dead = reader.boolean("dead", false);
+        if (faults.empty()) {
+            vms.push_back(std::move(vm));
+        }
+    }
+    return vms;
+}
+
+Announcer::Announcer(Context &context)
+    : m_context(context)
+    , m_timer(context.loop.timer([this]() { tick(); }))
+    , m_discovery(context.loop.timer([this]() { discover(); }))
+{
+    m_context.router.on("/peer/announce", [this](const std::string &sender, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
+        take(sender, body);
+        auto answer = compose();
+        // A VM that was called dead must hear of it, also when the digest has no room for the dead.
+        const auto *peer = m_context.membership.find(sender);
+        if (peer != nullptr && peer->state == VmState::Dead) {
+            answer["vms"].push_back(toJson(peer->vm));
+        }
+        reply(answer);
+    });
+}
+
+auto Announcer::section(std::string key, Produce produce, Consume consume) -> void
+{
+    m_sections.push_back({std::move(key), std::move(produce), std::move(consume)});
+}
+
+auto Announcer::onChange(OnChange hook) -> void
+{
+    m_onChange.push_back(std::move(hook));
+}
+
+auto Announcer::onReplaced(OnReplaced hook) -> void
+{
+    m_onReplaced.push_back(std::move(hook));
+}
+
+auto Announcer::start() -> void
+{
+    m_lastTick = m_context.clock.now();
+    m_timer->startRepeating(Duration::zero(), m_context.settings.announcePeriod);
+    const auto jitter = std::uniform_int_distribution<int>(0, 1000)(m_context.random);
+    m_discovery->startRepeating(milliseconds(jitter), DiscoveryPeriod);
+    for (const auto &peer : m_context.settings.peers) {
+        if (!m_context.isSelf(peer.name)) {
+            tell(peer.address);
+        }
+    }
+}
+
+auto Announcer::compose() -> Json
+{
+    m_context.membership.beat();
+    auto vms = Json::array();
+    for (const auto &vm : m_context.membership.digest(MaxEntries)) {
+        vms.push_back(toJson(vm));
+    }
+    Json body = {{"v", 1}, {"vms", std::move(vms)}};
+    for (const auto &section : m_sections) {
+        body[section.key] = section.produce();
+    }
+    return body;
+}
+
+auto Announcer::take(const std::string &sender, const Json &body) -> void
+{
+    const auto vms = vmsFromJson(body.value("vms", Json::array()));
+    if (m_context.membership.merge(vms, m_context.clock.now())) {
+        replaced("others had given it up");
+    }
+    updateStates();
+    for (const auto &section : m_sections) {
+        const auto found = body.find(section.key);
+        if (found != body.end()) {
+            section.consume(sender, *found);
+        }
+    }
+}
+
+auto Announcer::targets() -> std::vector<std::string>
+{
+    std::vector<std::string> live;
+    std::vector<std::string> lost;
+    for (const auto &[name, peer] : m_context.membership.peers()) {
+        if (peer.vm.address.empty()) {
+            continue;
+        }
+        (peer.state == VmState::Dead ? lost : live).push_back(peer.vm.address);
+    }
+    std::shuffle(live.begin(), live.end(), m_context.random);
+    live.resize(std::min<std::size_t>(live.size(), Fanout));
+    // A dead VM is tried now and then, so that two halves of a healed network find each other.
+    const bool tryLost = std::uniform_int_distribution<int>(0, 9)(m_context.random) == 0;
+    if (!lost.empty() && (tryLost || live.empty())) {
+        live.push_back(lost[std::uniform_int_distribution<std::size_t>(0, lost.size() - 1)(m_context.random)]);
+    }
+    if (live.empty() && !m_context.settings.peers.empty()) {
+        const auto &seeds = m_context.settings.peers;
+        const auto &seed = seeds[std::uniform_int_distribution<std::size_t>(0, seeds.size() - 1)(m_context.random)];
+        if (!m_context.isSelf(seed.name)) {
+            live.push_back(seed.address);
+        }
+    }
+    return live;
+}
+
+auto Announcer::tell(const std::string &address) -> void
+{
+    m_context.peers.call(address, "/peer/announce", compose(), m_context.config->timeouts.peer, [this, address](const Result<Json> &reply) {
+        if (!reply || !reply->is_object()) {
+            return;
+        }
+        const auto vms = vmsFromJson(reply->value("vms", Json::array()));
+        const auto sender = vms.empty() ? std::string() : vms.front().name;
+        if (!sender.empty()) {
+            take(sender, *reply);
+        }
+    });
+}
+
+auto Announcer::tick() -> void
+{
+    const auto now = m_context.clock.now();
+    const auto gap = now - std::exchange(m_lastTick, now);
+    if (gap > m_context.settings.suspectAfter) {
+        // The process stood still: what it believed of others is stale, and others may have replaced it.
+        m_context.membership.forgive(now);
+        replaced("it was paused");
+    }
+    updateStates();
+    for (const auto &address : targets()) {
+        tell(address);
+    }
+    m_context.membership.forget(ForgetAfter, now);
+}
+
+auto Announcer::updateStates() -> void
+{
+    for (const auto &peer : m_context.membership.tick(m_context.clock.now())) {
+        MemberLog.info("{} is {}", peer.vm.name, name(peer.state));
+        m_context.timeline.add(EventKind::VmChanged, "", peer.vm.name, name(peer.state));
+        for (const auto &hook : m_onChange) {
+            hook(peer);
+        }
+    }
+}
+
+auto Announcer::replaced(std::string_view cause) -> void
+{
+    m_context.membership.reincarnate(epochMilliseconds(m_context.clock.wall()));
+    MemberLog.warning("This VM begins anew: {}", cause);
+    m_context.counters.at("vm_reincarnations").add();
+    m_context.timeline.add(EventKind::VmChanged, "", m_context.settings.name, cause);
+    for (const auto &hook : m_onReplaced) {
+        hook();
+    }
+}
+
+auto Announcer::announceToAll() -> void
+{
+    for (const auto &[name, peer] : m_context.membership.peers()) {
+        if (peer.state != VmState::Dead) {
+            tell(peer.vm.address);
+        }
+    }
+}
+
+auto Announcer::announceToSome() -> void
+{
+    for (int round = 0; round < 2; ++round) {
+        for (const auto &address : targets()) {
+            tell(address);
+        }
+    }
+}
+
+auto Announcer::discover() -> void
+{
+    const bool alone = m_context.membership.live().size() < 2;
+    if (m_context.settings.platformAddress.empty() || !alone) {
+        return;
+    }
+    HttpCall call;
+    call.url = urlOf(m_context.settings.platformAddress, "/platform/vms");
+    call.totalTimeout = seconds(2);
+    HttpHandlers handlers;
+    handlers.onDone = [this](const Result<HttpResponse> &response) {
+        const auto list = response ? Json::parse(response->body, nullptr, false) : Json();
+        if (!list.is_object()) {
+            return;
+        }
+        for (const auto &vm : list.value("vms", Json::array())) {
+            const auto address = vm.value("address", std::string());
+            if (!m_context.isSelf(vm.value("name", std::string())) && !address.empty()) {
+                tell(address);
+            }
+        }
+    };
+    m_context.client.start(std::move(call), std::move(handlers));
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/config.cc
@@ -0,0 +1,632 @@
+#include "currantstack/config.h"
+
+#include "currantstack/codec.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+namespace currantstack
+{
+
+namespace
+{
+
+template<typename List>
+auto findByName(const List &list, std::string_view name) -> const typename List::value_type *
+{
+    const auto found = std::find_if(list.begin(), list.end(), [name](const auto &entry) { return entry.name == name; });
+    return found == list.end() ? nullptr : &*found;
+}
+
+auto isAddress(std::string_view text) -> bool
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    in_addr number{};
+    const auto port = std::atoi(std::string(text.substr(colon + 1)).c_str());
+    return inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &number) == 1 && port > 0 && port < 65536;
+}
+
+auto isTokenHash(std::string_view text) -> bool
+{
+    if (!text.starts_with("sha256:") || text.size() != 71) {
+        return false;
+    }
+    return text.substr(7).find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+auto isName(std::string_view text) -> bool
+{
+    constexpr std::string_view Letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    return !text.empty() && text.size() <= 64 && text.find_first_not_of(Letters) == std::string_view::npos;
+}
+
+/// Reads a document and gathers its faults.
+class ConfigParser
+{
+public:
+    explicit ConfigParser(const Json &document)
+        : m_root(document, "", m_faults)
+    {
+    }
+
+    auto parse() -> tl::expected<Config, Faults>
+    {
+        m_config.revision = m_root.integer("revision", 0, 1LL << 53, 0);
+        m_config.submission = m_root.text("submission", "");
+        readPlaces();
+        readModels();
+        readPools();
+        readServices();
+        readMembers();
+        readOperators();
+        readLimits();
+        readTimeouts();
+        m_root.refuseUnknown();
+        if (!m_faults.empty()) {
+            return tl::unexpected(std::move(m_faults));
+        }
+        return std::move(m_config);
+    }
+
+private:
+    auto readName(ObjectReader &reader, std::set<std::string> &taken) -> std::string
+    {
+        auto value = reader.text("name");
+        if (!isName(value)) {
+            reader.fault("name", "must be 1 to 64 letters, digits, '-', '_' or '.'");
+        } else if (!taken.insert(value).second) {
+            reader.fault("name", fmt::format("'{}' is used twice; names must differ", value));
+        }
+        return value;
+    }
+
+    auto readAddress(ObjectReader &reader) -> std::string
+    {
+        auto value = reader.text("address");
+        if (!isAddress(value)) {
+            reader.fault("address", "must be an IP number and a port, such as 10.0.0.1:8000");
+        }
+        return value;
+    }
+
+    auto readPlace(ObjectReader &reader) -> std::string
+    {
+        auto value = reader.text("place");
+        if (m_config.findPlace(value) == nullptr) {
+            reader.fault("place", fmt::format("'{}' is not among the places", value));
+        }
+        return value;
+    }
+
+    auto readHashes(ObjectReader &reader) -> std::vector<std::string>
+    {
+        auto hashes = reader.texts("token_hashes");
+        for (const auto &hash : hashes) {
+            if (!isTokenHash(hash)) {
+                reader.fault("token_hashes", "must be 'sha256:' and 64 hexadecimal digits");
+            } else if (!m_tokenHashes.insert(hash).second) {
+                reader.fault("token_hashes", "a token belongs to two; tokens must differ");
+            }
+        }
+        return hashes;
+    }
+
+    auto readPlaces() -> void
+    {
+        std::set<std::string> names;
+        for (auto &reader : m_root.objects("places")) {
+            Place place;
+            place.name = readName(reader, names);
+            place.region = reader.text("region");
+            reader.refuseUnknown();
+            m_config.places.push_back(std::move(place));
+        }
+        if (m_config.places.empty()) {
+            m_root.fault("places", "must name at least one place");
+        }
+    }
+
+    auto readModels() -> void
+    {
+        std::set<std::string> names;
+        for (auto &reader : m_root.objects("models")) {
+            Model model;
+            model.name = readName(reader, names);
+            model.firstTokenTarget = milliseconds(reader.integer("first_token_target_ms", 1, 600000, 1700));
+            model.tokenGapTarget = milliseconds(reader.integer("token_gap_target_ms", 1, 60000, 26));
+            model.kvBytesPerToken = reader.number("kv_bytes_per_token", 1, 1e9, 131072);
+            reader.refuseUnknown();
+            m_config.models.push_back(std::move(model));
+        }
+    }
+
+    auto readPools() -> void
+    {
+        std::set<std::string> pools;
+        std::set<std::string> engines;
+        std::set<std::string> roles;
+        for (auto &reader : m_root.objects("pools")) {
+            const auto pool = readName(reader, pools);
+            const auto model = reader.text("model");
+            if (m_config.findModel(model) == nullptr) {
+                reader.fault("model", fmt::format("'{}' is not among the models", model));
+            }
+            const auto role = reader.text("role");
+            if (role != "prefill" && role != "decode") {
+                reader.fault("role", "must be prefill or decode");
+            }
+            roles.insert(model + "/" + role);
+            for (auto &entry : reader.objects("engines")) {
+                readEngine(entry, engines, pool, model, role == "prefill" ? Role::Prefill : Role::Decode);
+            }
+            reader.refuseUnknown();
+        }
+        for (const auto &model : m_config.models) {
+            const auto prefill = roles.contains(model.name + "/prefill");
+            const auto decode = roles.contains(model.name + "/decode");
+            if (prefill != decode) {
+                m_root.fault("pools", fmt::format("model '{}' has a pool of one role; it must have a prefill and a decode pool", model.name));
+            }
+        }
+    }
+
+    auto readEngine(ObjectReader &reader, std::set<std::string> &names, const std::string &pool, const std::string &model, Role role) -> void
+    {
+        Engine engine;
+        engine.name = readName(reader, names);
+        engine.address = readAddress(reader);
+        engine.place = readPlace(reader);
+        engine.pool = pool;
+        engine.model = model;
+        engine.role = role;
+        engine.slots = static_cast<int>(reader.integer("slots", 1, 10000, 20));
+        engine.linkBytesPerSecond = reader.number("link_bytes_per_second", 1, 1e15, 10e9);
+        engine.checksFencing = reader.boolean("checks_fencing", false);
+        engine.checksSender = reader.boolean("checks_sender", false);
+        engine.leaving = reader.boolean("leaving", false);
+        reader.refuseUnknown();
+        if (!m_addresses.insert(engine.address).second) {
+            reader.fault("address", fmt::format("{} is used twice; addresses must differ", engine.address));
+        }
+        m_config.engines.push_back(std::move(engine));
+    }
+
+    auto readServices() -> void
+    {
+        std::set<std::string> names;
+        for (auto &reader : m_root.objects("services")) {
+            Service service;
+            service.name = readName(reader, names);
+            service.target = milliseconds(reader.integer("target_ms", 1, 600000, 300));
+            service.maxInFlight = static_cast<int>(reader.integer("max_in_flight", 1, 100000, 64));
+            std::set<std::string> upstreams;
+            for (auto &entry : reader.objects("upstreams")) {
+                ServiceUpstream upstream;
+                upstream.name = readName(entry, upstreams);
+                upstream.address = readAddress(entry);
+                upstream.place = readPlace(entry);
+                upstream.leaving = entry.boolean("leaving", false);
+                entry.refuseUnknown();
+                service.upstreams.push_back(std::move(upstream));
+            }
+            if (service.upstreams.empty()) {
+                reader.fault("upstreams", "must name at least one upstream");
+            }
+            for (auto &entry : reader.objects("calls")) {
+                CallRule rule;
+                rule.method = entry.text("method");
+                rule.pathPrefix = entry.text("path_prefix", "/");
+                rule.idempotent = entry.boolean("idempotent");
+                entry.refuseUnknown();
+                service.calls.push_back(std::move(rule));
+            }
+            reader.refuseUnknown();
+            m_config.services.push_back(std::move(service));
+        }
+    }
+
+    auto checkNames(ObjectReader &reader, std::string_view key, const std::vector<std::string> &names, auto exists) -> void
+    {
+        for (const auto &entry : names) {
+            if (entry != "*" && !exists(entry)) {
+                reader.fault(key, fmt::format("'{}' is not among them; name one that exists, or '*'", entry));
+            }
+        }
+    }
+
+    auto readMembers() -> void
+    {
+        std::set<std::string> names;
+        for (auto &reader : m_root.objects("members")) {
+            Member member;
+            member.name = readName(reader, names);
+            member.tokenHashes = readHashes(reader);
+            member.share = reader.number("share", 0.000001, 1e6, 1);
+            member.maxPriority = static_cast<int>(reader.integer("max_priority", 0, 9, 0));
+            member.models = reader.texts("models");
+            member.services = reader.texts("services");
+            checkNames(reader, "models", member.models, [this](const auto &entry) { return m_config.findModel(entry) != nullptr; });
+            checkNames(reader, "services", member.services, [this](const auto &entry) { return m_config.findService(entry) != nullptr; });
+            reader.refuseUnknown();
+            m_config.members.push_back(std::move(member));
+        }
+        if (m_config.members.empty()) {
+            m_root.fault("members", "must name at least one member");
+        }
+    }
+
+    auto readOperators() -> void
+    {
+        std::set<std::string> names;
+        for (auto &reader : m_root.objects("operators")) {
+            Operator entry;
+            entry.name = readName(reader, names);
+            entry.member = reader.text("member", "");
+            if (!entry.member.empty() && m_config.findMember(entry.member) == nullptr) {
+                reader.fault("member", fmt::format("'{}' is not among the members", entry.member));
+            }
+            entry.tokenHashes = readHashes(reader);
+            entry.mayChange = reader.texts("may_change");
+            reader.refuseUnknown();
+            m_config.operators.push_back(std::move(entry));
+        }
+        if (m_config.operators.empty()) {
+            m_root.fault("operators", "must name at least one operator, else nobody could change the configuration");
+        }
+    }
+
+    auto readLimits() -> void
+    {
+        auto reader = m_root.object("limits");
+        auto &limits = m_config.limits;
+        limits.maxQueuedRequests = reader.integer("max_queued_requests", 0, 1000000, limits.maxQueuedRequests);
+        limits.maxQueuedTokens = reader.integer("max_queued_tokens", 0, 1LL << 40, limits.maxQueuedTokens);
+        limits.maxPromptBytes = reader.integer("max_prompt_bytes", 1, 64 << 20, limits.maxPromptBytes);
+        limits.retryShare = reader.number("retry_share", 0, 1, limits.retryShare);
+        limits.maxEjectedShare = reader.number("max_ejected_share", 0, 1, limits.maxEjectedShare);
+        limits.defaultDeadline = milliseconds(reader.integer("default_deadline_ms", 1, 3600000, 1700));
+        limits.quarantine = seconds(reader.integer("quarantine_s", 1, 86400, 600));
+        limits.answerRetention = seconds(reader.integer("answer_retention_s", 1, 864000, 86400));
+        reader.refuseUnknown();
+    }
+
+    auto readTimeouts() -> void
+    {
+        auto reader = m_root.object("timeouts");
+        auto &timeouts = m_config.timeouts;
+        timeouts.connect = milliseconds(reader.integer("connect_ms", 1, 60000, 300));
+        timeouts.progress = milliseconds(reader.integer("progress_ms", 10, 600000, 2000));
+        timeouts.peer = milliseconds(reader.integer("peer_ms", 10, 60000, 800));
+        timeouts.drain = seconds(reader.integer("drain_s", 1, 3600, 60));
+        reader.refuseUnknown();
+    }
+
+    Faults m_faults;
+    ObjectReader m_root;
+    Config m_config;
+    std::set<std::string> m_tokenHashes;
+    std::set<std::string> m_addresses;
+};
+
+auto collectDifferences(const Json &left, const Json &right, const std::string &path, std::vector<std::string> &paths) -> void
+{
+    if (left == right) {
+        return;
+    }
+    if (left.is_object() && right.is_object()) {
+        std::set<std::string> keys;
+        for (const auto &[key, value] : left.items()) {
+            keys.insert(key);
+        }
+        for (const auto &[key, value] : right.items()) {
+            keys.insert(key);
+        }
+        for (const auto &key : keys) {
+            const auto inLeft = left.contains(key);
+            const auto inRight = right.contains(key);
+            if (inLeft && inRight) {
+                collectDifferences(left[key], right[key], path + "/" + key, paths);
+            } else {
+                paths.push_back(path + "/" + key);
+            }
+        }
+        return;
+    }
+    if (left.is_array() && right.is_array()) {
+        for (std::size_t index = 0; index < std::max(left.size(), right.size()); ++index) {
+            const auto entry = fmt::format("{}/{}", path, index);
+            if (index < left.size() && index < right.size()) {
+                collectDifferences(left[index], right[index], entry, paths);
+            } else {
+                paths.push_back(entry);
+            }
+        }
+        return;
+    }
+    paths.push_back(path);
+}
+
+auto shareOf(const Json &document, std::string_view member) -> double
+{
+    if (document.is_object() && document.contains("members") && document["members"].is_array()) {
+        for (const auto &entry : document["members"]) {
+            if (entry.is_object() && entry.value("name", std::string()) == member) {
+                return entry.value("share", 1.0);
+            }
+        }
+    }
+    return 0;
+}
+
+auto totalShare(const Json &document) -> double
+{
+    double total = 0;
+    if (document.is_object() && document.contains("members") && document["members"].is_array()) {
+        for (const auto &entry : document["members"]) {
+            total += entry.is_object() ? entry.value("share", 1.0) : 0.0;
+        }
+    }
+    return total;
+}
+
+auto textSchema(std::string_view description) -> Json
+{
+    return {{"type", "string"}, {"description", description}};
+}
+
+auto integerSchema(std::int64_t low, std::int64_t high, std::int64_t fallback) -> Json
+{
+    return {{"type", "integer"}, {"minimum", low}, {"maximum", high}, {"default", fallback}};
+}
+
+auto numberSchema(double low, double high, double fallback) -> Json
+{
+    return {{"type", "number"}, {"minimum", low}, {"maximum", high}, {"default", fallback}};
+}
+
+auto booleanSchema(bool fallback) -> Json
+{
+    return {{"type", "boolean"}, {"default", fallback}};
+}
+
+auto textsSchema(std::string_view description) -> Json
+{
+    return {{"type", "array"}, {"items", {{"type", "string"}}}, {"description", description}};
+}
+
+auto objectSchema(Json properties, std::vector<std::string> required) -> Json
+{
+    return {{"type", "object"}, {"properties", std::move(properties)}, {"required", std::move(required)}, {"additionalProperties", false}};
+}
+
+auto listSchema(Json items) -> Json
+{
+    return {{"type", "array"}, {"items", std::move(items)}};
+}
+
+auto nameSchema() -> Json
+{
+    return {{"type", "string"}, {"pattern", "^[A-Za-z0-9._-]{1,64}$"}};
+}
+
+auto hashesSchema() -> Json
+{
+    return {{"type", "array"}, {"items", {{"type", "string"}, {"pattern", "^sha256:[0-9a-f]{64}$"}}}};
+}
+
+auto poolSchema() -> Json
+{
+    const auto engine = objectSchema({{"name", nameSchema()},
+                                      {"address", textSchema("IP number and port")},
+                                      {"place", textSchema("name of a place")},
+                                      {"slots", integerSchema(1, 10000, 20)},
+                                      {"link_bytes_per_second", numberSchema(1, 1e15, 10e9)},
+                                      {"checks_fencing", booleanSchema(false)},
+                                      {"checks_sender", booleanSchema(false)},
+                                      {"leaving", booleanSchema(false)}},
+                                     {"name", "address", "place"});
+    return objectSchema({{"name", nameSchema()},
+                         {"model", textSchema("name of a model")},
+                         {"role", {{"enum", {"prefill", "decode"}}}},
+                         {"engines", listSchema(engine)}},
+                        {"name", "model", "role"});
+}
+
+auto serviceSchema() -> Json
+{
+    const auto upstream = objectSchema({{"name", nameSchema()},
+                                        {"address", textSchema("IP number and port")},
+                                        {"place", textSchema("name of a place")},
+                                        {"leaving", booleanSchema(false)}},
+                                       {"name", "address", "place"});
+    const auto call = objectSchema({{"method", textSchema("HTTP method")}, {"path_prefix", textSchema("prefix of the path")}, {"idempotent", booleanSchema(true)}},
+                                   {"method", "idempotent"});
+    return objectSchema({{"name", nameSchema()},
+                         {"target_ms", integerSchema(1, 600000, 300)},
+                         {"max_in_flight", integerSchema(1, 100000, 64)},
+                         {"upstreams", listSchema(upstream)},
+                         {"calls", listSchema(call)}},
+                        {"name", "upstreams"});
+}
+
+} // namespace
+
+auto name(Role role) -> std::string_view
+{
+    return role == Role::Prefill ? "prefill" : "decode";
+}
+
+auto Service::isIdempotent(std::string_view method, std::string_view path) const -> bool
+{
+    const CallRule *best = nullptr;
+    for (const auto &rule : calls) {
+        const bool matches = rule.method == method && path.starts_with(rule.pathPrefix);
+        if (matches && (best == nullptr || rule.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &rule;
+        }
+    }
+    if (best != nullptr) {
+        return best->idempotent;
+    }
+    return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "PUT" || method == "DELETE";
+}
+
+auto Config::findModel(std::string_view name) const -> const Model *
+{
+    return findByName(models, name);
+}
+
+auto Config::findEngine(std::string_view name) const -> const Engine *
+{
+    return findByName(engines, name);
+}
+
+auto Config::findService(std::string_view name) const -> const Service *
+{
+    return findByName(services, name);
+}
+
+auto Config::findMember(std::string_view name) const -> const Member *
+{
+    return findByName(members, name);
+}
+
+auto Config::findPlace(std::string_view name) const -> const Place *
+{
+    return findByName(places, name);
+}
+
+auto Config::regionOf(std::string_view place) const -> std::string_view
+{
+    const auto *found = findPlace(place);
+    return found == nullptr ? std::string_view() : std::string_view(found->region);
+}
+
+auto Config::memberOfToken(std::string_view token) const -> const Member *
+{
+    const auto hash = tokenHash(token);
+    for (const auto &member : members) {
+        for (const auto &known : member.tokenHashes) {
+            if (equalDigests(known, hash)) {
+                return &member;
+            }
+        }
+    }
+    return nullptr;
+}
+
+auto Config::operatorOfToken(std::string_view token) const -> const Operator *
+{
+    const auto hash = tokenHash(token);
+    for (const auto &entry : operators) {
+        for (const auto &known : entry.tokenHashes) {
+            if (equalDigests(known, hash)) {
+                return &entry;
+            }
+        }
+    }
+    return nullptr;
+}
+
+auto parseConfig(const Json &document) -> tl::expected<Config, Faults>
+{
+    return ConfigParser(document).parse();
+}
+
+auto configSchema() -> Json
+{
+    const auto place = objectSchema({{"name", nameSchema()}, {"region", textSchema("region of the place")}}, {"name", "region"});
+    const auto model = objectSchema({{"name", nameSchema()},
+                                     {"first_token_target_ms", integerSchema(1, 600000, 1700)},
+                                     {"token_gap_target_ms", integerSchema(1, 60000, 26)},
+                                     {"kv_bytes_per_token", numberSchema(1, 1e9, 131072)}},
+                                    {"name"});
+    const auto member = objectSchema({{"name", nameSchema()},
+                                      {"token_hashes", hashesSchema()},
+                                      {"share", numberSchema(0.000001, 1e6, 1)},
+                                      {"max_priority", integerSchema(0, 9, 0)},
+                                      {"models", textsSchema("models it may use, or '*'")},
+                                      {"services", textsSchema("services it may use, or '*'")}},
+                                     {"name"});
+    const auto operatorSchema = objectSchema({{"name", nameSchema()},
+                                              {"member", textSchema("member it acts for; empty: the consortium")},
+                                              {"token_hashes", hashesSchema()},
+                                              {"may_change", textsSchema("top-level sections, or '*'")}},
+                                             {"name"});
+    const auto limits = objectSchema({{"max_queued_requests", integerSchema(0, 1000000, 400)},
+                                      {"max_queued_tokens", integerSchema(0, 1LL << 40, 2000000)},
+                                      {"max_prompt_bytes", integerSchema(1, 64 << 20, 4 << 20)},
+                                      {"retry_share", numberSchema(0, 1, 0.1)},
+                                      {"max_ejected_share", numberSchema(0, 1, 0.34)},
+                                      {"default_deadline_ms", integerSchema(1, 3600000, 1700)},
+                                      {"quarantine_s", integerSchema(1, 86400, 600)},
+                                      {"answer_retention_s", integerSchema(1, 864000, 86400)}},
+                                     {});
+    const auto timeouts = objectSchema({{"connect_ms", integerSchema(1, 60000, 300)},
+                                        {"progress_ms", integerSchema(10, 600000, 2000)},
+                                        {"peer_ms", integerSchema(10, 60000, 800)},
+                                        {"drain_s", integerSchema(1, 3600, 60)}},
+                                       {});
+    auto schema = objectSchema({{"revision", integerSchema(0, 1LL << 53, 0)},
+                                {"submission", textSchema("id of the submission")},
+                                {"places", listSchema(place)},
+                                {"models", listSchema(model)},
+                                {"pools", listSchema(poolSchema())},
+                                {"services", listSchema(serviceSchema())},
+                                {"members", listSchema(member)},
+                                {"operators", listSchema(operatorSchema)},
+                                {"limits", limits},
+                                {"timeouts", timeouts}},
+                               {"places", "members", "operators"});
+    schema["$schema"] = "https://json-schema.org/draft/2020-12/schema";
+    schema["title"] = "currantstack configuration";
+    return schema;
+}
+
+auto differingPaths(const Json &left, const Json &right) -> std::vector<std::string>
+{
+    std::vector<std::string> paths;
+    collectDifferences(left, right, "", paths);
+    std::erase_if(paths, [](const std::string &path) { return path == "/revision" || path == "/submission"; });
+    return paths;
+}
+
+auto forbiddenChanges(const Config &before, const Json &beforeDocument, const Json &afterDocument, std::string_view operatorName) -> Faults
+{
+    Faults faults;
+    const auto *who = findByName(before.operators, operatorName);
+    if (who == nullptr) {
+        faults.push_back({"/operators", "the operator is not known"});
+        return faults;
+    }
+    const bool mayAll = std::find(who->mayChange.begin(), who->mayChange.end(), "*") != who->mayChange.end();
+    for (const auto &path : differingPaths(beforeDocument, afterDocument)) {
+        const auto section = path.substr(1, path.find('/', 1) - 1);
+        const bool may = mayAll || std::find(who->mayChange.begin(), who->mayChange.end(), section) != who->mayChange.end();
+        if (!may) {
+            faults.push_back({path, fmt::format("operator '{}' may not change '{}'", operatorName, section)});
+        }
+    }
+    if (!who->member.empty()) {
+        const auto ratio = [&who](const Json &document) { return shareOf(document, who->member) / std::max(1e-12, totalShare(document)); };
+        if (ratio(afterDocument) > ratio(beforeDocument) + 1e-9) {
+            faults.push_back({"/members", fmt::format("an operator of '{}' may not raise that member's own share", who->member)});
+        }
+        const auto operatorsOf = [](const Json &document) { return document.is_object() && document.contains("operators") ? document["operators"] : Json(); };
+        if (operatorsOf(beforeDocument) != operatorsOf(afterDocument)) {
+            faults.push_back({"/operators", "only an operator of the consortium may change who may change what"});
+        }
+    }
+    return faults;
+}
+
+auto tokenHash(std::string_view token) -> std::string
+{
+    return "sha256:" + sha256(token);
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/estimate.cc
@@ -0,0 +1,69 @@
+#include "currantstack/estimate.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr double PrefillOverheadMs = 5;
+constexpr std::int64_t LongPrompt = 4000; // tokens, from which the transfer dominates the start of a decode
+
+} // namespace
+
+auto ModelEstimate::observePrefill(std::int64_t freshTokens, std::int64_t promptTokens, std::size_t promptBytes, Duration length) -> void
+{
+    if (promptTokens > 0) {
+        m_bytesPerToken.observe(static_cast<double>(promptBytes) / static_cast<double>(promptTokens));
+    }
+    if (freshTokens >= 64) {
+        const double work = std::max(0.0, toMilliseconds(length) - PrefillOverheadMs);
+        m_prefillMicrosPerToken.observe(std::min(1000 * work / static_cast<double>(freshTokens), 3 * m_prefillMicrosPerToken.value()));
+    }
+}
+
+auto ModelEstimate::observeDecodeStart(std::int64_t promptTokens, Duration length) -> void
+{
+    const double total = toMilliseconds(length);
+    if (promptTokens < LongPrompt) {
+        const double start = total - static_cast<double>(promptTokens) * m_startMicrosPerToken.value() / 1000;
+        m_startMs.observe(std::clamp(start, 0.0, 3 * std::max(10.0, m_startMs.value())));
+    } else {
+        const double rate = 1000 * std::max(0.0, total - m_startMs.value()) / static_cast<double>(promptTokens);
+        m_startMicrosPerToken.observe(std::min(rate, 3 * m_startMicrosPerToken.value()));
+    }
+}
+
+auto ModelEstimate::observeGap(Duration gap) -> void
+{
+    m_gapMs.observe(toMilliseconds(gap));
+}
+
+auto ModelEstimate::tokensOf(std::size_t promptBytes) const -> std::int64_t
+{
+    return std::max<std::int64_t>(1, static_cast<std::int64_t>(static_cast<double>(promptBytes) / std::max(0.5, m_bytesPerToken.value())));
+}
+
+auto ModelEstimate::prefillMs(std::int64_t freshTokens) const -> double
+{
+    return PrefillOverheadMs + static_cast<double>(freshTokens) * m_prefillMicrosPerToken.value() / 1000;
+}
+
+auto ModelEstimate::decodeStartMs(std::int64_t promptTokens) const -> double
+{
+    return m_startMs.value() + static_cast<double>(promptTokens) * m_startMicrosPerToken.value() / 1000;
+}
+
+auto ModelEstimate::gapMs() const -> double
+{
+    return m_gapMs.value();
+}
+
+auto ModelEstimate::microsPerToken() const -> double
+{
+    return m_prefillMicrosPerToken.value();
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/gateway.cc
@@ -0,0 +1,279 @@
+#include "currantstack/gateway.h"
+
+#include "currantstack/log.h"
+#include "currantstack/rendezvous.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Log GatewayLog("gateway");
+constexpr Duration LoadPeriod = milliseconds(500);
+constexpr Duration EventPeriod = seconds(2);
+
+auto fingerprintText(Fingerprint fingerprint) -> std::string
+{
+    return fmt::format("{:016x}", fingerprint);
+}
+
+auto fingerprintOf(std::string_view text) -> Fingerprint
+{
+    Fingerprint value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    return value;
+}
+
+} // namespace
+
+auto splitAddress(std::string_view address) -> std::pair<std::string, std::uint16_t>
+{
+    const auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string_view::npos) {
+        const auto digits = address.substr(colon + 1);
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    }
+    return {std::string(address.substr(0, colon)), port};
+}
+
+Gateway::Gateway(Context &context, Announcer &announcer, SlotService &slots, Cancels &cancels, JournalService &journal)
+    : m_context(context)
+    , m_slots(slots)
+    , m_parts{context,   slots,      cancels,     journal,         m_quarantine, m_usage, m_retries, m_prefixes, m_estimates,
+              m_reportedLoads, [this](Fingerprint fingerprint, const std::string &upstream) { reportDeath(fingerprint, upstream); },
+              [this](const std::string &id) { m_context.loop.defer([this, id]() { m_relays.erase(id); }); }}
+    , m_loadTimer(context.loop.timer([this]() { readLoads(); }))
+    , m_eventTimer(context.loop.timer([this]() { readCacheEvents(); }))
+{
+    m_chain.add("authenticate", authenticate);
+    m_chain.add("parse", [this](CallerRequest &request) { return parseCall(request, m_context.clock.now()); });
+    m_chain.add("quarantine", [this](CallerRequest &request) { return checkQuarantine(request); });
+    m_chain.add("admit", [this](CallerRequest &request) { return admit(request); });
+    announcer.section(
+        "quarantine",
+        [this]() {
+            auto list = Json::array();
+            for (const auto &entry : m_quarantine.entries(m_context.clock.now())) {
+                list.push_back({{"f", fingerprintText(entry.fingerprint)}, {"ms", static_cast<std::int64_t>(toMilliseconds(entry.remaining))}});
+            }
+            return list;
+        },
+        [this](const std::string &, const Json &section) {
+            std::vector<QuarantineEntry> entries;
+            Faults faults;
+            for (const auto &value : section.is_array() ? section : Json::array()) {
+                ObjectReader reader(value, "", faults);
+                entries.push_back({fingerprintOf(reader.text("f")), milliseconds(reader.integer("ms", 0, 86400000))});
+            }
+            if (faults.empty()) {
+                m_quarantine.merge(entries, m_context.clock.now());
+            }
+        });
+    context.router.on("/peer/death", [this](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
+        takeDeath(fingerprintOf(body.value("f", std::string())), body.value("upstream", std::string()));
+        reply(Json::object());
+    });
+}
+
+auto Gateway::open() -> Result<void>
+{
+    ServerOptions options;
+    std::tie(options.address, options.port) = splitAddress(m_context.settings.callerAddress);
+    options.maxBody = m_context.settings.maxBody;
+    options.maxHead = m_context.settings.maxHead;
+    options.idleTimeout = m_context.settings.idleTimeout;
+    auto server = HttpServer::open(m_context.loop, options, [this](const ExchangePtr &exchange) { handle(exchange); });
+    if (!server) {
+        return tl::unexpected(server.error());
+    }
+    m_server = std::move(*server);
+    if (m_context.settings.policy != PolicyKind::Ledger) {
+        m_loadTimer->startRepeating(LoadPeriod, LoadPeriod);
+    }
+    m_eventTimer->startRepeating(EventPeriod, EventPeriod);
+    GatewayLog.info("Callers are served at {}", m_context.settings.callerAddress);
+    return {};
+}
+
+auto Gateway::drain() -> void
+{
+    m_draining = true;
+}
+
+auto Gateway::reconsider() -> void
+{
+    m_retries.setShare(m_context.config->limits.retryShare);
+}
+
+auto Gateway::handleAdmin(const ExchangePtr &exchange) -> bool
+{
+    const auto &path = exchange->request().path;
+    if (path == "/healthz") {
+        exchange->respond(jsonResponse(200, R"({"alive":true})"));
+    } else if (path == "/readyz") {
+        const bool ready = !m_draining && m_context.config->revision > 0;
+        exchange->respond(jsonResponse(ready ? 200 : 503, dumpJson({{"ready", ready}, {"draining", m_draining}, {"revision", m_context.config->revision}})));
+    } else if (path == "/counters") {
+        m_context.counters.at("requests_in_flight").set(static_cast<std::int64_t>(m_relays.size()));
+        exchange->respond(jsonResponse(200, m_context.counters.dump()));
+    } else {
+        return false;
+    }
+    return true;
+}
+
+auto Gateway::handle(const ExchangePtr &exchange) -> void
+{
+    if (handleAdmin(exchange)) {
+        return;
+    }
+    CallerRequest request;
+    request.exchange = exchange;
+    request.config = m_context.config;
+    request.received = m_context.clock.now();
+    request.id = fmt::format("{}.{}.{}", m_context.settings.name, m_context.membership.self().boot, m_sequence++);
+    m_context.counters.at("requests_taken").add();
+    m_context.timeline.add(EventKind::RequestTaken, request.id, "");
+    auto checked = m_draining ? Result<void>(fail(ErrorCode::Unavailable, "drain", "", "this VM is leaving; ask another")) : m_chain.run(request);
+    if (!checked) {
+        m_context.counters.at("requests_refused").add();
+        m_context.timeline.add(EventKind::RequestRefused, request.id, checked.error().peer, checked.error().message);
+        if (request.member != nullptr) {
+            ++m_usage.of(request.member->name).refused;
+        }
+        const bool retryable = checked.error().code == ErrorCode::Overloaded || checked.error().code == ErrorCode::Unavailable;
+        return exchange->respond(refusal(checked.error(), Ran::No, retryable ? Duration(seconds(1)) : Duration::zero(), request.id));
+    }
+    startRelay(std::move(request));
+}
+
+auto Gateway::startRelay(CallerRequest request) -> void
+{
+    const auto id = request.id;
+    std::shared_ptr<Relay> relay;
+    if (request.kind == CallKind::Service) {
+        relay = std::make_shared<ServiceRelay>(m_parts, m_board, std::move(request));
+    } else {
+        relay = std::make_shared<ModelRelay>(m_parts, std::move(request));
+    }
+    m_relays[id] = relay;
+    relay->start();
+}
+
+auto Gateway::poolOf(const Config &config, std::string_view model, Role role) const -> std::string
+{
+    for (const auto &engine : config.engines) {
+        if (engine.model == model && engine.role == role) {
+            return engine.pool;
+        }
+    }
+    return {};
+}
+
+auto Gateway::checkQuarantine(CallerRequest &request) -> Result<void>
+{
+    const auto now = m_context.clock.now();
+    if (m_quarantine.isQuarantined(request.fingerprint, now)) {
+        m_context.counters.at("requests_quarantined").add();
+        return fail(ErrorCode::Quarantined, "quarantine", "", "the same request stopped the upstreams that ran it before");
+    }
+    request.suspect = m_quarantine.isSuspect(request.fingerprint, now);
+    return {};
+}
+
+auto Gateway::admit(CallerRequest &request) -> Result<void>
+{
+    if (request.kind == CallKind::Service || m_context.settings.policy != PolicyKind::Ledger) {
+        return {};
+    }
+    auto &estimate = m_estimates[request.completion.model];
+    const auto tokens = estimate.tokensOf(request.completion.prompt.size());
+    const double prefillMs = estimate.prefillMs(tokens);
+    const auto decodeWait = m_slots.bestWait(poolOf(*request.config, request.completion.model, Role::Decode), Role::Decode, 0);
+    const auto prefillWait = m_slots.bestWait(poolOf(*request.config, request.completion.model, Role::Prefill), Role::Prefill, prefillMs);
+    if (decodeWait == Duration::max() || prefillWait == Duration::max()) {
+        return fail(ErrorCode::Unavailable, "admit", request.completion.model, "no engine of the model may take work");
+    }
+    const auto expected = decodeWait + prefillWait + fromMilliseconds(prefillMs + estimate.decodeStartMs(tokens));
+    if (request.priority == 0 && m_context.clock.now() + expected > request.deadline) {
+        m_context.counters.at("requests_not_admitted").add();
+        return fail(ErrorCode::Overloaded, "admit", request.completion.model,
+                    fmt::format("the first token is expected after {:.0f} ms, beyond the deadline", toMilliseconds(expected)));
+    }
+    return {};
+}
+
+auto Gateway::reportDeath(Fingerprint fingerprint, const std::string &upstream) -> void
+{
+    // The count is kept at one VM, so that deaths seen by several VMs add up.
+    const auto live = m_context.membership.live();
+    const auto home = std::string(rendezvousOwner(live, fingerprintText(fingerprint)));
+    takeDeath(fingerprint, upstream);
+    if (!m_context.isSelf(home)) {
+        m_context.peers.call(m_context.addressOf(home), "/peer/death", {{"f", fingerprintText(fingerprint)}, {"upstream", upstream}},
+                             m_context.config->timeouts.peer, [](const Result<Json> &) { });
+    }
+}
+
+auto Gateway::takeDeath(Fingerprint fingerprint, const std::string &upstream) -> void
+{
+    const auto now = m_context.clock.now();
+    const bool before = m_quarantine.isQuarantined(fingerprint, now);
+    if (m_quarantine.report(fingerprint, upstream, m_context.config->limits.quarantine, now) && !before) {
+        m_context.timeline.add(EventKind::Quarantined, fingerprintText(fingerprint), upstream, "two upstreams died while they ran it");
+        m_context.counters.at("fingerprints_quarantined").add();
+    }
+}
+
+auto Gateway::readLoads() -> void
+{
+    for (const auto &engine : m_context.config->engines) {
+        HttpCall call;
+        call.url = urlOf(engine.address, "/v1/load");
+        call.totalTimeout = seconds(1);
+        HttpHandlers handlers;
+        handlers.onDone = [this, name = engine.name](const Result<HttpResponse> &response) {
+            const auto body = response ? parseJson(response->body, "load") : Result<Json>(tl::unexpected(response.error()));
+            const auto report = body ? loadReportFromJson(*body) : Result<LoadReport>(tl::unexpected(body.error()));
+            if (report && report->slots > 0) {
+                m_reportedLoads[name] = static_cast<double>(report->running + report->waiting) / static_cast<double>(report->slots);
+            }
+        };
+        m_context.client.start(std::move(call), std::move(handlers));
+    }
+}
+
+auto Gateway::readCacheEvents() -> void
+{
+    m_quarantine.expire(m_context.clock.now());
+    for (const auto &name : m_slots.ledger().ownedEngines()) {
+        const auto *engine = m_context.config->findEngine(name);
+        if (engine == nullptr || engine->role != Role::Prefill) {
+            continue;
+        }
+        HttpCall call;
+        call.url = urlOf(engine->address, fmt::format("/v1/cache-events?after={}", m_cacheEvents[name]));
+        call.totalTimeout = seconds(1);
+        HttpHandlers handlers;
+        handlers.onDone = [this, name](const Result<HttpResponse> &response) {
+            const auto body = response ? parseJson(response->body, "cache events") : Result<Json>(tl::unexpected(response.error()));
+            if (!body || !body->is_object()) {
+                return;
+            }
+            Faults faults;
+            ObjectReader reader(*body, "", faults);
+            for (auto &event : reader.objects("events")) {
+                m_cacheEvents[name] = std::max(m_cacheEvents[name], event.integer("sequence", 0, 1LL << 53));
+                m_prefixes.learnHead(fingerprintOf(event.text("prefix_hash")), name);
+            }
+        };
+        m_context.client.start(std::move(call), std::move(handlers));
+    }
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/health.cc
@@ -0,0 +1,76 @@
+#include "currantstack/health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration FallSpacing = milliseconds(40); // so that the streams of one slow step count once
+constexpr double FailureFactor = 0.3;
+
+} // namespace
+
+auto HealthTracker::weight(std::string_view upstream, TimePoint now) const -> double
+{
+    const auto found = m_states.find(upstream);
+    if (found == m_states.end()) {
+        return 1;
+    }
+    return std::min(1.0, found->second.weight + RisePerSecond * toSeconds(now - found->second.since));
+}
+
+auto HealthTracker::lower(std::string_view upstream, double factor, TimePoint now) -> void
+{
+    auto &state = m_states[std::string(upstream)];
+    if (now - state.lastFall < FallSpacing) {
+        return;
+    }
+    state.weight = weight(upstream, now) * factor;
+    state.since = now;
+    state.lastFall = now;
+}
+
+auto HealthTracker::observe(std::string_view upstream, double ratio, TimePoint now) -> void
+{
+    if (ratio >= SlowRatio) {
+        lower(upstream, FallFactor, now);
+    }
+}
+
+auto HealthTracker::observeFailure(std::string_view upstream, TimePoint now) -> void
+{
+    lower(upstream, FailureFactor, now);
+}
+
+auto HealthTracker::weights(std::span<const std::string> pool, double maxEjected, TimePoint now) const -> std::map<std::string, double>
+{
+    std::map<std::string, double> result;
+    std::vector<std::string> ejected;
+    for (const auto &upstream : pool) {
+        result[upstream] = weight(upstream, now);
+        if (result[upstream] < EjectedBelow) {
+            ejected.push_back(upstream);
+        }
+    }
+    const auto allowed = static_cast<std::size_t>(std::floor(maxEjected * static_cast<double>(pool.size())));
+    std::sort(ejected.begin(), ejected.end(), [&result](const auto &left, const auto &right) { return result[left] < result[right]; });
+    for (std::size_t index = allowed; index < ejected.size(); ++index) {
+        result[ejected[index]] = EjectedBelow;
+    }
+    return result;
+}
+
+auto HealthTracker::forget(std::string_view upstream) -> void
+{
+    const auto found = m_states.find(upstream);
+    if (found != m_states.end()) {
+        m_states.erase(found);
+    }
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,475 @@
+#include "currantstack/http_server.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <fmt/format.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <unordered_set>
+
+namespace currantstack
+{
+
+namespace detail
+{
+
+/// Owns the daemon and its watchers; exchanges hold it weakly.
+class ServerCore : public std::enable_shared_from_this<ServerCore>
+{
+public:
+    ServerCore(Loop &loop, HttpServer::Handler handler, std::size_t maxBody)
+        : m_loop(loop)
+        , m_handler(std::move(handler))
+        , m_maxBody(maxBody)
+    {
+    }
+
+    ~ServerCore()
+    {
+        close();
+    }
+
+    auto start(const ServerOptions &options) -> Result<void>;
+    auto close() -> void;
+    auto quiesce() -> void;
+
+    /// Lets the daemon run once before the loop next waits.
+    auto scheduleRun() -> void;
+
+    auto loop() -> Loop &
+    {
+        return m_loop;
+    }
+
+    auto port() const -> std::uint16_t
+    {
+        return m_port;
+    }
+
+    std::unordered_set<Exchange *> m_active; // requests being answered
+
+private:
+    static auto onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
+                         const char *data, size_t *size, void **state) -> MHD_Result;
+    static auto onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code) -> void;
+    static auto onRead(void *context, std::uint64_t position, char *buffer, size_t size) -> ssize_t;
+    static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
+    auto queue(Exchange &exchange) -> MHD_Result;
+    auto run() -> void;
+
+    Loop &m_loop;
+    HttpServer::Handler m_handler;
+    std::size_t m_maxBody;
+    MHD_Daemon *m_daemon = nullptr;
+    ev_io m_io{};
+    std::unique_ptr<Timer> m_timer;
+    std::uint16_t m_port = 0;
+    bool m_runScheduled = false;
+    bool m_quiesced = false;
+};
+
+namespace
+{
+
+auto listenSocket(const ServerOptions &options) -> Result<int>
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    const auto where = fmt::format("{}:{}", options.address, options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+        return fail(ErrorCode::BadInput, "listen", where, "the address is not an IP number");
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0 || listen(descriptor, 1024) != 0) {
+        const std::string reason = std::strerror(errno);
+        ::close(descriptor);
+        return fail(ErrorCode::Unavailable, "listen", where, reason);
+    }
+    return descriptor;
+}
+
+auto collect(void *list, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
+{
+    static_cast<Headers *>(list)->push_back({name, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+} // namespace
+
+auto ServerCore::start(const ServerOptions &options) -> Result<void>
+{
+    const auto descriptor = listenSocket(options);
+    if (!descriptor) {
+        return tl::unexpected(descriptor.error());
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    getsockname(*descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
+    m_port = ntohs(bound.sin_port);
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this,
+                                MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this,
+                                MHD_OPTION_CONNECTION_LIMIT, options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout,
+                                MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+        ::close(*descriptor);
+        return fail(ErrorCode::Internal, "listen", options.address, "the HTTP daemon did not start");
+    }
+    const auto *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    ev_io_init(&m_io, &ServerCore::onReadable, info->epoll_fd, EV_READ);
+    m_io.data = this;
+    ev_io_start(m_loop.raw(), &m_io);
+    m_timer = m_loop.timer([this]() { run(); });
+    return {};
+}
+
+auto ServerCore::close() -> void
+{
+    if (m_daemon == nullptr) {
+        return;
+    }
+    ev_io_stop(m_loop.raw(), &m_io);
+    m_timer.reset();
+    // libmicrohttpd must not be stopped while connections are suspended.
+    for (auto *exchange : m_active) {
+        exchange->m_aborted = true;
+        exchange->m_answered = true;
+        if (std::exchange(exchange->m_suspended, false)) {
+            MHD_resume_connection(exchange->m_connection);
+        }
+    }
+    MHD_run(m_daemon);
+    MHD_stop_daemon(m_daemon);
+    m_daemon = nullptr;
+}
+
+auto ServerCore::quiesce() -> void
+{
+    if (!m_quiesced && m_daemon != nullptr) {
+        m_quiesced = true;
+        const auto descriptor = MHD_quiesce_daemon(m_daemon);
+        if (descriptor != MHD_INVALID_SOCKET) {
+            ::close(descriptor);
+        }
+    }
+}
+
+auto ServerCore::scheduleRun() -> void
+{
+    if (m_runScheduled) {
+        return;
+    }
+    m_runScheduled = true;
+    m_loop.defer([weak = weak_from_this()]() {
+        if (const auto core = weak.lock()) {
+            core->m_runScheduled = false;
+            core->run();
+        }
+    });
+}
+
+auto ServerCore::run() -> void
+{
+    if (m_daemon == nullptr) {
+        return;
+    }
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    if (MHD_get_timeout(m_daemon, &timeout) == MHD_YES) {
+        m_timer->startOnce(milliseconds(static_cast<long long>(timeout)));
+    } else {
+        m_timer->stop();
+    }
+}
+
+auto ServerCore::onReadable(struct ev_loop * /*loop*/, ev_io *watcher, int /*events*/) -> void
+{
+    static_cast<ServerCore *>(watcher->data)->run();
+}
+
+auto ServerCore::onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char * /*version*/,
+                          const char *data, size_t *size, void **state) -> MHD_Result
+{
+    auto *self = static_cast<ServerCore *>(context);
+    if (*state == nullptr) {
+        auto exchange = std::make_shared<Exchange>(self->weak_from_this(), connection);
+        exchange->m_request.method = method;
+        exchange->m_request.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect, &exchange->m_request.headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect, &exchange->m_request.query);
+        const int on = 1;
+        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        self->m_active.insert(exchange.get());
+        *state = new ExchangePtr(std::move(exchange));
+        return MHD_YES;
+    }
+    auto &exchange = **static_cast<ExchangePtr *>(*state);
+    if (*size > 0) {
+        if (exchange.m_request.body.size() + *size > self->m_maxBody) {
+            exchange.m_bodyTooLarge = true;
+        } else {
+            exchange.m_request.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (!exchange.m_dispatched) {
+        exchange.m_dispatched = true;
+        if (exchange.m_bodyTooLarge) {
+            exchange.respond({413, {{"Content-Type", "application/problem+json"}}, R"({"title":"body too large","status":413,"ran":"no"})"});
+        } else {
+            self->m_handler(*static_cast<ExchangePtr *>(*state));
+        }
+    }
+    if (exchange.m_answered) {
+        return self->queue(exchange);
+    }
+    exchange.m_suspended = true;
+    MHD_suspend_connection(connection);
+    exchange.watchCaller();
+    return MHD_YES;
+}
+
+auto ServerCore::queue(Exchange &exchange) -> MHD_Result
+{
+    if (exchange.m_queued) {
+        return MHD_YES;
+    }
+    exchange.m_queued = true;
+    if (exchange.m_aborted && !exchange.m_streaming) {
+        return MHD_NO;
+    }
+    MHD_Response *response = nullptr;
+    if (exchange.m_streaming) {
+        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 16U << 10, &ServerCore::onRead, &exchange, nullptr);
+    } else {
+        response = MHD_create_response_from_buffer(exchange.m_response.body.size(), exchange.m_response.body.data(), MHD_RESPMEM_MUST_COPY);
+    }
+    for (const auto &header : exchange.m_response.headers) {
+        MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+    }
+    const auto result = MHD_queue_response(exchange.m_connection, static_cast<unsigned>(exchange.m_response.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+auto ServerCore::onRead(void *context, std::uint64_t /*position*/, char *buffer, size_t size) -> ssize_t
+{
+    auto *exchange = static_cast<Exchange *>(context);
+    const auto waiting = exchange->pendingBytes();
+    if (exchange->m_aborted) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (waiting == 0) {
+        if (exchange->m_ended) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        exchange->m_suspended = true;
+        MHD_suspend_connection(exchange->m_connection);
+        exchange->watchCaller();
+        return 0;
+    }
+    const auto taken = std::min(size, waiting);
+    std::memcpy(buffer, exchange->m_pending.data() + exchange->m_pendingOffset, taken);
+    exchange->m_pendingOffset += taken;
+    if (exchange->m_pendingOffset == exchange->m_pending.size()) {
+        exchange->m_pending.clear();
+        exchange->m_pendingOffset = 0;
+    }
+    return static_cast<ssize_t>(taken);
+}
+
+auto ServerCore::onCompleted(void *context, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode code) -> void
+{
+    if (*state == nullptr) {
+        return;
+    }
+    auto *holder = static_cast<ExchangePtr *>(*state);
+    const auto exchange = std::move(*holder);
+    delete holder;
+    *state = nullptr;
+    static_cast<ServerCore *>(context)->m_active.erase(exchange.get());
+    exchange->release();
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        exchange->noteGone();
+    }
+}
+
+} // namespace detail
+
+/// Notices the end of a suspended connection, which libmicrohttpd does not watch.
+struct Exchange::Watcher {
+    ev_io io{};
+    struct ev_loop *loop = nullptr;
+
+    ~Watcher()
+    {
+        ev_io_stop(loop, &io);
+    }
+
+    static auto fire(struct ev_loop *loop, ev_io *watcher, int /*events*/) -> void
+    {
+        char byte = 0;
+        const auto got = recv(watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
+        ev_io_stop(loop, watcher);
+        if (got > 0) {
+            return; // a pipelined request; the end shows when this one is answered
+        }
+        const auto exchange = static_cast<Exchange *>(watcher->data)->shared_from_this();
+        exchange->noteGone();
+        exchange->abort();
+    }
+};
+
+Exchange::Exchange(std::weak_ptr<detail::ServerCore> core, MHD_Connection *connection)
+    : m_core(std::move(core))
+    , m_connection(connection)
+{
+}
+
+Exchange::~Exchange() = default;
+
+auto Exchange::watchCaller() -> void
+{
+    const auto core = m_core.lock();
+    if (m_gone || !core) {
+        return;
+    }
+    if (!m_watcher) {
+        m_watcher = std::make_unique<Watcher>();
+        m_watcher->loop = core->loop().raw();
+        const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        ev_io_init(&m_watcher->io, &Watcher::fire, info->connect_fd, EV_READ);
+        m_watcher->io.data = this;
+        ev_io_start(m_watcher->loop, &m_watcher->io);
+    }
+}
+
+auto Exchange::wake() -> void
+{
+    const auto core = m_core.lock();
+    if (!core || m_completed || !m_suspended) {
+        return;
+    }
+    m_suspended = false;
+    MHD_resume_connection(m_connection);
+    core->scheduleRun();
+}
+
+auto Exchange::respond(HttpResponse response) -> void
+{
+    if (m_answered || m_completed) {
+        return;
+    }
+    m_answered = true;
+    m_response = std::move(response);
+    m_ended = true;
+    wake();
+}
+
+auto Exchange::beginStream(int status, Headers headers) -> void
+{
+    if (m_answered || m_completed) {
+        return;
+    }
+    m_answered = true;
+    m_streaming = true;
+    m_response.status = status;
+    m_response.headers = std::move(headers);
+    wake();
+}
+
+auto Exchange::write(std::string_view data) -> void
+{
+    if (m_completed || m_ended) {
+        return;
+    }
+    m_pending.append(data);
+    wake();
+}
+
+auto Exchange::end() -> void
+{
+    m_ended = true;
+    wake();
+}
+
+auto Exchange::abort() -> void
+{
+    if (m_completed || (m_ended && !m_gone)) {
+        return;
+    }
+    m_aborted = true;
+    m_answered = true;
+    wake();
+}
+
+auto Exchange::onGone(std::function<void()> hook) -> void
+{
+    m_onGone = std::move(hook);
+}
+
+auto Exchange::noteGone() -> void
+{
+    if (m_gone) {
+        return;
+    }
+    m_gone = true;
+    const auto hook = std::move(m_onGone);
+    m_onGone = nullptr;
+    if (hook) {
+        hook();
+    }
+}
+
+auto Exchange::release() -> void
+{
+    m_completed = true;
+    m_suspended = false;
+    m_watcher.reset();
+}
+
+HttpServer::HttpServer(std::shared_ptr<detail::ServerCore> core)
+    : m_core(std::move(core))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_core->close();
+}
+
+auto HttpServer::open(Loop &loop, const ServerOptions &options, Handler handler) -> Result<std::unique_ptr<HttpServer>>
+{
+    auto core = std::make_shared<detail::ServerCore>(loop, std::move(handler), options.maxBody);
+    if (const auto started = core->start(options); !started) {
+        return tl::unexpected(started.error());
+    }
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(core)));
+}
+
+auto HttpServer::port() const -> std::uint16_t
+{
+    return m_core->port();
+}
+
+auto HttpServer::quiesce() -> void
+{
+    m_core->quiesce();
+}
+
+auto HttpServer::active() const -> std::size_t
+{
+    return m_core->m_active.size();
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/journal.cc
@@ -0,0 +1,242 @@
+#include "currantstack/journal.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr std::int64_t Large = 1LL << 53;
+constexpr std::size_t EntryOverhead = 160; // bytes of an entry in JSON besides its texts
+
+auto sizeOf(const JournalEntry &entry) -> std::size_t
+{
+    const auto texts = entry.key.size() + entry.fingerprint.size() + entry.attempt.size() + entry.vm.size();
+    return EntryOverhead + texts + (entry.answer ? entry.answer->body.size() + entry.answer->contentType.size() : 0);
+}
+
+auto readAnswer(ObjectReader reader) -> RecordedAnswer
+{
+    return {static_cast<int>(reader.integer("status", 0, 999)), reader.text("content_type", ""), reader.text("body", "")};
+}
+
+} // namespace
+
+auto name(IntentVerdict verdict) -> std::string_view
+{
+    switch (verdict) {
+    case IntentVerdict::Run:
+        return "run";
+    case IntentVerdict::Replay:
+        return "replay";
+    case IntentVerdict::InProgress:
+        return "in progress";
+    case IntentVerdict::Unknown:
+        return "unknown";
+    case IntentVerdict::Mismatch:
+        return "mismatch";
+    }
+    return "unknown";
+}
+
+auto toJson(const RecordedAnswer &answer) -> Json
+{
+    return {{"status", answer.status}, {"content_type", answer.contentType}, {"body", answer.body}};
+}
+
+auto toJson(const JournalEntry &entry) -> Json
+{
+    Json value = {{"key", entry.key},
+                  {"fingerprint", entry.fingerprint},
+                  {"attempt", entry.attempt},
+                  {"vm", entry.vm},
+                  {"incarnation", entry.incarnation},
+                  {"started_ms", entry.startedMs}};
+    if (entry.answer) {
+        value["answer"] = toJson(*entry.answer);
+    }
+    return value;
+}
+
+auto journalEntryFromJson(const Json &value) -> Result<JournalEntry>
+{
+    Faults faults;
+    ObjectReader reader(value, "", faults);
+    JournalEntry entry;
+    entry.key = reader.text("key");
+    entry.fingerprint = reader.text("fingerprint", "");
+    entry.attempt = reader.text("attempt");
+    entry.vm = reader.text("vm", "");
+    entry.incarnation = reader.integer("incarnation", 0, Large, 0);
+    entry.startedMs = reader.integer("started_ms", 0, Large, 0);
+    if (!reader.raw("answer").is_null()) {
+        entry.answer = readAnswer(reader.object("answer"));
+    }
+    if (!faults.empty()) {
+        return fail(ErrorCode::BadInput, "journal entry", "", describe(faults));
+    }
+    return entry;
+}
+
+auto SliceJournal::begin(const JournalEntry &intent, const std::function<bool(const JournalEntry &)> &isRunning) -> Verdict
+{
+    const auto found = m_entries.find(intent.key);
+    if (found == m_entries.end()) {
+        m_entries[intent.key] = {intent, -1};
+        m_headBytes += sizeOf(intent);
+        return {IntentVerdict::Run, std::nullopt};
+    }
+    const auto &known = found->second.entry;
+    if (known.fingerprint != intent.fingerprint) {
+        return {IntentVerdict::Mismatch, std::nullopt};
+    }
+    if (known.answer) {
+        return {IntentVerdict::Replay, known.answer};
+    }
+    if (known.attempt == intent.attempt) {
+        return {IntentVerdict::Run, std::nullopt}; // the same attempt asks again after a lost reply
+    }
+    return {isRunning(known) ? IntentVerdict::InProgress : IntentVerdict::Unknown, std::nullopt};
+}
+
+auto SliceJournal::toHead(Kept &kept) -> void
+{
+    if (kept.segment < 0) {
+        return;
+    }
+    --m_segmentSizes[kept.segment];
+    kept.segment = -1;
+    m_headBytes += sizeOf(kept.entry);
+}
+
+auto SliceJournal::finish(std::string_view key, std::string_view attempt, RecordedAnswer answer) -> bool
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || found->second.entry.attempt != attempt) {
+        return false;
+    }
+    if (answer.body.size() > MaxAnswerBytes) {
+        answer.body.clear();
+    }
+    toHead(found->second);
+    m_headBytes += answer.body.size() + answer.contentType.size();
+    found->second.entry.answer = std::move(answer);
+    return true;
+}
+
+auto SliceJournal::abandon(std::string_view key, std::string_view attempt) -> bool
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || found->second.entry.attempt != attempt || found->second.entry.answer) {
+        return false;
+    }
+    toHead(found->second);
+    m_headBytes -= std::min(m_headBytes, sizeOf(found->second.entry));
+    m_entries.erase(found);
+    return true;
+}
+
+auto SliceJournal::find(std::string_view key) const -> const JournalEntry *
+{
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? nullptr : &found->second.entry;
+}
+
+auto SliceJournal::load(const Json &segment, bool isHead) -> void
+{
+    if (!segment.is_object()) {
+        return;
+    }
+    const auto number = segment.value("segment", std::int64_t{-1});
+    if (isHead) {
+        m_nextSegment = segment.value("next_segment", std::int64_t{0});
+    }
+    for (const auto &value : segment.value("entries", Json::array())) {
+        auto entry = journalEntryFromJson(value);
+        if (!entry) {
+            continue;
+        }
+        // The head is newer than every segment, and a higher segment newer than a lower one.
+        const auto found = m_entries.find(entry->key);
+        if (found != m_entries.end()) {
+            const bool older = !isHead && (found->second.segment < 0 || found->second.segment > number);
+            if (older) {
+                continue;
+            }
+            if (found->second.segment >= 0) {
+                --m_segmentSizes[found->second.segment];
+            }
+        }
+        if (isHead) {
+            m_headBytes += sizeOf(*entry);
+        } else {
+            ++m_segmentSizes[number];
+        }
+        const auto key = entry->key;
+        m_entries[key] = {std::move(*entry), isHead ? -1 : number};
+    }
+    if (!isHead) {
+        m_segmentSizes.try_emplace(number, 0);
+    }
+}
+
+auto SliceJournal::head(std::string_view writeId) const -> Json
+{
+    auto entries = Json::array();
+    for (const auto &[key, kept] : m_entries) {
+        if (kept.segment < 0) {
+            entries.push_back(toJson(kept.entry));
+        }
+    }
+    return {{"write", writeId}, {"next_segment", m_nextSegment}, {"entries", std::move(entries)}};
+}
+
+auto SliceJournal::needsClosing() const -> bool
+{
+    return m_headBytes > HeadBytes;
+}
+
+auto SliceJournal::closeHead() -> Closed
+{
+    Closed closed;
+    closed.number = m_nextSegment++;
+    auto entries = Json::array();
+    for (auto &[key, kept] : m_entries) {
+        if (kept.segment < 0) {
+            entries.push_back(toJson(kept.entry));
+            kept.segment = closed.number;
+            ++m_segmentSizes[closed.number];
+        }
+    }
+    closed.content = {{"segment", closed.number}, {"entries", std::move(entries)}};
+    m_headBytes = 0;
+    return closed;
+}
+
+auto SliceJournal::expire(std::int64_t beforeMs) -> std::vector<std::int64_t>
+{
+    std::erase_if(m_entries, [this, beforeMs](const auto &item) {
+        const auto &kept = item.second;
+        if (kept.entry.startedMs >= beforeMs) {
+            return false;
+        }
+        if (kept.segment >= 0) {
+            --m_segmentSizes[kept.segment];
+        } else {
+            m_headBytes -= std::min(m_headBytes, sizeOf(kept.entry));
+        }
+        return true;
+    });
+    std::vector<std::int64_t> empty;
+    for (const auto &[segment, count] : m_segmentSizes) {
+        if (count == 0) {
+            empty.push_back(segment);
+        }
+    }
+    for (const auto segment : empty) {
+        m_segmentSizes.erase(segment);
+    }
+    return empty;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,181 @@
+#include "currantstack/membership.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+auto name(VmState state) -> std::string_view
+{
+    switch (state) {
+    case VmState::Alive:
+        return "alive";
+    case VmState::Suspected:
+        return "suspected";
+    case VmState::Dead:
+        return "dead";
+    case VmState::Left:
+        return "left";
+    }
+    return "dead";
+}
+
+Membership::Membership(Vm self, Duration suspectAfter, Duration deadAfter)
+    : m_self(std::move(self))
+    , m_suspectAfter(suspectAfter)
+    , m_deadAfter(deadAfter)
+{
+}
+
+auto Membership::beat() -> Vm
+{
+    ++m_self.heartbeat;
+    return m_self;
+}
+
+auto Membership::self() const -> const Vm &
+{
+    return m_self;
+}
+
+auto Membership::setRevision(std::int64_t revision) -> void
+{
+    m_self.revision = revision;
+}
+
+auto Membership::leave() -> void
+{
+    m_self.leaving = true;
+}
+
+auto Membership::merge(std::span<const Vm> vms, TimePoint now) -> bool
+{
+    bool calledDead = false;
+    for (const auto &vm : vms) {
+        if (vm.name == m_self.name) {
+            calledDead = calledDead || (vm.dead && vm.incarnation >= m_self.incarnation);
+            continue;
+        }
+        auto found = m_peers.find(vm.name);
+        if (found == m_peers.end()) {
+            if (vm.dead) {
+                continue; // a VM never met and already dead is of no use
+            }
+            m_peers.emplace(vm.name, Peer{vm, vm.leaving ? VmState::Left : VmState::Alive, now});
+            continue;
+        }
+        auto &peer = found->second;
+        const bool newer = vm.incarnation > peer.vm.incarnation
+            || (vm.incarnation == peer.vm.incarnation && vm.heartbeat > peer.vm.heartbeat && !(peer.state == VmState::Dead));
+        if (newer && !vm.dead) {
+            peer.vm = vm;
+            peer.heardAt = now;
+        }
+    }
+    return calledDead;
+}
+
+auto Membership::reincarnate(std::int64_t incarnation) -> void
+{
+    m_self.incarnation = std::max(m_self.incarnation + 1, incarnation);
+    m_self.heartbeat = 0;
+}
+
+auto Membership::tick(TimePoint now) -> std::vector<Peer>
+{
+    std::vector<Peer> changed;
+    for (auto &[name, peer] : m_peers) {
+        auto state = VmState::Alive;
+        if (peer.vm.leaving) {
+            state = VmState::Left;
+        }
+        if (now - peer.heardAt > m_suspectAfter) {
+            state = VmState::Suspected;
+        }
+        if (now - peer.heardAt > m_deadAfter) {
+            state = VmState::Dead;
+        }
+        if (state != peer.state) {
+            peer.state = state;
+            peer.vm.dead = state == VmState::Dead;
+            changed.push_back(peer);
+        }
+    }
+    return changed;
+}
+
+auto Membership::forgive(TimePoint now) -> void
+{
+    for (auto &[name, peer] : m_peers) {
+        if (peer.state != VmState::Dead) {
+            peer.heardAt = now;
+        }
+    }
+}
+
+template<typename Predicate>
+auto Membership::liveWhere(Predicate predicate) const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    if (!m_self.leaving && predicate(m_self)) {
+        names.push_back(m_self.name);
+    }
+    for (const auto &[name, peer] : m_peers) {
+        const bool counts = peer.state == VmState::Alive || peer.state == VmState::Suspected;
+        if (counts && !peer.vm.leaving && predicate(peer.vm)) {
+            names.push_back(name);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+auto Membership::live() const -> std::vector<std::string>
+{
+    return liveWhere([](const Vm &) { return true; });
+}
+
+auto Membership::livePlace(std::string_view place) const -> std::vector<std::string>
+{
+    return liveWhere([place](const Vm &vm) { return vm.place == place; });
+}
+
+auto Membership::liveRegion(std::string_view region) const -> std::vector<std::string>
+{
+    return liveWhere([region](const Vm &vm) { return vm.region == region; });
+}
+
+auto Membership::find(std::string_view name) const -> const Peer *
+{
+    const auto found = m_peers.find(name);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+auto Membership::peers() const -> const std::map<std::string, Peer, std::less<>> &
+{
+    return m_peers;
+}
+
+auto Membership::digest(std::size_t limit) const -> std::vector<Vm>
+{
+    std::vector<const Peer *> order;
+    for (const auto &[name, peer] : m_peers) {
+        order.push_back(&peer);
+    }
+    std::sort(order.begin(), order.end(), [](const Peer *left, const Peer *right) { return left->heardAt > right->heardAt; });
+    std::vector<Vm> entries{m_self};
+    for (const auto *peer : order) {
+        if (entries.size() >= limit) {
+            break;
+        }
+        entries.push_back(peer->vm);
+    }
+    return entries;
+}
+
+auto Membership::forget(Duration deadFor, TimePoint now) -> void
+{
+    std::erase_if(m_peers, [deadFor, now](const auto &entry) { return entry.second.state == VmState::Dead && now - entry.second.heardAt > deadFor; });
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/model_relay.cc
@@ -0,0 +1,637 @@
+#include "currantstack/model_relay.h"
+
+#include "currantstack/log.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Log RelayLog("relay");
+constexpr int MaxTries = 6;
+constexpr Duration BackoffBase = milliseconds(10);
+constexpr Duration BackoffLongest = milliseconds(200);
+constexpr Duration PrefillAllowance = milliseconds(400); // over thrice the expected time
+constexpr Duration KvMargin = milliseconds(50);          // of a result's life, kept for the way to the decode engine
+constexpr Duration SlotPatience = seconds(5);            // for a slot when the answer has begun
+constexpr std::size_t MaxPending = 1U << 20;             // bytes that a slow caller may leave unread
+
+auto baselineTries() -> int
+{
+    return 3;
+}
+
+} // namespace
+
+auto retryAfterOf(Duration expectedWait) -> Duration
+{
+    return std::clamp<Duration>(expectedWait, seconds(1), seconds(30));
+}
+
+ModelRelay::ModelRelay(RelayParts &parts, CallerRequest request)
+    : m_parts(parts)
+    , m_request(std::move(request))
+{
+}
+
+ModelRelay::~ModelRelay() = default;
+
+auto ModelRelay::estimate() -> ModelEstimate &
+{
+    return m_parts.estimates[m_request.completion.model];
+}
+
+auto ModelRelay::prefillMs() -> double
+{
+    return estimate().prefillMs(estimate().tokensOf(m_request.completion.prompt.size()) + m_delivered);
+}
+
+auto ModelRelay::reservesSlots() const -> bool
+{
+    return m_parts.context.settings.policy == PolicyKind::Ledger;
+}
+
+auto ModelRelay::nextId(std::string_view stage) -> std::string
+{
+    return fmt::format("{}.{}{}", m_request.id, stage, m_nextId++);
+}
+
+auto ModelRelay::poolOf(Role role) const -> std::string
+{
+    for (const auto &engine : m_request.config->engines) {
+        if (engine.model == m_request.completion.model && engine.role == role) {
+            return engine.pool;
+        }
+    }
+    return {};
+}
+
+auto ModelRelay::start() -> void
+{
+    auto &usage = m_parts.usage.of(m_request.member->name);
+    ++usage.requests;
+    ++usage.inFlight;
+    m_request.exchange->onGone([weak = weak_from_this()]() {
+        if (const auto self = weak.lock()) {
+            self->callerGone();
+        }
+    });
+    askDecode();
+}
+
+auto ModelRelay::slotRequest(Role role, const std::string &requestId) const -> SlotRequest
+{
+    const auto now = m_parts.context.clock.now();
+    SlotRequest request;
+    request.requestId = requestId;
+    request.pool = poolOf(role);
+    request.member = m_request.member->name;
+    request.share = m_request.member->share;
+    request.priority = m_answering ? static_cast<int>(MaxPriority) : m_request.priority;
+    request.avoid = m_avoid;
+    request.suspect = m_request.suspect;
+    // An answer that has begun, or a retry, goes on even when its deadline has passed.
+    request.deadline = m_answering || m_tries > 0 ? std::max(m_request.deadline, now + SlotPatience) : m_request.deadline;
+    return request;
+}
+
+auto ModelRelay::askDecode() -> void
+{
+    m_decode = Stage();
+    m_decode.requestId = nextId("d");
+    if (!reservesSlots()) {
+        return onDecodeSlot(SlotGrant{m_decode.requestId, "", "", TimePoint::max()});
+    }
+    auto request = slotRequest(Role::Decode, m_decode.requestId);
+    // The slot is of use only if the prefill and the transfer still fit before the deadline.
+    const auto work = fromMilliseconds(prefillMs() + estimate().decodeStartMs(estimate().tokensOf(m_request.completion.prompt.size())));
+    if (!m_answering && m_tries == 0) {
+        request.deadline -= work;
+    }
+    m_parts.slots.ask(std::move(request), Role::Decode, 0, [weak = weak_from_this()](Result<SlotGrant> grant) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeSlot(std::move(grant));
+        }
+    });
+}
+
+auto ModelRelay::chooseByBaseline(Role role) -> const Engine *
+{
+    std::vector<EngineLoad> loads;
+    for (const auto &engine : m_request.config->engines) {
+        if (engine.model == m_request.completion.model && engine.role == role && !engine.leaving) {
+            const auto load = m_parts.reportedLoads.find(engine.name);
+            loads.push_back({engine.name, load == m_parts.reportedLoads.end() ? 0.0 : load->second});
+        }
+    }
+    auto &turn = m_parts.context.counters.at("baseline_turns");
+    turn.add();
+    const auto chosen = chooseEngine(m_parts.context.settings.policy, loads, static_cast<std::size_t>(turn.value()), m_parts.context.random);
+    return chosen ? m_request.config->findEngine(loads[*chosen].engine) : nullptr;
+}
+
+auto ModelRelay::onDecodeSlot(Result<SlotGrant> grant) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    if (!grant) {
+        return refuse(grant.error());
+    }
+    const auto *engine = reservesSlots() ? m_parts.context.config->findEngine(grant->engine) : chooseByBaseline(Role::Decode);
+    if (engine == nullptr) {
+        return refuse({ErrorCode::Unavailable, "choose", grant->engine, "no decode engine is known for the model"});
+    }
+    m_decode.engine = engine->name;
+    m_decode.address = engine->address;
+    m_decode.reserved = reservesSlots();
+    m_slotSince = m_parts.context.clock.now();
+    if (kvIsAlive()) {
+        return sendDecode();
+    }
+    askPrefill();
+}
+
+auto ModelRelay::askPrefill() -> void
+{
+    m_prefill = Stage();
+    m_prefill.requestId = nextId("p");
+    if (!reservesSlots()) {
+        return onPrefillSlot(SlotGrant{m_prefill.requestId, "", "", TimePoint::max()});
+    }
+    auto request = slotRequest(Role::Prefill, m_prefill.requestId);
+    request.tokens = estimate().tokensOf(m_request.completion.prompt.size()) + m_delivered;
+    request.preferred = std::string(m_parts.prefixes.find(m_request.completion.prompt));
+    if (!m_answering && m_tries == 0) {
+        request.deadline -= fromMilliseconds(prefillMs() + estimate().decodeStartMs(request.tokens));
+    }
+    m_parts.slots.ask(std::move(request), Role::Prefill, prefillMs(), [weak = weak_from_this()](Result<SlotGrant> grant) {
+        if (const auto self = weak.lock()) {
+            self->onPrefillSlot(std::move(grant));
+        }
+    });
+}
+
+auto ModelRelay::onPrefillSlot(Result<SlotGrant> grant) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    if (!grant) {
+        return refuse(grant.error());
+    }
+    const auto *engine = reservesSlots() ? m_parts.context.config->findEngine(grant->engine) : chooseByBaseline(Role::Prefill);
+    if (engine == nullptr) {
+        return refuse({ErrorCode::Unavailable, "choose", grant->engine, "no prefill engine is known for the model"});
+    }
+    m_prefill.engine = engine->name;
+    m_prefill.address = engine->address;
+    m_prefill.reserved = reservesSlots();
+    sendPrefill();
+}
+
+auto ModelRelay::sendPrefill() -> void
+{
+    CompletionRequest body = m_request.completion;
+    body.requestId = m_prefill.requestId;
+    body.stream = false;
+    body.priority = m_request.priority;
+    body.continueFrom = m_delivered;
+    body.transfer = KvTransfer();
+    body.transfer.doRemoteDecode = true;
+    HttpCall call;
+    call.method = "POST";
+    call.url = urlOf(m_prefill.address, "/v1/completions");
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = dumpJson(toJson(body));
+    call.connectTimeout = m_request.config->timeouts.connect;
+    call.idleTimeout = std::max<Duration>(m_request.config->timeouts.progress, fromMilliseconds(3 * prefillMs()) + PrefillAllowance);
+    call.freshConnection = m_tries > 0;
+    call.step = "prefill";
+    call.peer = m_prefill.engine;
+    HttpHandlers handlers;
+    handlers.onDone = [weak = weak_from_this()](const Result<HttpResponse> &response) {
+        if (const auto self = weak.lock()) {
+            self->onPrefilled(response);
+        }
+    };
+    m_firstRun = true;
+    m_prefill.sent = true;
+    m_prefill.begun = m_parts.context.clock.now();
+    m_parts.context.timeline.add(EventKind::PrefillStarted, m_prefill.requestId, m_prefill.engine);
+    m_prefill.call = m_parts.context.client.start(std::move(call), std::move(handlers));
+}
+
+auto ModelRelay::onPrefilled(const Result<HttpResponse> &response) -> void
+{
+    m_prefill.call = 0;
+    if (m_finished) {
+        return;
+    }
+    if (!response) {
+        const auto failure = response.error().code == ErrorCode::DeadlineExceeded ? Failure::Silent : Failure::Lost;
+        return retryPrefill(failure, response.error().message);
+    }
+    const auto document = parseJson(response->body, "prefill");
+    const bool whole = response->status == 200 && document && document->is_object() && document->contains("kv_transfer_params");
+    const auto transfer = whole ? kvTransferFromJson((*document)["kv_transfer_params"])
+                                : Result<KvTransfer>(fail(ErrorCode::Unavailable, "prefill", m_prefill.engine, fmt::format("status {}", response->status)));
+    if (!transfer) {
+        return retryPrefill(Failure::Refused, transfer.error().message);
+    }
+    const auto now = m_parts.context.clock.now();
+    m_transfer = *transfer;
+    m_kvExpires = now + milliseconds(m_transfer.expiresInMs);
+    m_kvTaken = false;
+    const auto length = now - m_prefill.begun;
+    const auto fresh = m_transfer.promptTokens - m_transfer.cachedTokens + m_delivered;
+    const double expected = estimate().prefillMs(fresh);
+    estimate().observePrefill(fresh, m_transfer.promptTokens, m_request.completion.prompt.size(), length);
+    m_parts.prefixes.learn(m_request.completion.prompt, m_prefill.engine);
+    m_parts.usage.of(m_request.member->name).promptTokens += m_tries == 0 ? m_transfer.promptTokens : 0;
+    m_parts.context.counters.at("prefill_tokens").add(fresh);
+    m_parts.context.timeline.add(EventKind::PrefillDone, m_prefill.requestId, m_prefill.engine);
+    SlotObservation seen;
+    seen.ratio = std::max(1.0, toMilliseconds(length) / std::max(20.0, expected));
+    seen.microsPerToken = estimate().microsPerToken();
+    if (m_prefill.reserved) {
+        m_parts.slots.release(m_prefill.engine, m_prefill.requestId, seen);
+        m_prefill.reserved = false;
+    }
+    sendDecode();
+}
+
+auto ModelRelay::kvIsAlive() const -> bool
+{
+    return !m_transfer.remoteHandle.empty() && !m_kvTaken && m_parts.context.clock.now() + KvMargin < m_kvExpires;
+}
+
+auto ModelRelay::sendDecode() -> void
+{
+    CompletionRequest body;
+    body.requestId = m_decode.requestId;
+    body.model = m_request.completion.model;
+    body.prompt = m_request.completion.prompt;
+    body.maxTokens = m_request.completion.maxTokens;
+    body.stream = true;
+    body.priority = m_request.priority;
+    body.continueFrom = m_delivered;
+    body.transfer = m_transfer;
+    HttpCall call;
+    call.method = "POST";
+    call.url = urlOf(m_decode.address, "/v1/completions");
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = dumpJson(toJson(body));
+    call.connectTimeout = m_request.config->timeouts.connect;
+    call.idleTimeout = m_request.config->timeouts.progress;
+    call.freshConnection = m_tries > 0;
+    call.step = "decode";
+    call.peer = m_decode.engine;
+    HttpHandlers handlers;
+    handlers.onHead = [weak = weak_from_this()](int status, const Headers &) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeHead(status);
+        }
+    };
+    handlers.onData = [weak = weak_from_this()](std::string_view data) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeData(data);
+        }
+    };
+    handlers.onDone = [weak = weak_from_this()](const Result<HttpResponse> &response) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeEnd(response);
+        }
+    };
+    m_parser = EventStreamParser();
+    m_errorStatus = false;
+    m_resumed = false;
+    m_skip = 0;
+    m_decode.sent = true;
+    m_decode.begun = m_parts.context.clock.now();
+    m_parts.context.timeline.add(EventKind::DecodeStarted, m_decode.requestId, m_decode.engine);
+    m_decode.call = m_parts.context.client.start(std::move(call), std::move(handlers));
+}
+
+auto ModelRelay::onDecodeHead(int status) -> void
+{
+    m_errorStatus = status != 200;
+    if (!m_errorStatus) {
+        m_kvTaken = true;
+    }
+}
+
+auto ModelRelay::onDecodeData(std::string_view data) -> void
+{
+    if (m_finished || m_errorStatus) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_parser.feed(data, [this](std::string_view event) { onDecodeEvent(event); });
+}
+
+auto ModelRelay::onDecodeEvent(std::string_view data) -> void
+{
+    if (m_finished || data == "[DONE]") {
+        return;
+    }
+    const auto event = Json::parse(data, nullptr, false);
+    if (!event.is_object() || !event.contains("choices") || !event["choices"].is_array() || event["choices"].empty()) {
+        return;
+    }
+    const auto &choice = event["choices"][0];
+    if (!choice.is_object() || !choice.contains("text") || !choice["text"].is_string()) {
+        return;
+    }
+    if (m_skip > 0) {
+        --m_skip;
+        return;
+    }
+    const auto finish = choice.find("finish_reason");
+    const bool last = finish != choice.end() && finish->is_string();
+    relayToken(choice["text"].get_ref<const std::string &>(), last ? std::string_view(finish->get_ref<const std::string &>()) : std::string_view());
+}
+
+auto ModelRelay::noteGap(TimePoint now) -> void
+{
+    if (m_lastToken == TimePoint()) {
+        return;
+    }
+    const auto gap = now - m_lastToken;
+    const double gapMs = toMilliseconds(gap);
+    const double expected = std::max(estimate().gapMs(), 0.5 * toMilliseconds(m_request.model->tokenGapTarget));
+    estimate().observeGap(std::min<Duration>(gap, 3 * m_request.model->tokenGapTarget));
+    m_gapTotalMs += gapMs;
+    ++m_gaps;
+    if (gapMs > HealthTracker::SlowRatio * expected && gap > m_request.model->tokenGapTarget) {
+        m_parts.slots.observe(m_decode.engine, {false, gapMs / expected, 0});
+    }
+}
+
+auto ModelRelay::beginAnswer() -> void
+{
+    m_answering = true;
+    if (m_request.completion.stream) {
+        m_request.exchange->beginStream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", m_request.id}});
+    }
+}
+
+auto ModelRelay::relayToken(std::string_view text, std::string_view finishReason) -> void
+{
+    const auto now = m_parts.context.clock.now();
+    if (!m_answering) {
+        estimate().observeDecodeStart(m_transfer.promptTokens, now - m_decode.begun);
+        m_parts.context.timeline.add(EventKind::FirstToken, m_request.id, m_decode.engine);
+        beginAnswer();
+    }
+    noteGap(now);
+    m_lastToken = now;
+    ++m_delivered;
+    if (m_request.completion.stream) {
+        const Json piece = m_request.kind == CallKind::Chat ? Json{{"delta", {{"role", "assistant"}, {"content", text}}}} : Json{{"text", text}};
+        auto choice = piece;
+        choice["index"] = 0;
+        choice["finish_reason"] = finishReason.empty() ? Json() : Json(finishReason);
+        const auto object = m_request.kind == CallKind::Chat ? "chat.completion.chunk" : "text_completion";
+        m_request.exchange->write(formatEvent(dumpJson({{"id", m_request.id}, {"object", object}, {"model", m_request.completion.model}, {"choices", {std::move(choice)}}})));
+        if (m_request.exchange->pendingBytes() > MaxPending) {
+            m_parts.context.counters.at("slow_callers_cut").add();
+            m_request.exchange->abort();
+            return callerGone();
+        }
+    } else {
+        m_collected.append(text);
+    }
+    if (!finishReason.empty()) {
+        complete(finishReason);
+    }
+}
+
+auto ModelRelay::complete(std::string_view finishReason) -> void
+{
+    const auto self = shared_from_this();
+    m_finished = true;
+    if (m_request.completion.stream) {
+        m_request.exchange->write(formatEvent("[DONE]"));
+        m_request.exchange->end();
+    } else {
+        Json choice = {{"index", 0}, {"finish_reason", finishReason}};
+        if (m_request.kind == CallKind::Chat) {
+            choice["message"] = {{"role", "assistant"}, {"content", m_collected}};
+        } else {
+            choice["text"] = m_collected;
+        }
+        const Json body = {{"id", m_request.id},
+                           {"object", m_request.kind == CallKind::Chat ? "chat.completion" : "text_completion"},
+                           {"model", m_request.completion.model},
+                           {"choices", {std::move(choice)}},
+                           {"usage", {{"prompt_tokens", m_transfer.promptTokens}, {"completion_tokens", m_delivered}, {"total_tokens", m_transfer.promptTokens + m_delivered}}}};
+        auto response = jsonResponse(200, dumpJson(body));
+        response.headers.push_back({"X-Request-Id", m_request.id});
+        m_request.exchange->respond(std::move(response));
+    }
+    m_parts.retries.onSuccess();
+    m_parts.context.counters.at("requests_completed").add();
+    m_parts.context.counters.at("tokens_relayed").add(m_delivered);
+    m_parts.context.timeline.add(EventKind::RequestDone, m_request.id, m_decode.engine);
+    auto &usage = m_parts.usage.of(m_request.member->name);
+    usage.outputTokens += m_delivered;
+    cleanUp("done");
+}
+
+auto ModelRelay::onDecodeEnd(const Result<HttpResponse> &response) -> void
+{
+    m_decode.call = 0;
+    if (m_finished) {
+        return;
+    }
+    if (response && m_errorStatus) {
+        return retryDecode(Failure::Refused, fmt::format("status {}", response->status));
+    }
+    const bool silent = !response && response.error().code == ErrorCode::DeadlineExceeded;
+    const bool started = m_delivered > 0 && !m_resumed;
+    if (started) {
+        return resumeStream();
+    }
+    retryDecode(silent ? Failure::Silent : Failure::Lost, response ? "the stream ended early" : response.error().message);
+}
+
+auto ModelRelay::resumeStream() -> void
+{
+    // The engine may still run the request; a new connection takes the stream up where it broke.
+    HttpCall call;
+    call.url = urlOf(m_decode.address, fmt::format("/v1/requests/stream?request_id={}&from={}", m_decode.requestId, m_delivered));
+    call.connectTimeout = m_request.config->timeouts.connect;
+    call.idleTimeout = m_request.config->timeouts.progress;
+    call.freshConnection = true;
+    call.step = "resume";
+    call.peer = m_decode.engine;
+    HttpHandlers handlers;
+    handlers.onHead = [weak = weak_from_this()](int status, const Headers &) {
+        if (const auto self = weak.lock()) {
+            self->m_errorStatus = status != 200;
+        }
+    };
+    handlers.onData = [weak = weak_from_this()](std::string_view data) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeData(data);
+        }
+    };
+    handlers.onDone = [weak = weak_from_this()](const Result<HttpResponse> &response) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeEnd(response);
+        }
+    };
+    m_resumed = true;
+    m_errorStatus = false;
+    m_parser = EventStreamParser();
+    m_parts.context.counters.at("streams_resumed").add();
+    m_parts.context.timeline.add(EventKind::Retried, m_request.id, m_decode.engine, "the stream broke and is resumed on a new connection");
+    m_decode.call = m_parts.context.client.start(std::move(call), std::move(handlers));
+}
+
+auto ModelRelay::noteDeath(const Stage &stage, Failure failure) -> void
+{
+    if (failure == Failure::Lost && stage.sent && m_parts.reportDeath) {
+        m_parts.prefixes.forgetEngine(stage.engine);
+        m_request.suspect = true;
+        m_parts.reportDeath(m_request.fingerprint, stage.engine);
+    }
+}
+
+auto ModelRelay::afterBudget(std::string_view cause, std::function<void()> next) -> bool
+{
+    ++m_tries;
+    const int limit = reservesSlots() ? MaxTries : baselineTries();
+    if (m_tries >= limit || (reservesSlots() && !m_answering && !m_parts.retries.take())) {
+        return false;
+    }
+    if (m_parts.quarantine.isQuarantined(m_request.fingerprint, m_parts.context.clock.now())) {
+        return false;
+    }
+    m_parts.context.counters.at("retries").add();
+    m_parts.context.timeline.add(EventKind::Retried, m_request.id, "", cause);
+    const auto wait = backoff(m_tries, BackoffBase, BackoffLongest, m_parts.context.random);
+    m_parts.context.loop.after(wait, [weak = weak_from_this(), next = std::move(next)]() {
+        const auto self = weak.lock();
+        if (self && !self->m_finished) {
+            next();
+        }
+    });
+    return true;
+}
+
+auto ModelRelay::retryPrefill(Failure failure, std::string_view cause) -> void
+{
+    const auto engine = m_prefill.engine;
+    noteDeath(m_prefill, failure);
+    endStage(m_prefill, true, cause, {failure != Failure::Refused, 1, 0});
+    if (failure != Failure::Refused) {
+        m_avoid.push_back(engine);
+    }
+    m_parts.context.counters.at("prefills_failed").add();
+    if (!afterBudget(fmt::format("the prefill at {} failed: {}", engine, cause), [this]() { askPrefill(); })) {
+        refuse({ErrorCode::Unavailable, "prefill", engine, std::string(cause)});
+    }
+}
+
+auto ModelRelay::retryDecode(Failure failure, std::string_view cause) -> void
+{
+    const auto engine = m_decode.engine;
+    const bool expired = failure == Failure::Refused;
+    noteDeath(m_decode, failure);
+    endStage(m_decode, true, cause, {!expired, 1, 0});
+    if (!expired) {
+        m_avoid.push_back(engine);
+    } else {
+        m_kvTaken = true; // the engine could not fetch the result
+    }
+    m_parts.context.counters.at("decodes_failed").add();
+    m_parts.context.timeline.add(EventKind::Moved, m_request.id, engine, cause);
+    m_lastToken = TimePoint();
+    if (!afterBudget(fmt::format("the decode at {} failed: {}", engine, cause), [this]() { askDecode(); })) {
+        refuse({ErrorCode::Unavailable, "decode", engine, std::string(cause)});
+    }
+}
+
+auto ModelRelay::endStage(Stage &stage, bool cancel, std::string_view cause, const SlotObservation &seen) -> void
+{
+    if (stage.call != 0) {
+        m_parts.context.client.cancel(stage.call);
+    }
+    if (stage.engine.empty()) {
+        m_parts.slots.abandon(stage.requestId); // the slot was asked for but not granted
+    }
+    const bool reserved = std::exchange(stage.reserved, false);
+    const auto release = [&parts = m_parts, engine = stage.engine, id = stage.requestId, seen, reserved]() {
+        if (reserved) {
+            parts.slots.release(engine, id, seen);
+        }
+    };
+    if (cancel && stage.sent) {
+        // The slot is free again once the engine has confirmed that it holds nothing of the request.
+        m_parts.cancels.cancel(stage.engine, stage.address, stage.requestId, cause, release);
+        if (seen.failed) {
+            m_parts.slots.observe(stage.engine, seen);
+        }
+    } else {
+        release();
+    }
+    stage = Stage();
+}
+
+auto ModelRelay::cleanUp(std::string_view cause) -> void
+{
+    auto &usage = m_parts.usage.of(m_request.member->name);
+    --usage.inFlight;
+    if (m_slotSince != TimePoint()) {
+        usage.slotMilliseconds += std::chrono::duration_cast<milliseconds>(m_parts.context.clock.now() - m_slotSince).count();
+    }
+    const bool done = cause == "done";
+    const bool unclaimed = !m_prefill.engine.empty() && m_prefill.sent && !m_kvTaken;
+    endStage(m_prefill, unclaimed, cause, {});
+    endStage(m_decode, !done, cause, {});
+    m_parts.onFinished(m_request.id);
+}
+
+auto ModelRelay::refuse(const Error &error) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_finished = true;
+    auto &context = m_parts.context;
+    ++m_parts.usage.of(m_request.member->name).refused;
+    context.counters.at(m_answering ? "answers_broken" : "requests_refused").add();
+    context.timeline.add(EventKind::RequestRefused, m_request.id, error.peer, error.message);
+    if (m_answering && m_request.completion.stream) {
+        m_request.exchange->abort();
+    } else {
+        auto shown = error;
+        if (m_parts.quarantine.isQuarantined(m_request.fingerprint, context.clock.now())) {
+            shown = {ErrorCode::Quarantined, "quarantine", error.peer, "the request stopped the upstreams that ran it"};
+        }
+        const auto wait = m_parts.slots.bestWait(poolOf(Role::Decode), Role::Decode, 0);
+        m_request.exchange->respond(refusal(shown, m_firstRun ? Ran::Unknown : Ran::No, retryAfterOf(wait), m_request.id));
+    }
+    cleanUp("refused");
+}
+
+auto ModelRelay::callerGone() -> void
+{
+    if (m_finished) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_finished = true;
+    m_parts.context.counters.at("callers_gone").add();
+    m_parts.context.timeline.add(EventKind::CallerGone, m_request.id, "");
+    cleanUp("the caller is gone");
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/node.cc
@@ -0,0 +1,162 @@
+#include "currantstack/node.h"
+
+#include "currantstack/log.h"
+
+#include <random>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Log NodeLog("node");
+constexpr Duration StoreTimeout = seconds(1);
+constexpr Duration WatchIdle = seconds(10);
+constexpr Duration DrainPoll = milliseconds(50);
+constexpr Duration BalancerNotice = milliseconds(1500); // for the balancer to see that /readyz fails
+
+auto makeSelf(const Settings &settings, const Clock &clock) -> Vm
+{
+    Vm self;
+    self.name = settings.name;
+    self.address = settings.peerAddress;
+    self.place = settings.place;
+    self.region = settings.region;
+    self.boot = epochMilliseconds(clock.wall());
+    self.incarnation = self.boot;
+    return self;
+}
+
+} // namespace
+
+struct Node::Parts {
+    explicit Parts(Settings given);
+
+    Settings settings;
+    SystemClock clock;
+    Loop loop;
+    Random random{std::random_device{}()};
+    Counters counters;
+    Timeline timeline;
+    HttpClient client;
+    Membership membership;
+    PeerAuth auth;
+    PeerClient peers;
+    PeerRouter router;
+    EtcdStore store;
+    Context context;
+    Announcer announcer;
+    Cancels cancels;
+    SlotService slots;
+    ConfigService config;
+    JournalService journal;
+    Gateway gateway;
+    OperatorApi operators;
+    std::unique_ptr<HttpServer> peerServer;
+    std::unique_ptr<Timer> drainTimer;
+    TimePoint drainBegan;
+    bool draining = false;
+
+    auto beginDrain() -> void;
+    auto pollDrain() -> void;
+};
+
+Node::Parts::Parts(Settings given)
+    : settings(std::move(given))
+    , timeline(clock, settings.name, settings.timelineEvents)
+    , client(loop)
+    , membership(makeSelf(settings, clock), settings.suspectAfter, settings.deadAfter)
+    , auth(settings.peerSecret, settings.name, clock)
+    , peers(client, auth, timeline, counters)
+    , router(auth, timeline, counters)
+    , store(client, counters, settings.storeAddresses, StoreTimeout, WatchIdle)
+    , context{loop, clock, random, settings, client, peers, router, store, counters, timeline, membership}
+    , announcer(context)
+    , cancels(context)
+    , slots(context, announcer, cancels)
+    , config(context, announcer)
+    , journal(context)
+    , gateway(context, announcer, slots, cancels, journal)
+    , operators(context, config, gateway, slots, [this]() { beginDrain(); })
+    , drainTimer(loop.timer([this]() { pollDrain(); }))
+{
+    config.onChange([this]() {
+        slots.reconsider();
+        gateway.reconsider();
+    });
+    announcer.onChange([this](const Membership::Peer &) {
+        slots.reconsider();
+        config.reconsider();
+    });
+    announcer.onReplaced([this]() { slots.surrender(); });
+}
+
+auto Node::Parts::beginDrain() -> void
+{
+    if (std::exchange(draining, true)) {
+        return;
+    }
+    NodeLog.info("Draining: {} requests are under way", gateway.inFlight());
+    drainBegan = clock.now();
+    gateway.drain();
+    membership.leave();
+    announcer.announceToAll();
+    slots.reconsider();
+    drainTimer->startRepeating(DrainPoll, DrainPoll);
+}
+
+auto Node::Parts::pollDrain() -> void
+{
+    const auto passed = clock.now() - drainBegan;
+    const bool done = gateway.inFlight() == 0 && cancels.pending() == 0 && passed >= BalancerNotice;
+    if (done || passed > context.config->timeouts.drain) {
+        NodeLog.info("Drained after {:.1f} s with {} requests left", toSeconds(passed), gateway.inFlight());
+        loop.stop();
+    }
+}
+
+Node::Node(Settings settings)
+    : m_parts(std::make_unique<Parts>(std::move(settings)))
+{
+}
+
+Node::~Node() = default;
+
+auto Node::start() -> Result<void>
+{
+    ServerOptions options;
+    std::tie(options.address, options.port) = splitAddress(m_parts->settings.peerAddress);
+    options.maxBody = m_parts->settings.maxBody;
+    auto server = HttpServer::open(m_parts->loop, options, [this](const ExchangePtr &exchange) {
+        if (!m_parts->router.dispatch(exchange) && !m_parts->operators.dispatch(exchange)) {
+            exchange->respond(jsonResponse(404, R"({"title":"no such path","status":404})"));
+        }
+    });
+    if (!server) {
+        return tl::unexpected(server.error());
+    }
+    m_parts->peerServer = std::move(*server);
+    if (auto opened = m_parts->gateway.open(); !opened) {
+        return opened;
+    }
+    m_parts->loop.onSignal(SIGTERM, [this]() { drain(); });
+    m_parts->loop.onSignal(SIGINT, [this]() { drain(); });
+    m_parts->announcer.start();
+    m_parts->config.start();
+    m_parts->slots.start();
+    NodeLog.info("VM {} has started", m_parts->settings.name);
+    return {};
+}
+
+auto Node::run() -> void
+{
+    m_parts->loop.run();
+}
+
+auto Node::drain() -> void
+{
+    m_parts->beginDrain();
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/usage.cc
@@ -0,0 +1,47 @@
+#include "currantstack/usage.h"
+
+namespace currantstack
+{
+
+auto UsageBook::of(std::string_view member) -> MemberUsage &
+{
+    const auto found = m_members.find(member);
+    return found != m_members.end() ? found->second : m_members[std::string(member)];
+}
+
+auto UsageBook::toJson() const -> Json
+{
+    auto document = Json::object();
+    for (const auto &[name, usage] : m_members) {
+        document[name] = {{"requests", usage.requests},
+                          {"refused", usage.refused},
+                          {"in_flight", usage.inFlight},
+                          {"prompt_tokens", usage.promptTokens},
+                          {"output_tokens", usage.outputTokens},
+                          {"slot_ms", usage.slotMilliseconds}};
+    }
+    return document;
+}
+
+auto sumUsage(const std::vector<Json> &reports) -> Json
+{
+    auto total = Json::object();
+    for (const auto &report : reports) {
+        if (!report.is_object()) {
+            continue;
+        }
+        for (const auto &[member, usage] : report.items()) {
+            if (!usage.is_object()) {
+                continue;
+            }
+            for (const auto &[key, value] : usage.items()) {
+                if (value.is_number_integer()) {
+                    total[member][key] = total[member].value(key, std::int64_t{0}) + value.get<std::int64_t>();
+                }
+            }
+        }
+    }
+    return total;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/standin/engine.cc
@@ -0,0 +1,594 @@
+#include "engine.h"
+
+#include "currantstack/codec.h"
+#include "currantstack/log.h"
+#include "currantstack/sse.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+
+namespace standin
+{
+
+namespace
+{
+
+constexpr Log EngineLog("engine");
+constexpr Duration TickPeriod = milliseconds(50);
+constexpr Duration CancelMemory = seconds(10);
+constexpr int KeptReports = 100;
+constexpr std::size_t KeptEvents = 4096;
+
+auto countTokens(std::string_view text) -> std::int64_t
+{
+    std::int64_t count = 0;
+    bool inside = false;
+    for (const char letter : text) {
+        const bool space = letter == ' ' || letter == '\n';
+        count += (!space && !inside) ? 1 : 0;
+        inside = !space;
+    }
+    return count;
+}
+
+auto numberOr(const Json &value, const char *key, double fallback) -> double
+{
+    return value.contains(key) && value[key].is_number() ? value[key].get<double>() : fallback;
+}
+
+} // namespace
+
+auto tokenText(std::uint64_t promptHash, std::int64_t index) -> std::string
+{
+    return fmt::format("{:05x}-{} ", promptHash % 0xfffff, index);
+}
+
+Engine::Engine(Loop &loop, HttpClient &client, EngineSettings settings, std::uint64_t seed)
+    : m_loop(loop)
+    , m_client(client)
+    , m_settings(std::move(settings))
+    , m_random(seed)
+    , m_cache(m_settings.cacheBlocks)
+    , m_stepTimer(loop.timer([this]() { step(); }))
+    , m_ticker(loop.timer([this]() { tick(); }))
+{
+    m_ticker->startRepeating(TickPeriod, TickPeriod);
+}
+
+Engine::~Engine()
+{
+    *m_life = false;
+}
+
+auto Engine::open() -> Result<void>
+{
+    ServerOptions options;
+    options.address = m_settings.address;
+    options.port = m_settings.port;
+    options.idleTimeout = 0;
+    auto server = HttpServer::open(m_loop, options, [this](const ExchangePtr &exchange) { handle(exchange); });
+    if (!server) {
+        return tl::unexpected(server.error());
+    }
+    m_server = std::move(*server);
+    m_settings.port = m_server->port();
+    return {};
+}
+
+auto Engine::answerError(const ExchangePtr &exchange, int status, std::string_view message) -> void
+{
+    exchange->respond(jsonResponse(status, dumpJson({{"error", {{"message", message}, {"engine", m_settings.name}}}})));
+}
+
+auto Engine::handle(const ExchangePtr &exchange) -> void
+{
+    const auto &path = exchange->request().path;
+    const bool isPost = exchange->request().method == "POST";
+    if (isPost && path == "/v1/completions") {
+        handleCompletion(exchange, false);
+    } else if (isPost && path == "/v1/chat/completions") {
+        handleCompletion(exchange, true);
+    } else if (isPost && path == "/v1/kv/export") {
+        handleExport(exchange);
+    } else if (isPost && path == "/v1/requests/cancel") {
+        handleCancel(exchange);
+    } else if (isPost && path == "/v1/orders") {
+        handleOrder(exchange);
+    } else if (isPost && path == "/standin/faults") {
+        handleFault(exchange);
+    } else if (path == "/v1/requests/stream") {
+        handleResume(exchange);
+    } else if (path == "/v1/requests") {
+        handleRunning(exchange);
+    } else if (path == "/v1/load") {
+        handleLoad(exchange);
+    } else if (path == "/v1/cache-events") {
+        handleCacheEvents(exchange);
+    } else if (path == "/standin/counters") {
+        exchange->respond(jsonResponse(200, m_counters.dump()));
+    } else {
+        answerError(exchange, 404, "no such path");
+    }
+}
+
+auto Engine::held() const -> int
+{
+    int count = static_cast<int>(m_exports.size()) + static_cast<int>(m_batch.size());
+    for (const auto &[id, job] : m_jobs) {
+        count += job->phase == "transfer" || job->phase == "prefill" ? 1 : 0;
+    }
+    return count;
+}
+
+auto Engine::slowFactor() const -> double
+{
+    return m_clock.now() < m_slowUntil ? m_slow : 1.0;
+}
+
+auto Engine::handleCompletion(const ExchangePtr &exchange, bool /*chat*/) -> void
+{
+    auto document = parseJson(exchange->request().body, "completion");
+    auto request = document ? completionFromJson(*document) : Result<CompletionRequest>(tl::unexpected(document.error()));
+    if (!request) {
+        return answerError(exchange, 400, request.error().message);
+    }
+    if (request->requestId.empty()) {
+        request->requestId = fmt::format("local.{}", m_nextHandle++);
+    }
+    if (m_jobs.contains(request->requestId)) {
+        return answerError(exchange, 409, "the request id is in use");
+    }
+    if (m_cancelled.contains(request->requestId)) {
+        return answerError(exchange, 499, "the request was cancelled");
+    }
+    if (request->model != m_settings.model) {
+        return answerError(exchange, 404, "the model is not loaded");
+    }
+    const bool isPrefill = request->transfer.doRemoteDecode;
+    if (isPrefill != (m_settings.role == "prefill")) {
+        return answerError(exchange, 409, "the engine has another role");
+    }
+    auto job = std::make_shared<Job>();
+    job->request = std::move(*request);
+    job->promptHash = hash64(job->request.prompt);
+    job->promptTokens = isPrefill ? countTokens(job->request.prompt) : job->request.transfer.promptTokens;
+    job->produced = job->request.continueFrom;
+    job->arrived = m_clock.now();
+    job->exchange = exchange;
+    m_counters.at("requests").add();
+    if (job->request.prompt.find(isPrefill ? "crash-prefill" : "crash-decode") != std::string::npos) {
+        EngineLog.warning("{} crashes on {}", m_settings.name, job->request.requestId);
+        m_loop.defer([this, life = m_life]() {
+            if (*life) {
+                crash();
+            }
+        });
+        return;
+    }
+    exchange->onGone([this, life = m_life, weak = std::weak_ptr<Job>(job)]() {
+        const auto lost = weak.lock();
+        if (*life && lost) {
+            lost->brokenAt = m_clock.now();
+            lost->exchange.reset();
+        }
+    });
+    m_jobs[job->request.requestId] = job;
+    m_waiting.push_back(job);
+    if (isPrefill) {
+        startPrefills();
+    } else {
+        startImports();
+    }
+}
+
+auto Engine::takeNext() -> JobPtr
+{
+    const auto best = std::max_element(m_waiting.begin(), m_waiting.end(), [](const JobPtr &left, const JobPtr &right) {
+        return left->request.priority < right->request.priority;
+    });
+    auto job = *best;
+    m_waiting.erase(best);
+    return job;
+}
+
+auto Engine::startPrefills() -> void
+{
+    if (m_prefilling || m_waiting.empty() || held() >= m_settings.slots) {
+        return;
+    }
+    m_prefilling = takeNext();
+    const auto job = m_prefilling;
+    job->phase = "prefill";
+    job->cachedTokens = static_cast<std::int64_t>(m_cache.use(job->request.prompt) * static_cast<double>(job->promptTokens));
+    const auto fresh = static_cast<double>(job->promptTokens - job->cachedTokens + job->request.continueFrom);
+    const double length = (m_settings.prefillOverheadMs + fresh * m_settings.prefillMicrosPerToken / 1000) * slowFactor();
+    m_loop.after(fromMilliseconds(length), [this, life = m_life, job]() {
+        if (*life) {
+            finishPrefill(job);
+        }
+    });
+}
+
+auto Engine::finishPrefill(const JobPtr &job) -> void
+{
+    m_prefilling.reset();
+    const auto worked = job->promptTokens - job->cachedTokens + job->request.continueFrom;
+    m_counters.at("prefill_tokens").add(worked);
+    if (!m_jobs.contains(job->request.requestId)) {
+        m_counters.at("prefill_tokens_wasted").add(worked);
+        startPrefills();
+        return;
+    }
+    const auto handle = fmt::format("{}-{}", m_settings.name, m_nextHandle++);
+    m_exports[handle] = {job->request.requestId, worked, m_clock.now() + fromMilliseconds(m_settings.kvExpiryMs), false};
+    job->phase = "exportable";
+    if (const auto head = PrefixCache::headOf(job->request.prompt); head != 0) {
+        if (std::uniform_real_distribution<double>()(m_random) >= m_settings.eventLossShare) {
+            m_events.push_back({m_nextEvent, head, m_clock.now() + fromMilliseconds(m_settings.eventLagMs)});
+        }
+        ++m_nextEvent;
+        if (m_events.size() > KeptEvents) {
+            m_events.pop_front();
+        }
+    }
+    KvTransfer transfer;
+    transfer.doRemotePrefill = true;
+    transfer.remoteAddress = fmt::format("{}:{}", m_settings.address, m_settings.port);
+    transfer.remoteHandle = handle;
+    transfer.promptTokens = job->promptTokens;
+    transfer.cachedTokens = job->cachedTokens;
+    transfer.expiresInMs = static_cast<std::int64_t>(m_settings.kvExpiryMs);
+    if (job->exchange && !job->muted) {
+        job->exchange->respond(jsonResponse(200, dumpJson({{"id", job->request.requestId}, {"kv_transfer_params", toJson(transfer)}})));
+    }
+    startPrefills();
+}
+
+auto Engine::handleExport(const ExchangePtr &exchange) -> void
+{
+    const auto document = parseJson(exchange->request().body, "export");
+    const auto transfer = document ? kvTransferFromJson(*document) : Result<KvTransfer>(tl::unexpected(document.error()));
+    if (!transfer) {
+        return answerError(exchange, 400, transfer.error().message);
+    }
+    const auto found = m_exports.find(transfer->remoteHandle);
+    if (found == m_exports.end()) {
+        return answerError(exchange, 410, "the result has expired");
+    }
+    if (m_clock.now() < m_stallUntil) {
+        return; // a stalled transfer: never answered
+    }
+    found->second.transferring = true;
+    const double bytes = static_cast<double>(transfer->promptTokens) * m_settings.kvBytesPerToken;
+    m_linkFreeAt = std::max(m_linkFreeAt, m_clock.now()) + fromMilliseconds(1000 * bytes / m_settings.linkBytesPerSecond);
+    m_loop.after(m_linkFreeAt - m_clock.now(), [this, life = m_life, exchange, handle = transfer->remoteHandle]() {
+        if (!*life) {
+            return;
+        }
+        const auto entry = m_exports.find(handle);
+        if (entry == m_exports.end()) {
+            return answerError(exchange, 410, "the result was cancelled");
+        }
+        m_jobs.erase(entry->second.requestId);
+        m_exports.erase(entry);
+        exchange->respond(jsonResponse(200, "{}"));
+        startPrefills();
+    });
+}
+
+auto Engine::startImports() -> void
+{
+    while (!m_waiting.empty() && held() < m_settings.slots) {
+        const auto job = takeNext();
+        job->phase = "transfer";
+        HttpCall call;
+        call.method = "POST";
+        call.url = urlOf(job->request.transfer.remoteAddress, "/v1/kv/export");
+        call.body = dumpJson(toJson(job->request.transfer));
+        call.totalTimeout = seconds(30);
+        HttpHandlers handlers;
+        handlers.onDone = [this, life = m_life, job](const Result<HttpResponse> &response) {
+            if (!*life || !m_jobs.contains(job->request.requestId)) {
+                return;
+            }
+            if (!response || response->status != 200) {
+                if (job->exchange) {
+                    answerError(job->exchange, 424, response ? "the prefill result has expired" : "the prefill engine is away");
+                }
+                return drop(job);
+            }
+            joinBatch(job);
+        };
+        job->importCall = m_client.start(std::move(call), std::move(handlers));
+    }
+}
+
+auto Engine::joinBatch(const JobPtr &job) -> void
+{
+    job->phase = "decode";
+    m_counters.at("decodes").add();
+    if (job->exchange && job->request.stream) {
+        job->exchange->beginStream(200, {{"Content-Type", "text/event-stream"}});
+    }
+    m_batch.push_back(job);
+    m_counters.at("batch_peak").set(std::max<std::int64_t>(m_counters.value("batch_peak"), held()));
+    scheduleStep();
+}
+
+auto Engine::scheduleStep() -> void
+{
+    if (m_stepping || m_batch.empty()) {
+        return;
+    }
+    m_stepping = true;
+    const auto now = m_clock.now();
+    const double length = (m_settings.stepBaseMs + m_settings.stepPerRequestMs * static_cast<double>(m_batch.size())) * slowFactor();
+    const auto due = std::max(now - milliseconds(5), m_lastStep) + fromMilliseconds(length);
+    m_stepTimer->startOnce(std::max(Duration::zero(), Duration(due - now)));
+    m_lastStep = due;
+}
+
+auto Engine::step() -> void
+{
+    m_stepping = false;
+    const auto batch = m_batch;
+    for (const auto &job : batch) {
+        if (emitToken(job)) {
+            drop(job);
+        }
+    }
+    scheduleStep();
+    startImports();
+}
+
+auto Engine::emitToken(const JobPtr &job) -> bool
+{
+    const auto index = job->produced++;
+    const bool last = job->produced >= job->request.maxTokens;
+    m_counters.at("tokens").add();
+    if (!job->exchange || job->muted || !job->request.stream) {
+        if (last && job->exchange && !job->muted) {
+            std::string text;
+            for (std::int64_t token = job->request.continueFrom; token < job->produced; ++token) {
+                text += tokenText(job->promptHash, token);
+            }
+            job->exchange->respond(jsonResponse(200, dumpJson({{"id", job->request.requestId}, {"choices", {{{"text", text}, {"finish_reason", "length"}}}}})));
+        }
+        return last;
+    }
+    job->exchange->write(fmt::format("data: {{\"id\":\"{}\",\"choices\":[{{\"index\":0,\"text\":\"{}\",\"finish_reason\":{}}}]}}\n\n",
+                                     job->request.requestId, tokenText(job->promptHash, index), last ? "\"length\"" : "null"));
+    if (last) {
+        job->exchange->write("data: [DONE]\n\n");
+        job->exchange->end();
+    }
+    return last;
+}
+
+auto Engine::drop(const JobPtr &job) -> void
+{
+    std::erase(m_batch, job);
+    std::erase(m_waiting, job);
+    if (job->importCall != 0) {
+        m_client.cancel(job->importCall);
+    }
+    std::erase_if(m_exports, [this, &job](const auto &entry) {
+        const bool mine = entry.second.requestId == job->request.requestId;
+        if (mine) {
+            m_counters.at("prefill_tokens_wasted").add(entry.second.tokens);
+        }
+        return mine;
+    });
+    m_jobs.erase(job->request.requestId);
+    if (job->exchange && !job->exchange->isAnswered()) {
+        answerError(job->exchange, 499, "the request was cancelled");
+    } else if (job->exchange) {
+        job->exchange->abort();
+    }
+    m_loop.defer([this, life = m_life]() {
+        if (*life) {
+            startPrefills();
+            startImports();
+        }
+    });
+}
+
+auto Engine::handleCancel(const ExchangePtr &exchange) -> void
+{
+    const auto document = parseJson(exchange->request().body, "cancel");
+    if (!document || !document->is_object() || !document->contains("request_id") || !(*document)["request_id"].is_string()) {
+        return answerError(exchange, 400, "request_id must be a string");
+    }
+    const auto id = (*document)["request_id"].get<std::string>();
+    m_cancelled[id] = m_clock.now() + CancelMemory;
+    const auto found = m_jobs.find(id);
+    const bool existed = found != m_jobs.end();
+    if (existed) {
+        m_counters.at("cancels").add();
+        const auto job = found->second;
+        drop(job);
+    }
+    exchange->respond(jsonResponse(200, dumpJson({{"found", existed}, {"held", false}})));
+}
+
+auto Engine::handleOrder(const ExchangePtr &exchange) -> void
+{
+    const auto document = parseJson(exchange->request().body, "order");
+    const auto order = document ? engineOrderFromJson(*document) : Result<EngineOrder>(tl::unexpected(document.error()));
+    if (!order) {
+        return answerError(exchange, 400, order.error().message);
+    }
+    if (!m_settings.senderToken.empty() && order->senderToken != m_settings.senderToken) {
+        return answerError(exchange, 403, "the sender is not known");
+    }
+    if (m_settings.checksFencing && order->fencingNumber < m_highestFence) {
+        m_counters.at("orders_refused_stale").add();
+        return answerError(exchange, 409, "the fencing number is old");
+    }
+    m_highestFence = std::max(m_highestFence, order->fencingNumber);
+    if (order->kind == "role") {
+        m_settings.role = order->value;
+    } else if (order->kind == "load") {
+        m_settings.model = order->value;
+    }
+    m_counters.at("orders").add();
+    exchange->respond(jsonResponse(200, dumpJson({{"role", m_settings.role}, {"model", m_settings.model}, {"fencing_number", m_highestFence}})));
+}
+
+auto Engine::handleFault(const ExchangePtr &exchange) -> void
+{
+    const auto document = parseJson(exchange->request().body, "fault");
+    if (!document || !document->is_object()) {
+        return answerError(exchange, 400, "a fault must be an object");
+    }
+    const auto kind = document->value("kind", std::string());
+    const auto until = m_clock.now() + fromMilliseconds(numberOr(*document, "duration_ms", 1000));
+    if (kind == "slow") {
+        m_slow = numberOr(*document, "factor", 4);
+        m_slowUntil = until;
+    } else if (kind == "stall") {
+        m_stallUntil = until;
+    } else if (kind == "silence") {
+        for (const auto &[id, job] : m_jobs) {
+            job->muted = true;
+        }
+    } else if (kind == "crash") {
+        m_loop.defer([this, life = m_life]() {
+            if (*life) {
+                crash();
+            }
+        });
+    } else {
+        return answerError(exchange, 400, "kind must be slow, stall, silence or crash");
+    }
+    EngineLog.debug("{}: fault {}", m_settings.name, kind);
+    exchange->respond(jsonResponse(200, "{}"));
+}
+
+auto Engine::crash() -> void
+{
+    if (!m_server) {
+        return;
+    }
+    m_counters.at("crashes").add();
+    // Whatever was scheduled before the crash must not act on the engine after it.
+    *m_life = false;
+    m_life = std::make_shared<bool>(true);
+    for (const auto &[handle, entry] : m_exports) {
+        m_counters.at("prefill_tokens_wasted").add(entry.tokens);
+    }
+    for (const auto &[id, job] : m_jobs) {
+        if (job->importCall != 0) {
+            m_client.cancel(job->importCall);
+        }
+    }
+    m_server.reset();
+    m_jobs.clear();
+    m_waiting.clear();
+    m_batch.clear();
+    m_exports.clear();
+    m_prefilling.reset();
+    m_cache.clear();
+    m_stepTimer->stop();
+    m_stepping = false;
+    m_loop.after(fromMilliseconds(m_settings.restartMs), [this]() {
+        if (const auto opened = open(); !opened) {
+            EngineLog.error("{}", describe(opened.error()));
+        }
+    });
+}
+
+auto Engine::handleResume(const ExchangePtr &exchange) -> void
+{
+    const auto found = m_jobs.find(std::string(exchange->request().argument("request_id")));
+    if (found == m_jobs.end() || found->second->phase != "decode") {
+        return answerError(exchange, 404, "no such stream");
+    }
+    const auto job = found->second;
+    const auto from = std::atoll(std::string(exchange->request().argument("from")).c_str());
+    exchange->beginStream(200, {{"Content-Type", "text/event-stream"}});
+    job->request.stream = true;
+    job->exchange = exchange;
+    job->muted = false;
+    job->brokenAt = {};
+    for (auto index = from; index < job->produced; ++index) {
+        exchange->write(fmt::format("data: {{\"id\":\"{}\",\"choices\":[{{\"index\":0,\"text\":\"{}\",\"finish_reason\":null}}]}}\n\n",
+                                    job->request.requestId, tokenText(job->promptHash, index)));
+    }
+    exchange->onGone([this, life = m_life, weak = std::weak_ptr<Job>(job)]() {
+        if (const auto lost = weak.lock(); *life && lost) {
+            lost->brokenAt = m_clock.now();
+            lost->exchange.reset();
+        }
+    });
+}
+
+auto Engine::handleRunning(const ExchangePtr &exchange) -> void
+{
+    auto list = Json::array();
+    for (const auto &[id, job] : m_jobs) {
+        list.push_back(toJson(RunningRequest{id, job->phase, std::chrono::duration_cast<milliseconds>(m_clock.now() - job->arrived).count()}));
+    }
+    exchange->respond(jsonResponse(200, dumpJson({{"requests", list}, {"slots", m_settings.slots}, {"role", m_settings.role}})));
+}
+
+auto Engine::handleLoad(const ExchangePtr &exchange) -> void
+{
+    LoadReport report;
+    const auto wanted = m_clock.now() - fromMilliseconds(m_settings.reportLagMs);
+    for (const auto &[taken, entry] : m_reports) {
+        if (taken <= wanted || report.slots == 0) {
+            report = entry;
+            report.ageMs = std::chrono::duration_cast<milliseconds>(m_clock.now() - taken).count();
+        }
+    }
+    exchange->respond(jsonResponse(200, dumpJson(toJson(report))));
+}
+
+auto Engine::handleCacheEvents(const ExchangePtr &exchange) -> void
+{
+    const auto after = std::atoll(std::string(exchange->request().argument("after")).c_str());
+    auto list = Json::array();
+    for (const auto &event : m_events) {
+        if (event.sequence > after && event.visibleAt <= m_clock.now()) {
+            list.push_back({{"sequence", event.sequence}, {"prefix_hash", fmt::format("{:016x}", event.prefixHash)}});
+        }
+    }
+    exchange->respond(jsonResponse(200, dumpJson({{"events", list}})));
+}
+
+auto Engine::tick() -> void
+{
+    const auto now = m_clock.now();
+    LoadReport report;
+    report.slots = m_settings.slots;
+    report.running = held();
+    report.waiting = static_cast<std::int64_t>(m_waiting.size());
+    for (const auto &job : m_waiting) {
+        report.waitingTokens += job->promptTokens;
+    }
+    m_reports.emplace_back(now, report);
+    if (m_reports.size() > KeptReports) {
+        m_reports.pop_front();
+    }
+    std::vector<JobPtr> gone;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->brokenAt != TimePoint() && now - job->brokenAt > fromMilliseconds(m_settings.lingerMs)) {
+            gone.push_back(job);
+        }
+    }
+    for (const auto &[handle, entry] : m_exports) {
+        const auto owner = m_jobs.find(entry.requestId);
+        if (!entry.transferring && entry.expires < now && owner != m_jobs.end()) {
+            m_counters.at("exports_expired").add();
+            gone.push_back(owner->second);
+        }
+    }
+    for (const auto &job : gone) {
+        drop(job);
+    }
+    std::erase_if(m_cancelled, [now](const auto &entry) { return entry.second < now; });
+}
+
+} // namespace standin
