--- a/include/currantstack/announcer.h
+++ b/include/currantstack/announcer.h
@@ -18,8 +18,8 @@
     using OnChange = std::function<void(const Membership::Peer &peer)>;
     using OnReplaced = std::function<void()>;
 
-    static constexpr int Fanout = 2;                 // peers told at each period
-    static constexpr std::size_t MaxEntries = 24;    // of VMs in one announcement
+    static constexpr int Fanout = 2; // peers told at each period
+    static constexpr std::size_t MaxEntries = 24; // of VMs in one announcement
     static constexpr Duration ForgetAfter = seconds(600);
 
     explicit Announcer(Context &context);
@@ -40,7 +40,8 @@
     auto announceToSome() -> void;
 
 private:
-    struct Section {
+    struct Section
+    {
         std::string key;
         Produce produce;
         Consume consume;
--- a/include/currantstack/cancels.h
+++ b/include/currantstack/cancels.h
@@ -26,7 +26,8 @@
     }
 
 private:
-    struct Pending {
+    struct Pending
+    {
         std::string engine;
         std::string address;
         std::string requestId;
--- a/include/currantstack/config.h
+++ b/include/currantstack/config.h
@@ -22,13 +22,15 @@
 auto name(Role role) -> std::string_view;
 
 /// A data centre, within a region.
-struct Place {
+struct Place
+{
     std::string name;
     std::string region;
 };
 
 /// What callers of a model are promised, and the size of its KV cache.
-struct Model {
+struct Model
+{
     std::string name;
     Duration firstTokenTarget = milliseconds(1700);
     Duration tokenGapTarget = milliseconds(26);
@@ -36,7 +38,8 @@
 };
 
 /// A member of a pool that runs a model in one role.
-struct Engine {
+struct Engine
+{
     std::string name;
     std::string address; // "IP:port"
     std::string place;
@@ -46,12 +49,13 @@
     int slots = 20;
     double linkBytesPerSecond = 10e9;
     bool checksFencing = false; // refuses orders with an old fencing number
-    bool checksSender = false;  // refuses orders without the sender's token
-    bool leaving = false;       // takes no new work
+    bool checksSender = false; // refuses orders without the sender's token
+    bool leaving = false; // takes no new work
 };
 
 /// A back end of a plain service.
-struct ServiceUpstream {
+struct ServiceUpstream
+{
     std::string name;
     std::string address;
     std::string place;
@@ -59,13 +63,15 @@
 };
 
 /// Says of a service's calls whether they may be repeated. The longest matching prefix counts.
-struct CallRule {
+struct CallRule
+{
     std::string method;
     std::string pathPrefix;
     bool idempotent = true;
 };
 
-struct Service {
+struct Service
+{
     std::string name;
     std::vector<ServiceUpstream> upstreams;
     std::vector<CallRule> calls;
@@ -77,35 +83,39 @@
 };
 
 /// A customer of the system.
-struct Member {
+struct Member
+{
     std::string name;
     std::vector<std::string> tokenHashes; // "sha256:" and 64 hexadecimal digits
-    double share = 1;                     // guaranteed part of the shared pool, relative to the others'
+    double share = 1; // guaranteed part of the shared pool, relative to the others'
     int maxPriority = 0;
-    std::vector<std::string> models;   // that it may use; "*" means all
+    std::vector<std::string> models; // that it may use; "*" means all
     std::vector<std::string> services; // that it may use; "*" means all
 };
 
 /// Someone who may submit configurations.
-struct Operator {
+struct Operator
+{
     std::string name;
     std::string member; // empty: of the consortium
     std::vector<std::string> tokenHashes;
     std::vector<std::string> mayChange; // top-level sections; "*" means all
 };
 
-struct Limits {
+struct Limits
+{
     std::int64_t maxQueuedRequests = 400; // for each pool at one owner
     std::int64_t maxQueuedTokens = 2000000;
     std::int64_t maxPromptBytes = 4 << 20;
-    double retryShare = 0.1;       // retries and hedges as a share of successes
+    double retryShare = 0.1; // retries and hedges as a share of successes
     double maxEjectedShare = 0.34; // of a pool
     Duration defaultDeadline = milliseconds(1700);
     Duration quarantine = seconds(600);
     Duration answerRetention = seconds(86400); // of recorded answers to idempotency keys
 };
 
-struct Timeouts {
+struct Timeouts
+{
     Duration connect = milliseconds(300);
     Duration progress = milliseconds(2000); // without a byte from an upstream
     Duration peer = milliseconds(800);
@@ -113,7 +123,8 @@
 };
 
 /// One whole configuration.
-struct Config {
+struct Config
+{
     std::int64_t revision = 0;
     std::string submission; // id of the submission that made it
     std::vector<Place> places;
--- a/include/currantstack/config_service.h
+++ b/include/currantstack/config_service.h
@@ -9,18 +9,20 @@
 {
 
 /// One wish to change the configuration.
-struct Submission {
-    std::string id;          // chosen by the submitter; settles lost replies
-    std::int64_t base = 0;   // revision that the document was made from
+struct Submission
+{
+    std::string id; // chosen by the submitter; settles lost replies
+    std::int64_t base = 0; // revision that the document was made from
     std::string operatorName; // checked by the caller of `submit`; empty for the bootstrap token
     Json document;
 };
 
 /// What became of a submission.
-struct SubmissionResult {
+struct SubmissionResult
+{
     bool accepted = false;
     std::int64_t revision = 0; // in force by it, or of the winner
-    Faults faults;             // of the document, or of the operator's rights
+    Faults faults; // of the document, or of the operator's rights
     std::vector<std::string> differing; // paths that differ from the winner's document
 };
 
@@ -53,7 +55,8 @@
     auto reconsider() -> void;
 
 private:
-    struct Kept {
+    struct Kept
+    {
         std::int64_t revision = 0;
         Json document;
     };
--- a/include/currantstack/context.h
+++ b/include/currantstack/context.h
@@ -19,7 +19,8 @@
 using ConfigPtr = std::shared_ptr<const Config>;
 
 /// The parts of one VM that every controller may use. All run on one loop and own their state alone.
-struct Context {
+struct Context
+{
     Loop &loop;
     const Clock &clock;
     Random &random;
--- a/include/currantstack/engine_api.h
+++ b/include/currantstack/engine_api.h
@@ -11,10 +11,11 @@
 {
 
 /// The published disaggregation fields: where a prefill's result lies, or that one is wanted.
-struct KvTransfer {
-    bool doRemoteDecode = false;  // in a prefill request: keep the result for another engine
+struct KvTransfer
+{
+    bool doRemoteDecode = false; // in a prefill request: keep the result for another engine
     bool doRemotePrefill = false; // in a decode request: fetch the result named here
-    std::string remoteAddress;    // "address:port" of the engine that holds the result
+    std::string remoteAddress; // "address:port" of the engine that holds the result
     std::string remoteHandle;
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0; // of the prompt, found in the prefix cache
@@ -22,7 +23,8 @@
 };
 
 /// A completion request as an engine takes it.
-struct CompletionRequest {
+struct CompletionRequest
+{
     std::string requestId; // "vm.incarnation.sequence.attempt"
     std::string model;
     std::string prompt;
@@ -34,14 +36,16 @@
 };
 
 /// A request that holds memory on an engine.
-struct RunningRequest {
+struct RunningRequest
+{
     std::string requestId;
     std::string phase; // "waiting", "prefill", "exportable", "transfer", "decode"
     std::int64_t ageMs = 0;
 };
 
 /// What an engine says of its load; `ageMs` old when it is answered.
-struct LoadReport {
+struct LoadReport
+{
     std::int64_t slots = 0;
     std::int64_t running = 0;
     std::int64_t waiting = 0;
@@ -50,7 +54,8 @@
 };
 
 /// A change of an engine's role, model or version.
-struct EngineOrder {
+struct EngineOrder
+{
     std::string kind; // "role", "load", "unload", "version"
     std::string value;
     std::int64_t fencingNumber = 0;
--- a/include/currantstack/error.h
+++ b/include/currantstack/error.h
@@ -33,7 +33,8 @@
 };
 
 /// One failure: what went wrong, in which step, and with which peer (empty when local).
-struct Error {
+struct Error
+{
     ErrorCode code = ErrorCode::Internal;
     std::string step;
     std::string peer;
--- a/include/currantstack/estimate.h
+++ b/include/currantstack/estimate.h
@@ -17,8 +17,7 @@
     explicit MovingAverage(double start, double weight = 0.1)
         : m_value(start)
         , m_weight(weight)
-    {
-    }
+    { }
 
     auto observe(double value) -> void
     {
--- a/include/currantstack/filters.h
+++ b/include/currantstack/filters.h
@@ -24,10 +24,11 @@
 };
 
 /// One caller's request on its way through the filters.
-struct CallerRequest {
+struct CallerRequest
+{
     ExchangePtr exchange;
     ConfigPtr config; // in force when the request came
-    std::string id;   // "vm.boot.sequence"
+    std::string id; // "vm.boot.sequence"
     TimePoint received;
     CallKind kind = CallKind::Completion;
     const Member *member = nullptr; // of `config`
@@ -44,7 +45,8 @@
 };
 
 /// One step. An error refuses the request; nothing has been run by then.
-struct Filter {
+struct Filter
+{
     std::string name;
     std::function<Result<void>(CallerRequest &request)> apply;
 };
--- a/include/currantstack/health.h
+++ b/include/currantstack/health.h
@@ -29,13 +29,14 @@
 
     auto forget(std::string_view upstream) -> void;
 
-    static constexpr double SlowRatio = 1.8;    // from which an observation lowers the weight
-    static constexpr double FallFactor = 0.6;   // of the weight, for each slow observation
+    static constexpr double SlowRatio = 1.8; // from which an observation lowers the weight
+    static constexpr double FallFactor = 0.6; // of the weight, for each slow observation
     static constexpr double RisePerSecond = 0.25;
     static constexpr double EjectedBelow = 0.05;
 
 private:
-    struct State {
+    struct State
+    {
         double weight = 1;
         TimePoint since; // when the weight was last set
         TimePoint lastFall;
--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -10,7 +10,8 @@
 namespace currantstack
 {
 
-struct Header {
+struct Header
+{
     std::string name;
     std::string value;
 };
@@ -20,7 +21,8 @@
 /// Returns the first value of the header, compared without case; empty where it is absent.
 auto findHeader(const Headers &headers, std::string_view name) -> std::string_view;
 
-struct HttpRequest {
+struct HttpRequest
+{
     std::string method;
     std::string path;
     Headers query; // decoded arguments of the URL
@@ -38,7 +40,8 @@
     }
 };
 
-struct HttpResponse {
+struct HttpResponse
+{
     int status = 200;
     Headers headers;
     std::string body;
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -11,21 +11,23 @@
 namespace currantstack
 {
 
-struct HttpCall {
+struct HttpCall
+{
     std::string method = "GET";
     std::string url;
     Headers headers;
     std::string body;
     Duration connectTimeout = milliseconds(500);
     Duration totalTimeout = Duration::zero(); // zero: no limit
-    Duration idleTimeout = Duration::zero();  // limit on time without progress; zero: none
+    Duration idleTimeout = Duration::zero(); // limit on time without progress; zero: none
     bool freshConnection = false;
     std::string step; // names the call in errors
     std::string peer; // names the callee in errors
 };
 
 /// Hooks of one call. `onDone` runs exactly once unless the call is cancelled.
-struct HttpHandlers {
+struct HttpHandlers
+{
     std::function<void(int status, const Headers &headers)> onHead;
     std::function<void(std::string_view data)> onData; // where unset, the body is collected
     std::function<void(Result<HttpResponse>)> onDone;
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -91,11 +91,12 @@
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
-struct ServerOptions {
+struct ServerOptions
+{
     std::string address = "127.0.0.1"; // IP number
-    std::uint16_t port = 0;            // 0 takes any free port
-    std::size_t maxBody = 8U << 20;    // bytes; a larger body is answered with 413
-    std::size_t maxHead = 64U << 10;   // bytes of memory for a request's head
+    std::uint16_t port = 0; // 0 takes any free port
+    std::size_t maxBody = 8U << 20; // bytes; a larger body is answered with 413
+    std::size_t maxHead = 64U << 10; // bytes of memory for a request's head
     unsigned maxConnections = 20000;
     unsigned idleTimeout = 60; // seconds until a connection without progress is closed
 };
--- a/include/currantstack/journal.h
+++ b/include/currantstack/journal.h
@@ -14,18 +14,20 @@
 {
 
 /// The answer of a request that ran.
-struct RecordedAnswer {
+struct RecordedAnswer
+{
     int status = 0;
     std::string contentType;
     std::string body;
 };
 
 /// One key: that a run was intended, by which attempt, and its answer once known.
-struct JournalEntry {
+struct JournalEntry
+{
     std::string key;
     std::string fingerprint; // of the request, so that a key is not used for another one
-    std::string attempt;     // names the one run that is allowed
-    std::string vm;          // that runs it
+    std::string attempt; // names the one run that is allowed
+    std::string vm; // that runs it
     std::int64_t incarnation = 0;
     std::int64_t startedMs = 0; // wall time
     std::optional<RecordedAnswer> answer;
@@ -33,11 +35,11 @@
 
 enum class IntentVerdict
 {
-    Run,        // not seen before: the attempt is entered
-    Replay,     // ran; the recorded answer is given again
+    Run, // not seen before: the attempt is entered
+    Replay, // ran; the recorded answer is given again
     InProgress, // the run goes on at a live VM
-    Unknown,    // the run's VM is gone and left no answer
-    Mismatch,   // the key was used for a different request
+    Unknown, // the run's VM is gone and left no answer
+    Mismatch, // the key was used for a different request
 };
 
 auto name(IntentVerdict verdict) -> std::string_view;
@@ -46,10 +48,11 @@
 class SliceJournal
 {
 public:
-    static constexpr std::size_t HeadBytes = 24U << 10;    // at which the head becomes a closed segment
+    static constexpr std::size_t HeadBytes = 24U << 10; // at which the head becomes a closed segment
     static constexpr std::size_t MaxAnswerBytes = 8U << 10; // a larger answer is recorded by its status alone
 
-    struct Verdict {
+    struct Verdict
+    {
         IntentVerdict verdict = IntentVerdict::Run;
         std::optional<RecordedAnswer> answer;
     };
@@ -72,7 +75,8 @@
     auto head(std::string_view writeId) const -> Json;
 
     /// Moves the entries of the head into a closed segment. Returns its number and content.
-    struct Closed {
+    struct Closed
+    {
         std::int64_t number = 0;
         Json content;
     };
@@ -93,7 +97,8 @@
     }
 
 private:
-    struct Kept {
+    struct Kept
+    {
         JournalEntry entry;
         std::int64_t segment = -1; // -1: in the head
     };
--- a/include/currantstack/journal_service.h
+++ b/include/currantstack/journal_service.h
@@ -16,10 +16,10 @@
     using BeginDone = std::function<void(Result<SliceJournal::Verdict>)>;
 
     static constexpr int Slices = 16;
-    static constexpr Duration WriteSpacing = milliseconds(25);  // between two writes of a slice
-    static constexpr Duration AnswerDelay = milliseconds(200);  // for which answers wait for company
-    static constexpr Duration RunLimit = seconds(180);          // after which a run without an answer counts as unknown
-    static constexpr Duration FinishFor = seconds(120);         // during which recording an answer is tried
+    static constexpr Duration WriteSpacing = milliseconds(25); // between two writes of a slice
+    static constexpr Duration AnswerDelay = milliseconds(200); // for which answers wait for company
+    static constexpr Duration RunLimit = seconds(180); // after which a run without an answer counts as unknown
+    static constexpr Duration FinishFor = seconds(120); // during which recording an answer is tried
 
     explicit JournalService(Context &context);
 
@@ -36,7 +36,8 @@
     auto makeIntent(std::string key, std::string fingerprint, std::string attempt) const -> JournalEntry;
 
 private:
-    struct Operation {
+    struct Operation
+    {
         enum class Kind
         {
             Begin,
@@ -48,7 +49,8 @@
         std::function<void(Result<SliceJournal::Verdict>)> done;
     };
 
-    struct Slice {
+    struct Slice
+    {
         SliceJournal journal;
         std::int64_t modRevision = 0;
         bool loaded = false;
@@ -58,7 +60,8 @@
         std::vector<Operation> queue;
     };
 
-    struct Outbox {
+    struct Outbox
+    {
         Operation::Kind kind = Operation::Kind::Finish;
         JournalEntry entry;
         TimePoint begun;
--- a/include/currantstack/json.h
+++ b/include/currantstack/json.h
@@ -22,7 +22,8 @@
 auto dumpJson(const Json &value) -> std::string;
 
 /// One fault in a document: where it is and what would be right.
-struct Fault {
+struct Fault
+{
     std::string path; // JSON pointer
     std::string message;
 };
@@ -43,7 +44,8 @@
     auto text(std::string_view key, std::optional<std::string> fallback = std::nullopt) -> std::string;
 
     /// Returns the number, which must lie within the bounds.
-    auto integer(std::string_view key, std::int64_t low, std::int64_t high, std::optional<std::int64_t> fallback = std::nullopt) -> std::int64_t;
+    auto integer(std::string_view key, std::int64_t low, std::int64_t high, std::optional<std::int64_t> fallback = std::nullopt)
+        -> std::int64_t;
     auto number(std::string_view key, double low, double high, std::optional<double> fallback = std::nullopt) -> double;
     auto boolean(std::string_view key, std::optional<bool> fallback = std::nullopt) -> bool;
     auto texts(std::string_view key) -> std::vector<std::string>;
--- a/include/currantstack/log.h
+++ b/include/currantstack/log.h
@@ -41,8 +41,7 @@
 public:
     explicit constexpr Log(std::string_view part)
         : m_part(part)
-    {
-    }
+    { }
 
     template<typename... Args>
     auto debug(fmt::format_string<Args...> text, Args &&...args) const -> void
--- a/include/currantstack/membership.h
+++ b/include/currantstack/membership.h
@@ -17,21 +17,22 @@
 {
     Alive,
     Suspected, // gets no new requests from this VM
-    Dead,      // owns nothing
-    Left,      // said that it leaves
+    Dead, // owns nothing
+    Left, // said that it leaves
 };
 
 auto name(VmState state) -> std::string_view;
 
 /// One VM as it is announced.
-struct Vm {
+struct Vm
+{
     std::string name;
     std::string address; // for peers, "IP:port"
     std::string place;
     std::string region;
-    std::int64_t boot = 0;        // start of the process, in ms since 1970; part of its request ids
+    std::int64_t boot = 0; // start of the process, in ms since 1970; part of its request ids
     std::int64_t incarnation = 0; // rises with each start and after each pause
-    std::int64_t heartbeat = 0;   // rises with each announcement
+    std::int64_t heartbeat = 0; // rises with each announcement
     bool leaving = false;
     bool dead = false; // declared so by the announcer
     std::int64_t revision = 0; // of the configuration in force there
@@ -41,7 +42,8 @@
 class Membership
 {
 public:
-    struct Peer {
+    struct Peer
+    {
         Vm vm;
         VmState state = VmState::Alive;
         TimePoint heardAt; // when the heartbeat last rose
--- a/include/currantstack/model_relay.h
+++ b/include/currantstack/model_relay.h
@@ -18,7 +18,8 @@
 
 private:
     /// One engine's part in a try.
-    struct Stage {
+    struct Stage
+    {
         std::string engine;
         std::string address;
         std::string requestId; // on the engine
@@ -30,9 +31,9 @@
 
     enum class Failure
     {
-        Refused,  // the engine answered with an error
-        Lost,     // the connection broke or was never made
-        Silent,   // no progress in time
+        Refused, // the engine answered with an error
+        Lost, // the connection broke or was never made
+        Silent, // no progress in time
     };
 
     auto askDecode() -> void;
@@ -77,8 +78,8 @@
     TimePoint m_kvExpires;
     bool m_kvTaken = false;
     std::int64_t m_delivered = 0; // tokens that the caller has, or that are collected for it
-    std::int64_t m_skip = 0;      // tokens of a resumed stream that the caller has already
-    std::string m_collected;      // of an answer that is not streamed
+    std::int64_t m_skip = 0; // tokens of a resumed stream that the caller has already
+    std::string m_collected; // of an answer that is not streamed
     TimePoint m_lastToken;
     TimePoint m_slotSince;
     double m_gapTotalMs = 0;
--- a/include/currantstack/operator_api.h
+++ b/include/currantstack/operator_api.h
@@ -18,7 +18,8 @@
 
 private:
     /// Who asks, and what they may do.
-    struct Caller {
+    struct Caller
+    {
         std::string operatorName; // empty for a member
         bool isOperator = false;
         bool mayRead = false;
--- a/include/currantstack/placement.h
+++ b/include/currantstack/placement.h
@@ -13,11 +13,12 @@
 using Random = pcg32;
 
 /// What this VM knows of one owner's part of a pool.
-struct OwnerView {
+struct OwnerView
+{
     std::string owner; // VM
     PoolView pool;
     Duration age = Duration::zero(); // since the owner said so
-    int pending = 0;                 // own requests sent there since
+    int pending = 0; // own requests sent there since
     bool isSelf = false;
     Duration distance = Duration::zero(); // one way to the owner and its engines
     bool holdsPrefix = false;
@@ -31,7 +32,8 @@
 auto chooseOwner(std::span<const OwnerView> owners, Role role, double prefillMs, Random &random) -> std::optional<std::size_t>;
 
 /// What a baseline knows of one engine: its last report, which lags.
-struct EngineLoad {
+struct EngineLoad
+{
     std::string engine;
     double load = 0; // running and waiting over slots
 };
--- a/include/currantstack/prefix_map.h
+++ b/include/currantstack/prefix_map.h
@@ -31,7 +31,8 @@
     static auto headOf(std::string_view prompt) -> std::uint64_t;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         std::string engine;
         std::list<std::uint64_t>::iterator place;
     };
--- a/include/currantstack/quarantine.h
+++ b/include/currantstack/quarantine.h
@@ -16,7 +16,8 @@
 using Fingerprint = std::uint64_t;
 
 /// A fingerprint that is refused until a time.
-struct QuarantineEntry {
+struct QuarantineEntry
+{
     Fingerprint fingerprint = 0;
     Duration remaining = Duration::zero();
 };
@@ -46,7 +47,8 @@
     auto expire(TimePoint now) -> void;
 
 private:
-    struct Suspect {
+    struct Suspect
+    {
         std::set<std::string> upstreams;
         TimePoint last;
     };
--- a/include/currantstack/relay.h
+++ b/include/currantstack/relay.h
@@ -15,7 +15,8 @@
 {
 
 /// Parts of one VM that relays use, besides the context.
-struct RelayParts {
+struct RelayParts
+{
     Context &context;
     SlotService &slots;
     Cancels &cancels;
@@ -25,7 +26,7 @@
     RetryBudget &retries;
     PrefixMap &prefixes;
     std::map<std::string, ModelEstimate, std::less<>> &estimates; // by model
-    std::map<std::string, double, std::less<>> &reportedLoads;    // by engine, for the baselines
+    std::map<std::string, double, std::less<>> &reportedLoads; // by engine, for the baselines
     std::function<void(Fingerprint, const std::string &upstream)> reportDeath;
     std::function<void(const std::string &requestId)> onFinished; // the relay may be dropped soon after
 };
--- a/include/currantstack/retry.h
+++ b/include/currantstack/retry.h
@@ -20,8 +20,7 @@
 
     explicit RetryBudget(double share)
         : m_share(share)
-    {
-    }
+    { }
 
     auto setShare(double share) -> void
     {
--- a/include/currantstack/service_relay.h
+++ b/include/currantstack/service_relay.h
@@ -10,7 +10,8 @@
 class ServiceBoard
 {
 public:
-    struct Entry {
+    struct Entry
+    {
         int inFlight = 0;
         MovingAverage latencyMs{20, 0.1};
     };
@@ -37,7 +38,8 @@
     auto start() -> void override;
 
 private:
-    struct Try {
+    struct Try
+    {
         std::string upstream;
         HttpClient::CallId call = 0;
         TimePoint begun;
@@ -65,7 +67,7 @@
     std::vector<std::string> m_avoid;
     std::unique_ptr<Timer> m_hedgeTimer;
     int m_tries = 0;
-    bool m_sent = false;   // whether bytes may have reached an upstream
+    bool m_sent = false; // whether bytes may have reached an upstream
     bool m_intended = false;
     bool m_finished = false;
     bool m_callerGone = false;
--- a/include/currantstack/settings.h
+++ b/include/currantstack/settings.h
@@ -25,23 +25,25 @@
 
 auto policyKind(std::string_view name) -> Result<PolicyKind>;
 
-struct PeerAddress {
+struct PeerAddress
+{
     std::string name;
     std::string address; // "IP:port"
 };
 
-struct Settings {
-    std::string name;                        // of this VM
-    std::string callerAddress;               // "IP:port" for callers
-    std::string peerAddress;                 // "IP:port" for the other VMs and operators
-    std::string place;                       // data centre
+struct Settings
+{
+    std::string name; // of this VM
+    std::string callerAddress; // "IP:port" for callers
+    std::string peerAddress; // "IP:port" for the other VMs and operators
+    std::string place; // data centre
     std::string region;
     std::vector<std::string> storeAddresses; // of the key-value service
-    std::string platformAddress;             // of the list of VMs and the weight store
-    std::vector<PeerAddress> peers;          // first contacts; more are learned from the platform's list
-    std::string peerSecret;                  // at least 16 characters
-    std::string bootstrapTokenHash;          // may submit the first configuration
-    std::string engineSenderToken;           // for engines that check who gives orders
+    std::string platformAddress; // of the list of VMs and the weight store
+    std::vector<PeerAddress> peers; // first contacts; more are learned from the platform's list
+    std::string peerSecret; // at least 16 characters
+    std::string bootstrapTokenHash; // may submit the first configuration
+    std::string engineSenderToken; // for engines that check who gives orders
     PolicyKind policy = PolicyKind::Ledger;
     std::size_t maxBody = 8U << 20;
     std::size_t maxHead = 64U << 10;
--- a/include/currantstack/slot_service.h
+++ b/include/currantstack/slot_service.h
@@ -13,7 +13,8 @@
 {
 
 /// A slot that was granted.
-struct SlotGrant {
+struct SlotGrant
+{
     std::string requestId;
     std::string engine;
     std::string owner;
@@ -21,9 +22,10 @@
 };
 
 /// What a request saw of an engine, reported with the release.
-struct SlotObservation {
+struct SlotObservation
+{
     bool failed = false;
-    double ratio = 1;          // seen over expected time
+    double ratio = 1; // seen over expected time
     double microsPerToken = 0; // of a prefill; 0: none
 };
 
@@ -74,13 +76,15 @@
     }
 
 private:
-    struct PeerViews {
+    struct PeerViews
+    {
         std::map<std::string, PoolView, std::less<>> pools;
         TimePoint heardAt;
         std::map<std::string, int, std::less<>> pending; // own asks since
     };
 
-    struct Ask {
+    struct Ask
+    {
         SlotRequest request;
         Role role = Role::Decode;
         double prefillMs = 0;
@@ -91,7 +95,8 @@
         std::set<std::string> refusedBy;
     };
 
-    struct RemoteAsk {
+    struct RemoteAsk
+    {
         PeerRouter::Reply reply;
     };
 
--- a/include/currantstack/slots.h
+++ b/include/currantstack/slots.h
@@ -15,18 +15,19 @@
 {
 
 /// A wish for one slot on any engine of a pool.
-struct SlotRequest {
+struct SlotRequest
+{
     std::string requestId;
     std::string vm; // that asks
     std::string pool;
     std::string member;
     double share = 1; // of the member
     int priority = 0;
-    std::int64_t tokens = 0;        // work expected of a prefill engine
-    TimePoint deadline;             // latest time at which a grant is of use
-    std::string preferred;          // engine that holds the prefix; empty: none
+    std::int64_t tokens = 0; // work expected of a prefill engine
+    TimePoint deadline; // latest time at which a grant is of use
+    std::string preferred; // engine that holds the prefix; empty: none
     std::vector<std::string> avoid; // engines that failed this request
-    bool suspect = false;           // was there when an upstream died; gets an engine without another suspect
+    bool suspect = false; // was there when an upstream died; gets an engine without another suspect
 };
 
 enum class SlotRefusal
@@ -40,7 +41,8 @@
 auto name(SlotRefusal reason) -> std::string_view;
 
 /// The ledger's word on one request.
-struct SlotDecision {
+struct SlotDecision
+{
     std::string requestId;
     std::string vm;
     bool granted = false;
@@ -49,12 +51,13 @@
 };
 
 /// The state of one pool at one owner, as it is announced to peers.
-struct PoolView {
+struct PoolView
+{
     std::string pool;
     int capacity = 0; // slots of healthy engines
     int free = 0;
     int queued = 0;
-    double backlogMs = 0;  // of work in the queue and under way, for one engine of a prefill pool
+    double backlogMs = 0; // of work in the queue and under way, for one engine of a prefill pool
     double grantsPerSecond = 0; // that were possible lately
 };
 
@@ -97,7 +100,8 @@
     auto reconcile(std::string_view engine, std::span<const RunningRequest> running, TimePoint now) -> std::vector<std::string>;
 
     /// Ends all holdings and queued requests of a VM that died. Returns the holdings as (engine, request id).
-    struct Holder {
+    struct Holder
+    {
         std::string engine;
         std::string requestId;
     };
@@ -108,12 +112,13 @@
     auto held(std::string_view engine) const -> int;
     auto isQueued(std::string_view requestId) const -> bool;
 
-    static constexpr Duration Grace = seconds(2);           // until an unlisted holding ends
+    static constexpr Duration Grace = seconds(2); // until an unlisted holding ends
     static constexpr Duration PrefillSlack = milliseconds(15); // of work that may wait at a prefill engine
-    static constexpr int PrefillDepth = 3;                  // requests that one prefill engine is given at most
+    static constexpr int PrefillDepth = 3; // requests that one prefill engine is given at most
 
 private:
-    struct Holding {
+    struct Holding
+    {
         std::string vm;
         std::string member;
         TimePoint since;
@@ -122,7 +127,8 @@
         TimePoint listedAt; // when the engine last listed it
     };
 
-    struct OwnedEngine {
+    struct OwnedEngine
+    {
         Engine info;
         TimePoint openAt;
         double weight = 1;
@@ -143,7 +149,7 @@
     std::map<std::string, OwnedEngine, std::less<>> m_engines;
     std::map<std::string, std::vector<SlotRequest>, std::less<>> m_queues; // by pool
     std::map<std::string, std::unordered_map<std::string, int>, std::less<>> m_usage; // by pool and member
-    std::map<std::string, std::pair<TimePoint, double>, std::less<>> m_rates;         // by pool
+    std::map<std::string, std::pair<TimePoint, double>, std::less<>> m_rates; // by pool
     std::int64_t m_maxQueuedRequests = 400;
     std::int64_t m_maxQueuedTokens = 2000000;
 };
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -13,43 +13,50 @@
 namespace currantstack
 {
 
-struct StoreValue {
+struct StoreValue
+{
     std::string key;
     std::string value;
     std::int64_t modRevision = 0; // 0: the key does not exist
 };
 
 /// Holds where the key was last changed at the revision; 0 means that it does not exist.
-struct StoreCompare {
+struct StoreCompare
+{
     std::string key;
     std::int64_t modRevision = 0;
 };
 
-struct StorePut {
+struct StorePut
+{
     std::string key;
     std::string value;
     std::int64_t lease = 0; // 0: none
 };
 
 /// Takes effect whole when all compares hold; otherwise reads the compared keys.
-struct StoreTransaction {
+struct StoreTransaction
+{
     std::vector<StoreCompare> compares;
     std::vector<StorePut> puts;
     std::vector<std::string> deletes;
 };
 
-struct StoreOutcome {
+struct StoreOutcome
+{
     bool applied = false;
     std::int64_t revision = 0;
     std::vector<StoreValue> current; // the compared keys, where it was not applied
 };
 
-struct StoreRange {
+struct StoreRange
+{
     std::int64_t revision = 0; // of the store when it was read
     std::vector<StoreValue> values;
 };
 
-struct StoreEvent {
+struct StoreEvent
+{
     StoreValue value;
     bool deleted = false;
 };
--- a/include/currantstack/timeline.h
+++ b/include/currantstack/timeline.h
@@ -46,7 +46,8 @@
 auto name(EventKind kind) -> std::string_view;
 
 /// One event. The logical time orders events over processes: it is above that of every message received before.
-struct Event {
+struct Event
+{
     std::int64_t logical = 0;
     std::int64_t wallMs = 0;
     EventKind kind = EventKind::RequestTaken;
@@ -57,7 +58,8 @@
     std::string cause; // a short sentence where something was refused, retried, moved or hedged
 };
 
-struct TimelineFilter {
+struct TimelineFilter
+{
     std::string request;
     std::string upstream;
     std::int64_t revision = 0;
@@ -70,7 +72,8 @@
 public:
     Timeline(const Clock &clock, std::string vm, std::size_t capacity);
 
-    auto add(EventKind kind, std::string_view request, std::string_view peer, std::string_view cause = {}, std::int64_t revision = 0) -> void;
+    auto add(EventKind kind, std::string_view request, std::string_view peer, std::string_view cause = {}, std::int64_t revision = 0)
+        -> void;
 
     /// Raises the logical time above one that a message carried.
     auto witness(std::int64_t logical) -> void;
--- a/include/currantstack/usage.h
+++ b/include/currantstack/usage.h
@@ -12,7 +12,8 @@
 {
 
 /// Sums since the start of the process, and what is under way.
-struct MemberUsage {
+struct MemberUsage
+{
     std::int64_t requests = 0;
     std::int64_t refused = 0;
     std::int64_t inFlight = 0;
--- a/src/announcer.cc
+++ b/src/announcer.cc
@@ -19,7 +19,8 @@
 
 auto toJson(const Vm &vm) -> Json
 {
-    Json value = {{"n", vm.name}, {"a", vm.address}, {"p", vm.place}, {"g", vm.region}, {"b", vm.boot}, {"i", vm.incarnation}, {"h", vm.heartbeat}, {"r", vm.revision}};
+    Json value = {{"n", vm.name}, {"a", vm.address},     {"p", vm.place},     {"g", vm.region},
+                  {"b", vm.boot}, {"i", vm.incarnation}, {"h", vm.heartbeat}, {"r", vm.revision}};
     if (vm.leaving) {
         value["leaving"] = true;
     }
@@ -61,16 +62,17 @@
     , m_timer(context.loop.timer([this]() { tick(); }))
     , m_discovery(context.loop.timer([this]() { discover(); }))
 {
-    m_context.router.on("/peer/announce", [this](const std::string &sender, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
-        take(sender, body);
-        auto answer = compose();
-        // A VM that was called dead must hear of it, also when the digest has no room for the dead.
-        const auto *peer = m_context.membership.find(sender);
-        if (peer != nullptr && peer->state == VmState::Dead) {
-            answer["vms"].push_back(toJson(peer->vm));
-        }
-        reply(answer);
-    });
+    m_context.router.on("/peer/announce",
+                        [this](const std::string &sender, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
+                            take(sender, body);
+                            auto answer = compose();
+                            // A VM that was called dead must hear of it, also when the digest has no room for the dead.
+                            const auto *peer = m_context.membership.find(sender);
+                            if (peer != nullptr && peer->state == VmState::Dead) {
+                                answer["vms"].push_back(toJson(peer->vm));
+                            }
+                            reply(answer);
+                        });
 }
 
 auto Announcer::section(std::string key, Produce produce, Consume consume) -> void
--- a/src/cancels.cc
+++ b/src/cancels.cc
@@ -18,8 +18,7 @@
 
 Cancels::Cancels(Context &context)
     : m_context(context)
-{
-}
+{ }
 
 auto Cancels::cancel(const std::string &engine, const std::string &address, const std::string &requestId, std::string_view cause,
                      std::function<void()> onConfirmed) -> void
--- a/src/config.cc
+++ b/src/config.cc
@@ -50,8 +50,7 @@
 public:
     explicit ConfigParser(const Json &document)
         : m_root(document, "", m_faults)
-    {
-    }
+    { }
 
     auto parse() -> tl::expected<Config, Faults>
     {
@@ -169,12 +168,14 @@
             const auto prefill = roles.contains(model.name + "/prefill");
             const auto decode = roles.contains(model.name + "/decode");
             if (prefill != decode) {
-                m_root.fault("pools", fmt::format("model '{}' has a pool of one role; it must have a prefill and a decode pool", model.name));
+                m_root.fault("pools",
+                             fmt::format("model '{}' has a pool of one role; it must have a prefill and a decode pool", model.name));
             }
         }
     }
 
-    auto readEngine(ObjectReader &reader, std::set<std::string> &names, const std::string &pool, const std::string &model, Role role) -> void
+    auto readEngine(ObjectReader &reader, std::set<std::string> &names, const std::string &pool, const std::string &model, Role role)
+        -> void
     {
         Engine engine;
         engine.name = readName(reader, names);
@@ -443,8 +444,9 @@
                                         {"place", textSchema("name of a place")},
                                         {"leaving", booleanSchema(false)}},
                                        {"name", "address", "place"});
-    const auto call = objectSchema({{"method", textSchema("HTTP method")}, {"path_prefix", textSchema("prefix of the path")}, {"idempotent", booleanSchema(true)}},
-                                   {"method", "idempotent"});
+    const auto call = objectSchema(
+        {{"method", textSchema("HTTP method")}, {"path_prefix", textSchema("prefix of the path")}, {"idempotent", booleanSchema(true)}},
+        {"method", "idempotent"});
     return objectSchema({{"name", nameSchema()},
                          {"target_ms", integerSchema(1, 600000, 300)},
                          {"max_in_flight", integerSchema(1, 100000, 64)},
@@ -616,7 +618,9 @@
         if (ratio(afterDocument) > ratio(beforeDocument) + 1e-9) {
             faults.push_back({"/members", fmt::format("an operator of '{}' may not raise that member's own share", who->member)});
         }
-        const auto operatorsOf = [](const Json &document) { return document.is_object() && document.contains("operators") ? document["operators"] : Json(); };
+        const auto operatorsOf = [](const Json &document) {
+            return document.is_object() && document.contains("operators") ? document["operators"] : Json();
+        };
         if (operatorsOf(beforeDocument) != operatorsOf(afterDocument)) {
             faults.push_back({"/operators", "only an operator of the consortium may change who may change what"});
         }
--- a/src/config_service.cc
+++ b/src/config_service.cc
@@ -226,15 +226,16 @@
 
 auto ConfigService::submit(Submission submission, std::function<void(Result<SubmissionResult>)> done) -> void
 {
-    m_context.store.read(CurrentKey, true, [this, submission = std::move(submission), done = std::move(done)](const Result<StoreRange> &range) mutable {
-        if (!range) {
-            auto error = range.error();
-            error.code = ErrorCode::Unavailable;
-            error.message = "the store is away; nothing was changed: " + error.message;
-            return done(tl::unexpected(error));
-        }
-        compareAndSwap(std::move(submission), currentOf(*range), std::move(done));
-    });
+    m_context.store.read(CurrentKey, true,
+                         [this, submission = std::move(submission), done = std::move(done)](const Result<StoreRange> &range) mutable {
+                             if (!range) {
+                                 auto error = range.error();
+                                 error.code = ErrorCode::Unavailable;
+                                 error.message = "the store is away; nothing was changed: " + error.message;
+                                 return done(tl::unexpected(error));
+                             }
+                             compareAndSwap(std::move(submission), currentOf(*range), std::move(done));
+                         });
 }
 
 auto ConfigService::trailEntry(const Submission &submission, const Json &before) const -> Json
@@ -247,7 +248,8 @@
             {"changed", differingPaths(before, submission.document)}};
 }
 
-auto ConfigService::compareAndSwap(Submission submission, const StoreValue &current, std::function<void(Result<SubmissionResult>)> done) -> void
+auto ConfigService::compareAndSwap(Submission submission, const StoreValue &current, std::function<void(Result<SubmissionResult>)> done)
+    -> void
 {
     const auto before = documentOf(current);
     SubmissionResult result;
@@ -281,53 +283,58 @@
     transaction.puts.push_back({std::string(CurrentKey), submission.document.dump()});
     transaction.puts.push_back({historyKey(submission.base + 1), trailEntry(submission, before).dump()});
     m_context.timeline.add(EventKind::ConfigSubmitted, submission.id, submission.operatorName, {}, submission.base + 1);
-    m_context.store.commit(std::move(transaction), [this, submission = std::move(submission), done = std::move(done)](const Result<StoreOutcome> &outcome) mutable {
-        if (outcome && outcome->applied) {
-            apply(submission.document, "an operator");
-            return done(SubmissionResult{true, submission.base + 1, {}, {}});
-        }
-        // Another operator won, or the reply was lost: reading back tells which.
-        settle(std::move(submission), 0, std::move(done));
-    });
+    m_context.store.commit(std::move(transaction),
+                           [this, submission = std::move(submission), done = std::move(done)](const Result<StoreOutcome> &outcome) mutable {
+                               if (outcome && outcome->applied) {
+                                   apply(submission.document, "an operator");
+                                   return done(SubmissionResult{true, submission.base + 1, {}, {}});
+                               }
+                               // Another operator won, or the reply was lost: reading back tells which.
+                               settle(std::move(submission), 0, std::move(done));
+                           });
 }
 
 auto ConfigService::settle(Submission submission, int tries, std::function<void(Result<SubmissionResult>)> done) -> void
 {
     const auto key = historyKey(submission.base + 1);
-    m_context.store.read(key, true, [this, submission = std::move(submission), tries, done = std::move(done)](const Result<StoreRange> &range) mutable {
-        if (!range) {
-            if (tries >= SettleTries) {
-                return done(fail(ErrorCode::OutcomeUnknown, "submit", range.error().peer, "the store does not tell whether the change took effect; submit again with the same id"));
+    m_context.store.read(
+        key, true, [this, submission = std::move(submission), tries, done = std::move(done)](const Result<StoreRange> &range) mutable {
+            if (!range) {
+                if (tries >= SettleTries) {
+                    return done(fail(ErrorCode::OutcomeUnknown, "submit", range.error().peer,
+                                     "the store does not tell whether the change took effect; submit again with the same id"));
+                }
+                const auto wait = SettleWait + backoff(tries, SettleWait, seconds(3), m_context.random);
+                m_context.loop.after(wait, [this, submission = std::move(submission), tries, done = std::move(done)]() mutable {
+                    settle(std::move(submission), tries + 1, std::move(done));
+                });
+                return;
             }
-            const auto wait = SettleWait + backoff(tries, SettleWait, seconds(3), m_context.random);
-            m_context.loop.after(wait, [this, submission = std::move(submission), tries, done = std::move(done)]() mutable {
-                settle(std::move(submission), tries + 1, std::move(done));
-            });
-            return;
-        }
-        const auto entry = range->values.empty() ? Json::object() : Json::parse(range->values.front().value, nullptr, false);
-        if (submissionOf(entry) == submission.id) {
-            apply(submission.document, "an operator");
-            return done(SubmissionResult{true, submission.base + 1, {}, {}});
-        }
-        if (range->values.empty()) {
-            // The write did not take effect; the submission is tried anew from the beginning.
-            if (tries >= SettleTries) {
-                return done(fail(ErrorCode::OutcomeUnknown, "submit", "", "the store does not tell whether the change took effect; submit again with the same id"));
+            const auto entry = range->values.empty() ? Json::object() : Json::parse(range->values.front().value, nullptr, false);
+            if (submissionOf(entry) == submission.id) {
+                apply(submission.document, "an operator");
+                return done(SubmissionResult{true, submission.base + 1, {}, {}});
             }
-            m_context.loop.after(SettleWait, [this, submission = std::move(submission), done = std::move(done)]() mutable {
-                submit(std::move(submission), std::move(done));
-            });
-            return;
-        }
-        m_context.store.read(CurrentKey, true, [submission = std::move(submission), done = std::move(done)](const Result<StoreRange> &winner) {
-            SubmissionResult result;
-            const auto document = winner ? documentOf(currentOf(*winner)) : Json::object();
-            result.revision = winner ? revisionOf(document) : submission.base + 1;
-            result.differing = differingPaths(submission.document, document);
-            done(result);
+            if (range->values.empty()) {
+                // The write did not take effect; the submission is tried anew from the beginning.
+                if (tries >= SettleTries) {
+                    return done(fail(ErrorCode::OutcomeUnknown, "submit", "",
+                                     "the store does not tell whether the change took effect; submit again with the same id"));
+                }
+                m_context.loop.after(SettleWait, [this, submission = std::move(submission), done = std::move(done)]() mutable {
+                    submit(std::move(submission), std::move(done));
+                });
+                return;
+            }
+            m_context.store.read(CurrentKey, true,
+                                 [submission = std::move(submission), done = std::move(done)](const Result<StoreRange> &winner) {
+                                     SubmissionResult result;
+                                     const auto document = winner ? documentOf(currentOf(*winner)) : Json::object();
+                                     result.revision = winner ? revisionOf(document) : submission.base + 1;
+                                     result.differing = differingPaths(submission.document, document);
+                                     done(result);
+                                 });
         });
-    });
 }
 
 auto ConfigService::history(std::function<void(Result<Json>)> done) -> void
--- a/src/engine_api.cc
+++ b/src/engine_api.cc
@@ -42,10 +42,14 @@
 
 auto toJson(const CompletionRequest &request) -> Json
 {
-    return {{"request_id", request.requestId}, {"model", request.model},
-            {"prompt", request.prompt},        {"max_tokens", request.maxTokens},
-            {"stream", request.stream},        {"priority", request.priority},
-            {"continue_from", request.continueFrom}, {"kv_transfer_params", toJson(request.transfer)}};
+    return {{"request_id", request.requestId},
+            {"model", request.model},
+            {"prompt", request.prompt},
+            {"max_tokens", request.maxTokens},
+            {"stream", request.stream},
+            {"priority", request.priority},
+            {"continue_from", request.continueFrom},
+            {"kv_transfer_params", toJson(request.transfer)}};
 }
 
 auto toJson(const RunningRequest &request) -> Json
--- a/src/error.cc
+++ b/src/error.cc
@@ -8,7 +8,8 @@
 namespace
 {
 
-struct CodeInfo {
+struct CodeInfo
+{
     std::string_view name;
     int status;
 };
--- a/src/filters.cc
+++ b/src/filters.cc
@@ -78,7 +78,8 @@
         return fail(ErrorCode::Forbidden, "parse", "", fmt::format("the member may not use the model '{}'", completion->model));
     }
     if (static_cast<std::int64_t>(completion->prompt.size()) > request.config->limits.maxPromptBytes) {
-        return fail(ErrorCode::BadInput, "parse", "", fmt::format("the prompt must have at most {} bytes", request.config->limits.maxPromptBytes));
+        return fail(ErrorCode::BadInput, "parse", "",
+                    fmt::format("the prompt must have at most {} bytes", request.config->limits.maxPromptBytes));
     }
     request.completion = std::move(*completion);
     request.fingerprint = hash64(request.completion.prompt, hash64(request.completion.model));
@@ -119,7 +120,8 @@
     if (request.idempotencyKey.size() > MaxKeyBytes) {
         return fail(ErrorCode::BadInput, "parse", "", fmt::format("the Idempotency-Key must have at most {} bytes", MaxKeyBytes));
     }
-    const auto fallback = std::chrono::duration_cast<milliseconds>(isService ? Duration(seconds(10)) : request.config->limits.defaultDeadline).count();
+    const auto fallback =
+        std::chrono::duration_cast<milliseconds>(isService ? Duration(seconds(10)) : request.config->limits.defaultDeadline).count();
     const auto deadline = numberHeader(http, "X-Deadline-Ms", 1, MaxDeadlineMs, fallback);
     if (!deadline) {
         return tl::unexpected(deadline.error());
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -44,8 +44,17 @@
 Gateway::Gateway(Context &context, Announcer &announcer, SlotService &slots, Cancels &cancels, JournalService &journal)
     : m_context(context)
     , m_slots(slots)
-    , m_parts{context,   slots,      cancels,     journal,         m_quarantine, m_usage, m_retries, m_prefixes, m_estimates,
-              m_reportedLoads, [this](Fingerprint fingerprint, const std::string &upstream) { reportDeath(fingerprint, upstream); },
+    , m_parts{context,
+              slots,
+              cancels,
+              journal,
+              m_quarantine,
+              m_usage,
+              m_retries,
+              m_prefixes,
+              m_estimates,
+              m_reportedLoads,
+              [this](Fingerprint fingerprint, const std::string &upstream) { reportDeath(fingerprint, upstream); },
               [this](const std::string &id) { m_context.loop.defer([this, id]() { m_relays.erase(id); }); }}
     , m_loadTimer(context.loop.timer([this]() { readLoads(); }))
     , m_eventTimer(context.loop.timer([this]() { readCacheEvents(); }))
@@ -59,7 +68,8 @@
         [this]() {
             auto list = Json::array();
             for (const auto &entry : m_quarantine.entries(m_context.clock.now())) {
-                list.push_back({{"f", fingerprintText(entry.fingerprint)}, {"ms", static_cast<std::int64_t>(toMilliseconds(entry.remaining))}});
+                list.push_back(
+                    {{"f", fingerprintText(entry.fingerprint)}, {"ms", static_cast<std::int64_t>(toMilliseconds(entry.remaining))}});
             }
             return list;
         },
@@ -117,7 +127,8 @@
         exchange->respond(jsonResponse(200, R"({"alive":true})"));
     } else if (path == "/readyz") {
         const bool ready = !m_draining && m_context.config->revision > 0;
-        exchange->respond(jsonResponse(ready ? 200 : 503, dumpJson({{"ready", ready}, {"draining", m_draining}, {"revision", m_context.config->revision}})));
+        exchange->respond(jsonResponse(ready ? 200 : 503,
+                                       dumpJson({{"ready", ready}, {"draining", m_draining}, {"revision", m_context.config->revision}})));
     } else if (path == "/counters") {
         m_context.counters.at("requests_in_flight").set(static_cast<std::int64_t>(m_relays.size()));
         exchange->respond(jsonResponse(200, m_context.counters.dump()));
@@ -139,7 +150,8 @@
     request.id = fmt::format("{}.{}.{}", m_context.settings.name, m_context.membership.self().boot, m_sequence++);
     m_context.counters.at("requests_taken").add();
     m_context.timeline.add(EventKind::RequestTaken, request.id, "");
-    auto checked = m_draining ? Result<void>(fail(ErrorCode::Unavailable, "drain", "", "this VM is leaving; ask another")) : m_chain.run(request);
+    auto checked =
+        m_draining ? Result<void>(fail(ErrorCode::Unavailable, "drain", "", "this VM is leaving; ask another")) : m_chain.run(request);
     if (!checked) {
         m_context.counters.at("requests_refused").add();
         m_context.timeline.add(EventKind::RequestRefused, request.id, checked.error().peer, checked.error().message);
@@ -216,7 +228,7 @@
     takeDeath(fingerprint, upstream);
     if (!m_context.isSelf(home)) {
         m_context.peers.call(m_context.addressOf(home), "/peer/death", {{"f", fingerprintText(fingerprint)}, {"upstream", upstream}},
-                             m_context.config->timeouts.peer, [](const Result<Json> &) { });
+                             m_context.config->timeouts.peer, [](const Result<Json> &) {});
     }
 }
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -16,8 +16,10 @@
 
 } // namespace
 
-struct HttpClient::Core {
-    struct Call {
+struct HttpClient::Core
+{
+    struct Call
+    {
         CallId id = 0;
         Core *core = nullptr;
         CURL *easy = nullptr;
@@ -39,7 +41,8 @@
         }
     };
 
-    struct Socket {
+    struct Socket
+    {
         ev_io io{};
         Core *core = nullptr;
     };
@@ -184,7 +187,8 @@
         return;
     }
     auto hook = std::move(call->handlers.onDone);
-    auto result = code == CURLE_OK ? Result<HttpResponse>(std::move(call->response)) : Result<HttpResponse>(tl::unexpected(toError(*call, code)));
+    auto result =
+        code == CURLE_OK ? Result<HttpResponse>(std::move(call->response)) : Result<HttpResponse>(tl::unexpected(toError(*call, code)));
     remove(call->id);
     if (hook) {
         hook(std::move(result));
@@ -340,8 +344,7 @@
 
 HttpClient::HttpClient(Loop &loop)
     : m_core(std::make_unique<Core>(loop))
-{
-}
+{ }
 
 HttpClient::~HttpClient() = default;
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -24,8 +24,7 @@
         : m_loop(loop)
         , m_handler(std::move(handler))
         , m_maxBody(maxBody)
-    {
-    }
+    { }
 
     ~ServerCore()
     {
@@ -222,7 +221,8 @@
     if (!exchange.m_dispatched) {
         exchange.m_dispatched = true;
         if (exchange.m_bodyTooLarge) {
-            exchange.respond({413, {{"Content-Type", "application/problem+json"}}, R"({"title":"body too large","status":413,"ran":"no"})"});
+            exchange.respond(
+                {413, {{"Content-Type", "application/problem+json"}}, R"({"title":"body too large","status":413,"ran":"no"})"});
         } else {
             self->m_handler(*static_cast<ExchangePtr *>(*state));
         }
@@ -304,7 +304,8 @@
 } // namespace detail
 
 /// Notices the end of a suspended connection, which libmicrohttpd does not watch.
-struct Exchange::Watcher {
+struct Exchange::Watcher
+{
     ev_io io{};
     struct ev_loop *loop = nullptr;
 
@@ -333,8 +334,7 @@
 Exchange::Exchange(std::weak_ptr<detail::ServerCore> core, MHD_Connection *connection)
     : m_core(std::move(core))
     , m_connection(connection)
-{
-}
+{ }
 
 Exchange::~Exchange() = default;
 
@@ -440,8 +440,7 @@
 
 HttpServer::HttpServer(std::shared_ptr<detail::ServerCore> core)
     : m_core(std::move(core))
-{
-}
+{ }
 
 HttpServer::~HttpServer()
 {
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -46,12 +46,8 @@
 
 auto toJson(const JournalEntry &entry) -> Json
 {
-    Json value = {{"key", entry.key},
-                  {"fingerprint", entry.fingerprint},
-                  {"attempt", entry.attempt},
-                  {"vm", entry.vm},
-                  {"incarnation", entry.incarnation},
-                  {"started_ms", entry.startedMs}};
+    Json value = {{"key", entry.key}, {"fingerprint", entry.fingerprint}, {"attempt", entry.attempt},
+                  {"vm", entry.vm},   {"incarnation", entry.incarnation}, {"started_ms", entry.startedMs}};
     if (entry.answer) {
         value["answer"] = toJson(*entry.answer);
     }
--- a/src/journal_service.cc
+++ b/src/journal_service.cc
@@ -69,9 +69,10 @@
     : m_context(context)
 {
     const auto route = [this](std::string_view path, Operation::Kind kind) {
-        m_context.router.on(std::string(path), [this, kind](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
-            handle(kind, body, reply);
-        });
+        m_context.router.on(std::string(path),
+                            [this, kind](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
+                                handle(kind, body, reply);
+                            });
     };
     route("/peer/journal/begin", Operation::Kind::Begin);
     route("/peer/journal/finish", Operation::Kind::Finish);
@@ -121,12 +122,13 @@
     if (m_context.isSelf(owner)) {
         return submit(slice, {Operation::Kind::Begin, intent, std::move(done)});
     }
-    m_context.peers.call(m_context.addressOf(owner), "/peer/journal/begin", toJson(intent), BeginTimeout, [done = std::move(done)](const Result<Json> &reply) {
-        if (!reply) {
-            return done(tl::unexpected(reply.error()));
-        }
-        done(verdictFromJson(*reply));
-    });
+    m_context.peers.call(m_context.addressOf(owner), "/peer/journal/begin", toJson(intent), BeginTimeout,
+                         [done = std::move(done)](const Result<Json> &reply) {
+                             if (!reply) {
+                                 return done(tl::unexpected(reply.error()));
+                             }
+                             done(verdictFromJson(*reply));
+                         });
 }
 
 auto JournalService::finish(const std::string &key, const std::string &attempt, const RecordedAnswer &answer) -> void
@@ -162,10 +164,12 @@
         }
     };
     if (m_context.isSelf(owner)) {
-        return submit(slice, {kind, entry, [onResult](const Result<SliceJournal::Verdict> &verdict) mutable { onResult(verdict.has_value()); }});
+        return submit(slice,
+                      {kind, entry, [onResult](const Result<SliceJournal::Verdict> &verdict) mutable { onResult(verdict.has_value()); }});
     }
     const auto path = kind == Operation::Kind::Finish ? "/peer/journal/finish" : "/peer/journal/abandon";
-    m_context.peers.call(m_context.addressOf(owner), path, toJson(entry), BeginTimeout, [onResult](const Result<Json> &reply) mutable { onResult(reply.has_value()); });
+    m_context.peers.call(m_context.addressOf(owner), path, toJson(entry), BeginTimeout,
+                         [onResult](const Result<Json> &reply) mutable { onResult(reply.has_value()); });
 }
 
 auto JournalService::sendLater(Outbox item) -> void
@@ -248,7 +252,8 @@
         return verdict;
     }
     if (operation.kind == Operation::Kind::Finish) {
-        changed = slice.journal.finish(operation.entry.key, operation.entry.attempt, operation.entry.answer.value_or(RecordedAnswer())) || changed;
+        changed = slice.journal.finish(operation.entry.key, operation.entry.attempt, operation.entry.answer.value_or(RecordedAnswer()))
+            || changed;
     } else {
         changed = slice.journal.abandon(operation.entry.key, operation.entry.attempt) || changed;
     }
@@ -296,35 +301,38 @@
     const auto writeId = fmt::format("{}.{}.{}", m_context.settings.name, m_context.membership.self().boot, m_nextWrite++);
     transaction.puts.push_back({headKey(slice), dumpJson(state.journal.head(writeId))});
     m_context.counters.at("journal_writes").add();
-    m_context.store.commit(std::move(transaction), [this, slice, writeId, batch = std::move(batch), results = std::move(results)](const Result<StoreOutcome> &outcome) {
-        auto &written = m_slices[slice];
-        if (outcome && outcome->applied) {
-            written.busy = false;
-            written.modRevision = outcome->revision;
-            return conclude(slice, batch, results);
-        }
-        if (outcome) {
-            // Another VM has written the slice: this one's view is stale, and nothing of the batch counts.
-            written.busy = false;
-            m_context.counters.at("journal_conflicts").add();
-            return fall(slice, batch, {ErrorCode::Unavailable, "journal", headKey(slice), "another VM owns the slice"});
-        }
-        // The reply may have been lost after the write took effect: the write's id tells.
-        const auto error = outcome.error();
-        m_context.store.read(headKey(slice), true, [this, slice, writeId, batch, results, error](const Result<StoreRange> &range) {
-            auto &settled = m_slices[slice];
-            settled.busy = false;
-            const auto head = range && !range->values.empty() ? Json::parse(range->values.front().value, nullptr, false) : Json();
-            if (head.is_object() && head.value("write", std::string()) == writeId) {
-                settled.modRevision = range->values.front().modRevision;
+    m_context.store.commit(
+        std::move(transaction),
+        [this, slice, writeId, batch = std::move(batch), results = std::move(results)](const Result<StoreOutcome> &outcome) {
+            auto &written = m_slices[slice];
+            if (outcome && outcome->applied) {
+                written.busy = false;
+                written.modRevision = outcome->revision;
                 return conclude(slice, batch, results);
             }
-            fall(slice, batch, error);
+            if (outcome) {
+                // Another VM has written the slice: this one's view is stale, and nothing of the batch counts.
+                written.busy = false;
+                m_context.counters.at("journal_conflicts").add();
+                return fall(slice, batch, {ErrorCode::Unavailable, "journal", headKey(slice), "another VM owns the slice"});
+            }
+            // The reply may have been lost after the write took effect: the write's id tells.
+            const auto error = outcome.error();
+            m_context.store.read(headKey(slice), true, [this, slice, writeId, batch, results, error](const Result<StoreRange> &range) {
+                auto &settled = m_slices[slice];
+                settled.busy = false;
+                const auto head = range && !range->values.empty() ? Json::parse(range->values.front().value, nullptr, false) : Json();
+                if (head.is_object() && head.value("write", std::string()) == writeId) {
+                    settled.modRevision = range->values.front().modRevision;
+                    return conclude(slice, batch, results);
+                }
+                fall(slice, batch, error);
+            });
         });
-    });
 }
 
-auto JournalService::conclude(int slice, const std::vector<Operation> &batch, const std::vector<Result<SliceJournal::Verdict>> &results) -> void
+auto JournalService::conclude(int slice, const std::vector<Operation> &batch, const std::vector<Result<SliceJournal::Verdict>> &results)
+    -> void
 {
     for (std::size_t index = 0; index < batch.size(); ++index) {
         batch[index].done(results[index]);
--- a/src/json.cc
+++ b/src/json.cc
@@ -33,7 +33,8 @@
 {
     std::string text;
     for (const auto &fault : faults) {
-        fmt::format_to(std::back_inserter(text), "{}{}: {}", text.empty() ? "" : "; ", fault.path.empty() ? "/" : fault.path, fault.message);
+        fmt::format_to(std::back_inserter(text), "{}{}: {}", text.empty() ? "" : "; ", fault.path.empty() ? "/" : fault.path,
+                       fault.message);
     }
     return text;
 }
@@ -122,7 +123,8 @@
     if (value == nullptr) {
         return result;
     }
-    const bool allTexts = value->is_array() && std::all_of(value->begin(), value->end(), [](const Json &entry) { return entry.is_string(); });
+    const bool allTexts =
+        value->is_array() && std::all_of(value->begin(), value->end(), [](const Json &entry) { return entry.is_string(); });
     if (!allTexts) {
         fault(key, "must be a list of strings");
         return result;
--- a/src/log.cc
+++ b/src/log.cc
@@ -13,7 +13,8 @@
 namespace
 {
 
-struct LogSettings {
+struct LogSettings
+{
     LogLevel level = LogLevel::Info;
     LogFormat format = LogFormat::Text;
 };
@@ -63,7 +64,8 @@
     const std::time_t second = wall / 1000;
     std::tm parts{};
     gmtime_r(&second, &parts);
-    fmt::print(stderr, "{:02}:{:02}:{:02}.{:03} {:7} {}: {}\n", parts.tm_hour, parts.tm_min, parts.tm_sec, wall % 1000, levelName, part, message);
+    fmt::print(stderr, "{:02}:{:02}:{:02}.{:03} {:7} {}: {}\n", parts.tm_hour, parts.tm_min, parts.tm_sec, wall % 1000, levelName, part,
+               message);
 }
 
 } // namespace detail
--- a/src/loop.cc
+++ b/src/loop.cc
@@ -3,7 +3,8 @@
 namespace currantstack
 {
 
-struct Timer::State {
+struct Timer::State
+{
     ev_timer watcher{};
     struct ev_loop *loop = nullptr;
     std::function<void()> hook;
@@ -52,7 +53,8 @@
     ev_timer_stop(m_state->loop, &m_state->watcher);
 }
 
-struct Loop::SignalWatcher {
+struct Loop::SignalWatcher
+{
     ev_signal watcher{};
     std::function<void()> hook;
 };
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -24,8 +24,7 @@
     : m_self(std::move(self))
     , m_suspectAfter(suspectAfter)
     , m_deadAfter(deadAfter)
-{
-}
+{ }
 
 auto Membership::beat() -> Vm
 {
@@ -175,7 +174,8 @@
 
 auto Membership::forget(Duration deadFor, TimePoint now) -> void
 {
-    std::erase_if(m_peers, [deadFor, now](const auto &entry) { return entry.second.state == VmState::Dead && now - entry.second.heardAt > deadFor; });
+    std::erase_if(
+        m_peers, [deadFor, now](const auto &entry) { return entry.second.state == VmState::Dead && now - entry.second.heardAt > deadFor; });
 }
 
 } // namespace currantstack
--- a/src/model_relay.cc
+++ b/src/model_relay.cc
@@ -16,9 +16,9 @@
 constexpr Duration BackoffBase = milliseconds(10);
 constexpr Duration BackoffLongest = milliseconds(200);
 constexpr Duration PrefillAllowance = milliseconds(400); // over thrice the expected time
-constexpr Duration KvMargin = milliseconds(50);          // of a result's life, kept for the way to the decode engine
-constexpr Duration SlotPatience = seconds(5);            // for a slot when the answer has begun
-constexpr std::size_t MaxPending = 1U << 20;             // bytes that a slow caller may leave unread
+constexpr Duration KvMargin = milliseconds(50); // of a result's life, kept for the way to the decode engine
+constexpr Duration SlotPatience = seconds(5); // for a slot when the answer has begun
+constexpr std::size_t MaxPending = 1U << 20; // bytes that a slow caller may leave unread
 
 auto baselineTries() -> int
 {
@@ -35,8 +35,7 @@
 ModelRelay::ModelRelay(RelayParts &parts, CallerRequest request)
     : m_parts(parts)
     , m_request(std::move(request))
-{
-}
+{ }
 
 ModelRelay::~ModelRelay() = default;
 
@@ -130,7 +129,8 @@
     }
     auto &turn = m_parts.context.counters.at("baseline_turns");
     turn.add();
-    const auto chosen = chooseEngine(m_parts.context.settings.policy, loads, static_cast<std::size_t>(turn.value()), m_parts.context.random);
+    const auto chosen =
+        chooseEngine(m_parts.context.settings.policy, loads, static_cast<std::size_t>(turn.value()), m_parts.context.random);
     return chosen ? m_request.config->findEngine(loads[*chosen].engine) : nullptr;
 }
 
@@ -238,8 +238,9 @@
     }
     const auto document = parseJson(response->body, "prefill");
     const bool whole = response->status == 200 && document && document->is_object() && document->contains("kv_transfer_params");
-    const auto transfer = whole ? kvTransferFromJson((*document)["kv_transfer_params"])
-                                : Result<KvTransfer>(fail(ErrorCode::Unavailable, "prefill", m_prefill.engine, fmt::format("status {}", response->status)));
+    const auto transfer = whole
+        ? kvTransferFromJson((*document)["kv_transfer_params"])
+        : Result<KvTransfer>(fail(ErrorCode::Unavailable, "prefill", m_prefill.engine, fmt::format("status {}", response->status)));
     if (!transfer) {
         return retryPrefill(Failure::Refused, transfer.error().message);
     }
@@ -353,7 +354,8 @@
     }
     const auto finish = choice.find("finish_reason");
     const bool last = finish != choice.end() && finish->is_string();
-    relayToken(choice["text"].get_ref<const std::string &>(), last ? std::string_view(finish->get_ref<const std::string &>()) : std::string_view());
+    relayToken(choice["text"].get_ref<const std::string &>(),
+               last ? std::string_view(finish->get_ref<const std::string &>()) : std::string_view());
 }
 
 auto ModelRelay::noteGap(TimePoint now) -> void
@@ -376,7 +378,8 @@
 {
     m_answering = true;
     if (m_request.completion.stream) {
-        m_request.exchange->beginStream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", m_request.id}});
+        m_request.exchange->beginStream(
+            200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", m_request.id}});
     }
 }
 
@@ -392,12 +395,14 @@
     m_lastToken = now;
     ++m_delivered;
     if (m_request.completion.stream) {
-        const Json piece = m_request.kind == CallKind::Chat ? Json{{"delta", {{"role", "assistant"}, {"content", text}}}} : Json{{"text", text}};
+        const Json piece =
+            m_request.kind == CallKind::Chat ? Json{{"delta", {{"role", "assistant"}, {"content", text}}}} : Json{{"text", text}};
         auto choice = piece;
         choice["index"] = 0;
         choice["finish_reason"] = finishReason.empty() ? Json() : Json(finishReason);
         const auto object = m_request.kind == CallKind::Chat ? "chat.completion.chunk" : "text_completion";
-        m_request.exchange->write(formatEvent(dumpJson({{"id", m_request.id}, {"object", object}, {"model", m_request.completion.model}, {"choices", {std::move(choice)}}})));
+        m_request.exchange->write(formatEvent(
+            dumpJson({{"id", m_request.id}, {"object", object}, {"model", m_request.completion.model}, {"choices", {std::move(choice)}}})));
         if (m_request.exchange->pendingBytes() > MaxPending) {
             m_parts.context.counters.at("slow_callers_cut").add();
             m_request.exchange->abort();
@@ -429,7 +434,10 @@
                            {"object", m_request.kind == CallKind::Chat ? "chat.completion" : "text_completion"},
                            {"model", m_request.completion.model},
                            {"choices", {std::move(choice)}},
-                           {"usage", {{"prompt_tokens", m_transfer.promptTokens}, {"completion_tokens", m_delivered}, {"total_tokens", m_transfer.promptTokens + m_delivered}}}};
+                           {"usage",
+                            {{"prompt_tokens", m_transfer.promptTokens},
+                             {"completion_tokens", m_delivered},
+                             {"total_tokens", m_transfer.promptTokens + m_delivered}}}};
         auto response = jsonResponse(200, dumpJson(body));
         response.headers.push_back({"X-Request-Id", m_request.id});
         m_request.exchange->respond(std::move(response));
--- a/src/node.cc
+++ b/src/node.cc
@@ -30,7 +30,8 @@
 
 } // namespace
 
-struct Node::Parts {
+struct Node::Parts
+{
     explicit Parts(Settings given);
 
     Settings settings;
@@ -118,8 +119,7 @@
 
 Node::Node(Settings settings)
     : m_parts(std::make_unique<Parts>(std::move(settings)))
-{
-}
+{ }
 
 Node::~Node() = default;
 
--- a/src/operator_api.cc
+++ b/src/operator_api.cc
@@ -42,8 +42,7 @@
     , m_gateway(gateway)
     , m_slots(slots)
     , m_drain(std::move(drain))
-{
-}
+{ }
 
 auto OperatorApi::identify(const HttpRequest &request) const -> Caller
 {
@@ -111,13 +110,21 @@
 {
     auto vms = Json::array();
     const auto add = [&vms](const Vm &vm, std::string_view state) {
-        vms.push_back({{"name", vm.name}, {"address", vm.address}, {"place", vm.place}, {"region", vm.region}, {"state", state}, {"revision", vm.revision}});
+        vms.push_back({{"name", vm.name},
+                       {"address", vm.address},
+                       {"place", vm.place},
+                       {"region", vm.region},
+                       {"state", state},
+                       {"revision", vm.revision}});
     };
     add(m_context.membership.self(), m_context.membership.self().leaving ? "left" : "alive");
     for (const auto &[name, peer] : m_context.membership.peers()) {
         add(peer.vm, currantstack::name(peer.state));
     }
-    return {{"vm", m_context.settings.name}, {"revision", m_context.config->revision}, {"in_flight", m_gateway.inFlight()}, {"vms", std::move(vms)}};
+    return {{"vm", m_context.settings.name},
+            {"revision", m_context.config->revision},
+            {"in_flight", m_gateway.inFlight()},
+            {"vms", std::move(vms)}};
 }
 
 auto OperatorApi::upstreams() const -> Json
@@ -126,9 +133,14 @@
     const auto now = m_context.clock.now();
     for (const auto &engine : m_context.config->engines) {
         const auto owner = m_context.ownerOf(engine);
-        Json entry = {{"name", engine.name},   {"pool", engine.pool},       {"role", name(engine.role)},
-                      {"place", engine.place}, {"owner", owner},            {"leaving", engine.leaving},
-                      {"weight", m_slots.health().weight(engine.name, now)}, {"slots", engine.slots}};
+        Json entry = {{"name", engine.name},
+                      {"pool", engine.pool},
+                      {"role", name(engine.role)},
+                      {"place", engine.place},
+                      {"owner", owner},
+                      {"leaving", engine.leaving},
+                      {"weight", m_slots.health().weight(engine.name, now)},
+                      {"slots", engine.slots}};
         if (m_context.isSelf(owner)) {
             entry["held"] = m_slots.ledger().held(engine.name);
         }
@@ -168,10 +180,11 @@
             return exchange->respond(refusal(result.error(), ran, seconds(1), ""));
         }
         const int status = result->accepted ? 200 : (result->faults.empty() ? 409 : 422);
-        exchange->respond(jsonResponse(status, dumpJson({{"accepted", result->accepted},
-                                                         {"revision", result->revision},
-                                                         {"faults", faultsToJson(result->faults)},
-                                                         {"differing", result->differing}})));
+        exchange->respond(jsonResponse(status,
+                                       dumpJson({{"accepted", result->accepted},
+                                                 {"revision", result->revision},
+                                                 {"faults", faultsToJson(result->faults)},
+                                                 {"differing", result->differing}})));
     });
 }
 
--- a/src/peers.cc
+++ b/src/peers.cc
@@ -22,9 +22,9 @@
 auto codeOf(std::string_view text) -> ErrorCode
 {
     constexpr std::array<ErrorCode, 13> Codes = {
-        ErrorCode::BadInput,    ErrorCode::Unauthorized, ErrorCode::Forbidden,   ErrorCode::NotFound,       ErrorCode::Conflict,
-        ErrorCode::Overloaded,  ErrorCode::DeadlineExceeded, ErrorCode::Unreachable, ErrorCode::Unavailable, ErrorCode::Cancelled,
-        ErrorCode::OutcomeUnknown, ErrorCode::Quarantined, ErrorCode::Internal};
+        ErrorCode::BadInput,       ErrorCode::Unauthorized,     ErrorCode::Forbidden,   ErrorCode::NotFound,    ErrorCode::Conflict,
+        ErrorCode::Overloaded,     ErrorCode::DeadlineExceeded, ErrorCode::Unreachable, ErrorCode::Unavailable, ErrorCode::Cancelled,
+        ErrorCode::OutcomeUnknown, ErrorCode::Quarantined,      ErrorCode::Internal};
     for (const auto code : Codes) {
         if (name(code) == text) {
             return code;
@@ -58,11 +58,10 @@
     , m_self(std::move(self))
     , m_clock(clock)
     , m_nextNonce(static_cast<std::uint64_t>(clock.wall().time_since_epoch().count()))
-{
-}
+{ }
 
-auto PeerAuth::digest(std::string_view sender, std::string_view time, std::string_view nonce, std::string_view path, std::string_view body) const
-    -> std::string
+auto PeerAuth::digest(std::string_view sender, std::string_view time, std::string_view nonce, std::string_view path,
+                      std::string_view body) const -> std::string
 {
     return hmac(m_secret, fmt::format("{}\n{}\n{}\n{}\n{}", sender, time, nonce, path, body));
 }
@@ -108,11 +107,10 @@
     , m_auth(auth)
     , m_timeline(timeline)
     , m_counters(counters)
-{
-}
+{ }
 
-auto PeerClient::call(std::string_view address, std::string_view path, const Json &body, Duration timeout, std::function<void(Result<Json>)> done)
-    -> HttpClient::CallId
+auto PeerClient::call(std::string_view address, std::string_view path, const Json &body, Duration timeout,
+                      std::function<void(Result<Json>)> done) -> HttpClient::CallId
 {
     HttpCall call;
     call.method = "POST";
@@ -127,7 +125,8 @@
     m_counters.at("peer_messages_sent").add();
     m_counters.at("peer_bytes_sent").add(static_cast<std::int64_t>(call.body.size()) + 350);
     HttpHandlers handlers;
-    handlers.onDone = [this, path = std::string(path), address = std::string(address), done = std::move(done)](const Result<HttpResponse> &response) {
+    handlers.onDone = [this, path = std::string(path), address = std::string(address),
+                       done = std::move(done)](const Result<HttpResponse> &response) {
         if (!response) {
             m_counters.at("peer_errors").add();
             return done(tl::unexpected(response.error()));
@@ -152,8 +151,7 @@
     : m_auth(auth)
     , m_timeline(timeline)
     , m_counters(counters)
-{
-}
+{ }
 
 auto PeerRouter::on(std::string path, Handler handler) -> void
 {
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -9,18 +9,19 @@
 namespace
 {
 
-constexpr double UtilizationCostMs = 8;  // cost of a full pool over an empty one
-constexpr double RemoteCostMs = 1.5;     // of asking another VM
-constexpr double NoiseMs = 2;            // spreads VMs that see the same views
+constexpr double UtilizationCostMs = 8; // cost of a full pool over an empty one
+constexpr double RemoteCostMs = 1.5; // of asking another VM
+constexpr double NoiseMs = 2; // spreads VMs that see the same views
 constexpr double CachedPrefillShare = 0.25; // of the prefill that remains where the prefix is held
-constexpr double UnknownRate = 2;        // grants a second, where none was seen
+constexpr double UnknownRate = 2; // grants a second, where none was seen
 
 } // namespace
 
 auto expectedWait(const OwnerView &view, Role role, double prefillMs) -> Duration
 {
     if (role == Role::Prefill) {
-        return fromMilliseconds(view.pool.backlogMs + view.pending * prefillMs / std::max(1, view.pool.capacity / SlotLedger::PrefillDepth));
+        return fromMilliseconds(view.pool.backlogMs
+                                + view.pending * prefillMs / std::max(1, view.pool.capacity / SlotLedger::PrefillDepth));
     }
     const int ahead = view.pool.queued + view.pending - view.pool.free;
     if (ahead < 0) {
@@ -62,9 +63,8 @@
         return turn % engines.size();
     }
     if (policy == PolicyKind::LeastLoad) {
-        const auto least = std::min_element(engines.begin(), engines.end(), [](const EngineLoad &left, const EngineLoad &right) {
-            return left.load < right.load;
-        });
+        const auto least = std::min_element(engines.begin(), engines.end(),
+                                            [](const EngineLoad &left, const EngineLoad &right) { return left.load < right.load; });
         return static_cast<std::size_t>(least - engines.begin());
     }
     if (policy == PolicyKind::TwoChoices) {
--- a/src/service_relay.cc
+++ b/src/service_relay.cc
@@ -13,7 +13,7 @@
 constexpr int MaxTries = 3;
 constexpr Duration BackoffBase = milliseconds(5);
 constexpr Duration BackoffLongest = milliseconds(100);
-constexpr double HedgeFactor = 3;              // of the usual latency
+constexpr double HedgeFactor = 3; // of the usual latency
 constexpr Duration MinHedgeDelay = milliseconds(25);
 constexpr Duration MinBudget = milliseconds(1);
 constexpr double OtherRegionLoad = 1000; // added to the load of an upstream elsewhere
@@ -62,8 +62,7 @@
     : m_parts(parts)
     , m_board(board)
     , m_request(std::move(request))
-{
-}
+{ }
 
 auto ServiceRelay::hasKey() const -> bool
 {
@@ -106,7 +105,9 @@
 {
     if (!verdict) {
         m_parts.journal.abandon(scopedKey(), m_request.id);
-        return refuse({ErrorCode::Unavailable, "journal", verdict.error().peer, "the intent could not be recorded, so the request was not sent: " + verdict.error().message}, Ran::No);
+        return refuse({ErrorCode::Unavailable, "journal", verdict.error().peer,
+                       "the intent could not be recorded, so the request was not sent: " + verdict.error().message},
+                      Ran::No);
     }
     switch (verdict->verdict) {
     case IntentVerdict::Run:
@@ -121,11 +122,15 @@
     case IntentVerdict::Replay:
         m_parts.context.timeline.add(EventKind::AnswerReplayed, m_request.id, m_request.service->name);
         m_parts.context.counters.at("answers_replayed").add();
-        return answer({verdict->answer->status, {{"Content-Type", verdict->answer->contentType}, {"Idempotent-Replayed", "true"}}, verdict->answer->body});
+        return answer({verdict->answer->status,
+                       {{"Content-Type", verdict->answer->contentType}, {"Idempotent-Replayed", "true"}},
+                       verdict->answer->body});
     case IntentVerdict::InProgress:
         return refuse({ErrorCode::Conflict, "journal", "", "a request with this key is under way; ask again for its answer"}, Ran::Unknown);
     case IntentVerdict::Unknown:
-        return refuse({ErrorCode::OutcomeUnknown, "journal", "", "a request with this key was sent, and its outcome is not known; it is not run again"}, Ran::Unknown);
+        return refuse({ErrorCode::OutcomeUnknown, "journal", "",
+                       "a request with this key was sent, and its outcome is not known; it is not run again"},
+                      Ran::Unknown);
     case IntentVerdict::Mismatch:
         return refuse({ErrorCode::BadInput, "journal", "", "the Idempotency-Key was used for a different request"}, Ran::No);
     }
@@ -136,7 +141,8 @@
     auto &context = m_parts.context;
     const auto now = context.clock.now();
     const auto left = m_request.deadline - now;
-    const auto *upstream = chooseUpstream(*m_request.service, m_board, m_parts.slots.health(), m_avoid, context.settings.place, now, context.random);
+    const auto *upstream =
+        chooseUpstream(*m_request.service, m_board, m_parts.slots.health(), m_avoid, context.settings.place, now, context.random);
     if (left < MinBudget || upstream == nullptr) {
         if (isHedge || !m_open.empty()) {
             return;
@@ -168,7 +174,9 @@
     call.step = "service";
     call.peer = upstream->name;
     HttpHandlers handlers;
-    handlers.onDone = [self = shared_from_this(), name = upstream->name](const Result<HttpResponse> &response) { self->onAnswer(name, response); };
+    handlers.onDone = [self = shared_from_this(), name = upstream->name](const Result<HttpResponse> &response) {
+        self->onAnswer(name, response);
+    };
     ++m_tries;
     ++m_board.of(m_request.service->name, upstream->name).inFlight;
     m_avoid.push_back(upstream->name);
@@ -192,7 +200,8 @@
     m_hedgeTimer = m_parts.context.loop.timer([weak = weak_from_this()]() {
         const auto self = weak.lock();
         if (self && !self->m_finished && self->m_tries < MaxTries && self->m_parts.retries.take()) {
-            self->m_parts.slots.health().observe(self->healthName(self->m_open.front().upstream), HealthTracker::SlowRatio, self->m_parts.context.clock.now());
+            self->m_parts.slots.health().observe(self->healthName(self->m_open.front().upstream), HealthTracker::SlowRatio,
+                                                 self->m_parts.context.clock.now());
             self->dispatch(true);
         }
     });
@@ -244,7 +253,8 @@
     if (!m_request.idempotent && nothingSent) {
         m_sent = false;
     }
-    const bool mayRepeat = (m_request.idempotent || nothingSent) && m_tries < MaxTries && now < m_request.deadline && m_parts.retries.take();
+    const bool mayRepeat =
+        (m_request.idempotent || nothingSent) && m_tries < MaxTries && now < m_request.deadline && m_parts.retries.take();
     if (mayRepeat) {
         m_parts.context.counters.at("retries").add();
         m_parts.context.timeline.add(EventKind::Retried, m_request.id, upstream, describe(error));
@@ -259,7 +269,9 @@
     if (m_intended && !m_sent) {
         m_parts.journal.abandon(scopedKey(), m_request.id);
     } else if (m_intended) {
-        const auto unknown = refusal({ErrorCode::OutcomeUnknown, "service", upstream, "the request was sent, and its outcome is not known; it is not run again"}, Ran::Unknown, {}, m_request.id);
+        const auto unknown = refusal(
+            {ErrorCode::OutcomeUnknown, "service", upstream, "the request was sent, and its outcome is not known; it is not run again"},
+            Ran::Unknown, {}, m_request.id);
         m_parts.journal.finish(scopedKey(), m_request.id, {unknown.status, "application/problem+json", unknown.body});
     }
     auto shown = error;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -18,8 +18,7 @@
 public:
     explicit SettingsReader(const YAML::Node &root)
         : m_root(root)
-    {
-    }
+    { }
 
     template<typename T>
     auto read(const std::string &key, T &value, bool required = false) -> void
--- a/src/slot_service.cc
+++ b/src/slot_service.cc
@@ -44,7 +44,7 @@
 
 auto toJson(const PoolView &view) -> Json
 {
-    return {{"pool", view.pool},     {"capacity", view.capacity},     {"free", view.free},
+    return {{"pool", view.pool},     {"capacity", view.capacity},    {"free", view.free},
             {"queued", view.queued}, {"backlog_ms", view.backlogMs}, {"rate", view.grantsPerSecond}};
 }
 
@@ -67,9 +67,12 @@
 
 auto toJson(const SlotRequest &request, TimePoint now) -> Json
 {
-    Json value = {{"id", request.requestId},       {"pool", request.pool},
-                  {"member", request.member},      {"share", request.share},
-                  {"priority", request.priority},  {"tokens", request.tokens},
+    Json value = {{"id", request.requestId},
+                  {"pool", request.pool},
+                  {"member", request.member},
+                  {"share", request.share},
+                  {"priority", request.priority},
+                  {"tokens", request.tokens},
                   {"left_ms", std::max(0.0, toMilliseconds(request.deadline - now))}};
     if (!request.preferred.empty()) {
         value["preferred"] = request.preferred;
@@ -110,15 +113,17 @@
     , m_decider(context.loop.timer([this]() { decide(); }))
     , m_lister(context.loop.timer([this]() { listAll(); }))
 {
-    announcer.section("pools", [this]() { return produceViews(); }, [this](const std::string &vm, const Json &section) { takeViews(vm, section); });
-    context.router.on("/peer/slot", [this](const std::string &sender, const Json &body, const ExchangePtr &exchange, const PeerRouter::Reply &reply) {
-        handleAsk(sender, body, reply);
-        const auto id = body.value("id", std::string());
-        exchange->onGone([this, id]() {
-            m_remote.erase(id);
-            m_ledger.abandon(id);
-        });
-    });
+    announcer.section(
+        "pools", [this]() { return produceViews(); }, [this](const std::string &vm, const Json &section) { takeViews(vm, section); });
+    context.router.on("/peer/slot",
+                      [this](const std::string &sender, const Json &body, const ExchangePtr &exchange, const PeerRouter::Reply &reply) {
+                          handleAsk(sender, body, reply);
+                          const auto id = body.value("id", std::string());
+                          exchange->onGone([this, id]() {
+                              m_remote.erase(id);
+                              m_ledger.abandon(id);
+                          });
+                      });
     context.router.on("/peer/release", [this](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
         handleRelease(body);
         reply(Json{{"pools", produceViews()}});
@@ -233,30 +238,31 @@
     ++entry.pending[ask.request.pool];
     m_context.counters.at("slot_asks_remote").add();
     const auto timeout = std::max(Duration::zero(), Duration(ask.request.deadline - now)) + ReplyAllowance;
-    ask.call = m_context.peers.call(m_context.addressOf(ask.owner), "/peer/slot", toJson(ask.request, now), timeout, [this, id](const Result<Json> &reply) {
-        const auto found = m_asks.find(id);
-        if (found == m_asks.end()) {
-            return;
-        }
-        auto &pending = found->second;
-        pending.call = 0;
-        if (!reply) {
+    ask.call = m_context.peers.call(
+        m_context.addressOf(ask.owner), "/peer/slot", toJson(ask.request, now), timeout, [this, id](const Result<Json> &reply) {
+            const auto found = m_asks.find(id);
+            if (found == m_asks.end()) {
+                return;
+            }
+            auto &pending = found->second;
+            pending.call = 0;
+            if (!reply) {
+                pending.refusedBy.insert(pending.owner);
+                // A grant whose reply was lost is given back.
+                m_context.counters.at("slot_asks_failed").add();
+                return place(id);
+            }
+            takeViews(pending.owner, reply->value("pools", Json::array()));
+            if (reply->value("granted", false)) {
+                return finish(id, SlotGrant{id, reply->value("engine", std::string()), pending.owner, m_context.clock.now() + GrantLife});
+            }
+            m_context.timeline.add(EventKind::SlotRefused, id, pending.owner, reply->value("reason", std::string()));
+            if (m_context.clock.now() >= pending.request.deadline) {
+                return finish(id, fail(ErrorCode::DeadlineExceeded, "slot", pending.owner, "the deadline passed in the queue"));
+            }
             pending.refusedBy.insert(pending.owner);
-            // A grant whose reply was lost is given back.
-            m_context.counters.at("slot_asks_failed").add();
-            return place(id);
-        }
-        takeViews(pending.owner, reply->value("pools", Json::array()));
-        if (reply->value("granted", false)) {
-            return finish(id, SlotGrant{id, reply->value("engine", std::string()), pending.owner, m_context.clock.now() + GrantLife});
-        }
-        m_context.timeline.add(EventKind::SlotRefused, id, pending.owner, reply->value("reason", std::string()));
-        if (m_context.clock.now() >= pending.request.deadline) {
-            return finish(id, fail(ErrorCode::DeadlineExceeded, "slot", pending.owner, "the deadline passed in the queue"));
-        }
-        pending.refusedBy.insert(pending.owner);
-        place(id);
-    });
+            place(id);
+        });
 }
 
 auto SlotService::finish(const std::string &requestId, Result<SlotGrant> result) -> void
@@ -450,7 +456,8 @@
     m_toldSlow[engine] = now;
     Json item = {{"engine", engine}};
     writeObservation(item, seen);
-    m_context.peers.call(m_context.addressOf(owner), "/peer/release", {{"items", {std::move(item)}}}, m_context.config->timeouts.peer, [](const Result<Json> &) { });
+    m_context.peers.call(m_context.addressOf(owner), "/peer/release", {{"items", {std::move(item)}}}, m_context.config->timeouts.peer,
+                         [](const Result<Json> &) {});
 }
 
 auto SlotService::applyWeights() -> void
--- a/src/slots.cc
+++ b/src/slots.cc
@@ -185,9 +185,8 @@
     const bool full = static_cast<std::int64_t>(queue.size()) >= m_maxQueuedRequests || queuedTokens + request.tokens > m_maxQueuedTokens;
     if (full) {
         // A request that would come first displaces the last one, so that a flood cannot fill the queue against others.
-        const auto last = std::max_element(queue.begin(), queue.end(), [this](const SlotRequest &left, const SlotRequest &right) {
-            return comesBefore(left, right);
-        });
+        const auto last = std::max_element(queue.begin(), queue.end(),
+                                           [this](const SlotRequest &left, const SlotRequest &right) { return comesBefore(left, right); });
         if (last == queue.end() || !comesBefore(request, *last)) {
             return refuse(SlotRefusal::QueueFull);
         }
@@ -236,9 +235,8 @@
         });
         std::vector<SlotRequest> blocked; // suspects that no free engine may take now
         while (!queue.empty()) {
-            const auto next = std::min_element(queue.begin(), queue.end(), [this](const SlotRequest &left, const SlotRequest &right) {
-                return comesBefore(left, right);
-            });
+            const auto next = std::min_element(
+                queue.begin(), queue.end(), [this](const SlotRequest &left, const SlotRequest &right) { return comesBefore(left, right); });
             auto *engine = bestEngine(*next, now);
             if (engine != nullptr) {
                 decisions.push_back(grant(*engine, *next, now));
--- a/src/store.cc
+++ b/src/store.cc
@@ -126,8 +126,7 @@
     , m_addresses(std::move(addresses))
     , m_timeout(timeout)
     , m_idleTimeout(idleTimeout)
-{
-}
+{ }
 
 auto EtcdStore::call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done) -> void
 {
--- a/src/timeline.cc
+++ b/src/timeline.cc
@@ -10,10 +10,10 @@
 {
 
 constexpr std::array<std::string_view, 27> KindNames = {
-    "request taken",     "request refused", "slot asked",       "slot granted",   "slot refused",    "prefill started", "prefill done",
-    "decode started",    "first token",     "retried",          "moved",          "hedged",          "cancel sent",     "cancel confirmed",
-    "request done",      "caller gone",     "intent written",   "answer replayed", "vm changed",     "ownership changed", "config in force",
-    "config submitted",  "upstream weighted", "order sent",     "quarantined",    "store away",      "store back"};
+    "request taken",    "request refused",   "slot asked",     "slot granted",    "slot refused", "prefill started",   "prefill done",
+    "decode started",   "first token",       "retried",        "moved",           "hedged",       "cancel sent",       "cancel confirmed",
+    "request done",     "caller gone",       "intent written", "answer replayed", "vm changed",   "ownership changed", "config in force",
+    "config submitted", "upstream weighted", "order sent",     "quarantined",     "store away",   "store back"};
 
 auto matches(const Event &event, const TimelineFilter &filter) -> bool
 {
@@ -40,8 +40,7 @@
     : m_clock(clock)
     , m_vm(std::move(vm))
     , m_capacity(std::max<std::size_t>(capacity, 1))
-{
-}
+{ }
 
 auto Timeline::add(EventKind kind, std::string_view request, std::string_view peer, std::string_view cause, std::int64_t revision) -> void
 {
--- a/src/usage.cc
+++ b/src/usage.cc
@@ -13,12 +13,9 @@
 {
     auto document = Json::object();
     for (const auto &[name, usage] : m_members) {
-        document[name] = {{"requests", usage.requests},
-                          {"refused", usage.refused},
-                          {"in_flight", usage.inFlight},
-                          {"prompt_tokens", usage.promptTokens},
-                          {"output_tokens", usage.outputTokens},
-                          {"slot_ms", usage.slotMilliseconds}};
+        document[name] = {{"requests", usage.requests},          {"refused", usage.refused},
+                          {"in_flight", usage.inFlight},         {"prompt_tokens", usage.promptTokens},
+                          {"output_tokens", usage.outputTokens}, {"slot_ms", usage.slotMilliseconds}};
     }
     return document;
 }
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -353,7 +353,8 @@
             for (std::int64_t token = job->request.continueFrom; token < job->produced; ++token) {
                 text += tokenText(job->promptHash, token);
             }
-            job->exchange->respond(jsonResponse(200, dumpJson({{"id", job->request.requestId}, {"choices", {{{"text", text}, {"finish_reason", "length"}}}}})));
+            job->exchange->respond(jsonResponse(
+                200, dumpJson({{"id", job->request.requestId}, {"choices", {{{"text", text}, {"finish_reason", "length"}}}}})));
         }
         return last;
     }
@@ -433,7 +434,8 @@
         m_settings.model = order->value;
     }
     m_counters.at("orders").add();
-    exchange->respond(jsonResponse(200, dumpJson({{"role", m_settings.role}, {"model", m_settings.model}, {"fencing_number", m_highestFence}})));
+    exchange->respond(
+        jsonResponse(200, dumpJson({{"role", m_settings.role}, {"model", m_settings.model}, {"fencing_number", m_highestFence}})));
 }
 
 auto Engine::handleFault(const ExchangePtr &exchange) -> void
@@ -528,7 +530,8 @@
 {
     auto list = Json::array();
     for (const auto &[id, job] : m_jobs) {
-        list.push_back(toJson(RunningRequest{id, job->phase, std::chrono::duration_cast<milliseconds>(m_clock.now() - job->arrived).count()}));
+        list.push_back(
+            toJson(RunningRequest{id, job->phase, std::chrono::duration_cast<milliseconds>(m_clock.now() - job->arrived).count()}));
     }
     exchange->respond(jsonResponse(200, dumpJson({{"requests", list}, {"slots", m_settings.slots}, {"role", m_settings.role}})));
 }
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -18,7 +18,8 @@
 using namespace currantstack;
 
 /// What one engine is and how fast it works.
-struct EngineSettings {
+struct EngineSettings
+{
     std::string name;
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
@@ -52,7 +53,8 @@
     auto open() -> Result<void>;
 
 private:
-    struct Job {
+    struct Job
+    {
         CompletionRequest request;
         std::uint64_t promptHash = 0;
         std::int64_t promptTokens = 0;
@@ -67,14 +69,16 @@
     };
     using JobPtr = std::shared_ptr<Job>;
 
-    struct Export {
+    struct Export
+    {
         std::string requestId;
         std::int64_t tokens = 0;
         TimePoint expires;
         bool transferring = false;
     };
 
-    struct CacheEvent {
+    struct CacheEvent
+    {
         std::int64_t sequence = 0;
         std::uint64_t prefixHash = 0;
         TimePoint visibleAt;
--- a/standin/kv_store.h
+++ b/standin/kv_store.h
@@ -17,13 +17,15 @@
 class KvStore
 {
 public:
-    struct Entry {
+    struct Entry
+    {
         std::string value;
         std::int64_t modRevision = 0;
         std::int64_t lease = 0;
     };
 
-    struct Change {
+    struct Change
+    {
         std::int64_t revision = 0;
         StoreEvent event;
     };
@@ -50,7 +52,8 @@
     auto changesFrom(std::int64_t revision) const -> std::vector<Change>;
 
 private:
-    struct Lease {
+    struct Lease
+    {
         std::int64_t ttlSeconds = 0;
         TimePoint expires;
     };
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -167,7 +167,8 @@
     if (m_faults.slowMs <= 0) {
         return exchange->respond(jsonResponse(200, dumpJson(document)));
     }
-    m_loop.after(fromMilliseconds(m_faults.slowMs), [exchange, text = dumpJson(document)]() { exchange->respond(jsonResponse(200, text)); });
+    m_loop.after(fromMilliseconds(m_faults.slowMs),
+                 [exchange, text = dumpJson(document)]() { exchange->respond(jsonResponse(200, text)); });
 }
 
 auto Platform::handleTransaction(const ExchangePtr &exchange, const Json &body) -> void
@@ -177,7 +178,8 @@
     if (!applied) {
         for (const auto &operation : body.value("failure", Json::array())) {
             if (operation.contains("request_range")) {
-                const auto values = m_store.range(decoded(operation["request_range"], "key"), decoded(operation["request_range"], "range_end"));
+                const auto values =
+                    m_store.range(decoded(operation["request_range"], "key"), decoded(operation["request_range"], "range_end"));
                 responses.push_back({{"response_range", {{"kvs", encodedList(values)}}}});
             }
         }
@@ -261,8 +263,8 @@
     if (exchange->request().method == "POST") {
         const auto body = parseJson(exchange->request().body, "vms");
         if (body && body->is_object()) {
-            m_vms.push_back({body->value("name", std::string()), body->value("address", std::string()), body->value("state", std::string("live")),
-                             now + fromMilliseconds(m_settings.listLagMs)});
+            m_vms.push_back({body->value("name", std::string()), body->value("address", std::string()),
+                             body->value("state", std::string("live")), now + fromMilliseconds(m_settings.listLagMs)});
         }
         return exchange->respond(jsonResponse(200, "{}"));
     }
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -13,7 +13,8 @@
 namespace standin
 {
 
-struct PlatformSettings {
+struct PlatformSettings
+{
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     double listLagMs = 2000;
@@ -23,11 +24,12 @@
 };
 
 /// Faults that a test switches on; all are off at the start.
-struct PlatformFaults {
-    bool down = false;           // every call is answered with 503 and watches end
-    bool silent = false;         // calls are taken and never answered
-    double slowMs = 0;           // delay of each reply
-    double lostReplyShare = 0;   // share of writes that take effect and whose reply is lost
+struct PlatformFaults
+{
+    bool down = false; // every call is answered with 503 and watches end
+    bool silent = false; // calls are taken and never answered
+    double slowMs = 0; // delay of each reply
+    double lostReplyShare = 0; // share of writes that take effect and whose reply is lost
 };
 
 /// Serves the published gateway protocol under /v3, the list under /platform, and the switches under /standin.
@@ -39,13 +41,15 @@
     auto open() -> Result<void>;
 
 private:
-    struct Watch {
+    struct Watch
+    {
         ExchangePtr exchange;
         std::string key;
         std::string end;
     };
 
-    struct ListedVm {
+    struct ListedVm
+    {
         std::string name;
         std::string address;
         std::string state; // "live" or "leaving"
--- a/standin/prefix_cache.h
+++ b/standin/prefix_cache.h
@@ -20,8 +20,7 @@
 
     explicit PrefixCache(std::size_t capacity)
         : m_capacity(capacity)
-    {
-    }
+    { }
 
     /// Returns the share of the prompt (0 to 1) that lies in the cache, then adds the whole prompt.
     auto use(std::string_view prompt) -> double
--- a/standin/service.h
+++ b/standin/service.h
@@ -18,13 +18,13 @@
     BookingService(Loop &loop, double workMs)
         : m_loop(loop)
         , m_workMs(workMs)
-    {
-    }
+    { }
 
     auto open(const std::string &name, const std::string &address, std::uint16_t port) -> Result<void>;
 
 private:
-    struct Front {
+    struct Front
+    {
         std::string name;
         std::unique_ptr<HttpServer> server;
         TimePoint slowUntil;
--- a/standin/standin_service.cc
+++ b/standin/standin_service.cc
@@ -26,7 +26,8 @@
     currantstack::Loop loop;
     standin::BookingService service(loop, document["work_ms"].as<double>(10));
     for (const auto &node : document["services"]) {
-        const auto opened = service.open(node["name"].as<std::string>(), node["address"].as<std::string>("127.0.0.1"), node["port"].as<std::uint16_t>());
+        const auto opened =
+            service.open(node["name"].as<std::string>(), node["address"].as<std::string>("127.0.0.1"), node["port"].as<std::uint16_t>());
         if (!opened) {
             ServiceLog.error("{}", describe(opened.error()));
             return 1;
