--- a/bench/load.h
+++ b/bench/load.h
@@ -17,19 +17,20 @@
 using namespace currantstack;
 
 /// What became of one request.
-struct Outcome {
+struct Outcome
+{
     std::string stream;
     std::string kind;
-    std::string booking;     // of a booking, its name and key
-    std::string result;      // "answered", "refused", "broken", "wrong", "unfinished", "cancelled"
-    std::string ran;         // of a refusal
+    std::string booking; // of a booking, its name and key
+    std::string result; // "answered", "refused", "broken", "wrong", "unfinished", "cancelled"
+    std::string ran; // of a refusal
     int status = 0;
-    double arrivedS = 0;     // since the start
+    double arrivedS = 0; // since the start
     double firstTokenMs = 0; // or the whole answer's time, for services
     double totalMs = 0;
     int tokens = 0;
     int lateGaps = 0;
-    bool good = false;       // whole, and within both targets
+    bool good = false; // whole, and within both targets
 };
 
 /// Sends a scenario's requests to a set of VMs in turn.
@@ -43,14 +44,16 @@
     auto outcomes() const -> Json;
 
 private:
-    struct Stream {
+    struct Stream
+    {
         StreamSpec spec;
         std::unique_ptr<Timer> timer;
         std::vector<std::string> prefixes;
         TimePoint nextAt;
     };
 
-    struct Call {
+    struct Call
+    {
         Outcome outcome;
         std::uint64_t promptHash = 0;
         int expectedTokens = 0;
@@ -86,6 +89,7 @@
     std::uint64_t m_seed;
     std::vector<std::unique_ptr<Stream>> m_streams;
     std::vector<std::shared_ptr<Call>> m_calls;
+    std::unique_ptr<Timer> m_ender;
     TimePoint m_start;
     std::size_t m_turn = 0;
     std::int64_t m_sequence = 0;
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -12,13 +12,15 @@
 {
 
 /// A point of a load profile; the rate holds until the next point.
-struct LoadPoint {
+struct LoadPoint
+{
     double atSeconds = 0;
     double rate = 0; // a share of capacity for models, requests a second for services
 };
 
 /// Prompt lengths: log-normal with a median, cut at both ends.
-struct LengthRange {
+struct LengthRange
+{
     double median = 900;
     double sigma = 0.9;
     double min = 20;
@@ -26,13 +28,15 @@
 };
 
 /// Prompts that begin with the same tokens.
-struct SharedPrefix {
+struct SharedPrefix
+{
     int groups = 0;
     int tokens = 0;
     double share = 0; // of prompts that have one
 };
 
-struct StreamSpec {
+struct StreamSpec
+{
     std::string name;
     std::string kind = "model"; // "model" or "service"
     std::string model = "caseworker";
@@ -44,12 +48,13 @@
     SharedPrefix prefix;
     std::string method = "GET";
     std::string path = "/services/adoption/availability";
-    double killShare = 0;   // of prompts that crash the engine which runs them
+    double killShare = 0; // of prompts that crash the engine which runs them
     double cancelShare = 0; // of callers that leave before the answer is whole
-    double targetMs = 300;  // of a service's answer
+    double targetMs = 300; // of a service's answer
 };
 
-struct Scenario {
+struct Scenario
+{
     std::string name;
     double seconds = 10;
     double firstTokenMs = 1700;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "currantstack/http_client.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <fmt/format.h>
 #include <unordered_map>
@@ -14,6 +15,19 @@
 constexpr Duration SweepPeriod = milliseconds(50);
 constexpr long MaxConnectionAge = 60; // seconds
 
+/// Returns whether the URL's host is an IP number. A name would be resolved by a thread that blocks the loop when it is joined.
+auto hasNumericHost(std::string_view url) -> bool
+{
+    constexpr std::string_view Scheme = "http://";
+    if (!url.starts_with(Scheme)) {
+        return false;
+    }
+    url.remove_prefix(Scheme.size());
+    const std::string host(url.substr(0, url.find_first_of(":/")));
+    in_addr number{};
+    return inet_pton(AF_INET, host.c_str(), &number) == 1;
+}
+
 } // namespace
 
 struct HttpClient::Core
@@ -55,6 +69,7 @@
     auto sweep() -> void;
     auto finish(CURL *easy, CURLcode code) -> void;
     auto deliverHead(Call &call) -> void;
+    auto refuseLater(CallId id, std::unique_ptr<Call> call) -> void;
     static auto toError(const Call &call, CURLcode code) -> Error;
 
     static auto onSocket(CURL *easy, curl_socket_t socket, int what, void *context, void *data) -> int;
@@ -102,7 +117,9 @@
 {
     *alive = false;
     for (auto &[id, call] : calls) {
-        curl_multi_remove_handle(multi, call->easy);
+        if (call->easy != nullptr) {
+            curl_multi_remove_handle(multi, call->easy);
+        }
     }
     calls.clear();
     curl_multi_cleanup(multi);
@@ -138,13 +155,35 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxConnectionAge);
 }
 
+auto HttpClient::Core::refuseLater(CallId id, std::unique_ptr<Call> call) -> void
+{
+    calls.emplace(id, std::move(call));
+    loop.defer([this, stillAlive = alive, id]() {
+        if (!*stillAlive) {
+            return;
+        }
+        const auto found = calls.find(id);
+        if (found == calls.end()) {
+            return;
+        }
+        const auto refused = std::move(found->second);
+        calls.erase(found);
+        if (refused->handlers.onDone) {
+            refused->handlers.onDone(
+                fail(ErrorCode::Unreachable, refused->call.step, refused->call.peer, "the address is not an IP number"));
+        }
+    });
+}
+
 auto HttpClient::Core::remove(CallId id) -> void
 {
     const auto found = calls.find(id);
     if (found == calls.end()) {
         return;
     }
-    curl_multi_remove_handle(multi, found->second->easy);
+    if (found->second->easy != nullptr) {
+        curl_multi_remove_handle(multi, found->second->easy);
+    }
     calls.erase(found);
 }
 
@@ -357,6 +396,10 @@
     entry->call = std::move(call);
     entry->handlers = std::move(handlers);
     entry->lastProgress = m_core->clock.now();
+    if (!hasNumericHost(entry->call.url)) {
+        m_core->refuseLater(id, std::move(entry));
+        return id;
+    }
     m_core->configure(*entry);
     auto *easy = entry->easy;
     m_core->calls.emplace(id, std::move(entry));
--- a/src/usage.cc
+++ b/src/usage.cc
@@ -31,9 +31,13 @@
             if (!usage.is_object()) {
                 continue;
             }
+            auto &sum = total[member];
+            if (sum.is_null()) {
+                sum = Json::object();
+            }
             for (const auto &[key, value] : usage.items()) {
                 if (value.is_number_integer()) {
-                    total[member][key] = total[member].value(key, std::int64_t{0}) + value.get<std::int64_t>();
+                    sum[key] = sum.value(key, std::int64_t{0}) + value.get<std::int64_t>();
                 }
             }
         }
--- a/support/decisions.py
+++ b/support/decisions.py
@@ -39,19 +39,17 @@
     return min(1000 * prefill / (prefill_ms / weight), 1000 * decode * ENGINE["slots"] / (slot_ms / weight))
 
 
-def bound_of(scenario, capacity):
-    """Requests that can meet the targets at most: the offered ones, but no more than capacity at any time."""
-    streams = [s for s in scenario["streams"] if s.get("kind", "model") == "model"]
-    good, step = 0.0, 0.1
-    backlog = 0.0
-    for tick in range(int(scenario["seconds"] / step)):
-        now = tick * step
-        offered = sum([p[1] for p in s["load"] if p[0] <= now][-1:] [0] for s in streams) * capacity * step
-        backlog = min(backlog, 1.7 * capacity)  # what waits longer than the target cannot be good any more
-        served = min(backlog + offered, capacity * step)
-        backlog = backlog + offered - served
+def bound_of(arrivals, capacity, seconds):
+    """Requests that can meet the targets at most: those that arrived, but no more than capacity at any time."""
+    step, good, backlog = 0.1, 0.0, 0.0
+    counts = [0] * (int(seconds / step) + 2)
+    for at in arrivals:
+        counts[int(at / step)] += 1
+    for count in counts:
+        served = min(backlog + count, capacity * step)
         good += served
-    return good + min(backlog, 1.7 * capacity)
+        backlog = min(backlog + count - served, 1.7 * capacity)  # what waits longer than the target cannot be good any more
+    return good + backlog
 
 
 class Faults(threading.Thread):
@@ -125,12 +123,12 @@
         report["vms"] = counters
         report["engines"] = engines
         report["cpu_share"] = statistics.mean((cpu_seconds(cluster.processes[vm]) - before[vm]) / (scenario["seconds"] + 10) for vm in cluster.vm_names[:1])
-        report["bound"] = bound_of(scenario, capacity)
         report["held"] = sum(len(ids) for ids in cluster.held().values())
         listed = json.loads(open(outcome_file).read())
         crest = scenario.get("crest", [[0, scenario["seconds"]]])
         at_crest = [o for o in listed if o["kind"] == "service" and any(a <= o["arrived_s"] < b for a, b in crest)]
         models = [o for o in listed if o["kind"] == "model"]
+        report["bound"] = bound_of([o["arrived_s"] for o in models], capacity, scenario["seconds"])
         firsts = sorted(o["first_token_ms"] for o in models if o["result"] == "answered")
         times = sorted(o["total_ms"] for o in at_crest if o["result"] == "answered")
         pick = lambda values, share: values[min(len(values) - 1, int(share * len(values)))] if values else 0.0
--- /dev/null
+++ b/test/slots-test.cc
@@ -0,0 +1,299 @@
+#include "currantstack/slots.h"
+
+#include "check.h"
+
+#include <map>
+#include <rapidcheck/state.h>
+#include <set>
+
+using namespace currantstack;
+
+namespace
+{
+
+constexpr int Slots = 3;
+constexpr int EngineCount = 2;
+const TimePoint Start{seconds(1000)};
+
+auto makeEngine(int index, Role role = Role::Decode) -> Engine
+{
+    Engine engine;
+    engine.name = "e" + std::to_string(index);
+    engine.pool = "pool";
+    engine.role = role;
+    engine.slots = Slots;
+    return engine;
+}
+
+auto makeRequest(int id, const std::string &member = "m", int priority = 0, Duration deadline = seconds(100)) -> SlotRequest
+{
+    SlotRequest request;
+    request.requestId = "r" + std::to_string(id);
+    request.vm = "vm" + std::to_string(id % 3);
+    request.pool = "pool";
+    request.member = member;
+    request.priority = priority;
+    request.deadline = Start + deadline;
+    return request;
+}
+
+/// The oracle: who waits, and who holds. It knows nothing of engines but the number of their slots.
+struct SlotModel
+{
+    std::set<int> waiting;
+    std::set<int> holding;
+    int next = 0;
+};
+
+/// The ledger, with where each grant went.
+struct System
+{
+    SlotLedger ledger;
+    std::map<int, std::string> engines; // of granted requests
+    TimePoint now = Start;
+
+    System()
+    {
+        for (int index = 0; index < EngineCount; ++index) {
+            ledger.adopt(makeEngine(index), Start);
+        }
+    }
+
+    auto take(const std::vector<SlotDecision> &decisions) -> void
+    {
+        for (const auto &decision : decisions) {
+            const int id = std::stoi(decision.requestId.substr(1));
+            RC_ASSERT(decision.granted);
+            RC_ASSERT(!engines.contains(id)); // no request is granted twice
+            engines[id] = decision.engine;
+        }
+    }
+
+    auto check(const SlotModel &model) -> void
+    {
+        int held = 0;
+        for (int index = 0; index < EngineCount; ++index) {
+            const int count = ledger.held("e" + std::to_string(index));
+            RC_ASSERT(count <= Slots); // no engine is overfilled
+            held += count;
+        }
+        RC_ASSERT(held == static_cast<int>(engines.size()));
+        RC_ASSERT(engines.size() + ledger.view("pool", now).queued == model.waiting.size() + model.holding.size());
+        // No capacity is idle beside a queue.
+        RC_ASSERT(ledger.view("pool", now).queued == 0 || held == Slots * EngineCount);
+    }
+};
+
+using Command = rc::state::Command<SlotModel, System>;
+
+/// Which of the waiting requests hold slots now is for the system to say; the model only counts.
+auto settle(SlotModel &model) -> void
+{
+    while (!model.waiting.empty() && model.holding.size() < static_cast<std::size_t>(Slots * EngineCount)) {
+        model.holding.insert(*model.waiting.begin());
+        model.waiting.erase(model.waiting.begin());
+    }
+}
+
+struct Ask : Command
+{
+    int priority = *rc::gen::inRange(0, 3);
+    int member = *rc::gen::inRange(0, 3);
+
+    auto apply(SlotModel &model) const -> void override
+    {
+        model.waiting.insert(model.next++);
+        settle(model);
+    }
+
+    auto run(const SlotModel &model, System &system) const -> void override
+    {
+        auto after = model;
+        apply(after);
+        if (const auto decision = system.ledger.ask(makeRequest(model.next, "m" + std::to_string(member), priority), system.now)) {
+            system.take({*decision});
+        }
+        system.take(system.ledger.decide(system.now));
+        system.check(after);
+    }
+
+    auto show(std::ostream &stream) const -> void override
+    {
+        stream << "Ask(" << priority << ", " << member << ")";
+    }
+};
+
+struct Release : Command
+{
+    std::size_t pick = *rc::gen::inRange<std::size_t>(0, 100);
+
+    auto checkPreconditions(const SlotModel &model) const -> void override
+    {
+        RC_PRE(!model.holding.empty());
+    }
+
+    auto apply(SlotModel &model) const -> void override
+    {
+        model.holding.erase(model.holding.begin());
+        settle(model);
+    }
+
+    auto run(const SlotModel &model, System &system) const -> void override
+    {
+        auto after = model;
+        apply(after);
+        auto chosen = std::next(system.engines.begin(), static_cast<std::ptrdiff_t>(pick % system.engines.size()));
+        RC_ASSERT(system.ledger.release(chosen->second, "r" + std::to_string(chosen->first), system.now));
+        RC_ASSERT(!system.ledger.release(chosen->second, "r" + std::to_string(chosen->first), system.now));
+        system.engines.erase(chosen);
+        system.take(system.ledger.decide(system.now));
+        system.check(after);
+    }
+
+    auto show(std::ostream &stream) const -> void override
+    {
+        stream << "Release(" << pick << ")";
+    }
+};
+
+} // namespace
+
+class SlotsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SlotsTest);
+    CPPUNIT_TEST(neverOverfillsAndNeverIdles);
+    CPPUNIT_TEST(ordersByPriorityThenFairnessThenDeadline);
+    CPPUNIT_TEST(refusesWhatIsLate);
+    CPPUNIT_TEST(keepsSuspectsApart);
+    CPPUNIT_TEST(waitsForOldGrants);
+    CPPUNIT_TEST(learnsFromTheEngine);
+    CPPUNIT_TEST(floodDoesNotFillTheQueue);
+    CPPUNIT_TEST(prefillEnginesTakeLittleAhead);
+    CPPUNIT_TEST(leavingEngineGetsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto neverOverfillsAndNeverIdles() -> void
+    {
+        CHECK_PROPERTY("slots are never overfilled and never idle beside a queue", []() {
+            System system;
+            rc::state::check(SlotModel(), system, rc::state::gen::execOneOfWithArgs<Ask, Ask, Release>());
+        });
+    }
+
+    auto ordersByPriorityThenFairnessThenDeadline() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0), Start);
+        for (int id = 0; id < Slots; ++id) {
+            CPPUNIT_ASSERT(ledger.ask(makeRequest(id, "greedy"), Start)->granted);
+        }
+        ledger.ask(makeRequest(10, "greedy", 0, seconds(1)), Start);
+        ledger.ask(makeRequest(11, "modest", 0, seconds(9)), Start);
+        ledger.ask(makeRequest(12, "modest", 0, seconds(8)), Start);
+        ledger.ask(makeRequest(13, "greedy", 1, seconds(50)), Start);
+        std::vector<std::string> order;
+        for (int id : {0, 1, 2}) {
+            ledger.release("e0", "r" + std::to_string(id), Start);
+            for (const auto &decision : ledger.decide(Start)) {
+                order.push_back(decision.requestId);
+            }
+        }
+        // Once each member holds one slot, their use is equal and the deadline decides.
+        CPPUNIT_ASSERT((order == std::vector<std::string>{"r13", "r12", "r10"}));
+    }
+
+    auto refusesWhatIsLate() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0), Start);
+        for (int id = 0; id < Slots; ++id) {
+            ledger.ask(makeRequest(id), Start);
+        }
+        CPPUNIT_ASSERT(!ledger.ask(makeRequest(9, "m", 0, seconds(1)), Start));
+        const auto decisions = ledger.decide(Start + seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT(!decisions[0].granted && decisions[0].reason == SlotRefusal::DeadlinePassed);
+    }
+
+    auto keepsSuspectsApart() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0), Start);
+        ledger.adopt(makeEngine(1), Start);
+        std::set<std::string> engines;
+        for (int id = 0; id < 3; ++id) {
+            auto request = makeRequest(id);
+            request.suspect = true;
+            if (const auto decision = ledger.ask(request, Start)) {
+                engines.insert(decision->engine);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, engines.size());
+        CPPUNIT_ASSERT(ledger.isQueued("r2"));
+    }
+
+    auto waitsForOldGrants() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0), Start + seconds(1));
+        CPPUNIT_ASSERT(!ledger.ask(makeRequest(0), Start));
+        CPPUNIT_ASSERT(ledger.decide(Start + milliseconds(999)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.decide(Start + seconds(1)).size());
+    }
+
+    auto learnsFromTheEngine() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0), Start);
+        const std::vector<RunningRequest> running = {
+            {"vm9.1.0.d0", "decode", 5}, {"vm9.1.1.d0", "decode", 5}, {"vm9.1.2.p0", "exportable", 5}};
+        ledger.reconcile("e0", running, Start);
+        CPPUNIT_ASSERT_EQUAL(2, ledger.held("e0"));
+        CPPUNIT_ASSERT(ledger.ask(makeRequest(0), Start)->granted);
+        // A grant that the engine never lists ends after the grace; so does a request that it no longer lists.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ledger.reconcile("e0", {}, Start + SlotLedger::Grace + milliseconds(1)).size());
+        CPPUNIT_ASSERT_EQUAL(0, ledger.held("e0"));
+    }
+
+    auto floodDoesNotFillTheQueue() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0), Start);
+        ledger.setLimits(5, 1000000);
+        for (int id = 0; id < Slots + 5; ++id) {
+            ledger.ask(makeRequest(id, "flood"), Start);
+        }
+        const auto displaced = ledger.ask(makeRequest(50, "small"), Start);
+        CPPUNIT_ASSERT(displaced && !displaced->granted && displaced->requestId != "r50");
+        CPPUNIT_ASSERT(ledger.isQueued("r50"));
+        const auto refused = ledger.ask(makeRequest(51, "flood"), Start);
+        CPPUNIT_ASSERT(refused && refused->requestId == "r51" && refused->reason == SlotRefusal::QueueFull);
+    }
+
+    auto prefillEnginesTakeLittleAhead() -> void
+    {
+        SlotLedger ledger;
+        ledger.adopt(makeEngine(0, Role::Prefill), Start);
+        auto request = makeRequest(0);
+        request.tokens = 10000; // 300 ms of work
+        CPPUNIT_ASSERT(ledger.ask(request, Start)->granted);
+        request.requestId = "r1";
+        CPPUNIT_ASSERT(!ledger.ask(request, Start));
+        CPPUNIT_ASSERT(ledger.decide(Start + milliseconds(200)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.decide(Start + milliseconds(290)).size());
+    }
+
+    auto leavingEngineGetsNothing() -> void
+    {
+        SlotLedger ledger;
+        auto engine = makeEngine(0);
+        ledger.adopt(engine, Start);
+        engine.leaving = true;
+        ledger.update(engine);
+        const auto decision = ledger.ask(makeRequest(0), Start);
+        CPPUNIT_ASSERT(decision && decision->reason == SlotRefusal::NoEngine);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SlotsTest);
