--- a/include/currantstack/settings.h
+++ b/include/currantstack/settings.h
@@ -35,7 +35,8 @@
 {
     std::string name; // of this VM
     std::string callerAddress; // "IP:port" for callers
-    std::string peerAddress; // "IP:port" for the other VMs and operators
+    std::string peerAddress; // "IP:port" at which the other VMs and operators reach this one
+    std::string peerListenAddress; // "IP:port" to listen on for them; `peerAddress` where empty
     std::string place; // data centre
     std::string region;
     std::vector<std::string> storeAddresses; // of the key-value service
--- a/src/node.cc
+++ b/src/node.cc
@@ -126,7 +126,7 @@
 auto Node::start() -> Result<void>
 {
     ServerOptions options;
-    std::tie(options.address, options.port) = splitAddress(m_parts->settings.peerAddress);
+    std::tie(options.address, options.port) = splitAddress(m_parts->settings.peerListenAddress);
     options.maxBody = m_parts->settings.maxBody;
     auto server = HttpServer::open(m_parts->loop, options, [this](const ExchangePtr &exchange) {
         if (!m_parts->router.dispatch(exchange) && !m_parts->operators.dispatch(exchange)) {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -87,6 +87,7 @@
     reader.read("name", settings.name, true);
     reader.read("caller_address", settings.callerAddress, true);
     reader.read("peer_address", settings.peerAddress, true);
+    reader.read("peer_listen_address", settings.peerListenAddress);
     reader.read("place", settings.place, true);
     reader.read("region", settings.region, true);
     reader.read("store_addresses", settings.storeAddresses, true);
@@ -147,6 +148,9 @@
         }
         SettingsReader reader(root);
         readAll(reader, settings);
+        if (settings.peerListenAddress.empty()) {
+            settings.peerListenAddress = settings.peerAddress;
+        }
         if (settings.peerSecret.size() < 16) {
             reader.complain("peer_secret", "must have at least 16 characters");
         }
--- /dev/null
+++ b/test/history/failures.py
@@ -0,0 +1,280 @@
+"""Focused tests of failures against real processes. Each brings one failure about and checks what must hold."""
+
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import sys
+import threading
+import time
+import traceback
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "support"))
+
+from cluster import OPERATOR_TOKEN, Cluster, call  # noqa: E402
+
+TOKEN = "rehoming-token"
+
+
+class Stream:
+    """One streamed completion, read token by token."""
+
+    def __init__(self, address, prompt, max_tokens, headers=None):
+        host, port = address.split(":")
+        self.max_tokens = max_tokens
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        body = json.dumps({"model": "caseworker", "prompt": prompt, "max_tokens": max_tokens, "stream": True})
+        self.connection.request("POST", "/v1/completions", body, {"Authorization": "Bearer " + TOKEN, **(headers or {})})
+        self.response = self.connection.getresponse()
+        self.tokens = []
+        self.done = False
+
+    def read(self, count=None):
+        """Reads so many tokens, or all."""
+        while not self.done and (count is None or len(self.tokens) < count):
+            line = self.response.readline()
+            if not line:
+                break
+            if line.startswith(b"data: [DONE]"):
+                self.done = True
+            elif line.startswith(b"data: "):
+                self.tokens.append(json.loads(line[6:])["choices"][0]["text"])
+        return self
+
+    def is_whole(self):
+        parts = [token.strip().split("-") for token in self.tokens]
+        return self.done and len({p[0] for p in parts}) == 1 and [int(p[1]) for p in parts] == list(range(self.max_tokens))
+
+    def close(self):
+        self.connection.close()
+
+
+def expect(condition, message):
+    if not condition:
+        raise AssertionError(message)
+
+
+def eventually(condition, seconds, message):
+    deadline = time.time() + seconds
+    while time.time() < deadline:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(message)
+
+
+def holds_nothing(cluster):
+    try:
+        return not any(cluster.held().values())
+    except OSError:
+        return False
+
+
+def running_on(cluster, role="decode"):
+    """Returns the engine that runs a request now."""
+    for engine in cluster.engines:
+        if engine["role"] == role and cluster.held()[engine["name"]]:
+            return engine["name"]
+    raise AssertionError("no engine runs a request")
+
+
+def test_bad_input_is_refused_clearly(cluster):
+    address = cluster.caller("vm0")
+    cases = [
+        ("/v1/completions", "{", TOKEN, 400), ("/v1/completions", b"\xff\xfe{}", TOKEN, 400), ("/v1/completions", "[]", TOKEN, 400),
+        ("/v1/completions", {"model": "caseworker"}, TOKEN, 400), ("/v1/completions", {"model": "caseworker", "prompt": 5}, TOKEN, 400),
+        ("/v1/completions", {"model": "caseworker", "prompt": "x", "max_tokens": -1}, TOKEN, 400),
+        ("/v1/completions", {"model": "other", "prompt": "x"}, TOKEN, 404), ("/v1/completions", {"model": "caseworker", "prompt": "x"}, "wrong", 401),
+        ("/v1/completions", {"model": "caseworker", "prompt": "x"}, None, 401), ("/nothing", {}, TOKEN, 404), ("/services/none/x", {}, TOKEN, 404),
+        ("/v1/completions", "x" * (9 << 20), TOKEN, 413),
+    ]
+    for path, body, token, wanted in cases:
+        status, answer = call(address, "POST", path, body, token)
+        expect(status == wanted and answer["ran"] == "no", f"{path} with {str(body)[:40]} gave {status}, not {wanted}")
+    for junk in (b"\x00\x01\x02\r\n\r\n", b"POST /v1/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n", b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 20000):
+        with socket.create_connection(("127.0.0.1", int(address.split(":")[1])), timeout=2) as connection:
+            try:
+                connection.sendall(junk)
+            except OSError:
+                pass
+    expect(call(address, "GET", "/healthz")[0] == 200, "the process did not live on")
+
+
+def test_caller_that_leaves_frees_the_engine(cluster):
+    before = cluster.counters().get("callers_gone", 0)
+    stream = Stream(cluster.caller("vm0"), "a long file " * 100, 2000).read(3)
+    stream.close()
+    del stream
+    # A caller that leaves before its first token.
+    early = socket.create_connection(("127.0.0.1", int(cluster.caller("vm1").split(":")[1])))
+    body = json.dumps({"model": "caseworker", "prompt": "w " * 20000, "max_tokens": 2000, "stream": True})
+    early.sendall(f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    time.sleep(0.15)
+    early.close()
+    eventually(lambda: cluster.counters().get("callers_gone", 0) >= before + 2, 3, "the gone callers were not noticed")
+    eventually(lambda: holds_nothing(cluster), 3, "engines hold memory of callers that left")
+
+
+def test_decode_crash_loses_no_token(cluster):
+    stream = Stream(cluster.caller("vm0"), "file one " * 30, 60).read(10)
+    cluster.fault(running_on(cluster), kind="crash")
+    expect(stream.read().is_whole(), f"the answer is not whole: {stream.tokens[-5:]}")
+
+
+def test_silent_engine_is_resumed(cluster):
+    stream = Stream(cluster.caller("vm0"), "file two " * 30, 400).read(10)
+    cluster.fault(running_on(cluster), kind="silence")
+    expect(stream.read().is_whole(), "the answer is not whole after its connection went silent")
+
+
+def test_stalled_transfer_is_tried_again(cluster):
+    for engine in cluster.engines:
+        if engine["role"] == "prefill":
+            cluster.fault(engine["name"], kind="stall", duration_ms=700)
+    expect(Stream(cluster.caller("vm1"), "file three " * 30, 20).read().is_whole(), "the answer is not whole after a stalled transfer")
+    eventually(lambda: holds_nothing(cluster), 6, "engines hold memory of the stalled try")
+
+
+def test_request_that_kills_is_quarantined(cluster):
+    status, answer = call(cluster.caller("vm0"), "POST", "/v1/completions", {"model": "caseworker", "prompt": "crash-decode now", "max_tokens": 5}, TOKEN, timeout=20)
+    expect(status == 422 and "quarantined" in answer["title"], f"the request that kills got {status} {answer}")
+    eventually(lambda: call(cluster.caller("vm2"), "POST", "/v1/completions", {"model": "caseworker", "prompt": "crash-decode now", "max_tokens": 5}, TOKEN)[0] == 422,
+               3, "another VM runs the request that kills")
+    crashes = cluster.engine_counters().get("crashes", 0)
+    call(cluster.caller("vm1"), "POST", "/v1/completions", {"model": "caseworker", "prompt": "crash-decode now", "max_tokens": 5}, TOKEN)
+    expect(cluster.engine_counters().get("crashes", 0) == crashes, "a quarantined request crashed an engine")
+    time.sleep(2)  # the crashed engines come back
+    expect(Stream(cluster.caller("vm0"), "an innocent file", 10).read().is_whole(), "an innocent request is refused")
+
+
+def test_neighbours_of_a_crash_are_answered(cluster):
+    streams = [Stream(cluster.caller(f"vm{i % 3}"), f"neighbour {i} " * 20, 80).read(2) for i in range(12)]
+    killer = threading.Thread(target=lambda: call(cluster.caller("vm1"), "POST", "/v1/completions", {"model": "caseworker", "prompt": "crash-decode again", "max_tokens": 5}, TOKEN, timeout=20))
+    killer.start()
+    whole = [stream.read().is_whole() for stream in streams]
+    killer.join()
+    expect(all(whole), f"{whole.count(False)} of 12 neighbours of a crash were not answered")
+    time.sleep(2)
+
+
+def test_leaving_upstream_gets_no_new_work(cluster):
+    document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    document["pools"][1]["engines"][0]["leaving"] = True
+    expect(cluster.submit(document, document["revision"])[1]["accepted"], "the change was refused")
+    time.sleep(3)
+    leaving = document["pools"][1]["engines"][0]
+    before = call(leaving["address"], "GET", "/standin/counters")[1].get("requests", 0)
+    for index in range(24):
+        expect(Stream(cluster.caller(f"vm{index % 3}"), f"file {index}", 3).read().is_whole(), "a request was not served")
+    expect(call(leaving["address"], "GET", "/standin/counters")[1].get("requests", 0) == before, "the leaving engine got new work")
+    document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    document["pools"][1]["engines"][0]["leaving"] = False
+    cluster.submit(document, document["revision"])
+
+
+def test_operators_race(cluster):
+    document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    results = [None, None]
+
+    def submit(index):
+        mine = json.loads(json.dumps(document))
+        mine["members"][index]["share"] = 7 + index
+        results[index] = cluster.submit(mine, document["revision"], f"vm{index}")
+
+    threads = [threading.Thread(target=submit, args=(i,)) for i in range(2)]
+    [t.start() for t in threads]
+    [t.join() for t in threads]
+    accepted = [r for r in results if r[1]["accepted"]]
+    refused = [r for r in results if not r[1]["accepted"]]
+    expect(len(accepted) == 1 and len(refused) == 1, f"two operators at one revision: {results}")
+    expect(refused[0][0] == 409 and refused[0][1]["revision"] == accepted[0][1]["revision"], "the loser does not learn the winner's revision")
+    expect(sorted(refused[0][1]["differing"]) == ["/members/0/share", "/members/1/share"], f"the loser learns {refused[0][1]['differing']}")
+
+
+def test_lost_reply_is_settled(cluster):
+    cluster.platform_fault(lost_reply_share=1.0)
+    document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    document["limits"] = {"quarantine_s": 777}
+    status, answer = cluster.submit(document, document["revision"], "vm1", "lost-1")
+    booking = call(cluster.caller("vm0"), "POST", "/services/adoption/bookings", {"booking": "lost-reply"}, TOKEN, headers={"Idempotency-Key": "lost-reply"})
+    cluster.platform_fault(lost_reply_share=0)
+    expect(status == 200 and answer["accepted"], f"a change whose reply was lost: {status} {answer}")
+    expect(booking[0] == 201, f"a booking whose intent's reply was lost: {booking}")
+    again = cluster.submit(document, document["revision"], "vm2", "lost-1")
+    expect(again[1]["accepted"] and again[1]["revision"] == answer["revision"], "the same submission was not recognised")
+
+
+def test_platform_away(cluster):
+    cluster.platform_fault(down=True)
+    try:
+        expect(Stream(cluster.caller("vm0"), "during the outage", 5).read().is_whole(), "a completion failed while the platform was away")
+        expect(call(cluster.caller("vm1"), "GET", "/services/adoption/availability", None, TOKEN)[0] == 200, "a read failed while the platform was away")
+        status, answer = call(cluster.caller("vm1"), "POST", "/services/adoption/bookings", {"booking": "outage"}, TOKEN, headers={"Idempotency-Key": "outage"})
+        expect(status == 503 and answer["ran"] == "no", f"a booking while the platform is away: {status} {answer}")
+        # A VM that starts now has its configuration from its peers.
+        cluster.kill("vm2")
+        cluster.start_vm("vm2")
+        cluster.wait_for(lambda: call(cluster.caller("vm2"), "GET", "/readyz")[0] == 200, 8)
+        expect(call(cluster.caller("vm2"), "GET", "/readyz")[1]["revision"] == call(cluster.caller("vm0"), "GET", "/readyz")[1]["revision"], "the revisions differ")
+    finally:
+        cluster.platform_fault(down=False)
+    runs = call(f"127.0.0.1:{cluster.bookings[0]['port']}", "GET", "/standin/runs")[1]["runs"]
+    expect("outage" not in runs, "a booking that was refused as not run did run")
+    eventually(lambda: call(cluster.caller("vm1"), "POST", "/services/adoption/bookings", {"booking": "outage"}, TOKEN, headers={"Idempotency-Key": "outage"})[0] == 201,
+               5, "bookings do not work again")
+
+
+def test_killed_vm_leaves_no_memory_held(cluster):
+    streams = [Stream(cluster.caller("vm1"), f"orphan {i}", 4000).read(2) for i in range(5)]
+    cluster.kill("vm1")
+    eventually(lambda: holds_nothing(cluster), 8, "engines hold memory of a dead VM's requests")
+    [stream.close() for stream in streams]
+    expect(Stream(cluster.caller("vm0"), "after the death", 5).read().is_whole(), "requests fail after a VM's death")
+    cluster.start_vm("vm1")
+    cluster.wait_for(lambda: call(cluster.caller("vm1"), "GET", "/readyz")[0] == 200)
+    time.sleep(2.5)
+
+
+def test_drain_cuts_off_nothing(cluster):
+    streams = [Stream(cluster.caller("vm2"), f"draining {i}", 150).read(2) for i in range(5)]
+    cluster.processes["vm2"].send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    expect(call(cluster.caller("vm2"), "GET", "/readyz")[0] == 503, "a draining VM says that it is ready")
+    refused = call(cluster.caller("vm2"), "POST", "/v1/completions", {"model": "caseworker", "prompt": "x", "max_tokens": 2}, TOKEN)
+    expect(refused[0] == 503 and refused[1]["ran"] == "no", f"a draining VM takes work: {refused}")
+    expect(all(stream.read().is_whole() for stream in streams), "draining cut off an answer")
+    [stream.close() for stream in streams]
+    expect(cluster.processes["vm2"].wait(timeout=20) == 0, "the drained VM did not end with 0")
+    cluster.start_vm("vm2")
+    cluster.wait_for(lambda: call(cluster.caller("vm2"), "GET", "/readyz")[0] == 200)
+
+
+def main():
+    tests = [(name, test) for name, test in globals().items() if name.startswith("test_")]
+    wanted = sys.argv[1:]
+    failed = 0
+    with Cluster(vms=3, prefill=2, decode=4, bookings=2, base_port=25000, engine_defaults={"linger_ms": 60000}) as cluster:
+        cluster.start()
+        cluster.settle()
+        for name, test in tests:
+            if wanted and not any(word in name for word in wanted):
+                continue
+            begin = time.time()
+            try:
+                test(cluster)
+                print(f"ok: {name} ({time.time() - begin:.1f} s)", flush=True)
+            except Exception as problem:  # a test that fails must not keep the others from running
+                failed += 1
+                print(f"FAILED: {name}: {problem}", flush=True)
+                if not isinstance(problem, AssertionError):
+                    traceback.print_exc()
+        if failed:
+            print("logs in", cluster.folder)
+            cluster.processes and cluster.stop(keep=True)
+    print(f"failures: {len(tests) - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
