--- a/bench/load.h
+++ b/bench/load.h
@@ -65,6 +65,8 @@
         bool finished = false;
         bool wrong = false;
         HttpClient::CallId id = 0;
+        HttpCall request;
+        int redirects = 0; // to other VMs, as the balancer does where one takes no connection
     };
 
     auto arrive(Stream &stream) -> void;
@@ -72,6 +74,7 @@
     auto rateAt(const Stream &stream, double seconds) const -> double;
     auto sendModel(Stream &stream) -> void;
     auto sendService(Stream &stream) -> void;
+    auto dispatch(const std::shared_ptr<Call> &call) -> void;
     auto onEvent(Call &call, std::string_view data) -> void;
     auto finish(const std::shared_ptr<Call> &call, const Result<HttpResponse> &response) -> void;
     auto makePrompt(Stream &stream) -> std::string;
--- a/include/currantstack/gateway.h
+++ b/include/currantstack/gateway.h
@@ -15,6 +15,8 @@
 class Gateway
 {
 public:
+    static constexpr double MoveShare = 0.2; // moves of streams as a share of completed requests
+
     Gateway(Context &context, Announcer &announcer, SlotService &slots, Cancels &cancels, JournalService &journal);
 
     auto open() -> Result<void>;
@@ -52,6 +54,7 @@
     Quarantine m_quarantine;
     UsageBook m_usage;
     RetryBudget m_retries{0.1};
+    RetryBudget m_moves{MoveShare};
     PrefixMap m_prefixes;
     ServiceBoard m_board;
     std::map<std::string, ModelEstimate, std::less<>> m_estimates;
--- a/include/currantstack/health.h
+++ b/include/currantstack/health.h
@@ -30,7 +30,7 @@
     auto forget(std::string_view upstream) -> void;
 
     static constexpr double SlowRatio = 1.8; // from which an observation lowers the weight
-    static constexpr double FallFactor = 0.6; // of the weight, for each slow observation
+    static constexpr double FallFactor = 0.4; // of the weight, for each slow observation
     static constexpr double RisePerSecond = 0.25;
     static constexpr double EjectedBelow = 0.05;
 
--- a/include/currantstack/model_relay.h
+++ b/include/currantstack/model_relay.h
@@ -1,6 +1,7 @@
 // One model request: a decode slot and a prefill turn are reserved, the prompt is prefilled, its KV cache moved, and the tokens relayed.
 #pragma once
 
+#include "currantstack/moves.h"
 #include "currantstack/relay.h"
 #include "currantstack/sse.h"
 
@@ -68,6 +69,7 @@
     auto kvIsAlive() const -> bool;
     auto nextId(std::string_view stage) -> std::string;
     auto noteGap(TimePoint now) -> void;
+    auto considerMove() -> void;
 
     RelayParts &m_parts;
     CallerRequest m_request;
@@ -82,8 +84,8 @@
     std::string m_collected; // of an answer that is not streamed
     TimePoint m_lastToken;
     TimePoint m_slotSince;
-    double m_gapTotalMs = 0;
-    int m_gaps = 0;
+    StreamPace m_pace;
+    std::string m_repeatCause; // why a prompt is prefilled once more; empty the first time
     int m_tries = 0;
     int m_nextId = 0;
     bool m_firstRun = false; // whether anything was sent to an engine
--- a/include/currantstack/relay.h
+++ b/include/currantstack/relay.h
@@ -24,6 +24,7 @@
     Quarantine &quarantine;
     UsageBook &usage;
     RetryBudget &retries;
+    RetryBudget &moves; // of streams away from slow engines
     PrefixMap &prefixes;
     std::map<std::string, ModelEstimate, std::less<>> &estimates; // by model
     std::map<std::string, double, std::less<>> &reportedLoads; // by engine, for the baselines
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -51,6 +51,7 @@
               m_quarantine,
               m_usage,
               m_retries,
+              m_moves,
               m_prefixes,
               m_estimates,
               m_reportedLoads,
