--- a/bench/load.cc
+++ b/bench/load.cc
@@ -172,7 +172,45 @@
     }
 }
 
+auto Load::callDirectly(std::string prefill, std::string decode) -> void
+{
+    m_directPrefill = std::move(prefill);
+    m_directDecode = std::move(decode);
+}
+
+auto Load::dispatchDirectly(const std::shared_ptr<Call> &call) -> void
+{
+    auto body = Json::parse(call->request.body);
+    body["request_id"] = fmt::format("load.{}.{}", m_seed, m_sequence++);
+    body["stream"] = false;
+    body["kv_transfer_params"] = {{"do_remote_decode", true}};
+    HttpCall prefill = call->request;
+    prefill.url = urlOf(m_directPrefill, call->request.url);
+    prefill.body = body.dump();
+    HttpHandlers handlers;
+    handlers.onDone = [this, call, body](const Result<HttpResponse> &response) mutable {
+        if (!response || response->status != 200) {
+            return finish(call, response);
+        }
+        body["kv_transfer_params"] = Json::parse(response->body)["kv_transfer_params"];
+        body["stream"] = true;
+        call->request.body = body.dump();
+        m_targets = {m_directDecode};
+        send(call);
+    };
+    m_client.start(std::move(prefill), std::move(handlers));
+}
+
 auto Load::dispatch(const std::shared_ptr<Call> &call) -> void
+{
+    if (m_directPrefill.empty()) {
+        send(call);
+    } else {
+        dispatchDirectly(call);
+    }
+}
+
+auto Load::send(const std::shared_ptr<Call> &call) -> void
 {
     auto http = call->request;
     http.url = urlOf(target(), http.url);
@@ -189,7 +227,7 @@
         const bool refusedConnection = !response && response.error().code == ErrorCode::Unreachable;
         if (refusedConnection && call->redirects < 3) {
             ++call->redirects;
-            return dispatch(call);
+            return send(call);
         }
         finish(call, response);
     };
--- a/bench/load.h
+++ b/bench/load.h
@@ -39,6 +39,9 @@
 public:
     Load(Loop &loop, Scenario scenario, std::vector<std::string> targets, double capacity, std::uint64_t seed);
 
+    /// Calls a prefill and a decode engine without a router, to compare with.
+    auto callDirectly(std::string prefill, std::string decode) -> void;
+
     auto start() -> void;
     auto report() const -> Json;
     auto outcomes() const -> Json;
@@ -75,6 +78,8 @@
     auto sendModel(Stream &stream) -> void;
     auto sendService(Stream &stream) -> void;
     auto dispatch(const std::shared_ptr<Call> &call) -> void;
+    auto send(const std::shared_ptr<Call> &call) -> void;
+    auto dispatchDirectly(const std::shared_ptr<Call> &call) -> void;
     auto onEvent(Call &call, std::string_view data) -> void;
     auto finish(const std::shared_ptr<Call> &call, const Result<HttpResponse> &response) -> void;
     auto makePrompt(Stream &stream) -> std::string;
@@ -87,6 +92,8 @@
     HttpClient m_client;
     Scenario m_scenario;
     std::vector<std::string> m_targets;
+    std::string m_directPrefill;
+    std::string m_directDecode;
     double m_capacity;
     pcg64 m_random;
     std::uint64_t m_seed;
--- a/daemons/currantctl.cc
+++ b/daemons/currantctl.cc
@@ -30,6 +30,7 @@
   currantctl members usage [options]
   currantctl upstreams [options]
   currantctl drain [options]
+  currantctl order ENGINE KIND [VALUE] [options]
   currantctl timeline [--request ID] [--upstream NAME] [--revision N] [--since SECONDS] [options]
   currantctl token-hash TOKEN
   currantctl --help
@@ -46,6 +47,9 @@
   --revision N      Only events of the configuration revision.
   --since SECONDS   Only events of the last seconds [default: 3600].
 
+Orders:
+  KIND is role, load, unload or version; the engine's owner gives the order, with its fencing number.
+
 Exit codes:
   0  done
   1  refused: the document has faults, another operator was first, or the token may not do this
@@ -461,6 +465,10 @@
     if (flag("upstreams")) {
         return showUpstreams(console, asJson);
     }
+    if (flag("order")) {
+        return show(
+            console.call("POST", "/operator/order", {{"engine", text("ENGINE")}, {"kind", text("KIND")}, {"value", text("VALUE")}}));
+    }
     if (flag("drain")) {
         return show(console.call("POST", "/operator/drain"));
     }
--- a/include/currantstack/config.h
+++ b/include/currantstack/config.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace currantstack
@@ -122,6 +123,17 @@
     Duration drain = seconds(60);
 };
 
+namespace detail
+{
+/// Positions in a configuration's lists, so that nothing is searched on the way of a request.
+struct ConfigIndex
+{
+    std::unordered_map<std::string, std::size_t> engines;
+    std::unordered_map<std::string, std::size_t> memberTokens; // by hash
+    std::unordered_map<std::string, std::string> pools; // by model and role
+};
+} // namespace detail
+
 /// One whole configuration.
 struct Config
 {
@@ -135,6 +147,7 @@
     std::vector<Operator> operators;
     Limits limits;
     Timeouts timeouts;
+    detail::ConfigIndex index; // filled by `parseConfig`
 
     auto findModel(std::string_view name) const -> const Model *;
     auto findEngine(std::string_view name) const -> const Engine *;
@@ -143,6 +156,9 @@
     auto findPlace(std::string_view name) const -> const Place *;
     auto regionOf(std::string_view place) const -> std::string_view;
 
+    /// Returns the pool that runs the model in the role, empty where there is none.
+    auto poolOf(std::string_view model, Role role) const -> std::string;
+
     /// Returns the member or operator that the bearer token belongs to, or null.
     auto memberOfToken(std::string_view token) const -> const Member *;
     auto operatorOfToken(std::string_view token) const -> const Operator *;
--- a/include/currantstack/context.h
+++ b/include/currantstack/context.h
@@ -12,6 +12,7 @@
 #include "currantstack/timeline.h"
 
 #include <memory>
+#include <unordered_map>
 
 namespace currantstack
 {
@@ -48,6 +49,15 @@
 
     /// Returns the VM that owns an engine: of its place, else of its region, else any.
     auto ownerOf(const Engine &engine) const -> std::string;
+
+    /// Owners that were computed for the present list of VMs and configuration.
+    struct OwnerCache
+    {
+        std::int64_t version = 0;
+        std::int64_t revision = 0;
+        std::unordered_map<std::string, std::string> owners; // by engine
+    };
+    mutable OwnerCache owners = {};
 };
 
 } // namespace currantstack
--- a/include/currantstack/gateway.h
+++ b/include/currantstack/gateway.h
@@ -47,7 +47,6 @@
     auto takeDeath(Fingerprint fingerprint, const std::string &upstream) -> void;
     auto readLoads() -> void;
     auto readCacheEvents() -> void;
-    auto poolOf(const Config &config, std::string_view model, Role role) const -> std::string;
 
     Context &m_context;
     SlotService &m_slots;
--- a/include/currantstack/health.h
+++ b/include/currantstack/health.h
@@ -40,6 +40,7 @@
         double weight = 1;
         TimePoint since; // when the weight was last set
         TimePoint lastFall;
+        TimePoint lastSlow;
     };
 
     auto lower(std::string_view upstream, double factor, TimePoint now) -> void;
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -20,6 +20,7 @@
     Duration connectTimeout = milliseconds(500);
     Duration totalTimeout = Duration::zero(); // zero: no limit
     Duration idleTimeout = Duration::zero(); // limit on time without progress; zero: none
+    Duration headTimeout = Duration::zero(); // limit on time without progress before the first byte; zero: idleTimeout
     bool freshConnection = false;
     std::string step; // names the call in errors
     std::string peer; // names the callee in errors
--- a/include/currantstack/membership.h
+++ b/include/currantstack/membership.h
@@ -78,6 +78,12 @@
     /// Returns entries to announce: own, then those heard of most lately, up to `limit`.
     auto digest(std::size_t limit) const -> std::vector<Vm>;
 
+    /// Rises whenever the list of live VMs may have changed.
+    auto version() const -> std::int64_t
+    {
+        return m_version;
+    }
+
     /// Drops VMs that have been dead for the time.
     auto forget(Duration deadFor, TimePoint now) -> void;
 
@@ -86,6 +92,7 @@
     auto liveWhere(Predicate predicate) const -> std::vector<std::string>;
 
     Vm m_self;
+    std::int64_t m_version = 1;
     Duration m_suspectAfter;
     Duration m_deadAfter;
     std::map<std::string, Peer, std::less<>> m_peers;
--- a/include/currantstack/moves.h
+++ b/include/currantstack/moves.h
@@ -8,6 +8,7 @@
 struct StreamPace
 {
     int slowGapsInARow = 0;
+    double lastRatio = 1; // of the last gap to the expected one
     int lateGaps = 0; // over the target
     int delivered = 0; // tokens
     int maxTokens = 0; // that the caller asked for
@@ -19,10 +20,12 @@
 inline auto isWorthMoving(const StreamPace &pace, double lateShare) -> bool
 {
     constexpr int SlowGaps = 2;
+    constexpr double PlainlySlow = 3; // ratio from which one gap is enough
     constexpr int MinRemaining = 8; // tokens
     constexpr int MaxMoves = 2;
     const int remaining = pace.maxTokens - pace.delivered;
-    if (pace.slowGapsInARow < SlowGaps || remaining < MinRemaining || pace.moves >= MaxMoves) {
+    const bool slow = pace.slowGapsInARow >= SlowGaps || (pace.slowGapsInARow > 0 && pace.lastRatio >= PlainlySlow);
+    if (!slow || remaining < MinRemaining || pace.moves >= MaxMoves) {
         return false;
     }
     return pace.lateGaps + 1 <= lateShare * (pace.maxTokens - 1);
--- a/include/currantstack/operator_api.h
+++ b/include/currantstack/operator_api.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/config_service.h"
 #include "currantstack/gateway.h"
+#include "currantstack/orders.h"
 
 namespace currantstack
 {
@@ -11,7 +12,8 @@
 class OperatorApi
 {
 public:
-    OperatorApi(Context &context, ConfigService &config, Gateway &gateway, SlotService &slots, std::function<void()> drain);
+    OperatorApi(Context &context, ConfigService &config, Gateway &gateway, SlotService &slots, OrderService &orders,
+                std::function<void()> drain);
 
     /// Answers the exchange where the path is an operator's; returns false otherwise.
     auto dispatch(const ExchangePtr &exchange) -> bool;
@@ -30,11 +32,13 @@
     auto upstreams() const -> Json;
     auto submit(const ExchangePtr &exchange, const Caller &caller) -> void;
     auto timeline(const ExchangePtr &exchange) -> void;
+    auto order(const ExchangePtr &exchange) -> void;
 
     Context &m_context;
     ConfigService &m_config;
     Gateway &m_gateway;
     SlotService &m_slots;
+    OrderService &m_orders;
     std::function<void()> m_drain;
 };
 
--- a/src/config.cc
+++ b/src/config.cc
@@ -68,10 +68,26 @@
         if (!m_faults.empty()) {
             return tl::unexpected(std::move(m_faults));
         }
+        buildIndex();
         return std::move(m_config);
     }
 
 private:
+    auto buildIndex() -> void
+    {
+        auto &index = m_config.index;
+        for (std::size_t position = 0; position < m_config.engines.size(); ++position) {
+            const auto &engine = m_config.engines[position];
+            index.engines[engine.name] = position;
+            index.pools.try_emplace(engine.model + "/" + std::string(currantstack::name(engine.role)), engine.pool);
+        }
+        for (std::size_t position = 0; position < m_config.members.size(); ++position) {
+            for (const auto &hash : m_config.members[position].tokenHashes) {
+                index.memberTokens[hash] = position;
+            }
+        }
+    }
+
     auto readName(ObjectReader &reader, std::set<std::string> &taken) -> std::string
     {
         auto value = reader.text("name");
@@ -484,7 +500,8 @@
 
 auto Config::findEngine(std::string_view name) const -> const Engine *
 {
-    return findByName(engines, name);
+    const auto found = index.engines.find(std::string(name));
+    return found == index.engines.end() ? nullptr : &engines[found->second];
 }
 
 auto Config::findService(std::string_view name) const -> const Service *
@@ -508,17 +525,16 @@
     return found == nullptr ? std::string_view() : std::string_view(found->region);
 }
 
+auto Config::poolOf(std::string_view model, Role role) const -> std::string
+{
+    const auto found = index.pools.find(fmt::format("{}/{}", model, currantstack::name(role)));
+    return found == index.pools.end() ? std::string() : found->second;
+}
+
 auto Config::memberOfToken(std::string_view token) const -> const Member *
 {
-    const auto hash = tokenHash(token);
-    for (const auto &member : members) {
-        for (const auto &known : member.tokenHashes) {
-            if (equalDigests(known, hash)) {
-                return &member;
-            }
-        }
-    }
-    return nullptr;
+    const auto found = index.memberTokens.find(tokenHash(token));
+    return found == index.memberTokens.end() ? nullptr : &members[found->second];
 }
 
 auto Config::operatorOfToken(std::string_view token) const -> const Operator *
--- a/src/context.cc
+++ b/src/context.cc
@@ -7,6 +7,13 @@
 
 auto Context::ownerOf(const Engine &engine) const -> std::string
 {
+    if (owners.version != membership.version() || owners.revision != config->revision) {
+        owners = {membership.version(), config->revision, {}};
+    }
+    const auto known = owners.owners.find(engine.name);
+    if (known != owners.owners.end()) {
+        return known->second;
+    }
     auto candidates = membership.livePlace(engine.place);
     if (candidates.empty()) {
         candidates = membership.liveRegion(config->regionOf(engine.place));
@@ -14,7 +21,7 @@
     if (candidates.empty()) {
         candidates = membership.live();
     }
-    return std::string(rendezvousOwner(candidates, engine.name));
+    return owners.owners[engine.name] = std::string(rendezvousOwner(candidates, engine.name));
 }
 
 } // namespace currantstack
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -178,16 +178,6 @@
     relay->start();
 }
 
-auto Gateway::poolOf(const Config &config, std::string_view model, Role role) const -> std::string
-{
-    for (const auto &engine : config.engines) {
-        if (engine.model == model && engine.role == role) {
-            return engine.pool;
-        }
-    }
-    return {};
-}
-
 auto Gateway::checkQuarantine(CallerRequest &request) -> Result<void>
 {
     const auto now = m_context.clock.now();
@@ -207,8 +197,8 @@
     auto &estimate = m_estimates[request.completion.model];
     const auto tokens = estimate.tokensOf(request.completion.prompt.size());
     const double prefillMs = estimate.prefillMs(tokens);
-    const auto decodeWait = m_slots.bestWait(poolOf(*request.config, request.completion.model, Role::Decode), Role::Decode, 0);
-    const auto prefillWait = m_slots.bestWait(poolOf(*request.config, request.completion.model, Role::Prefill), Role::Prefill, prefillMs);
+    const auto decodeWait = m_slots.bestWait(request.config->poolOf(request.completion.model, Role::Decode), Role::Decode, 0);
+    const auto prefillWait = m_slots.bestWait(request.config->poolOf(request.completion.model, Role::Prefill), Role::Prefill, prefillMs);
     if (decodeWait == Duration::max() || prefillWait == Duration::max()) {
         return fail(ErrorCode::Unavailable, "admit", request.completion.model, "no engine of the model may take work");
     }
--- a/src/health.cc
+++ b/src/health.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace currantstack
@@ -11,6 +12,7 @@
 {
 
 constexpr Duration FallSpacing = milliseconds(40); // so that the streams of one slow step count once
+constexpr Duration SlowMemory = milliseconds(400); // within which a second slow step confirms the first
 constexpr double FailureFactor = 0.3;
 
 } // namespace
@@ -37,7 +39,13 @@
 
 auto HealthTracker::observe(std::string_view upstream, double ratio, TimePoint now) -> void
 {
-    if (ratio >= SlowRatio) {
+    if (ratio < SlowRatio) {
+        return;
+    }
+    auto &state = m_states[std::string(upstream)];
+    const auto sinceSlow = now - std::exchange(state.lastSlow, now);
+    // One slow step alone says little; the steps that follow it do.
+    if (sinceSlow >= FallSpacing && sinceSlow < SlowMemory) {
         lower(upstream, FallFactor, now);
     }
 }
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -270,7 +270,9 @@
     const auto now = clock.now();
     std::vector<Call *> expired;
     for (auto &[id, call] : calls) {
-        const auto limit = call->call.idleTimeout;
+        const auto &options = call->call;
+        const bool waitsForHead = !call->headDelivered && options.headTimeout > Duration::zero();
+        const auto limit = waitsForHead ? options.headTimeout : options.idleTimeout;
         if (limit > Duration::zero() && !call->cancelled && !call->idleExpired && now - call->lastProgress > limit) {
             expired.push_back(call.get());
         }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -45,6 +45,7 @@
 auto Membership::leave() -> void
 {
     m_self.leaving = true;
+    ++m_version;
 }
 
 auto Membership::merge(std::span<const Vm> vms, TimePoint now) -> bool
@@ -60,6 +61,7 @@
             if (vm.dead) {
                 continue; // a VM never met and already dead is of no use
             }
+            ++m_version;
             m_peers.emplace(vm.name, Peer{vm, vm.leaving ? VmState::Left : VmState::Alive, now});
             continue;
         }
@@ -67,6 +69,7 @@
         const bool newer = vm.incarnation > peer.vm.incarnation
             || (vm.incarnation == peer.vm.incarnation && vm.heartbeat > peer.vm.heartbeat && !(peer.state == VmState::Dead));
         if (newer && !vm.dead) {
+            m_version += peer.vm.leaving != vm.leaving || peer.vm.place != vm.place || peer.vm.incarnation != vm.incarnation ? 1 : 0;
             peer.vm = vm;
             peer.heardAt = now;
         }
@@ -96,6 +99,7 @@
         }
         if (state != peer.state) {
             peer.state = state;
+            ++m_version;
             peer.vm.dead = state == VmState::Dead;
             changed.push_back(peer);
         }
--- a/src/node.cc
+++ b/src/node.cc
@@ -52,6 +52,7 @@
     SlotService slots;
     ConfigService config;
     JournalService journal;
+    OrderService orders;
     Gateway gateway;
     OperatorApi operators;
     std::unique_ptr<HttpServer> peerServer;
@@ -78,8 +79,9 @@
     , slots(context, announcer, cancels)
     , config(context, announcer)
     , journal(context)
+    , orders(context)
     , gateway(context, announcer, slots, cancels, journal)
-    , operators(context, config, gateway, slots, [this]() { beginDrain(); })
+    , operators(context, config, gateway, slots, orders, [this]() { beginDrain(); })
     , drainTimer(loop.timer([this]() { pollDrain(); }))
 {
     config.onChange([this]() {
@@ -90,7 +92,10 @@
         slots.reconsider();
         config.reconsider();
     });
-    announcer.onReplaced([this]() { slots.surrender(); });
+    announcer.onReplaced([this]() {
+        slots.surrender();
+        orders.surrender();
+    });
 }
 
 auto Node::Parts::beginDrain() -> void
--- a/src/operator_api.cc
+++ b/src/operator_api.cc
@@ -36,11 +36,13 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Context &context, ConfigService &config, Gateway &gateway, SlotService &slots, std::function<void()> drain)
+OperatorApi::OperatorApi(Context &context, ConfigService &config, Gateway &gateway, SlotService &slots, OrderService &orders,
+                         std::function<void()> drain)
     : m_context(context)
     , m_config(config)
     , m_gateway(gateway)
     , m_slots(slots)
+    , m_orders(orders)
     , m_drain(std::move(drain))
 { }
 
@@ -97,6 +99,8 @@
         problem(exchange, ErrorCode::Forbidden, "authenticate", "only an operator may do this");
     } else if (path == "/operator/config") {
         submit(exchange, caller);
+    } else if (path == "/operator/order" && isPost) {
+        order(exchange);
     } else if (path == "/operator/drain" && isPost) {
         m_drain();
         answer({{"draining", true}});
@@ -188,6 +192,28 @@
     });
 }
 
+auto OperatorApi::order(const ExchangePtr &exchange) -> void
+{
+    const auto body = parseJson(exchange->request().body, "order");
+    Faults faults;
+    ObjectReader reader(body ? *body : Json(), "", faults);
+    const auto engine = reader.text("engine");
+    const auto kind = reader.text("kind");
+    const auto value = reader.text("value", "");
+    if (!faults.empty()) {
+        return problem(exchange, ErrorCode::BadInput, "order", describe(faults));
+    }
+    m_orders.order(engine, kind, value, [exchange](const Result<std::int64_t> &number) {
+        if (!number) {
+            const auto ran = number.error().code == ErrorCode::Unavailable || number.error().code == ErrorCode::DeadlineExceeded
+                ? Ran::Unknown
+                : Ran::No;
+            return exchange->respond(refusal(number.error(), ran, seconds(1), ""));
+        }
+        exchange->respond(jsonResponse(200, dumpJson({{"fencing_number", *number}})));
+    });
+}
+
 auto OperatorApi::timeline(const ExchangePtr &exchange) -> void
 {
     const auto &request = exchange->request();
--- /dev/null
+++ b/src/orders.cc
@@ -0,0 +1,197 @@
+#include "currantstack/orders.h"
+
+#include "currantstack/log.h"
+#include "currantstack/retry.h"
+
+#include <fmt/format.h>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Log OrderLog("orders");
+constexpr Duration PeerTimeout = seconds(30); // an order may wait for the weight store
+constexpr Duration WeightWait = seconds(1);
+constexpr Duration WeightLongest = seconds(10);
+
+auto fenceKey(const std::string &engine) -> std::string
+{
+    return "currant/fence/" + engine;
+}
+
+auto numberOf(const StoreRange &range) -> std::int64_t
+{
+    return range.values.empty() ? 0 : std::atoll(range.values.front().value.c_str());
+}
+
+} // namespace
+
+OrderService::OrderService(Context &context)
+    : m_context(context)
+{
+    context.router.on("/peer/order", [this](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
+        const auto engine = body.value("engine", std::string());
+        const auto *info = m_context.config->findEngine(engine);
+        if (info == nullptr || !m_context.isSelf(m_context.ownerOf(*info))) {
+            return reply(fail(ErrorCode::Unavailable, "order", engine, "this VM does not own the engine"));
+        }
+        order(engine, body.value("kind", std::string()), body.value("value", std::string()), [reply](const Result<std::int64_t> &number) {
+            if (!number) {
+                return reply(tl::unexpected(number.error()));
+            }
+            reply(Json{{"fencing_number", *number}});
+        });
+    });
+}
+
+auto OrderService::surrender() -> void
+{
+    m_fences.clear();
+}
+
+auto OrderService::order(const std::string &engine, const std::string &kind, const std::string &value, Done done) -> void
+{
+    const auto *info = m_context.config->findEngine(engine);
+    if (info == nullptr) {
+        return done(fail(ErrorCode::NotFound, "order", engine, "the engine is not known"));
+    }
+    const auto owner = m_context.ownerOf(*info);
+    if (!m_context.isSelf(owner)) {
+        const Json body = {{"engine", engine}, {"kind", kind}, {"value", value}};
+        m_context.peers.call(m_context.addressOf(owner), "/peer/order", body, PeerTimeout,
+                             [done = std::move(done)](const Result<Json> &reply) {
+                                 if (!reply) {
+                                     return done(tl::unexpected(reply.error()));
+                                 }
+                                 done(reply->value("fencing_number", std::int64_t{0}));
+                             });
+        return;
+    }
+    auto pending = std::make_shared<Pending>();
+    pending->engine = *info;
+    pending->order = {kind, value, 0, info->checksSender ? m_context.settings.engineSenderToken : std::string()};
+    pending->done = std::move(done);
+    if (const auto parsed = engineOrderFromJson(toJson(pending->order)); !parsed) {
+        return pending->done(tl::unexpected(parsed.error()));
+    }
+    takeFence(pending);
+}
+
+auto OrderService::takeFence(const std::shared_ptr<Pending> &pending) -> void
+{
+    if (m_fences.contains(pending->engine.name)) {
+        return loadWeights(pending);
+    }
+    const auto key = fenceKey(pending->engine.name);
+    m_context.store.read(key, true, [this, pending, key](const Result<StoreRange> &range) {
+        if (!range) {
+            return pending->done(tl::unexpected(range.error()));
+        }
+        const auto next = numberOf(*range) + 1;
+        StoreTransaction transaction;
+        transaction.compares.push_back({key, range->values.empty() ? 0 : range->values.front().modRevision});
+        transaction.puts.push_back({key, std::to_string(next)});
+        m_context.store.commit(std::move(transaction), [this, pending, next](const Result<StoreOutcome> &outcome) {
+            if (!outcome || !outcome->applied) {
+                // A number whose write is in doubt is not used; the next order takes a higher one.
+                const auto error = outcome ? Error{ErrorCode::Conflict, "order", pending->engine.name, "another VM took the engine over"}
+                                           : outcome.error();
+                return pending->done(tl::unexpected(error));
+            }
+            m_fences[pending->engine.name] = {next, m_context.clock.now()};
+            loadWeights(pending);
+        });
+    });
+}
+
+auto OrderService::loadWeights(const std::shared_ptr<Pending> &pending) -> void
+{
+    const bool needsWeights = pending->order.kind == "load" || pending->order.kind == "version";
+    if (!needsWeights || m_context.settings.platformAddress.empty()) {
+        return confirmFence(pending);
+    }
+    HttpCall call;
+    call.method = "POST";
+    call.url = urlOf(m_context.settings.platformAddress, "/platform/weights");
+    call.body = dumpJson({{"model", pending->order.value}});
+    call.totalTimeout = seconds(2);
+    call.step = "weights";
+    HttpHandlers handlers;
+    handlers.onDone = [this, pending](const Result<HttpResponse> &response) {
+        if (response && response->status == 200) {
+            return confirmFence(pending);
+        }
+        if (++pending->tries >= WeightTries) {
+            return pending->done(fail(ErrorCode::Overloaded, "weights", pending->engine.name, "the weight store takes no more loads now"));
+        }
+        m_context.counters.at("weight_loads_waited").add();
+        const auto wait = WeightWait + backoff(pending->tries, WeightWait, WeightLongest, m_context.random);
+        m_context.loop.after(wait, [this, pending]() { loadWeights(pending); });
+    };
+    m_context.client.start(std::move(call), std::move(handlers));
+}
+
+auto OrderService::confirmFence(const std::shared_ptr<Pending> &pending) -> void
+{
+    const auto found = m_fences.find(pending->engine.name);
+    if (found == m_fences.end()) {
+        return pending->done(fail(ErrorCode::Conflict, "order", pending->engine.name, "the engine was given up meanwhile"));
+    }
+    pending->order.fencingNumber = found->second.number;
+    if (pending->engine.checksFencing) {
+        return send(pending);
+    }
+    // The engine does not check: whoever orders has read that its number is still the highest, and a new owner first lets the old
+    // owner's orders run out.
+    const auto age = m_context.clock.now() - found->second.takenAt;
+    if (age < OldOrderLife) {
+        m_context.loop.after(OldOrderLife - age, [this, pending]() { confirmFence(pending); });
+        return;
+    }
+    const auto asked = m_context.clock.now();
+    m_context.store.read(fenceKey(pending->engine.name), true, [this, pending, asked](const Result<StoreRange> &range) {
+        if (!range) {
+            return pending->done(tl::unexpected(range.error()));
+        }
+        if (numberOf(*range) != pending->order.fencingNumber || m_context.clock.now() - asked > SendLimit) {
+            m_fences.erase(pending->engine.name);
+            return pending->done(fail(ErrorCode::Conflict, "order", pending->engine.name, "another VM took the engine over"));
+        }
+        send(pending);
+    });
+}
+
+auto OrderService::send(const std::shared_ptr<Pending> &pending) -> void
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = urlOf(pending->engine.address, "/v1/orders");
+    call.body = dumpJson(toJson(pending->order));
+    call.connectTimeout = m_context.config->timeouts.connect;
+    call.totalTimeout = SendLimit;
+    call.freshConnection = true;
+    call.step = "order";
+    call.peer = pending->engine.name;
+    HttpHandlers handlers;
+    handlers.onDone = [this, pending](const Result<HttpResponse> &response) {
+        if (!response) {
+            return pending->done(tl::unexpected(response.error()));
+        }
+        if (response->status == 409) {
+            m_fences.erase(pending->engine.name);
+            return pending->done(fail(ErrorCode::Conflict, "order", pending->engine.name, "the engine knows a higher fencing number"));
+        }
+        if (response->status != 200) {
+            return pending->done(fail(ErrorCode::Unavailable, "order", pending->engine.name, fmt::format("status {}", response->status)));
+        }
+        m_context.counters.at("orders_sent").add();
+        m_context.timeline.add(EventKind::OrderSent, "", pending->engine.name, pending->order.kind + " " + pending->order.value);
+        OrderLog.info("{} was ordered: {} {}", pending->engine.name, pending->order.kind, pending->order.value);
+        pending->done(pending->order.fencingNumber);
+    };
+    m_context.client.start(std::move(call), std::move(handlers));
+}
+
+} // namespace currantstack
--- a/src/slot_service.cc
+++ b/src/slot_service.cc
@@ -464,8 +464,10 @@
 {
     const auto now = m_context.clock.now();
     std::map<std::string, std::vector<std::string>> pools;
-    for (const auto &engine : m_context.config->engines) {
-        pools[engine.pool].push_back(engine.name);
+    for (const auto &name : m_ledger.ownedEngines()) {
+        if (const auto *engine = m_context.config->findEngine(name)) {
+            pools[engine->pool].push_back(name);
+        }
     }
     for (const auto &[pool, engines] : pools) {
         for (const auto &[engine, weight] : m_health.weights(engines, m_context.config->limits.maxEjectedShare, now)) {
--- a/support/cluster.py
+++ b/support/cluster.py
@@ -199,8 +199,15 @@
         return total
 
     def held(self):
-        """Returns the requests that engines hold, by engine."""
-        return {e["name"]: [r["request_id"] for r in call(f"127.0.0.1:{e['port']}", "GET", "/v1/requests")[1]["requests"]] for e in self.engines}
+        """Returns the requests that engines hold, by engine. An engine that is restarting holds none."""
+        held = {}
+        for engine in self.engines:
+            try:
+                listed = call(f"127.0.0.1:{engine['port']}", "GET", "/v1/requests")[1]["requests"]
+            except ConnectionRefusedError:
+                listed = []
+            held[engine["name"]] = [request["request_id"] for request in listed]
+        return held
 
     def stop(self, keep=False):
         for process in self.processes.values():
--- a/support/decisions.py
+++ b/support/decisions.py
@@ -147,6 +147,9 @@
             "first_p50_ms": pick(firsts, 0.5),
             "first_p99_ms": pick(firsts, 0.99),
             "held_after": report["held"],
+            "moved": counters.get("streams_moved", 0),
+            "retries": counters.get("retries", 0),
+            "repeated_prefill": sum(v for k, v in counters.items() if k.startswith("prefill_tokens_repeated")) / max(1, prefilled),
         }
         return report
 
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -176,6 +176,20 @@
     cluster.submit(document, document["revision"])
 
 
+def test_orders_carry_a_rising_fencing_number(cluster):
+    engine = cluster.engines[0]
+    address = f"127.0.0.1:{engine['port']}"
+    first = call(cluster.peer("vm0"), "POST", "/operator/order", {"engine": engine["name"], "kind": "role", "value": "prefill"}, OPERATOR_TOKEN)
+    expect(first[0] == 200 and first[1]["fencing_number"] >= 1, f"an order was refused: {first}")
+    # An owner that was replaced orders with its old number.
+    cluster_number = first[1]["fencing_number"]
+    expect(call(address, "POST", "/v1/orders", {"kind": "role", "value": "prefill", "fencing_number": cluster_number + 5})[0] == 200, "a higher number was refused")
+    stale = call(cluster.peer("vm1"), "POST", "/operator/order", {"engine": engine["name"], "kind": "role", "value": "decode"}, OPERATOR_TOKEN)
+    expect(stale[0] == 409, f"an order with an old number took effect: {stale}")
+    member = call(cluster.peer("vm1"), "POST", "/operator/order", {"engine": engine["name"], "kind": "role", "value": "decode"}, TOKEN)
+    expect(member[0] == 403, "a member may give orders")
+
+
 def test_operators_race(cluster):
     document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
     results = [None, None]
