--- a/include/currantstack/estimate.h
+++ b/include/currantstack/estimate.h
@@ -45,6 +45,10 @@
     auto observeDecodeStart(std::int64_t promptTokens, Duration length) -> void;
     auto observeGap(Duration gap) -> void;
 
+    /// Records which share of a prompt was found in the cache of the engine that was thought to hold its prefix.
+    auto observeHit(double cachedShare) -> void;
+    auto hitShare() const -> double;
+
     auto tokensOf(std::size_t promptBytes) const -> std::int64_t;
     auto prefillMs(std::int64_t freshTokens) const -> double;
     auto decodeStartMs(std::int64_t promptTokens) const -> double;
@@ -57,6 +61,7 @@
     MovingAverage m_startMs{25, 0.05};
     MovingAverage m_startMicrosPerToken{13, 0.05};
     MovingAverage m_gapMs{15, 0.01};
+    MovingAverage m_hitShare{0.3, 0.05};
 };
 
 } // namespace currantstack
--- a/include/currantstack/model_relay.h
+++ b/include/currantstack/model_relay.h
@@ -70,6 +70,7 @@
     auto nextId(std::string_view stage) -> std::string;
     auto noteGap(TimePoint now) -> void;
     auto considerMove() -> void;
+    auto addTime(std::string_view counter, TimePoint since) -> void;
 
     RelayParts &m_parts;
     CallerRequest m_request;
@@ -84,7 +85,10 @@
     std::string m_collected; // of an answer that is not streamed
     TimePoint m_lastToken;
     TimePoint m_slotSince;
+    TimePoint m_askedAt; // for the slot or turn that is waited for
     StreamPace m_pace;
+    std::string m_lastPrefill; // engine that prefilled the prompt last; empty: none, or it has died
+    std::string m_preferred; // engine that was thought to hold the prefix
     std::string m_repeatCause; // why a prompt is prefilled once more; empty the first time
     int m_tries = 0;
     int m_nextId = 0;
--- a/include/currantstack/placement.h
+++ b/include/currantstack/placement.h
@@ -31,6 +31,10 @@
 /// `prefillMs` is the time that the request's prefill takes without a cached prefix.
 auto chooseOwner(std::span<const OwnerView> owners, Role role, double prefillMs, Random &random) -> std::optional<std::size_t>;
 
+/// Returns an owner at which a request that waits at `current` would be served sooner by `margin` at least, or nothing.
+auto findSooner(std::span<const OwnerView> owners, std::size_t current, Role role, double prefillMs, Duration margin)
+    -> std::optional<std::size_t>;
+
 /// What a baseline knows of one engine: its last report, which lags.
 struct EngineLoad
 {
--- a/include/currantstack/slot_service.h
+++ b/include/currantstack/slot_service.h
@@ -36,6 +36,9 @@
     using Done = std::function<void(Result<SlotGrant>)>;
 
     static constexpr Duration GrantLife = milliseconds(1000); // within which a granted slot must be used
+    static constexpr Duration Patience = milliseconds(80); // at one owner, before another is looked for
+    static constexpr Duration MoveMargin = milliseconds(250); // that another owner must be sooner
+    static constexpr int MaxMoves = 6; // of one ask between owners
     static constexpr Duration DecidePeriod = milliseconds(10);
     static constexpr Duration ListPeriod = seconds(2); // between readings of an engine's own list
     static constexpr Duration UnknownVmAge = seconds(20);
@@ -92,6 +95,8 @@
         std::string owner;
         HttpClient::CallId call = 0;
         int tries = 0;
+        int moves = 0;
+        TimePoint askedAt; // at the present owner
         std::set<std::string> refusedBy;
     };
 
@@ -102,11 +107,15 @@
 
     auto ownerViews(std::string_view pool, const Ask &ask) -> std::vector<OwnerView>;
     auto place(const std::string &requestId) -> void;
+    auto askOwner(Ask &ask, const std::string &owner) -> void;
     auto askPeer(Ask &ask) -> void;
+    auto moveWaiting() -> void;
+    auto sendAbandon(const Ask &ask) -> void;
     auto finish(const std::string &requestId, Result<SlotGrant> result) -> void;
     auto decide() -> void;
     auto deliver(const SlotDecision &decision) -> void;
     auto handleAsk(const std::string &sender, const Json &body, const PeerRouter::Reply &reply) -> void;
+    auto takeBack(const std::string &requestId) -> void;
     auto handleRelease(const Json &body) -> void;
     auto releaseLocal(const std::string &engine, const std::string &requestId, const SlotObservation &seen) -> void;
     auto noteLocal(const std::string &engine, const SlotObservation &seen) -> void;
@@ -132,6 +141,7 @@
     std::set<std::string> m_unread; // adopted engines whose list was not read yet
     std::unique_ptr<Timer> m_decider;
     std::unique_ptr<Timer> m_lister;
+    std::unique_ptr<Timer> m_mover;
     bool m_flushScheduled = false;
     bool m_decideScheduled = false;
 };
--- a/include/currantstack/slots.h
+++ b/include/currantstack/slots.h
@@ -26,7 +26,9 @@
     std::int64_t tokens = 0; // work expected of a prefill engine
     TimePoint deadline; // latest time at which a grant is of use
     std::string preferred; // engine that holds the prefix; empty: none
+    std::int64_t cachedTokens = 0; // of `tokens`, expected in the cache of the preferred engine
     std::vector<std::string> avoid; // engines that failed this request
+    bool sticky = false; // asked of the preferred engine's owner first, whatever its backlog
     bool suspect = false; // was there when an upstream died; gets an engine without another suspect
 };
 
@@ -89,11 +91,14 @@
     /// Forgets a queued request whose asker gave up.
     auto abandon(std::string_view requestId) -> void;
 
+    /// Ends the holding of a request whose asker gave up before it heard of the grant.
+    auto releaseUnused(std::string_view requestId, TimePoint now) -> void;
+
     /// Sets the weight (0 to 1) of an engine; below 1 it gets fewer requests, at 0 none.
     auto setWeight(std::string_view engine, double weight) -> void;
 
-    /// Sets the observed cost of a prefill token on the engine.
-    auto setPrefillCost(std::string_view engine, double microsPerToken) -> void;
+    /// Takes in an observed cost of a prefill token on the engine.
+    auto observePrefillCost(std::string_view engine, double microsPerToken) -> void;
 
     /// Compares the ledger with the engine's own list. Unknown requests become holdings; holdings that the engine
     /// has not listed for `Grace` end. Returns the ids that ended.
@@ -138,6 +143,7 @@
     };
 
     auto capacityOf(const OwnedEngine &engine) const -> int;
+    static auto workOf(const OwnedEngine &engine, const SlotRequest &request) -> Duration;
     auto canTake(const OwnedEngine &engine, const SlotRequest &request, TimePoint now) const -> bool;
     auto bestEngine(const SlotRequest &request, TimePoint now) -> OwnedEngine *;
     auto grant(OwnedEngine &engine, const SlotRequest &request, TimePoint now) -> SlotDecision;
--- a/src/estimate.cc
+++ b/src/estimate.cc
@@ -41,6 +41,16 @@
     m_gapMs.observe(toMilliseconds(gap));
 }
 
+auto ModelEstimate::observeHit(double cachedShare) -> void
+{
+    m_hitShare.observe(cachedShare);
+}
+
+auto ModelEstimate::hitShare() const -> double
+{
+    return m_hitShare.value();
+}
+
 auto ModelEstimate::tokensOf(std::size_t promptBytes) const -> std::int64_t
 {
     return std::max<std::int64_t>(1, static_cast<std::int64_t>(static_cast<double>(promptBytes) / std::max(0.5, m_bytesPerToken.value())));
--- a/src/model_relay.cc
+++ b/src/model_relay.cc
@@ -20,6 +20,9 @@
 constexpr Duration StartAllowance = milliseconds(250); // for a transfer and the first token, over the expected time
 constexpr double StartFactor = 3; // of the expected time of both
 constexpr Duration PrefillWaitForMove = milliseconds(80); // from which prefill engines have no room for moves
+constexpr double WholePromptShare = 0.95; // of a prompt, in the cache of the engine that has prefilled it
+constexpr std::int64_t MinFreshTokens = 200; // of a prefill that tells the cost of a token
+constexpr double HealthyWeight = 0.7; // of a prefill engine that takes cached prompts of moved streams
 constexpr Duration KvMargin = milliseconds(50); // of a result's life, kept for the way to the decode engine
 constexpr Duration SlotPatience = seconds(30); // for a slot when the answer has begun
 constexpr double LateGapShare = 0.05; // of token gaps that may pass the target
@@ -102,6 +105,7 @@
 {
     m_decode = Stage();
     m_decode.requestId = nextId("d");
+    m_askedAt = m_parts.context.clock.now();
     if (!reservesSlots()) {
         return onDecodeSlot(SlotGrant{m_decode.requestId, "", "", TimePoint::max()});
     }
@@ -150,6 +154,7 @@
     m_decode.address = engine->address;
     m_decode.reserved = reservesSlots();
     m_slotSince = m_parts.context.clock.now();
+    addTime("decode_slot_wait_ms", m_askedAt);
     if (kvIsAlive()) {
         return sendDecode();
     }
@@ -160,12 +165,18 @@
 {
     m_prefill = Stage();
     m_prefill.requestId = nextId("p");
+    m_askedAt = m_parts.context.clock.now();
     if (!reservesSlots()) {
         return onPrefillSlot(SlotGrant{m_prefill.requestId, "", "", TimePoint::max()});
     }
     auto request = slotRequest(Role::Prefill, m_prefill.requestId);
     request.tokens = estimate().tokensOf(m_request.completion.prompt.size()) + m_delivered;
-    request.preferred = std::string(m_parts.prefixes.find(m_request.completion.prompt));
+    request.preferred = m_lastPrefill.empty() ? std::string(m_parts.prefixes.find(m_request.completion.prompt)) : m_lastPrefill;
+    // The engine that has prefilled this very prompt holds all of it.
+    const auto prompt = static_cast<double>(estimate().tokensOf(m_request.completion.prompt.size()));
+    request.cachedTokens = static_cast<std::int64_t>(prompt * (m_lastPrefill.empty() ? estimate().hitShare() : WholePromptShare));
+    m_preferred = request.preferred;
+    request.sticky = !m_lastPrefill.empty();
     if (!m_answering && m_tries == 0) {
         request.deadline -= fromMilliseconds(prefillMs() + estimate().decodeStartMs(request.tokens));
     }
@@ -190,6 +201,7 @@
     }
     m_prefill.engine = engine->name;
     m_prefill.address = engine->address;
+    addTime("prefill_turn_wait_ms", m_askedAt);
     m_prefill.reserved = reservesSlots();
     sendPrefill();
 }
@@ -249,9 +261,14 @@
     m_kvExpires = now + milliseconds(m_transfer.expiresInMs);
     m_kvTaken = false;
     const auto length = now - m_prefill.begun;
+    addTime("prefill_ms", m_prefill.begun);
     const auto fresh = m_transfer.promptTokens - m_transfer.cachedTokens + m_delivered;
     const double expected = estimate().prefillMs(fresh);
     estimate().observePrefill(fresh, m_transfer.promptTokens, m_request.completion.prompt.size(), length);
+    if (m_lastPrefill.empty() && m_preferred == m_prefill.engine && m_transfer.promptTokens > 0) {
+        estimate().observeHit(static_cast<double>(m_transfer.cachedTokens) / static_cast<double>(m_transfer.promptTokens));
+    }
+    m_lastPrefill = m_prefill.engine;
     m_parts.prefixes.learn(m_request.completion.prompt, m_prefill.engine);
     m_parts.usage.of(m_request.member->name).promptTokens += m_tries == 0 ? m_transfer.promptTokens : 0;
     m_parts.context.counters.at("prefill_tokens").add(fresh);
@@ -261,7 +278,9 @@
     m_parts.context.timeline.add(EventKind::PrefillDone, m_prefill.requestId, m_prefill.engine);
     SlotObservation seen;
     seen.ratio = std::max(1.0, toMilliseconds(length) / std::max(20.0, expected));
-    seen.microsPerToken = estimate().microsPerToken();
+    if (fresh >= MinFreshTokens) {
+        seen.microsPerToken = 1000 * toMilliseconds(length) / static_cast<double>(fresh);
+    }
     if (m_prefill.reserved) {
         m_parts.slots.release(m_prefill.engine, m_prefill.requestId, seen);
         m_prefill.reserved = false;
@@ -389,12 +408,16 @@
     }
     const auto engine = m_decode.engine;
     const bool hasSlot = m_parts.slots.bestWait(poolOf(Role::Decode), Role::Decode, 0) == Duration::zero();
-    const bool hasTurn = m_parts.slots.bestWait(poolOf(Role::Prefill), Role::Prefill, prefillMs()) < PrefillWaitForMove;
+    const bool isCached =
+        !m_lastPrefill.empty() && m_parts.slots.health().weight(m_lastPrefill, m_parts.context.clock.now()) >= HealthyWeight;
+    const bool hasTurn = isCached || m_parts.slots.bestWait(poolOf(Role::Prefill), Role::Prefill, prefillMs()) < PrefillWaitForMove;
     if (!hasSlot || !hasTurn || !m_parts.moves.take()) {
         return;
     }
     ++m_pace.moves;
     m_pace.slowGapsInARow = 0;
+    ++m_pace.lateGaps; // the gap that the move makes, which says nothing of the next engine
+    m_lastToken = TimePoint();
     m_parts.context.counters.at("streams_moved").add();
     m_parts.context.timeline.add(EventKind::Moved, m_request.id, engine, "its token gaps are far over the pool's");
     endStage(m_decode, true, "moved away from a slow engine", {});
@@ -403,6 +426,12 @@
     askDecode();
 }
 
+auto ModelRelay::addTime(std::string_view counter, TimePoint since) -> void
+{
+    const auto passed = m_parts.context.clock.now() - since;
+    m_parts.context.counters.at(counter).add(std::chrono::duration_cast<milliseconds>(passed).count());
+}
+
 auto ModelRelay::beginAnswer() -> void
 {
     m_answering = true;
@@ -417,6 +446,7 @@
     const auto now = m_parts.context.clock.now();
     if (!m_answering) {
         estimate().observeDecodeStart(m_transfer.promptTokens, now - m_decode.begun);
+        addTime("decode_start_ms", m_decode.begun);
         m_parts.context.timeline.add(EventKind::FirstToken, m_request.id, m_decode.engine);
         beginAnswer();
     }
@@ -545,6 +575,7 @@
 {
     if (failure == Failure::Lost && stage.sent && m_parts.reportDeath) {
         m_parts.prefixes.forgetEngine(stage.engine);
+        m_lastPrefill.clear();
         m_request.suspect = true;
         m_parts.reportDeath(m_request.fingerprint, stage.engine);
     }
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -53,6 +53,24 @@
     return best;
 }
 
+auto findSooner(std::span<const OwnerView> owners, std::size_t current, Role role, double prefillMs, Duration margin)
+    -> std::optional<std::size_t>
+{
+    std::optional<std::size_t> best;
+    auto bestWait = expectedWait(owners[current], role, prefillMs) - margin;
+    for (std::size_t index = 0; index < owners.size(); ++index) {
+        if (index == current || owners[index].pool.capacity <= 0) {
+            continue;
+        }
+        const auto wait = expectedWait(owners[index], role, prefillMs) + 2 * owners[index].distance;
+        if (wait < bestWait) {
+            best = index;
+            bestWait = wait;
+        }
+    }
+    return best;
+}
+
 auto chooseEngine(PolicyKind policy, std::span<const EngineLoad> engines, std::size_t turn, Random &random) -> std::optional<std::size_t>
 {
     if (engines.empty()) {
--- a/src/slot_service.cc
+++ b/src/slot_service.cc
@@ -76,6 +76,7 @@
                   {"left_ms", std::max(0.0, toMilliseconds(request.deadline - now))}};
     if (!request.preferred.empty()) {
         value["preferred"] = request.preferred;
+        value["cached"] = request.cachedTokens;
     }
     if (!request.avoid.empty()) {
         value["avoid"] = request.avoid;
@@ -99,6 +100,7 @@
     request.tokens = reader.integer("tokens", 0, Large, 0);
     request.deadline = now + fromMilliseconds(reader.number("left_ms", 0, 1e9, 0));
     request.preferred = reader.text("preferred", "");
+    request.cachedTokens = reader.integer("cached", 0, Large, 0);
     request.avoid = reader.texts("avoid");
     request.suspect = reader.boolean("suspect", false);
     if (!faults.empty()) {
@@ -112,17 +114,14 @@
     , m_cancels(cancels)
     , m_decider(context.loop.timer([this]() { decide(); }))
     , m_lister(context.loop.timer([this]() { listAll(); }))
+    , m_mover(context.loop.timer([this]() { moveWaiting(); }))
 {
     announcer.section(
         "pools", [this]() { return produceViews(); }, [this](const std::string &vm, const Json &section) { takeViews(vm, section); });
     context.router.on("/peer/slot",
                       [this](const std::string &sender, const Json &body, const ExchangePtr &exchange, const PeerRouter::Reply &reply) {
                           handleAsk(sender, body, reply);
-                          const auto id = body.value("id", std::string());
-                          exchange->onGone([this, id]() {
-                              m_remote.erase(id);
-                              m_ledger.abandon(id);
-                          });
+                          exchange->onGone([this, id = body.value("id", std::string())]() { takeBack(id); });
                       });
     context.router.on("/peer/release", [this](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
         handleRelease(body);
@@ -134,6 +133,7 @@
 {
     m_decider->startRepeating(DecidePeriod, DecidePeriod);
     m_lister->startRepeating(ListPeriod, ListPeriod);
+    m_mover->startRepeating(Patience / 2, Patience / 2);
     reconsider();
 }
 
@@ -215,13 +215,24 @@
 {
     auto &ask = m_asks.at(requestId);
     const auto views = ownerViews(ask.request.pool, ask);
-    const auto chosen = chooseOwner(views, ask.role, ask.prefillMs, m_context.random);
+    auto chosen = chooseOwner(views, ask.role, ask.prefillMs, m_context.random);
+    if (ask.request.sticky) {
+        const auto holder =
+            std::find_if(views.begin(), views.end(), [](const OwnerView &view) { return view.holdsPrefix && view.pool.capacity > 0; });
+        chosen = holder == views.end() ? chosen : std::optional<std::size_t>(holder - views.begin());
+    }
     if (!chosen || ask.tries >= MaxTries) {
         return finish(requestId, fail(ErrorCode::Overloaded, "choose", ask.request.pool, "no owner has a slot for the request"));
     }
     ++ask.tries;
-    ask.owner = views[*chosen].owner;
-    m_context.timeline.add(EventKind::SlotAsked, requestId, ask.owner);
+    askOwner(ask, views[*chosen].owner);
+}
+
+auto SlotService::askOwner(Ask &ask, const std::string &owner) -> void
+{
+    ask.owner = owner;
+    ask.askedAt = m_context.clock.now();
+    m_context.timeline.add(EventKind::SlotAsked, ask.request.requestId, ask.owner);
     if (!m_context.isSelf(ask.owner)) {
         return askPeer(ask);
     }
@@ -230,6 +241,49 @@
     }
 }
 
+auto SlotService::moveWaiting() -> void
+{
+    const auto now = m_context.clock.now();
+    std::vector<std::string> impatient;
+    for (const auto &[id, ask] : m_asks) {
+        if (now - ask.askedAt > Patience && ask.moves < MaxMoves && !ask.request.sticky) {
+            impatient.push_back(id);
+        }
+    }
+    for (const auto &id : impatient) {
+        const auto found = m_asks.find(id);
+        if (found == m_asks.end()) {
+            continue;
+        }
+        auto &ask = found->second;
+        const auto views = ownerViews(ask.request.pool, ask);
+        const auto current = std::find_if(views.begin(), views.end(), [&ask](const OwnerView &view) { return view.owner == ask.owner; });
+        if (current == views.end()) {
+            continue;
+        }
+        const auto sooner = findSooner(views, static_cast<std::size_t>(current - views.begin()), ask.role, ask.prefillMs, MoveMargin);
+        if (!sooner) {
+            ask.askedAt = now;
+            continue;
+        }
+        ++ask.moves;
+        m_context.counters.at("slot_asks_moved").add();
+        sendAbandon(ask);
+        askOwner(ask, views[*sooner].owner);
+    }
+}
+
+auto SlotService::sendAbandon(const Ask &ask) -> void
+{
+    if (m_context.isSelf(ask.owner)) {
+        return m_ledger.abandon(ask.request.requestId);
+    }
+    m_context.peers.cancel(ask.call);
+    const Json body = {{"abandon", ask.request.requestId}, {"items", Json::array()}};
+    m_context.peers.call(m_context.addressOf(ask.owner), "/peer/release", body, m_context.config->timeouts.peer,
+                         [](const Result<Json> &) {});
+}
+
 auto SlotService::askPeer(Ask &ask) -> void
 {
     const auto now = m_context.clock.now();
@@ -285,10 +339,7 @@
     if (found == m_asks.end()) {
         return;
     }
-    if (found->second.call != 0) {
-        m_context.peers.cancel(found->second.call);
-    }
-    m_ledger.abandon(requestId);
+    sendAbandon(found->second);
     m_asks.erase(found);
 }
 
@@ -332,6 +383,13 @@
     }
 }
 
+auto SlotService::takeBack(const std::string &requestId) -> void
+{
+    m_remote.erase(requestId);
+    m_ledger.abandon(requestId);
+    m_ledger.releaseUnused(requestId, m_context.clock.now());
+}
+
 auto SlotService::handleAsk(const std::string &sender, const Json &body, const PeerRouter::Reply &reply) -> void
 {
     const auto now = m_context.clock.now();
@@ -391,6 +449,9 @@
 
 auto SlotService::handleRelease(const Json &body) -> void
 {
+    if (const auto abandoned = body.value("abandon", std::string()); !abandoned.empty()) {
+        takeBack(abandoned);
+    }
     Faults faults;
     ObjectReader reader(body, "", faults);
     for (auto &item : reader.objects("items")) {
@@ -427,7 +488,7 @@
         applyWeights();
     }
     if (seen.microsPerToken > 0) {
-        m_ledger.setPrefillCost(engine, seen.microsPerToken);
+        m_ledger.observePrefillCost(engine, seen.microsPerToken);
     }
     m_ledger.release(engine, requestId, now);
     if (!std::exchange(m_decideScheduled, true)) {
--- a/src/slots.cc
+++ b/src/slots.cc
@@ -10,6 +10,9 @@
 {
 
 constexpr double RateMemory = 1.0; // seconds over which the grant rate is averaged
+constexpr double CostWeight = 0.3; // of a new observation of a prefill's cost
+constexpr double PrefillOverheadMs = 4; // of one prefill, whatever its length
+constexpr double FullCapacityWeight = 0.3;
 constexpr double MinCapacityShare = 0.05;
 
 } // namespace
@@ -85,7 +88,15 @@
     if (engine.info.role == Role::Prefill) {
         return std::min(PrefillDepth, engine.info.slots);
     }
-    return std::max(1, static_cast<int>(std::floor(engine.info.slots * engine.weight)));
+    // An engine that recovers is full-sized early: others are preferred by cost, but no slot idles beside a queue.
+    const double share = std::min(1.0, engine.weight / FullCapacityWeight);
+    return std::max(1, static_cast<int>(std::floor(engine.info.slots * share)));
+}
+
+auto SlotLedger::workOf(const OwnedEngine &engine, const SlotRequest &request) -> Duration
+{
+    const auto cached = engine.info.name == request.preferred ? std::min(request.cachedTokens, request.tokens) : 0;
+    return fromMilliseconds(PrefillOverheadMs + static_cast<double>(request.tokens - cached) * engine.microsPerToken / 1000);
 }
 
 auto SlotLedger::canTake(const OwnedEngine &engine, const SlotRequest &request, TimePoint now) const -> bool
@@ -128,8 +139,7 @@
         double cost = static_cast<double>(engine.holdings.size() + 1) / std::max(0.01, engine.weight * engine.info.slots);
         if (engine.info.role == Role::Prefill) {
             const auto backlog = std::max(Duration::zero(), engine.busyUntil - now);
-            const double work = static_cast<double>(request.tokens) * engine.microsPerToken / 1000;
-            cost = toMilliseconds(backlog) + (name == request.preferred ? 0.1 * work : work);
+            cost = toMilliseconds(backlog + workOf(engine, request));
             cost /= std::max(0.01, engine.weight);
         }
         if (best == nullptr || cost < bestCost) {
@@ -208,8 +218,7 @@
     holding.tokens = request.tokens;
     holding.suspect = request.suspect;
     if (engine.info.role == Role::Prefill) {
-        const double work = static_cast<double>(request.tokens) * engine.microsPerToken / 1000;
-        engine.busyUntil = std::max(engine.busyUntil, now) + fromMilliseconds(work);
+        engine.busyUntil = std::max(engine.busyUntil, now) + workOf(engine, request);
     }
     engine.holdings[request.requestId] = std::move(holding);
     ++m_usage[request.pool][request.member];
@@ -287,6 +296,13 @@
     }
 }
 
+auto SlotLedger::releaseUnused(std::string_view requestId, TimePoint now) -> void
+{
+    for (auto &[name, engine] : m_engines) {
+        endHolding(engine, std::string(requestId), now);
+    }
+}
+
 auto SlotLedger::setWeight(std::string_view engine, double weight) -> void
 {
     const auto found = m_engines.find(engine);
@@ -295,11 +311,12 @@
     }
 }
 
-auto SlotLedger::setPrefillCost(std::string_view engine, double microsPerToken) -> void
+auto SlotLedger::observePrefillCost(std::string_view engine, double microsPerToken) -> void
 {
     const auto found = m_engines.find(engine);
     if (found != m_engines.end()) {
-        found->second.microsPerToken = microsPerToken;
+        auto &known = found->second.microsPerToken;
+        known += CostWeight * (std::clamp(microsPerToken, 0.1 * known, 5 * known) - known);
     }
 }
 
