A request is blamed only for engines that had it; begun answers outlast short outages

Cause: one innocent request was quarantined in the failures scenario. A connection refused by an engine that was away counted as a death under the request, and a retry that had not begun was taken for a broken stream. Also, after a stall all prefill engines were on the avoid list, and an order's body was read after its temporary had gone.

--- a/include/currantstack/model_relay.h
+++ b/include/currantstack/model_relay.h
@@ -33,12 +33,15 @@
     enum class Failure
     {
         Refused, // the engine answered with an error
-        Lost, // the connection broke or was never made
+        Unreached, // no connection was made, so the engine never had the request
+        Lost, // the connection broke under the request
         Silent, // no progress in time
     };
 
     auto askDecode() -> void;
     auto onDecodeSlot(Result<SlotGrant> grant) -> void;
+    auto avoidable(Role role) const -> std::vector<std::string>;
+    auto onNoSlot(const Error &error, std::function<void()> again) -> void;
     auto askPrefill() -> void;
     auto onPrefillSlot(Result<SlotGrant> grant) -> void;
     auto chooseByBaseline(Role role) -> const Engine *;
@@ -65,6 +68,7 @@
     auto reservesSlots() const -> bool;
     auto estimate() -> ModelEstimate &;
     auto prefillMs() -> double;
+    static auto failureOf(const Error &error) -> Failure;
     auto noteDeath(const Stage &stage, Failure failure) -> void;
     auto kvIsAlive() const -> bool;
     auto nextId(std::string_view stage) -> std::string;
@@ -81,10 +85,10 @@
     TimePoint m_kvExpires;
     bool m_kvTaken = false;
     std::int64_t m_delivered = 0; // tokens that the caller has, or that are collected for it
-    std::int64_t m_skip = 0; // tokens of a resumed stream that the caller has already
     std::string m_collected; // of an answer that is not streamed
     TimePoint m_lastToken;
     TimePoint m_slotSince;
+    TimePoint m_failingSince; // of an answer that has begun
     TimePoint m_askedAt; // for the slot or turn that is waited for
     StreamPace m_pace;
     std::string m_lastPrefill; // engine that prefilled the prompt last; empty: none, or it has died
@@ -96,6 +100,7 @@
     bool m_answering = false;
     bool m_finished = false;
     bool m_resumed = false;
+    bool m_streamBegan = false; // of the present try
     bool m_errorStatus = false;
     std::vector<std::string> m_avoid;
 };
--- a/src/model_relay.cc
+++ b/src/model_relay.cc
@@ -17,7 +17,7 @@
 constexpr Duration BackoffBase = milliseconds(10);
 constexpr Duration BackoffLongest = milliseconds(200);
 constexpr Duration PrefillAllowance = milliseconds(400); // over thrice the expected time
-constexpr Duration StartAllowance = milliseconds(250); // for a transfer and the first token, over the expected time
+constexpr Duration StartAllowance = milliseconds(180); // for a transfer and the first token, over the expected time
 constexpr double StartFactor = 3; // of the expected time of both
 constexpr Duration PrefillWaitForMove = milliseconds(80); // from which prefill engines have no room for moves
 constexpr double WholePromptShare = 0.95; // of a prompt, in the cache of the engine that has prefilled it
@@ -94,13 +94,23 @@
     request.member = m_request.member->name;
     request.share = m_request.member->share;
     request.priority = m_answering ? static_cast<int>(MaxPriority) : m_request.priority;
-    request.avoid = m_avoid;
+    request.avoid = avoidable(role);
     request.suspect = m_request.suspect;
     // An answer that has begun, or a retry, goes on even when its deadline has passed.
     request.deadline = m_answering || m_tries > 0 ? std::max(m_request.deadline, now + SlotPatience) : m_request.deadline;
     return request;
 }
 
+auto ModelRelay::avoidable(Role role) const -> std::vector<std::string>
+{
+    const auto &engines = m_request.config->engines;
+    const bool othersExist = std::any_of(engines.begin(), engines.end(), [this, role](const Engine &engine) {
+        const bool avoided = std::find(m_avoid.begin(), m_avoid.end(), engine.name) != m_avoid.end();
+        return engine.role == role && engine.model == m_request.completion.model && !engine.leaving && !avoided;
+    });
+    return othersExist ? m_avoid : std::vector<std::string>();
+}
+
 auto ModelRelay::askDecode() -> void
 {
     m_decode = Stage();
@@ -144,7 +154,7 @@
         return;
     }
     if (!grant) {
-        return refuse(grant.error());
+        return onNoSlot(grant.error(), [this]() { askDecode(); });
     }
     const auto *engine = reservesSlots() ? m_parts.context.config->findEngine(grant->engine) : chooseByBaseline(Role::Decode);
     if (engine == nullptr) {
@@ -161,6 +171,15 @@
     askPrefill();
 }
 
+auto ModelRelay::onNoSlot(const Error &error, std::function<void()> again) -> void
+{
+    // An answer that has begun is not given up because all engines are away for a moment.
+    const bool tried = m_answering && afterBudget(error.message, std::move(again));
+    if (!tried) {
+        refuse(error);
+    }
+}
+
 auto ModelRelay::askPrefill() -> void
 {
     m_prefill = Stage();
@@ -193,7 +212,7 @@
         return;
     }
     if (!grant) {
-        return refuse(grant.error());
+        return onNoSlot(grant.error(), [this]() { askPrefill(); });
     }
     const auto *engine = reservesSlots() ? m_parts.context.config->findEngine(grant->engine) : chooseByBaseline(Role::Prefill);
     if (engine == nullptr) {
@@ -245,8 +264,7 @@
         return;
     }
     if (!response) {
-        const auto failure = response.error().code == ErrorCode::DeadlineExceeded ? Failure::Silent : Failure::Lost;
-        return retryPrefill(failure, response.error().message);
+        return retryPrefill(failureOf(response.error()), response.error().message);
     }
     const auto document = parseJson(response->body, "prefill");
     const bool whole = response->status == 200 && document && document->is_object() && document->contains("kv_transfer_params");
@@ -334,7 +352,7 @@
     m_parser = EventStreamParser();
     m_errorStatus = false;
     m_resumed = false;
-    m_skip = 0;
+    m_streamBegan = false;
     m_decode.sent = true;
     m_decode.begun = m_parts.context.clock.now();
     m_parts.context.timeline.add(EventKind::DecodeStarted, m_decode.requestId, m_decode.engine);
@@ -346,6 +364,7 @@
     m_errorStatus = status != 200;
     if (!m_errorStatus) {
         m_kvTaken = true;
+        m_streamBegan = true;
     }
 }
 
@@ -371,10 +390,6 @@
     if (!choice.is_object() || !choice.contains("text") || !choice["text"].is_string()) {
         return;
     }
-    if (m_skip > 0) {
-        --m_skip;
-        return;
-    }
     const auto finish = choice.find("finish_reason");
     const bool last = finish != choice.end() && finish->is_string();
     relayToken(choice["text"].get_ref<const std::string &>(),
@@ -453,6 +468,7 @@
     noteGap(now);
     m_lastToken = now;
     ++m_delivered;
+    m_failingSince = TimePoint();
     if (m_request.completion.stream) {
         const Json piece =
             m_request.kind == CallKind::Chat ? Json{{"delta", {{"role", "assistant"}, {"content", text}}}} : Json{{"text", text}};
@@ -529,12 +545,15 @@
     if (response && m_errorStatus) {
         return retryDecode(Failure::Refused, fmt::format("status {}", response->status));
     }
-    const bool silent = !response && response.error().code == ErrorCode::DeadlineExceeded;
-    const bool started = m_delivered > 0 && !m_resumed;
+    const bool started = m_streamBegan && m_delivered > 0 && !m_resumed;
     if (started) {
         return resumeStream();
     }
-    retryDecode(silent ? Failure::Silent : Failure::Lost, response ? "the stream ended early" : response.error().message);
+    auto failure = response ? Failure::Lost : failureOf(response.error());
+    if (m_resumed && failure == Failure::Unreached) {
+        failure = Failure::Lost; // the stream broke before, and the engine is away
+    }
+    retryDecode(failure, response ? "the stream ended early" : response.error().message);
 }
 
 auto ModelRelay::resumeStream() -> void
@@ -571,6 +590,14 @@
     m_decode.call = m_parts.context.client.start(std::move(call), std::move(handlers));
 }
 
+auto ModelRelay::failureOf(const Error &error) -> Failure
+{
+    if (error.code == ErrorCode::Unreachable) {
+        return Failure::Unreached;
+    }
+    return error.code == ErrorCode::DeadlineExceeded ? Failure::Silent : Failure::Lost;
+}
+
 auto ModelRelay::noteDeath(const Stage &stage, Failure failure) -> void
 {
     if (failure == Failure::Lost && stage.sent && m_parts.reportDeath) {
@@ -584,8 +611,15 @@
 auto ModelRelay::afterBudget(std::string_view cause, std::function<void()> next) -> bool
 {
     ++m_tries;
-    const int limit = reservesSlots() ? MaxTries : baselineTries();
-    if (m_tries >= limit || (reservesSlots() && !m_answering && !m_parts.retries.take())) {
+    const auto now = m_parts.context.clock.now();
+    if (m_failingSince == TimePoint()) {
+        m_failingSince = now;
+    }
+    if (reservesSlots() && m_answering) {
+        if (now - m_failingSince > SlotPatience) {
+            return false;
+        }
+    } else if (m_tries >= (reservesSlots() ? MaxTries : baselineTries()) || (reservesSlots() && !m_parts.retries.take())) {
         return false;
     }
     if (m_parts.quarantine.isQuarantined(m_request.fingerprint, m_parts.context.clock.now())) {
--- a/src/operator_api.cc
+++ b/src/operator_api.cc
@@ -196,7 +196,8 @@
 {
     const auto body = parseJson(exchange->request().body, "order");
     Faults faults;
-    ObjectReader reader(body ? *body : Json(), "", faults);
+    const auto document = body.value_or(Json());
+    ObjectReader reader(document, "", faults);
     const auto engine = reader.text("engine");
     const auto kind = reader.text("kind");
     const auto value = reader.text("value", "");
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -161,6 +161,19 @@
     time.sleep(2)
 
 
+def test_engine_that_is_away_accuses_nobody(cluster):
+    before = cluster.counters().get("fingerprints_quarantined", 0)
+    stream = Stream(cluster.caller("vm0"), "unlucky file " * 30, 300).read(5)
+    crashed = running_on(cluster)
+    for engine in cluster.engines:
+        if engine["role"] == "decode" and engine["name"] != crashed:
+            cluster.fault(engine["name"], kind="crash")  # away when the request is tried there, but it never ran there
+    cluster.fault(crashed, kind="crash")
+    expect(stream.read().is_whole(), "a request that met engines that were away was not answered")
+    expect(cluster.counters().get("fingerprints_quarantined", 0) == before, "a request was blamed for engines that it never reached")
+    time.sleep(2)
+
+
 def test_leaving_upstream_gets_no_new_work(cluster):
     document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
     document["pools"][1]["engines"][0]["leaving"] = True
