--- a/standin/service.cc
+++ b/standin/service.cc
@@ -55,6 +55,9 @@
     }
     const auto booking = (*body)["booking"].get<std::string>();
     const auto count = ++m_runs[booking];
+    if (m_clock.now() < front.losesUntil) {
+        return exchange->abort();
+    }
     exchange->respond(jsonResponse(201, dumpJson({{"booking", booking}, {"run", count}, {"from", front.name}})));
 }
 
@@ -65,8 +68,11 @@
         return exchange->respond(jsonResponse(400, R"({"error":"a fault must be an object"})"));
     }
     const auto until = m_clock.now() + milliseconds(document->value("duration_ms", 1000));
-    if (document->value("kind", std::string()) == "silence") {
+    const auto kind = document->value("kind", std::string());
+    if (kind == "silence") {
         front.silentUntil = until;
+    } else if (kind == "lose_reply") {
+        front.losesUntil = until;
     } else {
         front.slow = document->value("factor", 10.0);
         front.slowUntil = until;
--- a/standin/service.h
+++ b/standin/service.h
@@ -30,6 +30,7 @@
         TimePoint slowUntil;
         double slow = 1;
         TimePoint silentUntil;
+        TimePoint losesUntil; // runs bookings, but breaks the connection instead of answering
     };
 
     auto handle(Front &front, const ExchangePtr &exchange) -> void;
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -1,5 +1,6 @@
 """Focused tests of failures against real processes. Each brings one failure about and checks what must hold."""
 
+import base64
 import http.client
 import json
 import pathlib
@@ -235,6 +236,33 @@
     expect(again[1]["accepted"] and again[1]["revision"] == answer["revision"], "the same submission was not recognised")
 
 
+def test_lost_answer_of_a_booking_is_not_run_again(cluster):
+    fault = lambda ms: [call(f"127.0.0.1:{b['port']}", "POST", "/standin/faults", {"kind": "lose_reply", "duration_ms": ms}) for b in cluster.bookings]
+    fault(1500)
+    keyed = [call(cluster.caller(f"vm{i}"), "POST", "/services/adoption/bookings", {"booking": "lost-answer"}, TOKEN, headers={"Idempotency-Key": "lost-answer"}) for i in range(3)]
+    plain = call(cluster.caller("vm0"), "POST", "/services/adoption/bookings", {"booking": "no-key"}, TOKEN)
+    fault(0)
+    later = call(cluster.caller("vm1"), "POST", "/services/adoption/bookings", {"booking": "lost-answer"}, TOKEN, headers={"Idempotency-Key": "lost-answer"})
+    runs = call(f"127.0.0.1:{cluster.bookings[0]['port']}", "GET", "/standin/runs")[1]["runs"]
+    expect(runs.get("lost-answer") == 1 and runs.get("no-key") == 1, f"bookings whose answers were lost ran {runs.get('lost-answer')} and {runs.get('no-key')} times")
+    for status, answer in [*keyed, plain, later]:
+        expect(status in (409, 502) and answer["ran"] == "unknown", f"a lost answer was told as {status} {answer}")
+
+
+def test_older_revision_is_not_taken(cluster):
+    # The store shows an older document, as after a restore; no VM goes back to it.
+    before = [call(cluster.caller(f"vm{i}"), "GET", "/readyz")[1]["revision"] for i in range(3)]
+    key = base64.b64encode(b"currant/config/current").decode()
+    held = call(cluster.platform, "POST", "/v3/kv/range", {"key": key})[1]["kvs"][0]["value"]
+    older = json.loads(base64.b64decode(held))
+    older["revision"] = 1
+    call(cluster.platform, "POST", "/v3/kv/put", {"key": key, "value": base64.b64encode(json.dumps(older).encode()).decode()})
+    time.sleep(0.5)
+    after = [call(cluster.caller(f"vm{i}"), "GET", "/readyz")[1]["revision"] for i in range(3)]
+    call(cluster.platform, "POST", "/v3/kv/put", {"key": key, "value": held})
+    expect(after == before, f"revisions went from {before} to {after}")
+
+
 def test_platform_away(cluster):
     cluster.platform_fault(down=True)
     try:
--- a/test/history/history.py
+++ b/test/history/history.py
@@ -17,7 +17,7 @@
 IN_FORCE_LIMIT = 8.0   # seconds until an accepted configuration is in force on every live VM
 HELD_LIMIT = 15.0      # seconds until no engine holds memory of a request that is gone
 FAULTS = ["kill_vm", "pause_vm", "platform_down", "platform_slow", "lost_replies", "engine_crash", "engine_silence", "transfer_stall", "engine_slow",
-          "silent_connections", "cut_vm"]
+          "silent_connections", "cut_vm", "service_reply_lost", "service_silent"]
 
 SCENARIO = """
 name: history
@@ -200,6 +200,17 @@
     def fault_engine_slow(self, chance):
         self.engine_fault(chance, None, kind="slow", factor=5, duration_ms=1500)
 
+    def service_fault(self, chance, kind):
+        booking = chance.choice(self.cluster.bookings)
+        call(f"127.0.0.1:{booking['port']}", "POST", "/standin/faults", {"kind": kind, "duration_ms": chance.randint(200, 1500)})
+        time.sleep(1)
+
+    def fault_service_reply_lost(self, chance):
+        self.service_fault(chance, "lose_reply")
+
+    def fault_service_silent(self, chance):
+        self.service_fault(chance, "silence")
+
     def fault_silent_connections(self, chance):
         self.relays[chance.choice(self.cluster.vm_names)].silence()
         time.sleep(1)
