--- a/src/model_relay.cc
+++ b/src/model_relay.cc
@@ -141,7 +141,7 @@
             loads.push_back({engine.name, load == m_parts.reportedLoads.end() ? 0.0 : load->second});
         }
     }
-    auto &turn = m_parts.context.counters.at("baseline_turns");
+    auto &turn = m_parts.context.counters.at(role == Role::Prefill ? "baseline_turns_prefill" : "baseline_turns_decode");
     turn.add();
     const auto chosen =
         chooseEngine(m_parts.context.settings.policy, loads, static_cast<std::size_t>(turn.value()), m_parts.context.random);
