--- a/include/currantstack/announcer.h
+++ b/include/currantstack/announcer.h
@@ -52,6 +52,7 @@
     auto compose() -> Json;
     auto take(const std::string &sender, const Json &body) -> void;
     auto tell(const std::string &address) -> void;
+    auto nameOf(std::string_view address) const -> std::string;
     auto targets() -> std::vector<std::string>;
     auto replaced(std::string_view cause) -> void;
     auto discover() -> void;
--- a/include/currantstack/membership.h
+++ b/include/currantstack/membership.h
@@ -44,6 +44,7 @@
 {
 public:
     static constexpr std::size_t WholeView = 24; // VMs, up to which news of all reach all within a few announcements
+    static constexpr Duration RefusedProbe = milliseconds(900); // taken off the time for each connection that was refused
     static constexpr int OtherPlacePatience = 3; // times longer that VMs of other places are waited for beyond that
 
     struct Peer
@@ -51,6 +52,7 @@
         Vm vm;
         VmState state = VmState::Alive;
         TimePoint heardAt; // when the heartbeat last rose
+        bool doubted = false;
     };
 
     Membership(Vm self, Duration suspectAfter, Duration deadAfter);
@@ -68,6 +70,11 @@
     /// Brings the states up to date and returns the VMs whose state changed.
     auto tick(TimePoint now) -> std::vector<Peer>;
 
+    /// Records that the VM took no connection, or that others call it dead. It is probed from then on, and each failed probe
+    /// shortens the time until it is given up; any news of it ends the doubt.
+    auto doubt(std::string_view name, bool refused) -> void;
+    auto doubted() const -> std::vector<std::string>;
+
     /// After a pause of this process its view is stale: no VM is judged until it had time to be heard.
     auto forgive(TimePoint now) -> void;
 
--- a/src/announcer.cc
+++ b/src/announcer.cc
@@ -181,9 +181,22 @@
     return live;
 }
 
+auto Announcer::nameOf(std::string_view address) const -> std::string
+{
+    for (const auto &[name, peer] : m_context.membership.peers()) {
+        if (peer.vm.address == address) {
+            return name;
+        }
+    }
+    return {};
+}
+
 auto Announcer::tell(const std::string &address) -> void
 {
     m_context.peers.call(address, "/peer/announce", compose(), m_context.config->timeouts.peer, [this, address](const Result<Json> &reply) {
+        if (!reply && reply.error().code == ErrorCode::Unreachable) {
+            m_context.membership.doubt(nameOf(address), true);
+        }
         if (!reply || !reply->is_object()) {
             return;
         }
@@ -208,6 +221,9 @@
     for (const auto &address : targets()) {
         tell(address);
     }
+    for (const auto &name : m_context.membership.doubted()) {
+        tell(m_context.addressOf(name));
+    }
     m_context.membership.forget(ForgetAfter, now);
 }
 
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -74,10 +74,14 @@
         auto &peer = found->second;
         const bool newer = vm.incarnation > peer.vm.incarnation
             || (vm.incarnation == peer.vm.incarnation && vm.heartbeat > peer.vm.heartbeat && !(peer.state == VmState::Dead));
+        if (vm.dead && vm.incarnation >= peer.vm.incarnation) {
+            doubt(vm.name, false);
+        }
         if (newer && !vm.dead) {
             m_version += peer.vm.leaving != vm.leaving || peer.vm.place != vm.place || peer.vm.incarnation != vm.incarnation ? 1 : 0;
             peer.vm = vm;
             peer.heardAt = now;
+            peer.doubted = false;
         }
     }
     return calledDead;
@@ -90,6 +94,7 @@
         peer.vm.heartbeat = vm.heartbeat;
         peer.vm.revision = vm.revision;
         peer.heardAt = now;
+        peer.doubted = false;
     }
 }
 
@@ -125,6 +130,29 @@
     return changed;
 }
 
+auto Membership::doubt(std::string_view name, bool refused) -> void
+{
+    const auto found = m_peers.find(name);
+    if (found == m_peers.end() || found->second.state == VmState::Dead) {
+        return;
+    }
+    found->second.doubted = true;
+    if (refused) {
+        found->second.heardAt -= RefusedProbe;
+    }
+}
+
+auto Membership::doubted() const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.doubted && peer.state != VmState::Dead) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 auto Membership::forgive(TimePoint now) -> void
 {
     for (auto &[name, peer] : m_peers) {
--- a/src/slot_service.cc
+++ b/src/slot_service.cc
@@ -302,7 +302,10 @@
             pending.call = 0;
             if (!reply) {
                 pending.refusedBy.insert(pending.owner);
-                // A grant whose reply was lost is given back.
+                if (reply.error().code == ErrorCode::Unreachable) {
+                    m_context.membership.doubt(pending.owner, false);
+                }
+                // A grant whose reply was lost ends when the engine does not list it.
                 m_context.counters.at("slot_asks_failed").add();
                 return place(id);
             }
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -251,6 +252,10 @@
 
 def test_older_revision_is_not_taken(cluster):
     # The store shows an older document, as after a restore; no VM goes back to it.
+    document = call(cluster.peer("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    document["limits"] = {"quarantine_s": 555}
+    cluster.submit(document, document["revision"])
+    time.sleep(1)
     before = [call(cluster.caller(f"vm{i}"), "GET", "/readyz")[1]["revision"] for i in range(3)]
     key = base64.b64encode(b"currant/config/current").decode()
     held = call(cluster.platform, "POST", "/v3/kv/range", {"key": key})[1]["kvs"][0]["value"]
@@ -264,6 +269,9 @@
 
 
 def test_platform_away(cluster):
+    for index in range(40):  # so that the owners of all slices have read them
+        key = f"before-{index}"
+        call(cluster.caller(f"vm{index % 3}"), "POST", "/services/adoption/bookings", {"booking": key}, TOKEN, headers={"Idempotency-Key": key})
     cluster.platform_fault(down=True)
     try:
         expect(Stream(cluster.caller("vm0"), "during the outage", 5).read().is_whole(), "a completion failed while the platform was away")
@@ -312,7 +320,7 @@
     tests = [(name, test) for name, test in globals().items() if name.startswith("test_")]
     wanted = sys.argv[1:]
     failed = 0
-    with Cluster(vms=3, prefill=2, decode=4, bookings=2, base_port=25000, engine_defaults={"linger_ms": 60000}) as cluster:
+    with Cluster(vms=3, prefill=2, decode=4, bookings=2, base_port=int(os.environ.get("CURRANT_PORT", "25000")), engine_defaults={"linger_ms": 60000}) as cluster:
         cluster.start()
         cluster.settle()
         for name, test in tests:
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(oldNewsDoNotRevive);
     CPPUNIT_TEST(learnsThatItWasGivenUp);
     CPPUNIT_TEST(shortEntriesOnlyRaiseWhatIsKnown);
+    CPPUNIT_TEST(refusedProbesShortenTheWait);
     CPPUNIT_TEST(leavingVmOwnsNothing);
     CPPUNIT_TEST(membershipConverges);
     CPPUNIT_TEST_SUITE_END();
@@ -98,6 +99,25 @@
         CPPUNIT_ASSERT(membership.find("a")->heardAt == Start + seconds(1));
     }
 
+    auto refusedProbesShortenTheWait() -> void
+    {
+        auto membership = makeMembership();
+        membership.merge(std::vector{makeVm("a", 1, 1)}, Start);
+        for (int probe = 0; probe < 3; ++probe) {
+            membership.doubt("a", true);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, membership.doubted().size());
+        membership.tick(Start + milliseconds(400));
+        CPPUNIT_ASSERT(membership.find("a")->state == VmState::Dead);
+        // News in time end the doubt.
+        membership.merge(std::vector{makeVm("b", 1, 1)}, Start);
+        membership.doubt("b", true);
+        membership.merge(std::vector{makeVm("b", 1, 2)}, Start + milliseconds(100));
+        CPPUNIT_ASSERT(membership.doubted().empty());
+        membership.tick(Start + milliseconds(1500));
+        CPPUNIT_ASSERT(membership.find("b")->state == VmState::Alive);
+    }
+
     auto leavingVmOwnsNothing() -> void
     {
         auto membership = makeMembership();
