--- a/include/currantstack/model_relay.h
+++ b/include/currantstack/model_relay.h
@@ -12,6 +12,8 @@
 class ModelRelay : public Relay, public std::enable_shared_from_this<ModelRelay>
 {
 public:
+    static constexpr Duration AnswerPatience = seconds(30); // for which an answer that has begun is tried to go on
+
     ModelRelay(RelayParts &parts, CallerRequest request);
     ~ModelRelay() override;
 
--- a/include/currantstack/slot_service.h
+++ b/include/currantstack/slot_service.h
@@ -4,7 +4,7 @@
 #include "currantstack/announcer.h"
 #include "currantstack/cancels.h"
 #include "currantstack/health.h"
-#include "currantstack/slots.h"
+#include "currantstack/slot_messages.h"
 
 #include <map>
 #include <set>
@@ -21,14 +21,6 @@
     TimePoint usableUntil; // a dispatch must begin before
 };
 
-/// What a request saw of an engine, reported with the release.
-struct SlotObservation
-{
-    bool failed = false;
-    double ratio = 1; // seen over expected time
-    double microsPerToken = 0; // of a prefill; 0: none
-};
-
 /// Asks for slots and grants those of owned engines.
 class SlotService
 {
@@ -146,9 +138,4 @@
     bool m_decideScheduled = false;
 };
 
-auto toJson(const PoolView &view) -> Json;
-auto poolViewFromJson(const Json &value) -> Result<PoolView>;
-auto toJson(const SlotRequest &request, TimePoint now) -> Json;
-auto slotRequestFromJson(const Json &value, TimePoint now) -> Result<SlotRequest>;
-
 } // namespace currantstack
--- /dev/null
+++ b/src/slot_messages.cc
@@ -0,0 +1,104 @@
+#include "currantstack/slot_messages.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr std::int64_t Large = 1LL << 53;
+
+} // namespace
+
+auto readObservation(ObjectReader &reader) -> SlotObservation
+{
+    SlotObservation seen;
+    seen.failed = reader.boolean("failed", false);
+    seen.ratio = reader.number("ratio", 0, 1e6, 1);
+    seen.microsPerToken = reader.number("us_per_token", 0, 1e9, 0);
+    return seen;
+}
+
+auto writeObservation(Json &value, const SlotObservation &seen) -> void
+{
+    if (seen.failed) {
+        value["failed"] = true;
+    }
+    if (seen.ratio != 1) {
+        value["ratio"] = seen.ratio;
+    }
+    if (seen.microsPerToken > 0) {
+        value["us_per_token"] = seen.microsPerToken;
+    }
+}
+
+auto toJson(const PoolView &view) -> Json
+{
+    return {{"pool", view.pool},     {"capacity", view.capacity},    {"free", view.free},
+            {"queued", view.queued}, {"backlog_ms", view.backlogMs}, {"rate", view.grantsPerSecond}};
+}
+
+auto poolViewFromJson(const Json &value) -> Result<PoolView>
+{
+    Faults faults;
+    ObjectReader reader(value, "", faults);
+    PoolView view;
+    view.pool = reader.text("pool");
+    view.capacity = static_cast<int>(reader.integer("capacity", 0, 1 << 30, 0));
+    view.free = static_cast<int>(reader.integer("free", 0, 1 << 30, 0));
+    view.queued = static_cast<int>(reader.integer("queued", 0, 1 << 30, 0));
+    view.backlogMs = reader.number("backlog_ms", 0, 1e12, 0);
+    view.grantsPerSecond = reader.number("rate", 0, 1e12, 0);
+    if (!faults.empty()) {
+        return fail(ErrorCode::BadInput, "pool view", "", describe(faults));
+    }
+    return view;
+}
+
+auto toJson(const SlotRequest &request, TimePoint now) -> Json
+{
+    Json value = {{"id", request.requestId},
+                  {"pool", request.pool},
+                  {"member", request.member},
+                  {"share", request.share},
+                  {"priority", request.priority},
+                  {"tokens", request.tokens},
+                  {"left_ms", std::max(0.0, toMilliseconds(request.deadline - now))}};
+    if (!request.preferred.empty()) {
+        value["preferred"] = request.preferred;
+        value["cached"] = request.cachedTokens;
+    }
+    if (!request.avoid.empty()) {
+        value["avoid"] = request.avoid;
+    }
+    if (request.suspect) {
+        value["suspect"] = true;
+    }
+    return value;
+}
+
+auto slotRequestFromJson(const Json &value, TimePoint now) -> Result<SlotRequest>
+{
+    Faults faults;
+    ObjectReader reader(value, "", faults);
+    SlotRequest request;
+    request.requestId = reader.text("id");
+    request.pool = reader.text("pool");
+    request.member = reader.text("member", "");
+    request.share = reader.number("share", 0, 1e9, 1);
+    request.priority = static_cast<int>(reader.integer("priority", 0, MaxPriority, 0));
+    request.tokens = reader.integer("tokens", 0, Large, 0);
+    request.deadline = now + fromMilliseconds(reader.number("left_ms", 0, 1e9, 0));
+    request.preferred = reader.text("preferred", "");
+    request.cachedTokens = reader.integer("cached", 0, Large, 0);
+    request.avoid = reader.texts("avoid");
+    request.suspect = reader.boolean("suspect", false);
+    if (!faults.empty()) {
+        return fail(ErrorCode::BadInput, "slot request", "", describe(faults));
+    }
+    return request;
+}
+
+} // namespace currantstack
