--- a/include/currantstack/model_relay.h
+++ b/include/currantstack/model_relay.h
@@ -50,6 +50,7 @@
     auto sendPrefill() -> void;
     auto onPrefilled(const Result<HttpResponse> &response) -> void;
     auto sendDecode() -> void;
+    auto streamHandlers() -> HttpHandlers;
     auto onDecodeHead(int status) -> void;
     auto onDecodeData(std::string_view data) -> void;
     auto onDecodeEvent(std::string_view data) -> void;
--- a/src/model_recovery.cc
+++ b/src/model_recovery.cc
@@ -98,28 +98,12 @@
     call.freshConnection = true;
     call.step = "resume";
     call.peer = m_decode.engine;
-    HttpHandlers handlers;
-    handlers.onHead = [weak = weak_from_this()](int status, const Headers &) {
-        if (const auto self = weak.lock()) {
-            self->m_errorStatus = status != 200;
-        }
-    };
-    handlers.onData = [weak = weak_from_this()](std::string_view data) {
-        if (const auto self = weak.lock()) {
-            self->onDecodeData(data);
-        }
-    };
-    handlers.onDone = [weak = weak_from_this()](const Result<HttpResponse> &response) {
-        if (const auto self = weak.lock()) {
-            self->onDecodeEnd(response);
-        }
-    };
     m_resumed = true;
     m_errorStatus = false;
     m_parser = EventStreamParser();
     m_parts.context.counters.at("streams_resumed").add();
     m_parts.context.timeline.add(EventKind::Retried, m_request.id, m_decode.engine, "the stream broke and is resumed on a new connection");
-    m_decode.call = m_parts.context.client.start(std::move(call), std::move(handlers));
+    m_decode.call = m_parts.context.client.start(std::move(call), streamHandlers());
 }
 
 auto ModelRelay::failureOf(const Error &error) -> Failure
--- a/src/model_relay.cc
+++ b/src/model_relay.cc
@@ -270,6 +270,27 @@
     sendDecode();
 }
 
+auto ModelRelay::streamHandlers() -> HttpHandlers
+{
+    HttpHandlers handlers;
+    handlers.onHead = [weak = weak_from_this()](int status, const Headers &) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeHead(status);
+        }
+    };
+    handlers.onData = [weak = weak_from_this()](std::string_view data) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeData(data);
+        }
+    };
+    handlers.onDone = [weak = weak_from_this()](const Result<HttpResponse> &response) {
+        if (const auto self = weak.lock()) {
+            self->onDecodeEnd(response);
+        }
+    };
+    return handlers;
+}
+
 auto ModelRelay::sendDecode() -> void
 {
     CompletionRequest body;
@@ -292,22 +313,6 @@
     call.freshConnection = m_tries > 0;
     call.step = "decode";
     call.peer = m_decode.engine;
-    HttpHandlers handlers;
-    handlers.onHead = [weak = weak_from_this()](int status, const Headers &) {
-        if (const auto self = weak.lock()) {
-            self->onDecodeHead(status);
-        }
-    };
-    handlers.onData = [weak = weak_from_this()](std::string_view data) {
-        if (const auto self = weak.lock()) {
-            self->onDecodeData(data);
-        }
-    };
-    handlers.onDone = [weak = weak_from_this()](const Result<HttpResponse> &response) {
-        if (const auto self = weak.lock()) {
-            self->onDecodeEnd(response);
-        }
-    };
     m_parser = EventStreamParser();
     m_errorStatus = false;
     m_resumed = false;
@@ -315,7 +320,7 @@
     m_decode.sent = true;
     m_decode.begun = m_parts.context.clock.now();
     m_parts.context.timeline.add(EventKind::DecodeStarted, m_decode.requestId, m_decode.engine);
-    m_decode.call = m_parts.context.client.start(std::move(call), std::move(handlers));
+    m_decode.call = m_parts.context.client.start(std::move(call), streamHandlers());
 }
 
 auto ModelRelay::onDecodeHead(int status) -> void
--- a/test/http_server-test.cc
+++ b/test/http_server-test.cc
@@ -49,11 +49,16 @@
 
     auto post(const std::string &body) -> Result<HttpResponse>
     {
-        Result<HttpResponse> result = fail(ErrorCode::Internal, "", "", "");
         HttpCall call;
         call.method = "POST";
         call.url = urlOf(address(), "/x?a=1&b=%20");
         call.body = body;
+        return make(std::move(call));
+    }
+
+    auto make(HttpCall call) -> Result<HttpResponse>
+    {
+        Result<HttpResponse> result = fail(ErrorCode::Internal, "", "", "");
         HttpHandlers handlers;
         handlers.onDone = [&](Result<HttpResponse> response) {
             result = std::move(response);
@@ -181,49 +186,28 @@
     {
         Rig rig([](const ExchangePtr &) {});
         rig.server.reset();
-        Result<HttpResponse> result = HttpResponse();
         HttpCall call;
         call.url = "http://127.0.0.1:1/";
-        HttpHandlers handlers;
-        handlers.onDone = [&](Result<HttpResponse> response) {
-            result = std::move(response);
-            rig.loop.stop();
-        };
-        rig.client.start(std::move(call), std::move(handlers));
-        rig.run();
+        const auto result = rig.make(std::move(call));
         CPPUNIT_ASSERT(!result && result.error().code == ErrorCode::Unreachable);
     }
 
     auto namesAreNotResolved() -> void
     {
         Rig rig([](const ExchangePtr &) {});
-        Result<HttpResponse> result = HttpResponse();
         HttpCall call;
         call.url = urlOf("", "/v1/kv/export"); // an empty address makes the path's first part the host
-        HttpHandlers handlers;
-        handlers.onDone = [&](Result<HttpResponse> response) {
-            result = std::move(response);
-            rig.loop.stop();
-        };
-        rig.client.start(std::move(call), std::move(handlers));
-        rig.run();
+        const auto result = rig.make(std::move(call));
         CPPUNIT_ASSERT(!result && result.error().code == ErrorCode::Unreachable);
     }
 
     auto idleCallEnds() -> void
     {
         Rig rig([](const ExchangePtr &) {}); // never answers
-        Result<HttpResponse> result = HttpResponse();
         HttpCall call;
         call.url = urlOf(rig.address(), "/");
         call.idleTimeout = milliseconds(100);
-        HttpHandlers handlers;
-        handlers.onDone = [&](Result<HttpResponse> response) {
-            result = std::move(response);
-            rig.loop.stop();
-        };
-        rig.client.start(std::move(call), std::move(handlers));
-        rig.run();
+        const auto result = rig.make(std::move(call));
         CPPUNIT_ASSERT(!result && result.error().code == ErrorCode::DeadlineExceeded);
     }
 };
