Admission knows shares: a member under its share is not refused by the estimate

Ruled out: the owners' fairness (none of their admitted requests was late). Ruled out on the way: refusing nobody who is alone (the crest would wait for its deadline instead of being refused at once).

--- a/include/currantstack/usage.h
+++ b/include/currantstack/usage.h
@@ -1,6 +1,7 @@
 // What each member used, at this VM and over all.
 #pragma once
 
+#include "currantstack/config.h"
 #include "currantstack/json.h"
 
 #include <cstdint>
@@ -38,6 +39,10 @@
     std::map<std::string, MemberUsage, std::less<>> m_members;
 };
 
+/// Returns whether the member has less under way at this VM than its share among the members that are active there. The balancer
+/// spreads callers evenly, so one VM's requests are a sample of all.
+auto isUnderShare(const UsageBook &usage, const Config &config, std::string_view member) -> bool;
+
 /// Adds the usages that several VMs reported, by member.
 auto sumUsage(const std::vector<Json> &reports) -> Json;
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -203,7 +203,9 @@
         return fail(ErrorCode::Unavailable, "admit", request.completion.model, "no engine of the model may take work");
     }
     const auto expected = decodeWait + prefillWait + fromMilliseconds(prefillMs + estimate.decodeStartMs(tokens));
-    if (request.priority == 0 && m_context.clock.now() + expected > request.deadline) {
+    // Whoever is under its share comes first at the owners, whatever waits there: the queue decides, not this estimate.
+    const bool comesFirst = request.priority > 0 || isUnderShare(m_usage, *request.config, request.member->name);
+    if (!comesFirst && m_context.clock.now() + expected > request.deadline) {
         m_context.counters.at("requests_not_admitted").add();
         return fail(ErrorCode::Overloaded, "admit", request.completion.model,
                     fmt::format("the first token is expected after {:.0f} ms, beyond the deadline", toMilliseconds(expected)));
--- a/src/usage.cc
+++ b/src/usage.cc
@@ -20,6 +20,27 @@
     return document;
 }
 
+auto isUnderShare(const UsageBook &usage, const Config &config, std::string_view member) -> bool
+{
+    double ownShare = 0;
+    double ownLoad = 0;
+    double shares = 0;
+    double load = 0;
+    for (const auto &[name, entry] : usage.all()) {
+        const auto *info = config.findMember(name);
+        if (info == nullptr || (entry.inFlight <= 0 && name != member)) {
+            continue;
+        }
+        shares += info->share;
+        load += static_cast<double>(entry.inFlight);
+        if (name == member) {
+            ownShare = info->share;
+            ownLoad = static_cast<double>(entry.inFlight);
+        }
+    }
+    return ownLoad * shares < ownShare * load;
+}
+
 auto sumUsage(const std::vector<Json> &reports) -> Json
 {
     auto total = Json::object();
--- a/support/relay.py
+++ b/support/relay.py
@@ -41,6 +41,10 @@
         finally:
             writer.close()
 
+    def close(self):
+        """Takes no more connections; the port is free again."""
+        Relay._loop.call_soon_threadsafe(self.server.close)
+
     def silence(self):
         """Makes all open connections silent for good; new ones work."""
         self.generation += 1
--- a/test/json-test.cc
+++ b/test/json-test.cc
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(timelineIsBoundedAndOrdered);
     CPPUNIT_TEST(settingsNameEveryFault);
     CPPUNIT_TEST(prefixMapForgets);
+    CPPUNIT_TEST(shareIsRelativeToTheActive);
     CPPUNIT_TEST(usageAddsUp);
     CPPUNIT_TEST_SUITE_END();
 
@@ -118,6 +119,22 @@
         CPPUNIT_ASSERT(map.find(prompt).empty());
     }
 
+    auto shareIsRelativeToTheActive() -> void
+    {
+        Config config;
+        config.members = {{"large", {}, 4, 0, {}, {}}, {"small", {}, 1, 0, {}, {}}, {"idle", {}, 5, 0, {}, {}}};
+        UsageBook usage;
+        usage.of("idle").inFlight = 0;
+        usage.of("large").inFlight = 50;
+        CPPUNIT_ASSERT(!isUnderShare(usage, config, "large")); // alone: nobody yields to it
+        usage.of("small").inFlight = 5;
+        CPPUNIT_ASSERT(!isUnderShare(usage, config, "large"));
+        CPPUNIT_ASSERT(isUnderShare(usage, config, "small"));
+        usage.of("small").inFlight = 20;
+        CPPUNIT_ASSERT(!isUnderShare(usage, config, "small"));
+        CPPUNIT_ASSERT(isUnderShare(usage, config, "large"));
+    }
+
     auto usageAddsUp() -> void
     {
         UsageBook first;
