--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -1,13 +1,7 @@
 #include "currantstack/placement.h"
 
-#include "currantstack/estimate.h"
-#include "currantstack/rendezvous.h"
-#include "currantstack/retry.h"
-
 #include "check.h"
 
-#include <map>
-
 using namespace currantstack;
 
 namespace
@@ -32,9 +26,6 @@
     CPPUNIT_TEST(ownPendingAsksCount);
     CPPUNIT_TEST(prefixNeverCostsMoreThanItSaves);
     CPPUNIT_TEST(baselinesStayInRange);
-    CPPUNIT_TEST(ownersMoveOnlyFromTheDead);
-    CPPUNIT_TEST(retryBudgetIsAShareOfSuccesses);
-    CPPUNIT_TEST(estimatesLearn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,53 +86,6 @@
         }
         CPPUNIT_ASSERT(!chooseEngine(PolicyKind::Random, {}, 0, random));
     }
-
-    auto ownersMoveOnlyFromTheDead() -> void
-    {
-        CHECK_PROPERTY("when a VM dies, only its own keys move", []() {
-            const int count = *rc::gen::inRange(2, 12);
-            std::vector<std::string> vms;
-            for (int index = 0; index < count; ++index) {
-                vms.push_back("vm" + std::to_string(index));
-            }
-            const auto dead = vms[static_cast<std::size_t>(*rc::gen::inRange(0, count))];
-            auto rest = vms;
-            std::erase(rest, dead);
-            for (int key = 0; key < 50; ++key) {
-                const auto name = "engine" + std::to_string(key);
-                const auto before = rendezvousOwner(vms, name);
-                RC_ASSERT(before == dead || rendezvousOwner(rest, name) == before);
-            }
-        });
-    }
-
-    auto retryBudgetIsAShareOfSuccesses() -> void
-    {
-        CHECK_PROPERTY("retries stay under the share of successes and the reserve", [](const std::vector<bool> &events) {
-            RetryBudget budget(0.1);
-            double taken = 0;
-            double successes = 0;
-            for (const bool success : events) {
-                if (success) {
-                    budget.onSuccess();
-                    ++successes;
-                } else if (budget.take()) {
-                    ++taken;
-                }
-                RC_ASSERT(taken <= RetryBudget::Reserve + 0.1 * successes + 1e-6);
-            }
-        });
-    }
-
-    auto estimatesLearn() -> void
-    {
-        ModelEstimate estimate;
-        for (int round = 0; round < 300; ++round) {
-            estimate.observePrefill(1000, 1000, 6000, milliseconds(105));
-        }
-        CPPUNIT_ASSERT_DOUBLES_EQUAL(105, estimate.prefillMs(1000), 3);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, estimate.tokensOf(600));
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
