--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -88,9 +88,12 @@
     request.pool = "decode";
     request.member = "member";
     request.deadline = Start + seconds(100);
-    for (int index = 0; index < engines * 19; ++index) {
-        request.requestId = fmt::format("vm1.1796358062090.{}.d0", index);
-        ledger.ask(request, Start);
+    for (int index = 0; index < engines; ++index) {
+        std::vector<RunningRequest> running;
+        for (int slot = 0; slot < 19; ++slot) {
+            running.push_back({fmt::format("vm1.1796358062090.{}.d0", index * 19 + slot), "decode", 5});
+        }
+        ledger.reconcile(fmt::format("engine{}", index), running, Start);
     }
     state.counters["bytes"] = heapBytes() - before;
     request.requestId = "vm1.1796358062090.next.d0";
