A VM that comes takes its engines over at once; kept documents are text

Cause: with 50 VMs 46 held the store's watch where 16 should. The hooks that decide again who owns and who watches ran only when a known VM changed its state, not when a VM was met for the first time: after a VM with a new name came, its engines had two owners that granted at the same time, until some other VM changed. Ruled out: the rendezvous itself (all VMs name the same owner). Change: the hooks run whenever the list of live VMs has changed.

--- a/include/currantstack/announcer.h
+++ b/include/currantstack/announcer.h
@@ -15,7 +15,7 @@
 public:
     using Produce = std::function<Json()>;
     using Consume = std::function<void(const std::string &vm, const Json &section)>;
-    using OnChange = std::function<void(const Membership::Peer &peer)>;
+    using OnChange = std::function<void()>;
     using OnReplaced = std::function<void()>;
 
     static constexpr int Fanout = 2; // peers told at each period
@@ -28,7 +28,8 @@
     /// Adds a section to each announcement.
     auto section(std::string key, Produce produce, Consume consume) -> void;
 
-    /// Sets what runs when a VM's state changes, and when this VM learns that others called it dead or that it was paused.
+    /// Sets what runs when a VM comes, leaves or changes its state, and when this VM learns that others called it dead or that it was
+    /// paused.
     auto onChange(OnChange hook) -> void;
     auto onReplaced(OnReplaced hook) -> void;
 
@@ -66,6 +67,7 @@
     std::unique_ptr<Timer> m_discovery;
     TimePoint m_lastTick;
     std::int64_t m_announcements = 0;
+    std::int64_t m_seenVersion = 0; // of the membership, for which the hooks have run
 };
 
 auto toJson(const Vm &vm) -> Json;
--- a/include/currantstack/config_service.h
+++ b/include/currantstack/config_service.h
@@ -58,7 +58,7 @@
     struct Kept
     {
         std::int64_t revision = 0;
-        Json document;
+        std::string text; // parsed when a peer needs the difference, which takes a tenth of the memory
     };
 
     auto apply(const Json &document, std::string_view from) -> void;
--- a/src/announcer.cc
+++ b/src/announcer.cc
@@ -232,8 +232,10 @@
     for (const auto &peer : m_context.membership.tick(m_context.clock.now())) {
         MemberLog.info("{} is {}", peer.vm.name, name(peer.state));
         m_context.timeline.add(EventKind::VmChanged, "", peer.vm.name, name(peer.state));
+    }
+    if (std::exchange(m_seenVersion, m_context.membership.version()) != m_context.membership.version()) {
         for (const auto &hook : m_onChange) {
-            hook(peer);
+            hook();
         }
     }
 }
--- a/src/config_service.cc
+++ b/src/config_service.cc
@@ -98,7 +98,7 @@
     m_document = document;
     m_context.config = std::make_shared<const Config>(std::move(*parsed));
     m_context.membership.setRevision(revision);
-    m_kept.push_back({revision, document});
+    m_kept.push_back({revision, document.dump()});
     if (m_kept.size() > KeptDocuments) {
         m_kept.pop_front();
     }
@@ -207,7 +207,7 @@
     Json answer = {{"revision", m_context.config->revision}, {"digest", digestOf(m_document)}};
     for (const auto &kept : m_kept) {
         if (kept.revision == have && have > 0) {
-            answer["patch"] = Json::diff(kept.document, m_document);
+            answer["patch"] = Json::diff(Json::parse(kept.text), m_document);
             return reply(answer);
         }
     }
--- a/src/node.cc
+++ b/src/node.cc
@@ -88,7 +88,7 @@
         slots.reconsider();
         gateway.reconsider();
     });
-    announcer.onChange([this](const Membership::Peer &) {
+    announcer.onChange([this]() {
         slots.reconsider();
         config.reconsider();
     });
--- a/src/operator_api.cc
+++ b/src/operator_api.cc
@@ -148,6 +148,7 @@
         if (m_context.isSelf(owner)) {
             entry["held"] = m_slots.ledger().held(engine.name);
         }
+        entry["granted_here"] = m_slots.ledger().owns(engine.name);
         engines.push_back(std::move(entry));
     }
     auto services = Json::array();
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -306,6 +306,29 @@
     time.sleep(2.5)
 
 
+def test_new_vm_takes_engines_over(cluster):
+    def granting(names):
+        owners = {}
+        for vm in names:
+            for engine in call(cluster.peer(vm), "GET", "/operator/upstreams", None, OPERATOR_TOKEN)[1]["engines"]:
+                if engine["granted_here"]:
+                    owners.setdefault(engine["name"], []).append(vm)
+        return owners
+
+    cluster.vm_names.append("newcomer")
+    try:
+        cluster.start_vm("newcomer")
+        cluster.wait_for(lambda: call(cluster.caller("newcomer"), "GET", "/readyz")[0] == 200)
+        one_each = lambda: sorted(len(v) for v in granting(cluster.vm_names).values()) == [1] * len(cluster.engines)
+        eventually(lambda: one_each() and ["newcomer"] in granting(cluster.vm_names).values(), 5, f"owners after a new VM came: {granting(cluster.vm_names)}")
+        expect(Stream(cluster.caller("newcomer"), "by the newcomer", 5).read().is_whole(), "the new VM does not serve")
+    finally:
+        cluster.kill("newcomer")
+        cluster.vm_names.remove("newcomer")
+    eventually(lambda: sorted(len(v) for v in granting(cluster.vm_names).values()) == [1] * len(cluster.engines), 6, "engines have no single owner after a VM's death")
+    time.sleep(1.5)
+
+
 def test_drain_cuts_off_nothing(cluster):
     streams = [Stream(cluster.caller("vm2"), f"draining {i}", 150).read(2) for i in range(5)]
     cluster.processes["vm2"].send_signal(signal.SIGTERM)
