--- a/include/currantstack/clock.h
+++ b/include/currantstack/clock.h
@@ -9,6 +9,7 @@
 using Duration = std::chrono::nanoseconds;
 using TimePoint = std::chrono::steady_clock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/include/currantstack/counters.h
+++ b/include/currantstack/counters.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -42,6 +43,9 @@
     /// Returns the value, or 0 where the counter does not exist.
     auto value(std::string_view name) const -> std::int64_t;
 
+    /// Runs the hook for each counter, sorted by name.
+    auto each(const std::function<void(std::string_view name, std::int64_t value)> &hook) const -> void;
+
     /// Returns all counters as a JSON object, sorted by name.
     auto dump() const -> std::string;
 
--- /dev/null
+++ b/include/currantstack/decisions/engine_placement.h
@@ -0,0 +1,101 @@
+// Where a prompt is read and where its answer is made: one estimate compares all ways.
+#pragma once
+
+#include "currantstack/decisions/distance.h"
+#include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/route_table.h"
+#include "currantstack/decisions/upstream_directory.h"
+#include "currantstack/estimate.h"
+#include "currantstack/placement.h"
+
+#include <optional>
+#include <span>
+
+namespace currantstack
+{
+
+/// What a request asks of an engine.
+struct PromptShape
+{
+    double promptTokens = 0;
+    double outputTokens = 0; // at the most
+
+    auto kvTokens() const -> double
+    {
+        return promptTokens + outputTokens;
+    }
+};
+
+/// One engine as a candidate.
+struct EngineView
+{
+    const Upstream *upstream = nullptr;
+    WorkUnderWay work; // of all VMs
+    double health = 1; // 0 to 1
+    Reach reach = Reach::SamePlace; // from this VM
+};
+
+/// Speeds of a service's engines, learned from this VM's own requests.
+class EngineSpeeds
+{
+public:
+    /// Tokens read in a millisecond, to begin with: the order of a large model on one accelerator.
+    static constexpr double FirstReadRate = 30;
+    /// A decode engine reads between the tokens of other requests, at about half the speed of a prefill engine.
+    static constexpr double MixedShare = 0.45;
+
+    /// Records that `tokens` (those ahead included) were read in the time.
+    auto observePrefill(double tokens, Duration length) -> void;
+    auto observeMixed(double tokens, Duration length) -> void;
+    auto observeStream(Duration length) -> void;
+
+    auto prefillRate() const -> double
+    {
+        return m_prefillRate.value();
+    }
+
+    auto mixedRate() const -> double
+    {
+        return m_mixedRate.value();
+    }
+
+    /// Returns how long a stream holds its engine's memory.
+    auto streamLength() const -> Duration
+    {
+        return fromMilliseconds(m_streamMs.value());
+    }
+
+private:
+    MovingAverage m_prefillRate{FirstReadRate, 0.05};
+    MovingAverage m_mixedRate{FirstReadRate * MixedShare, 0.05};
+    MovingAverage m_streamMs{600, 0.05};
+};
+
+/// The chosen way of one stream.
+struct StreamPlan
+{
+    const Upstream *prefill = nullptr; // null: the decode engine reads the prompt itself
+    const Upstream *decode = nullptr;
+    Duration readTime = Duration::zero(); // until the prompt is read, waiting included
+    Duration firstToken = Duration::zero(); // expected time to the first event
+};
+
+/// Everything that a choice depends on.
+struct PlacementInputs
+{
+    std::span<const EngineView> prefill;
+    std::span<const EngineView> decode;
+    PromptShape shape;
+    const EngineModel &model;
+    const EngineSpeeds &speeds;
+    const PlaceMap &places;
+};
+
+/// Returns the way with the shortest expected time to the first token, or nothing where no decode engine has room.
+/// Answers a load that swings above what the prefill engines can read: decode engines then take prompts too.
+auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>;
+
+/// Returns the decode engine on which a broken stream goes on, reading its prompt again; `avoid` is left out.
+auto planResume(const PlacementInputs &inputs, std::string_view avoid, Random &random) -> std::optional<StreamPlan>;
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/decisions/load_table.h
@@ -0,0 +1,68 @@
+// The work that all VMs have under way at each upstream, as this VM knows it.
+#pragma once
+
+#include "currantstack/clock.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantstack
+{
+
+/// Work that was given to one upstream and is not done.
+struct WorkUnderWay
+{
+    double promptTokens = 0; // still to be read there
+    double kvTokens = 0; // memory that its requests take when they are complete
+    int requests = 0;
+
+    auto operator+=(const WorkUnderWay &other) -> WorkUnderWay &;
+    auto operator-=(const WorkUnderWay &other) -> WorkUnderWay &;
+    auto isEmpty() const -> bool;
+};
+
+struct UpstreamWork
+{
+    std::string upstream;
+    WorkUnderWay work;
+};
+
+/// Own work to the moment, and that of other VMs as they last told it.
+class LoadTable
+{
+public:
+    /// After this a VM's word counts no more: it is dead, or its work has long changed.
+    static constexpr Duration PeerLife = milliseconds(1500);
+
+    auto add(std::string_view upstream, const WorkUnderWay &work) -> void;
+    auto remove(std::string_view upstream, const WorkUnderWay &work) -> void;
+
+    /// Replaces all that the VM has said before. A message with a lower sequence number than the last one is ignored.
+    auto hear(std::string_view vm, std::uint64_t sequence, std::span<const UpstreamWork> works, TimePoint now) -> void;
+
+    /// Returns the work of all VMs at the upstream.
+    auto total(std::string_view upstream, TimePoint now) const -> WorkUnderWay;
+
+    /// Returns this VM's own work, without idle upstreams.
+    auto own() const -> std::vector<UpstreamWork>;
+
+    auto peers(TimePoint now) const -> std::size_t;
+
+private:
+    using Works = std::map<std::string, WorkUnderWay, std::less<>>;
+
+    struct Peer
+    {
+        std::uint64_t sequence = 0;
+        TimePoint heardAt;
+        Works works;
+    };
+
+    Works m_own;
+    std::map<std::string, Peer, std::less<>> m_peers;
+};
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/edge/context.h
@@ -0,0 +1,77 @@
+// What the controllers and forwarders of one VM of the edge share.
+#pragma once
+
+#include "currantstack/counters.h"
+#include "currantstack/decisions/attempt.h"
+#include "currantstack/decisions/fleet_retry_budget.h"
+#include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/upstream_directory.h"
+#include "currantstack/edge/latencies.h"
+#include "currantstack/edge/protocol.h"
+#include "currantstack/edge/settings.h"
+#include "currantstack/event_log.h"
+#include "currantstack/health.h"
+#include "currantstack/http_client.h"
+#include "currantstack/http_server.h"
+#include "currantstack/loop.h"
+
+#include <map>
+#include <memory>
+
+namespace currantstack
+{
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+/// All run on one loop; state is owned here and changed by the controllers alone.
+struct EdgeContext
+{
+    Loop &loop;
+    const Clock &clock;
+    Random &random;
+    const EdgeSettings &settings;
+    HttpClient &client;
+    const EdgeProtocol &protocol;
+    EventLog &log;
+    Counters &counters;
+    Latencies &latencies;
+    FleetRetryBudget retries;
+    RouteTablePtr table = nullptr; // in force; null until it was read
+    TimePoint tableReadAt = {};
+    UpstreamDirectory directory = {};
+    LoadTable loads = {};
+    HealthTracker health = {};
+    std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
+    std::map<std::string, MovingAverage, std::less<>> workMs = {}; // of a plain service's request
+    bool draining = false;
+
+    auto speedsOf(std::string_view service) -> EngineSpeeds &
+    {
+        return speeds[std::string(service)];
+    }
+
+    auto workOf(std::string_view service) -> MovingAverage &
+    {
+        constexpr double FirstGuessMs = 30; // until requests were seen
+        return workMs.try_emplace(std::string(service), FirstGuessMs).first->second;
+    }
+};
+
+/// One caller's request on its way through the filters.
+struct IncomingRequest
+{
+    ExchangePtr exchange;
+    CallerFacts facts;
+    RouteTablePtr table;
+    const Route *route = nullptr; // in `table`
+    std::string service;
+    TimePoint arrivedAt;
+
+    /// Returns when the caller gets its final answer at the latest.
+    auto deadline() const -> TimePoint
+    {
+        return arrivedAt + std::min(route->timeout, facts.timeLeft.value_or(route->timeout));
+    }
+};
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/edge/protocol.h
@@ -0,0 +1,113 @@
+// The ports that an adapter fills: how callers and upstreams spell what the router needs to know.
+#pragma once
+
+#include "currantstack/decisions/engine_placement.h"
+#include "currantstack/decisions/route_table.h"
+#include "currantstack/decisions/upstream_directory.h"
+#include "currantstack/edge/settings.h"
+#include "currantstack/error.h"
+#include "currantstack/http.h"
+#include "currantstack/http_client.h"
+#include "currantstack/store.h"
+
+#include <optional>
+
+namespace currantstack
+{
+
+/// What a caller's request says of itself.
+struct CallerFacts
+{
+    std::string requestId; // of this attempt; echoed by the upstream
+    std::string host;
+    std::optional<Duration> timeLeft; // how long the caller waits
+    PromptShape shape; // zero where the request is for a plain service
+    std::int64_t lastEventId = 0; // events that the caller has already
+};
+
+/// What the router adds to a request for one upstream.
+struct ForwardSpec
+{
+    std::string instance; // the upstream's id; another one at the address refuses
+    Duration timeLeft = Duration::zero();
+    std::int64_t lastEventId = 0;
+    std::string kvSource; // "address/handle" of a prompt that was read elsewhere; empty: none
+    bool prefillOnly = false;
+};
+
+/// What an upstream's response head says beyond its status.
+struct AnswerHead
+{
+    bool notRun = false; // the upstream did not run the request and will not
+    bool stamped = false; // the answer is an upstream's own
+    bool ours = false; // it echoes the request's id
+    bool encoded = false; // the body is not the upstream's plain body
+};
+
+/// A prompt that an engine has read and keeps for another.
+struct PrefillResult
+{
+    std::string handle;
+    std::int64_t tokens = 0;
+};
+
+/// The caller's and the upstreams' dialect.
+class EdgeProtocol
+{
+public:
+    virtual ~EdgeProtocol() = default;
+
+    virtual auto readRequest(const HttpRequest &request) const -> CallerFacts = 0;
+
+    /// Returns a refusal that promises that the request was not run. `retryAfter` of zero gives no advice.
+    virtual auto refusal(Duration retryAfter, std::string_view reason) const -> HttpResponse = 0;
+
+    /// Returns the headers of the request at an upstream: the caller's, without those of one connection or of the router's own.
+    virtual auto forwardHeaders(const HttpRequest &request, const ForwardSpec &spec) const -> Headers = 0;
+
+    /// Returns the headers of the caller's response from those of the upstream's.
+    virtual auto answerHeaders(const Headers &headers) const -> Headers = 0;
+
+    virtual auto readHead(int status, const Headers &headers, const CallerFacts &facts) const -> AnswerHead = 0;
+    virtual auto readPrefill(std::string_view body) const -> Result<PrefillResult> = 0;
+
+    /// Returns the call that frees a handle at the engine.
+    virtual auto freeHandle(const Upstream &engine, std::string_view handle) const -> HttpCall = 0;
+};
+
+/// The kinds of entries in the store that a VM follows.
+enum class StoreRecord
+{
+    Routes,
+    Upstream,
+    Vm,
+    Other,
+};
+
+/// A VM's own entry in the store.
+struct VmRecord
+{
+    std::string name;
+    std::string place;
+    SocketAddress peers;
+};
+
+/// How the store's keys and values are spelled.
+class StoreCodec
+{
+public:
+    virtual ~StoreCodec() = default;
+
+    virtual auto kindOf(std::string_view key) const -> StoreRecord = 0;
+    virtual auto readRoutes(const StoreValue &value) const -> Result<RouteTable> = 0;
+    virtual auto readUpstream(const StoreValue &value) const -> Result<Upstream> = 0;
+
+    /// Returns the upstream's id, or the VM's name, that a key stands for.
+    virtual auto idOf(std::string_view key) const -> std::string = 0;
+
+    virtual auto vmKey(std::string_view name) const -> std::string = 0;
+    virtual auto writeVm(const VmRecord &record) const -> std::string = 0;
+    virtual auto readVm(const StoreValue &value) const -> Result<VmRecord> = 0;
+};
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/edge/settings.h
@@ -0,0 +1,41 @@
+// What one VM of the edge knows at its start, wherever its settings come from.
+#pragma once
+
+#include "currantstack/decisions/distance.h"
+#include "currantstack/decisions/fleet_retry_budget.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace currantstack
+{
+
+struct SocketAddress
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto text() const -> std::string
+    {
+        return ip + ":" + std::to_string(port);
+    }
+};
+
+struct EdgeSettings
+{
+    std::string vm;
+    std::string place;
+    std::string region;
+    PlaceMap places;
+    SocketAddress callers; // where requests arrive
+    SocketAddress readiness; // where the balancer asks whether this VM takes requests
+    SocketAddress peers; // datagrams between VMs
+    SocketAddress store;
+    Duration drainLimit = seconds(8); // from SIGTERM to SIGKILL
+    RetryBound retries;
+    Duration orderLease = seconds(3); // holders of orders take turns no faster
+    bool bootstrap = false; // the whole system starts for the first time
+};
+
+} // namespace currantstack
--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -24,7 +24,8 @@
 struct HttpRequest
 {
     std::string method;
-    std::string path;
+    std::string target; // path and query as they were sent, not decoded
+    std::string path; // decoded
     Headers query; // decoded arguments of the URL
     Headers headers;
     std::string body;
@@ -47,6 +48,13 @@
     std::string body;
 };
 
+/// Returns whether the header names are equal without case.
+auto equalNames(std::string_view left, std::string_view right) -> bool;
+
+/// Returns what makes the length of a request's body ambiguous, or an empty text. Such a request must be refused and its
+/// connection closed, because two readers may disagree on where the next request begins.
+auto framingFault(const HttpRequest &request) -> std::string_view;
+
 /// Returns "?name=value&...", percent-encoded, or an empty text without arguments.
 auto encodeQuery(const Headers &arguments) -> std::string;
 
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -22,6 +22,9 @@
     Duration idleTimeout = Duration::zero(); // limit on time without progress; zero: none
     Duration headTimeout = Duration::zero(); // limit on time without progress before the first byte; zero: idleTimeout
     bool freshConnection = false;
+    bool closeAfterwards = false; // the connection is not kept for later calls
+    bool exactHeaders = false; // sends no header of the client's own but the body's length
+    std::string target; // sent in place of the URL's path and query, unchanged; empty: the URL's own
     std::string step; // names the call in errors
     std::string peer; // names the callee in errors
 };
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -78,6 +78,7 @@
     std::function<void()> m_onGone;
     std::unique_ptr<Watcher> m_watcher;
     bool m_bodyTooLarge = false;
+    bool m_headRead = false;
     bool m_dispatched = false;
     bool m_suspended = false;
     bool m_answered = false;
@@ -99,6 +100,7 @@
     std::size_t maxHead = 64U << 10; // bytes of memory for a request's head
     unsigned maxConnections = 20000;
     unsigned idleTimeout = 60; // seconds until a connection without progress is closed
+    bool strictFraming = false; // answers 400 to a request whose body's length is ambiguous
 };
 
 /// Listens on one address and hands each whole request to the handler.
@@ -117,6 +119,9 @@
     /// Stops taking new connections; the open ones go on.
     auto quiesce() -> void;
 
+    /// Changes how long new requests' connections may stay without progress; `limit` is rounded up to seconds.
+    auto setIdleTimeout(Duration limit) -> void;
+
     /// Returns how many requests are being answered.
     auto active() const -> std::size_t;
 
--- a/include/currantstack/placement.h
+++ b/include/currantstack/placement.h
@@ -5,6 +5,7 @@
 #include "currantstack/slots.h"
 
 #include <pcg_random.hpp>
+#include <random>
 #include <span>
 
 namespace currantstack
--- /dev/null
+++ b/src/decisions/engine_placement.cc
@@ -0,0 +1,158 @@
+#include "currantstack/decisions/engine_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr double MinHealth = 0.05; // an engine below is used only where all are
+constexpr double MinRate = 1; // tokens a millisecond
+constexpr double MaxRate = 1000;
+constexpr double BaseMs = 15; // an idle engine's time to the first token beyond reading: admission and one step
+constexpr double TransferSetupMs = 4; // before a transfer's first byte
+// Spreads VMs that see the same load, so that they do not all take the same engine.
+constexpr double JitterMs = 6;
+constexpr double BitsPerByte = 8;
+constexpr double MegabitsPerMs = 1000; // bits in a millisecond at one megabit a second
+
+/// Memory that may be promised beyond an engine's own: most answers end before their longest length.
+constexpr double MemoryStretch = 1.0;
+
+struct Cost
+{
+    double ms = 0;
+    const EngineView *engine = nullptr;
+
+    auto consider(double candidate, const EngineView &view) -> void
+    {
+        if (engine == nullptr || candidate < ms) {
+            ms = candidate;
+            engine = &view;
+        }
+    }
+};
+
+auto isSound(const EngineView &view) -> bool
+{
+    return view.health >= MinHealth;
+}
+
+auto anySound(std::span<const EngineView> views) -> bool
+{
+    return std::any_of(views.begin(), views.end(), isSound);
+}
+
+auto hasRoom(const EngineView &view, const PlacementInputs &inputs) -> bool
+{
+    const auto &model = inputs.model;
+    return view.work.requests < model.slots && view.work.kvTokens + inputs.shape.kvTokens() <= MemoryStretch * static_cast<double>(model.kvTokens);
+}
+
+auto jitter(Random &random) -> double
+{
+    return std::uniform_real_distribution<double>(0, JitterMs)(random);
+}
+
+/// Time until the prompt is read at the engine, in milliseconds.
+auto readMs(const EngineView &view, double tokens, double rate) -> double
+{
+    return (view.work.promptTokens + tokens) / rate / std::max(view.health, MinHealth);
+}
+
+auto transferMs(const PlacementInputs &inputs, const Upstream &from, const Upstream &to) -> double
+{
+    if (inputs.model.linkMbps <= 0) {
+        return TransferSetupMs;
+    }
+    const double bits = inputs.shape.promptTokens * inputs.model.kvBytesPerToken * BitsPerByte;
+    const auto factor = transferFactor(inputs.places.between(from.place, to.place));
+    return TransferSetupMs + factor * bits / (inputs.model.linkMbps * MegabitsPerMs);
+}
+
+auto cheapestRead(const PlacementInputs &inputs, Random &random) -> Cost
+{
+    Cost best;
+    const bool sound = anySound(inputs.prefill);
+    for (const auto &view : inputs.prefill) {
+        if (sound && !isSound(view)) {
+            continue;
+        }
+        const auto ms = readMs(view, inputs.shape.promptTokens, inputs.speeds.prefillRate()) + toMilliseconds(roundTrip(view.reach));
+        best.consider(ms + jitter(random), view);
+    }
+    return best;
+}
+
+/// Cost of a decode engine that gets the prompt's memory from `from`, or that reads the prompt itself where that is null.
+auto decodeMs(const PlacementInputs &inputs, const EngineView &view, const Upstream *from) -> double
+{
+    const double away = toMilliseconds(roundTrip(view.reach)) + BaseMs / std::max(view.health, MinHealth);
+    if (from == nullptr) {
+        return away + readMs(view, inputs.shape.promptTokens, inputs.speeds.mixedRate());
+    }
+    // A prompt that is being read there delays the first step of the new stream by a part of a chunk only.
+    const double busy = view.work.promptTokens > 0 ? BaseMs : 0;
+    const double crowd = BaseMs * view.work.requests / static_cast<double>(std::max<std::int64_t>(1, inputs.model.slots));
+    return away + busy + crowd + transferMs(inputs, *from, *view.upstream);
+}
+
+auto cheapestDecode(const PlacementInputs &inputs, const Upstream *from, std::string_view avoid, Random &random) -> Cost
+{
+    Cost best;
+    const bool sound = anySound(inputs.decode);
+    for (const auto &view : inputs.decode) {
+        if ((sound && !isSound(view)) || view.upstream->id == avoid || !hasRoom(view, inputs)) {
+            continue;
+        }
+        best.consider(decodeMs(inputs, view, from) + jitter(random), view);
+    }
+    return best;
+}
+
+} // namespace
+
+auto EngineSpeeds::observePrefill(double tokens, Duration length) -> void
+{
+    m_prefillRate.observe(std::clamp(tokens / std::max(0.1, toMilliseconds(length)), MinRate, MaxRate));
+}
+
+auto EngineSpeeds::observeMixed(double tokens, Duration length) -> void
+{
+    m_mixedRate.observe(std::clamp(tokens / std::max(0.1, toMilliseconds(length)), MinRate, MaxRate));
+}
+
+auto EngineSpeeds::observeStream(Duration length) -> void
+{
+    m_streamMs.observe(toMilliseconds(length));
+}
+
+auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>
+{
+    const auto direct = cheapestDecode(inputs, nullptr, "", random);
+    const auto read = cheapestRead(inputs, random);
+    const auto split = read.engine == nullptr ? Cost() : cheapestDecode(inputs, read.engine->upstream, "", random);
+    const double splitMs = read.ms + split.ms;
+    if (split.engine != nullptr && (direct.engine == nullptr || splitMs <= direct.ms)) {
+        return StreamPlan{read.engine->upstream, split.engine->upstream, fromMilliseconds(read.ms), fromMilliseconds(splitMs)};
+    }
+    if (direct.engine != nullptr) {
+        return StreamPlan{nullptr, direct.engine->upstream, fromMilliseconds(direct.ms), fromMilliseconds(direct.ms)};
+    }
+    return std::nullopt;
+}
+
+auto planResume(const PlacementInputs &inputs, std::string_view avoid, Random &random) -> std::optional<StreamPlan>
+{
+    const auto direct = cheapestDecode(inputs, nullptr, avoid, random);
+    if (direct.engine == nullptr) {
+        return std::nullopt;
+    }
+    return StreamPlan{nullptr, direct.engine->upstream, fromMilliseconds(direct.ms), fromMilliseconds(direct.ms)};
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/decisions/fleet_retry_budget.cc
@@ -0,0 +1,36 @@
+#include "currantstack/decisions/fleet_retry_budget.h"
+
+namespace currantstack
+{
+
+auto FleetRetryBudget::trim(Window &window, TimePoint now) const -> void
+{
+    const auto start = now - m_bound.window;
+    for (auto *times : {&window.requests, &window.repeats}) {
+        while (!times->empty() && times->front() <= start) {
+            times->pop_front();
+        }
+    }
+}
+
+auto FleetRetryBudget::onRequest(std::string_view service, TimePoint now) -> void
+{
+    auto &window = m_services[std::string(service)];
+    window.requests.push_back(now);
+    trim(window, now);
+}
+
+auto FleetRetryBudget::take(std::string_view service, TimePoint now) -> bool
+{
+    auto &window = m_services[std::string(service)];
+    trim(window, now);
+    const auto share = m_bound.slack / static_cast<double>(m_vms);
+    const auto allowed = UsedPart * (m_bound.ratio * static_cast<double>(window.requests.size()) + share);
+    if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
+        return false;
+    }
+    window.repeats.push_back(now);
+    return true;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/decisions/route_table.cc
@@ -0,0 +1,52 @@
+#include "currantstack/decisions/route_table.h"
+
+#include "currantstack/http.h"
+
+namespace currantstack
+{
+
+auto RouteTable::find(std::string_view host, std::string_view path) const -> const Route *
+{
+    path = path.substr(0, path.find('?'));
+    const Route *best = nullptr;
+    for (const auto &route : routes) {
+        const bool longer = best == nullptr || route.prefix.size() > best->prefix.size();
+        if (longer && path.starts_with(route.prefix) && equalNames(route.host, host)) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+auto RouteTable::service(std::string_view name) const -> const ServiceSpec *
+{
+    for (const auto &entry : services) {
+        if (entry.name == name) {
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+auto drawTarget(const Route &route, double draw) -> std::string_view
+{
+    double total = 0;
+    for (const auto &target : route.targets) {
+        total += target.weight;
+    }
+    double position = draw * total;
+    std::string_view last;
+    for (const auto &target : route.targets) {
+        if (target.weight <= 0) {
+            continue;
+        }
+        last = target.service;
+        if (position < target.weight) {
+            break;
+        }
+        position -= target.weight;
+    }
+    return last;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/decisions/upstream_directory.cc
@@ -0,0 +1,88 @@
+#include "currantstack/decisions/upstream_directory.h"
+
+#include <utility>
+
+namespace currantstack
+{
+
+auto UpstreamDirectory::apply(Upstream upstream) -> UpstreamChange
+{
+    const auto [place, isNew] = m_entries.try_emplace(upstream.id);
+    auto &entry = place->second;
+    const auto former = std::exchange(entry, Entry{std::move(upstream), false, {}});
+    if (entry.upstream.draining) {
+        return !isNew && former.upstream.draining ? UpstreamChange::None : UpstreamChange::Leaving;
+    }
+    if (isNew || former.lapsed || former.upstream.draining) {
+        return UpstreamChange::Joined;
+    }
+    return former.upstream.startedAtMs == entry.upstream.startedAtMs ? UpstreamChange::Updated : UpstreamChange::Restarted;
+}
+
+auto UpstreamDirectory::remove(std::string_view id, bool lapsed, TimePoint now) -> UpstreamChange
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return UpstreamChange::None;
+    }
+    if (lapsed && !found->second.upstream.draining) {
+        if (!found->second.lapsed) {
+            found->second.lapsed = true;
+            found->second.lapsedAt = now;
+        }
+        return UpstreamChange::None;
+    }
+    m_entries.erase(found);
+    return UpstreamChange::Gone;
+}
+
+auto UpstreamDirectory::expire(TimePoint now) -> std::vector<std::string>
+{
+    std::vector<std::string> expired;
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        if (entry->second.lapsed && now - entry->second.lapsedAt >= LapsedGrace) {
+            expired.push_back(entry->first);
+            entry = m_entries.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return expired;
+}
+
+auto UpstreamDirectory::ids() const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    names.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        names.push_back(id);
+    }
+    return names;
+}
+
+auto UpstreamDirectory::find(std::string_view id) const -> const Upstream *
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.upstream;
+}
+
+auto UpstreamDirectory::usable(std::string_view service) const -> std::vector<const Upstream *>
+{
+    std::map<std::string_view, const Upstream *> newest; // by address
+    for (const auto &[id, entry] : m_entries) {
+        auto &holder = newest[entry.upstream.address];
+        if (holder == nullptr || holder->revision < entry.upstream.revision) {
+            holder = &entry.upstream;
+        }
+    }
+    std::vector<const Upstream *> result;
+    for (const auto &[id, entry] : m_entries) {
+        const auto &upstream = entry.upstream;
+        if (upstream.service == service && !upstream.draining && newest[upstream.address] == &upstream) {
+            result.push_back(&upstream);
+        }
+    }
+    return result;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/directory_controller.cc
@@ -0,0 +1,206 @@
+#include "currantstack/edge/directory_controller.h"
+
+#include <set>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration LapseCheckPeriod = milliseconds(250);
+
+auto name(UpstreamChange change) -> std::string_view
+{
+    switch (change) {
+    case UpstreamChange::None:
+        return "none";
+    case UpstreamChange::Joined:
+        return "joined";
+    case UpstreamChange::Updated:
+        return "updated";
+    case UpstreamChange::Restarted:
+        return "restarted";
+    case UpstreamChange::Leaving:
+        return "leaving";
+    case UpstreamChange::Gone:
+        break;
+    }
+    return "gone";
+}
+
+auto name(EngineRole role) -> std::string_view
+{
+    switch (role) {
+    case EngineRole::None:
+        return "none";
+    case EngineRole::Prefill:
+        return "prefill";
+    case EngineRole::Decode:
+        break;
+    }
+    return "decode";
+}
+
+} // namespace
+
+DirectoryController::DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store, std::function<void()> onVms)
+    : m_context(context)
+    , m_codec(codec)
+    , m_onVms(std::move(onVms))
+    , m_follower(context.loop, context.clock, context.random, store, context.log, "",
+                 {[this](const StoreRange &range, bool wasAway) { onSnapshot(range, wasAway); },
+                  [this](std::span<const StoreEvent> events) { onEvents(events); }})
+    , m_lapseTimer(context.loop.timer([this]() { expireLapsed(); }))
+{ }
+
+auto DirectoryController::onSnapshot(const StoreRange &range, bool wasAway) -> void
+{
+    if (wasAway) {
+        m_lapsePossible = true;
+        m_regainedAt = m_context.clock.now();
+    }
+    std::set<std::string> seen;
+    VmRecords formerVms;
+    formerVms.swap(m_vms);
+    for (const auto &value : range.values) {
+        applyValue(value);
+        seen.insert(m_codec.idOf(value.key));
+    }
+    for (const auto &id : m_context.directory.ids()) {
+        if (!seen.contains(id)) {
+            removeUpstream(id);
+        }
+    }
+    m_complete = true;
+    m_onVms();
+}
+
+auto DirectoryController::onEvents(std::span<const StoreEvent> events) -> void
+{
+    bool vmsChanged = false;
+    for (const auto &event : events) {
+        if (event.deleted) {
+            removeKey(event.value.key);
+        } else {
+            applyValue(event.value);
+        }
+        vmsChanged = vmsChanged || m_codec.kindOf(event.value.key) == StoreRecord::Vm;
+    }
+    if (vmsChanged) {
+        m_onVms();
+    }
+}
+
+auto DirectoryController::applyValue(const StoreValue &value) -> void
+{
+    switch (m_codec.kindOf(value.key)) {
+    case StoreRecord::Routes:
+        applyRoutes(value);
+        break;
+    case StoreRecord::Upstream:
+        applyUpstream(value);
+        break;
+    case StoreRecord::Vm:
+        applyVm(value);
+        break;
+    case StoreRecord::Other:
+        break;
+    }
+}
+
+auto DirectoryController::applyRoutes(const StoreValue &value) -> void
+{
+    auto table = m_codec.readRoutes(value);
+    if (!table) {
+        m_context.log.write("directory", "routes_unreadable", {{"revision", value.modRevision}, {"error", describe(table.error())}});
+        return;
+    }
+    const auto former = m_context.table ? m_context.table->version : 0;
+    if (m_context.table && table->version <= former) {
+        return;
+    }
+    m_context.table = std::make_shared<RouteTable>(std::move(*table));
+    m_context.tableReadAt = m_context.clock.now();
+    m_context.counters.at("routes_version").set(m_context.table->version);
+    m_context.log.write("directory", "routes_in_force",
+                        {{"version", m_context.table->version},
+                         {"former", former},
+                         {"revision", value.modRevision},
+                         {"routes", m_context.table->routes.size()},
+                         {"services", m_context.table->services.size()}});
+}
+
+auto DirectoryController::applyUpstream(const StoreValue &value) -> void
+{
+    auto upstream = m_codec.readUpstream(value);
+    if (!upstream) {
+        m_context.log.write("directory", "entry_ignored", {{"key", value.key}, {"error", describe(upstream.error())}});
+        return;
+    }
+    const auto entry = *upstream;
+    const auto change = m_context.directory.apply(std::move(*upstream));
+    if (change == UpstreamChange::Joined || change == UpstreamChange::Restarted) {
+        m_context.health.forget(entry.id);
+    }
+    if (change != UpstreamChange::None) {
+        m_context.log.write("directory", "upstream_changed",
+                            {{"upstream", entry.id},
+                             {"change", name(change)},
+                             {"service", entry.service},
+                             {"address", entry.address},
+                             {"place", entry.place},
+                             {"role", name(entry.role)},
+                             {"revision", value.modRevision}});
+    }
+    m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
+}
+
+auto DirectoryController::applyVm(const StoreValue &value) -> void
+{
+    auto record = m_codec.readVm(value);
+    if (!record) {
+        m_context.log.write("directory", "entry_ignored", {{"key", value.key}, {"error", describe(record.error())}});
+        return;
+    }
+    auto key = record->name;
+    m_vms.insert_or_assign(std::move(key), std::move(*record));
+}
+
+auto DirectoryController::removeKey(const std::string &key) -> void
+{
+    switch (m_codec.kindOf(key)) {
+    case StoreRecord::Upstream:
+        removeUpstream(m_codec.idOf(key));
+        break;
+    case StoreRecord::Vm:
+        m_vms.erase(m_codec.idOf(key));
+        break;
+    case StoreRecord::Routes:
+    case StoreRecord::Other:
+        break;
+    }
+}
+
+auto DirectoryController::removeUpstream(const std::string &id) -> void
+{
+    const auto now = m_context.clock.now();
+    const bool lapsed = m_lapsePossible && now - m_regainedAt < LapseWindow;
+    const auto change = m_context.directory.remove(id, lapsed, now);
+    m_context.log.write("directory", lapsed ? "upstream_lapsed" : "upstream_changed", {{"upstream", id}, {"change", name(change)}});
+    if (lapsed) {
+        m_lapseTimer->startOnce(LapseCheckPeriod);
+    }
+}
+
+auto DirectoryController::expireLapsed() -> void
+{
+    for (const auto &id : m_context.directory.expire(m_context.clock.now())) {
+        m_context.log.write("directory", "upstream_changed", {{"upstream", id}, {"change", "gone"}});
+    }
+    if (m_context.clock.now() - m_regainedAt < LapseWindow + UpstreamDirectory::LapsedGrace) {
+        m_lapseTimer->startOnce(LapseCheckPeriod);
+    }
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/edge_node.cc
@@ -0,0 +1,217 @@
+#include "currantstack/edge/edge_node.h"
+
+#include "currantstack/edge/directory_controller.h"
+#include "currantstack/edge/load_exchange.h"
+#include "currantstack/edge/request_chain.h"
+#include "currantstack/edge/vm_registry.h"
+
+#include <random>
+
+namespace currantstack
+{
+
+namespace
+{
+
+// After SIGTERM the balancer needs two misses a second apart, and callers' connection attempts follow until then.
+constexpr Duration BalancerNotice = milliseconds(3500);
+constexpr Duration DrainCheckPeriod = milliseconds(100);
+// The last moment to end by oneself before the platform kills the process.
+constexpr Duration KillMargin = milliseconds(400);
+constexpr Duration SettingsCheckPeriod = seconds(2);
+constexpr std::uint16_t MetricsPort = 9464; // the usual port of metrics exporters
+constexpr std::size_t LargestBody = 8U << 20; // bytes, whatever the configuration allows
+constexpr unsigned CallerConnections = 2500; // the smallest machines allow 4,100 descriptors, upstream connections included
+
+auto randomSeed() -> std::uint64_t
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+} // namespace
+
+struct EdgeNode::Parts
+{
+    Parts(EdgeSettings ownSettings, EdgePorts ownPorts, LogSink sink)
+        : settings(std::move(ownSettings))
+        , ports(std::move(ownPorts))
+        , random(randomSeed())
+        , log(clock, settings.vm, std::move(sink))
+        , client(loop)
+        , store(ports.openStore(client, counters))
+        , context{loop, clock, random, settings, client, *ports.protocol, log, counters, latencies, FleetRetryBudget(settings.retries)}
+        , chain(context)
+        , exchange(context)
+        , directory(context, *ports.codec, *store, [this]() { onVms(); })
+        , registry(context, *ports.codec, *store)
+        , drainTimer(loop.timer([this]() { checkDrained(); }))
+        , settingsTimer(loop.timer([this]() { reload(false); }))
+        , flushTimer(loop.timer([this]() { log.flush(); }))
+    { }
+
+    auto openServers() -> Result<void>;
+    auto onVms() -> void;
+    auto isReady() const -> bool;
+    auto drain() -> void;
+    auto checkDrained() -> void;
+    auto reload(bool asked) -> void;
+
+    EdgeSettings settings;
+    EdgePorts ports;
+    SystemClock clock;
+    Random random;
+    Loop loop;
+    EventLog log;
+    Counters counters;
+    Latencies latencies;
+    HttpClient client;
+    std::unique_ptr<Store> store;
+    EdgeContext context;
+    RequestChain chain;
+    LoadExchange exchange;
+    DirectoryController directory;
+    VmRegistry registry;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> metrics;
+    std::unique_ptr<Timer> drainTimer;
+    std::unique_ptr<Timer> settingsTimer;
+    std::unique_ptr<Timer> flushTimer;
+    TimePoint drainStartedAt;
+};
+
+auto EdgeNode::Parts::isReady() const -> bool
+{
+    return !context.draining && context.table != nullptr && directory.isComplete();
+}
+
+auto EdgeNode::Parts::openServers() -> Result<void>
+{
+    ServerOptions options;
+    options.address = settings.callers.ip;
+    options.port = settings.callers.port;
+    options.maxBody = LargestBody;
+    options.maxConnections = CallerConnections;
+    options.strictFraming = true;
+    auto opened = HttpServer::open(loop, options, [this](const ExchangePtr &request) { chain.handle(request); });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    callers = std::move(*opened);
+    ServerOptions readyOptions;
+    readyOptions.address = settings.readiness.ip;
+    readyOptions.port = settings.readiness.port;
+    auto openedReady = HttpServer::open(loop, readyOptions, [this](const ExchangePtr &request) {
+        const bool ready = isReady();
+        request->respond({ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready" : "not ready"});
+    });
+    if (!openedReady) {
+        return tl::unexpected(openedReady.error());
+    }
+    readiness = std::move(*openedReady);
+    ServerOptions metricsOptions;
+    metricsOptions.address = settings.callers.ip;
+    metricsOptions.port = MetricsPort;
+    auto openedMetrics = HttpServer::open(loop, metricsOptions, [this](const ExchangePtr &request) {
+        request->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText(counters, latencies)});
+    });
+    if (openedMetrics) {
+        metrics = std::move(*openedMetrics);
+    } else {
+        // Requests are served without metrics too.
+        log.write("edge", "metrics_unavailable", {{"error", describe(openedMetrics.error())}});
+    }
+    return {};
+}
+
+auto EdgeNode::Parts::onVms() -> void
+{
+    context.retries.setVms(directory.vms().size());
+    exchange.setPeers(directory.vms());
+    counters.at("vms_known").set(static_cast<std::int64_t>(directory.vms().size()));
+}
+
+auto EdgeNode::Parts::drain() -> void
+{
+    if (std::exchange(context.draining, true)) {
+        return;
+    }
+    drainStartedAt = clock.now();
+    log.write("edge", "drain_started", {{"requests_under_way", callers->active()}});
+    registry.stop();
+    drainTimer->startRepeating(DrainCheckPeriod, DrainCheckPeriod);
+}
+
+auto EdgeNode::Parts::checkDrained() -> void
+{
+    const auto since = clock.now() - drainStartedAt;
+    const bool idle = callers->active() == 0 && since >= BalancerNotice;
+    if (!idle && since < settings.drainLimit - KillMargin) {
+        return;
+    }
+    log.write("edge", "stopped", {{"requests_cut", callers->active()}, {"drained_ms", toMilliseconds(since)}});
+    log.flush();
+    loop.stop();
+}
+
+auto EdgeNode::Parts::reload(bool asked) -> void
+{
+    if (!ports.reload) {
+        return;
+    }
+    const auto fresh = ports.reload();
+    if (!fresh) {
+        log.write("edge", "settings_unreadable", {{"asked", asked}, {"error", describe(fresh.error())}});
+        return;
+    }
+    const bool changed = fresh->drainLimit != settings.drainLimit || fresh->retries.ratio != settings.retries.ratio
+        || fresh->retries.slack != settings.retries.slack || fresh->retries.window != settings.retries.window;
+    if (changed) {
+        settings.drainLimit = fresh->drainLimit;
+        settings.retries = fresh->retries;
+        context.retries.setBound(settings.retries);
+    }
+    if (asked || changed) {
+        log.write("edge", "settings_reloaded", {{"asked", asked}, {"changed", changed}});
+    }
+}
+
+EdgeNode::EdgeNode(EdgeSettings settings, EdgePorts ports, LogSink sink)
+    : m_parts(std::make_unique<Parts>(std::move(settings), std::move(ports), std::move(sink)))
+{ }
+
+EdgeNode::~EdgeNode() = default;
+
+auto EdgeNode::start() -> Result<void>
+{
+    auto &parts = *m_parts;
+    parts.log.write("edge", "started",
+                    {{"place", parts.settings.place},
+                     {"callers", parts.settings.callers.text()},
+                     {"readiness", parts.settings.readiness.text()},
+                     {"peers", parts.settings.peers.text()},
+                     {"store", parts.settings.store.text()},
+                     {"bootstrap", parts.settings.bootstrap}});
+    if (auto opened = parts.openServers(); !opened) {
+        return opened;
+    }
+    if (auto opened = parts.exchange.start(); !opened) {
+        return opened;
+    }
+    parts.directory.start();
+    parts.registry.start();
+    parts.settingsTimer->startRepeating(SettingsCheckPeriod, SettingsCheckPeriod);
+    parts.flushTimer->startRepeating(DrainCheckPeriod, DrainCheckPeriod);
+    parts.loop.onSignal(SIGTERM, [&parts]() { parts.drain(); });
+    parts.loop.onSignal(SIGINT, [&parts]() { parts.drain(); });
+    parts.loop.onSignal(SIGHUP, [&parts]() { parts.reload(true); });
+    return {};
+}
+
+auto EdgeNode::run() -> void
+{
+    m_parts->loop.run();
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/request_chain.cc
@@ -0,0 +1,93 @@
+#include "currantstack/edge/request_chain.h"
+
+#include "currantstack/edge/service_forwarder.h"
+#include "currantstack/edge/stream_forwarder.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration UnconfiguredRetryAfter = milliseconds(500); // a starting VM reads its configuration within this time
+
+auto requireRoutes(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    if (!context.table) {
+        return context.protocol.refusal(UnconfiguredRetryAfter, "no configuration yet");
+    }
+    request.table = context.table;
+    return std::nullopt;
+}
+
+auto requireId(EdgeContext & /*context*/, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    if (request.facts.requestId.empty()) {
+        return HttpResponse{400, {{"Content-Type", "text/plain"}}, "the request has no id"};
+    }
+    return std::nullopt;
+}
+
+auto findRoute(EdgeContext & /*context*/, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    request.route = request.table->find(request.facts.host, request.exchange->request().target);
+    if (request.route == nullptr) {
+        return HttpResponse{404, {{"Content-Type", "text/plain"}}, "no route"};
+    }
+    return std::nullopt;
+}
+
+auto limitBody(EdgeContext & /*context*/, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    if (request.exchange->request().body.size() > request.table->limits.maxBody) {
+        return HttpResponse{413, {{"Content-Type", "text/plain"}}, "the body is too large"};
+    }
+    return std::nullopt;
+}
+
+auto chooseService(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    const auto draw = std::uniform_real_distribution<double>(0, 1)(context.random);
+    request.service = std::string(drawTarget(*request.route, draw));
+    if (request.service.empty()) {
+        return context.protocol.refusal(UnconfiguredRetryAfter, "the route has no service");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto edgeFilters() -> std::vector<EdgeFilter>
+{
+    return {requireRoutes, requireId, findRoute, limitBody, chooseService};
+}
+
+auto RequestChain::handle(const ExchangePtr &exchange) -> void
+{
+    IncomingRequest request;
+    request.exchange = exchange;
+    request.facts = m_context.protocol.readRequest(exchange->request());
+    request.arrivedAt = m_context.clock.now();
+    m_context.counters.at("requests_taken").add();
+    for (const auto &filter : m_filters) {
+        if (auto response = filter(m_context, request)) {
+            m_context.log.write("chain", "request_rejected",
+                                {{"request", request.facts.requestId},
+                                 {"host", request.facts.host},
+                                 {"target", exchange->request().target},
+                                 {"status", response->status},
+                                 {"reason", response->body},
+                                 {"routes_version", request.table ? request.table->version : 0}});
+            m_context.counters.at("requests_rejected").add();
+            exchange->respond(std::move(*response));
+            return;
+        }
+    }
+    if (request.route->kind == RouteKind::Stream) {
+        forwardStream(m_context, std::move(request));
+    } else {
+        forwardToService(m_context, std::move(request));
+    }
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/stream_request.cc
@@ -0,0 +1,115 @@
+#include "stream_request.h"
+
+#include "currantstack/edge/stream_forwarder.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration ShortestRetryAfter = milliseconds(300);
+
+} // namespace
+
+auto StreamRequest::start() -> void
+{
+    m_context.retries.onRequest(m_request.service, m_context.clock.now());
+    const auto chosen = plan("");
+    if (!chosen) {
+        giveUp(false, "no engine has room", retryDelay());
+        return;
+    }
+    if (!mayBeInTime(*chosen)) {
+        const auto excess = chosen->firstToken - m_request.route->latencyGoal;
+        giveUp(false, "the first event would be late", std::max(excess, retryDelay()));
+        return;
+    }
+    logPlan(*chosen);
+    const auto self = shared_from_this();
+    m_request.exchange->onGone([self]() {
+        self->m_context.log.write("stream", "caller_gone", {{"request", self->m_request.facts.requestId}, {"events", self->m_events}});
+        self->finish();
+    });
+    m_deadline = m_context.loop.timer([self]() { self->giveUp(true, "no answer in time", Duration::zero()); });
+    m_deadline->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
+    const auto &shape = m_request.facts.shape;
+    m_decodeEngine = *chosen->decode;
+    m_expectedRead = chosen->readTime;
+    m_expectedFirst = chosen->firstToken;
+    // Memory at the decode engine is booked now, so that it is there when the prompt has been read.
+    book(m_decodeBooking, m_decodeEngine, {chosen->prefill == nullptr ? shape.promptTokens : 0, shape.kvTokens(), 1});
+    if (chosen->prefill == nullptr) {
+        startDecode();
+    } else {
+        m_prefillEngine = *chosen->prefill;
+        startPrefill(*chosen);
+    }
+}
+
+auto StreamRequest::retryDelay() const -> Duration
+{
+    // Memory comes free as streams end, so the callers return spread over the length of one.
+    const auto spread = toMilliseconds(m_context.speedsOf(m_request.service).streamLength());
+    return ShortestRetryAfter + fromMilliseconds(std::uniform_real_distribution<double>(0, spread)(m_context.random));
+}
+
+auto StreamRequest::complete() -> void
+{
+    const auto now = m_context.clock.now();
+    if (!m_begun) {
+        m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
+    }
+    m_request.exchange->end();
+    m_context.speedsOf(m_request.service).observeStream(now - m_decodeStartedAt);
+    m_context.counters.at("requests_answered").add();
+    m_context.latencies.record("stream", now - m_request.arrivedAt);
+    m_context.log.write("stream", "request_answered",
+                        {{"request", m_request.facts.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"events", m_events},
+                         {"sends", m_attempt.sends()},
+                         {"age_ms", toMilliseconds(now - m_request.arrivedAt)}});
+    finish();
+}
+
+auto StreamRequest::giveUp(bool timedOut, std::string_view reason, Duration retryAfter) -> void
+{
+    if (m_done) {
+        return;
+    }
+    if (m_begun) {
+        m_context.log.write("stream", "stream_aborted",
+                            {{"request", m_request.facts.requestId}, {"events", m_events}, {"reason", reason}});
+        m_request.exchange->abort();
+    } else {
+        answerFinally(m_context, m_request, m_attempt, timedOut, reason, retryAfter);
+    }
+    finish();
+}
+
+auto StreamRequest::finish() -> void
+{
+    if (std::exchange(m_done, true)) {
+        return;
+    }
+    m_context.client.cancel(std::exchange(m_prefillCall, 0));
+    m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    freeHandle();
+    release(m_prefillBooking);
+    release(m_decodeBooking);
+    // The timers hold this request; they are dropped after the present call has returned.
+    m_context.loop.defer([self = shared_from_this()]() {
+        self->m_deadline.reset();
+        self->m_prefillLimit.reset();
+        self->m_stall.reset();
+        self->m_request.exchange->onGone(nullptr);
+    });
+}
+
+auto forwardStream(EdgeContext &context, IncomingRequest request) -> void
+{
+    std::make_shared<StreamRequest>(context, std::move(request))->start();
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/stream_request.h
@@ -0,0 +1,101 @@
+// One request of a caller for a stream, from its placement to its last event.
+#pragma once
+
+#include "currantstack/edge/event_splitter.h"
+#include "currantstack/edge/forwarding.h"
+
+namespace currantstack
+{
+
+/// Reads the prompt at a prefill engine where the plan says so, relays the events of the decode engine, and goes on at another
+/// engine where a resumable stream breaks.
+class StreamRequest : public std::enable_shared_from_this<StreamRequest>
+{
+public:
+    StreamRequest(EdgeContext &context, IncomingRequest request)
+        : m_context(context)
+        , m_request(std::move(request))
+        , m_attempt(m_request.route->kind, m_request.route->resumable, m_request.route->attempts)
+        , m_lastEventId(m_request.facts.lastEventId)
+    { }
+
+    auto start() -> void;
+
+private:
+    /// Work that is booked at one engine until it is released.
+    struct Booking
+    {
+        std::string engine;
+        WorkUnderWay work;
+    };
+
+    // stream_placement.cc
+    auto plan(std::string_view avoid) const -> std::optional<StreamPlan>;
+    auto views(EngineRole role) const -> std::vector<EngineView>;
+    auto mayBeInTime(const StreamPlan &plan) const -> bool;
+    auto book(Booking &booking, const Upstream &engine, const WorkUnderWay &work) -> void;
+    auto release(Booking &booking) -> void;
+    auto releasePrompt() -> void;
+    auto logPlan(const StreamPlan &plan) const -> void;
+
+    // stream_prefill.cc
+    auto startPrefill(const StreamPlan &plan) -> void;
+    auto onPrefilled(Result<HttpResponse> result) -> void;
+    auto takeHandle(const HttpResponse &response) -> bool;
+    auto leavePrefill(std::string_view reason) -> void;
+    auto freeHandle() -> void;
+
+    // stream_decode.cc
+    auto startDecode() -> void;
+    auto onHead(int status, const Headers &headers) -> void;
+    auto onData(std::string_view data) -> void;
+    auto onEvent(const RawEvent &event) -> void;
+    auto onDecodeDone(const Result<HttpResponse> &result) -> void;
+    auto onFirstEvent() -> void;
+    auto onStall() -> void;
+    auto restartStallTimer() -> void;
+    auto onBroken(SendOutcome outcome, std::string_view reason) -> void;
+    auto goOnElsewhere(SendOutcome outcome, std::string_view reason) -> bool;
+
+    // stream_request.cc
+    auto complete() -> void;
+    auto giveUp(bool timedOut, std::string_view reason, Duration retryAfter) -> void;
+    auto finish() -> void;
+    auto retryDelay() const -> Duration;
+
+    EdgeContext &m_context;
+    IncomingRequest m_request;
+    Attempt m_attempt;
+
+    Booking m_prefillBooking;
+    Booking m_decodeBooking;
+    Upstream m_prefillEngine; // copies: an entry may go while its engine is used
+    Upstream m_decodeEngine;
+    Duration m_expectedRead = Duration::zero();
+    Duration m_expectedFirst = Duration::zero();
+    double m_tokensAhead = 0; // prompt tokens that wait at the engine that reads, this prompt included
+    std::string m_kvSource; // handle that the decode engine takes; empty: it reads the prompt itself
+    std::string m_handle; // held at the prefill engine and not taken
+    HttpClient::CallId m_prefillCall = 0;
+    HttpClient::CallId m_decodeCall = 0;
+    TimePoint m_sentAt; // of the call under way
+    TimePoint m_decodeStartedAt; // of the first decode call
+
+    EventSplitter m_splitter;
+    Headers m_answerHeaders; // of the first engine
+    int m_answerStatus = 0;
+    HttpResponse m_plainAnswer; // a failure that an engine answered, collected
+    bool m_collecting = false;
+    bool m_decoding = false;
+    bool m_begun = false; // the caller has the head
+    std::int64_t m_lastEventId;
+    int m_events = 0;
+    TimePoint m_lastEventAt;
+
+    std::unique_ptr<Timer> m_deadline;
+    std::unique_ptr<Timer> m_prefillLimit;
+    std::unique_ptr<Timer> m_stall;
+    bool m_done = false;
+};
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/vm_registry.cc
@@ -0,0 +1,94 @@
+#include "currantstack/edge/vm_registry.h"
+
+namespace currantstack
+{
+
+VmRegistry::VmRegistry(EdgeContext &context, const StoreCodec &codec, Store &store)
+    : m_context(context)
+    , m_codec(codec)
+    , m_store(store)
+    , m_timer(context.loop.timer([this]() {
+        if (m_lease == 0) {
+            grant();
+        } else if (!m_written) {
+            put(m_lease);
+        } else {
+            keep();
+        }
+    }))
+{ }
+
+auto VmRegistry::start() -> void
+{
+    grant();
+}
+
+auto VmRegistry::stop() -> void
+{
+    *m_alive = false;
+    m_timer->stop();
+}
+
+auto VmRegistry::grant() -> void
+{
+    m_written = false;
+    m_store.grantLease(LeaseTtl, [this, alive = m_alive](Result<std::int64_t> lease) {
+        if (!*alive) {
+            return;
+        }
+        if (!lease) {
+            retry("grant", lease.error());
+            return;
+        }
+        m_lease = *lease;
+        put(m_lease);
+    });
+}
+
+auto VmRegistry::put(std::int64_t lease) -> void
+{
+    const auto &settings = m_context.settings;
+    StoreTransaction transaction;
+    transaction.puts.push_back({m_codec.vmKey(settings.vm), m_codec.writeVm({settings.vm, settings.place, settings.peers}), lease});
+    m_store.commit(std::move(transaction), [this, alive = m_alive](Result<StoreOutcome> outcome) {
+        if (!*alive) {
+            return;
+        }
+        if (!outcome) {
+            if (outcome.error().code == ErrorCode::NotFound) {
+                m_lease = 0;
+            }
+            retry("register", outcome.error());
+            return;
+        }
+        m_written = true;
+        m_context.log.write("registry", "registered", {{"revision", outcome->revision}, {"lease", m_lease}});
+        m_timer->startOnce(KeepPeriod);
+    });
+}
+
+auto VmRegistry::keep() -> void
+{
+    m_store.keepLease(m_lease, [this, alive = m_alive](Result<bool> kept) {
+        if (!*alive) {
+            return;
+        }
+        if (!kept) {
+            retry("keep", kept.error());
+        } else if (!*kept) {
+            m_context.log.write("registry", "lease_lost", {{"lease", m_lease}});
+            m_lease = 0;
+            grant();
+        } else {
+            m_timer->startOnce(KeepPeriod);
+        }
+    });
+}
+
+auto VmRegistry::retry(std::string_view step, const Error &error) -> void
+{
+    m_context.log.write("registry", "store_call_failed", {{"step", step}, {"error", describe(error)}});
+    m_timer->startOnce(RetryPause);
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/event_log.cc
@@ -0,0 +1,76 @@
+#include "currantstack/event_log.h"
+
+#include <algorithm>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace currantstack
+{
+
+auto descriptorSink(int descriptor) -> LogSink
+{
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0) {
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+    }
+    return [descriptor](std::string_view bytes) -> std::size_t {
+        const auto written = ::write(descriptor, bytes.data(), bytes.size());
+        return written > 0 ? static_cast<std::size_t>(written) : 0;
+    };
+}
+
+EventLog::EventLog(const Clock &clock, std::string vm, LogSink sink)
+    : m_clock(clock)
+    , m_vm(std::move(vm))
+    , m_sink(std::move(sink))
+    , m_refilledAt(clock.now())
+{ }
+
+auto EventLog::admit() -> bool
+{
+    const auto now = m_clock.now();
+    m_tokens = std::min(Burst, m_tokens + LinesPerSecond * toSeconds(now - m_refilledAt));
+    m_refilledAt = now;
+    if (m_tokens < 1 || m_pending.size() > MaxPending) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+auto EventLog::append(std::string_view part, std::string_view event, const LogFields &fields) -> void
+{
+    LogFields line = {{"time_ms", epochMilliseconds(m_clock.wall())}, {"vm", m_vm}, {"part", part}, {"event", event}};
+    line.update(fields);
+    m_pending += line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    m_pending += '\n';
+}
+
+auto EventLog::write(std::string_view part, std::string_view event, LogFields fields) -> void
+{
+    if (!admit()) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped > m_reportedDropped) {
+        append("log", "lines_dropped", {{"count", m_dropped - m_reportedDropped}, {"total", m_dropped}});
+        m_reportedDropped = m_dropped;
+    }
+    append(part, event, fields);
+    flush();
+}
+
+auto EventLog::flush() -> void
+{
+    std::size_t offset = 0;
+    while (offset < m_pending.size()) {
+        const auto taken = m_sink(std::string_view(m_pending).substr(offset));
+        if (taken == 0) {
+            break;
+        }
+        offset += taken;
+    }
+    m_pending.erase(0, offset);
+}
+
+} // namespace currantstack
--- a/src/http.cc
+++ b/src/http.cc
@@ -1,5 +1,6 @@
 #include "currantstack/http.h"
 
+#include <algorithm>
 #include <cctype>
 #include <fmt/format.h>
 #include <strings.h>
@@ -17,6 +18,38 @@
     return {};
 }
 
+auto equalNames(std::string_view left, std::string_view right) -> bool
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) {
+        return std::tolower(a) == std::tolower(b);
+    });
+}
+
+auto framingFault(const HttpRequest &request) -> std::string_view
+{
+    constexpr std::string_view TokenMarks = "!#$%&'*+-.^_`|~"; // RFC 9110, 5.6.2
+    int lengths = 0;
+    int encodings = 0;
+    bool chunked = true;
+    for (const auto &header : request.headers) {
+        for (const unsigned char letter : header.name) {
+            if (std::isalnum(letter) == 0 && TokenMarks.find(static_cast<char>(letter)) == std::string_view::npos) {
+                return "malformed header name";
+            }
+        }
+        if (equalNames(header.name, "Content-Length")) {
+            ++lengths;
+        } else if (equalNames(header.name, "Transfer-Encoding")) {
+            ++encodings;
+            chunked = chunked && equalNames(header.value, "chunked");
+        }
+    }
+    if (lengths + encodings > 1) {
+        return "more than one body length";
+    }
+    return chunked ? "" : "unknown transfer encoding";
+}
+
 auto encodeQuery(const Headers &arguments) -> std::string
 {
     std::string text;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -131,7 +131,16 @@
     auto *easy = call.easy;
     const auto &options = call.call;
     for (const auto &header : options.headers) {
-        call.headerList = curl_slist_append(call.headerList, fmt::format("{}: {}", header.name, header.value).c_str());
+        // libcurl drops "Name:" without a value; "Name;" sends it empty.
+        const auto line = header.value.empty() ? header.name + ";" : fmt::format("{}: {}", header.name, header.value);
+        call.headerList = curl_slist_append(call.headerList, line.c_str());
+    }
+    if (options.exactHeaders) {
+        for (const auto *name : {"Accept", "Content-Type", "User-Agent"}) {
+            if (findHeader(options.headers, name).empty()) {
+                call.headerList = curl_slist_append(call.headerList, fmt::format("{}:", name).c_str());
+            }
+        }
     }
     call.headerList = curl_slist_append(call.headerList, "Expect:");
     curl_easy_setopt(easy, CURLOPT_URL, options.url.c_str());
@@ -152,7 +161,11 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(options.connectTimeout)));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(options.totalTimeout)));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, options.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, options.closeAfterwards ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxConnectionAge);
+    if (!options.target.empty()) {
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, options.target.c_str());
+    }
 }
 
 auto HttpClient::Core::refuseLater(CallId id, std::unique_ptr<Call> call) -> void
@@ -348,6 +361,9 @@
     const std::string_view line(data, size * count);
     call->lastProgress = call->core->clock.now();
     call->core->bytesReceived += line.size();
+    if (call->headDelivered) {
+        return size * count; // a trailer
+    }
     const auto colon = line.find(':');
     if (line.starts_with("HTTP/")) {
         call->response.headers.clear();
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -20,10 +20,12 @@
 class ServerCore : public std::enable_shared_from_this<ServerCore>
 {
 public:
-    ServerCore(Loop &loop, HttpServer::Handler handler, std::size_t maxBody)
+    ServerCore(Loop &loop, HttpServer::Handler handler, const ServerOptions &options)
         : m_loop(loop)
         , m_handler(std::move(handler))
-        , m_maxBody(maxBody)
+        , m_maxBody(options.maxBody)
+        , m_strictFraming(options.strictFraming)
+        , m_idleTimeout(options.idleTimeout)
     { }
 
     ~ServerCore()
@@ -48,20 +50,29 @@
         return m_port;
     }
 
+    auto setIdleTimeout(unsigned limit) -> void
+    {
+        m_idleTimeout = limit;
+    }
+
     std::unordered_set<Exchange *> m_active; // requests being answered
 
 private:
+    static auto onTarget(void *context, const char *target, MHD_Connection *connection) -> void *;
     static auto onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
                          const char *data, size_t *size, void **state) -> MHD_Result;
     static auto onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code) -> void;
     static auto onRead(void *context, std::uint64_t position, char *buffer, size_t size) -> ssize_t;
     static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
+    auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
     auto queue(Exchange &exchange) -> MHD_Result;
     auto run() -> void;
 
     Loop &m_loop;
     HttpServer::Handler m_handler;
     std::size_t m_maxBody;
+    bool m_strictFraming;
+    unsigned m_idleTimeout; // seconds
     MHD_Daemon *m_daemon = nullptr;
     ev_io m_io{};
     std::unique_ptr<Timer> m_timer;
@@ -112,7 +123,7 @@
     getsockname(*descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
     m_port = ntohs(bound.sin_port);
     m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this,
-                                MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this,
+                                MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this,
                                 MHD_OPTION_CONNECTION_LIMIT, options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout,
                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
     if (m_daemon == nullptr) {
@@ -191,24 +202,42 @@
     static_cast<ServerCore *>(watcher->data)->run();
 }
 
+auto ServerCore::onTarget(void *context, const char *target, MHD_Connection *connection) -> void *
+{
+    auto *self = static_cast<ServerCore *>(context);
+    auto exchange = std::make_shared<Exchange>(self->weak_from_this(), connection);
+    exchange->m_request.target = target;
+    self->m_active.insert(exchange.get());
+    return new ExchangePtr(std::move(exchange));
+}
+
+auto ServerCore::readHead(Exchange &exchange, const char *method, const char *url) -> void
+{
+    auto *connection = exchange.m_connection;
+    exchange.m_request.method = method;
+    exchange.m_request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect, &exchange.m_request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect, &exchange.m_request.query);
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, m_idleTimeout);
+    const int on = 1;
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 auto ServerCore::onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char * /*version*/,
                           const char *data, size_t *size, void **state) -> MHD_Result
 {
     auto *self = static_cast<ServerCore *>(context);
-    if (*state == nullptr) {
-        auto exchange = std::make_shared<Exchange>(self->weak_from_this(), connection);
-        exchange->m_request.method = method;
-        exchange->m_request.path = url;
-        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect, &exchange->m_request.headers);
-        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect, &exchange->m_request.query);
-        const int on = 1;
-        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        self->m_active.insert(exchange.get());
-        *state = new ExchangePtr(std::move(exchange));
+    auto &exchange = **static_cast<ExchangePtr *>(*state);
+    if (!std::exchange(exchange.m_headRead, true)) {
+        self->readHead(exchange, method, url);
+        const auto fault = self->m_strictFraming ? framingFault(exchange.m_request) : std::string_view();
+        if (!fault.empty()) {
+            exchange.respond({400, {{"Connection", "close"}}, std::string(fault)});
+            return self->queue(exchange);
+        }
         return MHD_YES;
     }
-    auto &exchange = **static_cast<ExchangePtr *>(*state);
     if (*size > 0) {
         if (exchange.m_request.body.size() + *size > self->m_maxBody) {
             exchange.m_bodyTooLarge = true;
@@ -449,7 +478,7 @@
 
 auto HttpServer::open(Loop &loop, const ServerOptions &options, Handler handler) -> Result<std::unique_ptr<HttpServer>>
 {
-    auto core = std::make_shared<detail::ServerCore>(loop, std::move(handler), options.maxBody);
+    auto core = std::make_shared<detail::ServerCore>(loop, std::move(handler), options);
     if (const auto started = core->start(options); !started) {
         return tl::unexpected(started.error());
     }
@@ -466,6 +495,11 @@
     m_core->quiesce();
 }
 
+auto HttpServer::setIdleTimeout(Duration limit) -> void
+{
+    m_core->setIdleTimeout(static_cast<unsigned>(std::chrono::ceil<seconds>(limit).count()));
+}
+
 auto HttpServer::active() const -> std::size_t
 {
     return m_core->m_active.size();
