Memory is booked by expected output, requests wait for room in order, drained connections are closed

Cause: Token-Count states the longest output (2,040 tokens), not the usual one (about 840); booking by it left 40% of the decode engines' memory empty at the crest.

--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -19,11 +19,7 @@
 {
     double promptTokens = 0;
     double outputTokens = 0; // at the most
-
-    auto kvTokens() const -> double
-    {
-        return promptTokens + outputTokens;
-    }
+    double hintedOutput = 0; // the caller's guess; 0: none
 };
 
 /// One engine as a candidate.
@@ -41,13 +37,17 @@
 public:
     /// Tokens read in a millisecond, to begin with: the order of a large model on one accelerator.
     static constexpr double FirstReadRate = 30;
+    /// Answers are shorter than the most that callers allow; until some were seen, this part of it is expected.
+    static constexpr double FirstOutputShare = 0.4;
+    /// A stream's memory grows from its prompt to its end; engines hold streams of all ages.
+    static constexpr double GrowthShare = 0.6;
     /// A decode engine reads between the tokens of other requests, at about half the speed of a prefill engine.
     static constexpr double MixedShare = 0.45;
 
     /// Records that `tokens` (those ahead included) were read in the time.
     auto observePrefill(double tokens, Duration length) -> void;
     auto observeMixed(double tokens, Duration length) -> void;
-    auto observeStream(Duration length) -> void;
+    auto observeStream(Duration length, double outputTokens) -> void;
 
     auto prefillRate() const -> double
     {
@@ -59,6 +59,12 @@
         return m_mixedRate.value();
     }
 
+    /// Returns the tokens that a request is expected to generate.
+    auto expectedOutput(const PromptShape &shape) const -> double;
+
+    /// Returns the memory that a request is expected to take on average while it runs, in tokens.
+    auto expectedKv(const PromptShape &shape) const -> double;
+
     /// Returns how long a stream holds its engine's memory.
     auto streamLength() const -> Duration
     {
@@ -68,7 +74,9 @@
 private:
     MovingAverage m_prefillRate{FirstReadRate, 0.05};
     MovingAverage m_mixedRate{FirstReadRate * MixedShare, 0.05};
-    MovingAverage m_streamMs{600, 0.05};
+    MovingAverage m_streamMs{2000, 0.05};
+    MovingAverage m_outputTokens{0, 0.05};
+    bool m_outputSeen = false;
 };
 
 /// The chosen way of one stream.
--- a/include/currantstack/decisions/route_table.h
+++ b/include/currantstack/decisions/route_table.h
@@ -46,6 +46,7 @@
 {
     std::int64_t slots = 1; // requests that one engine runs at once
     std::int64_t kvTokens = 0; // tokens that fit into one engine's memory
+    std::int64_t tokensPerEvent = 1; // of a stream
     double kvBytesPerToken = 0;
     double linkMbps = 0; // megabits a second for KV cache between engines
     Duration handleLife = Duration::zero(); // how long a prefill's result is kept
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -9,6 +9,7 @@
 #include "currantstack/edge/latencies.h"
 #include "currantstack/edge/protocol.h"
 #include "currantstack/edge/settings.h"
+#include "currantstack/edge/waiting_room.h"
 #include "currantstack/event_log.h"
 #include "currantstack/health.h"
 #include "currantstack/http_client.h"
@@ -36,6 +37,7 @@
     Counters &counters;
     Latencies &latencies;
     FleetRetryBudget retries;
+    WaitingRoom waiting;
     RouteTablePtr table = nullptr; // in force; null until it was read
     TimePoint tableReadAt = {};
     UpstreamDirectory directory = {};
--- /dev/null
+++ b/include/currantstack/edge/waiting_room.h
@@ -0,0 +1,39 @@
+// Requests that wait for room at the engines of their service, first come, first served.
+#pragma once
+
+#include "currantstack/clock.h"
+#include "currantstack/loop.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace currantstack
+{
+
+/// One queue for each service. The head of a queue is tried again and again; those behind it wait, so that large requests are not
+/// passed by small ones for ever.
+class WaitingRoom
+{
+public:
+    static constexpr Duration TryPeriod = milliseconds(15); // well under the time in which a fleet's streams free one place
+
+    /// Returns whether the request has left the queue: placed, refused or gone.
+    using Try = std::function<bool()>;
+
+    explicit WaitingRoom(Loop &loop);
+
+    auto add(const std::string &service, Try attempt) -> void;
+    auto isEmpty(const std::string &service) const -> bool;
+
+    /// Tries the heads of all queues now.
+    auto tryAll() -> void;
+
+private:
+    std::map<std::string, std::deque<Try>> m_queues;
+    std::unique_ptr<Timer> m_timer;
+    bool m_trying = false;
+};
+
+} // namespace currantstack
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -119,6 +119,9 @@
     /// Stops taking new connections; the open ones go on.
     auto quiesce() -> void;
 
+    /// Closes the connections on which no request is under way.
+    auto closeIdle() -> void;
+
     /// Changes how long new requests' connections may stay without progress; `limit` is rounded up to seconds.
     auto setIdleTimeout(Duration limit) -> void;
 
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -15,6 +15,8 @@
 constexpr double MaxRate = 1000;
 constexpr double BaseMs = 15; // an idle engine's time to the first token beyond reading: admission and one step
 constexpr double TransferSetupMs = 4; // before a transfer's first byte
+// Reading a prompt between tokens slows all streams of the decode engine; that costs about as much as it would at a prefill engine.
+constexpr double MixedPenalty = 0.5; // of the time of the read
 // Spreads VMs that see the same load, so that they do not all take the same engine.
 constexpr double JitterMs = 6;
 constexpr double BitsPerByte = 8;
@@ -50,7 +52,7 @@
 auto hasRoom(const EngineView &view, const PlacementInputs &inputs) -> bool
 {
     const auto &model = inputs.model;
-    return view.work.requests < model.slots && view.work.kvTokens + inputs.shape.kvTokens() <= MemoryStretch * static_cast<double>(model.kvTokens);
+    return view.work.requests < model.slots && view.work.kvTokens + inputs.speeds.expectedKv(inputs.shape) <= MemoryStretch * static_cast<double>(model.kvTokens);
 }
 
 auto jitter(Random &random) -> double
@@ -93,7 +95,8 @@
 {
     const double away = toMilliseconds(roundTrip(view.reach)) + BaseMs / std::max(view.health, MinHealth);
     if (from == nullptr) {
-        return away + readMs(view, inputs.shape.promptTokens, inputs.speeds.mixedRate());
+        const double read = readMs(view, inputs.shape.promptTokens, inputs.speeds.mixedRate());
+        return away + read;
     }
     // A prompt that is being read there delays the first step of the new stream by a part of a chunk only.
     const double busy = view.work.promptTokens > 0 ? BaseMs : 0;
@@ -126,9 +129,26 @@
     m_mixedRate.observe(std::clamp(tokens / std::max(0.1, toMilliseconds(length)), MinRate, MaxRate));
 }
 
-auto EngineSpeeds::observeStream(Duration length) -> void
+auto EngineSpeeds::observeStream(Duration length, double outputTokens) -> void
 {
     m_streamMs.observe(toMilliseconds(length));
+    if (!std::exchange(m_outputSeen, true)) {
+        m_outputTokens = MovingAverage(outputTokens, 0.05);
+    }
+    m_outputTokens.observe(outputTokens);
+}
+
+auto EngineSpeeds::expectedOutput(const PromptShape &shape) const -> double
+{
+    const double mean = m_outputSeen ? m_outputTokens.value() : FirstOutputShare * shape.outputTokens;
+    // A guess is right in the middle but often far off, so it moves the mean half the way.
+    const double expected = shape.hintedOutput > 0 ? (mean + shape.hintedOutput) / 2 : mean;
+    return std::min(expected, std::max(1.0, shape.outputTokens));
+}
+
+auto EngineSpeeds::expectedKv(const PromptShape &shape) const -> double
+{
+    return shape.promptTokens + GrowthShare * expectedOutput(shape);
 }
 
 auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>
@@ -137,7 +157,8 @@
     const auto read = cheapestRead(inputs, random);
     const auto split = read.engine == nullptr ? Cost() : cheapestDecode(inputs, read.engine->upstream, "", random);
     const double splitMs = read.ms + split.ms;
-    if (split.engine != nullptr && (direct.engine == nullptr || splitMs <= direct.ms)) {
+    const double penalty = MixedPenalty * inputs.shape.promptTokens / inputs.speeds.mixedRate();
+    if (split.engine != nullptr && (direct.engine == nullptr || splitMs <= direct.ms + penalty)) {
         return StreamPlan{read.engine->upstream, split.engine->upstream, fromMilliseconds(read.ms), fromMilliseconds(splitMs)};
     }
     if (direct.engine != nullptr) {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -40,7 +40,7 @@
         , log(clock, settings.vm, std::move(sink))
         , client(loop)
         , store(ports.openStore(client, counters))
-        , context{loop, clock, random, settings, client, *ports.protocol, log, counters, latencies, FleetRetryBudget(settings.retries)}
+        , context{loop, clock, random, settings, client, *ports.protocol, log, counters, latencies, FleetRetryBudget(settings.retries), WaitingRoom(loop)}
         , chain(context)
         , exchange(context)
         , directory(context, *ports.codec, *store, [this]() { onVms(); })
@@ -146,6 +146,10 @@
 auto EdgeNode::Parts::checkDrained() -> void
 {
     const auto since = clock.now() - drainStartedAt;
+    if (since >= BalancerNotice) {
+        callers->quiesce();
+        callers->closeIdle();
+    }
     const bool idle = callers->active() == 0 && since >= BalancerNotice;
     if (!idle && since < settings.drainLimit - KillMargin) {
         return;
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -99,6 +99,7 @@
     m_lastEventId = event.id.value_or(m_lastEventId + 1);
     m_lastEventAt = now;
     ++m_events;
+    growDecodeBooking();
     m_request.exchange->write(event.bytes);
     restartStallTimer();
 }
@@ -233,7 +234,7 @@
                          {"after_event", m_lastEventId},
                          {"reason", reason},
                          {"sends", m_attempt.sends()}});
-    book(m_decodeBooking, m_decodeEngine, {m_request.facts.shape.promptTokens, m_request.facts.shape.kvTokens(), 1});
+    bookDecode(true);
     startDecode();
     return true;
 }
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -9,6 +9,8 @@
 
 // A request is refused when its first event is expected later than this part of the goal: what waits behind it would be late too.
 constexpr double AdmittedGoalShare = 1.0;
+// From its placement to its first event a request takes about this long when no prompt waits before its own.
+constexpr Duration UsualFirst = milliseconds(250);
 
 } // namespace
 
@@ -38,9 +40,110 @@
     return avoid.empty() ? planStream(inputs, m_context.random) : planResume(inputs, avoid, m_context.random);
 }
 
-auto StreamRequest::mayBeInTime(const StreamPlan &plan) const -> bool
+auto StreamRequest::tokensPerEvent() const -> std::int64_t
 {
-    return toMilliseconds(plan.firstToken) <= AdmittedGoalShare * toMilliseconds(m_request.route->latencyGoal);
+    const auto *service = m_request.table->service(m_request.service);
+    return service != nullptr && service->engine ? service->engine->tokensPerEvent : 1;
+}
+
+/// Returns true where the request needs to wait no longer: it was placed, refused, or has ended.
+auto StreamRequest::tryPlace() -> bool
+{
+    if (m_done) {
+        return true;
+    }
+    const auto chosen = plan("");
+    const auto age = m_context.clock.now() - m_request.arrivedAt;
+    const bool late = chosen && age + chosen->firstToken > m_request.route->latencyGoal;
+    if (late) {
+        // What is begun too late makes those behind it late as well.
+        giveUp(false, "the first event would be late", retryDelay());
+        return true;
+    }
+    if (!chosen) {
+        return false;
+    }
+    leaveWaitingRoom();
+    place(*chosen);
+    return true;
+}
+
+auto StreamRequest::place(const StreamPlan &plan) -> void
+{
+    logPlan(plan);
+    m_decodeEngine = *plan.decode;
+    m_expectedRead = plan.readTime;
+    m_expectedFirst = plan.firstToken;
+    // Memory at the decode engine is booked now, so that it is there when the prompt has been read.
+    bookDecode(plan.prefill == nullptr);
+    if (plan.prefill == nullptr) {
+        startDecode();
+    } else {
+        m_prefillEngine = *plan.prefill;
+        startPrefill(plan);
+    }
+}
+
+/// Returns how long a request that joins the queues of all VMs now is expected to wait for memory.
+auto StreamRequest::expectedWait() const -> Duration
+{
+    const auto now = m_context.clock.now();
+    int running = 0;
+    for (const auto *upstream : m_context.directory.usable(m_request.service)) {
+        if (upstream->role == EngineRole::Decode) {
+            running += m_context.loads.total(upstream->id, now).requests;
+        }
+    }
+    const auto waiting = m_context.loads.total(m_request.service, now).requests;
+    const auto streamMs = toMilliseconds(m_context.speedsOf(m_request.service).streamLength());
+    return fromMilliseconds(streamMs * (waiting + 1) / std::max(1, running));
+}
+
+auto StreamRequest::waitForRoom() -> void
+{
+    const auto wait = expectedWait();
+    const auto slack = AdmittedGoalShare * toMilliseconds(m_request.route->latencyGoal) - toMilliseconds(UsualFirst);
+    if (toMilliseconds(wait) > slack) {
+        giveUp(false, "no engine has room in time", retryDelay());
+        return;
+    }
+    m_waiting = true;
+    m_context.loads.add(m_request.service, {0, 0, 1});
+    m_context.log.write("stream", "waits_for_room",
+                        {{"request", m_request.facts.requestId},
+                         {"expected_wait_ms", toMilliseconds(wait)},
+                         {"waiting", m_context.loads.total(m_request.service, m_context.clock.now()).requests}});
+    m_waitLimit = m_context.loop.timer([self = shared_from_this()]() {
+        if (self->m_waiting) {
+            self->giveUp(false, "no engine had room in time", self->retryDelay());
+        }
+    });
+    m_waitLimit->startOnce(fromMilliseconds(slack));
+    m_context.waiting.add(m_request.service, [self = shared_from_this()]() { return self->tryPlace(); });
+}
+
+auto StreamRequest::leaveWaitingRoom() -> void
+{
+    if (std::exchange(m_waiting, false)) {
+        m_context.loads.remove(m_request.service, {0, 0, 1});
+    }
+}
+
+auto StreamRequest::bookDecode(bool readsPrompt) -> void
+{
+    const auto &shape = m_request.facts.shape;
+    const auto kvTokens = m_context.speedsOf(m_request.service).expectedKv(shape);
+    book(m_decodeBooking, m_decodeEngine, {readsPrompt ? shape.promptTokens : 0, kvTokens, 1});
+}
+
+auto StreamRequest::growDecodeBooking() -> void
+{
+    const auto used = m_request.facts.shape.promptTokens + static_cast<double>(m_events * tokensPerEvent());
+    const auto more = used - m_decodeBooking.work.kvTokens;
+    if (more > 0) {
+        m_context.loads.add(m_decodeBooking.engine, {0, more, 0});
+        m_decodeBooking.work.kvTokens = used;
+    }
 }
 
 auto StreamRequest::book(Booking &booking, const Upstream &engine, const WorkUnderWay &work) -> void
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -90,7 +90,7 @@
     if (const auto direct = plan(m_prefillEngine.id); direct) {
         m_decodeEngine = *direct->decode;
         m_expectedFirst = direct->firstToken;
-        book(m_decodeBooking, m_decodeEngine, {m_request.facts.shape.promptTokens, m_request.facts.shape.kvTokens(), 1});
+        bookDecode(true);
         startDecode();
         return;
     }
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -8,24 +8,15 @@
 namespace
 {
 
-constexpr Duration ShortestRetryAfter = milliseconds(300);
+// A crest lasts seconds. Its refused callers return spread over the time after it, which for them is late in any case.
+constexpr Duration ShortestRetryAfter = milliseconds(1500);
+constexpr Duration LongestRetryAfter = milliseconds(4500);
 
 } // namespace
 
 auto StreamRequest::start() -> void
 {
     m_context.retries.onRequest(m_request.service, m_context.clock.now());
-    const auto chosen = plan("");
-    if (!chosen) {
-        giveUp(false, "no engine has room", retryDelay());
-        return;
-    }
-    if (!mayBeInTime(*chosen)) {
-        const auto excess = chosen->firstToken - m_request.route->latencyGoal;
-        giveUp(false, "the first event would be late", std::max(excess, retryDelay()));
-        return;
-    }
-    logPlan(*chosen);
     const auto self = shared_from_this();
     m_request.exchange->onGone([self]() {
         self->m_context.log.write("stream", "caller_gone", {{"request", self->m_request.facts.requestId}, {"events", self->m_events}});
@@ -33,25 +24,15 @@
     });
     m_deadline = m_context.loop.timer([self]() { self->giveUp(true, "no answer in time", Duration::zero()); });
     m_deadline->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
-    const auto &shape = m_request.facts.shape;
-    m_decodeEngine = *chosen->decode;
-    m_expectedRead = chosen->readTime;
-    m_expectedFirst = chosen->firstToken;
-    // Memory at the decode engine is booked now, so that it is there when the prompt has been read.
-    book(m_decodeBooking, m_decodeEngine, {chosen->prefill == nullptr ? shape.promptTokens : 0, shape.kvTokens(), 1});
-    if (chosen->prefill == nullptr) {
-        startDecode();
-    } else {
-        m_prefillEngine = *chosen->prefill;
-        startPrefill(*chosen);
+    if (!m_context.waiting.isEmpty(m_request.service) || !tryPlace()) {
+        waitForRoom();
     }
 }
 
 auto StreamRequest::retryDelay() const -> Duration
 {
-    // Memory comes free as streams end, so the callers return spread over the length of one.
-    const auto spread = toMilliseconds(m_context.speedsOf(m_request.service).streamLength());
-    return ShortestRetryAfter + fromMilliseconds(std::uniform_real_distribution<double>(0, spread)(m_context.random));
+    const std::uniform_real_distribution<double> spread(toMilliseconds(ShortestRetryAfter), toMilliseconds(LongestRetryAfter));
+    return fromMilliseconds(std::uniform_real_distribution<double>(spread)(m_context.random));
 }
 
 auto StreamRequest::complete() -> void
@@ -61,7 +42,7 @@
         m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
     }
     m_request.exchange->end();
-    m_context.speedsOf(m_request.service).observeStream(now - m_decodeStartedAt);
+    m_context.speedsOf(m_request.service).observeStream(now - m_decodeStartedAt, static_cast<double>(m_events * tokensPerEvent()));
     m_context.counters.at("requests_answered").add();
     m_context.latencies.record("stream", now - m_request.arrivedAt);
     m_context.log.write("stream", "request_answered",
@@ -96,11 +77,14 @@
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
     freeHandle();
+    leaveWaitingRoom();
     release(m_prefillBooking);
     release(m_decodeBooking);
+    m_context.loop.defer([&context = m_context]() { context.waiting.tryAll(); });
     // The timers hold this request; they are dropped after the present call has returned.
     m_context.loop.defer([self = shared_from_this()]() {
         self->m_deadline.reset();
+        self->m_waitLimit.reset();
         self->m_prefillLimit.reset();
         self->m_stall.reset();
         self->m_request.exchange->onGone(nullptr);
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -30,9 +30,16 @@
     };
 
     // stream_placement.cc
+    auto tryPlace() -> bool;
+    auto place(const StreamPlan &plan) -> void;
+    auto expectedWait() const -> Duration;
+    auto waitForRoom() -> void;
+    auto leaveWaitingRoom() -> void;
+    auto bookDecode(bool readsPrompt) -> void;
+    auto growDecodeBooking() -> void;
+    auto tokensPerEvent() const -> std::int64_t;
     auto plan(std::string_view avoid) const -> std::optional<StreamPlan>;
     auto views(EngineRole role) const -> std::vector<EngineView>;
-    auto mayBeInTime(const StreamPlan &plan) const -> bool;
     auto book(Booking &booking, const Upstream &engine, const WorkUnderWay &work) -> void;
     auto release(Booking &booking) -> void;
     auto releasePrompt() -> void;
@@ -92,7 +99,10 @@
     int m_events = 0;
     TimePoint m_lastEventAt;
 
+    bool m_waiting = false; // counted in the load table as waiting for room
+
     std::unique_ptr<Timer> m_deadline;
+    std::unique_ptr<Timer> m_waitLimit;
     std::unique_ptr<Timer> m_prefillLimit;
     std::unique_ptr<Timer> m_stall;
     bool m_done = false;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -50,6 +50,8 @@
         return m_port;
     }
 
+    auto closeIdle() -> void;
+
     auto setIdleTimeout(unsigned limit) -> void
     {
         m_idleTimeout = limit;
@@ -58,6 +60,7 @@
     std::unordered_set<Exchange *> m_active; // requests being answered
 
 private:
+    static auto onConnection(void *context, MHD_Connection *connection, void **state, MHD_ConnectionNotificationCode code) -> void;
     static auto onTarget(void *context, const char *target, MHD_Connection *connection) -> void *;
     static auto onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
                          const char *data, size_t *size, void **state) -> MHD_Result;
@@ -73,6 +76,7 @@
     std::size_t m_maxBody;
     bool m_strictFraming;
     unsigned m_idleTimeout; // seconds
+    std::unordered_set<MHD_Connection *> m_connections; // open ones
     MHD_Daemon *m_daemon = nullptr;
     ev_io m_io{};
     std::unique_ptr<Timer> m_timer;
@@ -123,7 +127,7 @@
     getsockname(*descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
     m_port = ntohs(bound.sin_port);
     m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this,
-                                MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this,
+                                MHD_OPTION_NOTIFY_CONNECTION, &ServerCore::onConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this,
                                 MHD_OPTION_CONNECTION_LIMIT, options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout,
                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
     if (m_daemon == nullptr) {
@@ -202,6 +206,30 @@
     static_cast<ServerCore *>(watcher->data)->run();
 }
 
+auto ServerCore::onConnection(void *context, MHD_Connection *connection, void ** /*state*/, MHD_ConnectionNotificationCode code) -> void
+{
+    auto &connections = static_cast<ServerCore *>(context)->m_connections;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        connections.insert(connection);
+    } else {
+        connections.erase(connection);
+    }
+}
+
+auto ServerCore::closeIdle() -> void
+{
+    auto idle = m_connections;
+    for (const auto *exchange : m_active) {
+        idle.erase(exchange->m_connection);
+    }
+    for (auto *connection : idle) {
+        // The end of input lets libmicrohttpd close the connection; a request that is on its way then finds it closed unread.
+        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        ::shutdown(info->connect_fd, SHUT_RD);
+    }
+    scheduleRun();
+}
+
 auto ServerCore::onTarget(void *context, const char *target, MHD_Connection *connection) -> void *
 {
     auto *self = static_cast<ServerCore *>(context);
@@ -495,6 +523,11 @@
     m_core->quiesce();
 }
 
+auto HttpServer::closeIdle() -> void
+{
+    m_core->closeIdle();
+}
+
 auto HttpServer::setIdleTimeout(Duration limit) -> void
 {
     m_core->setIdleTimeout(static_cast<unsigned>(std::chrono::ceil<seconds>(limit).count()));
