Decode engines read prompts only where the pause stays within the gap goal

Cause: an engine that reads a prompt between tokens makes an event of 12 tokens take over 300 ms for all its streams.

--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -40,7 +40,7 @@
     /// Answers are shorter than the most that callers allow; until some were seen, this part of it is expected.
     static constexpr double FirstOutputShare = 0.4;
     /// A stream's memory grows from its prompt to its end; engines hold streams of all ages.
-    static constexpr double GrowthShare = 0.6;
+    static constexpr double GrowthShare = 1.0;
     /// A decode engine reads between the tokens of other requests, at about half the speed of a prefill engine.
     static constexpr double MixedShare = 0.45;
 
@@ -97,6 +97,7 @@
     const EngineModel &model;
     const EngineSpeeds &speeds;
     const PlaceMap &places;
+    Duration gapGoal; // the longest pause between events that is in time
 };
 
 /// Returns the way with the shortest expected time to the first token, or nothing where no decode engine has room.
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -22,6 +22,9 @@
 constexpr double BitsPerByte = 8;
 constexpr double MegabitsPerMs = 1000; // bits in a millisecond at one megabit a second
 
+// Tokens come slowly while a prompt is read between them, so its read must fit into this part of the longest pause.
+constexpr double ReadGapShare = 0.7;
+
 /// Memory that may be promised beyond an engine's own: most answers end before their longest length.
 constexpr double MemoryStretch = 1.0;
 
@@ -55,6 +58,13 @@
     return view.work.requests < model.slots && view.work.kvTokens + inputs.speeds.expectedKv(inputs.shape) <= MemoryStretch * static_cast<double>(model.kvTokens);
 }
 
+/// Returns whether the engine may read the prompt itself without a pause in its other streams' events beyond their goal.
+auto mayRead(const EngineView &view, const PlacementInputs &inputs) -> bool
+{
+    const double read = (view.work.promptTokens + inputs.shape.promptTokens) / inputs.speeds.mixedRate();
+    return view.work.requests == 0 || read <= ReadGapShare * toMilliseconds(inputs.gapGoal);
+}
+
 auto jitter(Random &random) -> double
 {
     return std::uniform_real_distribution<double>(0, JitterMs)(random);
@@ -109,7 +119,7 @@
     Cost best;
     const bool sound = anySound(inputs.decode);
     for (const auto &view : inputs.decode) {
-        if ((sound && !isSound(view)) || view.upstream->id == avoid || !hasRoom(view, inputs)) {
+        if ((sound && !isSound(view)) || view.upstream->id == avoid || !hasRoom(view, inputs) || (from == nullptr && !mayRead(view, inputs))) {
             continue;
         }
         best.consider(decodeMs(inputs, view, from) + jitter(random), view);
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -94,6 +94,7 @@
         onFirstEvent();
     } else {
         m_context.latencies.record("event_gap", now - m_lastEventAt);
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
     }
     releasePrompt();
     m_lastEventId = event.id.value_or(m_lastEventId + 1);
@@ -112,7 +113,8 @@
         m_answerHeaders.push_back({"Connection", "close"});
     }
     m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
-    m_context.latencies.record("first_event", now - m_request.arrivedAt);
+    m_firstEventAge = now - m_request.arrivedAt;
+    m_context.latencies.record("first_event", m_firstEventAge);
     if (m_kvSource.empty()) {
         const auto reach = m_context.settings.places.between(m_context.settings.place, m_decodeEngine.place);
         m_context.speedsOf(m_request.service).observeMixed(m_tokensAhead, now - m_sentAt - 2 * roundTrip(reach));
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -50,6 +50,8 @@
                          {"engine", m_decodeEngine.id},
                          {"events", m_events},
                          {"sends", m_attempt.sends()},
+                         {"first_event_ms", toMilliseconds(m_firstEventAge)},
+                         {"longest_gap_ms", toMilliseconds(m_longestGap)},
                          {"age_ms", toMilliseconds(now - m_request.arrivedAt)}});
     finish();
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -98,6 +98,8 @@
     std::int64_t m_lastEventId;
     int m_events = 0;
     TimePoint m_lastEventAt;
+    Duration m_firstEventAge = Duration::zero();
+    Duration m_longestGap = Duration::zero();
 
     bool m_waiting = false; // counted in the load table as waiting for room
 
