--- a/include/currantstack/decisions/route_table.h
+++ b/include/currantstack/decisions/route_table.h
@@ -50,6 +50,7 @@
     double kvBytesPerToken = 0;
     double linkMbps = 0; // megabits a second for KV cache between engines
     Duration handleLife = Duration::zero(); // how long a prefill's result is kept
+    Duration reservationLife = Duration::zero(); // how long room can be reserved; zero: not at all
     Duration roleChange = Duration::zero(); // how long an engine is away when its role changes
 };
 
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -45,6 +45,7 @@
     HealthTracker health = {};
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> workMs = {}; // of a plain service's request
+    std::map<std::string, TimePoint, std::less<>> full = {}; // engines that had no room, until when they are left alone
     bool draining = false;
 
     auto speedsOf(std::string_view service) -> EngineSpeeds &
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -32,6 +32,7 @@
     Duration timeLeft = Duration::zero();
     std::int64_t lastEventId = 0;
     std::string kvSource; // "address/handle" of a prompt that was read elsewhere; empty: none
+    std::string reservation; // of room at the upstream; empty: none
     bool prefillOnly = false;
 };
 
@@ -71,6 +72,13 @@
     virtual auto readHead(int status, const Headers &headers, const CallerFacts &facts) const -> AnswerHead = 0;
     virtual auto readPrefill(std::string_view body) const -> Result<PrefillResult> = 0;
 
+    /// Returns the call that reserves room for a request at the engine.
+    virtual auto reserve(const Upstream &engine, std::int64_t tokens, Duration life) const -> HttpCall = 0;
+
+    /// Returns the reservation's id. The error is `Overloaded` where the engine has no room.
+    virtual auto readReservation(const HttpResponse &response) const -> Result<std::string> = 0;
+    virtual auto dropReservation(const Upstream &engine, std::string_view reservation) const -> HttpCall = 0;
+
     /// Returns the call that frees a handle at the engine.
     virtual auto freeHandle(const Upstream &engine, std::string_view handle) const -> HttpCall = 0;
 };
--- a/include/currantstack/edge/waiting_room.h
+++ b/include/currantstack/edge/waiting_room.h
@@ -24,7 +24,8 @@
 
     explicit WaitingRoom(Loop &loop);
 
-    auto add(const std::string &service, Try attempt) -> void;
+    /// Puts the request at the end of its service's queue, or at the head where it had its turn already.
+    auto add(const std::string &service, bool first, Try attempt) -> void;
     auto isEmpty(const std::string &service) const -> bool;
 
     /// Tries the heads of all queues now.
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -33,6 +33,7 @@
     }
     ForwardSpec spec;
     spec.kvSource = m_kvSource;
+    spec.reservation = std::exchange(m_reservation, {});
     spec.lastEventId = m_lastEventId;
     HttpHandlers handlers;
     handlers.onHead = [self = shared_from_this()](int status, const Headers &headers) { self->onHead(status, headers); };
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -19,7 +19,9 @@
     const auto now = m_context.clock.now();
     std::vector<EngineView> result;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
-        if (upstream->role == role && !upstream->busyWithOrder) {
+        const auto full = m_context.full.find(upstream->id);
+        const bool isFull = role == EngineRole::Decode && full != m_context.full.end() && now < full->second;
+        if (upstream->role == role && !upstream->busyWithOrder && !isFull) {
             result.push_back({upstream, m_context.loads.total(upstream->id, now), m_context.health.weight(upstream->id, now),
                               m_context.settings.places.between(m_context.settings.place, upstream->place)});
         }
@@ -77,11 +79,20 @@
     m_expectedFirst = plan.firstToken;
     // Memory at the decode engine is booked now, so that it is there when the prompt has been read.
     bookDecode(plan.prefill == nullptr);
-    if (plan.prefill == nullptr) {
-        startDecode();
-    } else {
+    if (plan.prefill != nullptr) {
+        const auto tokens = m_request.facts.shape.promptTokens;
         m_prefillEngine = *plan.prefill;
-        startPrefill(plan);
+        book(m_prefillBooking, m_prefillEngine, {tokens, tokens, 1});
+    }
+    reserve(plan);
+}
+
+auto StreamRequest::begin(bool split) -> void
+{
+    if (split) {
+        startPrefill();
+    } else {
+        startDecode();
     }
 }
 
@@ -100,11 +111,12 @@
     return fromMilliseconds(streamMs * (waiting + 1) / std::max(1, running));
 }
 
-auto StreamRequest::waitForRoom() -> void
+auto StreamRequest::waitForRoom(bool first) -> void
 {
     const auto wait = expectedWait();
+    const auto age = m_context.clock.now() - m_request.arrivedAt;
     const auto slack = AdmittedGoalShare * toMilliseconds(m_request.route->latencyGoal) - toMilliseconds(UsualFirst);
-    if (toMilliseconds(wait) > slack) {
+    if (toMilliseconds(first ? age : wait) > slack) {
         giveUp(false, "no engine has room in time", retryDelay());
         return;
     }
@@ -119,8 +131,8 @@
             self->giveUp(false, "no engine had room in time", self->retryDelay());
         }
     });
-    m_waitLimit->startOnce(fromMilliseconds(slack));
-    m_context.waiting.add(m_request.service, [self = shared_from_this()]() { return self->tryPlace(); });
+    m_waitLimit->startOnce(fromMilliseconds(slack) - age);
+    m_context.waiting.add(m_request.service, first, [self = shared_from_this()]() { return self->tryPlace(); });
 }
 
 auto StreamRequest::leaveWaitingRoom() -> void
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -13,17 +13,15 @@
 
 } // namespace
 
-auto StreamRequest::startPrefill(const StreamPlan &plan) -> void
+auto StreamRequest::startPrefill() -> void
 {
-    const auto tokens = m_request.facts.shape.promptTokens;
-    book(m_prefillBooking, *plan.prefill, {tokens, tokens, 1});
-    m_tokensAhead = m_context.loads.total(plan.prefill->id, m_context.clock.now()).promptTokens;
+    m_tokensAhead = m_context.loads.total(m_prefillEngine.id, m_context.clock.now()).promptTokens;
     m_sentAt = m_context.clock.now();
     ForwardSpec spec;
     spec.prefillOnly = true;
     HttpHandlers handlers;
     handlers.onDone = [self = shared_from_this()](Result<HttpResponse> result) { self->onPrefilled(std::move(result)); };
-    m_prefillCall = m_context.client.start(upstreamCall(m_context, m_request, *plan.prefill, spec), std::move(handlers));
+    m_prefillCall = m_context.client.start(upstreamCall(m_context, m_request, m_prefillEngine, spec), std::move(handlers));
     m_prefillLimit = m_context.loop.timer([self = shared_from_this()]() { self->leavePrefill("no answer in time"); });
     m_prefillLimit->startOnce(fromMilliseconds(PatienceFactor * toMilliseconds(m_expectedRead)) + PatienceMargin);
 }
@@ -88,6 +86,7 @@
     m_kvSource.clear();
     // The prompt is now read where the events are made; another engine may have a shorter queue by now.
     if (const auto direct = plan(m_prefillEngine.id); direct) {
+        dropReservation();
         m_decodeEngine = *direct->decode;
         m_expectedFirst = direct->firstToken;
         bookDecode(true);
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -25,7 +25,7 @@
     m_deadline = m_context.loop.timer([self]() { self->giveUp(true, "no answer in time", Duration::zero()); });
     m_deadline->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
     if (!m_context.waiting.isEmpty(m_request.service) || !tryPlace()) {
-        waitForRoom();
+        waitForRoom(false);
     }
 }
 
@@ -76,9 +76,11 @@
     if (std::exchange(m_done, true)) {
         return;
     }
+    m_context.client.cancel(std::exchange(m_reserveCall, 0));
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
     freeHandle();
+    dropReservation();
     leaveWaitingRoom();
     release(m_prefillBooking);
     release(m_decodeBooking);
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -32,8 +32,9 @@
     // stream_placement.cc
     auto tryPlace() -> bool;
     auto place(const StreamPlan &plan) -> void;
+    auto begin(bool split) -> void;
     auto expectedWait() const -> Duration;
-    auto waitForRoom() -> void;
+    auto waitForRoom(bool first) -> void;
     auto leaveWaitingRoom() -> void;
     auto bookDecode(bool readsPrompt) -> void;
     auto growDecodeBooking() -> void;
@@ -45,8 +46,13 @@
     auto releasePrompt() -> void;
     auto logPlan(const StreamPlan &plan) const -> void;
 
+    // stream_reservation.cc
+    auto reserve(const StreamPlan &plan) -> void;
+    auto onReserved(const Result<HttpResponse> &result, bool split) -> void;
+    auto dropReservation() -> void;
+
     // stream_prefill.cc
-    auto startPrefill(const StreamPlan &plan) -> void;
+    auto startPrefill() -> void;
     auto onPrefilled(Result<HttpResponse> result) -> void;
     auto takeHandle(const HttpResponse &response) -> bool;
     auto leavePrefill(std::string_view reason) -> void;
@@ -83,6 +89,8 @@
     double m_tokensAhead = 0; // prompt tokens that wait at the engine that reads, this prompt included
     std::string m_kvSource; // handle that the decode engine takes; empty: it reads the prompt itself
     std::string m_handle; // held at the prefill engine and not taken
+    std::string m_reservation; // of room at the decode engine, not yet used
+    HttpClient::CallId m_reserveCall = 0;
     HttpClient::CallId m_prefillCall = 0;
     HttpClient::CallId m_decodeCall = 0;
     TimePoint m_sentAt; // of the call under way
--- /dev/null
+++ b/src/edge/stream_reservation.cc
@@ -0,0 +1,75 @@
+// Room at the decode engine is reserved before the prompt is read, so that no prompt is read in vain.
+#include "stream_request.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration CallLimit = milliseconds(500); // of a reservation; a silent engine is left after it
+// A reservation lasts for the expected read by this factor and margin.
+constexpr double LifeFactor = 2;
+constexpr Duration LifeMargin = milliseconds(600);
+// An engine that had no room is not asked again so soon. Streams of a full engine end some hundred milliseconds apart.
+constexpr Duration FullPause = milliseconds(60);
+
+} // namespace
+
+auto StreamRequest::reserve(const StreamPlan &plan) -> void
+{
+    const auto *service = m_request.table->service(m_request.service);
+    if (service->engine->reservationLife == Duration::zero()) {
+        begin(plan.prefill != nullptr);
+        return;
+    }
+    const auto wanted = fromMilliseconds(LifeFactor * toMilliseconds(plan.readTime)) + LifeMargin;
+    const auto tokens = m_context.speedsOf(m_request.service).expectedKv(m_request.facts.shape);
+    auto call = m_context.protocol.reserve(m_decodeEngine, static_cast<std::int64_t>(tokens), std::min(wanted, service->engine->reservationLife));
+    call.connectTimeout = ConnectLimit;
+    call.totalTimeout = CallLimit;
+    HttpHandlers handlers;
+    handlers.onDone = [self = shared_from_this(), split = plan.prefill != nullptr](const Result<HttpResponse> &result) {
+        self->onReserved(result, split);
+    };
+    m_reserveCall = m_context.client.start(std::move(call), std::move(handlers));
+}
+
+auto StreamRequest::onReserved(const Result<HttpResponse> &result, bool split) -> void
+{
+    if (m_done) {
+        return;
+    }
+    m_reserveCall = 0;
+    const auto reserved = result ? m_context.protocol.readReservation(*result) : Result<std::string>(tl::unexpected(result.error()));
+    if (reserved) {
+        m_reservation = *reserved;
+        begin(split);
+        return;
+    }
+    const auto now = m_context.clock.now();
+    if (reserved.error().code != ErrorCode::Overloaded) {
+        m_context.health.observeFailure(m_decodeEngine.id, now);
+    }
+    m_context.full[m_decodeEngine.id] = now + FullPause;
+    m_context.counters.at("reservations_refused").add();
+    m_context.log.write("stream", "reservation_refused",
+                        {{"request", m_request.facts.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"error", describe(reserved.error())},
+                         {"kv_booked", m_context.loads.total(m_decodeEngine.id, now).kvTokens}});
+    release(m_decodeBooking);
+    release(m_prefillBooking);
+    if (!tryPlace()) {
+        waitForRoom(true);
+    }
+}
+
+auto StreamRequest::dropReservation() -> void
+{
+    if (!m_reservation.empty()) {
+        m_context.client.start(m_context.protocol.dropReservation(m_decodeEngine, std::exchange(m_reservation, {})), {});
+    }
+}
+
+} // namespace currantstack
--- a/src/edge/waiting_room.cc
+++ b/src/edge/waiting_room.cc
@@ -9,9 +9,10 @@
     : m_timer(loop.timer([this]() { tryAll(); }))
 { }
 
-auto WaitingRoom::add(const std::string &service, Try attempt) -> void
+auto WaitingRoom::add(const std::string &service, bool first, Try attempt) -> void
 {
-    m_queues[service].push_back(std::move(attempt));
+    auto &queue = m_queues[service];
+    queue.insert(first ? queue.begin() : queue.end(), std::move(attempt));
     m_timer->startOnce(TryPeriod);
 }
 
@@ -28,8 +29,14 @@
     }
     bool waiting = false;
     for (auto &[service, queue] : m_queues) {
-        while (!queue.empty() && queue.front()()) {
+        while (!queue.empty()) {
+            // The request may join again at the head while it is tried, so it is taken out first.
+            auto attempt = std::move(queue.front());
             queue.pop_front();
+            if (!attempt()) {
+                queue.push_front(std::move(attempt));
+                break;
+            }
         }
         waiting = waiting || !queue.empty();
     }
