Store calls and datagrams no longer grow with VMs times VMs

Watches are long polls whose wait grows with the number of VMs that tell one another of changes; VMs are listed by a stale read; load is told within a place and summed between places.

--- a/include/currantstack/decisions/load_table.h
+++ b/include/currantstack/decisions/load_table.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/clock.h"
 
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
@@ -49,6 +50,9 @@
     /// Returns this VM's own work, without idle upstreams.
     auto own() const -> std::vector<UpstreamWork>;
 
+    /// Returns the sum of the own work and that of the sources that the hook admits.
+    auto sumOf(const std::function<bool(std::string_view source)> &admits, TimePoint now) const -> std::vector<UpstreamWork>;
+
     auto peers(TimePoint now) const -> std::size_t;
 
 private:
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -1,4 +1,4 @@
-// Keeps routes, upstreams and VMs as the store tells them.
+// Keeps routes and upstreams as the store tells them.
 #pragma once
 
 #include "currantstack/edge/context.h"
@@ -7,60 +7,63 @@
 namespace currantstack
 {
 
-/// The live VMs of the edge, by their entries in the store.
-using VmRecords = std::map<std::string, VmRecord, std::less<>>;
+/// The last changes of the store's records that a VM knows.
+struct StoreRevisions
+{
+    std::int64_t routes = 0;
+    std::int64_t upstreams = 0;
+};
 
-/// Turns the store's keys into the routes in force, the directory of upstreams and the list of VMs.
+/// Turns the store's keys into the routes in force and the directory of upstreams.
 class DirectoryController
 {
 public:
     /// How long after the store's return a removed upstream may only have lapsed.
     static constexpr Duration LapseWindow = milliseconds(2500);
 
-    /// `onVms` runs after the list of VMs has changed.
-    DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store, std::function<void()> onVms);
+    DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store);
 
     auto start() -> void
     {
-        m_follower.start();
+        m_routes.start();
+        m_upstreams.start();
     }
 
-    auto stop() -> void
+    /// Takes in which changes another VM knows.
+    auto hearOf(const StoreRevisions &revisions) -> void
     {
-        m_follower.stop();
+        m_routes.hearOf(revisions.routes);
+        m_upstreams.hearOf(revisions.upstreams);
     }
 
-    /// Returns whether all keys were read at least once.
-    auto isComplete() const -> bool
+    auto revisions() const -> StoreRevisions
     {
-        return m_complete;
+        return {m_routes.changedAt(), m_upstreams.changedAt()};
     }
 
-    auto vms() const -> const VmRecords &
+    /// Returns whether routes and upstreams were read at least once.
+    auto isComplete() const -> bool
     {
-        return m_vms;
+        return m_context.table != nullptr && m_upstreamsRead;
     }
 
 private:
-    auto onSnapshot(const StoreRange &range, bool wasAway) -> void;
-    auto onEvents(std::span<const StoreEvent> events) -> void;
-    auto applyValue(const StoreValue &value) -> void;
+    auto onRoutes(std::span<const StoreValue> values) -> void;
+    auto onUpstreams(const StoreRange &range, bool wasAway) -> void;
+    auto onUpstreamEvents(std::span<const StoreEvent> events) -> void;
     auto applyRoutes(const StoreValue &value) -> void;
     auto applyUpstream(const StoreValue &value) -> void;
-    auto applyVm(const StoreValue &value) -> void;
-    auto removeKey(const std::string &key) -> void;
     auto removeUpstream(const std::string &id) -> void;
     auto expireLapsed() -> void;
 
     EdgeContext &m_context;
     const StoreCodec &m_codec;
-    std::function<void()> m_onVms;
-    StoreFollower m_follower;
+    StoreFollower m_routes;
+    StoreFollower m_upstreams;
     std::unique_ptr<Timer> m_lapseTimer;
-    VmRecords m_vms;
     TimePoint m_regainedAt;
     bool m_lapsePossible = false;
-    bool m_complete = false;
+    bool m_upstreamsRead = false;
 };
 
 } // namespace currantstack
--- a/include/currantstack/edge/edge_node.h
+++ b/include/currantstack/edge/edge_node.h
@@ -13,7 +13,7 @@
 {
     std::unique_ptr<EdgeProtocol> protocol;
     std::unique_ptr<StoreCodec> codec;
-    std::function<std::unique_ptr<Store>(HttpClient &client, Counters &counters)> openStore;
+    std::function<std::unique_ptr<Store>(Loop &loop, HttpClient &client, Counters &counters)> openStore;
     std::function<Result<EdgeSettings>()> reload; // reads the settings again
 };
 
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -1,34 +1,43 @@
 // VMs tell one another in datagrams what they have under way at each upstream.
 #pragma once
 
+#include "currantstack/decisions/peer_table.h"
 #include "currantstack/edge/context.h"
 #include "currantstack/edge/directory_controller.h"
+#include "currantstack/edge/vm_registry.h"
 
 #include <ev.h>
-#include <span>
 
 namespace currantstack
 {
 
-/// One VM's word on its own work.
+/// Work at upstreams: one VM's own, or the sum of a place.
 struct LoadMessage
 {
-    std::string vm;
+    std::string source; // the VM, or the place whose sum it is; parts of a long message have sources of their own
+    std::string vm; // that sent it
+    std::string place; // of that VM
     std::uint64_t sequence = 0;
+    bool isSum = false; // of all VMs of the place
+    bool toBeSpread = false; // the receiver hands it on to the VMs of its place
+    StoreRevisions known; // to the sender
     std::vector<UpstreamWork> works;
 };
 
 auto encodeLoad(const LoadMessage &message) -> std::string;
 auto decodeLoad(std::string_view bytes) -> Result<LoadMessage>;
 
-/// Sends this VM's work to the others when it has changed, and takes in theirs. A datagram that is lost is made good by the next.
+/// Sends this VM's work to the others when it has changed, and takes in theirs. In a large fleet the VMs of a place tell one
+/// another everything, and one of them tells the other places the sum. A datagram that is lost is made good by the next.
 class LoadExchange
 {
 public:
     static constexpr Duration Period = milliseconds(60); // between messages while work changes: well under one prefill's time
     static constexpr Duration IdlePeriod = milliseconds(600); // while nothing changes; under half of a peer's life in the table
+    static constexpr Duration SumPeriod = milliseconds(300); // between sums to other places, whose bytes are dear
+    static constexpr std::size_t RowsPerDatagram = 36; // of about 35 bytes, under the usual path MTU
 
-    explicit LoadExchange(EdgeContext &context);
+    LoadExchange(EdgeContext &context, DirectoryController &directory);
     ~LoadExchange();
     LoadExchange(const LoadExchange &) = delete;
     auto operator=(const LoadExchange &) -> LoadExchange & = delete;
@@ -36,17 +45,30 @@
     /// Opens the socket and begins to send.
     auto start() -> Result<void>;
 
+    /// Takes in the store's list of VMs.
     auto setPeers(const VmRecords &vms) -> void;
 
+    /// Returns how many VMs, this one included, tell it of changes that they know.
+    auto reach() const -> std::size_t
+    {
+        return m_peers.reach(m_context.clock.now());
+    }
+
 private:
     static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
     auto receive() -> void;
+    auto onMessage(LoadMessage message, const SocketAddress &from) -> void;
     auto tell() -> void;
+    auto tellSum() -> void;
+    auto send(LoadMessage message, std::span<const SocketAddress> peers) -> void;
+    auto sendBytes(std::string_view bytes, std::span<const SocketAddress> peers) -> void;
 
     EdgeContext &m_context;
+    DirectoryController &m_directory;
+    PeerTable m_peers;
     std::unique_ptr<Timer> m_timer;
-    std::vector<SocketAddress> m_peers;
-    std::string m_lastBody;
+    std::unique_ptr<Timer> m_sumTimer;
+    std::string m_lastWork;
     TimePoint m_toldAt;
     std::uint64_t m_sequence;
     ev_io m_io{};
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -83,15 +83,6 @@
     virtual auto freeHandle(const Upstream &engine, std::string_view handle) const -> HttpCall = 0;
 };
 
-/// The kinds of entries in the store that a VM follows.
-enum class StoreRecord
-{
-    Routes,
-    Upstream,
-    Vm,
-    Other,
-};
-
 /// A VM's own entry in the store.
 struct VmRecord
 {
@@ -106,14 +97,22 @@
 public:
     virtual ~StoreCodec() = default;
 
-    virtual auto kindOf(std::string_view key) const -> StoreRecord = 0;
+    /// Returns the prefixes under which the records of each kind lie.
+    virtual auto routesPrefix() const -> std::string = 0;
+    virtual auto upstreamsPrefix() const -> std::string = 0;
+    virtual auto vmsPrefix() const -> std::string = 0;
+
+    /// Returns the key under which the holder of orders stands.
+    virtual auto orderHolderKey() const -> std::string = 0;
+
+    /// Returns whether the key holds the routes in force.
+    virtual auto isRoutes(std::string_view key) const -> bool = 0;
     virtual auto readRoutes(const StoreValue &value) const -> Result<RouteTable> = 0;
     virtual auto readUpstream(const StoreValue &value) const -> Result<Upstream> = 0;
 
     /// Returns the upstream's id, or the VM's name, that a key stands for.
     virtual auto idOf(std::string_view key) const -> std::string = 0;
 
-    virtual auto vmKey(std::string_view name) const -> std::string = 0;
     virtual auto writeVm(const VmRecord &record) const -> std::string = 0;
     virtual auto readVm(const StoreValue &value) const -> Result<VmRecord> = 0;
 };
--- a/include/currantstack/edge/settings.h
+++ b/include/currantstack/edge/settings.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/decisions/distance.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
+#include "currantstack/socket_address.h"
 
 #include <cstdint>
 #include <string>
@@ -11,17 +12,6 @@
 namespace currantstack
 {
 
-struct SocketAddress
-{
-    std::string ip;
-    std::uint16_t port = 0;
-
-    auto text() const -> std::string
-    {
-        return ip + ":" + std::to_string(port);
-    }
-};
-
 struct EdgeSettings
 {
     std::string vm;
--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -25,7 +25,20 @@
 
     StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks);
 
+    static constexpr Duration NudgePause = milliseconds(500); // an answer that is on its way comes within it
+
     auto start() -> void;
+
+    /// Takes in that another VM knows a change under the prefix at the revision. Where the own watch does not bring it soon, the
+    /// watch is asked anew: its connection may be dead, or its wait may have missed the change.
+    auto hearOf(std::int64_t revision) -> void;
+
+    /// Returns the revision of the last change under the prefix that this VM knows.
+    auto changedAt() const -> std::int64_t
+    {
+        return m_changedAt;
+    }
+
     auto stop() -> void;
 
     /// Returns when the store last answered.
@@ -43,6 +56,8 @@
 private:
     auto read() -> void;
     auto onRead(Result<StoreRange> range) -> void;
+    auto watch() -> void;
+    auto onNudge() -> void;
     auto onEnd(const Error &error) -> void;
     auto retry(const Error &error) -> void;
 
@@ -54,6 +69,11 @@
     std::string m_prefix;
     Hooks m_hooks;
     std::unique_ptr<Timer> m_timer;
+    std::unique_ptr<Timer> m_nudge;
+    std::int64_t m_currentTo = 0; // revision up to which this VM is current
+    std::int64_t m_changedAt = 0;
+    std::int64_t m_heardOf = 0; // highest revision of a change that another VM knows
+    bool m_nudgeSet = false;
     std::function<void()> m_endWatch;
     TimePoint m_heardAt;
     TimePoint m_awaySince;
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -21,6 +21,7 @@
     Duration totalTimeout = Duration::zero(); // zero: no limit
     Duration idleTimeout = Duration::zero(); // limit on time without progress; zero: none
     Duration headTimeout = Duration::zero(); // limit on time without progress before the first byte; zero: idleTimeout
+    Duration silentPeerLimit = Duration::zero(); // ends a connection whose peer's host answers nothing for so long; zero: none
     bool freshConnection = false;
     bool closeAfterwards = false; // the connection is not kept for later calls
     bool exactHeaders = false; // sends no header of the client's own but the body's length
--- /dev/null
+++ b/include/currantstack/socket_address.h
@@ -0,0 +1,24 @@
+// An IP number and a port.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace currantstack
+{
+
+struct SocketAddress
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    /// Returns "ip:port".
+    auto text() const -> std::string
+    {
+        return ip + ":" + std::to_string(port);
+    }
+
+    auto operator==(const SocketAddress &) const -> bool = default;
+};
+
+} // namespace currantstack
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -61,6 +61,9 @@
     bool deleted = false;
 };
 
+/// Receives changes in order, and the revision up to which the watch is current. There may be no change.
+using WatchHook = std::function<void(std::span<const StoreEvent> events, std::int64_t revision)>;
+
 /// Asynchronous access to the service. An `Unreachable` error proves that a write did not take effect; other errors leave it open.
 class Store
 {
@@ -69,13 +72,24 @@
 
     /// Reads all keys that begin with the prefix, or the one key where `exact`.
     virtual auto read(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> void = 0;
+
+    /// Reads all keys that begin with the prefix, at a lower price; what it returns may be seconds old.
+    virtual auto readStale(std::string_view prefix, std::function<void(Result<StoreRange>)> done) -> void
+    {
+        read(prefix, false, std::move(done));
+    }
+
+    /// Sets how long a watch may wait for a change before it asks anew. A store whose watches tell their progress needs none.
+    virtual auto setWatchWait(Duration /*wait*/) -> void
+    { }
+
     virtual auto commit(StoreTransaction transaction, std::function<void(Result<StoreOutcome>)> done) -> void = 0;
     virtual auto grantLease(seconds ttl, std::function<void(Result<std::int64_t>)> done) -> void = 0;
     virtual auto keepLease(std::int64_t lease, std::function<void(Result<bool>)> done) -> void = 0;
 
     /// Follows the keys of a prefix from the revision on. `onEvents` receives changes in order; `onEnd` runs when the watch breaks.
     /// Returns what ends the watch; `onEnd` does not run then.
-    virtual auto watch(std::string_view prefix, std::int64_t fromRevision, std::function<void(std::span<const StoreEvent>)> onEvents,
+    virtual auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents,
                        std::function<void(Error)> onEnd) -> std::function<void()> = 0;
 };
 
@@ -90,7 +104,7 @@
     auto commit(StoreTransaction transaction, std::function<void(Result<StoreOutcome>)> done) -> void override;
     auto grantLease(seconds ttl, std::function<void(Result<std::int64_t>)> done) -> void override;
     auto keepLease(std::int64_t lease, std::function<void(Result<bool>)> done) -> void override;
-    auto watch(std::string_view prefix, std::int64_t fromRevision, std::function<void(std::span<const StoreEvent>)> onEvents,
+    auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents,
                std::function<void(Error)> onEnd) -> std::function<void()> override;
 
 private:
--- a/src/config_service.cc
+++ b/src/config_service.cc
@@ -167,7 +167,7 @@
     m_context.counters.at("config_watching").set(1);
     m_endWatch = m_context.store.watch(
         CurrentKey, fromRevision,
-        [this](std::span<const StoreEvent> events) {
+        [this](std::span<const StoreEvent> events, std::int64_t /*revision*/) {
             m_watchFailures = 0;
             for (const auto &event : events) {
                 apply(documentOf(event.value), "the store's watch");
--- a/src/decisions/load_table.cc
+++ b/src/decisions/load_table.cc
@@ -88,6 +88,24 @@
     return works;
 }
 
+auto LoadTable::sumOf(const std::function<bool(std::string_view source)> &admits, TimePoint now) const -> std::vector<UpstreamWork>
+{
+    auto sum = m_own;
+    for (const auto &[source, peer] : m_peers) {
+        if (now - peer.heardAt >= PeerLife || !admits(source)) {
+            continue;
+        }
+        for (const auto &[upstream, work] : peer.works) {
+            sum[upstream] += work;
+        }
+    }
+    std::vector<UpstreamWork> works;
+    for (const auto &[upstream, work] : sum) {
+        works.push_back({upstream, work});
+    }
+    return works;
+}
+
 auto LoadTable::peers(TimePoint now) const -> std::size_t
 {
     return static_cast<std::size_t>(
--- /dev/null
+++ b/src/decisions/peer_table.cc
@@ -0,0 +1,96 @@
+#include "currantstack/decisions/peer_table.h"
+
+namespace currantstack
+{
+
+auto PeerTable::list(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> void
+{
+    if (vm == m_self) {
+        return;
+    }
+    auto &peer = m_peers[std::string(vm)];
+    peer.place = place;
+    peer.address = address;
+    peer.listedAt = now;
+}
+
+auto PeerTable::hear(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> bool
+{
+    if (vm == m_self) {
+        return false;
+    }
+    const auto [found, isNew] = m_peers.try_emplace(std::string(vm));
+    auto &peer = found->second;
+    peer.place = place;
+    peer.address = address;
+    peer.heardAt = now;
+    return isNew;
+}
+
+auto PeerTable::expire(TimePoint now) -> void
+{
+    std::erase_if(m_peers, [now](const auto &entry) {
+        return now - entry.second.heardAt > Memory && now - entry.second.listedAt > ListMemory;
+    });
+}
+
+auto PeerTable::neighbours() const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> result;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.place == m_place) {
+            result.push_back(peer.address);
+        }
+    }
+    return result;
+}
+
+auto PeerTable::direct() const -> std::vector<SocketAddress>
+{
+    if (!isSmall()) {
+        return neighbours();
+    }
+    std::vector<SocketAddress> result;
+    for (const auto &[vm, peer] : m_peers) {
+        result.push_back(peer.address);
+    }
+    return result;
+}
+
+auto PeerTable::delegates(std::uint64_t turn) const -> std::vector<SocketAddress>
+{
+    std::map<std::string_view, std::vector<const Peer *>> places;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.place != m_place) {
+            places[peer.place].push_back(&peer);
+        }
+    }
+    std::vector<SocketAddress> result;
+    for (const auto &[place, peers] : places) {
+        result.push_back(peers[turn % peers.size()]->address);
+    }
+    return result;
+}
+
+auto PeerTable::reach(TimePoint now) const -> std::size_t
+{
+    std::size_t heard = 0;
+    std::size_t inPlace = 0;
+    for (const auto &[vm, peer] : m_peers) {
+        heard += now - peer.heardAt < Fresh ? 1 : 0;
+        inPlace += peer.place == m_place ? 1 : 0;
+    }
+    return !isSmall() && 2 * heard >= inPlace && heard > 0 ? m_peers.size() + 1 : heard + 1;
+}
+
+auto PeerTable::isSpeaker(TimePoint now) const -> bool
+{
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.place == m_place && vm < m_self && now - peer.heardAt < Fresh) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace currantstack
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -44,27 +44,42 @@
 
 } // namespace
 
-DirectoryController::DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store, std::function<void()> onVms)
+DirectoryController::DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store)
     : m_context(context)
     , m_codec(codec)
-    , m_onVms(std::move(onVms))
-    , m_follower(context.loop, context.clock, context.random, store, context.log, "",
-                 {[this](const StoreRange &range, bool wasAway) { onSnapshot(range, wasAway); },
-                  [this](std::span<const StoreEvent> events) { onEvents(events); }})
+    , m_routes(context.loop, context.clock, context.random, store, context.log, codec.routesPrefix(),
+               {[this](const StoreRange &range, bool /*wasAway*/) { onRoutes(range.values); },
+                [this](std::span<const StoreEvent> events) {
+                    for (const auto &event : events) {
+                        if (!event.deleted) {
+                            onRoutes({&event.value, 1});
+                        }
+                    }
+                }})
+    , m_upstreams(context.loop, context.clock, context.random, store, context.log, codec.upstreamsPrefix(),
+                  {[this](const StoreRange &range, bool wasAway) { onUpstreams(range, wasAway); },
+                   [this](std::span<const StoreEvent> events) { onUpstreamEvents(events); }})
     , m_lapseTimer(context.loop.timer([this]() { expireLapsed(); }))
 { }
 
-auto DirectoryController::onSnapshot(const StoreRange &range, bool wasAway) -> void
+auto DirectoryController::onRoutes(std::span<const StoreValue> values) -> void
+{
+    for (const auto &value : values) {
+        if (m_codec.isRoutes(value.key)) {
+            applyRoutes(value);
+        }
+    }
+}
+
+auto DirectoryController::onUpstreams(const StoreRange &range, bool wasAway) -> void
 {
     if (wasAway) {
         m_lapsePossible = true;
         m_regainedAt = m_context.clock.now();
     }
     std::set<std::string> seen;
-    VmRecords formerVms;
-    formerVms.swap(m_vms);
     for (const auto &value : range.values) {
-        applyValue(value);
+        applyUpstream(value);
         seen.insert(m_codec.idOf(value.key));
     }
     for (const auto &id : m_context.directory.ids()) {
@@ -72,40 +87,17 @@
             removeUpstream(id);
         }
     }
-    m_complete = true;
-    m_onVms();
+    m_upstreamsRead = true;
 }
 
-auto DirectoryController::onEvents(std::span<const StoreEvent> events) -> void
+auto DirectoryController::onUpstreamEvents(std::span<const StoreEvent> events) -> void
 {
-    bool vmsChanged = false;
     for (const auto &event : events) {
         if (event.deleted) {
-            removeKey(event.value.key);
+            removeUpstream(m_codec.idOf(event.value.key));
         } else {
-            applyValue(event.value);
+            applyUpstream(event.value);
         }
-        vmsChanged = vmsChanged || m_codec.kindOf(event.value.key) == StoreRecord::Vm;
-    }
-    if (vmsChanged) {
-        m_onVms();
-    }
-}
-
-auto DirectoryController::applyValue(const StoreValue &value) -> void
-{
-    switch (m_codec.kindOf(value.key)) {
-    case StoreRecord::Routes:
-        applyRoutes(value);
-        break;
-    case StoreRecord::Upstream:
-        applyUpstream(value);
-        break;
-    case StoreRecord::Vm:
-        applyVm(value);
-        break;
-    case StoreRecord::Other:
-        break;
     }
 }
 
@@ -156,32 +148,6 @@
     m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
 }
 
-auto DirectoryController::applyVm(const StoreValue &value) -> void
-{
-    auto record = m_codec.readVm(value);
-    if (!record) {
-        m_context.log.write("directory", "entry_ignored", {{"key", value.key}, {"error", describe(record.error())}});
-        return;
-    }
-    auto key = record->name;
-    m_vms.insert_or_assign(std::move(key), std::move(*record));
-}
-
-auto DirectoryController::removeKey(const std::string &key) -> void
-{
-    switch (m_codec.kindOf(key)) {
-    case StoreRecord::Upstream:
-        removeUpstream(m_codec.idOf(key));
-        break;
-    case StoreRecord::Vm:
-        m_vms.erase(m_codec.idOf(key));
-        break;
-    case StoreRecord::Routes:
-    case StoreRecord::Other:
-        break;
-    }
-}
-
 auto DirectoryController::removeUpstream(const std::string &id) -> void
 {
     const auto now = m_context.clock.now();
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -5,6 +5,7 @@
 #include "currantstack/edge/request_chain.h"
 #include "currantstack/edge/vm_registry.h"
 
+#include <algorithm>
 #include <random>
 
 namespace currantstack
@@ -19,6 +20,10 @@
 // The last moment to end by oneself before the platform kills the process.
 constexpr Duration KillMargin = milliseconds(400);
 constexpr Duration SettingsCheckPeriod = seconds(2);
+// Polls of the store follow one another at this pace over all VMs: a change is in force within 2.5 s, and half of that is left.
+constexpr Duration PollSpacing = milliseconds(250);
+constexpr Duration ShortestWatchWait = seconds(2);
+constexpr Duration LongestWatchWait = seconds(25); // the store allows 30 s
 constexpr std::uint16_t MetricsPort = 9464; // the usual port of metrics exporters
 constexpr std::size_t LargestBody = 8U << 20; // bytes, whatever the configuration allows
 constexpr unsigned CallerConnections = 2500; // the smallest machines allow 4,100 descriptors, upstream connections included
@@ -39,20 +44,24 @@
         , random(randomSeed())
         , log(clock, settings.vm, std::move(sink))
         , client(loop)
-        , store(ports.openStore(client, counters))
+        , store(ports.openStore(loop, client, counters))
         , context{loop, clock, random, settings, client, *ports.protocol, log, counters, latencies, FleetRetryBudget(settings.retries), WaitingRoom(loop)}
         , chain(context)
-        , exchange(context)
-        , directory(context, *ports.codec, *store, [this]() { onVms(); })
-        , registry(context, *ports.codec, *store)
+        , directory(context, *ports.codec, *store)
+        , exchange(context, directory)
+        , registry(context, *ports.codec, *store, [this](const VmRecords &records) { onVms(records); })
         , drainTimer(loop.timer([this]() { checkDrained(); }))
-        , settingsTimer(loop.timer([this]() { reload(false); }))
+        , settingsTimer(loop.timer([this]() {
+            adjustWatches();
+            reload(false);
+        }))
         , flushTimer(loop.timer([this]() { log.flush(); }))
     { }
 
     auto openServers() -> Result<void>;
-    auto onVms() -> void;
+    auto onVms(const VmRecords &records) -> void;
     auto isReady() const -> bool;
+    auto adjustWatches() -> void;
     auto drain() -> void;
     auto checkDrained() -> void;
     auto reload(bool asked) -> void;
@@ -69,8 +78,8 @@
     std::unique_ptr<Store> store;
     EdgeContext context;
     RequestChain chain;
-    LoadExchange exchange;
     DirectoryController directory;
+    LoadExchange exchange;
     VmRegistry registry;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readiness;
@@ -81,9 +90,16 @@
     TimePoint drainStartedAt;
 };
 
+auto EdgeNode::Parts::adjustWatches() -> void
+{
+    // A change that one watch misses is found by the next VM's new poll, and told to the others.
+    const auto wait = PollSpacing * static_cast<int>(exchange.reach());
+    store->setWatchWait(std::clamp<Duration>(wait, ShortestWatchWait, LongestWatchWait));
+}
+
 auto EdgeNode::Parts::isReady() const -> bool
 {
-    return !context.draining && context.table != nullptr && directory.isComplete();
+    return !context.draining && directory.isComplete();
 }
 
 auto EdgeNode::Parts::openServers() -> Result<void>
@@ -125,11 +141,12 @@
     return {};
 }
 
-auto EdgeNode::Parts::onVms() -> void
+auto EdgeNode::Parts::onVms(const VmRecords &records) -> void
 {
-    context.retries.setVms(directory.vms().size());
-    exchange.setPeers(directory.vms());
-    counters.at("vms_known").set(static_cast<std::int64_t>(directory.vms().size()));
+    context.retries.setVms(records.size());
+    exchange.setPeers(records);
+    adjustWatches();
+    counters.at("vms_known").set(static_cast<std::int64_t>(records.size()));
 }
 
 auto EdgeNode::Parts::drain() -> void
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cstring>
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace currantstack
 {
@@ -13,10 +15,11 @@
 namespace
 {
 
-constexpr std::size_t MaxDatagram = 1400; // bytes, under the usual path MTU
+constexpr std::size_t LargestDatagram = 8192; // bytes
+constexpr std::string_view SumPrefix = "place:"; // of a sum's source
 constexpr int MaxReadsPerWake = 64; // so that datagrams do not starve callers
 
-auto toSocketAddress(const SocketAddress &address) -> sockaddr_in
+auto toNative(const SocketAddress &address) -> sockaddr_in
 {
     sockaddr_in result{};
     result.sin_family = AF_INET;
@@ -25,16 +28,46 @@
     return result;
 }
 
+auto toAddress(const sockaddr_in &address) -> SocketAddress
+{
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(address.sin_port)};
+}
+
+/// An array for each upstream keeps the message short.
+auto encodeWorks(std::span<const UpstreamWork> works) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &[upstream, work] : works) {
+        rows.push_back({upstream, static_cast<std::int64_t>(work.promptTokens), static_cast<std::int64_t>(work.kvTokens), work.requests});
+    }
+    return rows;
+}
+
+auto decodeWork(const nlohmann::json &row) -> std::optional<UpstreamWork>
+{
+    const bool valid = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer() && row[2].is_number_integer()
+        && row[3].is_number_integer();
+    if (!valid) {
+        return std::nullopt;
+    }
+    return UpstreamWork{row[0].get<std::string>(), {row[1].get<double>(), row[2].get<double>(), row[3].get<int>()}};
+}
+
+auto malformed(std::string_view what) -> tl::unexpected<Error>
+{
+    return fail(ErrorCode::BadInput, "decode load", "", what);
+}
+
 } // namespace
 
 auto encodeLoad(const LoadMessage &message) -> std::string
 {
-    // An array for each upstream keeps the message short.
-    auto works = nlohmann::json::array();
-    for (const auto &[upstream, work] : message.works) {
-        works.push_back({upstream, static_cast<std::int64_t>(work.promptTokens), static_cast<std::int64_t>(work.kvTokens), work.requests});
-    }
-    const nlohmann::json document = {{"vm", message.vm}, {"seq", message.sequence}, {"work", std::move(works)}};
+    const nlohmann::json document = {{"src", message.source},  {"vm", message.vm},         {"place", message.place},
+                                     {"seq", message.sequence}, {"sum", message.isSum},     {"spread", message.toBeSpread},
+                                     {"routes", message.known.routes}, {"upstreams", message.known.upstreams},
+                                     {"work", encodeWorks(message.works)}};
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -43,26 +76,40 @@
 auto decodeLoad(std::string_view bytes) -> Result<LoadMessage>
 {
     const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    const auto malformed = [](std::string_view what) { return fail(ErrorCode::BadInput, "decode load", "", what); };
-    if (!document.is_object() || !document.contains("vm") || !document["vm"].is_string() || !document.contains("seq")
-        || !document["seq"].is_number_unsigned() || !document.contains("work") || !document["work"].is_array()) {
-        return malformed("fields are missing");
-    }
-    LoadMessage message{document["vm"].get<std::string>(), document["seq"].get<std::uint64_t>(), {}};
-    for (const auto &row : document["work"]) {
-        const bool valid = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer() && row[2].is_number_integer()
-            && row[3].is_number_integer();
-        if (!valid) {
+    if (!document.is_object()) {
+        return malformed("no object");
+    }
+    Faults faults;
+    ObjectReader reader(document, "", faults);
+    LoadMessage message;
+    message.source = reader.text("src");
+    message.vm = reader.text("vm");
+    message.place = reader.text("place");
+    message.sequence = static_cast<std::uint64_t>(reader.integer("seq", 0, std::numeric_limits<std::int64_t>::max()));
+    message.isSum = reader.boolean("sum");
+    message.toBeSpread = reader.boolean("spread");
+    message.known.routes = reader.integer("routes", 0, std::numeric_limits<std::int64_t>::max());
+    message.known.upstreams = reader.integer("upstreams", 0, std::numeric_limits<std::int64_t>::max());
+    const auto &rows = reader.raw("work");
+    if (!faults.empty() || !rows.is_array()) {
+        return malformed(describe(faults));
+    }
+    for (const auto &row : rows) {
+        auto work = decodeWork(row);
+        if (!work) {
             return malformed("a row is malformed");
         }
-        message.works.push_back({row[0].get<std::string>(), {row[1].get<double>(), row[2].get<double>(), row[3].get<int>()}});
+        message.works.push_back(std::move(*work));
     }
     return message;
 }
 
-LoadExchange::LoadExchange(EdgeContext &context)
+LoadExchange::LoadExchange(EdgeContext &context, DirectoryController &directory)
     : m_context(context)
+    , m_directory(directory)
+    , m_peers(context.settings.vm, context.settings.place)
     , m_timer(context.loop.timer([this]() { tell(); }))
+    , m_sumTimer(context.loop.timer([this]() { tellSum(); }))
     // A restarted VM goes on above its former numbers.
     , m_sequence(static_cast<std::uint64_t>(epochMilliseconds(context.clock.wall())))
 { }
@@ -79,7 +126,7 @@
 {
     const auto &own = m_context.settings.peers;
     m_socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const auto address = toSocketAddress(own);
+    const auto address = toNative(own);
     if (m_socket < 0 || ::bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
         return fail(ErrorCode::Unavailable, "bind datagrams", own.text(), std::strerror(errno));
     }
@@ -87,17 +134,17 @@
     m_io.data = this;
     ev_io_start(m_context.loop.raw(), &m_io);
     m_timer->startRepeating(Period, Period);
+    m_sumTimer->startRepeating(SumPeriod, SumPeriod);
     return {};
 }
 
 auto LoadExchange::setPeers(const VmRecords &vms) -> void
 {
-    m_peers.clear();
+    const auto now = m_context.clock.now();
     for (const auto &[name, record] : vms) {
-        if (name != m_context.settings.vm) {
-            m_peers.push_back(record.peers);
-        }
+        m_peers.list(name, record.place, record.peers, now);
     }
+    m_peers.expire(now);
 }
 
 auto LoadExchange::onReadable(struct ev_loop * /*loop*/, ev_io *watcher, int /*events*/) -> void
@@ -107,46 +154,93 @@
 
 auto LoadExchange::receive() -> void
 {
-    std::array<char, 2 * MaxDatagram> buffer{};
+    std::array<char, LargestDatagram> buffer{};
     for (int turn = 0; turn < MaxReadsPerWake; ++turn) {
-        const auto size = ::recv(m_socket, buffer.data(), buffer.size(), 0);
+        sockaddr_in from{};
+        socklen_t length = sizeof from;
+        const auto size = ::recvfrom(m_socket, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr *>(&from), &length);
         if (size <= 0) {
             return;
         }
-        const auto message = decodeLoad({buffer.data(), static_cast<std::size_t>(size)});
+        auto message = decodeLoad({buffer.data(), static_cast<std::size_t>(size)});
         if (!message) {
             m_context.counters.at("datagrams_malformed").add();
             m_context.log.write("load", "datagram_ignored", {{"error", describe(message.error())}});
             continue;
         }
-        m_context.loads.hear(message->vm, message->sequence, message->works, m_context.clock.now());
+        onMessage(std::move(*message), toAddress(from));
+    }
+}
+
+auto LoadExchange::onMessage(LoadMessage message, const SocketAddress &from) -> void
+{
+    const auto now = m_context.clock.now();
+    if (!message.isSum && m_peers.hear(message.vm, message.place, from, now)) {
+        m_context.log.write("load", "peer_heard", {{"peer", message.vm}, {"place", message.place}, {"address", from.ip}});
+    }
+    m_directory.hearOf(message.known);
+    const bool ownPlace = message.place == m_context.settings.place;
+    if (message.isSum && ownPlace && !message.toBeSpread) {
+        return; // the own place is known VM by VM
+    }
+    m_context.loads.hear(message.source, message.sequence, message.works, now);
+    if (message.isSum && message.toBeSpread) {
+        message.toBeSpread = false;
+        sendBytes(encodeLoad(message), m_peers.neighbours());
     }
 }
 
 auto LoadExchange::tell() -> void
 {
     const auto now = m_context.clock.now();
-    LoadMessage message{m_context.settings.vm, 0, m_context.loads.own()};
-    auto body = encodeLoad(message);
-    if (body == m_lastBody && now - m_toldAt < IdlePeriod) {
+    auto works = m_context.loads.own();
+    auto text = encodeWorks(works).dump();
+    if (text == m_lastWork && now - m_toldAt < IdlePeriod) {
         return;
     }
-    m_lastBody = std::move(body);
+    m_lastWork = std::move(text);
     m_toldAt = now;
-    message.sequence = ++m_sequence;
-    auto bytes = encodeLoad(message);
-    while (bytes.size() > MaxDatagram && !message.works.empty()) {
-        // What does not fit is work of few tokens at the end of the list; the rest is still worth knowing.
-        message.works.resize(message.works.size() * 3 / 4);
-        m_context.counters.at("load_rows_cut").add();
-        bytes = encodeLoad(message);
-    }
-    for (const auto &peer : m_peers) {
-        const auto address = toSocketAddress(peer);
-        ::sendto(m_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-    }
-    m_context.counters.at("datagrams_sent").add(static_cast<std::int64_t>(m_peers.size()));
-    m_context.counters.at("datagram_bytes_sent").add(static_cast<std::int64_t>(bytes.size() * m_peers.size()));
+    const auto &settings = m_context.settings;
+    send({settings.vm, settings.vm, settings.place, 0, false, false, {}, std::move(works)}, m_peers.direct());
+}
+
+auto LoadExchange::tellSum() -> void
+{
+    const auto now = m_context.clock.now();
+    if (m_peers.isSmall() || !m_peers.isSpeaker(now)) {
+        return;
+    }
+    const auto &settings = m_context.settings;
+    auto works = m_context.loads.sumOf([](std::string_view source) { return !source.starts_with(SumPrefix); }, now);
+    send({std::string(SumPrefix) + settings.place, settings.vm, settings.place, 0, true, true, {}, std::move(works)},
+         m_peers.delegates(m_sequence));
+}
+
+auto LoadExchange::send(LoadMessage message, std::span<const SocketAddress> peers) -> void
+{
+    const auto works = std::exchange(message.works, {});
+    message.known = m_directory.revisions();
+    const auto source = message.source;
+    std::size_t first = 0;
+    for (int part = 0; part == 0 || first < works.size(); ++part) {
+        const auto last = std::min(works.size(), first + RowsPerDatagram);
+        message.source = part == 0 ? source : fmt::format("{}#{}", source, part);
+        message.sequence = ++m_sequence;
+        message.works.assign(works.begin() + static_cast<std::ptrdiff_t>(first), works.begin() + static_cast<std::ptrdiff_t>(last));
+        first = last;
+        sendBytes(encodeLoad(message), peers);
+    }
+}
+
+auto LoadExchange::sendBytes(std::string_view bytes, std::span<const SocketAddress> peers) -> void
+{
+    for (const auto &peer : peers) {
+        const auto address = toNative(peer);
+        const auto sent = ::sendto(m_socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        // The next message says the same again, so a full buffer or a peer that is gone needs no more than a count.
+        m_context.counters.at(sent < 0 ? "datagrams_not_sent" : "datagrams_sent").add();
+    }
+    m_context.counters.at("datagram_bytes_sent").add(static_cast<std::int64_t>(bytes.size() * peers.size()));
 }
 
 } // namespace currantstack
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -14,6 +14,7 @@
     , m_prefix(std::move(prefix))
     , m_hooks(std::move(hooks))
     , m_timer(loop.timer([this]() { read(); }))
+    , m_nudge(loop.timer([this]() { onNudge(); }))
     , m_heardAt(clock.now())
 { }
 
@@ -27,6 +28,7 @@
     m_stopped = true;
     *m_alive = false;
     m_timer->stop();
+    m_nudge->stop();
     if (m_endWatch) {
         std::exchange(m_endWatch, nullptr)();
     }
@@ -55,14 +57,28 @@
         fields["away_ms"] = toMilliseconds(m_heardAt - m_awaySince);
     }
     m_log.write("store", wasAway ? "store_regained" : "store_read", std::move(fields));
+    m_currentTo = range->revision;
+    for (const auto &value : range->values) {
+        m_changedAt = std::max(m_changedAt, value.modRevision);
+    }
     m_hooks.onSnapshot(*range, wasAway);
+    watch();
+}
+
+auto StoreFollower::watch() -> void
+{
     m_endWatch = m_store.watch(
-        m_prefix, range->revision + 1,
-        [this, alive = m_alive](std::span<const StoreEvent> events) {
-            if (*alive) {
-                m_heardAt = m_clock.now();
-                m_hooks.onEvents(events);
+        m_prefix, m_currentTo + 1,
+        [this, alive = m_alive](std::span<const StoreEvent> events, std::int64_t revision) {
+            if (!*alive) {
+                return;
+            }
+            m_heardAt = m_clock.now();
+            m_currentTo = std::max(m_currentTo, revision);
+            for (const auto &event : events) {
+                m_changedAt = std::max(m_changedAt, event.value.modRevision);
             }
+            m_hooks.onEvents(events);
         },
         [this, alive = m_alive](const Error &error) {
             if (*alive) {
@@ -72,6 +88,25 @@
         });
 }
 
+auto StoreFollower::hearOf(std::int64_t revision) -> void
+{
+    m_heardOf = std::max(m_heardOf, revision);
+    if (m_heardOf > m_currentTo && !std::exchange(m_nudgeSet, true)) {
+        m_nudge->startOnce(NudgePause);
+    }
+}
+
+auto StoreFollower::onNudge() -> void
+{
+    m_nudgeSet = false;
+    if (m_heardOf <= m_currentTo || m_away || !m_endWatch) {
+        return;
+    }
+    m_log.write("store", "watch_behind", {{"prefix", m_prefix}, {"current_to", m_currentTo}, {"heard_of", m_heardOf}});
+    std::exchange(m_endWatch, nullptr)();
+    watch();
+}
+
 auto StoreFollower::onEnd(const Error &error) -> void
 {
     if (error.code == ErrorCode::Conflict) {
--- a/src/edge/vm_registry.cc
+++ b/src/edge/vm_registry.cc
@@ -3,10 +3,11 @@
 namespace currantstack
 {
 
-VmRegistry::VmRegistry(EdgeContext &context, const StoreCodec &codec, Store &store)
+VmRegistry::VmRegistry(EdgeContext &context, const StoreCodec &codec, Store &store, std::function<void(const VmRecords &)> onVms)
     : m_context(context)
     , m_codec(codec)
     , m_store(store)
+    , m_onVms(std::move(onVms))
     , m_timer(context.loop.timer([this]() {
         if (m_lease == 0) {
             grant();
@@ -16,16 +17,45 @@
             keep();
         }
     }))
+    , m_readTimer(context.loop.timer([this]() { readOthers(); }))
 { }
 
 auto VmRegistry::start() -> void
 {
     grant();
+    m_readTimer->startOnce(FirstReadPause);
+}
+
+auto VmRegistry::readOthers() -> void
+{
+    m_store.readStale(m_codec.vmsPrefix(), [this, alive = m_alive](const Result<StoreRange> &range) {
+        if (!*alive) {
+            return;
+        }
+        if (!range) {
+            m_context.log.write("registry", "store_call_failed", {{"step", "read VMs"}, {"error", describe(range.error())}});
+            m_readTimer->startOnce(FirstReadPause);
+            return;
+        }
+        VmRecords records;
+        for (const auto &value : range->values) {
+            auto record = m_codec.readVm(value);
+            if (!record) {
+                m_context.log.write("registry", "entry_ignored", {{"key", value.key}, {"error", describe(record.error())}});
+                continue;
+            }
+            auto name = record->name;
+            records.insert_or_assign(std::move(name), std::move(*record));
+        }
+        m_onVms(records);
+        m_readTimer->startOnce(ReadPeriod);
+    });
 }
 
 auto VmRegistry::stop() -> void
 {
     *m_alive = false;
+    m_readTimer->stop();
     m_timer->stop();
 }
 
@@ -49,7 +79,7 @@
 {
     const auto &settings = m_context.settings;
     StoreTransaction transaction;
-    transaction.puts.push_back({m_codec.vmKey(settings.vm), m_codec.writeVm({settings.vm, settings.place, settings.peers}), lease});
+    transaction.puts.push_back({m_codec.vmsPrefix() + settings.vm, m_codec.writeVm({settings.vm, settings.place, settings.peers}), lease});
     m_store.commit(std::move(transaction), [this, alive = m_alive](Result<StoreOutcome> outcome) {
         if (!*alive) {
             return;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -3,6 +3,9 @@
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
 
@@ -45,6 +48,7 @@
         bool headDelivered = false;
         bool cancelled = false;
         bool idleExpired = false;
+        int silentPeerLimit = 0; // milliseconds
 
         ~Call()
         {
@@ -73,6 +77,7 @@
     static auto toError(const Call &call, CURLcode code) -> Error;
 
     static auto onSocket(CURL *easy, curl_socket_t socket, int what, void *context, void *data) -> int;
+    static auto onSocketMade(void *context, curl_socket_t socket, curlsocktype purpose) -> int;
     static auto onTimer(CURLM *multi, long timeout, void *context) -> int;
     static auto onIo(struct ev_loop *loop, ev_io *watcher, int events) -> void;
     static auto onHeader(char *data, size_t size, size_t count, void *context) -> size_t;
@@ -162,6 +167,11 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(options.totalTimeout)));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, options.freshConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, options.closeAfterwards ? 1L : 0L);
+    if (options.silentPeerLimit > Duration::zero()) {
+        call.silentPeerLimit = static_cast<int>(toMilliseconds(options.silentPeerLimit));
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Core::onSocketMade);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
+    }
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxConnectionAge);
     if (!options.target.empty()) {
         curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, options.target.c_str());
@@ -330,6 +340,19 @@
     return 0;
 }
 
+auto HttpClient::Core::onSocketMade(void *context, curl_socket_t socket, curlsocktype /*purpose*/) -> int
+{
+    // Probes on an idle connection, and a limit on how long they and other bytes may go without acknowledgement.
+    constexpr int On = 1;
+    constexpr int ProbeSeconds = 1;
+    const unsigned limit = static_cast<unsigned>(static_cast<Call *>(context)->silentPeerLimit);
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &ProbeSeconds, sizeof ProbeSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeSeconds, sizeof ProbeSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    return CURL_SOCKOPT_OK;
+}
+
 auto HttpClient::Core::onTimer(CURLM * /*multi*/, long timeout, void *context) -> int
 {
     auto *self = static_cast<Core *>(context);
--- a/src/store.cc
+++ b/src/store.cc
@@ -206,7 +206,7 @@
     });
 }
 
-auto EtcdStore::watch(std::string_view prefix, std::int64_t fromRevision, std::function<void(std::span<const StoreEvent>)> onEvents,
+auto EtcdStore::watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents,
                       std::function<void(Error)> onEnd) -> std::function<void()>
 {
     m_counters.at("store_watches").add();
@@ -239,7 +239,7 @@
                 }
             }
             if (!events.empty()) {
-                onEvents(events);
+                onEvents(events, detail::gatewayNumber(line["result"].value("header", Json::object()), "revision"));
             }
         }
     };
