Orders balance the engines' roles, given by the holder of a leased key

The balance of prefill and decode engines follows from what one request takes of each, not from the rate of requests.

--- a/include/currantstack/clock.h
+++ b/include/currantstack/clock.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace currantstack
 {
@@ -37,6 +38,18 @@
     }
 };
 
+/// The machine's clocks, with a monotonic one that goes on while the machine is suspended.
+class BootClock : public SystemClock
+{
+public:
+    auto now() const -> TimePoint override
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 /// A clock that stands still until it is advanced.
 class ManualClock : public Clock
 {
--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -31,6 +31,15 @@
     Reach reach = Reach::SamePlace; // from this VM
 };
 
+/// What one request takes, on average.
+struct RequestCost
+{
+    double promptTokens = 0;
+    double readMs = 0; // at a prefill engine
+    double streamMs = 0; // at a decode engine
+    double kvTokens = 0; // memory at a decode engine
+};
+
 /// Speeds of a service's engines, learned from this VM's own requests.
 class EngineSpeeds
 {
@@ -47,7 +56,15 @@
     /// Records that `tokens` (those ahead included) were read in the time.
     auto observePrefill(double tokens, Duration length) -> void;
     auto observeMixed(double tokens, Duration length) -> void;
-    auto observeStream(Duration length, double outputTokens) -> void;
+    auto observeStream(Duration length, const PromptShape &shape, double outputTokens) -> void;
+
+    auto streamsSeen() const -> int
+    {
+        return m_streamsSeen;
+    }
+
+    /// Returns what one request takes on average, from the streams seen.
+    auto requestCost() const -> RequestCost;
 
     auto prefillRate() const -> double
     {
@@ -76,7 +93,8 @@
     MovingAverage m_mixedRate{FirstReadRate * MixedShare, 0.05};
     MovingAverage m_streamMs{2000, 0.05};
     MovingAverage m_outputTokens{0, 0.05};
-    bool m_outputSeen = false;
+    MovingAverage m_promptTokens{0, 0.05};
+    int m_streamsSeen = 0;
 };
 
 /// The chosen way of one stream.
--- /dev/null
+++ b/include/currantstack/decisions/role_plan.h
@@ -0,0 +1,58 @@
+// How many engines of a service should read prompts, and how many make tokens.
+#pragma once
+
+#include "currantstack/clock.h"
+#include "currantstack/decisions/engine_placement.h"
+#include "currantstack/decisions/upstream_directory.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace currantstack
+{
+
+/// Returns the number of prefill engines with which both roles run full at the same rate of requests. The result does not depend
+/// on the rate, so it can be told before a crest.
+auto balancedPrefillEngines(const RequestCost &cost, const EngineModel &model, std::size_t engines) -> double;
+
+/// One engine that should change its role.
+struct RoleChange
+{
+    const Upstream *engine = nullptr;
+    EngineRole role = EngineRole::None;
+};
+
+/// Proposes role changes, slowly: a change costs an engine some seconds.
+class RolePlanner
+{
+public:
+    /// A change is proposed once the number of engines is off by more than this.
+    static constexpr double Hysteresis = 0.75;
+    /// The balance must have asked for the same direction for so long.
+    static constexpr Duration Persistence = seconds(2);
+    /// Part of a service's engines that may be away for a change at once, one at least.
+    static constexpr double AwayShare = 0.1;
+    /// An engine that was ordered is left alone for so long, whatever became of the order.
+    static constexpr Duration EngineRest = seconds(15);
+
+    /// Returns the changes to order now. `wanted` is the balanced number of prefill engines.
+    auto propose(std::span<const Upstream *const> engines, double wanted, Duration roleChange, TimePoint now) -> std::vector<RoleChange>;
+
+    /// Notes that the engine was ordered.
+    auto onOrdered(std::string_view engine, TimePoint now) -> void;
+
+private:
+    struct Direction
+    {
+        int sign = 0;
+        TimePoint since;
+    };
+
+    Direction m_direction;
+    std::map<std::string, TimePoint, std::less<>> m_ordered;
+};
+
+} // namespace currantstack
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -52,6 +52,22 @@
     std::int64_t tokens = 0;
 };
 
+/// What an engine says of itself; some hundred milliseconds old.
+struct EngineState
+{
+    EngineRole role = EngineRole::None;
+    bool busyWithOrder = false;
+    std::int64_t orderCount = 0; // orders that it has accepted since its start
+};
+
+struct RoleOrder
+{
+    EngineRole role = EngineRole::None;
+    std::string holder;
+    std::int64_t fence = 0;
+    std::int64_t orderCount = 0; // the order is refused where the engine has accepted others since
+};
+
 /// The caller's and the upstreams' dialect.
 class EdgeProtocol
 {
@@ -79,6 +95,13 @@
     virtual auto readReservation(const HttpResponse &response) const -> Result<std::string> = 0;
     virtual auto dropReservation(const Upstream &engine, std::string_view reservation) const -> HttpCall = 0;
 
+    virtual auto report(const Upstream &engine) const -> HttpCall = 0;
+    virtual auto readReport(const HttpResponse &response) const -> Result<EngineState> = 0;
+    virtual auto orderRole(const Upstream &engine, const RoleOrder &order) const -> HttpCall = 0;
+
+    /// Returns whether the engine refused an order because it knows a higher fencing token.
+    virtual auto isFencedOff(const HttpResponse &response) const -> bool = 0;
+
     /// Returns the call that frees a handle at the engine.
     virtual auto freeHandle(const Upstream &engine, std::string_view handle) const -> HttpCall = 0;
 };
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -89,8 +89,8 @@
 
     /// Follows the keys of a prefix from the revision on. `onEvents` receives changes in order; `onEnd` runs when the watch breaks.
     /// Returns what ends the watch; `onEnd` does not run then.
-    virtual auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents,
-                       std::function<void(Error)> onEnd) -> std::function<void()> = 0;
+    virtual auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
+        -> std::function<void()> = 0;
 };
 
 /// The service by its published JSON gateway (etcd v3).
@@ -104,8 +104,8 @@
     auto commit(StoreTransaction transaction, std::function<void(Result<StoreOutcome>)> done) -> void override;
     auto grantLease(seconds ttl, std::function<void(Result<std::int64_t>)> done) -> void override;
     auto keepLease(std::int64_t lease, std::function<void(Result<bool>)> done) -> void override;
-    auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents,
-               std::function<void(Error)> onEnd) -> std::function<void()> override;
+    auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
+        -> std::function<void()> override;
 
 private:
     auto call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done) -> void;
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr double LearningWeight = 0.05; // of one stream in the averages
 constexpr double MinHealth = 0.05; // an engine below is used only where all are
 constexpr double MinRate = 1; // tokens a millisecond
 constexpr double MaxRate = 1000;
@@ -55,7 +56,8 @@
 auto hasRoom(const EngineView &view, const PlacementInputs &inputs) -> bool
 {
     const auto &model = inputs.model;
-    return view.work.requests < model.slots && view.work.kvTokens + inputs.speeds.expectedKv(inputs.shape) <= MemoryStretch * static_cast<double>(model.kvTokens);
+    return view.work.requests < model.slots
+        && view.work.kvTokens + inputs.speeds.expectedKv(inputs.shape) <= MemoryStretch * static_cast<double>(model.kvTokens);
 }
 
 /// Returns whether the engine may read the prompt itself without a pause in its other streams' events beyond their goal.
@@ -119,7 +121,8 @@
     Cost best;
     const bool sound = anySound(inputs.decode);
     for (const auto &view : inputs.decode) {
-        if ((sound && !isSound(view)) || view.upstream->id == avoid || !hasRoom(view, inputs) || (from == nullptr && !mayRead(view, inputs))) {
+        if ((sound && !isSound(view)) || view.upstream->id == avoid || !hasRoom(view, inputs)
+            || (from == nullptr && !mayRead(view, inputs))) {
             continue;
         }
         best.consider(decodeMs(inputs, view, from) + jitter(random), view);
@@ -139,18 +142,27 @@
     m_mixedRate.observe(std::clamp(tokens / std::max(0.1, toMilliseconds(length)), MinRate, MaxRate));
 }
 
-auto EngineSpeeds::observeStream(Duration length, double outputTokens) -> void
+auto EngineSpeeds::observeStream(Duration length, const PromptShape &shape, double outputTokens) -> void
 {
-    m_streamMs.observe(toMilliseconds(length));
-    if (!std::exchange(m_outputSeen, true)) {
-        m_outputTokens = MovingAverage(outputTokens, 0.05);
-    }
-    m_outputTokens.observe(outputTokens);
+    // The first streams weigh more: the mean is exact until the moving average has forgotten its start.
+    const double weight = std::max(LearningWeight, 1.0 / ++m_streamsSeen);
+    const auto learn = [weight](MovingAverage &average, double value) {
+        average = MovingAverage(average.value() + weight * (value - average.value()), LearningWeight);
+    };
+    learn(m_streamMs, toMilliseconds(length));
+    learn(m_outputTokens, outputTokens);
+    learn(m_promptTokens, shape.promptTokens);
+}
+
+auto EngineSpeeds::requestCost() const -> RequestCost
+{
+    const double prompt = m_promptTokens.value();
+    return {prompt, prompt / prefillRate(), m_streamMs.value(), prompt + GrowthShare * m_outputTokens.value()};
 }
 
 auto EngineSpeeds::expectedOutput(const PromptShape &shape) const -> double
 {
-    const double mean = m_outputSeen ? m_outputTokens.value() : FirstOutputShare * shape.outputTokens;
+    const double mean = m_streamsSeen > 0 ? m_outputTokens.value() : FirstOutputShare * shape.outputTokens;
     // A guess is right in the middle but often far off, so it moves the mean half the way.
     const double expected = shape.hintedOutput > 0 ? (mean + shape.hintedOutput) / 2 : mean;
     return std::min(expected, std::max(1.0, shape.outputTokens));
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -29,9 +29,8 @@
 
 auto PeerTable::expire(TimePoint now) -> void
 {
-    std::erase_if(m_peers, [now](const auto &entry) {
-        return now - entry.second.heardAt > Memory && now - entry.second.listedAt > ListMemory;
-    });
+    std::erase_if(m_peers,
+                  [now](const auto &entry) { return now - entry.second.heardAt > Memory && now - entry.second.listedAt > ListMemory; });
 }
 
 auto PeerTable::neighbours() const -> std::vector<SocketAddress>
--- /dev/null
+++ b/src/decisions/role_plan.cc
@@ -0,0 +1,94 @@
+#include "currantstack/decisions/role_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantstack
+{
+
+namespace
+{
+
+// Prefill engines queue prompts of uneven length, so they need more headroom than decode engines, whose streams overlap.
+constexpr double PrefillHeadroom = 1.25;
+
+/// Returns the place where the role has most engines for each engine of the other role.
+auto fullestPlace(std::span<const Upstream *const> engines, EngineRole role) -> std::string_view
+{
+    std::map<std::string_view, std::pair<double, double>> places; // of the role, of all
+    for (const auto *engine : engines) {
+        auto &[ofRole, all] = places[engine->place];
+        ofRole += engine->role == role ? 1 : 0;
+        all += 1;
+    }
+    std::string_view best;
+    double bestShare = -1;
+    for (const auto &[place, counts] : places) {
+        const double share = counts.first / counts.second;
+        if (share > bestShare) {
+            best = place;
+            bestShare = share;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+auto balancedPrefillEngines(const RequestCost &cost, const EngineModel &model, std::size_t engines) -> double
+{
+    const double byMemory = static_cast<double>(model.kvTokens) / std::max(1.0, cost.kvTokens);
+    const double atOnce = std::max(1.0, std::min(byMemory, static_cast<double>(model.slots)));
+    const double readShare = PrefillHeadroom * cost.readMs;
+    const double streamShare = cost.streamMs / atOnce;
+    const auto count = static_cast<double>(engines);
+    if (readShare + streamShare <= 0 || engines < 2) {
+        return count / 2;
+    }
+    return std::clamp(count * readShare / (readShare + streamShare), 1.0, count - 1);
+}
+
+auto RolePlanner::propose(std::span<const Upstream *const> engines, double wanted, Duration roleChange, TimePoint now)
+    -> std::vector<RoleChange>
+{
+    const auto prefill =
+        std::count_if(engines.begin(), engines.end(), [](const auto *engine) { return engine->role == EngineRole::Prefill; });
+    const double excess = static_cast<double>(prefill) - wanted;
+    const int sign = std::abs(excess) < Hysteresis ? 0 : (excess > 0 ? 1 : -1);
+    if (sign != m_direction.sign) {
+        m_direction = {sign, now};
+    }
+    if (sign == 0 || now - m_direction.since < Persistence) {
+        return {};
+    }
+    const auto from = sign > 0 ? EngineRole::Prefill : EngineRole::Decode;
+    const auto to = sign > 0 ? EngineRole::Decode : EngineRole::Prefill;
+    const auto away = std::count_if(m_ordered.begin(), m_ordered.end(), [&](const auto &entry) { return now - entry.second < roleChange; });
+    const auto limit = std::max(1.0, std::floor(AwayShare * static_cast<double>(engines.size())));
+    auto count = static_cast<int>(std::min(std::round(std::abs(excess)), limit - static_cast<double>(away)));
+    std::vector<RoleChange> changes;
+    std::vector<const Upstream *> rest(engines.begin(), engines.end());
+    while (count > 0) {
+        std::erase_if(rest, [&](const auto *engine) {
+            const auto ordered = m_ordered.find(engine->id);
+            return ordered != m_ordered.end() && now - ordered->second < EngineRest;
+        });
+        const auto place = fullestPlace(rest, from);
+        const auto found =
+            std::find_if(rest.begin(), rest.end(), [&](const auto *engine) { return engine->role == from && engine->place == place; });
+        if (found == rest.end()) {
+            break;
+        }
+        changes.push_back({*found, to});
+        rest.erase(found);
+        --count;
+    }
+    return changes;
+}
+
+auto RolePlanner::onOrdered(std::string_view engine, TimePoint now) -> void
+{
+    m_ordered.insert_or_assign(std::string(engine), now);
+}
+
+} // namespace currantstack
--- a/src/decisions/service_placement.cc
+++ b/src/decisions/service_placement.cc
@@ -24,9 +24,8 @@
 
 auto chooseUpstream(std::span<const ServiceView> views, Duration workTime, std::string_view avoid, Random &random) -> const Upstream *
 {
-    const bool sound = std::any_of(views.begin(), views.end(), [&avoid](const auto &view) {
-        return view.health >= MinHealth && view.upstream->id != avoid;
-    });
+    const bool sound = std::any_of(views.begin(), views.end(),
+                                   [&avoid](const auto &view) { return view.health >= MinHealth && view.upstream->id != avoid; });
     std::uniform_real_distribution<double> jitter(0, JitterMs);
     const Upstream *best = nullptr;
     double bestMs = 0;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -3,6 +3,7 @@
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/load_exchange.h"
 #include "currantstack/edge/request_chain.h"
+#include "currantstack/edge/role_controller.h"
 #include "currantstack/edge/vm_registry.h"
 
 #include <algorithm>
@@ -45,11 +46,23 @@
         , log(clock, settings.vm, std::move(sink))
         , client(loop)
         , store(ports.openStore(loop, client, counters))
-        , context{loop, clock, random, settings, client, *ports.protocol, log, counters, latencies, FleetRetryBudget(settings.retries), WaitingRoom(loop)}
+        , context{loop,
+                  clock,
+                  random,
+                  settings,
+                  client,
+                  *ports.protocol,
+                  log,
+                  counters,
+                  latencies,
+                  FleetRetryBudget(settings.retries),
+                  WaitingRoom(loop)}
         , chain(context)
         , directory(context, *ports.codec, *store)
         , exchange(context, directory)
         , registry(context, *ports.codec, *store, [this](const VmRecords &records) { onVms(records); })
+        , orderHolder(context, *ports.codec, *store, bootClock)
+        , roles(context, orderHolder)
         , drainTimer(loop.timer([this]() { checkDrained(); }))
         , settingsTimer(loop.timer([this]() {
             adjustWatches();
@@ -69,6 +82,7 @@
     EdgeSettings settings;
     EdgePorts ports;
     SystemClock clock;
+    BootClock bootClock;
     Random random;
     Loop loop;
     EventLog log;
@@ -81,6 +95,8 @@
     DirectoryController directory;
     LoadExchange exchange;
     VmRegistry registry;
+    OrderHolder orderHolder;
+    RoleController roles;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> metrics;
@@ -157,6 +173,8 @@
     drainStartedAt = clock.now();
     log.write("edge", "drain_started", {{"requests_under_way", callers->active()}});
     registry.stop();
+    roles.stop();
+    orderHolder.stop();
     drainTimer->startRepeating(DrainCheckPeriod, DrainCheckPeriod);
 }
 
@@ -222,6 +240,8 @@
     }
     parts.directory.start();
     parts.registry.start();
+    parts.orderHolder.start();
+    parts.roles.start();
     parts.settingsTimer->startRepeating(SettingsCheckPeriod, SettingsCheckPeriod);
     parts.flushTimer->startRepeating(DrainCheckPeriod, DrainCheckPeriod);
     parts.loop.onSignal(SIGTERM, [&parts]() { parts.drain(); });
--- a/src/edge/latencies.cc
+++ b/src/edge/latencies.cc
@@ -14,7 +14,8 @@
     counters.each([&out](std::string_view name, std::int64_t value) { fmt::format_to(out, "currantstack_{} {}\n", name, value); });
     for (const auto &[name, histogram] : latencies.all()) {
         for (const auto quantile : Quantiles) {
-            fmt::format_to(out, "currantstack_{}_seconds{{quantile=\"{}\"}} {:.6f}\n", name, quantile, toSeconds(histogram.quantile(quantile)));
+            fmt::format_to(out, "currantstack_{}_seconds{{quantile=\"{}\"}} {:.6f}\n", name, quantile,
+                           toSeconds(histogram.quantile(quantile)));
         }
         fmt::format_to(out, "currantstack_{}_seconds_count {}\n", name, histogram.count());
     }
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -64,9 +64,14 @@
 
 auto encodeLoad(const LoadMessage &message) -> std::string
 {
-    const nlohmann::json document = {{"src", message.source},  {"vm", message.vm},         {"place", message.place},
-                                     {"seq", message.sequence}, {"sum", message.isSum},     {"spread", message.toBeSpread},
-                                     {"routes", message.known.routes}, {"upstreams", message.known.upstreams},
+    const nlohmann::json document = {{"src", message.source},
+                                     {"vm", message.vm},
+                                     {"place", message.place},
+                                     {"seq", message.sequence},
+                                     {"sum", message.isSum},
+                                     {"spread", message.toBeSpread},
+                                     {"routes", message.known.routes},
+                                     {"upstreams", message.known.upstreams},
                                      {"work", encodeWorks(message.works)}};
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -124,9 +124,8 @@
     const auto send = *found;
     m_sends.erase(found);
     drop(send);
-    const auto outcome = result
-        ? judgeHead(result->status, m_context.protocol.readHead(result->status, result->headers, m_request.facts))
-        : judgeError(result.error());
+    const auto outcome = result ? judgeHead(result->status, m_context.protocol.readHead(result->status, result->headers, m_request.facts))
+                                : judgeError(result.error());
     m_attempt.onOutcome(outcome);
     onOutcome(send, outcome, result);
 }
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -37,9 +37,13 @@
     }
     const auto prefill = views(EngineRole::Prefill);
     const auto decode = views(EngineRole::Decode);
-    const PlacementInputs inputs{
-        prefill, decode, m_request.facts.shape, *service->engine, m_context.speedsOf(m_request.service), m_context.settings.places,
-        m_request.route->gapGoal};
+    const PlacementInputs inputs{prefill,
+                                 decode,
+                                 m_request.facts.shape,
+                                 *service->engine,
+                                 m_context.speedsOf(m_request.service),
+                                 m_context.settings.places,
+                                 m_request.route->gapGoal};
     return avoid.empty() ? planStream(inputs, m_context.random) : planResume(inputs, avoid, m_context.random);
 }
 
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -58,8 +58,9 @@
     }
     const auto prefilled = m_context.protocol.readPrefill(response.body);
     if (!prefilled) {
-        m_context.log.write("stream", "prefill_unreadable",
-                            {{"request", m_request.facts.requestId}, {"engine", m_prefillEngine.id}, {"error", describe(prefilled.error())}});
+        m_context.log.write(
+            "stream", "prefill_unreadable",
+            {{"request", m_request.facts.requestId}, {"engine", m_prefillEngine.id}, {"error", describe(prefilled.error())}});
         return false;
     }
     m_handle = prefilled->handle;
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -42,7 +42,8 @@
         m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
     }
     m_request.exchange->end();
-    m_context.speedsOf(m_request.service).observeStream(now - m_decodeStartedAt, static_cast<double>(m_events * tokensPerEvent()));
+    m_context.speedsOf(m_request.service)
+        .observeStream(now - m_decodeStartedAt, m_request.facts.shape, static_cast<double>(m_events * tokensPerEvent()));
     m_context.counters.at("requests_answered").add();
     m_context.latencies.record("stream", now - m_request.arrivedAt);
     m_context.log.write("stream", "request_answered",
@@ -62,8 +63,7 @@
         return;
     }
     if (m_begun) {
-        m_context.log.write("stream", "stream_aborted",
-                            {{"request", m_request.facts.requestId}, {"events", m_events}, {"reason", reason}});
+        m_context.log.write("stream", "stream_aborted", {{"request", m_request.facts.requestId}, {"events", m_events}, {"reason", reason}});
         m_request.exchange->abort();
     } else {
         answerFinally(m_context, m_request, m_attempt, timedOut, reason, retryAfter);
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -25,7 +25,8 @@
     }
     const auto wanted = fromMilliseconds(LifeFactor * toMilliseconds(plan.readTime)) + LifeMargin;
     const auto tokens = m_context.speedsOf(m_request.service).expectedKv(m_request.facts.shape);
-    auto call = m_context.protocol.reserve(m_decodeEngine, static_cast<std::int64_t>(tokens), std::min(wanted, service->engine->reservationLife));
+    auto call =
+        m_context.protocol.reserve(m_decodeEngine, static_cast<std::int64_t>(tokens), std::min(wanted, service->engine->reservationLife));
     call.connectTimeout = ConnectLimit;
     call.totalTimeout = CallLimit;
     HttpHandlers handlers;
--- a/src/http.cc
+++ b/src/http.cc
@@ -20,9 +20,8 @@
 
 auto equalNames(std::string_view left, std::string_view right) -> bool
 {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) {
-        return std::tolower(a) == std::tolower(b);
-    });
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
 auto framingFault(const HttpRequest &request) -> std::string_view
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -126,10 +126,11 @@
     socklen_t length = sizeof bound;
     getsockname(*descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
     m_port = ntohs(bound.sin_port);
-    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this,
-                                MHD_OPTION_NOTIFY_CONNECTION, &ServerCore::onConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this,
-                                MHD_OPTION_CONNECTION_LIMIT, options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout,
-                                MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
+    m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this, MHD_OPTION_NOTIFY_CONNECTION,
+        &ServerCore::onConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor,
+        MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections,
+        MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         ::close(*descriptor);
         return fail(ErrorCode::Internal, "listen", options.address, "the HTTP daemon did not start");
--- a/src/store.cc
+++ b/src/store.cc
@@ -206,8 +206,8 @@
     });
 }
 
-auto EtcdStore::watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents,
-                      std::function<void(Error)> onEnd) -> std::function<void()>
+auto EtcdStore::watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
+    -> std::function<void()>
 {
     m_counters.at("store_watches").add();
     auto create = rangeRequest(prefix, false);
