Prompts are read at decode engines only where no other stream pauses beyond its goal

A failed prefill now goes to another prefill engine where the route allows one, or the caller is told to come back at once. Ruled out: stragglers (gaps fall on the engines and times of the reads only).

--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -49,7 +49,7 @@
     /// Answers are shorter than the most that callers allow; until some were seen, this part of it is expected.
     static constexpr double FirstOutputShare = 0.4;
     /// A stream's memory grows from its prompt to its end; engines hold streams of all ages.
-    static constexpr double GrowthShare = 1.0;
+    static constexpr double GrowthShare = 1.1;
     /// A decode engine reads between the tokens of other requests, at about half the speed of a prefill engine.
     static constexpr double MixedShare = 0.45;
 
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -23,8 +23,10 @@
 constexpr double BitsPerByte = 8;
 constexpr double MegabitsPerMs = 1000; // bits in a millisecond at one megabit a second
 
-// Tokens come slowly while a prompt is read between them, so its read must fit into this part of the longest pause.
-constexpr double ReadGapShare = 0.7;
+// Tokens come slowly while a prompt is read between them, so its read must fit into this part of the longest pause. Two VMs may
+// choose the same engine before they hear of each other, so a new request leaves room for a second one.
+constexpr double NewReadShare = 0.4;
+constexpr double ResumeReadShare = 0.8; // a broken stream has no other way
 
 /// Memory that may be promised beyond an engine's own: most answers end before their longest length.
 constexpr double MemoryStretch = 1.0;
@@ -61,10 +63,10 @@
 }
 
 /// Returns whether the engine may read the prompt itself without a pause in its other streams' events beyond their goal.
-auto mayRead(const EngineView &view, const PlacementInputs &inputs) -> bool
+auto mayRead(const EngineView &view, const PlacementInputs &inputs, double gapShare) -> bool
 {
     const double read = (view.work.promptTokens + inputs.shape.promptTokens) / inputs.speeds.mixedRate();
-    return view.work.requests == 0 || read <= ReadGapShare * toMilliseconds(inputs.gapGoal);
+    return view.work.requests == 0 || read <= gapShare * toMilliseconds(inputs.gapGoal);
 }
 
 auto jitter(Random &random) -> double
@@ -116,13 +118,14 @@
     return away + busy + crowd + transferMs(inputs, *from, *view.upstream);
 }
 
-auto cheapestDecode(const PlacementInputs &inputs, const Upstream *from, std::string_view avoid, Random &random) -> Cost
+/// Where `from` is null, the engine reads the prompt itself, within `gapShare` of the longest pause between its other events.
+auto cheapestDecode(const PlacementInputs &inputs, const Upstream *from, double gapShare, std::string_view avoid, Random &random) -> Cost
 {
     Cost best;
     const bool sound = anySound(inputs.decode);
     for (const auto &view : inputs.decode) {
         if ((sound && !isSound(view)) || view.upstream->id == avoid || !hasRoom(view, inputs)
-            || (from == nullptr && !mayRead(view, inputs))) {
+            || (from == nullptr && !mayRead(view, inputs, gapShare))) {
             continue;
         }
         best.consider(decodeMs(inputs, view, from) + jitter(random), view);
@@ -175,9 +178,9 @@
 
 auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>
 {
-    const auto direct = cheapestDecode(inputs, nullptr, "", random);
+    const auto direct = cheapestDecode(inputs, nullptr, NewReadShare, "", random);
     const auto read = cheapestRead(inputs, random);
-    const auto split = read.engine == nullptr ? Cost() : cheapestDecode(inputs, read.engine->upstream, "", random);
+    const auto split = read.engine == nullptr ? Cost() : cheapestDecode(inputs, read.engine->upstream, 0, "", random);
     const double splitMs = read.ms + split.ms;
     const double penalty = MixedPenalty * inputs.shape.promptTokens / inputs.speeds.mixedRate();
     if (split.engine != nullptr && (direct.engine == nullptr || splitMs <= direct.ms + penalty)) {
@@ -191,7 +194,7 @@
 
 auto planResume(const PlacementInputs &inputs, std::string_view avoid, Random &random) -> std::optional<StreamPlan>
 {
-    const auto direct = cheapestDecode(inputs, nullptr, avoid, random);
+    const auto direct = cheapestDecode(inputs, nullptr, ResumeReadShare, avoid, random);
     if (direct.engine == nullptr) {
         return std::nullopt;
     }
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -10,6 +10,8 @@
 // A resumable stream moves when its engine is silent for so long. Shorter than the time after which callers leave, longer than
 // the pauses of an engine that is only busy.
 constexpr Duration EventStall = milliseconds(900);
+// A refusal that has nothing to do with load: the caller may come back at once.
+constexpr Duration QuickRetry = milliseconds(30);
 // Before the first event the engine may take longer than was expected by this factor and margin.
 constexpr double FirstEventFactor = 2;
 constexpr Duration FirstEventMargin = milliseconds(700);
@@ -203,31 +205,26 @@
         finish();
         return;
     }
-    giveUp(false, reason, retryDelay());
+    giveUp(false, reason, QuickRetry);
 }
 
 auto StreamRequest::goOnElsewhere(SendOutcome outcome, std::string_view reason) -> bool
 {
     const auto now = m_context.clock.now();
     const bool another = m_attempt.maySendAgain();
-    // The same engine may still read the prompt itself when only the handle was refused.
-    const bool same = outcome == SendOutcome::NotRun && !m_kvSource.empty() && m_attempt.mayRepeat();
-    if ((!another && !same) || now >= m_request.deadline()) {
+    if (!another || now >= m_request.deadline()) {
         return false;
     }
-    auto next = another ? plan(m_decodeEngine.id) : std::nullopt;
-    if (next) {
-        m_expectedFirst = next->firstToken;
-    } else if (!same) {
+    const auto next = plan(m_decodeEngine.id);
+    if (!next) {
         return false;
     }
+    m_expectedFirst = next->firstToken;
     if (outcome != SendOutcome::NotSent && !m_context.retries.take(m_request.service, now)) {
         m_context.log.write("stream", "retry_budget_empty", {{"request", m_request.facts.requestId}, {"service", m_request.service}});
         return false;
     }
-    if (next) {
-        m_decodeEngine = *next->decode;
-    }
+    m_decodeEngine = *next->decode;
     freeHandle();
     m_kvSource.clear();
     m_context.counters.at("streams_continued").add();
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -20,7 +20,7 @@
     std::vector<EngineView> result;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
         const auto full = m_context.full.find(upstream->id);
-        const bool isFull = role == EngineRole::Decode && full != m_context.full.end() && now < full->second;
+        const bool isFull = full != m_context.full.end() && now < full->second;
         if (upstream->role == role && !upstream->busyWithOrder && !isFull) {
             result.push_back({upstream, m_context.loads.total(upstream->id, now), m_context.health.weight(upstream->id, now),
                               m_context.settings.places.between(m_context.settings.place, upstream->place)});
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -7,9 +7,13 @@
 namespace
 {
 
-// A prefill that takes longer than expected by this factor and margin is left; the decode engine then reads the prompt itself.
-constexpr double PatienceFactor = 2;
-constexpr Duration PatienceMargin = milliseconds(250); // of steps that other work stretches
+// A prefill that takes longer than expected by this factor and margin is left for another engine.
+constexpr double PatienceFactor = 3;
+constexpr Duration PatienceMargin = milliseconds(700); // a prompt read in vain costs as much as an answer
+// An engine that was left is not chosen again by this VM so soon.
+constexpr Duration LeftPause = milliseconds(300);
+// A refusal that has nothing to do with load: the caller may come back at once.
+constexpr Duration QuickRetry = milliseconds(30);
 
 } // namespace
 
@@ -22,7 +26,7 @@
     HttpHandlers handlers;
     handlers.onDone = [self = shared_from_this()](Result<HttpResponse> result) { self->onPrefilled(std::move(result)); };
     m_prefillCall = m_context.client.start(upstreamCall(m_context, m_request, m_prefillEngine, spec), std::move(handlers));
-    m_prefillLimit = m_context.loop.timer([self = shared_from_this()]() { self->leavePrefill("no answer in time"); });
+    m_prefillLimit = m_context.loop.timer([self = shared_from_this()]() { self->leavePrefill(SendOutcome::Unknown, "no answer in time"); });
     m_prefillLimit->startOnce(fromMilliseconds(PatienceFactor * toMilliseconds(m_expectedRead)) + PatienceMargin);
 }
 
@@ -44,11 +48,8 @@
         startDecode();
         return;
     }
-    const auto outcome = result ? SendOutcome::NotRun : judgeError(result.error());
-    if (outcome != SendOutcome::NotSent) {
-        m_context.retries.take(m_request.service, now); // a refused call counts, whether or not it is repeated
-    }
-    leavePrefill(result ? fmt::format("status {}", result->status) : describe(result.error()));
+    leavePrefill(result ? SendOutcome::NotRun : judgeError(result.error()),
+                 result ? fmt::format("status {}", result->status) : describe(result.error()));
 }
 
 auto StreamRequest::takeHandle(const HttpResponse &response) -> bool
@@ -68,33 +69,39 @@
     return true;
 }
 
-auto StreamRequest::leavePrefill(std::string_view reason) -> void
+auto StreamRequest::leavePrefill(SendOutcome outcome, std::string_view reason) -> void
 {
     if (m_done || m_decoding) {
         return;
     }
+    const auto now = m_context.clock.now();
     m_prefillLimit->stop();
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
-    m_context.health.observeFailure(m_prefillEngine.id, m_context.clock.now());
+    m_context.health.observeFailure(m_prefillEngine.id, now);
+    m_context.full[m_prefillEngine.id] = now + LeftPause;
     m_context.counters.at("prefills_left").add();
     m_context.log.write("stream", "prefill_left",
                         {{"request", m_request.facts.requestId},
                          {"engine", m_prefillEngine.id},
+                         {"outcome", name(outcome)},
                          {"reason", reason},
-                         {"took_ms", toMilliseconds(m_context.clock.now() - m_sentAt)},
+                         {"took_ms", toMilliseconds(now - m_sentAt)},
                          {"expected_ms", toMilliseconds(m_expectedRead)}});
+    dropReservation();
     release(m_prefillBooking);
+    release(m_decodeBooking);
     m_kvSource.clear();
-    // The prompt is now read where the events are made; another engine may have a shorter queue by now.
-    if (const auto direct = plan(m_prefillEngine.id); direct) {
-        dropReservation();
-        m_decodeEngine = *direct->decode;
-        m_expectedFirst = direct->firstToken;
-        bookDecode(true);
-        startDecode();
-        return;
+    // A call that reached its engine counts as a send, so that one more engine is asked only where the route allows it.
+    const bool counts = outcome != SendOutcome::NotSent;
+    if (counts) {
+        m_attempt.onSend();
+        m_attempt.onOutcome(SendOutcome::NotRun);
+    }
+    if (!m_attempt.maySendAgain() || (counts && !m_context.retries.take(m_request.service, now))) {
+        giveUp(false, "the prompt could not be read", QuickRetry);
+    } else if (!tryPlace()) {
+        waitForRoom(true);
     }
-    giveUp(false, "no engine has room", retryDelay());
 }
 
 auto StreamRequest::freeHandle() -> void
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -55,7 +55,7 @@
     auto startPrefill() -> void;
     auto onPrefilled(Result<HttpResponse> result) -> void;
     auto takeHandle(const HttpResponse &response) -> bool;
-    auto leavePrefill(std::string_view reason) -> void;
+    auto leavePrefill(SendOutcome outcome, std::string_view reason) -> void;
     auto freeHandle() -> void;
 
     // stream_decode.cc
