--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -24,6 +24,10 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
+/// How long requests are still taken after the drain has begun: the balancer needs two misses a second apart to notice it, and
+/// the longest streams need the rest of the time that the platform gives.
+inline constexpr Duration DrainAccepts = milliseconds(2700);
+
 /// All run on one loop; state is owned here and changed by the controllers alone.
 struct EdgeContext
 {
@@ -47,6 +51,13 @@
     std::map<std::string, MovingAverage, std::less<>> workMs = {}; // of a plain service's request
     std::map<std::string, TimePoint, std::less<>> full = {}; // engines that had no room, until when they are left alone
     bool draining = false;
+    TimePoint drainingSince = {};
+
+    /// Returns whether this VM stops so soon that a new request might be cut off.
+    auto isClosed() const -> bool
+    {
+        return draining && clock.now() - drainingSince >= DrainAccepts;
+    }
 
     auto speedsOf(std::string_view service) -> EngineSpeeds &
     {
--- a/include/currantstack/edge/request_chain.h
+++ b/include/currantstack/edge/request_chain.h
@@ -12,7 +12,7 @@
 /// Looks at a request and completes it; a response ends the chain.
 using EdgeFilter = std::function<std::optional<HttpResponse>(EdgeContext &context, IncomingRequest &request)>;
 
-/// Returns the filters: configuration known, request well formed, route found, service chosen.
+/// Returns the filters: not about to stop, configuration known, request well formed, route found, service chosen.
 auto edgeFilters() -> std::vector<EdgeFilter>;
 
 /// Passes the request through the filters and forwards it by its route's kind.
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -15,8 +15,6 @@
 namespace
 {
 
-// After SIGTERM the balancer needs two misses a second apart, and callers' connection attempts follow until then.
-constexpr Duration BalancerNotice = milliseconds(3500);
 constexpr Duration DrainCheckPeriod = milliseconds(100);
 // The last moment to end by oneself before the platform kills the process.
 constexpr Duration KillMargin = milliseconds(400);
@@ -103,7 +101,6 @@
     std::unique_ptr<Timer> drainTimer;
     std::unique_ptr<Timer> settingsTimer;
     std::unique_ptr<Timer> flushTimer;
-    TimePoint drainStartedAt;
 };
 
 auto EdgeNode::Parts::adjustWatches() -> void
@@ -170,7 +167,7 @@
     if (std::exchange(context.draining, true)) {
         return;
     }
-    drainStartedAt = clock.now();
+    context.drainingSince = clock.now();
     log.write("edge", "drain_started", {{"requests_under_way", callers->active()}});
     registry.stop();
     roles.stop();
@@ -180,12 +177,12 @@
 
 auto EdgeNode::Parts::checkDrained() -> void
 {
-    const auto since = clock.now() - drainStartedAt;
-    if (since >= BalancerNotice) {
+    const auto since = clock.now() - context.drainingSince;
+    if (context.isClosed()) {
         callers->quiesce();
         callers->closeIdle();
     }
-    const bool idle = callers->active() == 0 && since >= BalancerNotice;
+    const bool idle = callers->active() == 0 && context.isClosed();
     if (!idle && since < settings.drainLimit - KillMargin) {
         return;
     }
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -9,8 +9,19 @@
 namespace
 {
 
+constexpr Duration ClosedRetryAfter = milliseconds(10); // another VM takes the request at once
 constexpr Duration UnconfiguredRetryAfter = milliseconds(500); // a starting VM reads its configuration within this time
 
+auto requireOpen(EdgeContext &context, IncomingRequest & /*request*/) -> std::optional<HttpResponse>
+{
+    if (!context.isClosed()) {
+        return std::nullopt;
+    }
+    auto response = context.protocol.refusal(ClosedRetryAfter, "this VM is stopping");
+    response.headers.push_back({"Connection", "close"});
+    return response;
+}
+
 auto requireRoutes(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
 {
     if (!context.table) {
@@ -59,7 +70,7 @@
 
 auto edgeFilters() -> std::vector<EdgeFilter>
 {
-    return {requireRoutes, requireId, findRoute, limitBody, chooseService};
+    return {requireOpen, requireRoutes, requireId, findRoute, limitBody, chooseService};
 }
 
 auto RequestChain::handle(const ExchangePtr &exchange) -> void
