--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -15,11 +15,13 @@
 constexpr double MinRate = 1; // tokens a millisecond
 constexpr double MaxRate = 1000;
 constexpr double BaseMs = 15; // an idle engine's time to the first token beyond reading: admission and one step
+// What a full engine's memory counts against a new stream: its steps take longer, and it may run out of room.
+constexpr double CrowdMs = 60;
 constexpr double TransferSetupMs = 4; // before a transfer's first byte
 // Reading a prompt between tokens slows all streams of the decode engine; that costs about as much as it would at a prefill engine.
 constexpr double MixedPenalty = 0.5; // of the time of the read
 // Spreads VMs that see the same load, so that they do not all take the same engine.
-constexpr double JitterMs = 6;
+constexpr double JitterMs = 3;
 constexpr double BitsPerByte = 8;
 constexpr double MegabitsPerMs = 1000; // bits in a millisecond at one megabit a second
 
@@ -114,7 +116,7 @@
     }
     // A prompt that is being read there delays the first step of the new stream by a part of a chunk only.
     const double busy = view.work.promptTokens > 0 ? BaseMs : 0;
-    const double crowd = BaseMs * view.work.requests / static_cast<double>(std::max<std::int64_t>(1, inputs.model.slots));
+    const double crowd = CrowdMs * view.work.kvTokens / static_cast<double>(std::max<std::int64_t>(1, inputs.model.kvTokens));
     return away + busy + crowd + transferMs(inputs, *from, *view.upstream);
 }
 
--- /dev/null
+++ b/test/engine_placement-test.cc
@@ -0,0 +1,205 @@
+#include "currantstack/decisions/engine_placement.h"
+
+#include "check.h"
+
+#include <fmt/format.h>
+
+using namespace currantstack;
+
+namespace
+{
+
+/// Engines of one service and the work at each.
+struct Pool
+{
+    std::vector<Upstream> upstreams;
+    std::vector<WorkUnderWay> work;
+    std::vector<double> health;
+
+    auto add(EngineRole role, std::string place, WorkUnderWay load = {}) -> void
+    {
+        Upstream upstream;
+        upstream.id = fmt::format("e{}", upstreams.size());
+        upstream.role = role;
+        upstream.place = std::move(place);
+        upstreams.push_back(std::move(upstream));
+        work.push_back(load);
+        health.push_back(1);
+    }
+
+    auto views(EngineRole role, const PlaceMap &places) const -> std::vector<EngineView>
+    {
+        std::vector<EngineView> result;
+        for (std::size_t index = 0; index < upstreams.size(); ++index) {
+            if (upstreams[index].role == role) {
+                result.push_back({&upstreams[index], work[index], health[index], places.between("here", upstreams[index].place)});
+            }
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+class EnginePlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EnginePlacementTest);
+    CPPUNIT_TEST(idlePoolsReadAndDecodeApart);
+    CPPUNIT_TEST(promptsAreNotReadAmongRunningStreams);
+    CPPUNIT_TEST(anIdleDecodeEngineMayReadWhereNoPrefillEngineIs);
+    CPPUNIT_TEST(fullEnginesGetNothing);
+    CPPUNIT_TEST(ownPlaceIsPreferred);
+    CPPUNIT_TEST(unhealthyEnginesAreUsedOnlyWhereAllAre);
+    CPPUNIT_TEST(aCrestIsSharedEvenly);
+    CPPUNIT_TEST(aResumedStreamAvoidsItsEngine);
+    CPPUNIT_TEST(outputIsLearnedFromStreams);
+    CPPUNIT_TEST_SUITE_END();
+
+    PlaceMap m_places{{{"here", "r1"}, {"near", "r1"}, {"far", "r2"}}};
+    EngineModel m_model{64, 33770, 12, 18432, 550000, milliseconds(500), milliseconds(2000), seconds(6)};
+    EngineSpeeds m_speeds;
+    Random m_random{7};
+
+    auto plan(const Pool &pool, PromptShape shape, std::string_view avoid = "") -> std::optional<StreamPlan>
+    {
+        const auto prefill = pool.views(EngineRole::Prefill, m_places);
+        const auto decode = pool.views(EngineRole::Decode, m_places);
+        const PlacementInputs inputs{prefill, decode, shape, m_model, m_speeds, m_places, milliseconds(300)};
+        return avoid.empty() ? planStream(inputs, m_random) : planResume(inputs, avoid, m_random);
+    }
+
+public:
+    auto idlePoolsReadAndDecodeApart() -> void
+    {
+        Pool pool;
+        pool.add(EngineRole::Prefill, "here");
+        pool.add(EngineRole::Decode, "here");
+        const auto chosen = plan(pool, {3000, 2000, 0});
+        CPPUNIT_ASSERT(chosen && chosen->prefill != nullptr);
+        CPPUNIT_ASSERT(chosen->firstToken < milliseconds(200));
+    }
+
+    auto promptsAreNotReadAmongRunningStreams() -> void
+    {
+        // Even a long queue of prompts does not make ten other streams pause.
+        CHECK_PROPERTY("a read among streams stays within the gap goal", [this] {
+            Pool pool;
+            pool.add(EngineRole::Prefill, "here", {*rc::gen::inRange(0, 60000) * 1.0, 0, 3});
+            pool.add(EngineRole::Decode, "here", {*rc::gen::inRange(0, 3000) * 1.0, 9000, 3});
+            const PromptShape shape{*rc::gen::inRange(100, 6600) * 1.0, 2000, 0};
+            const auto chosen = plan(pool, shape);
+            if (chosen && chosen->prefill == nullptr) {
+                const double readMs = (pool.work[1].promptTokens + shape.promptTokens) / m_speeds.mixedRate();
+                RC_ASSERT(readMs <= 0.5 * 300);
+            }
+        });
+    }
+
+    auto anIdleDecodeEngineMayReadWhereNoPrefillEngineIs() -> void
+    {
+        Pool pool;
+        pool.add(EngineRole::Decode, "here");
+        const auto chosen = plan(pool, {6000, 2000, 0});
+        CPPUNIT_ASSERT(chosen && chosen->prefill == nullptr);
+    }
+
+    auto fullEnginesGetNothing() -> void
+    {
+        Pool pool;
+        pool.add(EngineRole::Prefill, "here");
+        pool.add(EngineRole::Decode, "here", {0, 33000, 8});
+        CPPUNIT_ASSERT(!plan(pool, {3000, 2000, 0}));
+        pool.work[1] = {0, 100, 64};
+        CPPUNIT_ASSERT(!plan(pool, {3000, 2000, 0}));
+        CPPUNIT_ASSERT(!plan(Pool{}, {3000, 2000, 0}));
+    }
+
+    auto ownPlaceIsPreferred() -> void
+    {
+        for (int turn = 0; turn < 100; ++turn) {
+            Pool pool;
+            for (const auto *place : {"far", "near", "here"}) {
+                pool.add(EngineRole::Prefill, place);
+                pool.add(EngineRole::Decode, place);
+            }
+            const auto chosen = plan(pool, {3000, 2000, 0});
+            CPPUNIT_ASSERT(chosen->prefill->place != "far");
+            CPPUNIT_ASSERT(chosen->decode->place != "far");
+        }
+    }
+
+    auto unhealthyEnginesAreUsedOnlyWhereAllAre() -> void
+    {
+        Pool pool;
+        pool.add(EngineRole::Prefill, "here");
+        pool.add(EngineRole::Decode, "here");
+        pool.add(EngineRole::Decode, "far");
+        pool.health[1] = 0.01;
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), plan(pool, {3000, 2000, 0})->decode->place);
+        pool.health[2] = 0.01;
+        CPPUNIT_ASSERT(plan(pool, {3000, 2000, 0}).has_value());
+    }
+
+    auto aCrestIsSharedEvenly() -> void
+    {
+        // The load: 60 requests at one moment on 6 prefill and 12 decode engines.
+        Pool pool;
+        for (int engine = 0; engine < 6; ++engine) {
+            pool.add(EngineRole::Prefill, "here");
+        }
+        for (int engine = 0; engine < 12; ++engine) {
+            pool.add(EngineRole::Decode, "here");
+        }
+        int placed = 0;
+        for (int request = 0; request < 60; ++request) {
+            const auto chosen = plan(pool, {3000, 2000, 0});
+            if (!chosen) {
+                continue;
+            }
+            ++placed;
+            const auto index = [&pool](const Upstream *upstream) { return static_cast<std::size_t>(upstream - pool.upstreams.data()); };
+            pool.work[index(chosen->decode)] += {chosen->prefill == nullptr ? 3000.0 : 0, 3800, 1};
+            if (chosen->prefill != nullptr) {
+                pool.work[index(chosen->prefill)] += {3000, 3000, 1};
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(60, placed);
+        int least = 60;
+        int most = 0;
+        for (std::size_t engine = 6; engine < 18; ++engine) {
+            least = std::min(least, pool.work[engine].requests);
+            most = std::max(most, pool.work[engine].requests);
+        }
+        CPPUNIT_ASSERT(most - least <= 2);
+        for (std::size_t engine = 0; engine < 6; ++engine) {
+            CPPUNIT_ASSERT(std::abs(pool.work[engine].requests - 10) <= 2);
+        }
+    }
+
+    auto aResumedStreamAvoidsItsEngine() -> void
+    {
+        Pool pool;
+        pool.add(EngineRole::Prefill, "here");
+        pool.add(EngineRole::Decode, "here");
+        CPPUNIT_ASSERT(!plan(pool, {3000, 2000, 0}, "e1"));
+        pool.add(EngineRole::Decode, "far", {0, 4000, 1});
+        const auto chosen = plan(pool, {3000, 2000, 0}, "e1");
+        CPPUNIT_ASSERT(chosen && chosen->prefill == nullptr && chosen->decode->id == "e2");
+    }
+
+    auto outputIsLearnedFromStreams() -> void
+    {
+        EngineSpeeds speeds;
+        const PromptShape shape{1000, 2000, 0};
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2000 * EngineSpeeds::FirstOutputShare, speeds.expectedOutput(shape), 1);
+        for (int stream = 0; stream < 50; ++stream) {
+            speeds.observeStream(milliseconds(1500), shape, 300);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(300, speeds.expectedOutput(shape), 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(200, speeds.expectedOutput({1000, 2000, 100}), 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100, speeds.expectedOutput({1000, 100, 0}), 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1500, speeds.requestCost().streamMs, 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EnginePlacementTest);
--- /dev/null
+++ b/test/event_log-test.cc
@@ -0,0 +1,95 @@
+#include "currantstack/event_log.h"
+
+#include "check.h"
+
+#include <unistd.h>
+
+using namespace currantstack;
+
+class EventLogTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EventLogTest);
+    CPPUNIT_TEST(linesAreJsonWithTimeVmPartAndEvent);
+    CPPUNIT_TEST(aFloodIsBoundedAndCounted);
+    CPPUNIT_TEST(aFullPipeLosesLinesAndNeverBlocks);
+    CPPUNIT_TEST(brokenUtf8IsReplaced);
+    CPPUNIT_TEST_SUITE_END();
+
+    ManualClock m_clock;
+    std::string m_written;
+
+    auto sink() -> LogSink
+    {
+        return [this](std::string_view bytes) {
+            m_written += bytes;
+            return bytes.size();
+        };
+    }
+
+    auto lines() const -> std::vector<nlohmann::json>
+    {
+        std::vector<nlohmann::json> result;
+        std::istringstream stream(m_written);
+        for (std::string line; std::getline(stream, line);) {
+            result.push_back(nlohmann::json::parse(line));
+        }
+        return result;
+    }
+
+public:
+    auto linesAreJsonWithTimeVmPartAndEvent() -> void
+    {
+        EventLog log(m_clock, "vm1", sink());
+        log.write("part", "something", {{"request", "r1"}, {"age_ms", 1.5}});
+        const auto all = lines();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), all.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("vm1"), all[0]["vm"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("something"), all[0]["event"].get<std::string>());
+        CPPUNIT_ASSERT(all[0].contains("time_ms") && all[0].contains("part"));
+    }
+
+    auto aFloodIsBoundedAndCounted() -> void
+    {
+        EventLog log(m_clock, "vm1", sink());
+        for (int line = 0; line < 5000; ++line) {
+            log.write("part", "flood");
+        }
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(EventLog::Burst), lines().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5000 - EventLog::Burst), log.dropped());
+        m_clock.advance(seconds(1));
+        log.write("part", "after");
+        const auto all = lines();
+        const auto &report = all[all.size() - 2];
+        CPPUNIT_ASSERT_EQUAL(std::string("lines_dropped"), report["event"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(5000 - static_cast<int>(EventLog::Burst), report["count"].get<int>());
+    }
+
+    auto aFullPipeLosesLinesAndNeverBlocks() -> void
+    {
+        int ends[2] = {-1, -1};
+        CPPUNIT_ASSERT_EQUAL(0, pipe(ends));
+        EventLog log(m_clock, "vm1", descriptorSink(ends[1]));
+        for (int round = 0; round < 100; ++round) {
+            m_clock.advance(seconds(1));
+            for (int line = 0; line < 300; ++line) {
+                log.write("part", "event", {{"text", std::string(80, 'x')}}); // nobody reads the pipe
+            }
+        }
+        CPPUNIT_ASSERT(log.dropped() > 0);
+        std::string got(1U << 20U, '\0');
+        CPPUNIT_ASSERT(read(ends[0], got.data(), got.size()) > 0);
+        log.flush();
+        CPPUNIT_ASSERT(read(ends[0], got.data(), got.size()) > 0);
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    auto brokenUtf8IsReplaced() -> void
+    {
+        EventLog log(m_clock, "vm1", sink());
+        log.write("part", "event", {{"text", "\xff\xfe"}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
--- /dev/null
+++ b/test/fleet_retry_budget-test.cc
@@ -0,0 +1,59 @@
+#include "currantstack/decisions/fleet_retry_budget.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class FleetRetryBudgetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetRetryBudgetTest);
+    CPPUNIT_TEST(theFleetStaysUnderTheBoundInEveryWindow);
+    CPPUNIT_TEST(servicesHaveBudgetsOfTheirOwn);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto theFleetStaysUnderTheBoundInEveryWindow() -> void
+    {
+        CHECK_PROPERTY("repeats of all VMs stay under ratio x requests + slack in any window", [] {
+            const RetryBound bound{0.2, 54, seconds(10)};
+            const auto vms = *rc::gen::inRange<std::size_t>(1, 12);
+            ManualClock clock;
+            std::vector<FleetRetryBudget> budgets(vms, FleetRetryBudget(bound));
+            for (auto &budget : budgets) {
+                budget.setVms(vms);
+            }
+            std::deque<TimePoint> requests;
+            std::deque<TimePoint> repeats;
+            const auto steps = *rc::gen::inRange(50, 400);
+            for (int step = 0; step < steps; ++step) {
+                clock.advance(milliseconds(*rc::gen::inRange(0, 120)));
+                auto &budget = budgets[*rc::gen::inRange<std::size_t>(0, vms)];
+                if (*rc::gen::inRange(0, 3) == 0) {
+                    budget.onRequest("s", clock.now());
+                    requests.push_back(clock.now());
+                } else if (budget.take("s", clock.now())) {
+                    repeats.push_back(clock.now());
+                }
+                for (auto *times : {&requests, &repeats}) {
+                    while (!times->empty() && times->front() <= clock.now() - bound.window) {
+                        times->pop_front();
+                    }
+                }
+                RC_ASSERT(static_cast<double>(repeats.size()) <= bound.ratio * static_cast<double>(requests.size()) + bound.slack);
+            }
+        });
+    }
+
+    auto servicesHaveBudgetsOfTheirOwn() -> void
+    {
+        ManualClock clock;
+        FleetRetryBudget budget({0, 2, seconds(10)});
+        CPPUNIT_ASSERT(budget.take("a", clock.now()));
+        CPPUNIT_ASSERT(!budget.take("a", clock.now()));
+        CPPUNIT_ASSERT(budget.take("b", clock.now()));
+        clock.advance(seconds(11));
+        CPPUNIT_ASSERT(budget.take("a", clock.now()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetRetryBudgetTest);
--- /dev/null
+++ b/test/load_table-test.cc
@@ -0,0 +1,97 @@
+#include "currantstack/decisions/load_table.h"
+
+#include "currantstack/edge/load_exchange.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class LoadTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LoadTableTest);
+    CPPUNIT_TEST(sumsOwnWorkAndThatOfPeers);
+    CPPUNIT_TEST(overtakenMessagesAreIgnored);
+    CPPUNIT_TEST(silentPeersCountNoMore);
+    CPPUNIT_TEST(ownWorkReturnsToNothing);
+    CPPUNIT_TEST(messagesSurviveTheWire);
+    CPPUNIT_TEST(hostileDatagramsAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto sumsOwnWorkAndThatOfPeers() -> void
+    {
+        ManualClock clock;
+        LoadTable table;
+        table.add("e", {100, 200, 1});
+        const std::vector<UpstreamWork> works{{"e", {10, 20, 2}}, {"f", {5, 5, 1}}};
+        table.hear("vm2", 1, works, clock.now());
+        CPPUNIT_ASSERT_EQUAL(3, table.total("e", clock.now()).requests);
+        CPPUNIT_ASSERT_EQUAL(220.0, table.total("e", clock.now()).kvTokens);
+        const auto place = table.sumOf([](std::string_view source) { return source == "vm2"; }, clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), place.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.sumOf([](std::string_view) { return false; }, clock.now()).size());
+    }
+
+    auto overtakenMessagesAreIgnored() -> void
+    {
+        ManualClock clock;
+        LoadTable table;
+        const std::vector<UpstreamWork> newer{{"e", {0, 0, 5}}};
+        const std::vector<UpstreamWork> older{{"e", {0, 0, 9}}};
+        table.hear("vm2", 7, newer, clock.now());
+        table.hear("vm2", 6, older, clock.now());
+        CPPUNIT_ASSERT_EQUAL(5, table.total("e", clock.now()).requests);
+    }
+
+    auto silentPeersCountNoMore() -> void
+    {
+        ManualClock clock;
+        LoadTable table;
+        const std::vector<UpstreamWork> works{{"e", {0, 0, 5}}};
+        table.hear("vm2", 7, works, clock.now());
+        clock.advance(LoadTable::PeerLife);
+        CPPUNIT_ASSERT_EQUAL(0, table.total("e", clock.now()).requests);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.peers(clock.now()));
+        // A VM that was restarted with a clock behind is heard again after its silence.
+        table.hear("vm2", 1, works, clock.now());
+        CPPUNIT_ASSERT_EQUAL(5, table.total("e", clock.now()).requests);
+    }
+
+    auto ownWorkReturnsToNothing() -> void
+    {
+        CHECK_PROPERTY("what is added and removed leaves nothing", [](const std::vector<std::uint8_t> &sizes) {
+            LoadTable table;
+            for (const auto size : sizes) {
+                table.add("e", {double(size), double(2 * size), 1});
+            }
+            for (const auto size : sizes) {
+                table.remove("e", {double(size), double(2 * size), 1});
+            }
+            RC_ASSERT(table.own().empty());
+        });
+    }
+
+    auto messagesSurviveTheWire() -> void
+    {
+        CHECK_PROPERTY("a message is read as it was written", [](const std::string &vm, std::uint32_t sequence, bool isSum, std::uint16_t tokens) {
+            LoadMessage message{"src", vm, "place", sequence, isSum, !isSum, {3, 4}, {{"e", {double(tokens), 7, 2}}}};
+            const auto read = decodeLoad(encodeLoad(message));
+            RC_ASSERT(read.has_value());
+            RC_ASSERT(read->vm == vm && read->sequence == sequence && read->isSum == isSum && read->known.upstreams == 4);
+            RC_ASSERT(read->works.size() == 1U && read->works[0].work.promptTokens == tokens);
+        });
+    }
+
+    auto hostileDatagramsAreRefused() -> void
+    {
+        CHECK_PROPERTY("no bytes crash the reader", [](const std::string &bytes) { (void)decodeLoad(bytes); });
+        CHECK_PROPERTY("a message with one byte changed is read or refused", [](std::uint16_t position, char byte) {
+            auto bytes = encodeLoad({"src", "vm", "place", 1, false, false, {}, {{"e", {1, 2, 3}}}});
+            bytes[position % bytes.size()] = byte;
+            (void)decodeLoad(bytes);
+        });
+        CPPUNIT_ASSERT(!decodeLoad(""));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadTableTest);
--- /dev/null
+++ b/test/peer_table-test.cc
@@ -0,0 +1,105 @@
+#include "currantstack/decisions/peer_table.h"
+
+#include "check.h"
+
+#include <fmt/format.h>
+
+using namespace currantstack;
+
+class PeerTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerTableTest);
+    CPPUNIT_TEST(smallFleetsTellEveryone);
+    CPPUNIT_TEST(largeFleetsTellTheirPlace);
+    CPPUNIT_TEST(messagesDoNotGrowWithTheSquareOfTheFleet);
+    CPPUNIT_TEST(oneSpeakerAPlace);
+    CPPUNIT_TEST(reachFallsWhenNeighboursAreSilent);
+    CPPUNIT_TEST(forgetsWhoIsNeitherListedNorHeard);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto vmName(int number) -> std::string
+    {
+        return fmt::format("vm{:04}", number);
+    }
+
+    static auto placeOf(int number, int places) -> std::string
+    {
+        return fmt::format("place{}", number % places);
+    }
+
+    /// The table of VM 0 of a fleet of which it has heard the VMs of its own place.
+    static auto fleet(int vms, int places, TimePoint now) -> PeerTable
+    {
+        PeerTable table(vmName(0), placeOf(0, places));
+        for (int vm = 0; vm < vms; ++vm) {
+            const SocketAddress address{"10.0.0.1", static_cast<std::uint16_t>(1000 + vm)};
+            table.list(vmName(vm), placeOf(vm, places), address, now);
+            if (placeOf(vm, places) == placeOf(0, places)) {
+                table.hear(vmName(vm), placeOf(vm, places), address, now);
+            }
+        }
+        return table;
+    }
+
+public:
+    auto smallFleetsTellEveryone() -> void
+    {
+        ManualClock clock;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), fleet(7, 3, clock.now()).direct().size());
+    }
+
+    auto largeFleetsTellTheirPlace() -> void
+    {
+        ManualClock clock;
+        const auto table = fleet(90, 6, clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(14), table.direct().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), table.delegates(3).size());
+    }
+
+    auto messagesDoNotGrowWithTheSquareOfTheFleet() -> void
+    {
+        ManualClock clock;
+        // Datagrams that one VM sends and receives in a second, at the design size of 390 VMs in 16 places.
+        const auto table = fleet(390, 16, clock.now());
+        const auto perRound = table.direct().size() + table.delegates(0).size();
+        CPPUNIT_ASSERT(perRound <= 390 / 16 + 16);
+    }
+
+    auto oneSpeakerAPlace() -> void
+    {
+        ManualClock clock;
+        PeerTable second("vm0002", "p");
+        second.hear("vm0001", "p", {"10.0.0.1", 1}, clock.now());
+        second.hear("vm0000", "q", {"10.0.0.1", 2}, clock.now());
+        CPPUNIT_ASSERT(!second.isSpeaker(clock.now()));
+        clock.advance(PeerTable::Fresh);
+        CPPUNIT_ASSERT(second.isSpeaker(clock.now()));
+    }
+
+    auto reachFallsWhenNeighboursAreSilent() -> void
+    {
+        ManualClock clock;
+        const auto table = fleet(90, 6, clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(90), table.reach(clock.now()));
+        clock.advance(PeerTable::Fresh);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.reach(clock.now()));
+    }
+
+    auto forgetsWhoIsNeitherListedNorHeard() -> void
+    {
+        ManualClock clock;
+        PeerTable table("vm0", "p");
+        CPPUNIT_ASSERT(table.hear("heard", "p", {"10.0.0.1", 1}, clock.now()));
+        CPPUNIT_ASSERT(!table.hear("heard", "p", {"10.0.0.1", 1}, clock.now()));
+        table.list("listed", "p", {"10.0.0.1", 2}, clock.now());
+        table.list("vm0", "p", {"10.0.0.1", 3}, clock.now());
+        clock.advance(PeerTable::Memory + milliseconds(1));
+        table.expire(clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.size());
+        clock.advance(PeerTable::ListMemory);
+        table.expire(clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
--- /dev/null
+++ b/test/platform/documents-test.cc
@@ -0,0 +1,111 @@
+#include "documents.h"
+
+#include "../check.h"
+
+using namespace currantstack;
+using namespace currantstack::platform;
+
+class PlatformDocumentsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformDocumentsTest);
+    CPPUNIT_TEST(readsAConfiguration);
+    CPPUNIT_TEST(readsAnEntry);
+    CPPUNIT_TEST(refusesForeignEntries);
+    CPPUNIT_TEST(anyBytesAreReadOrRefused);
+    CPPUNIT_TEST(vmRecordsSurviveTheStore);
+    CPPUNIT_TEST_SUITE_END();
+
+    PlatformCodec m_codec;
+
+    static auto entry() -> Json
+    {
+        return {{"service", "s"}, {"address", "10.1.2.3:80"}, {"zone", "z"},        {"version", "v1"},  {"slots", 6},
+                {"state", "ready"}, {"seq", 4},               {"cold_left_ms", 0}, {"phase", "decode"}, {"born", 1700000000000}};
+    }
+
+public:
+    auto readsAConfiguration() -> void
+    {
+        const Json document = {{"version", 7},
+                               {"routes",
+                                {{{"name", "r1"}, {"host", "h"}, {"prefix", "/a/"}, {"type", "streaming"}, {"timeout_ms", 14000},
+                                  {"latency_goal_ms", 900}, {"priority", 1}, {"service", "s"}, {"attempts", 2}, {"can_resume", true},
+                                  {"gap_aim_ms", 300}, {"a new field", 1}},
+                                 {{"name", "r2"}, {"host", "h"}, {"prefix", "/b/"}, {"type", "unsafe"}, {"timeout_ms", 1000},
+                                  {"backends", {{{"service", "s"}, {"weight", 90}}, {{"service", "t"}, {"weight", 10}}}}}}},
+                               {"services",
+                                {{{"name", "s"}, {"max_conns", 360},
+                                  {"engine", {{"slots", 64}, {"kv_tokens", 33770}, {"stride", 12}, {"kv_hold_s", 0.5}, {"hold_ms", 2000.0}}}},
+                                 {{"name", "t"}}}},
+                               {"limits", {{"max_body_bytes", 100}, {"idle_timeout_ms", 15000}}}};
+        const auto table = m_codec.readRoutes({"op/config", document.dump(), 3});
+        CPPUNIT_ASSERT_MESSAGE(table ? "" : describe(table.error()), table.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(7), table->version);
+        CPPUNIT_ASSERT(table->routes[0].kind == RouteKind::Stream && table->routes[0].resumable);
+        CPPUNIT_ASSERT(table->routes[0].latencyGoal == milliseconds(900));
+        CPPUNIT_ASSERT(table->routes[1].kind == RouteKind::OnceOnly);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table->routes[1].targets.size());
+        CPPUNIT_ASSERT(table->service("s")->engine->handleLife == milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(12), table->service("s")->engine->tokensPerEvent);
+        CPPUNIT_ASSERT(!table->service("t")->engine);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), table->limits.maxBody);
+        CPPUNIT_ASSERT(m_codec.isRoutes("op/config") && !m_codec.isRoutes("op/other"));
+    }
+
+    auto readsAnEntry() -> void
+    {
+        const auto upstream = m_codec.readUpstream({"servers/i-1", entry().dump(), 9});
+        CPPUNIT_ASSERT(upstream.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), upstream->id);
+        CPPUNIT_ASSERT(upstream->role == EngineRole::Decode);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1700000000000), upstream->startedAtMs);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), upstream->revision);
+        auto plain = entry();
+        plain.erase("phase");
+        plain["state"] = "draining";
+        const auto service = m_codec.readUpstream({"servers/i-2", plain.dump(), 9});
+        CPPUNIT_ASSERT(service && service->role == EngineRole::None && service->draining);
+    }
+
+    auto refusesForeignEntries() -> void
+    {
+        const auto refused = [this](const std::function<void(Json &)> &change) {
+            auto document = entry();
+            change(document);
+            return !m_codec.readUpstream({"servers/i-1", document.dump(), 1}).has_value();
+        };
+        CPPUNIT_ASSERT(refused([](Json &document) { document.erase("service"); }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["address"] = 7; }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["address"] = "host:80"; }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["address"] = "10.0.0.1"; }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["state"] = "sleeping"; }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["slots"] = "six"; }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["phase"] = "other"; }));
+        CPPUNIT_ASSERT(refused([](Json &document) { document["born"] = 1.5; }));
+        CPPUNIT_ASSERT(!m_codec.readUpstream({"servers/i-1", "\xff{", 1}));
+        CPPUNIT_ASSERT(!m_codec.readUpstream({"servers/i-1", "", 1}));
+    }
+
+    auto anyBytesAreReadOrRefused() -> void
+    {
+        CHECK_PROPERTY("no bytes crash the readers", [this](const std::string &bytes) {
+            (void)m_codec.readUpstream({"servers/x", bytes, 1});
+            (void)m_codec.readRoutes({"op/config", bytes, 1});
+            (void)m_codec.readVm({"currantstack/vms/x", bytes, 1});
+        });
+        CHECK_PROPERTY("an entry with one byte changed is read or refused", [this](std::uint16_t position, char byte) {
+            auto bytes = entry().dump();
+            bytes[position % bytes.size()] = byte;
+            (void)m_codec.readUpstream({"servers/x", bytes, 1});
+        });
+    }
+
+    auto vmRecordsSurviveTheStore() -> void
+    {
+        const VmRecord record{"vm1", "z", {"10.0.0.9", 7380}};
+        const auto read = m_codec.readVm({m_codec.vmsPrefix() + "vm1", m_codec.writeVm(record), 1});
+        CPPUNIT_ASSERT(read && read->name == "vm1" && read->place == "z" && read->peers == record.peers);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDocumentsTest);
--- /dev/null
+++ b/test/platform/protocol-test.cc
@@ -0,0 +1,132 @@
+#include "protocol.h"
+
+#include "currantstack/edge/forwarding.h"
+
+#include "../check.h"
+
+using namespace currantstack;
+using namespace currantstack::platform;
+
+class PlatformProtocolTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformProtocolTest);
+    CPPUNIT_TEST(readsWhatACallerSays);
+    CPPUNIT_TEST(oddNumbersAreIgnored);
+    CPPUNIT_TEST(callersCannotSetTheRoutersHeaders);
+    CPPUNIT_TEST(headersOfOneConnectionStayThere);
+    CPPUNIT_TEST(refusalsSayWhenToReturn);
+    CPPUNIT_TEST(onlyWholeAnswersToTheRequestArePassedOn);
+    CPPUNIT_TEST(promisesAreTheUpstreamsOwn);
+    CPPUNIT_TEST(ordersCarryFenceAndExpectedCount);
+    CPPUNIT_TEST_SUITE_END();
+
+    PlatformProtocol m_protocol;
+
+    static auto request(Headers headers) -> HttpRequest
+    {
+        HttpRequest result;
+        result.method = "POST";
+        result.headers = std::move(headers);
+        return result;
+    }
+
+    auto judge(int status, const Headers &headers) const -> SendOutcome
+    {
+        CallerFacts facts;
+        facts.requestId = "r1";
+        return judgeHead(status, m_protocol.readHead(status, headers, facts));
+    }
+
+public:
+    auto readsWhatACallerSays() -> void
+    {
+        const auto facts = m_protocol.readRequest(request({{"host", "h.example:80"},
+                                                           {"request-id", "r1"},
+                                                           {"Deadline-Ms", "14000"},
+                                                           {"Token-Count", "1460,80"},
+                                                           {"Length-Hint", "70"},
+                                                           {"Last-Event-Id", "12"}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("h.example"), facts.host);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), facts.requestId);
+        CPPUNIT_ASSERT(facts.timeLeft == milliseconds(14000));
+        CPPUNIT_ASSERT_EQUAL(1460.0, facts.shape.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(80.0, facts.shape.outputTokens);
+        CPPUNIT_ASSERT_EQUAL(70.0, facts.shape.hintedOutput);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(12), facts.lastEventId);
+    }
+
+    auto oddNumbersAreIgnored() -> void
+    {
+        const auto facts = m_protocol.readRequest(request({{"Deadline-Ms", "-5"}, {"Token-Count", "many"}, {"Last-Event-Id", "1e999"}}));
+        CPPUNIT_ASSERT(!facts.timeLeft);
+        CPPUNIT_ASSERT_EQUAL(0.0, facts.shape.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), facts.lastEventId);
+    }
+
+    auto callersCannotSetTheRoutersHeaders() -> void
+    {
+        ForwardSpec spec;
+        spec.instance = "i-1";
+        spec.timeLeft = milliseconds(900);
+        for (const auto *name : {"Kv-Source", "kv-hold", "KV-BACKUP", "Pin-Ms", "Stage", "Expect-Instance", "Deadline-Ms", "Last-Event-Id"}) {
+            const auto headers = m_protocol.forwardHeaders(request({{"Request-Id", "r1"}, {name, "forged"}, {"X-Own", "kept"}}), spec);
+            for (const auto &header : headers) {
+                CPPUNIT_ASSERT(header.value != "forged");
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("kept"), std::string(findHeader(headers, "X-Own")));
+            CPPUNIT_ASSERT_EQUAL(std::string("r1"), std::string(findHeader(headers, "Request-Id")));
+            CPPUNIT_ASSERT_EQUAL(std::string("900"), std::string(findHeader(headers, "Deadline-Ms")));
+        }
+    }
+
+    auto headersOfOneConnectionStayThere() -> void
+    {
+        const auto headers = m_protocol.forwardHeaders(
+            request({{"Connection", "X-Hop, keep-alive"}, {"X-Hop", "1"}, {"Transfer-Encoding", "chunked"}, {"TE", "trailers"}, {"X", "2"}}), {});
+        CPPUNIT_ASSERT(findHeader(headers, "X-Hop").empty());
+        CPPUNIT_ASSERT(findHeader(headers, "Transfer-Encoding").empty());
+        CPPUNIT_ASSERT(findHeader(headers, "TE").empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), std::string(findHeader(headers, "X")));
+    }
+
+    auto refusalsSayWhenToReturn() -> void
+    {
+        const auto refusal = m_protocol.refusal(milliseconds(1250), "no room");
+        CPPUNIT_ASSERT_EQUAL(503, refusal.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("1.250"), std::string(findHeader(refusal.headers, "Retry-After")));
+    }
+
+    auto onlyWholeAnswersToTheRequestArePassedOn() -> void
+    {
+        CPPUNIT_ASSERT(judge(200, {{"Request-Id", "r1"}, {"Server-Stamp", "s"}}) == SendOutcome::Answered);
+        CPPUNIT_ASSERT(judge(500, {{"Request-Id", "r1"}, {"Server-Stamp", "s"}}) == SendOutcome::Answered);
+        CPPUNIT_ASSERT(judge(200, {{"Request-Id", "r2"}, {"Server-Stamp", "s"}}) == SendOutcome::Unknown);
+        CPPUNIT_ASSERT(judge(200, {{"Request-Id", "r1"}}) == SendOutcome::Unknown);
+        CPPUNIT_ASSERT(judge(200, {{"Request-Id", "r1"}, {"Server-Stamp", "s"}, {"Content-Encoding", "gzip"}}) == SendOutcome::Unknown);
+    }
+
+    auto promisesAreTheUpstreamsOwn() -> void
+    {
+        CPPUNIT_ASSERT(judge(503, {{"Not-Run", "1"}}) == SendOutcome::NotRun);
+        CPPUNIT_ASSERT(judge(421, {}) == SendOutcome::NotRun);
+        // Without the upstream's own word a 503 promises nothing, and is not passed on as if it did.
+        CPPUNIT_ASSERT(judge(503, {{"Request-Id", "r1"}, {"Server-Stamp", "s"}}) == SendOutcome::Unknown);
+        CPPUNIT_ASSERT(judge(429, {{"Request-Id", "r1"}, {"Server-Stamp", "s"}}) == SendOutcome::Unknown);
+    }
+
+    auto ordersCarryFenceAndExpectedCount() -> void
+    {
+        Upstream engine;
+        engine.id = "i-1";
+        engine.address = "10.0.0.1:80";
+        const auto call = m_protocol.orderRole(engine, {EngineRole::Prefill, "vm1", 41, 3});
+        const auto body = Json::parse(call.body);
+        CPPUNIT_ASSERT_EQUAL(41, body["fence"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(3, body["expected"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string("prefill"), body["phase"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::string(findHeader(call.headers, "Expect-Instance")));
+        CPPUNIT_ASSERT(m_protocol.isFencedOff({412, {}, ""}) && !m_protocol.isFencedOff({409, {}, ""}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
--- /dev/null
+++ b/test/platform/settings-test.cc
@@ -0,0 +1,81 @@
+#include "settings.h"
+
+#include "../check.h"
+
+using namespace currantstack;
+using namespace currantstack::platform;
+
+class PlatformSettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformSettingsTest);
+    CPPUNIT_TEST(readsTheFileOfAMachine);
+    CPPUNIT_TEST(newFieldsAreIgnored);
+    CPPUNIT_TEST(errorsNameTheField);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto text() -> std::string
+    {
+        return R"(node_name: "front-1"
+zone: "z1"
+region: "r1"
+ip: "10.1.0.38"
+zones:
+  z1: "r1"
+  z2: "r2"
+bind:
+  front: "10.1.0.38:8149"
+  ready: "10.1.0.38:8141"
+port_range:
+  - 7380
+  - 7395
+bootstrap: true
+bounds:
+  grace_s: 8
+  retry_budget: 0.2
+  budget_slack: 54
+  budget_window_s: 10
+  lease_ms: 3000
+provider:
+  address: "10.200.1.7:8142"
+)";
+    }
+
+    static auto errorOf(const std::string &from, const std::string &to) -> std::string
+    {
+        auto changed = text();
+        changed.replace(changed.find(from), from.size(), to);
+        const auto settings = parseSettings(changed);
+        return settings ? "" : settings.error().message;
+    }
+
+public:
+    auto readsTheFileOfAMachine() -> void
+    {
+        const auto settings = parseSettings(text());
+        CPPUNIT_ASSERT_MESSAGE(settings ? "" : describe(settings.error()), settings.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("front-1"), settings->vm);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:8149"), settings->callers.text());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:7380"), settings->peers.text());
+        CPPUNIT_ASSERT(settings->drainLimit == seconds(8));
+        CPPUNIT_ASSERT(settings->places.between("z1", "z2") == Reach::OtherRegion);
+        CPPUNIT_ASSERT(settings->bootstrap);
+    }
+
+    auto newFieldsAreIgnored() -> void
+    {
+        CPPUNIT_ASSERT(parseSettings(text() + "something_new:\n  - 1\n").has_value());
+    }
+
+    auto errorsNameTheField() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("node_name is missing"), errorOf("node_name", "other"));
+        CPPUNIT_ASSERT_EQUAL(std::string("grace_s has the wrong type"), errorOf("grace_s: 8", "grace_s: long"));
+        CPPUNIT_ASSERT_EQUAL(std::string("front must be \"IP number:port\""), errorOf("10.1.0.38:8149", "host:8149"));
+        CPPUNIT_ASSERT_EQUAL(std::string("ready must name a port from 1 to 65535"), errorOf("10.1.0.38:8141", "10.1.0.38:0"));
+        CPPUNIT_ASSERT(!parseSettings("- a list").has_value());
+        CPPUNIT_ASSERT(!parseSettings(": : :").has_value());
+        CPPUNIT_ASSERT(!loadSettings("/nowhere/settings.yaml").has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformSettingsTest);
--- /dev/null
+++ b/test/role_plan-test.cc
@@ -0,0 +1,144 @@
+#include "currantstack/decisions/role_plan.h"
+
+#include "check.h"
+
+#include <fmt/format.h>
+
+using namespace currantstack;
+
+class RolePlanTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RolePlanTest);
+    CPPUNIT_TEST(balanceFollowsTheMix);
+    CPPUNIT_TEST(balanceLeavesBothRoles);
+    CPPUNIT_TEST(smallOrShortDeviationsChangeNothing);
+    CPPUNIT_TEST(fewEnginesAreAwayAtOnce);
+    CPPUNIT_TEST(orderedEnginesRest);
+    CPPUNIT_TEST(changesComeFromTheFullestPlace);
+    CPPUNIT_TEST(aFleetSettlesAtTheBalance);
+    CPPUNIT_TEST_SUITE_END();
+
+    ManualClock m_clock;
+    EngineModel m_model{64, 33770, 12, 18432, 550000, milliseconds(500), milliseconds(2000), seconds(6)};
+
+    static auto engines(std::size_t prefill, std::size_t decode) -> std::vector<Upstream>
+    {
+        std::vector<Upstream> result(prefill + decode);
+        for (std::size_t index = 0; index < result.size(); ++index) {
+            result[index].id = fmt::format("e{}", index);
+            result[index].place = fmt::format("p{}", index % 3);
+            result[index].role = index < prefill ? EngineRole::Prefill : EngineRole::Decode;
+        }
+        return result;
+    }
+
+    static auto pointers(const std::vector<Upstream> &upstreams) -> std::vector<const Upstream *>
+    {
+        std::vector<const Upstream *> result;
+        for (const auto &upstream : upstreams) {
+            result.push_back(&upstream);
+        }
+        return result;
+    }
+
+public:
+    auto balanceFollowsTheMix() -> void
+    {
+        const RequestCost longAnswers{3000, 90, 3300, 3800};
+        const RequestCost longPrompts{12000, 360, 1000, 12300};
+        const auto few = balancedPrefillEngines(longAnswers, m_model, 18);
+        const auto many = balancedPrefillEngines(longPrompts, m_model, 18);
+        CPPUNIT_ASSERT(few > 3.5 && few < 5.5);
+        CPPUNIT_ASSERT(many > few);
+    }
+
+    auto balanceLeavesBothRoles() -> void
+    {
+        CHECK_PROPERTY("at least one engine of each role", [this] {
+            const RequestCost cost{*rc::gen::inRange(0, 20000) * 1.0, *rc::gen::inRange(0, 5000) * 1.0, *rc::gen::inRange(0, 20000) * 1.0,
+                                   *rc::gen::inRange(0, 40000) * 1.0};
+            const auto count = *rc::gen::inRange<std::size_t>(2, 200);
+            const auto prefill = balancedPrefillEngines(cost, m_model, count);
+            RC_ASSERT(prefill >= 1 && prefill <= static_cast<double>(count) - 1);
+        });
+    }
+
+    auto smallOrShortDeviationsChangeNothing() -> void
+    {
+        const auto upstreams = engines(6, 12);
+        const auto all = pointers(upstreams);
+        RolePlanner planner;
+        CPPUNIT_ASSERT(planner.propose(all, 5.5, seconds(6), m_clock.now()).empty());
+        m_clock.advance(seconds(10));
+        CPPUNIT_ASSERT(planner.propose(all, 5.5, seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 4, seconds(6), m_clock.now()).empty());
+        m_clock.advance(seconds(1));
+        CPPUNIT_ASSERT(planner.propose(all, 8, seconds(6), m_clock.now()).empty());
+        m_clock.advance(RolePlanner::Persistence);
+        const auto changes = planner.propose(all, 8, seconds(6), m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+        CPPUNIT_ASSERT(changes[0].role == EngineRole::Prefill && changes[0].engine->role == EngineRole::Decode);
+    }
+
+    auto fewEnginesAreAwayAtOnce() -> void
+    {
+        const auto upstreams = engines(49, 91);
+        const auto all = pointers(upstreams);
+        RolePlanner planner;
+        planner.propose(all, 28, seconds(6), m_clock.now());
+        m_clock.advance(RolePlanner::Persistence);
+        const auto first = planner.propose(all, 28, seconds(6), m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(14), first.size());
+        for (const auto &change : first) {
+            planner.onOrdered(change.engine->id, m_clock.now());
+        }
+        m_clock.advance(seconds(1));
+        CPPUNIT_ASSERT(planner.propose(all, 28, seconds(6), m_clock.now()).empty());
+        m_clock.advance(seconds(6));
+        CPPUNIT_ASSERT(!planner.propose(all, 28, seconds(6), m_clock.now()).empty());
+    }
+
+    auto orderedEnginesRest() -> void
+    {
+        const auto upstreams = engines(1, 1);
+        const auto all = pointers(upstreams);
+        RolePlanner planner;
+        planner.propose(all, 0.1, seconds(1), m_clock.now());
+        m_clock.advance(RolePlanner::Persistence);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), planner.propose(all, 0.1, seconds(1), m_clock.now()).size());
+        planner.onOrdered("e0", m_clock.now());
+        m_clock.advance(RolePlanner::EngineRest - milliseconds(1));
+        CPPUNIT_ASSERT(planner.propose(all, 0.1, seconds(1), m_clock.now()).empty());
+    }
+
+    auto changesComeFromTheFullestPlace() -> void
+    {
+        auto upstreams = engines(4, 8);
+        for (std::size_t index = 0; index < 4; ++index) {
+            upstreams[index].place = index == 0 ? "p1" : "p2";
+        }
+        const auto all = pointers(upstreams);
+        RolePlanner planner;
+        planner.propose(all, 3, seconds(6), m_clock.now());
+        m_clock.advance(RolePlanner::Persistence);
+        CPPUNIT_ASSERT_EQUAL(std::string("p2"), planner.propose(all, 3, seconds(6), m_clock.now()).front().engine->place);
+    }
+
+    auto aFleetSettlesAtTheBalance() -> void
+    {
+        auto upstreams = engines(49, 91);
+        RolePlanner planner;
+        int orders = 0;
+        for (int second = 0; second < 120; ++second) {
+            for (const auto &change : planner.propose(pointers(upstreams), 28, seconds(6), m_clock.now())) {
+                planner.onOrdered(change.engine->id, m_clock.now());
+                const_cast<Upstream *>(change.engine)->role = change.role;
+                ++orders;
+            }
+            m_clock.advance(seconds(1));
+        }
+        CPPUNIT_ASSERT_EQUAL(21, orders);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RolePlanTest);
--- /dev/null
+++ b/test/route_table-test.cc
@@ -0,0 +1,87 @@
+#include "currantstack/decisions/route_table.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class RouteTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteTableTest);
+    CPPUNIT_TEST(longestPrefixOfTheHostWins);
+    CPPUNIT_TEST(prefixesEndAtSlashes);
+    CPPUNIT_TEST(queryIsNoPartOfThePath);
+    CPPUNIT_TEST(targetsAreDrawnByWeight);
+    CPPUNIT_TEST(targetsWithoutWeightAreNeverDrawn);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto table() -> RouteTable
+    {
+        RouteTable table;
+        table.routes.resize(4);
+        table.routes[0].name = "short";
+        table.routes[0].host = "a.example";
+        table.routes[0].prefix = "/x/";
+        table.routes[1].name = "long";
+        table.routes[1].host = "a.example";
+        table.routes[1].prefix = "/x/y/";
+        table.routes[2].name = "other host";
+        table.routes[2].host = "b.example";
+        table.routes[2].prefix = "/x/y/z/";
+        table.routes[3].name = "root";
+        table.routes[3].host = "b.example";
+        table.routes[3].prefix = "/";
+        return table;
+    }
+
+    static auto found(std::string_view host, std::string_view path) -> std::string
+    {
+        const auto routes = table();
+        const auto *route = routes.find(host, path);
+        return route == nullptr ? "" : route->name;
+    }
+
+public:
+    auto longestPrefixOfTheHostWins() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), found("a.example", "/x/y/z/1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), found("A.Example", "/x/1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("root"), found("b.example", "/elsewhere"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), found("c.example", "/x/1"));
+    }
+
+    auto prefixesEndAtSlashes() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), found("a.example", "/xy"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), found("a.example", "/x"));
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), found("a.example", "/x/y"));
+    }
+
+    auto queryIsNoPartOfThePath() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), found("a.example", "/x/?/x/y/"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), found("a.example", "/?/x/"));
+    }
+
+    auto targetsAreDrawnByWeight() -> void
+    {
+        Route route;
+        route.targets = {{"nine", 9}, {"one", 1}};
+        int ones = 0;
+        for (int draw = 0; draw < 1000; ++draw) {
+            ones += drawTarget(route, draw / 1000.0) == "one" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(ones >= 99 && ones <= 101);
+    }
+
+    auto targetsWithoutWeightAreNeverDrawn() -> void
+    {
+        CHECK_PROPERTY("a service of weight 0 gets nothing", [](std::uint32_t draw) {
+            Route route;
+            route.targets = {{"off", 0}, {"on", 2}, {"off", 0}};
+            RC_ASSERT(drawTarget(route, draw / 4294967296.0) == "on");
+        });
+        CPPUNIT_ASSERT(drawTarget({}, 0.5).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
--- /dev/null
+++ b/test/service_placement-test.cc
@@ -0,0 +1,55 @@
+#include "currantstack/decisions/service_placement.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class ServicePlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServicePlacementTest);
+    CPPUNIT_TEST(ownPlaceUntilWaitingCostsMoreThanTheWay);
+    CPPUNIT_TEST(theAvoidedUpstreamIsNeverChosen);
+    CPPUNIT_TEST(unhealthyUpstreamsAreUsedOnlyWhereAllAre);
+    CPPUNIT_TEST_SUITE_END();
+
+    Random m_random{3};
+    Upstream m_here;
+    Upstream m_far;
+
+public:
+    auto setUp() -> void override
+    {
+        m_here.id = "here";
+        m_far.id = "far";
+        m_here.slots = m_far.slots = 6;
+    }
+
+    auto ownPlaceUntilWaitingCostsMoreThanTheWay() -> void
+    {
+        // Bookings take 60 ms; the way to the other region takes 80 ms, a connection included.
+        const auto choose = [this](int requestsHere) {
+            const std::vector<ServiceView> views{{&m_here, {0, 0, requestsHere}, 1, Reach::SamePlace}, {&m_far, {}, 1, Reach::OtherRegion}};
+            return chooseUpstream(views, milliseconds(60), "", m_random)->id;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("here"), choose(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("here"), choose(8));
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), choose(20));
+    }
+
+    auto theAvoidedUpstreamIsNeverChosen() -> void
+    {
+        const std::vector<ServiceView> views{{&m_here, {}, 1, Reach::SamePlace}, {&m_far, {0, 0, 50}, 0.01, Reach::OtherRegion}};
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), chooseUpstream(views, milliseconds(60), "here", m_random)->id);
+        CPPUNIT_ASSERT(chooseUpstream(std::span(views).first(1), milliseconds(60), "here", m_random) == nullptr);
+    }
+
+    auto unhealthyUpstreamsAreUsedOnlyWhereAllAre() -> void
+    {
+        std::vector<ServiceView> views{{&m_here, {}, 0.01, Reach::SamePlace}, {&m_far, {}, 1, Reach::OtherRegion}};
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), chooseUpstream(views, milliseconds(60), "", m_random)->id);
+        views[1].health = 0.01;
+        CPPUNIT_ASSERT_EQUAL(std::string("here"), chooseUpstream(views, milliseconds(60), "", m_random)->id);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServicePlacementTest);
--- /dev/null
+++ b/test/upstream_directory-test.cc
@@ -0,0 +1,95 @@
+#include "currantstack/decisions/upstream_directory.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class UpstreamDirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamDirectoryTest);
+    CPPUNIT_TEST(drainingUpstreamsGetNoNewWork);
+    CPPUNIT_TEST(restartsUnderTheSameIdAreSeen);
+    CPPUNIT_TEST(lapsedEntriesAreUsedForAWhile);
+    CPPUNIT_TEST(lapsedDrainingEntriesAreGoneAtOnce);
+    CPPUNIT_TEST(newestEntryOfAnAddressCounts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto upstream(const std::string &id, const std::string &address, std::int64_t revision = 1) -> Upstream
+    {
+        Upstream result;
+        result.id = id;
+        result.service = "s";
+        result.address = address;
+        result.startedAtMs = 100;
+        result.revision = revision;
+        return result;
+    }
+
+public:
+    auto drainingUpstreamsGetNoNewWork() -> void
+    {
+        UpstreamDirectory directory;
+        auto entry = upstream("u", "10.0.0.1:1");
+        CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::Joined);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.usable("s").size());
+        CPPUNIT_ASSERT(directory.usable("other").empty());
+        entry.draining = true;
+        CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::Leaving);
+        CPPUNIT_ASSERT(directory.usable("s").empty());
+        CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::None);
+        entry.draining = false;
+        CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::Joined);
+    }
+
+    auto restartsUnderTheSameIdAreSeen() -> void
+    {
+        UpstreamDirectory directory;
+        auto entry = upstream("u", "10.0.0.1:1");
+        directory.apply(entry);
+        CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::Updated);
+        entry.startedAtMs = 101;
+        CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::Restarted);
+    }
+
+    auto lapsedEntriesAreUsedForAWhile() -> void
+    {
+        ManualClock clock;
+        UpstreamDirectory directory;
+        directory.apply(upstream("back", "10.0.0.1:1"));
+        directory.apply(upstream("gone", "10.0.0.2:1"));
+        directory.remove("back", true, clock.now());
+        directory.remove("gone", true, clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), directory.usable("s").size());
+        clock.advance(milliseconds(1500));
+        CPPUNIT_ASSERT(directory.expire(clock.now()).empty());
+        directory.apply(upstream("back", "10.0.0.1:1", 2));
+        clock.advance(milliseconds(600));
+        CPPUNIT_ASSERT(directory.expire(clock.now()) == std::vector<std::string>{"gone"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.usable("s").size());
+        // The whole grace stays below the 2.5 s within which a leaving upstream may still get work.
+        CPPUNIT_ASSERT(UpstreamDirectory::LapsedGrace < milliseconds(2500));
+    }
+
+    auto lapsedDrainingEntriesAreGoneAtOnce() -> void
+    {
+        ManualClock clock;
+        UpstreamDirectory directory;
+        auto entry = upstream("u", "10.0.0.1:1");
+        entry.draining = true;
+        directory.apply(entry);
+        CPPUNIT_ASSERT(directory.remove("u", true, clock.now()) == UpstreamChange::Gone);
+        CPPUNIT_ASSERT(directory.remove("u", false, clock.now()) == UpstreamChange::None);
+    }
+
+    auto newestEntryOfAnAddressCounts() -> void
+    {
+        UpstreamDirectory directory;
+        directory.apply(upstream("old", "10.0.0.1:1", 5));
+        directory.apply(upstream("new", "10.0.0.1:1", 9));
+        const auto usable = directory.usable("s");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), usable.front()->id);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamDirectoryTest);
