--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -38,6 +38,8 @@
     double readMs = 0; // at a prefill engine
     double streamMs = 0; // at a decode engine
     double kvTokens = 0; // memory at a decode engine
+
+    auto operator==(const RequestCost &) const -> bool = default;
 };
 
 /// Speeds of a service's engines, learned from this VM's own requests.
--- a/include/currantstack/decisions/role_plan.h
+++ b/include/currantstack/decisions/role_plan.h
@@ -34,7 +34,7 @@
     /// The balance must have asked for the same direction for so long.
     static constexpr Duration Persistence = seconds(2);
     /// Part of a service's engines that may be away for a change at once, one at least.
-    static constexpr double AwayShare = 0.1;
+    static constexpr double AwayShare = 0.15;
     /// An engine that was ordered is left alone for so long, whatever became of the order.
     static constexpr Duration EngineRest = seconds(15);
 
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/counters.h"
 #include "currantstack/decisions/attempt.h"
+#include "currantstack/decisions/cost_table.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
 #include "currantstack/decisions/upstream_directory.h"
@@ -46,6 +47,7 @@
     TimePoint tableReadAt = {};
     UpstreamDirectory directory = {};
     LoadTable loads = {};
+    CostTable costs = {};
     HealthTracker health = {};
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> workMs = {}; // of a plain service's request
@@ -64,6 +66,18 @@
         return speeds[std::string(service)];
     }
 
+    /// Returns this VM's own costs of the services that it has seen streams of.
+    auto ownCosts() const -> std::vector<ServiceCost>
+    {
+        std::vector<ServiceCost> result;
+        for (const auto &[service, entry] : speeds) {
+            if (entry.streamsSeen() > 0) {
+                result.push_back({service, entry.requestCost(), entry.streamsSeen()});
+            }
+        }
+        return result;
+    }
+
     auto workOf(std::string_view service) -> MovingAverage &
     {
         constexpr double FirstGuessMs = 30; // until requests were seen
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -21,6 +21,7 @@
     bool isSum = false; // of all VMs of the place
     bool toBeSpread = false; // the receiver hands it on to the VMs of its place
     StoreRevisions known; // to the sender
+    std::vector<ServiceCost> costs; // as the source has seen them
     std::vector<UpstreamWork> works;
 };
 
@@ -59,6 +60,7 @@
     auto receive() -> void;
     auto onMessage(LoadMessage message, const SocketAddress &from) -> void;
     auto tell() -> void;
+    auto placeCosts() const -> std::vector<ServiceCost>;
     auto tellSum() -> void;
     auto send(LoadMessage message, std::span<const SocketAddress> peers) -> void;
     auto sendBytes(std::string_view bytes, std::span<const SocketAddress> peers) -> void;
--- a/include/currantstack/edge/role_controller.h
+++ b/include/currantstack/edge/role_controller.h
@@ -11,7 +11,7 @@
 {
 public:
     static constexpr Duration Period = seconds(1);
-    static constexpr int FewestStreams = 8; // seen here before the balance is trusted
+    static constexpr int FewestStreams = 20; // seen by all VMs before the balance is trusted
 
     RoleController(EdgeContext &context, OrderHolder &holder);
 
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -55,6 +55,31 @@
     return UpstreamWork{row[0].get<std::string>(), {row[1].get<double>(), row[2].get<double>(), row[3].get<int>()}};
 }
 
+auto encodeCosts(std::span<const ServiceCost> costs) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &[service, cost, streams] : costs) {
+        rows.push_back({service, static_cast<float>(cost.promptTokens), static_cast<float>(cost.readMs), static_cast<float>(cost.streamMs),
+                        static_cast<float>(cost.kvTokens), streams});
+    }
+    return rows;
+}
+
+auto decodeCost(const nlohmann::json &row) -> std::optional<ServiceCost>
+{
+    constexpr std::size_t Columns = 6;
+    bool valid = row.is_array() && row.size() == Columns && row[0].is_string() && row[Columns - 1].is_number_unsigned();
+    for (std::size_t column = 1; valid && column + 1 < Columns; ++column) {
+        valid = row[column].is_number() && row[column].get<double>() >= 0 && row[column].get<double>() < 1e9;
+    }
+    if (!valid) {
+        return std::nullopt;
+    }
+    return ServiceCost{row[0].get<std::string>(),
+                       {row[1].get<double>(), row[2].get<double>(), row[3].get<double>(), row[4].get<double>()},
+                       row[5].get<int>()};
+}
+
 auto malformed(std::string_view what) -> tl::unexpected<Error>
 {
     return fail(ErrorCode::BadInput, "decode load", "", what);
@@ -72,6 +97,7 @@
                                      {"spread", message.toBeSpread},
                                      {"routes", message.known.routes},
                                      {"upstreams", message.known.upstreams},
+                                     {"costs", encodeCosts(message.costs)},
                                      {"work", encodeWorks(message.works)}};
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
@@ -96,9 +122,17 @@
     message.known.routes = reader.integer("routes", 0, std::numeric_limits<std::int64_t>::max());
     message.known.upstreams = reader.integer("upstreams", 0, std::numeric_limits<std::int64_t>::max());
     const auto &rows = reader.raw("work");
-    if (!faults.empty() || !rows.is_array()) {
+    const auto &costs = reader.raw("costs");
+    if (!faults.empty() || !rows.is_array() || !costs.is_array()) {
         return malformed(describe(faults));
     }
+    for (const auto &row : costs) {
+        auto cost = decodeCost(row);
+        if (!cost) {
+            return malformed("a cost is malformed");
+        }
+        message.costs.push_back(std::move(*cost));
+    }
     for (const auto &row : rows) {
         auto work = decodeWork(row);
         if (!work) {
@@ -189,6 +223,9 @@
         return; // the own place is known VM by VM
     }
     m_context.loads.hear(message.source, message.sequence, message.works, now);
+    if (!message.costs.empty()) {
+        m_context.costs.hear(message.source, message.costs, now);
+    }
     if (message.isSum && message.toBeSpread) {
         message.toBeSpread = false;
         sendBytes(encodeLoad(message), m_peers.neighbours());
@@ -206,7 +243,17 @@
     m_lastWork = std::move(text);
     m_toldAt = now;
     const auto &settings = m_context.settings;
-    send({settings.vm, settings.vm, settings.place, 0, false, false, {}, std::move(works)}, m_peers.direct());
+    send({settings.vm, settings.vm, settings.place, 0, false, false, {}, m_context.ownCosts(), std::move(works)}, m_peers.direct());
+}
+
+auto LoadExchange::placeCosts() const -> std::vector<ServiceCost>
+{
+    std::vector<ServiceCost> result;
+    const auto isOfPlace = [](std::string_view source) { return !source.starts_with(SumPrefix); };
+    for (const auto &own : m_context.ownCosts()) {
+        result.push_back(m_context.costs.mean(own, isOfPlace, m_context.clock.now()));
+    }
+    return result;
 }
 
 auto LoadExchange::tellSum() -> void
@@ -217,7 +264,7 @@
     }
     const auto &settings = m_context.settings;
     auto works = m_context.loads.sumOf([](std::string_view source) { return !source.starts_with(SumPrefix); }, now);
-    send({std::string(SumPrefix) + settings.place, settings.vm, settings.place, 0, true, true, {}, std::move(works)},
+    send({std::string(SumPrefix) + settings.place, settings.vm, settings.place, 0, true, true, {}, placeCosts(), std::move(works)},
          m_peers.delegates(m_sequence));
 }
 
--- a/src/edge/role_controller.cc
+++ b/src/edge/role_controller.cc
@@ -46,13 +46,16 @@
 
 auto RoleController::reviewService(const ServiceSpec &service, std::int64_t fence) -> void
 {
+    const auto now = m_context.clock.now();
     const auto &speeds = m_context.speedsOf(service.name);
-    if (speeds.streamsSeen() < FewestStreams) {
+    const ServiceCost own{service.name, speeds.requestCost(), speeds.streamsSeen()};
+    const auto seen = m_context.costs.mean(
+        own, [](std::string_view /*source*/) { return true; }, now);
+    if (seen.streams < FewestStreams) {
         return;
     }
-    const auto now = m_context.clock.now();
     const auto engines = m_context.directory.usable(service.name);
-    const auto cost = speeds.requestCost();
+    const auto &cost = seen.cost;
     const double wanted = balancedPrefillEngines(cost, *service.engine, engines.size());
     auto &planner = m_planners[service.name];
     for (const auto &change : planner.propose(engines, wanted, service.engine->roleChange, now)) {
@@ -67,7 +70,7 @@
                              {"read_ms", cost.readMs},
                              {"stream_ms", cost.streamMs},
                              {"kv_tokens", cost.kvTokens},
-                             {"streams_seen", speeds.streamsSeen()}});
+                             {"streams_seen", seen.streams}});
         readState(*change.engine, change.role);
     }
 }
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -9,8 +9,8 @@
 {
 
 // A crest lasts seconds. Its refused callers return spread over the time after it, which for them is late in any case.
-constexpr Duration ShortestRetryAfter = milliseconds(1500);
-constexpr Duration LongestRetryAfter = milliseconds(4500);
+constexpr Duration ShortestRetryAfter = milliseconds(3000);
+constexpr Duration LongestRetryAfter = milliseconds(4600);
 
 } // namespace
 
--- /dev/null
+++ b/standin/http_peer.py
@@ -0,0 +1,89 @@
+"""A small HTTP/1.1 server on asyncio for stand-ins: raw enough to misbehave on purpose."""
+
+import asyncio
+import json
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.path, _, query = target.partition("?")
+        self.query = dict(part.partition("=")[::2] for part in query.split("&") if part)
+
+    def header(self, name, default=""):
+        return self.headers.get(name.lower(), default)
+
+    def json(self):
+        return json.loads(self.body or b"{}")
+
+
+async def read_request(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            headers[name.lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+            if size == 0:
+                break
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Request(method, target, headers, body)
+
+
+def response(status, headers=(), body=b""):
+    if isinstance(body, (dict, list)):
+        body = json.dumps(body).encode()
+        headers = [*headers, ("Content-Type", "application/json")]
+    head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class Server:
+    """Serves `handler(request, writer)`, which returns bytes to send, or None when it has written or broken the answer itself."""
+
+    def __init__(self, ip, port, handler):
+        self.ip, self.port, self.handler = ip, port, handler
+        self.writers = set()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def stop(self):
+        """Ends the listener and resets all connections, as the end of a process would."""
+        if self.server:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                answer = await self.handler(request, reader, writer)
+                if answer is None:
+                    break
+                writer.write(answer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
--- /dev/null
+++ b/test/cost_table-test.cc
@@ -0,0 +1,46 @@
+#include "currantstack/decisions/cost_table.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class CostTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CostTableTest);
+    CPPUNIT_TEST(meansAreWeightedByStreams);
+    CPPUNIT_TEST(oldWordsCountNoMore);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto all(std::string_view /*source*/) -> bool
+    {
+        return true;
+    }
+
+public:
+    auto meansAreWeightedByStreams() -> void
+    {
+        ManualClock clock;
+        CostTable table;
+        const std::vector<ServiceCost> heard{{"s", {4000, 120, 4000, 5000}, 30}, {"other", {1, 1, 1, 1}, 99}};
+        table.hear("vm2", heard, clock.now());
+        const auto mean = table.mean({"s", {2000, 60, 2000, 3000}, 10}, all, clock.now());
+        CPPUNIT_ASSERT_EQUAL(40, mean.streams);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3500, mean.cost.promptTokens, 0.1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3500, mean.cost.streamMs, 0.1);
+        const auto own = table.mean(
+            {"s", {2000, 60, 2000, 3000}, 10}, [](std::string_view) { return false; }, clock.now());
+        CPPUNIT_ASSERT_EQUAL(10, own.streams);
+    }
+
+    auto oldWordsCountNoMore() -> void
+    {
+        ManualClock clock;
+        CostTable table;
+        const std::vector<ServiceCost> heard{{"s", {4000, 120, 4000, 5000}, 30}};
+        table.hear("vm2", heard, clock.now());
+        clock.advance(CostTable::Memory + milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(0, table.mean({"s", {}, 0}, all, clock.now()).streams);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CostTableTest);
