--- a/standin/http_peer.py
+++ b/standin/http_peer.py
@@ -82,8 +82,8 @@
                     break
                 writer.write(answer)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, ValueError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, ValueError, asyncio.CancelledError):
+            pass  # the peer has gone, or the stand-in ends
         finally:
             self.writers.discard(writer)
             writer.close()
--- /dev/null
+++ b/standin/platform_fleet.py
@@ -0,0 +1,109 @@
+#!/usr/bin/env python3
+"""Stand-in of the platform: a store, engines and a plain service on loopback, with the operator's configuration.
+
+Usage: platform_fleet.py [--prefill N] [--decode N] [--services N]
+
+Prints one JSON line with the store's address, then runs until it is ended.
+"""
+
+import argparse
+import asyncio
+import json
+
+from platform_store import PlatformStore
+from platform_upstreams import Engine, Service
+
+PLACES = ("z1", "z2")
+
+
+def route(name, prefix, kind, service, **more):
+    return {"name": name, "host": "app.example", "prefix": prefix, "type": kind, "service": service, "attempts": 2, "timeout_ms": 3000,
+            "latency_goal_ms": 400, "gap_aim_ms": 300, "priority": 1, **more}
+
+
+def configuration(version, extra=()):
+    routes = [
+        route("stream", "/stream/", "streaming", "llm", timeout_ms=8000, latency_goal_ms=900, can_resume=True, sticky=True),
+        route("digest", "/digest/", "streaming", "llm", timeout_ms=8000, latency_goal_ms=900, attempts=1),
+        route("book", "/book/", "unsafe", "booking", attempts=1),
+        route("check", "/check/", "safe", "booking"),
+        *extra,
+    ]
+    engine = {"slots": 16, "kv_tokens": Engine.TOKENS, "kv_token_bytes": 1000, "link_mbps": 100000, "stride": 1, "kv_hold_s": 0.5,
+              "reconfig_s": 1.0, "hold_ms": 2000}
+    services = [{"name": "llm", "health_path": "/healthz", "max_conns": 300, "engine": engine},
+                {"name": "booking", "health_path": "/healthz", "max_conns": 100}]
+    limits = {"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+    return {"version": version, "routes": routes, "services": services, "limits": limits}
+
+
+class Fleet:
+    """The store and all upstreams of one platform, in one event loop."""
+
+    def __init__(self, prefill=2, decode=3, services=2, seed=0):
+        self.counts = prefill, decode, services
+        self.store = PlatformStore(seed=seed)
+        self.history, self.version = [], 0
+        self.engines, self.services = [], []
+
+    async def start(self):
+        await self.store.start()
+        prefill, decode, services = self.counts
+        for number in range(prefill + decode):
+            role = "prefill" if number < prefill else "decode"
+            self.engines.append(await Engine(self.store, "llm", PLACES[number % 2], self.history, role).start())
+        for number in range(services):
+            self.services.append(await Service(self.store, "booking", PLACES[number % 2], self.history).start())
+        self.store.engines = {engine.address: engine for engine in self.engines}
+        self.configure()
+        return self
+
+    def configure(self, extra=()):
+        self.version += 3
+        self.store.put("op/config", json.dumps(configuration(self.version, extra)).encode())
+
+    @property
+    def upstreams(self):
+        return self.engines + self.services
+
+
+def vm_settings(name, ip, port, store, place="z1", grace=8):
+    """The settings file of one machine, as the platform writes it."""
+    return f"""node_name: "{name}"
+zone: "{place}"
+region: "r1"
+ip: "{ip}"
+zones:
+  z1: "r1"
+  z2: "r2"
+bind:
+  front: "{ip}:{port}"
+  ready: "{ip}:{port + 1}"
+port_range:
+  - {port + 2}
+  - {port + 9}
+bootstrap: true
+bounds:
+  grace_s: {grace}
+  retry_budget: 0.2
+  budget_slack: 54
+  budget_window_s: 10
+  lease_ms: 3000
+provider:
+  address: "{store}"
+"""
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--prefill", type=int, default=2)
+    parser.add_argument("--decode", type=int, default=3)
+    parser.add_argument("--services", type=int, default=2)
+    arguments = parser.parse_args()
+    fleet = await Fleet(arguments.prefill, arguments.decode, arguments.services).start()
+    print(json.dumps({"store": fleet.store.address}), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/test/edge/rig.py
@@ -0,0 +1,149 @@
+"""Runs real currant-edge processes against the platform's stand-ins, and calls them as callers do."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "standin"))
+
+from platform_fleet import Fleet, vm_settings  # noqa: E402
+
+PROGRAM = os.environ.get("CURRANT_EDGE", os.path.join(ROOT, "build", "currant-edge"))
+
+
+def free_port(ip):
+    """A port whose nine successors are free too."""
+    for base in range(21000 + os.getpid() % 5000, 60000, 10):
+        try:
+            for port in range(base, base + 10):
+                with socket.socket() as probe:
+                    probe.bind((ip, port))
+            return base
+        except OSError:
+            continue
+    raise RuntimeError("no free ports")
+
+
+class Vm:
+    """One currant-edge process; its log lines are kept."""
+
+    def __init__(self, number, store, place, folder, grace=8):
+        self.name, self.ip = f"vm{number}", f"127.0.0.{10 + number}"
+        self.port = free_port(self.ip)
+        self.path = os.path.join(folder, f"{self.name}.yaml")
+        self.log_path = os.path.join(folder, f"{self.name}.log")
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(vm_settings(self.name, self.ip, self.port, store, place, grace))
+        self.process = None
+
+    async def start(self):
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(PROGRAM, "--settings", self.path, stdout=log, stderr=log)
+
+    async def ready(self):
+        try:
+            status, _, _ = await call(self.ip, self.port + 1, "GET", "/readyz", {}, b"", 1)
+            return status == 200
+        except (OSError, asyncio.TimeoutError, EOFError):
+            return False
+
+    async def until_ready(self, limit=10):
+        end = time.monotonic() + limit
+        while not await self.ready():
+            assert time.monotonic() < end, f"{self.name} is not ready; see {self.log_path}"
+            await asyncio.sleep(0.05)
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def lines(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
+
+async def read_answer(reader):
+    """Returns status, headers and body; EOFError where the answer is not whole."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = head.split("\r\n")
+        status = int(lines[0].split(" ")[1])
+        headers = {}
+        for line in lines[1:]:
+            name, colon, value = line.partition(":")
+            if colon:
+                headers[name.lower()] = value.strip()
+        body = b""
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return status, headers, body
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
+        raise EOFError(str(error)) from error
+
+
+async def call(ip, port, method, target, headers, body, limit=10):
+    """One request on a connection of its own."""
+    async def exchange():
+        reader, writer = await asyncio.open_connection(ip, port)
+        try:
+            head = f"{method} {target} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            writer.write(head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            return await read_answer(reader)
+        finally:
+            writer.close()
+    return await asyncio.wait_for(exchange(), limit)
+
+
+class Rig:
+    """A platform and some VMs before it."""
+
+    def __init__(self, vms=1, seed=0, grace=8, **counts):
+        self.folder = tempfile.mkdtemp(prefix="currant-edge-")
+        self.fleet = Fleet(seed=seed, **counts)
+        self.vm_count, self.grace = vms, grace
+        self.vms, self.number = [], 0
+
+    async def __aenter__(self):
+        await self.fleet.start()
+        for number in range(self.vm_count):
+            self.vms.append(Vm(number, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, self.grace))
+        await asyncio.gather(*(vm.start() for vm in self.vms))
+        await asyncio.gather(*(vm.until_ready() for vm in self.vms))
+        return self
+
+    async def __aexit__(self, *_):
+        for vm in self.vms:
+            vm.signal(signal.SIGCONT)
+            vm.signal(signal.SIGKILL)
+        for vm in self.vms:
+            if vm.process:
+                await vm.process.wait()
+
+    def request_id(self):
+        self.number += 1
+        return f"req-{self.number}"
+
+    async def ask(self, kind, vm=None, request_id=None, deadline=6000, limit=10, headers=None):
+        """Sends one request of the kind; returns its id, status, headers and body."""
+        vm = vm or self.vms[0]
+        request_id = request_id or self.request_id()
+        fields = {"Host": "app.example", "Request-Id": request_id, "Deadline-Ms": deadline, **(headers or {})}
+        method, body = "POST", b"x" * 50
+        if kind in ("stream", "digest"):
+            fields.update({"Model": "m", "Token-Count": "2000,100", "Prefix-Hash": "ab:2000"})
+        if kind == "check":
+            method, body = "GET", b""
+        return request_id, *await call(vm.ip, vm.port, method, f"/{kind}/x?q=%20a//b", fields, body, limit)
+
+    def runs(self, request_id):
+        return [entry for entry in self.fleet.history if entry["event"] == "run" and entry["request"] == request_id]
