--- a/support/relay.py
+++ b/support/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that can stop forwarding: open connections go silent, or all traffic is cut."""
+"""A TCP relay that misbehaves: it delays, resets, cuts one way or both, or lets open connections go silent."""
 
 import asyncio
 import threading
@@ -15,11 +15,15 @@
             threading.Thread(target=Relay._loop.run_forever, daemon=True).start()
         self.target = target
         self.cut = False        # nothing passes, on old connections and new ones
+        self.cut_answers = False  # what the target sends does not pass
+        self.delay = 0.0        # seconds, each way
         self.generation = 0     # connections of an older generation stay silent for good
+        self.writers = set()
         asyncio.run_coroutine_threadsafe(self._serve(listen), Relay._loop).result(5)
 
     async def _serve(self, listen):
         self.server = await asyncio.start_server(self._accept, "127.0.0.1", listen)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     async def _accept(self, reader, writer):
         generation = self.generation
@@ -28,12 +32,18 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self._pump(reader, far_writer, generation), self._pump(far_reader, writer, generation), return_exceptions=True)
+        pair = {writer, far_writer}
+        self.writers |= pair
+        await asyncio.gather(self._pump(reader, far_writer, generation, False), self._pump(far_reader, writer, generation, True),
+                             return_exceptions=True)
+        self.writers -= pair
 
-    async def _pump(self, reader, writer, generation):
+    async def _pump(self, reader, writer, generation, is_answer):
         try:
             while data := await reader.read(65536):
-                while self.cut:
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                while self.cut or (is_answer and self.cut_answers):
                     await asyncio.sleep(0.05)
                 if generation == self.generation:
                     writer.write(data)
@@ -48,3 +58,7 @@
     def silence(self):
         """Makes all open connections silent for good; new ones work."""
         self.generation += 1
+
+    def reset(self):
+        """Resets all open connections; new ones work."""
+        Relay._loop.call_soon_threadsafe(lambda: [writer.transport.abort() for writer in list(self.writers)])
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -128,6 +128,9 @@
         for vm in self.vms:
             if vm.process:
                 await vm.process.wait()
+        for server in [self.fleet.store.server, *(upstream.server for upstream in self.fleet.upstreams)]:
+            server.stop()
+        await asyncio.sleep(0.05)  # the ends of their connections are handled
 
     def request_id(self):
         self.number += 1
