--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/counters.h"
 #include "currantstack/decisions/attempt.h"
+#include "currantstack/decisions/avoid_list.h"
 #include "currantstack/decisions/cost_table.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
@@ -51,7 +52,8 @@
     HealthTracker health = {};
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> workMs = {}; // of a plain service's request
-    std::map<std::string, TimePoint, std::less<>> full = {}; // engines that had no room, until when they are left alone
+    AvoidList avoid = {};
+    bool storeIsAway = false; // so that the directory may be out of date
     bool draining = false;
     TimePoint drainingSince = {};
 
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -22,6 +22,7 @@
     bool toBeSpread = false; // the receiver hands it on to the VMs of its place
     StoreRevisions known; // to the sender
     std::vector<ServiceCost> costs; // as the source has seen them
+    std::vector<AvoidNotice> avoid;
     std::vector<UpstreamWork> works;
 };
 
--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -18,6 +18,7 @@
         /// All keys as of the revision. `wasAway` tells that the store could not be reached before.
         std::function<void(const StoreRange &range, bool wasAway)> onSnapshot;
         std::function<void(std::span<const StoreEvent> events)> onEvents;
+        std::function<void()> onAway = []() {}; // the store was lost
     };
 
     static constexpr Duration FirstPause = milliseconds(50); // before the first new try
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -58,7 +58,7 @@
                 }})
     , m_upstreams(context.loop, context.clock, context.random, store, context.log, codec.upstreamsPrefix(),
                   {[this](const StoreRange &range, bool wasAway) { onUpstreams(range, wasAway); },
-                   [this](std::span<const StoreEvent> events) { onUpstreamEvents(events); }})
+                   [this](std::span<const StoreEvent> events) { onUpstreamEvents(events); }, [this]() { m_context.storeIsAway = true; }})
     , m_lapseTimer(context.loop.timer([this]() { expireLapsed(); }))
 { }
 
@@ -88,6 +88,7 @@
         }
     }
     m_upstreamsRead = true;
+    m_context.storeIsAway = false;
 }
 
 auto DirectoryController::onUpstreamEvents(std::span<const StoreEvent> events) -> void
@@ -134,6 +135,10 @@
     const auto change = m_context.directory.apply(std::move(*upstream));
     if (change == UpstreamChange::Joined || change == UpstreamChange::Restarted) {
         m_context.health.forget(entry.id);
+        m_context.avoid.forget(entry.id);
+    }
+    if (change == UpstreamChange::Leaving) {
+        m_context.avoid.add(entry.id, AvoidReason::Leaving, AvoidList::LeavingLife, m_context.clock.now());
     }
     if (change != UpstreamChange::None) {
         m_context.log.write("directory", "upstream_changed",
@@ -153,6 +158,9 @@
     const auto now = m_context.clock.now();
     const bool lapsed = m_lapsePossible && now - m_regainedAt < LapseWindow;
     const auto change = m_context.directory.remove(id, lapsed, now);
+    if (change == UpstreamChange::Gone) {
+        m_context.avoid.add(id, AvoidReason::Leaving, AvoidList::LeavingLife, now);
+    }
     m_context.log.write("directory", lapsed ? "upstream_lapsed" : "upstream_changed", {{"upstream", id}, {"change", name(change)}});
     if (lapsed) {
         m_lapseTimer->startOnce(LapseCheckPeriod);
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -80,6 +80,27 @@
                        row[5].get<int>()};
 }
 
+auto encodeNotices(std::span<const AvoidNotice> notices) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &notice : notices) {
+        rows.push_back(
+            {notice.upstream, notice.reason == AvoidReason::ChangesRole, std::chrono::duration_cast<milliseconds>(notice.left).count()});
+    }
+    return rows;
+}
+
+auto decodeNotice(const nlohmann::json &row) -> std::optional<AvoidNotice>
+{
+    constexpr std::int64_t LongestMs = 60'000;
+    const bool valid = row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_boolean() && row[2].is_number_integer();
+    if (!valid) {
+        return std::nullopt;
+    }
+    const auto left = std::clamp<std::int64_t>(row[2].get<std::int64_t>(), 0, LongestMs);
+    return AvoidNotice{row[0].get<std::string>(), row[1].get<bool>() ? AvoidReason::ChangesRole : AvoidReason::Leaving, milliseconds(left)};
+}
+
 auto malformed(std::string_view what) -> tl::unexpected<Error>
 {
     return fail(ErrorCode::BadInput, "decode load", "", what);
@@ -98,6 +119,7 @@
                                      {"routes", message.known.routes},
                                      {"upstreams", message.known.upstreams},
                                      {"costs", encodeCosts(message.costs)},
+                                     {"avoid", encodeNotices(message.avoid)},
                                      {"work", encodeWorks(message.works)}};
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
@@ -123,9 +145,17 @@
     message.known.upstreams = reader.integer("upstreams", 0, std::numeric_limits<std::int64_t>::max());
     const auto &rows = reader.raw("work");
     const auto &costs = reader.raw("costs");
-    if (!faults.empty() || !rows.is_array() || !costs.is_array()) {
+    const auto &notices = reader.raw("avoid");
+    if (!faults.empty() || !rows.is_array() || !costs.is_array() || !notices.is_array()) {
         return malformed(describe(faults));
     }
+    for (const auto &row : notices) {
+        auto notice = decodeNotice(row);
+        if (!notice) {
+            return malformed("a notice is malformed");
+        }
+        message.avoid.push_back(std::move(*notice));
+    }
     for (const auto &row : costs) {
         auto cost = decodeCost(row);
         if (!cost) {
@@ -223,6 +253,9 @@
         return; // the own place is known VM by VM
     }
     m_context.loads.hear(message.source, message.sequence, message.works, now);
+    for (const auto &notice : message.avoid) {
+        m_context.avoid.hear(notice, now);
+    }
     if (!message.costs.empty()) {
         m_context.costs.hear(message.source, message.costs, now);
     }
@@ -243,7 +276,17 @@
     m_lastWork = std::move(text);
     m_toldAt = now;
     const auto &settings = m_context.settings;
-    send({settings.vm, settings.vm, settings.place, 0, false, false, {}, m_context.ownCosts(), std::move(works)}, m_peers.direct());
+    send({settings.vm,
+          settings.vm,
+          settings.place,
+          0,
+          false,
+          false,
+          {},
+          m_context.ownCosts(),
+          m_context.avoid.notices(now),
+          std::move(works)},
+         m_peers.direct());
 }
 
 auto LoadExchange::placeCosts() const -> std::vector<ServiceCost>
@@ -264,7 +307,16 @@
     }
     const auto &settings = m_context.settings;
     auto works = m_context.loads.sumOf([](std::string_view source) { return !source.starts_with(SumPrefix); }, now);
-    send({std::string(SumPrefix) + settings.place, settings.vm, settings.place, 0, true, true, {}, placeCosts(), std::move(works)},
+    send({std::string(SumPrefix) + settings.place,
+          settings.vm,
+          settings.place,
+          0,
+          true,
+          true,
+          {},
+          placeCosts(),
+          m_context.avoid.notices(now),
+          std::move(works)},
          m_peers.delegates(m_sequence));
 }
 
--- a/src/edge/role_controller.cc
+++ b/src/edge/role_controller.cc
@@ -114,6 +114,11 @@
                          {"fence", fence},
                          {"status", result ? result->status : 0},
                          {"error", result ? "" : describe(result.error())}});
+    const auto *service = m_context.table->service(engine.service);
+    const bool accepted = !result || result->status == 202;
+    if (accepted && service != nullptr && service->engine) {
+        m_context.avoid.add(engine.id, AvoidReason::ChangesRole, service->engine->roleChange, m_context.clock.now());
+    }
     if (result && m_context.protocol.isFencedOff(*result)) {
         m_holder.resign("an engine knows a higher fencing token");
     }
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -122,6 +122,7 @@
 {
     if (!std::exchange(m_away, true)) {
         m_awaySince = m_clock.now();
+        m_hooks.onAway();
         m_log.write("store", "store_lost",
                     {{"prefix", m_prefix}, {"error", describe(error)}, {"heard_ms_ago", toMilliseconds(m_awaySince - m_heardAt)}});
     }
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -7,6 +7,8 @@
 namespace
 {
 
+constexpr int MisdirectedRequest = 421; // the engine at the address is another one, or has another role
+
 // A resumable stream moves when its engine is silent for so long. Shorter than the time after which callers leave, longer than
 // the pauses of an engine that is only busy.
 constexpr Duration EventStall = milliseconds(900);
@@ -54,7 +56,7 @@
     const auto outcome = judgeHead(status, head);
     if (outcome != SendOutcome::Answered) {
         m_context.client.cancel(std::exchange(m_decodeCall, 0));
-        onBroken(outcome, fmt::format("status {}", status));
+        onBroken(outcome, fmt::format("status {}", status), status == MisdirectedRequest);
         return;
     }
     m_handle.clear(); // the engine has taken it
@@ -181,12 +183,13 @@
     onBroken(SendOutcome::Unknown, "no event in time");
 }
 
-auto StreamRequest::onBroken(SendOutcome outcome, std::string_view reason) -> void
+auto StreamRequest::onBroken(SendOutcome outcome, std::string_view reason, bool misdirected) -> void
 {
     const auto now = m_context.clock.now();
     m_attempt.onOutcome(outcome);
-    const bool handleLost = outcome == SendOutcome::NotRun && !m_kvSource.empty();
+    const bool handleLost = outcome == SendOutcome::NotRun && !m_kvSource.empty() && !misdirected;
     if (!handleLost) {
+        m_context.avoid.onRefused(m_decodeEngine.id, false, now);
         m_context.health.observeFailure(m_decodeEngine.id, now);
     }
     m_context.log.write("stream", "stream_broken",
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -19,9 +19,8 @@
     const auto now = m_context.clock.now();
     std::vector<EngineView> result;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
-        const auto full = m_context.full.find(upstream->id);
-        const bool isFull = full != m_context.full.end() && now < full->second;
-        if (upstream->role == role && !upstream->busyWithOrder && !isFull) {
+        const bool isAvoided = m_context.avoid.contains(upstream->id, m_context.storeIsAway, now);
+        if (upstream->role == role && !upstream->busyWithOrder && !isAvoided) {
             result.push_back({upstream, m_context.loads.total(upstream->id, now), m_context.health.weight(upstream->id, now),
                               m_context.settings.places.between(m_context.settings.place, upstream->place)});
         }
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -10,8 +10,6 @@
 // A prefill that takes longer than expected by this factor and margin is left for another engine.
 constexpr double PatienceFactor = 3;
 constexpr Duration PatienceMargin = milliseconds(700); // a prompt read in vain costs as much as an answer
-// An engine that was left is not chosen again by this VM so soon.
-constexpr Duration LeftPause = milliseconds(300);
 // A refusal that has nothing to do with load: the caller may come back at once.
 constexpr Duration QuickRetry = milliseconds(30);
 
@@ -43,6 +41,7 @@
         m_context.latencies.record("prefill", took);
         m_context.speedsOf(m_request.service).observePrefill(m_tokensAhead, took - 2 * roundTrip(reach));
         m_context.health.observe(m_prefillEngine.id, toMilliseconds(took) / std::max(1.0, toMilliseconds(m_expectedRead)), now);
+        m_context.avoid.onAccepted(m_prefillEngine.id);
         m_prefillLimit->stop();
         release(m_prefillBooking);
         startDecode();
@@ -78,7 +77,7 @@
     m_prefillLimit->stop();
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
     m_context.health.observeFailure(m_prefillEngine.id, now);
-    m_context.full[m_prefillEngine.id] = now + LeftPause;
+    m_context.avoid.onRefused(m_prefillEngine.id, false, now);
     m_context.counters.at("prefills_left").add();
     m_context.log.write("stream", "prefill_left",
                         {{"request", m_request.facts.requestId},
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -50,6 +50,7 @@
     auto reserve(const StreamPlan &plan) -> void;
     auto onReserved(const Result<HttpResponse> &result, bool split) -> void;
     auto dropReservation() -> void;
+    auto isBusy(const Upstream &engine) const -> bool;
 
     // stream_prefill.cc
     auto startPrefill() -> void;
@@ -67,7 +68,7 @@
     auto onFirstEvent() -> void;
     auto onStall() -> void;
     auto restartStallTimer() -> void;
-    auto onBroken(SendOutcome outcome, std::string_view reason) -> void;
+    auto onBroken(SendOutcome outcome, std::string_view reason, bool misdirected = false) -> void;
     auto goOnElsewhere(SendOutcome outcome, std::string_view reason) -> bool;
 
     // stream_request.cc
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -11,8 +11,8 @@
 // A reservation lasts for the expected read by this factor and margin.
 constexpr double LifeFactor = 2;
 constexpr Duration LifeMargin = milliseconds(600);
-// An engine that had no room is not asked again so soon. Streams of a full engine end some hundred milliseconds apart.
-constexpr Duration FullPause = milliseconds(60);
+// An engine whose known requests take this part of its memory may well be full; one with less that refuses has another reason.
+constexpr double BusyShare = 0.5;
 
 } // namespace
 
@@ -45,6 +45,7 @@
     const auto reserved = result ? m_context.protocol.readReservation(*result) : Result<std::string>(tl::unexpected(result.error()));
     if (reserved) {
         m_reservation = *reserved;
+        m_context.avoid.onAccepted(m_decodeEngine.id);
         begin(split);
         return;
     }
@@ -52,7 +53,8 @@
     if (reserved.error().code != ErrorCode::Overloaded) {
         m_context.health.observeFailure(m_decodeEngine.id, now);
     }
-    m_context.full[m_decodeEngine.id] = now + FullPause;
+    const bool isFull = reserved.error().code == ErrorCode::Overloaded && isBusy(m_decodeEngine);
+    m_context.avoid.onRefused(m_decodeEngine.id, isFull, now);
     m_context.counters.at("reservations_refused").add();
     m_context.log.write("stream", "reservation_refused",
                         {{"request", m_request.facts.requestId},
@@ -66,6 +68,13 @@
     }
 }
 
+auto StreamRequest::isBusy(const Upstream &engine) const -> bool
+{
+    const auto *service = m_request.table->service(m_request.service);
+    const auto known = m_context.loads.total(engine.id, m_context.clock.now()).kvTokens - m_decodeBooking.work.kvTokens;
+    return known >= BusyShare * static_cast<double>(service->engine->kvTokens);
+}
+
 auto StreamRequest::dropReservation() -> void
 {
     if (!m_reservation.empty()) {
--- a/test/load_table-test.cc
+++ b/test/load_table-test.cc
@@ -73,23 +73,41 @@
 
     auto messagesSurviveTheWire() -> void
     {
-        CHECK_PROPERTY(
-            "a message is read as it was written", [](const std::string &vm, std::uint32_t sequence, bool isSum, std::uint16_t tokens) {
-                LoadMessage message{
-                    "src", vm, "place", sequence, isSum, !isSum, {3, 4}, {{"s", {1, 2, 3, 4}, 5}}, {{"e", {double(tokens), 7, 2}}}};
-                const auto read = decodeLoad(encodeLoad(message));
-                RC_ASSERT(read.has_value());
-                RC_ASSERT(read->vm == vm && read->sequence == sequence && read->isSum == isSum && read->known.upstreams == 4);
-                RC_ASSERT(read->costs.size() == 1U && read->costs[0].cost.streamMs == 3 && read->costs[0].streams == 5);
-                RC_ASSERT(read->works.size() == 1U && read->works[0].work.promptTokens == tokens);
-            });
+        CHECK_PROPERTY("a message is read as it was written",
+                       [](const std::string &vm, std::uint32_t sequence, bool isSum, std::uint16_t tokens) {
+                           LoadMessage message{"src",
+                                               vm,
+                                               "place",
+                                               sequence,
+                                               isSum,
+                                               !isSum,
+                                               {3, 4},
+                                               {{"s", {1, 2, 3, 4}, 5}},
+                                               {{"x", AvoidReason::ChangesRole, milliseconds(70)}},
+                                               {{"e", {double(tokens), 7, 2}}}};
+                           const auto read = decodeLoad(encodeLoad(message));
+                           RC_ASSERT(read.has_value());
+                           RC_ASSERT(read->vm == vm && read->sequence == sequence && read->isSum == isSum && read->known.upstreams == 4);
+                           RC_ASSERT(read->avoid == message.avoid);
+                           RC_ASSERT(read->costs.size() == 1U && read->costs[0].cost.streamMs == 3 && read->costs[0].streams == 5);
+                           RC_ASSERT(read->works.size() == 1U && read->works[0].work.promptTokens == tokens);
+                       });
     }
 
     auto hostileDatagramsAreRefused() -> void
     {
         CHECK_PROPERTY("no bytes crash the reader", [](const std::string &bytes) { (void)decodeLoad(bytes); });
         CHECK_PROPERTY("a message with one byte changed is read or refused", [](std::uint16_t position, char byte) {
-            auto bytes = encodeLoad({"src", "vm", "place", 1, false, false, {}, {{"s", {1, 2, 3, 4}, 5}}, {{"e", {1, 2, 3}}}});
+            auto bytes = encodeLoad({"src",
+                                     "vm",
+                                     "place",
+                                     1,
+                                     false,
+                                     false,
+                                     {},
+                                     {{"s", {1, 2, 3, 4}, 5}},
+                                     {{"x", AvoidReason::Leaving, seconds(1)}},
+                                     {{"e", {1, 2, 3}}}});
             bytes[position % bytes.size()] = byte;
             (void)decodeLoad(bytes);
         });
