--- a/daemons/currantctl.cc
+++ b/daemons/currantctl.cc
@@ -1,6 +1,7 @@
 // currantctl: what operators and members do from a command line.
 #include "currantstack/codec.h"
 #include "currantstack/config.h"
+#include "currantstack/edge/explain.h"
 #include "currantstack/http_client.h"
 #include "currantstack/timeline.h"
 #include "currantstack/usage.h"
@@ -32,6 +33,7 @@
   currantctl drain [options]
   currantctl order ENGINE KIND [VALUE] [options]
   currantctl timeline [--request ID] [--upstream NAME] [--revision N] [--since SECONDS] [options]
+  currantctl explain ID [LOG]
   currantctl token-hash TOKEN
   currantctl --help
 
@@ -47,8 +49,7 @@
   --revision N      Only events of the configuration revision.
   --since SECONDS   Only events of the last seconds [default: 3600].
 
-Orders:
-  KIND is role, load, unload or version; the engine's owner gives the order, with its fencing number.
+Orders: KIND is role, load, unload or version; the engine's owner gives the order, with its fencing number.
 
 Exit codes:
   0  done
@@ -73,7 +74,6 @@
 constexpr Duration CallTimeout = seconds(25);
 constexpr Duration WaitLimit = seconds(20); // for a configuration to be in force everywhere
 constexpr Duration WaitPoll = milliseconds(100);
-
 struct Answer
 {
     int status = 0; // 0: no answer
@@ -434,6 +434,9 @@
         fmt::print("{}\n", tokenHash(text("TOKEN")));
         return Done;
     }
+    if (flag("explain")) {
+        return printStory(text("ID"), text("LOG")) ? Done : Refused;
+    }
     if (flag("schema")) {
         fmt::print("{}\n", configSchema().dump(2));
         return Done;
--- a/include/currantstack/decisions/upstream_directory.h
+++ b/include/currantstack/decisions/upstream_directory.h
@@ -21,6 +21,9 @@
     Decode,
 };
 
+/// Returns "none", "prefill" or "decode".
+auto name(EngineRole role) -> std::string_view;
+
 /// One registered upstream, as it last described itself.
 struct Upstream
 {
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -2,18 +2,12 @@
 #pragma once
 
 #include "currantstack/edge/context.h"
+#include "currantstack/edge/load_message.h"
 #include "currantstack/edge/store_follower.h"
 
 namespace currantstack
 {
 
-/// The last changes of the store's records that a VM knows.
-struct StoreRevisions
-{
-    std::int64_t routes = 0;
-    std::int64_t upstreams = 0;
-};
-
 /// Turns the store's keys into the routes in force and the directory of upstreams.
 class DirectoryController
 {
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -4,6 +4,7 @@
 #include "currantstack/decisions/peer_table.h"
 #include "currantstack/edge/context.h"
 #include "currantstack/edge/directory_controller.h"
+#include "currantstack/edge/load_message.h"
 #include "currantstack/edge/vm_registry.h"
 
 #include <ev.h>
@@ -11,24 +12,6 @@
 namespace currantstack
 {
 
-/// Work at upstreams: one VM's own, or the sum of a place.
-struct LoadMessage
-{
-    std::string source; // the VM, or the place whose sum it is; parts of a long message have sources of their own
-    std::string vm; // that sent it
-    std::string place; // of that VM
-    std::uint64_t sequence = 0;
-    bool isSum = false; // of all VMs of the place
-    bool toBeSpread = false; // the receiver hands it on to the VMs of its place
-    StoreRevisions known; // to the sender
-    std::vector<ServiceCost> costs; // as the source has seen them
-    std::vector<AvoidNotice> avoid;
-    std::vector<UpstreamWork> works;
-};
-
-auto encodeLoad(const LoadMessage &message) -> std::string;
-auto decodeLoad(std::string_view bytes) -> Result<LoadMessage>;
-
 /// Sends this VM's work to the others when it has changed, and takes in theirs. In a large fleet the VMs of a place tell one
 /// another everything, and one of them tells the other places the sum. A datagram that is lost is made good by the next.
 class LoadExchange
--- a/include/currantstack/edge/settings.h
+++ b/include/currantstack/edge/settings.h
@@ -22,6 +22,7 @@
     SocketAddress readiness; // where the balancer asks whether this VM takes requests
     SocketAddress peers; // datagrams between VMs
     SocketAddress store;
+    SocketAddress metrics; // where collectors read counters and latencies
     Duration drainLimit = seconds(8); // from SIGTERM to SIGKILL
     RetryBound retries;
     Duration orderLease = seconds(3); // holders of orders take turns no faster
--- a/src/decisions/upstream_directory.cc
+++ b/src/decisions/upstream_directory.cc
@@ -5,6 +5,19 @@
 namespace currantstack
 {
 
+auto name(EngineRole role) -> std::string_view
+{
+    switch (role) {
+    case EngineRole::None:
+        return "none";
+    case EngineRole::Prefill:
+        return "prefill";
+    case EngineRole::Decode:
+        break;
+    }
+    return "decode";
+}
+
 auto UpstreamDirectory::apply(Upstream upstream) -> UpstreamChange
 {
     const auto [place, isNew] = m_entries.try_emplace(upstream.id);
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -29,19 +29,6 @@
     return "gone";
 }
 
-auto name(EngineRole role) -> std::string_view
-{
-    switch (role) {
-    case EngineRole::None:
-        return "none";
-    case EngineRole::Prefill:
-        return "prefill";
-    case EngineRole::Decode:
-        break;
-    }
-    return "decode";
-}
-
 } // namespace
 
 DirectoryController::DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store)
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -23,7 +23,6 @@
 constexpr Duration PollSpacing = milliseconds(250);
 constexpr Duration ShortestWatchWait = seconds(2);
 constexpr Duration LongestWatchWait = seconds(25); // the store allows 30 s
-constexpr std::uint16_t MetricsPort = 9464; // the usual port of metrics exporters
 constexpr std::size_t LargestBody = 8U << 20; // bytes, whatever the configuration allows
 constexpr unsigned CallerConnections = 2500; // the smallest machines allow 4,100 descriptors, upstream connections included
 
@@ -140,8 +139,8 @@
     }
     readiness = std::move(*openedReady);
     ServerOptions metricsOptions;
-    metricsOptions.address = settings.callers.ip;
-    metricsOptions.port = MetricsPort;
+    metricsOptions.address = settings.metrics.ip;
+    metricsOptions.port = settings.metrics.port;
     auto openedMetrics = HttpServer::open(loop, metricsOptions, [this](const ExchangePtr &request) {
         request->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText(counters, latencies)});
     });
--- /dev/null
+++ b/src/edge/load_message.cc
@@ -0,0 +1,152 @@
+#include "currantstack/edge/load_message.h"
+
+#include "currantstack/json.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace currantstack
+{
+
+namespace
+{
+
+/// An array for each upstream keeps the message short.
+auto encodeWorks(std::span<const UpstreamWork> works) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &[upstream, work] : works) {
+        rows.push_back({upstream, static_cast<std::int64_t>(work.promptTokens), static_cast<std::int64_t>(work.kvTokens), work.requests});
+    }
+    return rows;
+}
+
+auto decodeWork(const nlohmann::json &row) -> std::optional<UpstreamWork>
+{
+    const bool valid = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer() && row[2].is_number_integer()
+        && row[3].is_number_integer();
+    if (!valid) {
+        return std::nullopt;
+    }
+    return UpstreamWork{row[0].get<std::string>(), {row[1].get<double>(), row[2].get<double>(), row[3].get<int>()}};
+}
+
+auto encodeCosts(std::span<const ServiceCost> costs) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &[service, cost, streams] : costs) {
+        rows.push_back({service, static_cast<float>(cost.promptTokens), static_cast<float>(cost.readMs), static_cast<float>(cost.streamMs),
+                        static_cast<float>(cost.kvTokens), streams});
+    }
+    return rows;
+}
+
+auto decodeCost(const nlohmann::json &row) -> std::optional<ServiceCost>
+{
+    constexpr std::size_t Columns = 6;
+    bool valid = row.is_array() && row.size() == Columns && row[0].is_string() && row[Columns - 1].is_number_unsigned();
+    for (std::size_t column = 1; valid && column + 1 < Columns; ++column) {
+        valid = row[column].is_number() && row[column].get<double>() >= 0 && row[column].get<double>() < 1e9;
+    }
+    if (!valid) {
+        return std::nullopt;
+    }
+    return ServiceCost{row[0].get<std::string>(),
+                       {row[1].get<double>(), row[2].get<double>(), row[3].get<double>(), row[4].get<double>()},
+                       row[5].get<int>()};
+}
+
+auto encodeNotices(std::span<const AvoidNotice> notices) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &notice : notices) {
+        rows.push_back(
+            {notice.upstream, notice.reason == AvoidReason::ChangesRole, std::chrono::duration_cast<milliseconds>(notice.left).count()});
+    }
+    return rows;
+}
+
+auto decodeNotice(const nlohmann::json &row) -> std::optional<AvoidNotice>
+{
+    constexpr std::int64_t LongestMs = 60'000;
+    const bool valid = row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_boolean() && row[2].is_number_integer();
+    if (!valid) {
+        return std::nullopt;
+    }
+    const auto left = std::clamp<std::int64_t>(row[2].get<std::int64_t>(), 0, LongestMs);
+    return AvoidNotice{row[0].get<std::string>(), row[1].get<bool>() ? AvoidReason::ChangesRole : AvoidReason::Leaving, milliseconds(left)};
+}
+
+auto malformed(std::string_view what) -> tl::unexpected<Error>
+{
+    return fail(ErrorCode::BadInput, "decode load", "", what);
+}
+
+} // namespace
+
+auto encodeLoad(const LoadMessage &message) -> std::string
+{
+    const nlohmann::json document = {{"src", message.source},
+                                     {"vm", message.vm},
+                                     {"place", message.place},
+                                     {"seq", message.sequence},
+                                     {"sum", message.isSum},
+                                     {"spread", message.toBeSpread},
+                                     {"routes", message.known.routes},
+                                     {"upstreams", message.known.upstreams},
+                                     {"costs", encodeCosts(message.costs)},
+                                     {"avoid", encodeNotices(message.avoid)},
+                                     {"work", encodeWorks(message.works)}};
+    std::string bytes;
+    nlohmann::json::to_msgpack(document, bytes);
+    return bytes;
+}
+
+auto decodeLoad(std::string_view bytes) -> Result<LoadMessage>
+{
+    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    if (!document.is_object()) {
+        return malformed("no object");
+    }
+    Faults faults;
+    ObjectReader reader(document, "", faults);
+    LoadMessage message;
+    message.source = reader.text("src");
+    message.vm = reader.text("vm");
+    message.place = reader.text("place");
+    message.sequence = static_cast<std::uint64_t>(reader.integer("seq", 0, std::numeric_limits<std::int64_t>::max()));
+    message.isSum = reader.boolean("sum");
+    message.toBeSpread = reader.boolean("spread");
+    message.known.routes = reader.integer("routes", 0, std::numeric_limits<std::int64_t>::max());
+    message.known.upstreams = reader.integer("upstreams", 0, std::numeric_limits<std::int64_t>::max());
+    const auto &rows = reader.raw("work");
+    const auto &costs = reader.raw("costs");
+    const auto &notices = reader.raw("avoid");
+    if (!faults.empty() || !rows.is_array() || !costs.is_array() || !notices.is_array()) {
+        return malformed(describe(faults));
+    }
+    for (const auto &row : notices) {
+        auto notice = decodeNotice(row);
+        if (!notice) {
+            return malformed("a notice is malformed");
+        }
+        message.avoid.push_back(std::move(*notice));
+    }
+    for (const auto &row : costs) {
+        auto cost = decodeCost(row);
+        if (!cost) {
+            return malformed("a cost is malformed");
+        }
+        message.costs.push_back(std::move(*cost));
+    }
+    for (const auto &row : rows) {
+        auto work = decodeWork(row);
+        if (!work) {
+            return malformed("a row is malformed");
+        }
+        message.works.push_back(std::move(*work));
+    }
+    return message;
+}
+
+} // namespace currantstack
--- a/src/edge/role_controller.cc
+++ b/src/edge/role_controller.cc
@@ -8,11 +8,6 @@
 
 constexpr Duration CallLimit = milliseconds(800); // of a report or an order
 
-auto name(EngineRole role) -> std::string_view
-{
-    return role == EngineRole::Prefill ? "prefill" : "decode";
-}
-
 } // namespace
 
 RoleController::RoleController(EdgeContext &context, OrderHolder &holder)
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -83,6 +83,7 @@
   - {port + 2}
   - {port + 9}
 bootstrap: true
+metrics_port: {port + 9}
 bounds:
   grace_s: {grace}
   retry_budget: 0.2
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -262,7 +262,7 @@
         text = "\n".join(lines)
         for event in ("stream_placed", "first_event", "request_answered"):
             assert event in text, text
-        status, _, body = await call(rig.vms[0].ip, 9464, "GET", "/metrics", {"Host": "x"}, b"")
+        status, _, body = await call(rig.vms[0].ip, rig.vms[0].port + 9, "GET", "/metrics", {"Host": "x"}, b"")
         assert status == 200 and b"currantstack_requests_answered" in body and b"currantstack_first_event_seconds" in body
 
 
--- /dev/null
+++ b/test/explain-test.cc
@@ -0,0 +1,43 @@
+#include "currantstack/edge/explain.h"
+
+#include "check.h"
+
+#include <sstream>
+
+using namespace currantstack;
+
+class ExplainTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExplainTest);
+    CPPUNIT_TEST(tellsTheRequestInOrderWithItsSurroundings);
+    CPPUNIT_TEST(foreignLinesArePassedOver);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto tellsTheRequestInOrderWithItsSurroundings() -> void
+    {
+        std::istringstream lines(
+            R"({"time_ms":1300,"vm":"vm1","part":"forward","event":"request_given_up","request":"r1","status":502,"reason":"reset","sends":1,"age_ms":300.0,"retry_after_ms":0.0,"routes_version":7}
+{"time_ms":1000,"vm":"vm1","part":"forward","event":"service_chosen","request":"r1","upstream":"i-1","under_way":2,"health":1.0,"candidates":3,"send":1}
+{"time_ms":1200,"vm":"vm1","part":"directory","event":"upstream_changed","upstream":"i-1","change":"gone"}
+{"time_ms":1200,"vm":"vm1","part":"directory","event":"upstream_changed","upstream":"i-9","change":"gone"}
+{"time_ms":1200,"vm":"vm2","part":"directory","event":"upstream_changed","upstream":"i-1","change":"gone"}
+{"time_ms":1100,"vm":"vm1","part":"forward","event":"caller_gone","request":"r2"}
+)");
+        const auto story = explainRequest(lines, "r1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), story.size());
+        CPPUNIT_ASSERT(story[0].find("sent to i-1") != std::string::npos);
+        CPPUNIT_ASSERT(story[1].find("meanwhile: upstream_changed") != std::string::npos);
+        CPPUNIT_ASSERT(story[2].find("+300 ms vm1: given up after 300 ms with status 502: reset") != std::string::npos);
+    }
+
+    auto foreignLinesArePassedOver() -> void
+    {
+        CHECK_PROPERTY("no text crashes the reader", [](const std::string &text) {
+            std::istringstream lines(text + "\n{\"time_ms\":1}\n{\"time_ms\":\"x\",\"event\":1,\"request\":\"r1\"}\n[1]\n");
+            RC_ASSERT(explainRequest(lines, "r1").empty());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExplainTest);
--- a/test/platform/settings-test.cc
+++ b/test/platform/settings-test.cc
@@ -59,6 +59,7 @@
         CPPUNIT_ASSERT(settings->drainLimit == seconds(8));
         CPPUNIT_ASSERT(settings->places.between("z1", "z2") == Reach::OtherRegion);
         CPPUNIT_ASSERT(settings->bootstrap);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:9464"), settings->metrics.text());
     }
 
     auto newFieldsAreIgnored() -> void
