--- a/include/currantstack/decisions/role_plan.h
+++ b/include/currantstack/decisions/role_plan.h
@@ -38,8 +38,14 @@
     /// An engine that was ordered is left alone for so long, whatever became of the order.
     static constexpr Duration EngineRest = seconds(15);
 
-    /// Returns the changes to order now. `wanted` is the balanced number of prefill engines.
-    auto propose(std::span<const Upstream *const> engines, double wanted, Duration roleChange, TimePoint now) -> std::vector<RoleChange>;
+    /// The lengths of streams are known once this many of them could have ended one after the other.
+    static constexpr double SettledStreams = 3;
+
+    /// Returns the changes to order now. `wanted` is the balanced number of prefill engines, `streamLength` what it was derived
+    /// from. The streams that end first are the short ones, so that the balance leans to prefill at first; engines are
+    /// ordered that way only when it has settled.
+    auto propose(std::span<const Upstream *const> engines, double wanted, Duration streamLength, Duration roleChange, TimePoint now)
+        -> std::vector<RoleChange>;
 
     /// Notes that the engine was ordered.
     auto onOrdered(std::string_view engine, TimePoint now) -> void;
@@ -52,6 +58,7 @@
     };
 
     Direction m_direction;
+    std::optional<TimePoint> m_firstAsked;
     std::map<std::string, TimePoint, std::less<>> m_ordered;
 };
 
--- a/src/decisions/role_plan.cc
+++ b/src/decisions/role_plan.cc
@@ -48,9 +48,11 @@
     return std::clamp(count * readShare / (readShare + streamShare), 1.0, count - 1);
 }
 
-auto RolePlanner::propose(std::span<const Upstream *const> engines, double wanted, Duration roleChange, TimePoint now)
-    -> std::vector<RoleChange>
+auto RolePlanner::propose(std::span<const Upstream *const> engines, double wanted, Duration streamLength, Duration roleChange,
+                          TimePoint now) -> std::vector<RoleChange>
 {
+    const auto observed = now - m_firstAsked.value_or(now);
+    m_firstAsked = m_firstAsked.value_or(now);
     const auto prefill =
         std::count_if(engines.begin(), engines.end(), [](const auto *engine) { return engine->role == EngineRole::Prefill; });
     const double excess = static_cast<double>(prefill) - wanted;
@@ -58,7 +60,8 @@
     if (sign != m_direction.sign) {
         m_direction = {sign, now};
     }
-    if (sign == 0 || now - m_direction.since < Persistence) {
+    const bool settled = toMilliseconds(observed) >= SettledStreams * toMilliseconds(streamLength);
+    if (sign == 0 || (sign < 0 && !settled) || now - m_direction.since < Persistence) {
         return {};
     }
     const auto from = sign > 0 ? EngineRole::Prefill : EngineRole::Decode;
--- a/src/edge/role_controller.cc
+++ b/src/edge/role_controller.cc
@@ -53,7 +53,7 @@
     const auto &cost = seen.cost;
     const double wanted = balancedPrefillEngines(cost, *service.engine, engines.size());
     auto &planner = m_planners[service.name];
-    for (const auto &change : planner.propose(engines, wanted, service.engine->roleChange, now)) {
+    for (const auto &change : planner.propose(engines, wanted, fromMilliseconds(cost.streamMs), service.engine->roleChange, now)) {
         planner.onOrdered(change.engine->id, now);
         m_context.log.write("orders", "role_change_wanted",
                             {{"service", service.name},
--- a/test/role_plan-test.cc
+++ b/test/role_plan-test.cc
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(balanceLeavesBothRoles);
     CPPUNIT_TEST(smallOrShortDeviationsChangeNothing);
     CPPUNIT_TEST(fewEnginesAreAwayAtOnce);
+    CPPUNIT_TEST(shortStreamsThatEndFirstDoNotMisleadIt);
     CPPUNIT_TEST(orderedEnginesRest);
     CPPUNIT_TEST(changesComeFromTheFullestPlace);
     CPPUNIT_TEST(aFleetSettlesAtTheBalance);
@@ -68,14 +69,14 @@
         const auto upstreams = engines(6, 12);
         const auto all = pointers(upstreams);
         RolePlanner planner;
-        CPPUNIT_ASSERT(planner.propose(all, 5.5, seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 5.5, milliseconds(500), seconds(6), m_clock.now()).empty());
         m_clock.advance(seconds(10));
-        CPPUNIT_ASSERT(planner.propose(all, 5.5, seconds(6), m_clock.now()).empty());
-        CPPUNIT_ASSERT(planner.propose(all, 4, seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 5.5, milliseconds(500), seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 4, milliseconds(500), seconds(6), m_clock.now()).empty());
         m_clock.advance(seconds(1));
-        CPPUNIT_ASSERT(planner.propose(all, 8, seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 8, milliseconds(500), seconds(6), m_clock.now()).empty());
         m_clock.advance(RolePlanner::Persistence);
-        const auto changes = planner.propose(all, 8, seconds(6), m_clock.now());
+        const auto changes = planner.propose(all, 8, milliseconds(500), seconds(6), m_clock.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
         CPPUNIT_ASSERT(changes[0].role == EngineRole::Prefill && changes[0].engine->role == EngineRole::Decode);
     }
@@ -85,18 +86,36 @@
         const auto upstreams = engines(49, 91);
         const auto all = pointers(upstreams);
         RolePlanner planner;
-        planner.propose(all, 28, seconds(6), m_clock.now());
+        planner.propose(all, 28, milliseconds(500), seconds(6), m_clock.now());
         m_clock.advance(RolePlanner::Persistence);
-        const auto first = planner.propose(all, 28, seconds(6), m_clock.now());
+        const auto first = planner.propose(all, 28, milliseconds(500), seconds(6), m_clock.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(21), first.size());
         for (const auto &change : first) {
             planner.onOrdered(change.engine->id, m_clock.now());
         }
         m_clock.advance(seconds(1));
-        CPPUNIT_ASSERT(planner.propose(all, 28, seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 28, milliseconds(500), seconds(6), m_clock.now()).empty());
         // Engines that did not change are asked again after their rest only.
         m_clock.advance(RolePlanner::EngineRest);
-        CPPUNIT_ASSERT(!planner.propose(all, 28, seconds(6), m_clock.now()).empty());
+        CPPUNIT_ASSERT(!planner.propose(all, 28, milliseconds(500), seconds(6), m_clock.now()).empty());
+    }
+
+    auto shortStreamsThatEndFirstDoNotMisleadIt() -> void
+    {
+        // The load: streams of one to eight seconds. After three seconds the mean of those that have ended is two seconds, and the
+        // balance asks for 60 prefill engines of 140; in truth it is 28.
+        const auto upstreams = engines(49, 91);
+        const auto all = pointers(upstreams);
+        RolePlanner planner;
+        for (int second = 0; second < 6; ++second) {
+            CPPUNIT_ASSERT(planner.propose(all, 60, seconds(2), seconds(6), m_clock.now()).empty());
+            m_clock.advance(seconds(1));
+        }
+        planner.propose(all, 28, milliseconds(3300), seconds(6), m_clock.now());
+        m_clock.advance(RolePlanner::Persistence);
+        for (const auto &change : planner.propose(all, 28, milliseconds(3300), seconds(6), m_clock.now())) {
+            CPPUNIT_ASSERT(change.role == EngineRole::Decode);
+        }
     }
 
     auto orderedEnginesRest() -> void
@@ -104,12 +123,12 @@
         const auto upstreams = engines(1, 1);
         const auto all = pointers(upstreams);
         RolePlanner planner;
-        planner.propose(all, 0.1, seconds(1), m_clock.now());
+        planner.propose(all, 0.1, milliseconds(500), seconds(1), m_clock.now());
         m_clock.advance(RolePlanner::Persistence);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), planner.propose(all, 0.1, seconds(1), m_clock.now()).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), planner.propose(all, 0.1, milliseconds(500), seconds(1), m_clock.now()).size());
         planner.onOrdered("e0", m_clock.now());
         m_clock.advance(RolePlanner::EngineRest - milliseconds(1));
-        CPPUNIT_ASSERT(planner.propose(all, 0.1, seconds(1), m_clock.now()).empty());
+        CPPUNIT_ASSERT(planner.propose(all, 0.1, milliseconds(500), seconds(1), m_clock.now()).empty());
     }
 
     auto changesComeFromTheFullestPlace() -> void
@@ -120,9 +139,10 @@
         }
         const auto all = pointers(upstreams);
         RolePlanner planner;
-        planner.propose(all, 3, seconds(6), m_clock.now());
+        planner.propose(all, 3, milliseconds(500), seconds(6), m_clock.now());
         m_clock.advance(RolePlanner::Persistence);
-        CPPUNIT_ASSERT_EQUAL(std::string("p2"), planner.propose(all, 3, seconds(6), m_clock.now()).front().engine->place);
+        CPPUNIT_ASSERT_EQUAL(std::string("p2"),
+                             planner.propose(all, 3, milliseconds(500), seconds(6), m_clock.now()).front().engine->place);
     }
 
     auto aFleetSettlesAtTheBalance() -> void
@@ -131,7 +151,7 @@
         RolePlanner planner;
         int orders = 0;
         for (int second = 0; second < 120; ++second) {
-            for (const auto &change : planner.propose(pointers(upstreams), 28, seconds(6), m_clock.now())) {
+            for (const auto &change : planner.propose(pointers(upstreams), 28, milliseconds(500), seconds(6), m_clock.now())) {
                 planner.onOrdered(change.engine->id, m_clock.now());
                 const_cast<Upstream *>(change.engine)->role = change.role;
                 ++orders;
