--- a/include/currantstack/decisions/avoid_list.h
+++ b/include/currantstack/decisions/avoid_list.h
@@ -17,7 +17,7 @@
 {
     ChangesRole, // an order has it away for some seconds
     Leaving, // its entry says so, or is gone
-    Outdated, // it answered that it is not, or no longer does, what its entry says
+    Outdated, // at its address is nothing, or an engine that is not, or no longer does, what the entry says
 };
 
 /// What one VM tells the others of an upstream.
@@ -43,7 +43,7 @@
     static constexpr Duration LongestPause = seconds(3);
     /// How long a notice of a leaving upstream is spread; VMs that reach the store know by themselves.
     static constexpr Duration LeavingLife = seconds(6);
-    /// An engine that is another one than its entry says: its new entry comes within some check-ins.
+    /// The store drops or replaces the entry within some check-ins.
     static constexpr Duration OutdatedLife = seconds(5);
     static constexpr std::size_t MaxNotices = 40; // in one message
     /// A notice ends so long after it was first heard, however often it is told again.
--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -6,6 +6,8 @@
 namespace currantstack
 {
 
+inline constexpr int MisdirectedRequest = 421; // the engine at the address is another one, or has another role
+
 /// How long a connection to an upstream may take. Longer than a round trip between regions, shorter than the first
 /// retransmission of a lost opening packet (1 s), after which another upstream is the better choice.
 inline constexpr Duration ConnectLimit = milliseconds(400);
--- a/include/currantstack/edge/order_holder.h
+++ b/include/currantstack/edge/order_holder.h
@@ -1,6 +1,7 @@
 // One VM at a time gives orders to engines: the holder of a leased key, whose revision is its fencing token.
 #pragma once
 
+#include "currantstack/decisions/order_term.h"
 #include "currantstack/edge/context.h"
 #include "currantstack/store.h"
 
@@ -14,7 +15,6 @@
     static constexpr seconds LeaseTtl{5}; // how long orders pause after a holder has died
     static constexpr Duration KeepPeriod = milliseconds(1500); // two renewals may fail before the lease ends
     static constexpr Duration LookPeriod = seconds(4); // between looks at whether the key is free; a stale read each
-    static constexpr Duration SendMargin = milliseconds(1000); // an order that is sent now arrives within it
 
     /// `bootClock` goes on while the process or its machine stands still.
     OrderHolder(EdgeContext &context, const StoreCodec &codec, Store &store, const Clock &bootClock);
@@ -41,9 +41,7 @@
     const Clock &m_bootClock;
     std::unique_ptr<Timer> m_timer;
     std::int64_t m_lease = 0;
-    std::int64_t m_fence = 0; // 0: not the holder
-    TimePoint m_heldSince; // by the boot clock, as the next
-    TimePoint m_validUntil;
+    OrderTerm m_term;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/currantstack/error.h
+++ b/include/currantstack/error.h
@@ -39,6 +39,7 @@
     std::string step;
     std::string peer;
     std::string message;
+    bool connectionRefused = false; // the peer's host answered that nothing listens at the address
 };
 
 template<typename T>
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -261,7 +261,7 @@
 {
     long sent = 0;
     curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &sent);
-    Error error{ErrorCode::Unavailable, call.call.step, call.call.peer, curl_easy_strerror(code)};
+    Error error{ErrorCode::Unavailable, call.call.step, call.call.peer, curl_easy_strerror(code), false};
     if (call.idleExpired) {
         error.code = ErrorCode::DeadlineExceeded;
         error.message = "no progress in time";
@@ -269,7 +269,10 @@
         error.code = ErrorCode::DeadlineExceeded;
     }
     if (sent == 0) {
+        long systemError = 0;
+        curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &systemError);
         error.code = ErrorCode::Unreachable;
+        error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
     }
     return error;
 }
--- /dev/null
+++ b/src/base/http_server_core.cc
@@ -0,0 +1,288 @@
+#include "http_server_core.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace currantstack::detail
+{
+
+namespace
+{
+
+auto listenSocket(const ServerOptions &options) -> Result<int>
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    const auto where = fmt::format("{}:{}", options.address, options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+        return fail(ErrorCode::BadInput, "listen", where, "the address is not an IP number");
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0 || listen(descriptor, 1024) != 0) {
+        const std::string reason = std::strerror(errno);
+        ::close(descriptor);
+        return fail(ErrorCode::Unavailable, "listen", where, reason);
+    }
+    return descriptor;
+}
+
+auto collect(void *list, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
+{
+    static_cast<Headers *>(list)->push_back({name, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+} // namespace
+
+auto ServerCore::start(const ServerOptions &options) -> Result<void>
+{
+    const auto descriptor = listenSocket(options);
+    if (!descriptor) {
+        return tl::unexpected(descriptor.error());
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    getsockname(*descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
+    m_port = ntohs(bound.sin_port);
+    m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this, MHD_OPTION_NOTIFY_CONNECTION,
+        &ServerCore::onConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor,
+        MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections,
+        MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+        ::close(*descriptor);
+        return fail(ErrorCode::Internal, "listen", options.address, "the HTTP daemon did not start");
+    }
+    const auto *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    ev_io_init(&m_io, &ServerCore::onReadable, info->epoll_fd, EV_READ);
+    m_io.data = this;
+    ev_io_start(m_loop.raw(), &m_io);
+    m_timer = m_loop.timer([this]() { run(); });
+    return {};
+}
+
+auto ServerCore::close() -> void
+{
+    if (m_daemon == nullptr) {
+        return;
+    }
+    ev_io_stop(m_loop.raw(), &m_io);
+    m_timer.reset();
+    // libmicrohttpd must not be stopped while connections are suspended.
+    for (auto *exchange : m_active) {
+        exchange->m_aborted = true;
+        exchange->m_answered = true;
+        if (std::exchange(exchange->m_suspended, false)) {
+            MHD_resume_connection(exchange->m_connection);
+        }
+    }
+    MHD_run(m_daemon);
+    MHD_stop_daemon(m_daemon);
+    m_daemon = nullptr;
+}
+
+auto ServerCore::quiesce() -> void
+{
+    if (!m_quiesced && m_daemon != nullptr) {
+        m_quiesced = true;
+        const auto descriptor = MHD_quiesce_daemon(m_daemon);
+        if (descriptor != MHD_INVALID_SOCKET) {
+            ::close(descriptor);
+        }
+    }
+}
+
+auto ServerCore::scheduleRun() -> void
+{
+    if (m_runScheduled) {
+        return;
+    }
+    m_runScheduled = true;
+    m_loop.defer([weak = weak_from_this()]() {
+        if (const auto core = weak.lock()) {
+            core->m_runScheduled = false;
+            core->run();
+        }
+    });
+}
+
+auto ServerCore::run() -> void
+{
+    if (m_daemon == nullptr) {
+        return;
+    }
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    if (MHD_get_timeout(m_daemon, &timeout) == MHD_YES) {
+        m_timer->startOnce(milliseconds(static_cast<long long>(timeout)));
+    } else {
+        m_timer->stop();
+    }
+}
+
+auto ServerCore::onReadable(struct ev_loop * /*loop*/, ev_io *watcher, int /*events*/) -> void
+{
+    static_cast<ServerCore *>(watcher->data)->run();
+}
+
+auto ServerCore::onConnection(void *context, MHD_Connection *connection, void ** /*state*/, MHD_ConnectionNotificationCode code) -> void
+{
+    auto &connections = static_cast<ServerCore *>(context)->m_connections;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        connections.insert(connection);
+    } else {
+        connections.erase(connection);
+    }
+}
+
+auto ServerCore::closeIdle() -> void
+{
+    auto idle = m_connections;
+    for (const auto *exchange : m_active) {
+        idle.erase(exchange->m_connection);
+    }
+    for (auto *connection : idle) {
+        // The end of input lets libmicrohttpd close the connection; a request that is on its way then finds it closed unread.
+        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        ::shutdown(info->connect_fd, SHUT_RD);
+    }
+    scheduleRun();
+}
+
+auto ServerCore::onTarget(void *context, const char *target, MHD_Connection *connection) -> void *
+{
+    auto *self = static_cast<ServerCore *>(context);
+    auto exchange = std::make_shared<Exchange>(self->weak_from_this(), connection);
+    exchange->m_request.target = target;
+    self->m_active.insert(exchange.get());
+    return new ExchangePtr(std::move(exchange));
+}
+
+auto ServerCore::readHead(Exchange &exchange, const char *method, const char *url) -> void
+{
+    auto *connection = exchange.m_connection;
+    exchange.m_request.method = method;
+    exchange.m_request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect, &exchange.m_request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect, &exchange.m_request.query);
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, m_idleTimeout);
+    const int on = 1;
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+auto ServerCore::onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char * /*version*/,
+                          const char *data, size_t *size, void **state) -> MHD_Result
+{
+    auto *self = static_cast<ServerCore *>(context);
+    auto &exchange = **static_cast<ExchangePtr *>(*state);
+    if (!std::exchange(exchange.m_headRead, true)) {
+        self->readHead(exchange, method, url);
+        const auto fault = self->m_strictFraming ? framingFault(exchange.m_request) : std::string_view();
+        if (!fault.empty()) {
+            exchange.respond({400, {{"Connection", "close"}}, std::string(fault)});
+            return self->queue(exchange);
+        }
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        if (exchange.m_request.body.size() + *size > self->m_maxBody) {
+            exchange.m_bodyTooLarge = true;
+        } else {
+            exchange.m_request.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (!exchange.m_dispatched) {
+        exchange.m_dispatched = true;
+        if (exchange.m_bodyTooLarge) {
+            exchange.respond(
+                {413, {{"Content-Type", "application/problem+json"}}, R"({"title":"body too large","status":413,"ran":"no"})"});
+        } else {
+            self->m_handler(*static_cast<ExchangePtr *>(*state));
+        }
+    }
+    if (exchange.m_answered) {
+        return self->queue(exchange);
+    }
+    exchange.m_suspended = true;
+    MHD_suspend_connection(connection);
+    exchange.watchCaller();
+    return MHD_YES;
+}
+
+auto ServerCore::queue(Exchange &exchange) -> MHD_Result
+{
+    if (exchange.m_queued) {
+        return MHD_YES;
+    }
+    exchange.m_queued = true;
+    if (exchange.m_aborted && !exchange.m_streaming) {
+        return MHD_NO;
+    }
+    MHD_Response *response = nullptr;
+    if (exchange.m_streaming) {
+        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 16U << 10, &ServerCore::onRead, &exchange, nullptr);
+    } else {
+        response = MHD_create_response_from_buffer(exchange.m_response.body.size(), exchange.m_response.body.data(), MHD_RESPMEM_MUST_COPY);
+    }
+    for (const auto &header : exchange.m_response.headers) {
+        MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+    }
+    const auto result = MHD_queue_response(exchange.m_connection, static_cast<unsigned>(exchange.m_response.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+auto ServerCore::onRead(void *context, std::uint64_t /*position*/, char *buffer, size_t size) -> ssize_t
+{
+    auto *exchange = static_cast<Exchange *>(context);
+    const auto waiting = exchange->pendingBytes();
+    if (exchange->m_aborted) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (waiting == 0) {
+        if (exchange->m_ended) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        exchange->m_suspended = true;
+        MHD_suspend_connection(exchange->m_connection);
+        exchange->watchCaller();
+        return 0;
+    }
+    const auto taken = std::min(size, waiting);
+    std::memcpy(buffer, exchange->m_pending.data() + exchange->m_pendingOffset, taken);
+    exchange->m_pendingOffset += taken;
+    if (exchange->m_pendingOffset == exchange->m_pending.size()) {
+        exchange->m_pending.clear();
+        exchange->m_pendingOffset = 0;
+    }
+    return static_cast<ssize_t>(taken);
+}
+
+auto ServerCore::onCompleted(void *context, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode code) -> void
+{
+    if (*state == nullptr) {
+        return;
+    }
+    auto *holder = static_cast<ExchangePtr *>(*state);
+    const auto exchange = std::move(*holder);
+    delete holder;
+    *state = nullptr;
+    static_cast<ServerCore *>(context)->m_active.erase(exchange.get());
+    exchange->release();
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        exchange->noteGone();
+    }
+}
+
+} // namespace currantstack::detail
--- /dev/null
+++ b/src/base/http_server_core.h
@@ -0,0 +1,81 @@
+// The libmicrohttpd daemon of one HttpServer, run by the loop.
+#pragma once
+
+#include "currantstack/http_server.h"
+
+#include <microhttpd.h>
+#include <unordered_set>
+
+namespace currantstack::detail
+{
+
+/// Owns the daemon and its watchers; exchanges hold it weakly.
+class ServerCore : public std::enable_shared_from_this<ServerCore>
+{
+public:
+    ServerCore(Loop &loop, HttpServer::Handler handler, const ServerOptions &options)
+        : m_loop(loop)
+        , m_handler(std::move(handler))
+        , m_maxBody(options.maxBody)
+        , m_strictFraming(options.strictFraming)
+        , m_idleTimeout(options.idleTimeout)
+    { }
+
+    ~ServerCore()
+    {
+        close();
+    }
+
+    auto start(const ServerOptions &options) -> Result<void>;
+    auto close() -> void;
+    auto quiesce() -> void;
+
+    /// Lets the daemon run once before the loop next waits.
+    auto scheduleRun() -> void;
+
+    auto loop() -> Loop &
+    {
+        return m_loop;
+    }
+
+    auto port() const -> std::uint16_t
+    {
+        return m_port;
+    }
+
+    auto closeIdle() -> void;
+
+    auto setIdleTimeout(unsigned limit) -> void
+    {
+        m_idleTimeout = limit;
+    }
+
+    std::unordered_set<Exchange *> m_active; // requests being answered
+
+private:
+    static auto onConnection(void *context, MHD_Connection *connection, void **state, MHD_ConnectionNotificationCode code) -> void;
+    static auto onTarget(void *context, const char *target, MHD_Connection *connection) -> void *;
+    static auto onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
+                         const char *data, size_t *size, void **state) -> MHD_Result;
+    static auto onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code) -> void;
+    static auto onRead(void *context, std::uint64_t position, char *buffer, size_t size) -> ssize_t;
+    static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
+    auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
+    auto queue(Exchange &exchange) -> MHD_Result;
+    auto run() -> void;
+
+    Loop &m_loop;
+    HttpServer::Handler m_handler;
+    std::size_t m_maxBody;
+    bool m_strictFraming;
+    unsigned m_idleTimeout; // seconds
+    std::unordered_set<MHD_Connection *> m_connections; // open ones
+    MHD_Daemon *m_daemon = nullptr;
+    ev_io m_io{};
+    std::unique_ptr<Timer> m_timer;
+    std::uint16_t m_port = 0;
+    bool m_runScheduled = false;
+    bool m_quiesced = false;
+};
+
+} // namespace currantstack::detail
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -6,8 +6,6 @@
 namespace
 {
 
-constexpr int MisdirectedRequest = 421;
-
 auto promisesNotRun(int status) -> bool
 {
     return status == 408 || status == MisdirectedRequest || status == 429 || status == 503;
--- a/src/edge/order_holder.cc
+++ b/src/edge/order_holder.cc
@@ -9,12 +9,13 @@
     , m_store(store)
     , m_bootClock(bootClock)
     , m_timer(context.loop.timer([this]() {
-        if (m_fence == 0) {
-            look();
-        } else {
+        if (m_term.isHeld()) {
             keep();
+        } else {
+            look();
         }
     }))
+    , m_term(LeaseTtl, context.settings.orderLease)
 { }
 
 auto OrderHolder::start() -> void
@@ -26,7 +27,7 @@
 {
     *m_alive = false;
     m_timer->stop();
-    m_fence = 0;
+    m_term.end();
 }
 
 auto OrderHolder::lookLater() -> void
@@ -81,11 +82,10 @@
             return;
         }
         m_lease = lease;
-        m_fence = outcome->revision;
-        m_heldSince = m_bootClock.now();
-        m_validUntil = grantedAt + LeaseTtl;
+        m_term = OrderTerm(LeaseTtl, m_context.settings.orderLease);
+        m_term.begin(outcome->revision, grantedAt, m_bootClock.now());
         m_context.counters.at("order_holder").set(1);
-        m_context.log.write("orders", "holder_won", {{"fence", m_fence}, {"lease", lease}});
+        m_context.log.write("orders", "holder_won", {{"fence", m_term.token()}, {"lease", lease}});
         m_timer->startOnce(KeepPeriod);
     });
 }
@@ -93,12 +93,12 @@
 auto OrderHolder::keep() -> void
 {
     const auto askedAt = m_bootClock.now();
-    if (askedAt >= m_validUntil) {
+    if (m_term.mayHaveLapsed(askedAt)) {
         resign("the lease was not renewed in time");
         return;
     }
     m_store.keepLease(m_lease, [this, alive = m_alive, askedAt](const Result<bool> &kept) {
-        if (!*alive || m_fence == 0) {
+        if (!*alive || !m_term.isHeld()) {
             return;
         }
         if (kept && !*kept) {
@@ -106,7 +106,7 @@
             return;
         }
         if (kept) {
-            m_validUntil = askedAt + LeaseTtl;
+            m_term.renew(askedAt);
         }
         m_timer->startOnce(KeepPeriod);
     });
@@ -114,21 +114,17 @@
 
 auto OrderHolder::fence() const -> std::optional<std::int64_t>
 {
-    const auto now = m_bootClock.now();
-    if (m_fence == 0 || now + SendMargin >= m_validUntil || now - m_heldSince < m_context.settings.orderLease + SendMargin) {
-        return std::nullopt;
-    }
-    return m_fence;
+    return m_term.fence(m_bootClock.now());
 }
 
 auto OrderHolder::resign(std::string_view reason) -> void
 {
-    if (m_fence == 0) {
+    if (!m_term.isHeld()) {
         return;
     }
-    m_context.log.write("orders", "holder_resigned", {{"fence", m_fence}, {"reason", reason}});
+    m_context.log.write("orders", "holder_resigned", {{"fence", m_term.token()}, {"reason", reason}});
     m_context.counters.at("order_holder").set(0);
-    m_fence = 0;
+    m_term.end();
     lookLater();
 }
 
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -7,8 +7,6 @@
 namespace
 {
 
-constexpr int MisdirectedRequest = 421; // the engine at the address is another one, or has another role
-
 // A resumable stream moves when its engine is silent for so long. Shorter than the time after which callers leave, longer than
 // the pauses of an engine that is only busy.
 constexpr Duration EventStall = milliseconds(900);
@@ -141,7 +139,7 @@
     }
     m_decodeCall = 0;
     if (!result) {
-        onBroken(judgeError(result.error()), describe(result.error()));
+        onBroken(judgeError(result.error()), describe(result.error()), result.error().connectionRefused);
         return;
     }
     if (m_collecting) {
@@ -185,18 +183,13 @@
     onBroken(SendOutcome::Unknown, "no event in time");
 }
 
-auto StreamRequest::onBroken(SendOutcome outcome, std::string_view reason, bool misdirected) -> void
+auto StreamRequest::onBroken(SendOutcome outcome, std::string_view reason, bool isOutdated) -> void
 {
     const auto now = m_context.clock.now();
     m_attempt.onOutcome(outcome);
-    if (misdirected) {
-        // The engine itself says that its entry is out of date, which other VMs need not find out for themselves.
-        m_context.avoid.add({m_decodeEngine.id, AvoidReason::Outdated, EngineRole::None, AvoidList::OutdatedLife}, now);
-    }
-    const bool handleLost = outcome == SendOutcome::NotRun && !m_kvSource.empty() && !misdirected;
+    const bool handleLost = outcome == SendOutcome::NotRun && !m_kvSource.empty() && !isOutdated;
     if (!handleLost) {
-        m_context.avoid.onRefused(m_decodeEngine.id, now);
-        m_context.health.observeFailure(m_decodeEngine.id, now);
+        noteFailure(m_decodeEngine, isOutdated);
     }
     m_context.log.write("stream", "stream_broken",
                         {{"request", m_request.facts.requestId},
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -48,8 +48,11 @@
         startDecode();
         return;
     }
-    leavePrefill(result ? SendOutcome::NotRun : judgeError(result.error()),
-                 result ? fmt::format("status {}", result->status) : describe(result.error()));
+    if (result) {
+        leavePrefill(SendOutcome::NotRun, fmt::format("status {}", result->status), result->status == MisdirectedRequest);
+    } else {
+        leavePrefill(judgeError(result.error()), describe(result.error()), result.error().connectionRefused);
+    }
 }
 
 auto StreamRequest::takeHandle(const HttpResponse &response) -> bool
@@ -70,7 +73,7 @@
     return true;
 }
 
-auto StreamRequest::leavePrefill(SendOutcome outcome, std::string_view reason) -> void
+auto StreamRequest::leavePrefill(SendOutcome outcome, std::string_view reason, bool isOutdated) -> void
 {
     if (m_done || m_decoding) {
         return;
@@ -78,8 +81,7 @@
     const auto now = m_context.clock.now();
     m_prefillLimit->stop();
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
-    m_context.health.observeFailure(m_prefillEngine.id, now);
-    m_context.avoid.onRefused(m_prefillEngine.id, now);
+    noteFailure(m_prefillEngine, isOutdated);
     m_context.counters.at("prefills_left").add();
     m_context.log.write("stream", "prefill_left",
                         {{"request", m_request.facts.requestId},
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -56,12 +56,13 @@
     auto onReserved(const Result<HttpResponse> &result, bool split) -> void;
     auto dropReservation() -> void;
     auto isBusy(const Upstream &engine) const -> bool;
+    auto noteFailure(const Upstream &engine, bool isOutdated) -> void;
 
     // stream_prefill.cc
     auto startPrefill() -> void;
     auto onPrefilled(Result<HttpResponse> result) -> void;
     auto takeHandle(const HttpResponse &response) -> bool;
-    auto leavePrefill(SendOutcome outcome, std::string_view reason) -> void;
+    auto leavePrefill(SendOutcome outcome, std::string_view reason, bool isOutdated = false) -> void;
     auto freeHandle() -> void;
 
     // stream_decode.cc
@@ -73,7 +74,7 @@
     auto onFirstEvent() -> void;
     auto onStall() -> void;
     auto restartStallTimer() -> void;
-    auto onBroken(SendOutcome outcome, std::string_view reason, bool misdirected = false) -> void;
+    auto onBroken(SendOutcome outcome, std::string_view reason, bool isOutdated = false) -> void;
     auto goOnElsewhere(SendOutcome outcome, std::string_view reason) -> bool;
     auto planResumed() const -> std::optional<StreamPlan>;
     auto startAnew(SendOutcome outcome) -> bool;
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -51,9 +51,6 @@
         return;
     }
     const auto now = m_context.clock.now();
-    if (reserved.error().code != ErrorCode::Overloaded) {
-        m_context.health.observeFailure(m_decodeEngine.id, now);
-    }
     m_context.counters.at("reservations_refused").add();
     m_context.log.write("stream", "reservation_refused",
                         {{"request", m_request.facts.requestId},
@@ -65,8 +62,10 @@
     if (reserved.error().code == ErrorCode::Overloaded && isBusy(m_decodeEngine)) {
         const auto length = m_context.speedsOf(m_request.service).streamLength();
         m_context.avoid.onFull(m_decodeEngine.id, m_context.loads.total(m_decodeEngine.id, now).requests, length, now);
-    } else {
+    } else if (reserved.error().code == ErrorCode::Overloaded) {
         m_context.avoid.onRefused(m_decodeEngine.id, now);
+    } else {
+        noteFailure(m_decodeEngine, reserved.error().connectionRefused);
     }
     if (!m_handle.empty() && redirect()) {
         return;
@@ -75,6 +74,19 @@
     placeOrWait();
 }
 
+/// Leaves the engine alone for a while. Where the engine or its host itself says that its entry is out of date, other VMs are told, so
+/// that each need not find out by a request of its own.
+auto StreamRequest::noteFailure(const Upstream &engine, bool isOutdated) -> void
+{
+    const auto now = m_context.clock.now();
+    m_context.health.observeFailure(engine.id, now);
+    m_context.avoid.onRefused(engine.id, now);
+    if (isOutdated) {
+        m_context.avoid.add({engine.id, AvoidReason::Outdated, EngineRole::None, AvoidList::OutdatedLife}, now);
+        m_context.log.write("stream", "entry_outdated", {{"request", m_request.facts.requestId}, {"engine", engine.id}});
+    }
+}
+
 auto StreamRequest::isBusy(const Upstream &engine) const -> bool
 {
     const auto *service = m_request.table->service(m_request.service);
--- a/test/http_server-test.cc
+++ b/test/http_server-test.cc
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(survivesJunk);
     CPPUNIT_TEST(abortedStreamIsNoWholeAnswer);
     CPPUNIT_TEST(tellsThatNothingWasSent);
+    CPPUNIT_TEST(silenceIsNoRefusal);
     CPPUNIT_TEST(namesAreNotResolved);
     CPPUNIT_TEST(idleCallEnds);
     CPPUNIT_TEST_SUITE_END();
@@ -190,6 +191,36 @@
         call.url = "http://127.0.0.1:1/";
         const auto result = rig.make(std::move(call));
         CPPUNIT_ASSERT(!result && result.error().code == ErrorCode::Unreachable);
+        CPPUNIT_ASSERT(result.error().connectionRefused);
+    }
+
+    auto silenceIsNoRefusal() -> void
+    {
+        // A socket that listens but whose queue is full drops what comes; the address may be in use.
+        const int silent = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        CPPUNIT_ASSERT_EQUAL(0, bind(silent, reinterpret_cast<const sockaddr *>(&address), length));
+        CPPUNIT_ASSERT_EQUAL(0, listen(silent, 0));
+        getsockname(silent, reinterpret_cast<sockaddr *>(&address), &length);
+        Rig rig([](const ExchangePtr &) {});
+        std::vector<int> fillers;
+        for (int count = 0; count < 4; ++count) {
+            fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+            connect(fillers.back(), reinterpret_cast<const sockaddr *>(&address), length);
+        }
+        HttpCall call;
+        call.url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+        call.connectTimeout = milliseconds(300);
+        call.totalTimeout = milliseconds(600);
+        const auto result = rig.make(std::move(call));
+        CPPUNIT_ASSERT(!result && !result.error().connectionRefused);
+        for (const int filler : fillers) {
+            ::close(filler);
+        }
+        ::close(silent);
     }
 
     auto namesAreNotResolved() -> void
