--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -160,11 +160,12 @@
             if self.role != "prefill":
                 return response(421)
             await asyncio.sleep(prompt / self.READ / 1000)
+            self.note("prompt_read", request)
             handle = f"k{next(self.numbers_here)}"
             self.handles[handle] = request.header("request-id")
             asyncio.get_running_loop().call_later(0.5, self.handles.pop, handle, None)
             return response(200, body={"kv_handle": handle, "tokens": prompt, "version": 1})
-        if self.role != "decode":
+        if self.role != "decode" or self.is_faulty("moved"):
             return response(421)
         source = request.header("kv-source")
         if source and not self.take(source, request):
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -226,6 +226,19 @@
             assert (await rig.ask(kind))[1] == 200
 
 
+async def read_prompts_go_to_another_decode_engine():
+    """A decode engine takes the reservation but not the stream; the prompt's memory goes to another one and is not read again."""
+    async with Rig(prefill=1, decode=2) as rig:
+        nearest = rig.fleet.engines[2]  # in the VM's own place
+        nearest.fault, nearest.fault_share = "moved", 1.0
+        for _ in range(4):
+            assert (await rig.ask("stream"))[1] == 200
+        read = [entry for entry in rig.fleet.history if entry["event"] == "prompt_read"]
+        assert len(read) == 4, f"4 streams, {len(read)} prompts read"
+        await asyncio.sleep(1.2)  # until the log is flushed
+        assert rig.vms[0].lines().count('"stream_redirected"') == 1, "the engine is left alone after its first answer"
+
+
 async def orders_have_one_holder():
     """The holder of orders is frozen past its lease; when it wakes it gives no order that its successor's fence forbids."""
     async with Rig(vms=2, prefill=4, decode=2) as rig:
@@ -285,7 +298,8 @@
 TESTS = [whole_path, resumed_stream, torn_stream_is_not_complete, bookings_run_once, checks_are_repeated, refusals_are_true,
          silent_upstreams_time_out, smuggled_requests_are_refused, callers_that_leave_stop_their_engines, drained_vm_cuts_nothing,
          drain_closes_kept_connections, draining_upstreams_get_nothing, configuration_comes_into_force, forgotten_history_is_read_anew,
-         requests_are_served_while_the_store_is_away, killed_vms_return, restarted_engines_are_told_apart, orders_have_one_holder,
+         requests_are_served_while_the_store_is_away, killed_vms_return, restarted_engines_are_told_apart,
+         read_prompts_go_to_another_decode_engine, orders_have_one_holder,
          long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request]
 
 
