Refusals of engines that are gone are forgotten

Rows now go with their pause, those that count doublings after ten of the longest pauses.

Ruled out: dropping them with the directory's entry, as an engine that lapses with the store comes back.

--- a/src/decisions/avoid_list.cc
+++ b/src/decisions/avoid_list.cc
@@ -8,6 +8,8 @@
 auto AvoidList::onRefused(std::string_view upstream, TimePoint now) -> void
 {
     constexpr int MaxDoublings = 10;
+    constexpr int MemoryFactor = 10; // of the longest pause, in which the doublings are kept
+    std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.until >= MemoryFactor * LongestPause; });
     auto &refusal = m_refusals[std::string(upstream)];
     refusal.until = now + std::min<Duration>(LongestPause, FirstPause * (1 << refusal.count));
     refusal.count = std::min(refusal.count + 1, MaxDoublings);
@@ -15,6 +17,7 @@
 
 auto AvoidList::onFull(std::string_view upstream, int requests, Duration requestLength, TimePoint now) -> void
 {
+    std::erase_if(m_full, [now](const auto &entry) { return entry.second.until <= now; });
     // Requests of all ages are under way, so that one ends in this time on average.
     const auto nextEnd = requestLength / std::max(1, requests);
     m_full.insert_or_assign(std::string(upstream), Full{requests, now + std::clamp(nextEnd, ShortestFullPause, LongestFullPause)});
