--- a/src/decisions/avoid_list.cc
+++ b/src/decisions/avoid_list.cc
@@ -5,11 +5,17 @@
 namespace currantstack
 {
 
+namespace
+{
+
+constexpr int MaxDoublings = 10;
+constexpr Duration RefusalMemory = 10 * AvoidList::LongestPause; // in which the doublings are kept
+
+} // namespace
+
 auto AvoidList::onRefused(std::string_view upstream, TimePoint now) -> void
 {
-    constexpr int MaxDoublings = 10;
-    constexpr int MemoryFactor = 10; // of the longest pause, in which the doublings are kept
-    std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.until >= MemoryFactor * LongestPause; });
+    std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.until >= RefusalMemory; });
     auto &refusal = m_refusals[std::string(upstream)];
     refusal.until = now + std::min<Duration>(LongestPause, FirstPause * (1 << refusal.count));
     refusal.count = std::min(refusal.count + 1, MaxDoublings);
