The HTTP client, currantctl's console and what stand-ins and relays shared, each in one place

Cause: http_client.cc (502 lines) set up calls, took in their answers and ran libcurl by the loop; currantctl.cc (500) held its client as well. Three stand-ins opened their server by the same lines, two relays began alike, two benches filled a ledger alike. A redirected stream kept the first plan's expected time for its stall timer.

Change: http_client (what callers see), http_call (one call), and http_client_core (the loop); console; standin/serve.h; beginRelay in relay.cc; adoptEngines. redirect() takes the new plan's time. Comments and pages say heartbeat and deadline.

Ruled out as duplicates: the store's interface and its override, settings read field by field, structs and includes of one shape.

--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -46,6 +46,16 @@
     return document;
 }
 
+auto adoptEngines(SlotLedger &ledger, int engines) -> void
+{
+    for (int index = 0; index < engines; ++index) {
+        Engine engine;
+        engine.name = fmt::format("engine{}", index);
+        engine.pool = "decode";
+        ledger.adopt(engine, Start);
+    }
+}
+
 auto makeVm(int index) -> Vm
 {
     Vm vm;
@@ -78,12 +88,7 @@
     const double before = heapBytes();
     SlotLedger ledger;
     const int engines = static_cast<int>(state.range(0));
-    for (int index = 0; index < engines; ++index) {
-        Engine engine;
-        engine.name = fmt::format("engine{}", index);
-        engine.pool = "decode";
-        ledger.adopt(engine, Start);
-    }
+    adoptEngines(ledger, engines);
     SlotRequest request;
     request.pool = "decode";
     request.member = "member";
@@ -106,12 +111,7 @@
 auto decideWithQueue(benchmark::State &state) -> void
 {
     SlotLedger ledger;
-    for (int index = 0; index < 14; ++index) {
-        Engine engine;
-        engine.name = fmt::format("engine{}", index);
-        engine.pool = "decode";
-        ledger.adopt(engine, Start);
-    }
+    adoptEngines(ledger, 14);
     SlotRequest request;
     request.pool = "decode";
     request.deadline = Start + seconds(100);
--- a/daemons/currantctl.cc
+++ b/daemons/currantctl.cc
@@ -2,10 +2,11 @@
 #include "currantstack/codec.h"
 #include "currantstack/config.h"
 #include "currantstack/edge/explain.h"
-#include "currantstack/http_client.h"
 #include "currantstack/timeline.h"
 #include "currantstack/usage.h"
 
+#include "console.h"
+
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 #include <fstream>
@@ -17,6 +18,8 @@
 {
 
 using namespace currantstack;
+using currantctl::Answer;
+using currantctl::Console;
 
 constexpr auto Usage = R"(currantctl: drives a currantstack router.
 
@@ -71,84 +74,8 @@
     Unreached = 3,
 };
 
-constexpr Duration CallTimeout = seconds(25);
 constexpr Duration WaitLimit = seconds(20); // for a configuration to be in force everywhere
 constexpr Duration WaitPoll = milliseconds(100);
-struct Answer
-{
-    int status = 0; // 0: no answer
-    Json body;
-    std::string problem;
-};
-
-/// Makes calls one after the other, or to many VMs at once.
-class Console
-{
-public:
-    Console(std::string vm, std::string token)
-        : m_client(m_loop)
-        , m_vm(std::move(vm))
-        , m_token(std::move(token))
-    { }
-
-    auto call(const std::string &method, const std::string &path, const Json &body = {}) -> Answer
-    {
-        return callAll({m_vm}, method, path, body).front();
-    }
-
-    auto callAll(const std::vector<std::string> &addresses, const std::string &method, const std::string &path, const Json &body = {})
-        -> std::vector<Answer>
-    {
-        std::vector<Answer> answers(addresses.size());
-        auto open = addresses.size();
-        for (std::size_t index = 0; index < addresses.size(); ++index) {
-            HttpCall http;
-            http.method = method;
-            http.url = urlOf(addresses[index], path);
-            http.headers = {{"Authorization", "Bearer " + m_token}, {"Content-Type", "application/json"}};
-            http.body = body.is_null() ? std::string() : dumpJson(body);
-            http.connectTimeout = seconds(2);
-            http.totalTimeout = CallTimeout;
-            HttpHandlers handlers;
-            handlers.onDone = [this, &answers, &open, index](const Result<HttpResponse> &response) {
-                if (response) {
-                    answers[index] = {response->status, Json::parse(response->body, nullptr, false), ""};
-                } else {
-                    answers[index].problem = response.error().message;
-                }
-                if (--open == 0) {
-                    m_loop.stop();
-                }
-            };
-            m_client.start(std::move(http), std::move(handlers));
-        }
-        if (open > 0) {
-            m_loop.run();
-        }
-        return answers;
-    }
-
-    /// Returns the peer addresses of the live VMs, by way of the one named on the command line.
-    auto liveVms() -> std::vector<std::string>
-    {
-        std::vector<std::string> addresses;
-        const auto status = call("GET", "/operator/status");
-        if (status.status == 200) {
-            for (const auto &vm : status.body["vms"]) {
-                if (vm.value("state", std::string()) == "alive" || vm.value("state", std::string()) == "suspected") {
-                    addresses.push_back(vm.value("address", std::string()));
-                }
-            }
-        }
-        return addresses;
-    }
-
-private:
-    Loop m_loop;
-    HttpClient m_client;
-    std::string m_vm;
-    std::string m_token;
-};
 
 auto complain(std::string_view message) -> void
 {
--- a/include/currantstack/decisions/avoid_list.h
+++ b/include/currantstack/decisions/avoid_list.h
@@ -43,7 +43,7 @@
     static constexpr Duration LongestPause = seconds(3);
     /// How long a notice of a leaving upstream is spread; VMs that reach the store know by themselves.
     static constexpr Duration LeavingLife = seconds(6);
-    /// The store drops or replaces the entry within some check-ins.
+    /// The store drops or replaces the entry within some heartbeats.
     static constexpr Duration OutdatedLife = seconds(5);
     static constexpr std::size_t MaxNotices = 40; // in one message
     /// A notice ends so long after it was first heard, however often it is told again.
--- a/include/currantstack/edge/role_controller.h
+++ b/include/currantstack/edge/role_controller.h
@@ -12,12 +12,12 @@
 public:
     static constexpr Duration Period = seconds(1);
     static constexpr int FewestStreams = 20; // seen by all VMs before the balance is trusted
-    /// Other VMs are told this long before an order, so that no prompt is on its way to the engine when it stops taking work. Two
-    /// reviews: the announcement ends by itself where no order follows.
+    /// Other VMs are told one review before an order, so that no prompt is on its way to the engine when it stops taking work. The
+    /// order follows at the next review; where none does, the announcement ends by itself after two more.
     static constexpr Duration AnnouncementLife = 3 * Period;
     /// After an order the engine ends its streams first, the longest of which take this many mean lengths, ...
     static constexpr double LongestStreamFactor = 4;
-    static constexpr Duration EntryDelay = seconds(2); // ... and its entry shows the new role some check-ins later.
+    static constexpr Duration EntryDelay = seconds(2); // ... and its entry shows the new role some heartbeats later.
 
     RoleController(EdgeContext &context, OrderHolder &holder);
 
--- a/include/currantstack/relay.h
+++ b/include/currantstack/relay.h
@@ -40,6 +40,9 @@
     virtual auto start() -> void = 0;
 };
 
+/// Counts the request for its member and has `onGone` run when its caller leaves.
+auto beginRelay(RelayParts &parts, const CallerRequest &request, std::function<void()> onGone) -> void;
+
 /// Returns how long a refused caller is asked to wait.
 auto retryAfterOf(Duration expectedWait) -> Duration;
 
--- /dev/null
+++ b/src/base/http_call.cc
@@ -0,0 +1,189 @@
+// One call: its options for libcurl, and what comes back.
+#include "http_client_core.h"
+
+#include <cerrno>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr long MaxConnectionAge = 60; // seconds
+
+} // namespace
+
+auto HttpClient::Core::configure(Call &call) -> void
+{
+    call.easy = curl_easy_init();
+    auto *easy = call.easy;
+    const auto &options = call.call;
+    for (const auto &header : options.headers) {
+        // libcurl drops "Name:" without a value; "Name;" sends it empty.
+        const auto line = header.value.empty() ? header.name + ";" : fmt::format("{}: {}", header.name, header.value);
+        call.headerList = curl_slist_append(call.headerList, line.c_str());
+    }
+    if (options.exactHeaders) {
+        for (const auto *name : {"Accept", "Content-Type", "User-Agent"}) {
+            if (findHeader(options.headers, name).empty()) {
+                call.headerList = curl_slist_append(call.headerList, fmt::format("{}:", name).c_str());
+            }
+        }
+    }
+    call.headerList = curl_slist_append(call.headerList, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, options.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headerList);
+    if (!options.body.empty() || options.method == "POST" || options.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(options.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, options.body.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Core::onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Core::onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(options.connectTimeout)));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(options.totalTimeout)));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, options.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, options.closeAfterwards ? 1L : 0L);
+    if (options.silentPeerLimit > Duration::zero()) {
+        call.silentPeerLimit = static_cast<int>(toMilliseconds(options.silentPeerLimit));
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Core::onSocketMade);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
+    }
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxConnectionAge);
+    if (!options.target.empty()) {
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, options.target.c_str());
+    }
+}
+
+auto HttpClient::Core::onSocketMade(void *context, curl_socket_t socket, curlsocktype /*purpose*/) -> int
+{
+    // Probes on an idle connection, and a limit on how long they and other bytes may go without acknowledgement.
+    constexpr int On = 1;
+    constexpr int ProbeSeconds = 1;
+    const unsigned limit = static_cast<unsigned>(static_cast<Call *>(context)->silentPeerLimit);
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &ProbeSeconds, sizeof ProbeSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeSeconds, sizeof ProbeSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    return CURL_SOCKOPT_OK;
+}
+
+auto HttpClient::Core::finish(CURL *easy, CURLcode code) -> void
+{
+    Call *call = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+    if (call->cancelled) {
+        toRemove.push_back(call->id);
+        return;
+    }
+    long sent = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+    bytesSent += static_cast<std::uint64_t>(sent) + call->call.body.size();
+    if (code == CURLE_OK) {
+        deliverHead(*call);
+    }
+    if (call->cancelled) {
+        toRemove.push_back(call->id);
+        return;
+    }
+    auto hook = std::move(call->handlers.onDone);
+    auto result =
+        code == CURLE_OK ? Result<HttpResponse>(std::move(call->response)) : Result<HttpResponse>(tl::unexpected(toError(*call, code)));
+    remove(call->id);
+    if (hook) {
+        hook(std::move(result));
+    }
+}
+
+auto HttpClient::Core::toError(const Call &call, CURLcode code) -> Error
+{
+    long sent = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_REQUEST_SIZE, &sent);
+    Error error{ErrorCode::Unavailable, call.call.step, call.call.peer, curl_easy_strerror(code), false};
+    if (call.idleExpired) {
+        error.code = ErrorCode::DeadlineExceeded;
+        error.message = "no progress in time";
+    } else if (code == CURLE_OPERATION_TIMEDOUT) {
+        error.code = ErrorCode::DeadlineExceeded;
+    }
+    if (sent == 0) {
+        long systemError = 0;
+        curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &systemError);
+        error.code = ErrorCode::Unreachable;
+        error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+    }
+    return error;
+}
+
+auto HttpClient::Core::deliverHead(Call &call) -> void
+{
+    if (call.headDelivered) {
+        return;
+    }
+    call.headDelivered = true;
+    long status = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
+    call.response.status = static_cast<int>(status);
+    if (call.handlers.onHead) {
+        call.handlers.onHead(call.response.status, call.response.headers);
+    }
+}
+
+auto HttpClient::Core::onHeader(char *data, size_t size, size_t count, void *context) -> size_t
+{
+    auto *call = static_cast<Call *>(context);
+    if (call->cancelled) {
+        return 0;
+    }
+    const std::string_view line(data, size * count);
+    call->lastProgress = call->core->clock.now();
+    call->core->bytesReceived += line.size();
+    if (call->headDelivered) {
+        return size * count; // a trailer
+    }
+    const auto colon = line.find(':');
+    if (line.starts_with("HTTP/")) {
+        call->response.headers.clear();
+    } else if (colon != std::string_view::npos) {
+        auto value = line.substr(colon + 1);
+        while (!value.empty() && (value.front() == ' ')) {
+            value.remove_prefix(1);
+        }
+        while (!value.empty() && (value.back() == '\n' || value.back() == '\r')) {
+            value.remove_suffix(1);
+        }
+        call->response.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+    return size * count;
+}
+
+auto HttpClient::Core::onBody(char *data, size_t size, size_t count, void *context) -> size_t
+{
+    auto *call = static_cast<Call *>(context);
+    if (call->cancelled) {
+        return 0;
+    }
+    call->lastProgress = call->core->clock.now();
+    call->core->bytesReceived += size * count;
+    call->core->deliverHead(*call);
+    if (!call->cancelled) {
+        if (call->handlers.onData) {
+            call->handlers.onData(std::string_view(data, size * count));
+        } else {
+            call->response.body.append(data, size * count);
+        }
+    }
+    return call->cancelled ? 0 : size * count;
+}
+
+} // namespace currantstack
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -254,6 +254,7 @@
         return false;
     }
     m_decodeEngine = *next->decode;
+    m_expectedFirst = next->firstToken;
     m_context.counters.at("streams_redirected").add();
     m_context.log.write("stream", "stream_redirected",
                         {{"request", m_request.facts.requestId},
--- a/src/engines/model_relay.cc
+++ b/src/engines/model_relay.cc
@@ -17,11 +17,6 @@
 
 } // namespace
 
-auto retryAfterOf(Duration expectedWait) -> Duration
-{
-    return std::clamp<Duration>(expectedWait, seconds(1), seconds(30));
-}
-
 ModelRelay::ModelRelay(RelayParts &parts, CallerRequest request)
     : m_parts(parts)
     , m_request(std::move(request))
@@ -56,10 +51,7 @@
 
 auto ModelRelay::start() -> void
 {
-    auto &usage = m_parts.usage.of(m_request.member->name);
-    ++usage.requests;
-    ++usage.inFlight;
-    m_request.exchange->onGone([weak = weak_from_this()]() {
+    beginRelay(m_parts, m_request, [weak = weak_from_this()]() {
         if (const auto self = weak.lock()) {
             self->callerGone();
         }
--- /dev/null
+++ b/src/gateway/relay.cc
@@ -0,0 +1,21 @@
+#include "currantstack/relay.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+auto beginRelay(RelayParts &parts, const CallerRequest &request, std::function<void()> onGone) -> void
+{
+    auto &usage = parts.usage.of(request.member->name);
+    ++usage.requests;
+    ++usage.inFlight;
+    request.exchange->onGone(std::move(onGone));
+}
+
+auto retryAfterOf(Duration expectedWait) -> Duration
+{
+    return std::clamp<Duration>(expectedWait, seconds(1), seconds(30));
+}
+
+} // namespace currantstack
--- a/src/services/service_relay.cc
+++ b/src/services/service_relay.cc
@@ -81,10 +81,7 @@
 
 auto ServiceRelay::start() -> void
 {
-    auto &usage = m_parts.usage.of(m_request.member->name);
-    ++usage.requests;
-    ++usage.inFlight;
-    m_request.exchange->onGone([weak = weak_from_this()]() {
+    beginRelay(m_parts, m_request, [weak = weak_from_this()]() {
         if (const auto self = weak.lock()) {
             self->callerGone();
         }
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -1,5 +1,7 @@
 #include "engine.h"
 
+#include "serve.h"
+
 #include "currantstack/codec.h"
 #include "currantstack/log.h"
 #include "currantstack/sse.h"
@@ -57,11 +59,7 @@
 
 auto Engine::open() -> Result<void>
 {
-    ServerOptions options;
-    options.address = m_settings.address;
-    options.port = m_settings.port;
-    options.idleTimeout = 0;
-    auto server = HttpServer::open(m_loop, options, [this](const ExchangePtr &exchange) { handle(exchange); });
+    auto server = serve(m_loop, m_settings.address, m_settings.port, [this](const ExchangePtr &exchange) { handle(exchange); });
     if (!server) {
         return tl::unexpected(server.error());
     }
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -1,5 +1,7 @@
 #include "service.h"
 
+#include "serve.h"
+
 #include <fmt/format.h>
 
 namespace standin
@@ -9,11 +11,7 @@
 {
     auto front = std::make_unique<Front>();
     front->name = name;
-    ServerOptions options;
-    options.address = address;
-    options.port = port;
-    options.idleTimeout = 0;
-    auto server = HttpServer::open(m_loop, options, [this, raw = front.get()](const ExchangePtr &exchange) { handle(*raw, exchange); });
+    auto server = serve(m_loop, address, port, [this, raw = front.get()](const ExchangePtr &exchange) { handle(*raw, exchange); });
     if (!server) {
         return tl::unexpected(server.error());
     }
