Log the fingerprint of a request and whether its connection was closed

Operators could not tell from the logs whether the requests in flight at successive crashes of a service are one request that its caller repeats, because the lines name only the id, which differs for each repetition.

service_chosen and stream_placed now carry the fingerprint (method, host, target, credentials, body); send_failed, stream_broken and prefill_left say whether the upstream closed the connection before its answer was complete. Both forwarders get this from Error::connectionClosed.

Behaviour towards callers and upstreams is unchanged.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -13,6 +13,7 @@
 #include "currantstack/edge/protocol.h"
 #include "currantstack/edge/settings.h"
 #include "currantstack/event_log.h"
+#include "currantstack/fingerprint.h"
 #include "currantstack/health.h"
 #include "currantstack/http_client.h"
 #include "currantstack/http_server.h"
@@ -93,6 +94,7 @@
 {
     ExchangePtr exchange;
     RequestMetadata metadata;
+    Fingerprint fingerprint = 0; // the same for each repetition of the request
     RouteTablePtr routeTable;
     const Route *route = nullptr; // points into `routeTable`
     std::string service;
--- a/include/currantstack/error.h
+++ b/include/currantstack/error.h
@@ -40,6 +40,7 @@
     std::string peer;
     std::string message;
     bool connectionRefused = false; // the peer's host is up, but nothing listens on the port
+    bool connectionClosed = false; // the peer closed or reset the connection before the response was complete
 };
 
 template<typename T>
--- a/include/currantstack/quarantine.h
+++ b/include/currantstack/quarantine.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "currantstack/clock.h"
+#include "currantstack/fingerprint.h"
 
-#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -13,8 +13,6 @@
 namespace currantstack
 {
 
-using Fingerprint = std::uint64_t;
-
 /// A fingerprint whose requests are refused for the remaining time.
 struct QuarantineEntry
 {
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -122,6 +122,8 @@
         error.code = ErrorCode::Unreachable;
         error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
     }
+    error.connectionClosed =
+        code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
     return error;
 }
 
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -78,6 +78,7 @@
     IncomingRequest request;
     request.exchange = exchange;
     request.metadata = m_context.protocol.parseRequest(exchange->request());
+    request.fingerprint = requestFingerprint(exchange->request());
     request.arrivedAt = m_context.clock.now();
     m_context.counters.at("requests_taken").add();
     for (const auto &filter : m_filters) {
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -104,6 +104,7 @@
                          {"under_way", m_context.loads.total(chosen->id, now).requests},
                          {"health", m_context.health.weight(chosen->id, now)},
                          {"candidates", views.size()},
+                         {"fingerprint", fingerprintText(m_request.fingerprint)},
                          {"send", m_attempts.count()},
                          {"routes_version", m_request.routeTable->version}});
     auto call = upstreamCall(m_context, m_request, *chosen, {});
@@ -151,6 +152,7 @@
                          {"upstream", pending.upstream},
                          {"outcome", name(outcome)},
                          {"error", reason},
+                         {"connection_closed", !result && result.error().connectionClosed},
                          {"took_ms", toMilliseconds(took)}});
     if (upstreamFailed) {
         m_errorAnswer = *result;
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -57,7 +57,7 @@
     const auto outcome = classifyHead(status, head);
     if (outcome != AttemptOutcome::Answered) {
         m_context.client.cancel(std::exchange(m_decodeCall, 0));
-        onDecodeBroken(outcome, fmt::format("status {}", status), status == MisdirectedRequest);
+        onDecodeBroken(outcome, fmt::format("status {}", status), {status == MisdirectedRequest, false});
         return;
     }
     m_handle.clear(); // the decode engine has fetched the KV cache
@@ -83,7 +83,7 @@
     }
     if (!m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); })) {
         m_context.client.cancel(std::exchange(m_decodeCall, 0));
-        onDecodeBroken(AttemptOutcome::Unknown, "an event exceeds the size limit");
+        onDecodeBroken(AttemptOutcome::Unknown, "an event exceeds the size limit", {});
     }
 }
 
@@ -140,7 +140,7 @@
     }
     m_decodeCall = 0;
     if (!result) {
-        onDecodeBroken(classifyError(result.error()), describe(result.error()), result.error().connectionRefused);
+        onDecodeBroken(classifyError(result.error()), describe(result.error()), evidenceOf(result.error()));
         return;
     }
     if (m_collectingError) {
@@ -156,7 +156,7 @@
         return;
     }
     if (m_splitter.hasPartial()) {
-        onDecodeBroken(AttemptOutcome::Unknown, "the stream ends inside an event");
+        onDecodeBroken(AttemptOutcome::Unknown, "the stream ends inside an event", {false, true});
         return;
     }
     m_attempts.onOutcome(AttemptOutcome::Answered);
@@ -182,22 +182,23 @@
         return;
     }
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
-    onDecodeBroken(AttemptOutcome::Unknown, "no event in time");
+    onDecodeBroken(AttemptOutcome::Unknown, "no event in time", {});
 }
 
-auto StreamRequest::onDecodeBroken(AttemptOutcome outcome, std::string_view reason, bool entryOutdated) -> void
+auto StreamRequest::onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
     const auto now = m_context.clock.now();
     m_attempts.onOutcome(outcome);
-    const bool handleLost = outcome == AttemptOutcome::NotRun && !m_kvSource.empty() && !entryOutdated;
+    const bool handleLost = outcome == AttemptOutcome::NotRun && !m_kvSource.empty() && !evidence.entryOutdated;
     if (!handleLost) {
-        recordFailure(m_decodeEngine, entryOutdated);
+        recordFailure(m_decodeEngine, evidence);
     }
     m_context.log.write("stream", "stream_broken",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
                          {"outcome", name(outcome)},
                          {"reason", reason},
+                         {"connection_closed", evidence.connectionClosed},
                          {"events", m_events},
                          {"silent_ms", toMilliseconds(now - m_lastEventAt)}});
     const bool notStarted = !m_headSent && (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::NotSent);
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -222,7 +222,8 @@
         fields["prefill_tokens_ahead"] = m_context.loads.total(plan.prefill->id, now).promptTokens;
     }
     const auto decodeLoad = m_context.loads.total(plan.decode->id, now);
-    fields.update({{"prompt_tokens", shape.promptTokens},
+    fields.update({{"fingerprint", fingerprintText(m_request.fingerprint)},
+                   {"prompt_tokens", shape.promptTokens},
                    {"output_tokens", shape.outputTokens},
                    {"decode_requests", decodeLoad.requests},
                    {"decode_kv_tokens", decodeLoad.kvTokens},
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -26,7 +26,7 @@
     handlers.onDone = [self = shared_from_this()](Result<HttpResponse> result) { self->onPrefilled(std::move(result)); };
     m_prefillCall = m_context.client.start(upstreamCall(m_context, m_request, m_prefillEngine, spec), std::move(handlers));
     m_prefillTimer =
-        m_context.loop.timer([self = shared_from_this()]() { self->abandonPrefill(AttemptOutcome::Unknown, "no answer in time"); });
+        m_context.loop.timer([self = shared_from_this()]() { self->abandonPrefill(AttemptOutcome::Unknown, "no answer in time", {}); });
     m_prefillTimer->startOnce(fromMilliseconds(PrefillTimeoutFactor * toMilliseconds(m_expectedPrefill)) + PrefillTimeoutMargin);
 }
 
@@ -50,9 +50,9 @@
         return;
     }
     if (result) {
-        abandonPrefill(AttemptOutcome::NotRun, fmt::format("status {}", result->status), result->status == MisdirectedRequest);
+        abandonPrefill(AttemptOutcome::NotRun, fmt::format("status {}", result->status), {result->status == MisdirectedRequest, false});
     } else {
-        abandonPrefill(classifyError(result.error()), describe(result.error()), result.error().connectionRefused);
+        abandonPrefill(classifyError(result.error()), describe(result.error()), evidenceOf(result.error()));
     }
 }
 
@@ -74,7 +74,7 @@
     return true;
 }
 
-auto StreamRequest::abandonPrefill(AttemptOutcome outcome, std::string_view reason, bool entryOutdated) -> void
+auto StreamRequest::abandonPrefill(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
     if (m_done || m_decoding) {
         return;
@@ -82,13 +82,14 @@
     const auto now = m_context.clock.now();
     m_prefillTimer->stop();
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
-    recordFailure(m_prefillEngine, entryOutdated);
+    recordFailure(m_prefillEngine, evidence);
     m_context.counters.at("prefills_left").add();
     m_context.log.write("stream", "prefill_left",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_prefillEngine.id},
                          {"outcome", name(outcome)},
                          {"reason", reason},
+                         {"connection_closed", evidence.connectionClosed},
                          {"took_ms", toMilliseconds(now - m_sentAt)},
                          {"expected_ms", toMilliseconds(m_expectedPrefill)}});
     if (outcome == AttemptOutcome::Unknown) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -32,6 +32,13 @@
         InFlightWork work;
     };
 
+    /// What a failed call shows about the engine.
+    struct FailureEvidence
+    {
+        bool entryOutdated = false; // the directory entry no longer matches the engine at the address
+        bool connectionClosed = false; // the engine closed the connection before its answer was complete
+    };
+
     // stream_placement.cc
     auto tryPlace() -> bool;
     auto place(const StreamPlan &plan) -> void;
@@ -56,13 +63,14 @@
     auto onReserved(const Result<HttpResponse> &result, bool separatePrefill) -> void;
     auto dropReservation() -> void;
     auto isBusy(const Upstream &engine) const -> bool;
-    auto recordFailure(const Upstream &engine, bool entryOutdated) -> void;
+    auto recordFailure(const Upstream &engine, FailureEvidence evidence) -> void;
+    static auto evidenceOf(const Error &error) -> FailureEvidence;
 
     // stream_prefill.cc
     auto startPrefill() -> void;
     auto onPrefilled(Result<HttpResponse> result) -> void;
     auto acceptHandle(const HttpResponse &response) -> bool;
-    auto abandonPrefill(AttemptOutcome outcome, std::string_view reason, bool entryOutdated = false) -> void;
+    auto abandonPrefill(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
     auto freeHandle() -> void;
 
     // stream_decode.cc
@@ -74,7 +82,7 @@
     auto onFirstEvent() -> void;
     auto onStall() -> void;
     auto restartStallTimer() -> void;
-    auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, bool entryOutdated = false) -> void;
+    auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
     auto resumeElsewhere(AttemptOutcome outcome, std::string_view reason) -> bool;
     auto planResumption() const -> std::optional<StreamPlan>;
     auto restart(AttemptOutcome outcome) -> bool;
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -66,7 +66,7 @@
     } else if (reserved.error().code == ErrorCode::Overloaded) {
         m_context.exclusions.onRefused(m_decodeEngine.id, now);
     } else {
-        recordFailure(m_decodeEngine, reserved.error().connectionRefused);
+        recordFailure(m_decodeEngine, evidenceOf(reserved.error()));
     }
     if (!m_handle.empty() && redirect()) {
         return;
@@ -75,14 +75,19 @@
     placeOrEnqueue();
 }
 
+auto StreamRequest::evidenceOf(const Error &error) -> FailureEvidence
+{
+    return {error.connectionRefused, error.connectionClosed};
+}
+
 /// Excludes the engine for a back-off time. If the engine or its host proves that the directory entry is outdated (status 421 or a
 /// refused connection), the exclusion is also announced to the other VMs, so that it does not cost each of them a failed request.
-auto StreamRequest::recordFailure(const Upstream &engine, bool entryOutdated) -> void
+auto StreamRequest::recordFailure(const Upstream &engine, FailureEvidence evidence) -> void
 {
     const auto now = m_context.clock.now();
     m_context.health.observeFailure(engine.id, now);
     m_context.exclusions.onRefused(engine.id, now);
-    if (entryOutdated) {
+    if (evidence.entryOutdated) {
         m_context.exclusions.add({engine.id, ExclusionReason::Outdated, EngineRole::None, ExclusionList::OutdatedLifetime}, now);
         m_context.log.write("stream", "entry_outdated", {{"request", m_request.metadata.requestId}, {"engine", engine.id}});
     }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,18 +16,6 @@
 constexpr Duration LoadPollPeriod = milliseconds(500);
 constexpr Duration CacheEventPollPeriod = seconds(2);
 
-auto fingerprintText(Fingerprint fingerprint) -> std::string
-{
-    return fmt::format("{:016x}", fingerprint);
-}
-
-auto fingerprintOf(std::string_view text) -> Fingerprint
-{
-    Fingerprint value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value, 16);
-    return value;
-}
-
 } // namespace
 
 auto splitAddress(std::string_view address) -> std::pair<std::string, std::uint16_t>
@@ -79,14 +67,14 @@
             ValidationErrors errors;
             for (const auto &value : section.is_array() ? section : Json::array()) {
                 ObjectReader reader(value, "", errors);
-                entries.push_back({fingerprintOf(reader.text("f")), milliseconds(reader.integer("ms", 0, 86400000))});
+                entries.push_back({fingerprintFromText(reader.text("f")), milliseconds(reader.integer("ms", 0, 86400000))});
             }
             if (errors.empty()) {
                 m_quarantine.merge(entries, m_context.clock.now());
             }
         });
     context.router.on("/peer/death", [this](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
-        recordCrash(fingerprintOf(body.value("f", std::string())), body.value("upstream", std::string()));
+        recordCrash(fingerprintFromText(body.value("f", std::string())), body.value("upstream", std::string()));
         reply(Json::object());
     });
 }
@@ -278,7 +266,7 @@
             ObjectReader reader(*body, "", errors);
             for (auto &event : reader.objects("events")) {
                 m_cacheEventSequences[name] = std::max(m_cacheEventSequences[name], event.integer("sequence", 0, 1LL << 53));
-                m_prefixMap.insertHash(fingerprintOf(event.text("prefix_hash")), name);
+                m_prefixMap.insertHash(fingerprintFromText(event.text("prefix_hash")), name);
             }
         };
         m_context.client.start(std::move(call), std::move(handlers));
--- a/test/http_server-test.cc
+++ b/test/http_server-test.cc
@@ -180,7 +180,8 @@
             exchange->write("half");
             fixture.loop.after(milliseconds(20), [exchange]() { exchange->abort(); });
         });
-        CPPUNIT_ASSERT(!fixture.post(""));
+        const auto result = fixture.post("");
+        CPPUNIT_ASSERT(!result && result.error().connectionClosed);
     }
 
     auto refusedConnectionIsUnreachable() -> void
@@ -191,7 +192,7 @@
         call.url = "http://127.0.0.1:1/";
         const auto result = fixture.send(std::move(call));
         CPPUNIT_ASSERT(!result && result.error().code == ErrorCode::Unreachable);
-        CPPUNIT_ASSERT(result.error().connectionRefused);
+        CPPUNIT_ASSERT(result.error().connectionRefused && !result.error().connectionClosed);
     }
 
     auto connectTimeoutIsNotARefusedConnection() -> void
@@ -217,7 +218,7 @@
         call.connectTimeout = milliseconds(300);
         call.totalTimeout = milliseconds(600);
         const auto result = fixture.send(std::move(call));
-        CPPUNIT_ASSERT(!result && !result.error().connectionRefused);
+        CPPUNIT_ASSERT(!result && !result.error().connectionRefused && !result.error().connectionClosed);
         for (const int descriptor : backlog) {
             ::close(descriptor);
         }
