--- a/standin/http_peer.py
+++ b/standin/http_peer.py
@@ -64,6 +64,10 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    @property
+    def is_listening(self):
+        return self.server is not None
+
     def stop(self):
         """Closes the listener and resets all connections, as the end of a process does."""
         if self.server:
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -22,6 +22,8 @@
         self.server = Server("127.0.0.1", port, self.handle)
         self.state, self.fault, self.fault_share = "ready", "", 0.0
         self.sequence = 0
+        self.crashes_on = lambda request: False  # a request for which this holds crashes the upstream shortly after it begins to run
+        self.restart_s = 1.0  # from a crash until the next incarnation registers
 
     @property
     def address(self):
@@ -58,6 +60,22 @@
         await self.server.start()
         self.register()
 
+    def crash_under(self, request):
+        """Ends the process; its entry expires some time later and another incarnation starts at the same port."""
+        if not self.server.is_listening:
+            return  # it has already crashed under another request
+        self.record("crashed", request)
+        self.server.stop()
+        asyncio.get_running_loop().create_task(self.start_again())
+
+    async def start_again(self):
+        await asyncio.sleep(self.restart_s / 2)
+        self.store.delete(f"servers/{self.id}")
+        await asyncio.sleep(self.restart_s / 2)
+        self.id, self.started_ms, self.state = f"i-{next(self.ids)}", int(time.time() * 1000), "ready"
+        await self.server.start()
+        self.register()
+
     def record(self, event, request, **fields):
         self.history.append({"event": event, "upstream": self.id, "service": self.service, "request": request.header("request-id"),
                              "target": request.target, "at": time.monotonic(), **fields})
@@ -88,6 +106,9 @@
     async def run(self, request, reader, writer):
         self.record("run", request)
         await asyncio.sleep(self.WORK_S)
+        if self.crashes_on(request):
+            self.crash_under(request)
+            return None
         body = json.dumps({"echo": request.header("request-id"), "body": len(request.body)}).encode()
         if self.draw_fault("lost"):
             writer.transport.abort()
