Quarantine requests that crash upstreams on all edge VMs

Callers saw a whole service crash again and again, because one caller repeated a request that crashes each upstream which runs it.

Cause: currant-edge remembered nothing of a crash. Each repetition has a new id and reaches another VM, so no limit on attempts applies. currantd has had a quarantine for this; the edge lacked it.

Change: the quarantine is one decision now (src/decisions), used by both. It compares the requests that were in flight at each crash; one present at three crashes (two in currantd, which isolates suspects) that never succeeded is refused for ten minutes with a 503 that says so. A success acquits a request on all VMs. A closed connection counts as a crash only if the upstream is then proved to be gone: its host refuses connections (the VM probes once), or its entry is removed or replaced. Records and entries travel in datagrams, at once and repeated to random VMs; entries are also in the store, under a lease, for VMs that no peer can tell. Memory is bounded, and entries are not evicted by newer ones.

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/clock.h"
+#include "currantstack/placement.h"
 #include "currantstack/socket_address.h"
 
 #include <cstdint>
@@ -50,6 +51,9 @@
     /// Returns one VM of each other place, which relays a message within its place. Successive sequence numbers select different VMs.
     auto relayTargets(std::uint64_t sequence) const -> std::vector<SocketAddress>;
 
+    /// Returns up to `count` VMs of all places, chosen at random.
+    auto sample(std::size_t count, Random &random) const -> std::vector<SocketAddress>;
+
     /// Returns whether this VM sends the aggregate of its place: the first by name among the VMs of the place that report.
     auto isAggregator(TimePoint now) const -> bool;
 
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/counters.h"
 #include "currantstack/decisions/cost_table.h"
+#include "currantstack/decisions/crash_detector.h"
 #include "currantstack/decisions/exclusion_list.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
@@ -55,6 +56,8 @@
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> requestMs = {}; // duration of a plain service's requests, by service
     ExclusionList exclusions = {};
+    Quarantine quarantine = Quarantine();
+    CrashDetector crashDetector = {};
     bool storeUnreachable = false; // so the directory may be outdated
     bool draining = false;
     TimePoint drainingSince = {};
@@ -95,6 +98,7 @@
     ExchangePtr exchange;
     RequestMetadata metadata;
     Fingerprint fingerprint = 0; // the same for each repetition of the request
+    Traits traits; // by which crashes of upstreams are attributed
     RouteTablePtr routeTable;
     const Route *route = nullptr; // points into `routeTable`
     std::string service;
--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -28,6 +28,19 @@
 /// unless the upstream has promised that itself.
 auto mayForward(int status, const AnswerHead &head) -> bool;
 
+/// Reports a failed call to the crash detector if the failure says something about the upstream's process.
+auto observeFailedCall(EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, const Error &error) -> void;
+
+/// Why no upstream may get a request, and when it may come again.
+struct QuarantineRefusal
+{
+    std::string reason;
+    Duration retryAfter = Duration::zero();
+};
+
+/// Returns nothing if the request is not quarantined; otherwise logs the observations behind the refusal.
+auto checkQuarantine(const EdgeContext &context, const IncomingRequest &request) -> std::optional<QuarantineRefusal>;
+
 /// Responds to a request for which no upstream's answer can be forwarded, and logs the failure.
 auto respondWithError(EdgeContext &context, const IncomingRequest &request, const RequestAttempts &attempts, bool timedOut,
                       std::string_view reason, Duration retryAfter) -> void;
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -5,6 +5,7 @@
 #include "currantstack/edge/context.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/load_message.h"
+#include "currantstack/edge/quarantine_message.h"
 #include "currantstack/edge/vm_registry.h"
 
 #include <ev.h>
@@ -34,6 +35,21 @@
     /// Updates the peers from the store's list of VMs.
     auto setPeers(const VmRecords &vms) -> void;
 
+    /// Sets the receiver of the datagrams that begin with `QuarantineMagic`.
+    auto setReportHandler(std::function<void(std::string_view bytes)> handler) -> void
+    {
+        m_onReport = std::move(handler);
+    }
+
+    /// Sends the datagram to the VMs that receive this VM's loads, and to one VM of each other place in a large fleet.
+    auto sendToAll(std::string_view bytes) -> void;
+
+    /// Sends the datagram to the other VMs of this place.
+    auto sendToPlace(std::string_view bytes) -> void;
+
+    /// Sends the datagram to `count` VMs chosen at random.
+    auto sendToSome(std::string_view bytes, std::size_t count) -> void;
+
     /// Returns the number of VMs, including this one, whose store revisions reach this VM.
     auto reportingVms() const -> std::size_t
     {
@@ -53,6 +69,7 @@
     EdgeContext &m_context;
     DirectoryController &m_directory;
     PeerTable m_peers;
+    std::function<void(std::string_view bytes)> m_onReport;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_aggregateTimer;
     std::string m_lastLoads; // last report, encoded
--- a/include/currantstack/edge/request_chain.h
+++ b/include/currantstack/edge/request_chain.h
@@ -12,7 +12,8 @@
 /// Validates and completes a request. A returned response is sent to the caller and ends the chain.
 using EdgeFilter = std::function<std::optional<HttpResponse>(EdgeContext &context, IncomingRequest &request)>;
 
-/// Returns the filters in order: VM not stopping, routes loaded, request id present, route found, body size within limits, service chosen.
+/// Returns the filters in order: VM not stopping, routes loaded, request id present, route found, body size within limits, request
+/// not quarantined, service chosen.
 auto edgeFilters() -> std::vector<EdgeFilter>;
 
 /// Runs the filters and forwards the request by its route's kind.
--- a/include/currantstack/filters.h
+++ b/include/currantstack/filters.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "currantstack/config.h"
+#include "currantstack/decisions/quarantine.h"
 #include "currantstack/engine_api.h"
 #include "currantstack/http_server.h"
-#include "currantstack/quarantine.h"
 
 #include <functional>
 #include <memory>
--- a/include/currantstack/fingerprint.h
+++ b/include/currantstack/fingerprint.h
@@ -4,6 +4,8 @@
 #include "currantstack/http.h"
 
 #include <cstdint>
+#include <span>
+#include <vector>
 
 namespace currantstack
 {
@@ -13,6 +15,8 @@
 /// Returns the fingerprint as 16 hexadecimal digits.
 auto fingerprintText(Fingerprint fingerprint) -> std::string;
 
+auto fingerprintTexts(std::span<const Fingerprint> fingerprints) -> std::vector<std::string>;
+
 /// Returns the fingerprint that `fingerprintText` wrote, or 0 if the text is not hexadecimal.
 auto fingerprintFromText(std::string_view text) -> Fingerprint;
 
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -25,6 +25,7 @@
     Duration tcpUserTimeout = Duration::zero(); // fails the connection if sent data or keep-alive probes stay unacknowledged for this time
     bool freshConnection = false; // does not reuse a pooled connection
     bool forbidReuse = false; // does not return the connection to the pool
+    bool connectOnly = false; // only opens a connection and closes it; the response has status 0
     bool exactHeaders = false; // suppresses libcurl's default Accept, Content-Type and User-Agent
     std::string target; // request target to send verbatim; empty: the URL's path and query
     std::string step; // name of the operation, for errors
--- a/include/currantstack/relay.h
+++ b/include/currantstack/relay.h
@@ -1,11 +1,11 @@
 // Common base and dependencies of the relays that serve caller requests.
 #pragma once
 
+#include "currantstack/decisions/quarantine.h"
 #include "currantstack/estimate.h"
 #include "currantstack/filters.h"
 #include "currantstack/journal_service.h"
 #include "currantstack/prefix_map.h"
-#include "currantstack/quarantine.h"
 #include "currantstack/request_canceller.h"
 #include "currantstack/retry.h"
 #include "currantstack/slot_service.h"
--- a/src/base/fingerprint.cc
+++ b/src/base/fingerprint.cc
@@ -13,6 +13,15 @@
     return fmt::format("{:016x}", fingerprint);
 }
 
+auto fingerprintTexts(std::span<const Fingerprint> fingerprints) -> std::vector<std::string>
+{
+    std::vector<std::string> texts;
+    for (const auto fingerprint : fingerprints) {
+        texts.push_back(fingerprintText(fingerprint));
+    }
+    return texts;
+}
+
 auto fingerprintFromText(std::string_view text) -> Fingerprint
 {
     Fingerprint fingerprint = 0;
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -53,6 +53,7 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(options.connectTimeout)));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(toMilliseconds(options.totalTimeout)));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, options.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, options.connectOnly ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, options.forbidReuse ? 1L : 0L);
     if (options.tcpUserTimeout > Duration::zero()) {
         call.tcpUserTimeout = static_cast<int>(toMilliseconds(options.tcpUserTimeout));
--- /dev/null
+++ b/src/decisions/acquittals.cc
@@ -0,0 +1,49 @@
+#include "currantstack/decisions/acquittals.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration RenewalPeriod = Acquittals::Lifetime / 4; // a frequent fingerprint takes one entry of the order in this time
+
+} // namespace
+
+auto Acquittals::add(Fingerprint fingerprint, TimePoint at) -> void
+{
+    const auto [found, isNew] = m_successes.try_emplace(fingerprint, at);
+    if (!isNew && at < found->second + RenewalPeriod) {
+        return;
+    }
+    found->second = at;
+    m_order.push_back({fingerprint, at});
+    while (m_successes.size() > MaxFingerprints) {
+        dropOldest();
+    }
+    expire(at);
+}
+
+auto Acquittals::lastSuccess(Fingerprint fingerprint) const -> std::optional<TimePoint>
+{
+    const auto found = m_successes.find(fingerprint);
+    return found == m_successes.end() ? std::nullopt : std::optional(found->second);
+}
+
+auto Acquittals::expire(TimePoint now) -> void
+{
+    while (!m_order.empty() && now - m_order.front().at > Lifetime) {
+        dropOldest();
+    }
+}
+
+auto Acquittals::dropOldest() -> void
+{
+    const auto [fingerprint, at] = m_order.front();
+    m_order.pop_front();
+    if (const auto found = m_successes.find(fingerprint); found != m_successes.end() && found->second == at) {
+        m_successes.erase(found);
+    }
+}
+
+} // namespace currantstack
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -1,5 +1,8 @@
 #include "currantstack/decisions/peer_table.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace currantstack
 {
 
@@ -72,6 +75,17 @@
     return result;
 }
 
+auto PeerTable::sample(std::size_t count, Random &random) const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> all;
+    for (const auto &[vm, peer] : m_peers) {
+        all.push_back(peer.address);
+    }
+    std::vector<SocketAddress> result;
+    std::sample(all.begin(), all.end(), std::back_inserter(result), count, random);
+    return result;
+}
+
 auto PeerTable::reportingVms(TimePoint now) const -> std::size_t
 {
     std::size_t reporting = 0;
--- /dev/null
+++ b/src/decisions/quarantine.cc
@@ -0,0 +1,296 @@
+#include "currantstack/decisions/quarantine.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace currantstack
+{
+
+namespace
+{
+
+auto contains(std::span<const Fingerprint> traits, Fingerprint trait) -> bool
+{
+    return std::binary_search(traits.begin(), traits.end(), trait);
+}
+
+auto includes(std::span<const Fingerprint> traits, std::span<const Fingerprint> subset) -> bool
+{
+    return std::includes(traits.begin(), traits.end(), subset.begin(), subset.end());
+}
+
+auto hasRequestWith(const CrashRecord &record, std::span<const Fingerprint> subset) -> bool
+{
+    return std::any_of(record.requests.begin(), record.requests.end(), [subset](const Traits &traits) { return includes(traits, subset); });
+}
+
+/// Traits that are suspected together, and the crashes that they explain.
+struct Suspicion
+{
+    Traits traits;
+    std::vector<const CrashRecord *> crashes;
+};
+
+using Records = std::vector<const CrashRecord *>;
+
+/// Returns the traits that are part of every request with this trait, including the trait itself.
+auto companionsOf(Fingerprint trait, std::span<const CrashRecord *const> records) -> Traits
+{
+    std::optional<Traits> common;
+    for (const auto *record : records) {
+        for (const auto &request : record->requests) {
+            if (!contains(request, trait)) {
+                continue;
+            }
+            Traits shared;
+            if (common) {
+                std::set_intersection(common->begin(), common->end(), request.begin(), request.end(), std::back_inserter(shared));
+            }
+            common = common ? std::move(shared) : request;
+        }
+    }
+    return common.value_or(Traits());
+}
+
+/// Returns the traits present at the most crashes, but at `minCrashes` at least; among equals, those that describe the fewest requests.
+auto strongestSuspicion(std::span<const CrashRecord *const> records, std::size_t minCrashes) -> Suspicion
+{
+    std::map<Fingerprint, Records> crashesOf;
+    for (const auto *record : records) {
+        for (const auto &request : record->requests) {
+            for (const auto trait : request) {
+                auto &crashes = crashesOf[trait];
+                if (crashes.empty() || crashes.back() != record) {
+                    crashes.push_back(record);
+                }
+            }
+        }
+    }
+    Suspicion strongest;
+    for (auto &[trait, crashes] : crashesOf) {
+        if (crashes.size() < std::max(minCrashes, strongest.crashes.size())) {
+            continue;
+        }
+        auto companions = companionsOf(trait, crashes);
+        if (crashes.size() > strongest.crashes.size() || companions.size() > strongest.traits.size()) {
+            strongest = {std::move(companions), std::move(crashes)};
+        }
+    }
+    return strongest;
+}
+
+} // namespace
+
+auto Quarantine::withoutAcquitted(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits
+{
+    Traits result;
+    for (const auto trait : traits) {
+        const auto success = m_acquittals.lastSuccess(trait);
+        if (!success || *success + Acquittals::Lifetime < crashedAt) {
+            result.push_back(trait);
+        }
+    }
+    return result;
+}
+
+auto Quarantine::addRequests(CrashRecord &record, std::span<const Traits> requests) const -> bool
+{
+    bool added = false;
+    for (const auto &request : requests) {
+        auto traits = withoutAcquitted(std::span(request).first(std::min(request.size(), MaxTraits)), record.at);
+        std::sort(traits.begin(), traits.end());
+        const bool isKnown = traits.empty() || std::find(record.requests.begin(), record.requests.end(), traits) != record.requests.end();
+        if (!isKnown && record.requests.size() < MaxRequestsPerRecord) {
+            record.requests.push_back(std::move(traits));
+            added = true;
+        }
+    }
+    return added;
+}
+
+auto Quarantine::recordCrash(const CrashRecord &record, TimePoint now) -> bool
+{
+    expire(now);
+    if (now - record.at > RecordLifetime) {
+        return false;
+    }
+    auto known = m_records.find(record.upstream);
+    if (known == m_records.end()) {
+        CrashRecord added{record.upstream, record.observer, record.at, {}};
+        if (!addRequests(added, record.requests)) {
+            return false;
+        }
+        if (m_records.size() >= MaxRecords) {
+            m_records.erase(std::min_element(m_records.begin(), m_records.end(),
+                                             [](const auto &left, const auto &right) { return left.second.at < right.second.at; }));
+        }
+        known = m_records.emplace(added.upstream, std::move(added)).first;
+    } else if (!addRequests(known->second, record.requests)) {
+        return false;
+    }
+    renewEntries(known->second, now);
+    evaluate(now);
+    return true;
+}
+
+auto Quarantine::renewEntries(const CrashRecord &record, TimePoint now) -> void
+{
+    for (auto &entry : m_entries) {
+        if (now >= entry.until && record.at >= entry.until && hasRequestWith(record, entry.traits)) {
+            entry.until = now + m_limits.length;
+            entry.upstreams = {record.upstream};
+            entry.observer = record.observer;
+            entry.lastCrash = record.at;
+        }
+    }
+}
+
+auto Quarantine::evaluate(TimePoint now) -> void
+{
+    Records unexplained;
+    for (const auto &[upstream, record] : m_records) {
+        unexplained.push_back(&record);
+    }
+    while (unexplained.size() >= m_limits.crashes) {
+        const auto suspicion = strongestSuspicion(unexplained, m_limits.crashes);
+        if (suspicion.crashes.empty()) {
+            return;
+        }
+        Entry entry{suspicion.traits, now + m_limits.length, {}, {}, {}};
+        for (const auto *crash : suspicion.crashes) {
+            if (entry.upstreams.size() < MaxUpstreamsPerEntry) {
+                entry.upstreams.push_back(crash->upstream);
+            }
+            if (crash->at >= entry.lastCrash) {
+                entry.observer = crash->observer;
+                entry.lastCrash = crash->at;
+            }
+        }
+        addEntry(std::move(entry));
+        std::erase_if(unexplained, [&suspicion](const CrashRecord *record) {
+            return std::find(suspicion.crashes.begin(), suspicion.crashes.end(), record) != suspicion.crashes.end();
+        });
+    }
+}
+
+auto Quarantine::addEntry(Entry entry) -> bool
+{
+    const auto covers = [&entry](const Entry &known) { return includes(entry.traits, known.traits); };
+    if (std::any_of(m_entries.begin(), m_entries.end(), covers)) {
+        return false;
+    }
+    // Later crashes showed that fewer traits are to blame, so the wider entry replaces the narrower ones.
+    std::erase_if(m_entries, [&entry](const Entry &known) { return includes(known.traits, entry.traits); });
+    if (entry.traits.empty() || m_entries.size() >= MaxEntries) {
+        return false;
+    }
+    m_entries.push_back(std::move(entry));
+    return true;
+}
+
+auto Quarantine::recordSuccess(std::span<const Fingerprint> traits, TimePoint at) -> bool
+{
+    bool wasSuspect = false;
+    for (const auto trait : traits) {
+        m_acquittals.add(trait, at);
+        bool found = false;
+        for (auto &[upstream, record] : m_records) {
+            for (auto &request : record.requests) {
+                found = (at + Acquittals::Lifetime >= record.at && std::erase(request, trait) > 0) || found;
+            }
+            std::erase_if(record.requests, [](const Traits &request) { return request.empty(); });
+        }
+        for (auto &entry : m_entries) {
+            found = (at + Acquittals::Lifetime >= entry.lastCrash && std::erase(entry.traits, trait) > 0) || found;
+        }
+        if (found) {
+            m_suspectSuccesses[trait] = at;
+        }
+        wasSuspect = wasSuspect || found;
+    }
+    if (wasSuspect) {
+        std::erase_if(m_records, [](const auto &entry) { return entry.second.requests.empty(); });
+        std::erase_if(m_entries, [](const Entry &entry) { return entry.traits.empty(); });
+    }
+    return wasSuspect;
+}
+
+auto Quarantine::merge(const QuarantineReport &report, TimePoint now) -> bool
+{
+    bool isNew = false;
+    for (const auto &acquittal : report.acquittals) {
+        isNew = recordSuccess({&acquittal.fingerprint, 1}, now - acquittal.age) || isNew;
+    }
+    for (const auto &crash : report.crashes) {
+        for (const auto &request : crash.requests) {
+            for (const auto trait : request) {
+                // The reporting VM has not seen this success.
+                if (const auto success = m_acquittals.lastSuccess(trait); success && *success + Acquittals::Lifetime >= crash.at) {
+                    m_suspectSuccesses.try_emplace(trait, *success);
+                }
+            }
+        }
+        isNew = recordCrash(crash, now) || isNew;
+    }
+    for (const auto &entry : report.entries) {
+        const auto lastCrash = now - entry.age;
+        auto traits = withoutAcquitted(entry.traits, lastCrash);
+        isNew = addEntry({std::move(traits), now + std::min(entry.remaining, m_limits.length), entry.upstreams, entry.observer, lastCrash})
+            || isNew;
+    }
+    return isNew;
+}
+
+auto Quarantine::find(std::span<const Fingerprint> traits, TimePoint now) const -> std::optional<QuarantineEntry>
+{
+    for (const auto &entry : m_entries) {
+        if (now < entry.until && includes(traits, entry.traits)) {
+            return QuarantineEntry{entry.traits, entry.until - now, entry.upstreams, entry.observer, now - entry.lastCrash};
+        }
+    }
+    return std::nullopt;
+}
+
+auto Quarantine::isSuspect(std::span<const Fingerprint> traits, TimePoint now) const -> bool
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &record) {
+        return now - record.second.at <= RecordLifetime && std::any_of(traits.begin(), traits.end(), [&record](Fingerprint trait) {
+                   return hasRequestWith(record.second, {&trait, 1});
+               });
+    });
+}
+
+auto Quarantine::entries(TimePoint now) const -> std::vector<QuarantineEntry>
+{
+    std::vector<QuarantineEntry> list;
+    for (const auto &entry : m_entries) {
+        if (now < entry.until) {
+            list.push_back({entry.traits, entry.until - now, entry.upstreams, entry.observer, now - entry.lastCrash});
+        }
+    }
+    std::sort(list.begin(), list.end(), [](const auto &left, const auto &right) { return left.remaining > right.remaining; });
+    return list;
+}
+
+auto Quarantine::report(TimePoint now) const -> QuarantineReport
+{
+    QuarantineReport result;
+    result.entries = entries(now);
+    for (const auto &[upstream, record] : m_records) {
+        result.crashes.push_back(record);
+    }
+    for (const auto &[fingerprint, at] : m_suspectSuccesses) {
+        result.acquittals.push_back({fingerprint, now - at});
+    }
+    return result;
+}
+
+auto Quarantine::expire(TimePoint now) -> void
+{
+    std::erase_if(m_records, [now](const auto &entry) { return now - entry.second.at > RecordLifetime; });
+    std::erase_if(m_entries, [this, now](const Entry &entry) { return now >= entry.until + m_limits.length; });
+    std::erase_if(m_suspectSuccesses, [now](const auto &entry) { return now - entry.second > Acquittals::Lifetime; });
+    m_acquittals.expire(now);
+}
+
+} // namespace currantstack
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -120,7 +120,12 @@
         return;
     }
     const auto entry = *upstream;
+    const auto *previous = m_context.directory.find(entry.id);
+    const auto previousIncarnation = previous == nullptr ? std::string() : incarnationOf(*previous);
     const auto change = m_context.directory.apply(std::move(*upstream));
+    if (change == UpstreamChange::Restarted) {
+        m_context.crashDetector.onRemoved(previousIncarnation, m_context.clock.now());
+    }
     if (change == UpstreamChange::Joined || change == UpstreamChange::Restarted) {
         m_context.health.reset(entry.id);
         m_context.exclusions.reset(entry.id, m_context.clock.now());
@@ -149,8 +154,11 @@
 {
     const auto now = m_context.clock.now();
     const bool expired = m_mayHaveExpired && now - m_reachableSince < ExpiryWindow;
+    const auto *entry = m_context.directory.find(id);
+    const auto incarnation = entry == nullptr ? std::string() : incarnationOf(*entry);
     const auto change = m_context.directory.remove(id, expired, now);
     if (change == UpstreamChange::Removed) {
+        m_context.crashDetector.onRemoved(incarnation, now);
         m_context.exclusions.add({id, ExclusionReason::Draining, EngineRole::None, ExclusionList::DrainingLifetime}, now);
     }
     m_context.log.write("directory", expired ? "upstream_lapsed" : "upstream_changed", {{"upstream", id}, {"change", name(change)}});
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -1,7 +1,7 @@
 #include "currantstack/edge/edge_node.h"
 
 #include "currantstack/edge/directory_controller.h"
-#include "currantstack/edge/load_exchange.h"
+#include "currantstack/edge/quarantine_controller.h"
 #include "currantstack/edge/request_chain.h"
 #include "currantstack/edge/role_controller.h"
 #include "currantstack/edge/vm_registry.h"
@@ -58,6 +58,7 @@
         , chain(context)
         , directory(context, *adapter.codec, *store)
         , exchange(context, directory)
+        , quarantine(context, *adapter.codec, *store, exchange)
         , registry(context, *adapter.codec, *store, [this](const VmRecords &records) { onVms(records); })
         , orderHolder(context, *adapter.codec, *store, bootClock)
         , roles(context, orderHolder)
@@ -92,6 +93,7 @@
     RequestChain chain;
     DirectoryController directory;
     LoadExchange exchange;
+    QuarantineController quarantine;
     VmRegistry registry;
     OrderHolder orderHolder;
     RoleController roles;
@@ -236,6 +238,7 @@
         return opened;
     }
     parts.directory.start();
+    parts.quarantine.start();
     parts.registry.start();
     parts.orderHolder.start();
     parts.roles.start();
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -52,6 +52,36 @@
     return head.fromUpstream && head.matchesRequest && !head.encoded && !impliesNotRun(status);
 }
 
+auto observeFailedCall(EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, const Error &error) -> void
+{
+    const auto now = context.clock.now();
+    const auto *entry = context.directory.find(upstream.id);
+    if (error.connectionRefused) {
+        context.crashDetector.onRefused(incarnationOf(upstream), now);
+    } else if (error.connectionClosed && entry != nullptr && !entry->draining) {
+        context.crashDetector.onConnectionClosed(upstream, request.traits, now);
+    }
+}
+
+auto checkQuarantine(const EdgeContext &context, const IncomingRequest &request) -> std::optional<QuarantineRefusal>
+{
+    const auto entry = context.quarantine.find(request.traits, context.clock.now());
+    if (!entry) {
+        return std::nullopt;
+    }
+    context.counters.at("requests_quarantined").add();
+    context.log.write("quarantine", "request_quarantined",
+                      {{"request", request.metadata.requestId},
+                       {"fingerprint", fingerprintText(request.fingerprint)},
+                       {"traits", fingerprintTexts(entry->traits)},
+                       {"crashed", entry->upstreams},
+                       {"observer", entry->observer},
+                       {"crash_age_ms", toMilliseconds(entry->age)},
+                       {"remaining_ms", toMilliseconds(entry->remaining)}});
+    return QuarantineRefusal{fmt::format("the request is quarantined: {} upstreams crashed while they ran it", entry->upstreams.size()),
+                             entry->remaining};
+}
+
 auto respondWithError(EdgeContext &context, const IncomingRequest &request, const RequestAttempts &attempts, bool timedOut,
                       std::string_view reason, Duration retryAfter) -> void
 {
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -96,7 +96,12 @@
         if (size <= 0) {
             return;
         }
-        auto message = decodeLoad({buffer.data(), static_cast<std::size_t>(size)});
+        const std::string_view bytes(buffer.data(), static_cast<std::size_t>(size));
+        if (bytes.starts_with(QuarantineMagic)) {
+            m_onReport(bytes);
+            continue;
+        }
+        auto message = decodeLoad(bytes);
         if (!message) {
             m_context.counters.at("datagrams_malformed").add();
             m_context.log.write("load", "datagram_ignored", {{"error", describe(message.error())}});
@@ -204,6 +209,24 @@
     partsBefore = static_cast<int>((loads.size() + RowsPerDatagram - 1) / RowsPerDatagram);
 }
 
+auto LoadExchange::sendToAll(std::string_view bytes) -> void
+{
+    sendBytes(bytes, m_peers.reportTargets());
+    if (!m_peers.isSmall()) {
+        sendBytes(bytes, m_peers.relayTargets(++m_sequence));
+    }
+}
+
+auto LoadExchange::sendToPlace(std::string_view bytes) -> void
+{
+    sendBytes(bytes, m_peers.neighbours());
+}
+
+auto LoadExchange::sendToSome(std::string_view bytes, std::size_t count) -> void
+{
+    sendBytes(bytes, m_peers.sample(count, m_context.random));
+}
+
 auto LoadExchange::sendBytes(std::string_view bytes, std::span<const SocketAddress> targets) -> void
 {
     for (const auto &peer : targets) {
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/request_chain.h"
 
+#include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/service_forwarder.h"
 #include "currantstack/edge/stream_forwarder.h"
 
@@ -56,6 +57,14 @@
     return std::nullopt;
 }
 
+auto rejectQuarantined(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    if (const auto refusal = checkQuarantine(context, request)) {
+        return context.protocol.refusal(refusal->retryAfter, refusal->reason);
+    }
+    return std::nullopt;
+}
+
 auto chooseService(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
 {
     const auto draw = std::uniform_real_distribution<double>(0, 1)(context.random);
@@ -70,7 +79,7 @@
 
 auto edgeFilters() -> std::vector<EdgeFilter>
 {
-    return {rejectWhenStopping, requireRoutes, requireId, findRoute, limitBody, chooseService};
+    return {rejectWhenStopping, requireRoutes, requireId, findRoute, limitBody, rejectQuarantined, chooseService};
 }
 
 auto RequestChain::handle(const ExchangePtr &exchange) -> void
@@ -79,6 +88,7 @@
     request.exchange = exchange;
     request.metadata = m_context.protocol.parseRequest(exchange->request());
     request.fingerprint = requestFingerprint(exchange->request());
+    request.traits = {request.fingerprint};
     request.arrivedAt = m_context.clock.now();
     m_context.counters.at("requests_taken").add();
     for (const auto &filter : m_filters) {
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -32,7 +32,7 @@
     struct PendingCall
     {
         HttpClient::CallId call = 0;
-        std::string upstream;
+        Upstream upstream; // a copy, because the directory may drop the entry during the call
         TimePoint sentAt;
     };
 
@@ -95,6 +95,7 @@
     if (chosen == nullptr) {
         return false;
     }
+    const auto target = *chosen;
     m_attempts.onAttempt();
     m_context.loads.add(chosen->id, {0, 0, 1});
     m_context.log.write("forward", "service_chosen",
@@ -112,7 +113,7 @@
     HttpHandlers handlers;
     handlers.onDone = [self = shared_from_this(), callId](Result<HttpResponse> result) { self->onAnswer(*callId, std::move(result)); };
     *callId = m_context.client.start(std::move(call), std::move(handlers));
-    m_pendingCalls.push_back({*callId, chosen->id, now});
+    m_pendingCalls.push_back({*callId, target, now});
     return true;
 }
 
@@ -137,6 +138,11 @@
 {
     const auto now = m_context.clock.now();
     const auto took = now - pending.sentAt;
+    if (!result) {
+        observeFailedCall(m_context, m_request, pending.upstream, result.error());
+    } else if (outcome == AttemptOutcome::Answered) {
+        m_context.quarantine.recordSuccess(m_request.traits, now);
+    }
     const bool upstreamFailed = outcome == AttemptOutcome::Answered && result->status >= 500;
     if (outcome == AttemptOutcome::Answered && !upstreamFailed) {
         m_context.requestTimeOf(m_request.service).observe(toMilliseconds(took));
@@ -144,12 +150,12 @@
         return;
     }
     if (!upstreamFailed) {
-        m_context.health.observeFailure(pending.upstream, now);
+        m_context.health.observeFailure(pending.upstream.id, now);
     }
     const auto reason = result ? fmt::format("status {}", result->status) : describe(result.error());
     m_context.log.write("forward", "send_failed",
                         {{"request", m_request.metadata.requestId},
-                         {"upstream", pending.upstream},
+                         {"upstream", pending.upstream.id},
                          {"outcome", name(outcome)},
                          {"error", reason},
                          {"connection_closed", !result && result.error().connectionClosed},
@@ -163,9 +169,10 @@
 auto ServiceRequest::retryOrFail(const PendingCall &failed, std::string_view reason) -> void
 {
     const auto now = m_context.clock.now();
-    if (m_attempts.mayRetry() && m_request.deadline() > now && m_context.retryBudget.tryAcquire(m_request.service, now)) {
+    const auto refusal = checkQuarantine(m_context, m_request);
+    if (!refusal && m_attempts.mayRetry() && m_request.deadline() > now && m_context.retryBudget.tryAcquire(m_request.service, now)) {
         m_context.counters.at("sends_repeated").add();
-        if (send(failed.upstream) || send("")) {
+        if (send(failed.upstream.id) || send("")) {
             return;
         }
     }
@@ -176,17 +183,18 @@
         forwardAnswer(failed, std::move(*m_errorAnswer));
         return;
     }
-    fail(false, reason);
+    fail(false, refusal ? refusal->reason : reason);
 }
 
 auto ServiceRequest::hedge() -> void
 {
     const auto now = m_context.clock.now();
-    if (m_done || m_pendingCalls.size() != 1 || !mayHedge() || !m_context.retryBudget.tryAcquire(m_request.service, now)) {
+    if (m_done || m_pendingCalls.size() != 1 || !mayHedge() || checkQuarantine(m_context, m_request)
+        || !m_context.retryBudget.tryAcquire(m_request.service, now)) {
         return;
     }
     m_context.counters.at("sends_hedged").add();
-    send(m_pendingCalls.front().upstream);
+    send(m_pendingCalls.front().upstream.id);
 }
 
 auto ServiceRequest::forwardAnswer(const PendingCall &pending, HttpResponse response) -> void
@@ -196,7 +204,7 @@
     m_context.counters.at("requests_answered").add();
     m_context.log.write("forward", "request_answered",
                         {{"request", m_request.metadata.requestId},
-                         {"upstream", pending.upstream},
+                         {"upstream", pending.upstream.id},
                          {"status", response.status},
                          {"age_ms", toMilliseconds(age)}});
     response.headers = m_context.protocol.answerHeaders(response.headers);
@@ -215,7 +223,7 @@
     std::uniform_real_distribution<double> delayMs(toMilliseconds(ShortestRetryAfter), toMilliseconds(LongestRetryAfter));
     for (const auto &pending : m_pendingCalls) {
         if (timedOut) {
-            m_context.health.observeFailure(pending.upstream, m_context.clock.now());
+            m_context.health.observeFailure(pending.upstream.id, m_context.clock.now());
         }
     }
     respondWithError(m_context, m_request, m_attempts, timedOut, reason, fromMilliseconds(delayMs(m_context.random)));
@@ -224,7 +232,7 @@
 
 auto ServiceRequest::releaseLoad(const PendingCall &pending) -> void
 {
-    m_context.loads.remove(pending.upstream, {0, 0, 1});
+    m_context.loads.remove(pending.upstream.id, {0, 0, 1});
 }
 
 auto ServiceRequest::finish() -> void
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -23,6 +23,10 @@
 
 auto StreamRequest::startDecode() -> void
 {
+    if (const auto refusal = checkQuarantine(m_context, m_request)) {
+        fail(false, refusal->reason, refusal->retryAfter);
+        return;
+    }
     const auto now = m_context.clock.now();
     m_decoding = true;
     m_sentAt = now;
@@ -140,6 +144,7 @@
     }
     m_decodeCall = 0;
     if (!result) {
+        observeFailedCall(m_context, m_request, m_decodeEngine, result.error());
         onDecodeBroken(classifyError(result.error()), describe(result.error()), evidenceOf(result.error()));
         return;
     }
@@ -201,6 +206,10 @@
                          {"connection_closed", evidence.connectionClosed},
                          {"events", m_events},
                          {"silent_ms", toMilliseconds(now - m_lastEventAt)}});
+    if (const auto refusal = checkQuarantine(m_context, m_request)) {
+        fail(false, refusal->reason, refusal->retryAfter);
+        return;
+    }
     const bool notStarted = !m_headSent && (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::NotSent);
     if (notStarted ? restart(outcome) : resumeElsewhere(outcome, reason)) {
         return;
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -17,6 +17,10 @@
 
 auto StreamRequest::startPrefill() -> void
 {
+    if (const auto refusal = checkQuarantine(m_context, m_request)) {
+        fail(false, refusal->reason, refusal->retryAfter);
+        return;
+    }
     m_decoding = false;
     m_queuedPromptTokens = m_context.loads.total(m_prefillEngine.id, m_context.clock.now()).promptTokens;
     m_sentAt = m_context.clock.now();
@@ -49,6 +53,9 @@
         startDecode();
         return;
     }
+    if (!result) {
+        observeFailedCall(m_context, m_request, m_prefillEngine, result.error());
+    }
     if (result) {
         abandonPrefill(AttemptOutcome::NotRun, fmt::format("status {}", result->status), {result->status == MisdirectedRequest, false});
     } else {
--- a/src/engines/model_recovery.cc
+++ b/src/engines/model_recovery.cc
@@ -140,7 +140,7 @@
                || (reservesSlots() && !m_parts.retryBudget.tryAcquire())) {
         return false;
     }
-    if (m_parts.quarantine.isQuarantined(m_request.fingerprint, m_parts.context.clock.now())) {
+    if (m_parts.quarantine.find({&m_request.fingerprint, 1}, m_parts.context.clock.now())) {
         return false;
     }
     m_parts.context.counters.at("retries").add();
--- a/src/engines/model_relay.cc
+++ b/src/engines/model_relay.cc
@@ -381,7 +381,7 @@
         m_request.exchange->abort();
     } else {
         auto reported = error;
-        if (m_parts.quarantine.isQuarantined(m_request.fingerprint, context.clock.now())) {
+        if (m_parts.quarantine.find({&m_request.fingerprint, 1}, context.clock.now())) {
             reported = {ErrorCode::Quarantined, "quarantine", error.peer, "the request crashed the upstreams that ran it"};
         }
         const auto wait = m_parts.slots.shortestWait(poolOf(Role::Decode), Role::Decode, 0);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,6 +15,9 @@
 constexpr Log GatewayLog("gateway");
 constexpr Duration LoadPollPeriod = milliseconds(500);
 constexpr Duration CacheEventPollPeriod = seconds(2);
+// A suspect runs only on engines without other suspects, so the second crash identifies it.
+constexpr std::size_t CrashesUntilQuarantine = 2;
+constexpr std::size_t MaxAnnouncedEntries = 32; // of the quarantine, per announcement
 
 } // namespace
 
@@ -57,20 +60,24 @@
         [this]() {
             auto list = Json::array();
             for (const auto &entry : m_quarantine.entries(m_context.clock.now())) {
-                list.push_back(
-                    {{"f", fingerprintText(entry.fingerprint)}, {"ms", static_cast<std::int64_t>(toMilliseconds(entry.remaining))}});
+                if (list.size() < MaxAnnouncedEntries) {
+                    list.push_back(
+                        {{"f", fingerprintText(entry.traits.front())}, {"ms", static_cast<std::int64_t>(toMilliseconds(entry.remaining))}});
+                }
             }
             return list;
         },
         [this](const std::string &, const Json &section) {
-            std::vector<QuarantineEntry> entries;
+            QuarantineReport report;
             ValidationErrors errors;
             for (const auto &value : section.is_array() ? section : Json::array()) {
                 ObjectReader reader(value, "", errors);
-                entries.push_back({fingerprintFromText(reader.text("f")), milliseconds(reader.integer("ms", 0, 86400000))});
+                report.entries.push_back(
+                    {{fingerprintFromText(reader.text("f"))}, milliseconds(reader.integer("ms", 0, 86400000)), {}, {}, {}});
             }
             if (errors.empty()) {
-                m_quarantine.merge(entries, m_context.clock.now());
+                m_quarantine.setLimits({CrashesUntilQuarantine, m_context.config->limits.quarantine});
+                m_quarantine.merge(report, m_context.clock.now());
             }
         });
     context.router.on("/peer/death", [this](const std::string &, const Json &body, const ExchangePtr &, const PeerRouter::Reply &reply) {
@@ -170,12 +177,12 @@
 auto Gateway::checkQuarantine(CallerRequest &request) -> Result<void>
 {
     const auto now = m_context.clock.now();
-    if (m_quarantine.isQuarantined(request.fingerprint, now)) {
+    if (m_quarantine.find({&request.fingerprint, 1}, now)) {
         m_context.counters.at("requests_quarantined").add();
         return fail(ErrorCode::Quarantined, "quarantine", "",
                     "identical requests crashed the upstreams that ran them; the request is quarantined");
     }
-    request.suspect = m_quarantine.isSuspect(request.fingerprint, now);
+    request.suspect = m_quarantine.isSuspect({&request.fingerprint, 1}, now);
     return {};
 }
 
@@ -220,8 +227,10 @@
 auto Gateway::recordCrash(Fingerprint fingerprint, const std::string &upstream) -> void
 {
     const auto now = m_context.clock.now();
-    const bool wasQuarantined = m_quarantine.isQuarantined(fingerprint, now);
-    if (m_quarantine.recordCrash(fingerprint, upstream, m_context.config->limits.quarantine, now) && !wasQuarantined) {
+    const bool wasQuarantined = m_quarantine.find({&fingerprint, 1}, now).has_value();
+    m_quarantine.setLimits({CrashesUntilQuarantine, m_context.config->limits.quarantine});
+    m_quarantine.recordCrash({upstream, m_context.settings.name, now, {{fingerprint}}}, now);
+    if (!wasQuarantined && m_quarantine.find({&fingerprint, 1}, now)) {
         m_context.timeline.add(EventKind::Quarantined, fingerprintText(fingerprint), upstream, "two upstreams crashed while running it");
         m_context.counters.at("fingerprints_quarantined").add();
     }
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -1,7 +1,11 @@
-#include "currantstack/quarantine.h"
+#include "currantstack/decisions/quarantine.h"
+#include "currantstack/placement.h"
 
 #include "check.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 using namespace currantstack;
 
 namespace
@@ -9,6 +13,18 @@
 
 const TimePoint Start{seconds(1000)};
 constexpr Duration Length = seconds(600);
+constexpr Fingerprint Deadly = 7;
+constexpr Fingerprint Sound = 8;
+
+auto crash(std::string_view upstream, std::vector<Traits> requests, TimePoint at = Start) -> CrashRecord
+{
+    return {std::string(upstream), "vm0", at, std::move(requests)};
+}
+
+auto isQuarantined(const Quarantine &quarantine, const Traits &traits, TimePoint now = Start) -> bool
+{
+    return quarantine.find(traits, now).has_value();
+}
 
 } // namespace
 
@@ -19,44 +35,209 @@
     CPPUNIT_TEST(sameUpstreamTwiceCountsOnce);
     CPPUNIT_TEST(oldCrashesDoNotCount);
     CPPUNIT_TEST(mergesEntriesAndExpires);
+    CPPUNIT_TEST(crashesSeenByDifferentVmsAddUp);
+    CPPUNIT_TEST(neighboursOfADeadlyRequestAreServed);
+    CPPUNIT_TEST(crashWaveStopsNoRequest);
+    CPPUNIT_TEST(popularRequestSurvivesTheLossOfARack);
+    CPPUNIT_TEST(successLiftsTheQuarantineOnAllVms);
+    CPPUNIT_TEST(oneMoreCrashAfterTheQuarantineRenewsIt);
+    CPPUNIT_TEST(memoryIsBoundedAndEntriesAreNotEvicted);
+    CPPUNIT_TEST(deadlyRequestIsFoundInAnyOrderOfRecords);
+    CPPUNIT_TEST(refusalNamesItsReason);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     auto quarantinesAfterTwoUpstreamsCrash() -> void
     {
-        Quarantine quarantine;
-        CPPUNIT_ASSERT(!quarantine.recordCrash(7, "e0", Length, Start));
-        CPPUNIT_ASSERT(quarantine.isSuspect(7, Start));
-        CPPUNIT_ASSERT(quarantine.recordCrash(7, "e1", Length, Start));
-        CPPUNIT_ASSERT(quarantine.isQuarantined(7, Start));
-        CPPUNIT_ASSERT(!quarantine.isQuarantined(8, Start));
+        Quarantine quarantine({2, Length});
+        quarantine.recordCrash(crash("e0", {{Deadly}}), Start);
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}));
+        CPPUNIT_ASSERT(quarantine.isSuspect(Traits{Deadly}, Start));
+        quarantine.recordCrash(crash("e1", {{Deadly}}), Start);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Sound}));
     }
 
     auto sameUpstreamTwiceCountsOnce() -> void
     {
-        Quarantine quarantine;
-        quarantine.recordCrash(7, "e0", Length, Start);
-        CPPUNIT_ASSERT(!quarantine.recordCrash(7, "e0", Length, Start));
+        Quarantine quarantine({2, Length});
+        quarantine.recordCrash(crash("e0", {{Deadly}}), Start);
+        CPPUNIT_ASSERT(!quarantine.recordCrash(crash("e0", {{Deadly}}), Start));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}));
     }
 
     auto oldCrashesDoNotCount() -> void
     {
-        Quarantine quarantine;
-        quarantine.recordCrash(7, "e0", Length, Start);
-        CPPUNIT_ASSERT(!quarantine.recordCrash(7, "e1", Length, Start + Quarantine::SuspectLifetime + seconds(1)));
+        Quarantine quarantine({2, Length});
+        const auto later = Start + Quarantine::RecordLifetime + seconds(1);
+        quarantine.recordCrash(crash("e0", {{Deadly}}), Start);
+        quarantine.recordCrash(crash("e1", {{Deadly}}, later), later);
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}, later));
     }
 
     auto mergesEntriesAndExpires() -> void
+    {
+        Quarantine first({2, Length});
+        Quarantine second({2, Length});
+        first.recordCrash(crash("e0", {{Deadly}}), Start);
+        first.recordCrash(crash("e1", {{Deadly}}), Start);
+        QuarantineReport report;
+        report.entries = first.entries(Start);
+        CPPUNIT_ASSERT(second.merge(report, Start));
+        CPPUNIT_ASSERT(!second.merge(report, Start));
+        CPPUNIT_ASSERT(isQuarantined(second, {Deadly}, Start + Length - seconds(1)));
+        CPPUNIT_ASSERT(!isQuarantined(second, {Deadly}, Start + Length));
+        second.expire(Start + 2 * Length);
+        CPPUNIT_ASSERT(second.isEmpty());
+    }
+
+    auto crashesSeenByDifferentVmsAddUp() -> void
+    {
+        std::vector<Quarantine> vms(3);
+        for (std::size_t number = 0; number < vms.size(); ++number) {
+            vms[number].recordCrash(crash(fmt::format("e{}", number), {{Deadly}}), Start);
+        }
+        vms[0].merge(vms[1].report(Start), Start);
+        CPPUNIT_ASSERT(!isQuarantined(vms[0], {Deadly}));
+        vms[0].merge(vms[2].report(Start), Start);
+        CPPUNIT_ASSERT(isQuarantined(vms[0], {Deadly}));
+    }
+
+    auto neighboursOfADeadlyRequestAreServed() -> void
+    {
+        Quarantine quarantine;
+        for (Fingerprint number = 0; number < 5; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}, {100 + number}, {200 + number / 2}}), Start);
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}));
+        for (const Fingerprint neighbour : {100, 101, 104, 200, 201}) {
+            CPPUNIT_ASSERT(!isQuarantined(quarantine, {neighbour}));
+        }
+    }
+
+    /// Upstreams crash by themselves; each request is repeated once and then answered or given up.
+    auto crashWaveStopsNoRequest() -> void
+    {
+        CHECK_PROPERTY("a crash wave stops no request", [](std::uint32_t seed) {
+            Quarantine quarantine;
+            Random random(seed);
+            Fingerprint next = 1;
+            std::vector<Traits> repeated;
+            for (int number = 0; number < 30; ++number) {
+                std::vector<Traits> inFlight;
+                for (int fresh = 0; fresh < 6; ++fresh) {
+                    inFlight.push_back({next++});
+                }
+                const auto fresh = inFlight;
+                inFlight.insert(inFlight.end(), repeated.begin(), repeated.end());
+                quarantine.recordCrash(crash(fmt::format("e{}", number), inFlight), Start);
+                repeated.clear();
+                std::copy_if(fresh.begin(), fresh.end(), std::back_inserter(repeated), [&](const Traits &) { return random() % 2 == 0; });
+            }
+            RC_ASSERT(quarantine.entries(Start).empty());
+        });
+    }
+
+    auto popularRequestSurvivesTheLossOfARack() -> void
+    {
+        Quarantine quarantine;
+        quarantine.recordSuccess(Traits{Sound}, Start - seconds(2));
+        for (int number = 0; number < 6; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Sound}}), Start);
+        }
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Sound}));
+    }
+
+    auto successLiftsTheQuarantineOnAllVms() -> void
     {
         Quarantine first;
         Quarantine second;
-        first.recordCrash(7, "e0", Length, Start);
-        first.recordCrash(7, "e1", Length, Start);
-        second.merge(first.entries(Start), Start);
-        CPPUNIT_ASSERT(second.isQuarantined(7, Start + Length - seconds(1)));
-        CPPUNIT_ASSERT(!second.isQuarantined(7, Start + Length));
-        second.expire(Start + Length);
-        CPPUNIT_ASSERT(second.entries(Start).empty());
+        for (int number = 0; number < 3; ++number) {
+            first.recordCrash(crash(fmt::format("e{}", number), {{Sound}}), Start);
+        }
+        second.recordSuccess(Traits{Sound}, Start + seconds(1));
+        CPPUNIT_ASSERT(isQuarantined(first, {Sound}));
+        const auto now = Start + seconds(2);
+        second.merge(first.report(now), now); // the second VM recognizes the fingerprint and reports its success
+        CPPUNIT_ASSERT(!isQuarantined(second, {Sound}, now));
+        CPPUNIT_ASSERT(first.merge(second.report(now), now));
+        CPPUNIT_ASSERT(!isQuarantined(first, {Sound}, now));
+    }
+
+    auto oneMoreCrashAfterTheQuarantineRenewsIt() -> void
+    {
+        Quarantine quarantine;
+        for (int number = 0; number < 3; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}}), Start);
+        }
+        const auto later = Start + Length + seconds(5);
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}, later));
+        quarantine.recordCrash(crash("e9", {{Deadly}, {Sound}}, later), later);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}, later));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Sound}, later));
+    }
+
+    auto memoryIsBoundedAndEntriesAreNotEvicted() -> void
+    {
+        Quarantine quarantine;
+        const auto blame = [&quarantine](Fingerprint fingerprint) {
+            for (int number = 0; number < 3; ++number) {
+                quarantine.recordCrash(crash(fmt::format("e{}.{}", fingerprint, number), {{fingerprint}}), Start);
+            }
+        };
+        blame(Deadly);
+        for (Fingerprint made = 1000; made < 1000 + 2 * Quarantine::MaxEntries; ++made) {
+            blame(made);
+            quarantine.recordSuccess(Traits{1'000'000 + made}, Start);
+        }
+        const auto report = quarantine.report(Start);
+        CPPUNIT_ASSERT(report.entries.size() <= Quarantine::MaxEntries);
+        CPPUNIT_ASSERT(report.crashes.size() <= Quarantine::MaxRecords);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}));
+        std::vector<Traits> flood;
+        for (Fingerprint made = 0; made < 1000; ++made) {
+            Traits traits(100);
+            std::generate(traits.begin(), traits.end(), [&made, next = 0]() mutable { return 5'000'000 + 1000 * made + next++; });
+            flood.push_back(traits);
+        }
+        Quarantine other;
+        other.recordCrash(crash("e", flood), Start);
+        const auto record = other.report(Start).crashes.front();
+        CPPUNIT_ASSERT_EQUAL(Quarantine::MaxRequestsPerRecord, record.requests.size());
+        CPPUNIT_ASSERT_EQUAL(Quarantine::MaxTraits, record.requests.front().size());
+        Acquittals acquittals;
+        for (Fingerprint made = 0; made < 3 * Acquittals::MaxFingerprints; ++made) {
+            acquittals.add(made, Start);
+        }
+        CPPUNIT_ASSERT(acquittals.size() <= Acquittals::MaxFingerprints);
+    }
+
+    auto deadlyRequestIsFoundInAnyOrderOfRecords() -> void
+    {
+        CHECK_PROPERTY("the request present at all crashes is quarantined in any order of the records", [](std::uint32_t seed) {
+            Random random(seed);
+            std::vector<CrashRecord> records;
+            for (int number = 0; number < 5; ++number) {
+                records.push_back(crash(fmt::format("e{}", number), {{Deadly}, {100 + random() % 6}, {100 + random() % 6}}));
+            }
+            std::shuffle(records.begin(), records.end(), random);
+            Quarantine quarantine;
+            for (const auto &record : records) {
+                quarantine.recordCrash(record, Start);
+            }
+            RC_ASSERT(isQuarantined(quarantine, {Deadly}));
+        });
+    }
+
+    auto refusalNamesItsReason() -> void
+    {
+        Quarantine quarantine;
+        for (int number = 0; number < 3; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}}, Start + seconds(number)), Start + seconds(number));
+        }
+        const auto entry = quarantine.find(Traits{Deadly}, Start + seconds(5));
+        CPPUNIT_ASSERT(entry && entry->observer == "vm0" && entry->age == Duration(seconds(3)));
+        CPPUNIT_ASSERT(entry->upstreams == (std::vector<std::string>{"e0", "e1", "e2"}));
     }
 };
 
