Quarantine prompt parts on which engines crash

Callers of a route lost their streams again and again: requests that share one part of their prompt crash each engine that begins to answer them, and no two of them are alike.

Cause: the quarantine recognized a request only when it came again as a whole. Change: the parts of a prompt, except the request's own, are traits of the request beside its fingerprint. Traits that were in the same requests at each crash cannot be told apart and are refused only together; a further crash without one of them, or the success of a request with one of them, singles out the part to blame. A stream acquits its parts once its engine has sent events for a second, since such prompts crash engines when they begin to answer.

--- a/include/currantstack/decisions/quarantine.h
+++ b/include/currantstack/decisions/quarantine.h
@@ -12,9 +12,12 @@
 namespace currantstack
 {
 
-/// The fingerprints by which a request is recognized when it comes again, in ascending order.
+/// The fingerprints by which a request, or one like it, is recognized when it comes again, in ascending order without duplicates.
 using Traits = std::vector<Fingerprint>;
 
+/// Returns the traits of a request: its own fingerprint and those of the parts of its prompt.
+auto traitsOf(Fingerprint request, std::span<const Fingerprint> promptParts) -> Traits;
+
 /// An upstream that crashed, and the requests that it was running.
 struct CrashRecord
 {
@@ -62,9 +65,9 @@
 {
 public:
     static constexpr Duration RecordLifetime = seconds(120);
-    static constexpr std::size_t MaxRecords = 128;
+    static constexpr std::size_t MaxRecords = 64;
     static constexpr std::size_t MaxRequestsPerRecord = 64;
-    static constexpr std::size_t MaxTraits = 9; // per request
+    static constexpr std::size_t MaxTraits = 17; // per request
     static constexpr std::size_t MaxEntries = 256; // further ones are not added, so that none is evicted
     static constexpr std::size_t MaxUpstreamsPerEntry = 8; // named in the reason of a refusal
 
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -6,6 +6,7 @@
 #include "currantstack/decisions/upstream_directory.h"
 #include "currantstack/edge/settings.h"
 #include "currantstack/error.h"
+#include "currantstack/fingerprint.h"
 #include "currantstack/http.h"
 #include "currantstack/http_client.h"
 #include "currantstack/store.h"
@@ -22,6 +23,7 @@
     std::string host;
     std::optional<Duration> timeLeft; // until the caller's deadline
     RequestShape shape; // zero for requests to plain services
+    std::vector<Fingerprint> promptParts; // parts of the prompt that other requests may share, in order; without the request's own part
     std::int64_t lastEventId = 0; // last event that the caller has received; 0: none
 };
 
--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -81,6 +81,15 @@
 
 } // namespace
 
+auto traitsOf(Fingerprint request, std::span<const Fingerprint> promptParts) -> Traits
+{
+    Traits traits(promptParts.begin(), promptParts.end());
+    traits.push_back(request);
+    std::sort(traits.begin(), traits.end());
+    traits.erase(std::unique(traits.begin(), traits.end()), traits.end());
+    return traits;
+}
+
 auto Quarantine::withoutAcquitted(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits
 {
     Traits result;
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -88,7 +88,7 @@
     request.exchange = exchange;
     request.metadata = m_context.protocol.parseRequest(exchange->request());
     request.fingerprint = requestFingerprint(exchange->request());
-    request.traits = {request.fingerprint};
+    request.traits = traitsOf(request.fingerprint, request.metadata.promptParts);
     request.arrivedAt = m_context.clock.now();
     m_context.counters.at("requests_taken").add();
     for (const auto &filter : m_filters) {
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -15,6 +15,8 @@
 // The timeout for the first event is the expected time multiplied by this factor, plus this margin.
 constexpr double FirstEventTimeoutFactor = 2;
 constexpr Duration FirstEventTimeoutMargin = milliseconds(700);
+// A prompt that crashes engines does so when they begin to answer it. An engine that has sent events for this time has survived it.
+constexpr Duration SurvivalTime = seconds(1);
 // Share of a KV handle's lifetime in which it may be sent to another decode engine. The rest is left for the reservation and the
 // transfer.
 constexpr double UsableHandleLifetimeShare = 0.8;
@@ -35,6 +37,8 @@
         m_lastEventAt = now;
     }
     m_splitter = {};
+    m_begunAt.reset();
+    m_acquitted = false;
     m_collectingError = false;
     m_attempts.onAttempt();
     if (m_kvSource.empty()) {
@@ -106,6 +110,7 @@
         m_context.latencies.record("event_gap", now - m_lastEventAt);
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
     }
+    acquitAfterBegin();
     releasePromptTokens();
     m_lastEventId = event.id.value_or(m_lastEventId + 1);
     m_lastEventAt = now;
@@ -115,6 +120,16 @@
     restartStallTimer();
 }
 
+auto StreamRequest::acquitAfterBegin() -> void
+{
+    const auto now = m_context.clock.now();
+    m_begunAt = m_begunAt.value_or(now);
+    if (!m_acquitted && now - *m_begunAt >= SurvivalTime) {
+        m_acquitted = true;
+        m_context.quarantine.recordSuccess(m_request.traits, now);
+    }
+}
+
 auto StreamRequest::onFirstEvent() -> void
 {
     const auto now = m_context.clock.now();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -80,6 +80,7 @@
     auto onEvent(const RawEvent &event) -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto onFirstEvent() -> void;
+    auto acquitAfterBegin() -> void;
     auto onStall() -> void;
     auto restartStallTimer() -> void;
     auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
@@ -125,6 +126,8 @@
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId;
     int m_events = 0;
+    std::optional<TimePoint> m_begunAt; // first event of the current decode engine
+    bool m_acquitted = false; // the quarantine knows that the current decode engine survived the begin of this stream
     TimePoint m_lastEventAt;
     Duration m_timeToFirstEvent = Duration::zero();
     Duration m_longestGap = Duration::zero();
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -1,5 +1,6 @@
 #include "protocol.h"
 
+#include "currantstack/decisions/quarantine.h"
 #include "currantstack/edge/forwarding.h"
 
 #include "../check.h"
@@ -11,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(PlatformProtocolTest);
     CPPUNIT_TEST(readsTheRequestHeaders);
+    CPPUNIT_TEST(sharedPromptPartsAreReadWithoutTheLast);
     CPPUNIT_TEST(malformedNumbersAreIgnored);
     CPPUNIT_TEST(callersCannotSetRouterHeaders);
     CPPUNIT_TEST(connectionHeadersAreNotForwarded);
@@ -55,6 +57,19 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(12), metadata.lastEventId);
     }
 
+    auto sharedPromptPartsAreReadWithoutTheLast() -> void
+    {
+        const auto partsOf = [this](std::string value) { return m_protocol.parseRequest(request({{"Prefix-Hash", value}})).promptParts; };
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250").size());
+        CPPUNIT_ASSERT(partsOf("5c1e07a2:800,91bd3f06:410,x:1") == partsOf("5c1e07a2:799,91bd3f06:2,y:2"));
+        CPPUNIT_ASSERT(partsOf("5c1e07a2:800").empty() && partsOf("").empty());
+        std::string many;
+        for (int number = 0; number < 1000; ++number) {
+            many += std::to_string(number) + ":1,";
+        }
+        CPPUNIT_ASSERT(partsOf(many).size() < Quarantine::MaxTraits);
+    }
+
     auto malformedNumbersAreIgnored() -> void
     {
         const auto metadata =
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -44,6 +44,12 @@
     CPPUNIT_TEST(memoryIsBoundedAndEntriesAreNotEvicted);
     CPPUNIT_TEST(deadlyRequestIsFoundInAnyOrderOfRecords);
     CPPUNIT_TEST(refusalNamesItsReason);
+    CPPUNIT_TEST(deadlyPartIsToldFromThePartsBesideIt);
+    CPPUNIT_TEST(partsThatOnlyCameTogetherAreRefusedTogether);
+    CPPUNIT_TEST(laterCrashWidensTheQuarantineToThePartToBlame);
+    CPPUNIT_TEST(repeatedRequestDoesNotHideThePart);
+    CPPUNIT_TEST(twoDeadlyPartsAreBothFound);
+    CPPUNIT_TEST(deadlyPartIsFoundAmongRandomPrompts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +235,89 @@
         });
     }
 
+    auto deadlyPartIsToldFromThePartsBesideIt() -> void
+    {
+        Quarantine quarantine;
+        quarantine.recordSuccess(traitsOf(50, Traits{Sound, 9}), Start);
+        for (Fingerprint number = 0; number < 3; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Deadly})}), Start);
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(200, Traits{Sound, Deadly})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(201, Traits{Deadly})));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(202, Traits{Sound, 9})));
+    }
+
+    auto partsThatOnlyCameTogetherAreRefusedTogether() -> void
+    {
+        Quarantine quarantine;
+        for (Fingerprint number = 0; number < 3; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Deadly})}), Start);
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(200, Traits{Sound, Deadly})));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(201, Traits{Sound, 9})));
+        // The success of a request with one of the parts leaves the other.
+        quarantine.recordSuccess(traitsOf(201, Traits{Sound, 9}), Start + seconds(1));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(202, Traits{9, Deadly}), Start + seconds(1)));
+    }
+
+    auto laterCrashWidensTheQuarantineToThePartToBlame() -> void
+    {
+        Quarantine quarantine;
+        for (Fingerprint number = 0; number < 3; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Deadly})}), Start);
+        }
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(200, Traits{9, Deadly})));
+        quarantine.recordCrash(crash("e3", {traitsOf(200, Traits{9, Deadly})}), Start);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(201, Traits{10, Deadly})));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(202, Traits{Sound, 9})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantine.entries(Start).size());
+    }
+
+    auto repeatedRequestDoesNotHideThePart() -> void
+    {
+        Quarantine quarantine;
+        for (Fingerprint number = 0; number < 3; ++number) {
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100, Traits{Sound, Deadly})}), Start);
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(100, Traits{Sound, Deadly})));
+        quarantine.recordCrash(crash("e3", {traitsOf(101, Traits{Sound, Deadly})}), Start);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(102, Traits{Sound, Deadly})));
+    }
+
+    auto twoDeadlyPartsAreBothFound() -> void
+    {
+        Quarantine quarantine;
+        for (Fingerprint number = 0; number < 4; ++number) {
+            quarantine.recordCrash(crash(fmt::format("a{}", number), {traitsOf(100 + number, Traits{20 + number, Deadly})}), Start);
+            quarantine.recordCrash(crash(fmt::format("b{}", number), {traitsOf(200 + number, Traits{30 + number, 6})}), Start);
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(300, Traits{Deadly})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(300, Traits{6})));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(300, Traits{20, 30})));
+    }
+
+    auto deadlyPartIsFoundAmongRandomPrompts() -> void
+    {
+        CHECK_PROPERTY("the deadly part is found, and no sound prompt is refused", [](std::uint32_t seed) {
+            Random random(seed);
+            Quarantine quarantine;
+            const auto sound = [&random]() { return traitsOf(1000 + random(), Traits{100 + random() % 4, 200 + random() % 8}); };
+            const auto deadly = [&random]() { return traitsOf(1000 + random(), Traits{100 + random() % 4, Deadly}); };
+            auto now = Start;
+            for (int number = 0; number < 6; ++number) {
+                for (int served = 0; served < 20; ++served) {
+                    quarantine.recordSuccess(sound(), now);
+                }
+                now += milliseconds(500);
+                quarantine.recordCrash(crash(fmt::format("e{}", number), {deadly(), sound(), sound()}, now), now);
+            }
+            RC_ASSERT(isQuarantined(quarantine, deadly(), now));
+            for (int number = 0; number < 20; ++number) {
+                RC_ASSERT(!isQuarantined(quarantine, sound(), now));
+            }
+        });
+    }
+
     auto refusalNamesItsReason() -> void
     {
         Quarantine quarantine;
