A stream without length or chunks that ends before its first event is incomplete

Callers got 200 with an empty body, as if the stream were complete, when an engine whose answer has neither a length nor chunks closed its connection before the first event, as a crash of the engine does.

Cause: such an answer ends with its connection, so libcurl reports no error, and only an end inside an event counted as broken. Change: an end before the first event counts as well; both ends are reported to the crash detector as closed connections.

Evidence: answers_may_end_with_their_connection failed before with "a stream without any event is answered with 200"; it passes now, together with the tests of truncated and resumed streams.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -69,6 +69,7 @@
         return;
     }
     m_handle.clear(); // the decode engine has fetched the KV cache
+    m_endsWithConnection = findHeader(headers, "Content-Length").empty() && findHeader(headers, "Transfer-Encoding").empty();
     if (status != 200) {
         m_collectingError = true;
         m_errorAnswer = {status, m_context.protocol.answerHeaders(headers), ""};
@@ -175,14 +176,29 @@
         finish();
         return;
     }
-    if (m_splitter.hasPartial()) {
-        onDecodeBroken(AttemptOutcome::Unknown, "the stream ends inside an event", {false, true});
+    if (const auto reason = incompleteReason(); !reason.empty()) {
+        Error error{ErrorCode::Unavailable, "forward", m_decodeEngine.id, std::string(reason)};
+        error.connectionClosed = true;
+        observeFailedCall(m_context, m_request, m_decodeEngine, error);
+        onDecodeBroken(AttemptOutcome::Unknown, reason, evidenceOf(error));
         return;
     }
     m_attempts.onOutcome(AttemptOutcome::Answered);
     complete();
 }
 
+/// Returns why a stream that ended without an error is incomplete, or an empty text if it is complete.
+auto StreamRequest::incompleteReason() const -> std::string_view
+{
+    if (m_splitter.hasPartial()) {
+        return "the stream ends inside an event";
+    }
+    if (m_endsWithConnection && !m_begunAt) {
+        return "the connection was closed before the first event";
+    }
+    return "";
+}
+
 auto StreamRequest::restartStallTimer() -> void
 {
     if (!m_request.route->resumable) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -79,6 +79,7 @@
     auto onData(std::string_view data) -> void;
     auto onEvent(const RawEvent &event) -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
+    auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
     auto acquitAfterBegin() -> void;
     auto onStall() -> void;
@@ -122,6 +123,7 @@
     int m_answerStatus = 0;
     HttpResponse m_errorAnswer; // an engine's own error response, while its body arrives
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
+    bool m_endsWithConnection = false; // the answer has neither a length nor chunks
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId;
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -125,6 +125,11 @@
             return None
         if self.draw_fault("foreign"):
             return response(200, [("Request-Id", "someone-else"), (STAMP, "x")], b"not yours")
+        if self.draw_fault("unframed"):
+            head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request)) + "\r\n"
+            writer.write(head.encode() + body)
+            await writer.drain()
+            return None
         answer = response(200, self.headers(request), body)
         return answer + answer if self.draw_fault("surplus") else answer
 
@@ -214,8 +219,11 @@
     async def stream(self, request, reader, writer, prompt):
         self.record("run", request, after=int(request.header("last-event-id", "0")))
         self.used_tokens += prompt
+        # Faults "unframed..." send neither a length nor chunks; the answer ends with its connection.
+        is_framed = not self.fault.startswith("unframed")
+        frame = chunk if is_framed else bytes
         try:
-            head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+            head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + "Transfer-Encoding: chunked\r\n" * is_framed
             writer.write((head + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request)) + "\r\n").encode())
             if self.crashes_on(request):
                 await writer.drain()
@@ -225,6 +233,10 @@
             for number in range(int(request.header("last-event-id", "0")) + 1, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
                 event = f"id: {number}\ndata: {request.header('request-id')} {number}\n\n".encode()
+                if self.draw_fault("unframed_empty") or (number == 6 and self.draw_fault("unframed_torn")):
+                    writer.write(event[: len(event) // 2] if self.fault == "unframed_torn" else b"")
+                    await writer.drain()
+                    return None
                 if self.draw_fault("torn"):
                     writer.write(chunk(event[: len(event) // 2]))
                     await writer.drain()
@@ -232,13 +244,13 @@
                     return None
                 if self.draw_fault("stall"):
                     await asyncio.sleep(30)
-                writer.write(chunk(event))
+                writer.write(frame(event))
                 await writer.drain()
                 if reader.at_eof():
                     self.record("stopped", request, after=number)
                     return None
-            writer.write(chunk(b""))
+            writer.write(frame(b""))
             await writer.drain()
-            return b""
+            return b"" if is_framed else None
         finally:
             self.used_tokens -= prompt
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -60,6 +60,36 @@
         assert len(rig.runs_of(request)) == 1, "a stream that must not be resumed ran more than once"
 
 
+async def answers_may_end_with_their_connection():
+    """Guards against an answer without length or chunks that breaks off and is passed on as complete."""
+    async with Rig() as rig:
+        async def set_fault(fault, upstreams):
+            for upstream in upstreams:
+                upstream.fault, upstream.fault_share = fault, 1.0
+
+        await set_fault("unframed", rig.fleet.upstreams)
+        for kind in ("digest", "stream"):
+            _, status, _, body = await rig.send(kind)
+            assert status == 200 and events(body) == list(range(1, 13)), (kind, status, body)
+        request, status, _, body = await rig.send("book")
+        assert status == 200 and request.encode() in body, (status, body)
+        await set_fault("unframed_empty", rig.fleet.engines)
+        _, status, _, body = await rig.send("digest")
+        assert status == 502, f"a stream without any event is answered with {status} {body!r}"
+        await set_fault("unframed_torn", rig.fleet.engines)
+        try:
+            _, status, _, body = await rig.send("digest")
+            assert status != 200, f"a stream that ends inside an event looks complete: {body!r}"
+        except EOFError:
+            pass
+        # A stream that may be resumed goes on at another engine.
+        await set_fault("", rig.fleet.engines)
+        await set_fault("unframed_torn", rig.fleet.engines[2:3])
+        for _ in range(4):
+            _, status, _, body = await rig.send("stream")
+            assert status == 200 and events(body) == list(range(1, 13)), (status, body)
+
+
 async def bookings_run_once():
     for fault in ("lost", "torn", "foreign", "error", "surplus"):
         async with Rig() as rig:
@@ -298,7 +328,8 @@
         assert status == 200 and b"currantstack_requests_answered" in body and b"currantstack_first_event_seconds" in body
 
 
-TESTS = [each_request_kind_is_forwarded, broken_streams_are_resumed, truncated_stream_is_not_completed, bookings_run_once,
+TESTS = [each_request_kind_is_forwarded, broken_streams_are_resumed, truncated_stream_is_not_completed,
+         answers_may_end_with_their_connection, bookings_run_once,
          safe_requests_are_retried, refused_bookings_do_not_run, silent_upstreams_time_out, smuggled_requests_are_refused,
          disconnected_callers_stop_their_engines, draining_vm_completes_requests, drain_closes_idle_connections,
          draining_upstreams_get_no_requests, configuration_comes_into_force, compacted_history_is_reloaded,
