Bound responses of upstreams in memory and time

A faulty upstream that sends bytes without end filled the router's memory: with four bookings at upstreams that never end their body, a VM grew from 14 MB to 1,488 MB within three seconds, and all callers of the VM would have lost their connections with it.

Cause: buffered bodies, error bodies of streams and events not yet read by a slow caller had no limit; blank lines and comments counted as events, so that a stream of nothing else never broke.

Change: HttpCall bounds heads (64 KiB, with trailers and interim responses) and buffered bodies (8 MiB); a stream is broken off after 1 MiB without an event, after 1 MiB of an error body, and when its caller is 4 MiB behind. Blank lines and comments do not start an answer. The outcome counts as unknown, so that nothing runs twice.

Evidence: answers_without_end_are_cut_off (eight kinds of endless bytes at services and engines; bounds 48 MB of growth and the callers' deadline) failed before with the figures above; it passes now.

--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -27,6 +27,8 @@
     bool forbidReuse = false; // does not return the connection to the pool
     bool connectOnly = false; // only opens a connection and closes it; the response has status 0
     bool exactHeaders = false; // suppresses libcurl's default Accept, Content-Type and User-Agent
+    std::size_t maxHead = 64U << 10; // bytes of all heads and trailers of the response; a longer one fails the call
+    std::size_t maxBody = 8U << 20; // bytes of a buffered body; a longer one fails the call
     std::string target; // request target to send verbatim; empty: the URL's path and query
     std::string step; // name of the operation, for errors
     std::string peer; // name of the server, for errors
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -117,6 +117,9 @@
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         error.code = ErrorCode::DeadlineExceeded;
     }
+    if (!call.exceeded.empty()) {
+        error.message = call.exceeded;
+    }
     if (sent == 0) {
         long systemError = 0;
         curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &systemError);
@@ -151,6 +154,11 @@
     const std::string_view line(data, size * count);
     call->lastProgress = call->core->clock.now();
     call->core->bytesReceived += line.size();
+    call->headBytes += line.size();
+    if (call->headBytes > call->options.maxHead) {
+        call->exceeded = "the response head is too long";
+        return 0;
+    }
     if (call->headDelivered) {
         return size * count; // a trailer
     }
@@ -182,6 +190,9 @@
     if (!call->cancelled) {
         if (call->handlers.onData) {
             call->handlers.onData(std::string_view(data, size * count));
+        } else if (call->response.body.size() + size * count > call->options.maxBody) {
+            call->exceeded = "the response body is too long";
+            return 0;
         } else {
             call->response.body.append(data, size * count);
         }
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -26,6 +26,8 @@
         bool headDelivered = false;
         bool cancelled = false;
         bool idleExpired = false;
+        std::size_t headBytes = 0; // received, of heads and trailers
+        std::string_view exceeded; // the limit that the response exceeded
         int tcpUserTimeout = 0; // milliseconds
 
         ~Call()
--- a/src/edge/event_splitter.cc
+++ b/src/edge/event_splitter.cc
@@ -13,6 +13,17 @@
     return !line.empty() && line.back() == '\r' ? line.substr(0, line.size() - 1) : line;
 }
 
+auto isEmptyEvent(std::string_view event) -> bool
+{
+    for (auto atLineStart = true; const char byte : event) {
+        if (atLineStart && byte != ':' && byte != '\n' && byte != '\r') {
+            return false;
+        }
+        atLineStart = byte == '\n';
+    }
+    return true;
+}
+
 auto parseId(std::string_view event) -> std::optional<std::int64_t>
 {
     std::optional<std::int64_t> id;
@@ -46,7 +57,7 @@
         if (line.empty()) {
             const auto event = std::string_view(m_pending).substr(m_eventStart, m_lineStart - m_eventStart);
             m_eventStart = m_lineStart;
-            onEvent({event, parseId(event)});
+            onEvent({event, parseId(event), isEmptyEvent(event)});
         }
     }
     m_pending.erase(0, m_eventStart);
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -17,6 +17,9 @@
 constexpr Duration FirstEventTimeoutMargin = milliseconds(700);
 // A prompt that crashes engines does so when they begin to answer it. An engine that has sent events for this time has survived it.
 constexpr Duration SurvivalTime = seconds(1);
+constexpr std::size_t MaxErrorBody = 1U << 20; // bytes
+// A caller whose unread events exceed this is disconnected. It is far more than a complete stream.
+constexpr std::size_t MaxCallerBacklog = 4U << 20; // bytes
 // Share of a KV handle's lifetime in which it may be sent to another decode engine. The rest is left for the reservation and the
 // transfer.
 constexpr double UsableHandleLifetimeShare = 0.8;
@@ -37,6 +40,7 @@
         m_lastEventAt = now;
     }
     m_splitter = {};
+    m_fillerBytes = 0;
     m_begunAt.reset();
     m_acquitted = false;
     m_collectingError = false;
@@ -87,15 +91,32 @@
         return;
     }
     if (m_collectingError) {
+        if (m_errorAnswer.body.size() + data.size() > MaxErrorBody) {
+            breakOff("the error response is too long");
+            return;
+        }
         m_errorAnswer.body.append(data);
         return;
     }
     if (!m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); })) {
-        m_context.client.cancel(std::exchange(m_decodeCall, 0));
-        onDecodeBroken(AttemptOutcome::Unknown, "an event exceeds the size limit", {});
+        breakOff("an event exceeds the size limit");
+    } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
+        breakOff("the stream has no events");
+    } else if (m_request.exchange->pendingBytes() > MaxCallerBacklog) {
+        breakOff("the caller reads too slowly");
     }
 }
 
+auto StreamRequest::breakOff(std::string_view reason) -> void
+{
+    if (m_done || m_decodeCall == 0) {
+        return; // ended by an event of the same data
+    }
+    m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    m_collectingError = false;
+    onDecodeBroken(AttemptOutcome::Unknown, reason, {});
+}
+
 auto StreamRequest::onEvent(const RawEvent &event) -> void
 {
     if (m_done) {
@@ -104,6 +125,14 @@
     if (event.id && *event.id <= m_lastEventId) {
         return; // the caller already received it from the previous engine
     }
+    if (event.isEmpty) {
+        m_fillerBytes += event.bytes.size();
+        if (m_headSent) {
+            m_request.exchange->write(event.bytes);
+        }
+        return;
+    }
+    m_fillerBytes = 0;
     const auto now = m_context.clock.now();
     if (!m_headSent) {
         onFirstEvent();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -77,6 +77,7 @@
     auto startDecode() -> void;
     auto onHead(int status, const Headers &headers) -> void;
     auto onData(std::string_view data) -> void;
+    auto breakOff(std::string_view reason) -> void;
     auto onEvent(const RawEvent &event) -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto incompleteReason() const -> std::string_view;
@@ -127,6 +128,7 @@
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId;
+    std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     int m_events = 0;
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
     bool m_acquitted = false; // the quarantine knows that the current decode engine survived the begin of this stream
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -9,6 +9,18 @@
 
 STAMP = "Server-Stamp"
 
+# Faults that send bytes without end: what follows the first lines of a head (None: no head at all), and the bytes that are repeated.
+JUNK = {
+    "endless_head": (b"", b"X-Junk: " + 200 * b"j" + b"\r\n"),
+    "endless_line": (b"X-Junk: ", 4096 * b"j"),
+    "endless_interim": (None, 20 * b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "endless_bytes": (None, 4096 * b"j"),
+    "endless_body": (b"\r\n", 4096 * b"j"),
+    "endless_chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + 4096 * b"j" + b"\r\n"),
+    "endless_blank_lines": (b"\r\n", 4096 * b"\n"),
+    "endless_comments": (b"\r\n", 64 * b": junk\n\n"),
+}
+
 
 class Upstream:
     """Registration, health, faults and the recorded history, which engines and services share."""
@@ -21,7 +33,7 @@
         self.started_ms = int(time.time() * 1000)
         self.server = Server("127.0.0.1", port, self.handle)
         self.state, self.fault, self.fault_share = "ready", "", 0.0
-        self.sequence = 0
+        self.sequence, self.junk_senders = 0, 0
         self.crashes_on = lambda request: False  # a request for which this holds crashes the upstream shortly after it begins to run
         self.restart_s = 1.0  # from a crash until the next incarnation registers
 
@@ -98,12 +110,28 @@
             return response(421, [("Instance-Id", self.id)])
         if self.draw_fault("shed"):
             return response(503, [("Not-Run", "1")])
+        if self.fault in JUNK:
+            return await self.send_without_end(request, reader, writer, *JUNK[self.fault])
         if self.draw_fault("hang"):
             await asyncio.sleep(30)
             return None
         return await self.run(request, reader, writer)
 
 
+    async def send_without_end(self, request, reader, writer, start, repeated):
+        """Sends bytes that are no answer until the peer closes the connection."""
+        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request))
+        self.junk_senders += 1
+        try:
+            writer.write(head.encode() * (start is not None) + (start or b""))
+            while not reader.at_eof() and not writer.transport.is_closing():
+                writer.write(repeated)
+                await writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            self.junk_senders -= 1
+
+
 class Service(Upstream):
     WORK_S = 0.02  # time of one run
 
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -10,6 +10,7 @@
 
 import quarantine_tests
 from rig import ROOT, Rig, call, read_response
+from platform_upstreams import JUNK
 
 
 def events(body):
@@ -127,6 +128,41 @@
         assert status == 504 and time.monotonic() - begin < 1.0, status
 
 
+async def answers_without_end_are_cut_off():
+    """Guards against an upstream that fills the router's memory, or holds a caller past its deadline, with bytes that are no answer."""
+    deadline_s, growth_limit_mb = 3.0, 48
+    for fault in JUNK:
+        for kind in ("book", "digest"):
+            async with Rig() as rig:
+                vm = rig.vms[0]
+                for _ in range(3):
+                    assert (await rig.send(kind))[1] == 200
+                before = vm.resident_mb()
+                for upstream in rig.fleet.upstreams:
+                    upstream.fault = fault
+
+                async def send():
+                    begin = time.monotonic()
+                    try:
+                        status = (await rig.send(kind, deadline=1000 * deadline_s))[1]
+                        assert status in (502, 503, 504), (fault, kind, status)
+                    except EOFError:
+                        pass  # the stream had begun
+                    assert time.monotonic() - begin < deadline_s + 0.5, (fault, kind, "the caller is held past its deadline")
+
+                await asyncio.gather(*(send() for _ in range(4)))
+                assert vm.resident_mb() - before < growth_limit_mb, (fault, kind, before, vm.resident_mb())
+                await asyncio.sleep(0.3)
+                sending = [upstream.id for upstream in rig.fleet.upstreams if upstream.junk_senders]
+                assert not sending, (fault, kind, "connections stay open after the answers to the callers")
+                for upstream in rig.fleet.upstreams:
+                    upstream.fault = ""
+                end = time.monotonic() + 4  # an engine that failed is not used for at most 3 s
+                while (await rig.send(kind))[1] != 200:
+                    assert time.monotonic() < end, (fault, kind, "requests fail after the fault")
+                    await asyncio.sleep(0.1)
+
+
 async def smuggled_requests_are_refused():
     async with Rig() as rig:
         vm = rig.vms[0]
@@ -330,7 +366,7 @@
 
 TESTS = [each_request_kind_is_forwarded, broken_streams_are_resumed, truncated_stream_is_not_completed,
          answers_may_end_with_their_connection, bookings_run_once,
-         safe_requests_are_retried, refused_bookings_do_not_run, silent_upstreams_time_out, smuggled_requests_are_refused,
+         safe_requests_are_retried, refused_bookings_do_not_run, silent_upstreams_time_out, answers_without_end_are_cut_off, smuggled_requests_are_refused,
          disconnected_callers_stop_their_engines, draining_vm_completes_requests, drain_closes_idle_connections,
          draining_upstreams_get_no_requests, configuration_comes_into_force, compacted_history_is_reloaded,
          requests_are_served_while_the_store_is_unreachable, killed_vms_restart, restarted_upstreams_serve_requests,
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -62,6 +62,11 @@
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def resident_mb(self):
+        """Returns the process's highest resident memory so far."""
+        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
+            return next(int(line.split()[1]) for line in file if line.startswith("VmHWM")) / 1024
+
     def log_text(self):
         with open(self.log_path, encoding="utf-8") as file:
             return file.read()
--- a/test/event_splitter-test.cc
+++ b/test/event_splitter-test.cc
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(incompleteEventsAreNotForwarded);
     CPPUNIT_TEST(idsAreParsed);
     CPPUNIT_TEST(oversizedEventsAreRejected);
+    CPPUNIT_TEST(blankLinesAndCommentsAreEmptyEvents);
     CPPUNIT_TEST_SUITE_END();
 
     struct FeedResult
@@ -36,6 +37,15 @@
     }
 
 public:
+    auto blankLinesAndCommentsAreEmptyEvents() -> void
+    {
+        std::vector<bool> empty;
+        EventSplitter splitter;
+        splitter.feed("\n: comment\n\r\n\nid: 1\n\n: comment\ndata: x\n\n",
+                      [&empty](const RawEvent &event) { empty.push_back(event.isEmpty); });
+        CPPUNIT_ASSERT(empty == (std::vector<bool>{true, true, true, false, false}));
+    }
+
     auto eventsDoNotDependOnChunking() -> void
     {
         CHECK_PROPERTY("events do not depend on the chunks in which their bytes arrive", [] {
--- a/test/http_server-test.cc
+++ b/test/http_server-test.cc
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(connectTimeoutIsNotARefusedConnection);
     CPPUNIT_TEST(hostNamesAreRejected);
     CPPUNIT_TEST(idleCallTimesOut);
+    CPPUNIT_TEST(tooLongResponsesFailTheCall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -225,6 +226,26 @@
         ::close(listener);
     }
 
+    auto tooLongResponsesFailTheCall() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) {
+            exchange->respond({200, {{"X-Long", std::string(5000, 'h')}}, std::string(50000, 'b')});
+        });
+        const auto send = [&fixture](std::size_t maxHead, std::size_t maxBody) {
+            HttpCall call;
+            call.url = "http://127.0.0.1:" + std::to_string(fixture.server->port()) + "/";
+            call.maxHead = maxHead;
+            call.maxBody = maxBody;
+            return fixture.send(std::move(call));
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t(50000), send(6000, 50000)->body.size());
+        const auto longHead = send(5000, 50000);
+        CPPUNIT_ASSERT(!longHead && longHead.error().message == "the response head is too long");
+        const auto longBody = send(6000, 49999);
+        CPPUNIT_ASSERT(!longBody && longBody.error().code == ErrorCode::Unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::string("the response body is too long"), longBody.error().message);
+    }
+
     auto hostNamesAreRejected() -> void
     {
         HttpFixture fixture([](const ExchangePtr &) {});
