explain and the soak know the quarantine

explain prints why a request was refused: the upstreams that crashed, the traits, the VM that reported the last crash and its age.

--- a/src/edge/explain.cc
+++ b/src/edge/explain.cc
@@ -55,6 +55,19 @@
                        milliseconds(line, "retry_after_ms"), text(line, "routes_version"));
 }
 
+auto describeQuarantine(const Json &line) -> std::string
+{
+    std::string crashed;
+    if (const auto upstreams = line.find("crashed"); upstreams != line.end() && upstreams->is_array()) {
+        for (const auto &upstream : *upstreams) {
+            crashed += (crashed.empty() ? "" : ", ") + (upstream.is_string() ? upstream.get<std::string>() : upstream.dump());
+        }
+    }
+    return fmt::format("quarantined for another {}: {} crashed under traits {}; last crash reported by {} {} before",
+                       milliseconds(line, "remaining_ms"), crashed, text(line, "traits"), text(line, "observer"),
+                       milliseconds(line, "crash_age_ms"));
+}
+
 auto describeEvent(const Json &line) -> std::string
 {
     const auto event = text(line, "event");
@@ -64,6 +77,9 @@
     if (event == "request_given_up") {
         return describeFailure(line);
     }
+    if (event == "request_quarantined") {
+        return describeQuarantine(line);
+    }
     if (event == "service_chosen") {
         return fmt::format("sent to {} (with {} requests, health {}, {} candidates), attempt {}", text(line, "upstream"),
                            text(line, "under_way"), text(line, "health"), text(line, "candidates"), text(line, "send"));
--- a/src/edge/quarantine_controller.cc
+++ b/src/edge/quarantine_controller.cc
@@ -6,6 +6,13 @@
 namespace currantstack
 {
 
+namespace
+{
+
+constexpr std::size_t MaxLoggedRequests = 16; // per crash
+
+} // namespace
+
 QuarantineController::QuarantineController(EdgeContext &context, const StoreCodec &codec, Store &store, LoadExchange &exchange)
     : m_context(context)
     , m_exchange(exchange)
@@ -60,11 +67,12 @@
 {
     const auto now = m_context.clock.now();
     auto texts = nlohmann::json::array();
-    for (const auto &traits : requests) {
+    for (const auto &traits : std::span(requests).first(std::min(requests.size(), MaxLoggedRequests))) {
         texts.push_back(fingerprintTexts(traits));
     }
     m_context.counters.at("upstream_crashes_observed").add();
-    m_context.log.write("quarantine", "crash_observed", {{"incarnation", incarnation}, {"requests", std::move(texts)}});
+    m_context.log.write("quarantine", "crash_observed",
+                        {{"incarnation", incarnation}, {"in_flight", requests.size()}, {"requests", std::move(texts)}});
     const CrashRecord record{incarnation, m_context.settings.vm, now, std::move(requests)};
     if (m_context.quarantine.recordCrash(record, now)) {
         QuarantineReport report;
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -88,6 +88,8 @@
         await asyncio.sleep(self.restart_s / 2)
         self.store.delete(f"servers/{self.id}")
         await asyncio.sleep(self.restart_s / 2)
+        if self.server.is_listening:
+            return  # it was restarted meanwhile
         self.id, self.started_ms, self.state = f"i-{next(self.ids)}", int(time.time() * 1000), "ready"
         await self.server.start()
         self.register()
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -26,6 +26,7 @@
 RECOVERY_LIMIT_S = 12.0  # from the last fault until all VMs serve every kind of request
 KINDS = ("book", "check", "stream", "digest")
 AT_MOST_ONCE = ("book", "digest")
+DEADLY_SHARE = 0.01  # of the requests
 
 
 class Soak(Rig):
@@ -38,9 +39,12 @@
         self.planned_only = seed % 3 == 0
         self.relays, self.responses, self.interrupted, self.drains = {}, [], [], {}
         self.store_faults, self.stopping = False, False
+        self.deadly = set()  # ids of the requests that crash the services that run them
 
     async def __aenter__(self):
         await super().__aenter__()
+        for service in self.fleet.services:
+            service.crashes_on = lambda request: request.path.endswith("/deadly")
         for vm in self.vms:
             relay = self.relays[vm.name] = Relay(0, int(self.fleet.store.address.rsplit(":", 1)[1]))
             with open(vm.path, encoding="utf-8") as file:
@@ -68,9 +72,12 @@
             if not ready:
                 continue
             kind, vm, request = self.random.choice(KINDS), self.random.choice(ready), self.request_id()
-            begin = time.monotonic()
+            begin, path = time.monotonic(), "sound"
+            if not self.planned_only and self.random.random() < DEADLY_SHARE:
+                kind, path = "check", "deadly"
+                self.deadly.add(request)
             try:
-                _, status, headers, body = await self.send(kind, vm, request, deadline=4000, limit=9)
+                _, status, headers, body = await self.send(kind, vm, request, deadline=4000, limit=9, path=path)
                 self.responses.append((request, kind, status, headers, body, begin))
             except (EOFError, OSError, asyncio.TimeoutError) as error:
                 self.interrupted.append((request, kind, vm.name, begin, repr(error)))
@@ -103,7 +110,7 @@
         await service.restart()
 
     async def inject_fault(self):
-        fault = self.random.choice(("kill", "freeze", "store", "relay", "restart_engine", "engines", "services", "compact"))
+        fault = self.random.choice(("kill", "freeze", "store", "relay", "restart_engine", "crash", "engines", "services", "compact"))
         vm, duration_s = self.random.choice(self.vms), self.random.uniform(0.5, 3)
         if fault == "kill":
             vm.signal(signal.SIGKILL)
@@ -119,6 +126,8 @@
             await self.inject_relay_fault(self.relays[vm.name], duration_s)
         elif fault == "restart_engine":
             await self.random.choice(self.fleet.engines).restart()
+        elif fault == "crash":
+            self.random.choice(self.fleet.upstreams).crash_and_restart()
         elif fault == "compact":
             self.fleet.store.compact()
         else:
@@ -165,7 +174,7 @@
 
     def check(self):
         """Returns the violations that were found, one line each."""
-        return [*self.check_runs(), *self.check_responses(), *self.check_drains(), *self.check_planned_changes()]
+        return [*self.check_runs(), *self.check_responses(), *self.check_quarantine(), *self.check_drains(), *self.check_planned_changes()]
 
     def check_runs(self):
         kinds = {request: kind for request, kind, *_ in [*self.responses, *self.interrupted]}
@@ -197,6 +206,11 @@
             elif request.encode() not in body:
                 yield f"{request}: the body belongs to another request"
 
+    def check_quarantine(self):
+        for request, kind, status, _, body, _ in self.responses:
+            if b"quarantined" in body and request not in self.deadly:
+                yield f"{request} ({kind}) was refused with {status} as quarantined, but crashes no upstream"
+
     def check_drains(self):
         for upstream, (at, store_faults) in self.drains.items():
             late = [entry for entry in self.fleet.history
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(ExplainTest);
     CPPUNIT_TEST(timelineIsOrderedAndIncludesRelatedEvents);
+    CPPUNIT_TEST(quarantineNamesItsObservations);
     CPPUNIT_TEST(malformedLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -31,6 +32,17 @@
         CPPUNIT_ASSERT(timeline[2].find("+300 ms vm1: given up after 300 ms with status 502: reset") != std::string::npos);
     }
 
+    auto quarantineNamesItsObservations() -> void
+    {
+        std::istringstream lines(
+            R"({"time_ms":1000,"vm":"vm1","part":"quarantine","event":"request_quarantined","request":"r1","fingerprint":"0a","traits":["0a"],"crashed":["i-1@5","i-2@6"],"observer":"vm2","crash_age_ms":250.2,"remaining_ms":5000.0}
+)");
+        const auto timeline = explainRequest(lines, "r1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), timeline.size());
+        CPPUNIT_ASSERT(timeline[0].find("quarantined for another 5000 ms: i-1@5, i-2@6 crashed") != std::string::npos);
+        CPPUNIT_ASSERT(timeline[0].find("last crash reported by vm2 250 ms before") != std::string::npos);
+    }
+
     auto malformedLinesAreSkipped() -> void
     {
         CHECK_PROPERTY("malformed lines are skipped without a crash", [](const std::string &text) {
