Simultaneous crashes with a common cause blame no prompt part

Cause: each crashed engine counted by itself, although many ended at the same moment. Change: crashes within 150 ms of one another form a burst. If some of its crashes ran no request with a trait, the burst counts once for that trait, and not at all if it has four crashes or more and the trait was at a quarter of them or fewer. A crash bears the time of the first closed connection, not that of the proof, which may take seconds.

--- a/include/currantstack/decisions/crash_detector.h
+++ b/include/currantstack/decisions/crash_detector.h
@@ -25,7 +25,9 @@
 
     struct Hooks
     {
-        std::function<void(const std::string &incarnation, std::vector<Traits> requests)> onCrash = [](const auto &, const auto &) {};
+        /// `at` is when the first connection was closed.
+        std::function<void(const std::string &incarnation, std::vector<Traits> requests, TimePoint at)> onCrash = [](const auto &,
+                                                                                                                     const auto &, auto) {};
         std::function<void(const Upstream &upstream)> onProofNeeded = [](const auto &) {}; // runs once for each incarnation
     };
 
@@ -51,6 +53,7 @@
     struct Incarnation
     {
         TimePoint since;
+        TimePoint closedAt; // first closed connection
         bool ended = false;
         std::vector<Traits> requests; // whose connection was closed, until the end is proved
     };
--- a/include/currantstack/decisions/quarantine.h
+++ b/include/currantstack/decisions/quarantine.h
@@ -60,7 +60,8 @@
 
 /// Compares the requests that were in flight at each crash. Traits that were present at enough crashes, and not in any request that
 /// succeeded meanwhile, are quarantined; other traits present in the same requests each time narrow the quarantine, because they cannot
-/// be told apart. The result depends on the set of records only, so that VMs that exchange their records agree.
+/// be told apart. Upstreams that crash at the same time as others without the traits have a common cause. The result depends on the set of
+/// records only, so that VMs that exchange their records agree.
 class Quarantine
 {
 public:
--- a/include/currantstack/edge/quarantine_controller.h
+++ b/include/currantstack/edge/quarantine_controller.h
@@ -25,7 +25,7 @@
 
 private:
     auto probe(const Upstream &upstream) -> void;
-    auto onCrash(const std::string &incarnation, std::vector<Traits> requests) -> void;
+    auto onCrash(const std::string &incarnation, std::vector<Traits> requests, TimePoint at) -> void;
     auto onDatagram(std::string_view bytes) -> void;
     auto onStored(const QuarantineEntry &entry) -> void;
     auto check() -> void;
--- a/src/decisions/crash_detector.cc
+++ b/src/decisions/crash_detector.cc
@@ -1,5 +1,6 @@
 #include "currantstack/decisions/crash_detector.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -18,9 +19,9 @@
     if (m_incarnations.size() >= MaxIncarnations && !m_incarnations.contains(name)) {
         return;
     }
-    const auto [found, isNew] = m_incarnations.try_emplace(name, Incarnation{now, false, {}});
+    const auto [found, isNew] = m_incarnations.try_emplace(name, Incarnation{now, now, false, {}});
     if (found->second.ended) {
-        m_hooks.onCrash(name, {std::move(traits)});
+        m_hooks.onCrash(name, {std::move(traits)}, std::min(now, found->second.closedAt));
         return;
     }
     if (found->second.requests.size() < Quarantine::MaxRequestsPerRecord) {
@@ -51,8 +52,11 @@
 {
     entry.ended = true;
     entry.since = now;
+    if (entry.closedAt == TimePoint()) {
+        entry.closedAt = now; // refused before a closed connection was noticed
+    }
     if (auto requests = std::exchange(entry.requests, {}); !requests.empty()) {
-        m_hooks.onCrash(incarnation, std::move(requests));
+        m_hooks.onCrash(incarnation, std::move(requests), entry.closedAt);
     }
 }
 
--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -24,14 +24,54 @@
     return std::any_of(record.requests.begin(), record.requests.end(), [subset](const Traits &traits) { return includes(traits, subset); });
 }
 
+using Records = std::vector<const CrashRecord *>;
+
 /// Traits that are suspected together, and the crashes that they explain.
 struct Suspicion
 {
     Traits traits;
-    std::vector<const CrashRecord *> crashes;
+    Records crashes;
+    std::size_t strength = 0; // crashes that count
 };
 
-using Records = std::vector<const CrashRecord *>;
+// Crashes with at most this time between one and the next may have a common cause, such as the loss of a rack.
+constexpr Duration BurstGap = milliseconds(150);
+constexpr std::size_t MinCommonCauseBurst = 4; // crashes
+constexpr std::size_t CommonCauseFactor = 4; // a trait at one in this many crashes of a burst, or fewer, was there by chance
+
+/// Crashes at about the same time.
+using Burst = std::vector<const CrashRecord *>;
+
+auto burstsOf(Records records) -> std::vector<Burst>
+{
+    std::sort(records.begin(), records.end(), [](const auto *left, const auto *right) { return left->at < right->at; });
+    std::vector<Burst> bursts;
+    for (const auto *record : records) {
+        if (bursts.empty() || record->at - bursts.back().back()->at > BurstGap) {
+            bursts.emplace_back();
+        }
+        bursts.back().push_back(record);
+    }
+    return bursts;
+}
+
+/// Returns how many of the crashes with a trait count as evidence. Upstreams that crash together with others that ran no request with the
+/// trait probably have another cause in common: such a burst counts once, or not at all if only few of its crashes have the trait.
+auto strengthOf(const Records &crashes, std::span<const Burst> bursts) -> std::size_t
+{
+    std::size_t strength = 0;
+    for (const auto &burst : bursts) {
+        const auto present = static_cast<std::size_t>(std::count_if(burst.begin(), burst.end(), [&crashes](const CrashRecord *record) {
+            return std::find(crashes.begin(), crashes.end(), record) != crashes.end();
+        }));
+        if (present == burst.size()) {
+            strength += present;
+        } else if (present > 0 && (burst.size() < MinCommonCauseBurst || CommonCauseFactor * present > burst.size())) {
+            ++strength;
+        }
+    }
+    return strength;
+}
 
 /// Returns the traits that are part of every request with this trait, including the trait itself.
 auto companionsOf(Fingerprint trait, std::span<const CrashRecord *const> records) -> Traits
@@ -53,8 +93,9 @@
 }
 
 /// Returns the traits present at the most crashes, but at `minCrashes` at least; among equals, those that describe the fewest requests.
-auto strongestSuspicion(std::span<const CrashRecord *const> records, std::size_t minCrashes) -> Suspicion
+auto strongestSuspicion(const Records &records, std::size_t minCrashes) -> Suspicion
 {
+    const auto bursts = burstsOf(records);
     std::map<Fingerprint, Records> crashesOf;
     for (const auto *record : records) {
         for (const auto &request : record->requests) {
@@ -68,12 +109,16 @@
     }
     Suspicion strongest;
     for (auto &[trait, crashes] : crashesOf) {
-        if (crashes.size() < std::max(minCrashes, strongest.crashes.size())) {
+        if (crashes.size() < std::max(minCrashes, strongest.strength)) {
+            continue;
+        }
+        const auto strength = strengthOf(crashes, bursts);
+        if (strength < std::max(minCrashes, strongest.strength)) {
             continue;
         }
         auto companions = companionsOf(trait, crashes);
-        if (crashes.size() > strongest.crashes.size() || companions.size() > strongest.traits.size()) {
-            strongest = {std::move(companions), std::move(crashes)};
+        if (strength > strongest.strength || companions.size() > strongest.traits.size()) {
+            strongest = {std::move(companions), std::move(crashes), strength};
         }
     }
     return strongest;
@@ -137,6 +182,7 @@
     } else if (!addRequests(known->second, record.requests)) {
         return false;
     }
+    known->second.at = std::min(known->second.at, record.at);
     renewEntries(known->second, now);
     evaluate(now);
     return true;
--- a/src/edge/quarantine_controller.cc
+++ b/src/edge/quarantine_controller.cc
@@ -20,7 +20,9 @@
     , m_timer(context.loop.timer([this]() { check(); }))
 {
     context.crashDetector.setHooks(
-        {[this](const std::string &incarnation, std::vector<Traits> requests) { onCrash(incarnation, std::move(requests)); },
+        {[this](const std::string &incarnation, std::vector<Traits> requests, TimePoint at) {
+             onCrash(incarnation, std::move(requests), at);
+         },
          [this](const Upstream &upstream) { m_context.loop.after(ProofDelay, [this, upstream]() { probe(upstream); }); }});
     exchange.setReportHandler([this](std::string_view bytes) { onDatagram(bytes); });
 }
@@ -63,7 +65,7 @@
     m_context.client.start(std::move(call), std::move(handlers));
 }
 
-auto QuarantineController::onCrash(const std::string &incarnation, std::vector<Traits> requests) -> void
+auto QuarantineController::onCrash(const std::string &incarnation, std::vector<Traits> requests, TimePoint at) -> void
 {
     const auto now = m_context.clock.now();
     auto texts = nlohmann::json::array();
@@ -73,7 +75,7 @@
     m_context.counters.at("upstream_crashes_observed").add();
     m_context.log.write("quarantine", "crash_observed",
                         {{"incarnation", incarnation}, {"in_flight", requests.size()}, {"requests", std::move(texts)}});
-    const CrashRecord record{incarnation, m_context.settings.vm, now, std::move(requests)};
+    const CrashRecord record{incarnation, m_context.settings.vm, at, std::move(requests)};
     if (m_context.quarantine.recordCrash(record, now)) {
         QuarantineReport report;
         report.entries = m_context.quarantine.entries(now);
