--- a/include/currantstack/edge/quarantine_controller.h
+++ b/include/currantstack/edge/quarantine_controller.h
@@ -17,7 +17,7 @@
     static constexpr Duration CheckPeriod = milliseconds(250);
     static constexpr Duration RepeatPeriod = milliseconds(500);
     static constexpr std::size_t RepeatTargets = 3; // VMs
-    static constexpr std::size_t MaxDatagramsPerRepeat = 4;
+    static constexpr std::size_t MaxDatagramsPerRepeat = 2;
 
     QuarantineController(EdgeContext &context, const StoreCodec &codec, Store &store, LoadExchange &exchange);
 
