Probe an upstream at most once a second

An upstream at its limit of connections resets the ones beyond it; each reset would have opened one more connection to it as a probe, up to ten a second per VM. A crash detector entry now outlives the proof that the upstream is alive and asks for the next one a second later.

--- a/include/currantstack/decisions/crash_detector.h
+++ b/include/currantstack/decisions/crash_detector.h
@@ -21,6 +21,7 @@
     /// A closed connection is forgotten if the end of its upstream is not proved in this time: until its entry in the store expires and
     /// the removal reaches this VM.
     static constexpr Duration ProofTimeout = seconds(6);
+    static constexpr Duration ProofPeriod = seconds(1); // between two requests for a proof about the same incarnation
     static constexpr std::size_t MaxIncarnations = 512;
 
     struct Hooks
@@ -28,7 +29,7 @@
         /// `at` is when the first connection was closed.
         std::function<void(const std::string &incarnation, std::vector<Traits> requests, TimePoint at)> onCrash = [](const auto &,
                                                                                                                      const auto &, auto) {};
-        std::function<void(const Upstream &upstream)> onProofNeeded = [](const auto &) {}; // runs once for each incarnation
+        std::function<void(const Upstream &upstream)> onProofNeeded = [](const auto &) {}; // at most once per `ProofPeriod`
     };
 
     auto setHooks(Hooks hooks) -> void
@@ -54,6 +55,7 @@
     {
         TimePoint since;
         TimePoint closedAt; // first closed connection
+        TimePoint askedAt; // last request for a proof
         bool ended = false;
         std::vector<Traits> requests; // whose connection was closed, until the end is proved
     };
--- a/src/decisions/crash_detector.cc
+++ b/src/decisions/crash_detector.cc
@@ -19,15 +19,21 @@
     if (m_incarnations.size() >= MaxIncarnations && !m_incarnations.contains(name)) {
         return;
     }
-    const auto [found, isNew] = m_incarnations.try_emplace(name, Incarnation{now, now, false, {}});
-    if (found->second.ended) {
-        m_hooks.onCrash(name, {std::move(traits)}, std::min(now, found->second.closedAt));
+    const auto [found, isNew] = m_incarnations.try_emplace(name);
+    auto &entry = found->second;
+    if (entry.ended) {
+        m_hooks.onCrash(name, {std::move(traits)}, std::min(now, entry.closedAt));
         return;
     }
-    if (found->second.requests.size() < Quarantine::MaxRequestsPerRecord) {
-        found->second.requests.push_back(std::move(traits));
+    if (entry.requests.empty()) {
+        entry.since = now;
+        entry.closedAt = now;
     }
-    if (isNew) {
+    if (entry.requests.size() < Quarantine::MaxRequestsPerRecord) {
+        entry.requests.push_back(std::move(traits));
+    }
+    if (isNew || now - entry.askedAt >= ProofPeriod) {
+        entry.askedAt = now;
         m_hooks.onProofNeeded(upstream);
     }
 }
@@ -63,7 +69,7 @@
 auto CrashDetector::onAlive(const std::string &incarnation) -> void
 {
     if (const auto found = m_incarnations.find(incarnation); found != m_incarnations.end() && !found->second.ended) {
-        m_incarnations.erase(found);
+        found->second.requests.clear();
     }
 }
 
--- a/test/crash_detector-test.cc
+++ b/test/crash_detector-test.cc
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(closedConnectionAndRefusalAreACrash);
     CPPUNIT_TEST(refusalBeforeTheClosedConnectionCounts);
     CPPUNIT_TEST(resetConnectionsAreNoCrash);
+    CPPUNIT_TEST(proofsAreRequestedAtMostOncePerPeriod);
     CPPUNIT_TEST(unreachableUpstreamsAreNoCrash);
     CPPUNIT_TEST(upstreamsThatLeaveAreNoCrash);
     CPPUNIT_TEST(removedEntryProvesTheCrash);
@@ -69,6 +70,18 @@
         CPPUNIT_ASSERT(m_blamed.empty());
     }
 
+    auto proofsAreRequestedAtMostOncePerPeriod() -> void
+    {
+        // An upstream at its limit of connections resets many of them and is alive each time.
+        for (int reset = 0; reset < 300; ++reset) {
+            close(1);
+            m_detector.onAlive(incarnationOf(upstream()));
+            m_clock.advance(milliseconds(10));
+        }
+        CPPUNIT_ASSERT(m_proofsNeeded >= 2 && m_proofsNeeded <= 3);
+        CPPUNIT_ASSERT(m_blamed.empty());
+    }
+
     auto unreachableUpstreamsAreNoCrash() -> void
     {
         close(1); // the connection was reset by a cut, and no proof follows
