--- a/include/currantstack/decisions/quarantine.h
+++ b/include/currantstack/decisions/quarantine.h
@@ -1,7 +1,7 @@
 // Requests that crash the upstreams that run them.
 #pragma once
 
-#include "currantstack/decisions/acquittals.h"
+#include "currantstack/decisions/success_history.h"
 
 #include <map>
 #include <span>
@@ -38,7 +38,7 @@
 };
 
 /// A fingerprint that was part of a successful request.
-struct Acquittal
+struct ReportedSuccess
 {
     Fingerprint fingerprint = 0;
     Duration age = Duration::zero(); // since the success
@@ -49,7 +49,7 @@
 {
     std::vector<QuarantineEntry> entries;
     std::vector<CrashRecord> crashes;
-    std::vector<Acquittal> acquittals; // of fingerprints under suspicion
+    std::vector<ReportedSuccess> successes; // of fingerprints under suspicion
 };
 
 struct QuarantineLimits
@@ -119,7 +119,7 @@
     };
 
     auto addRequests(CrashRecord &record, std::span<const Traits> requests) const -> bool;
-    auto withoutAcquitted(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits;
+    auto withoutSuccessful(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits;
     auto renewEntries(const CrashRecord &record, TimePoint now) -> void;
     auto evaluate(TimePoint now) -> void;
     auto addEntry(Entry entry) -> bool;
@@ -127,7 +127,7 @@
     QuarantineLimits m_limits;
     std::map<std::string, CrashRecord, std::less<>> m_records; // by upstream
     std::vector<Entry> m_entries;
-    Acquittals m_acquittals;
+    SuccessHistory m_successes;
     std::map<Fingerprint, TimePoint> m_suspectSuccesses; // of fingerprints that were under suspicion, to be reported
 };
 
--- a/include/currantstack/decisions/acquittals.h
+++ b/include/currantstack/decisions/success_history.h
@@ -13,7 +13,7 @@
 
 /// Remembers when a fingerprint was last part of a successful request. Bounded: the oldest success is forgotten first, so a fingerprint
 /// that succeeds all the time stays.
-class Acquittals
+class SuccessHistory
 {
 public:
     static constexpr Duration Lifetime = seconds(30);
--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -135,12 +135,12 @@
     return traits;
 }
 
-auto Quarantine::withoutAcquitted(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits
+auto Quarantine::withoutSuccessful(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits
 {
     Traits result;
     for (const auto trait : traits) {
-        const auto success = m_acquittals.lastSuccess(trait);
-        if (!success || *success + Acquittals::Lifetime < crashedAt) {
+        const auto success = m_successes.lastSuccess(trait);
+        if (!success || *success + SuccessHistory::Lifetime < crashedAt) {
             result.push_back(trait);
         }
     }
@@ -151,7 +151,7 @@
 {
     bool added = false;
     for (const auto &request : requests) {
-        auto traits = withoutAcquitted(std::span(request).first(std::min(request.size(), MaxTraits)), record.at);
+        auto traits = withoutSuccessful(std::span(request).first(std::min(request.size(), MaxTraits)), record.at);
         std::sort(traits.begin(), traits.end());
         const bool isKnown = traits.empty() || std::find(record.requests.begin(), record.requests.end(), traits) != record.requests.end();
         if (!isKnown && record.requests.size() < MaxRequestsPerRecord) {
@@ -234,7 +234,7 @@
     if (std::any_of(m_entries.begin(), m_entries.end(), covers)) {
         return false;
     }
-    // Later crashes showed that fewer traits are to blame, so the wider entry replaces the narrower ones.
+    // Later crashes showed that fewer traits suffice, so the wider entry replaces the narrower ones.
     std::erase_if(m_entries, [&entry](const Entry &known) { return includes(known.traits, entry.traits); });
     if (entry.traits.empty() || m_entries.size() >= MaxEntries) {
         return false;
@@ -247,16 +247,16 @@
 {
     bool wasSuspect = false;
     for (const auto trait : traits) {
-        m_acquittals.add(trait, at);
+        m_successes.add(trait, at);
         bool found = false;
         for (auto &[upstream, record] : m_records) {
             for (auto &request : record.requests) {
-                found = (at + Acquittals::Lifetime >= record.at && std::erase(request, trait) > 0) || found;
+                found = (at + SuccessHistory::Lifetime >= record.at && std::erase(request, trait) > 0) || found;
             }
             std::erase_if(record.requests, [](const Traits &request) { return request.empty(); });
         }
         for (auto &entry : m_entries) {
-            found = (at + Acquittals::Lifetime >= entry.lastCrash && std::erase(entry.traits, trait) > 0) || found;
+            found = (at + SuccessHistory::Lifetime >= entry.lastCrash && std::erase(entry.traits, trait) > 0) || found;
         }
         if (found) {
             m_suspectSuccesses[trait] = at;
@@ -273,14 +273,14 @@
 auto Quarantine::merge(const QuarantineReport &report, TimePoint now) -> bool
 {
     bool isNew = false;
-    for (const auto &acquittal : report.acquittals) {
-        isNew = recordSuccess({&acquittal.fingerprint, 1}, now - acquittal.age) || isNew;
+    for (const auto &success : report.successes) {
+        isNew = recordSuccess({&success.fingerprint, 1}, now - success.age) || isNew;
     }
     for (const auto &crash : report.crashes) {
         for (const auto &request : crash.requests) {
             for (const auto trait : request) {
                 // The reporting VM has not seen this success.
-                if (const auto success = m_acquittals.lastSuccess(trait); success && *success + Acquittals::Lifetime >= crash.at) {
+                if (const auto success = m_successes.lastSuccess(trait); success && *success + SuccessHistory::Lifetime >= crash.at) {
                     m_suspectSuccesses.try_emplace(trait, *success);
                 }
             }
@@ -289,7 +289,7 @@
     }
     for (const auto &entry : report.entries) {
         const auto lastCrash = now - entry.age;
-        auto traits = withoutAcquitted(entry.traits, lastCrash);
+        auto traits = withoutSuccessful(entry.traits, lastCrash);
         isNew = addEntry({std::move(traits), now + std::min(entry.remaining, m_limits.length), entry.upstreams, entry.observer, lastCrash})
             || isNew;
     }
@@ -335,7 +335,7 @@
         result.crashes.push_back(record);
     }
     for (const auto &[fingerprint, at] : m_suspectSuccesses) {
-        result.acquittals.push_back({fingerprint, now - at});
+        result.successes.push_back({fingerprint, now - at});
     }
     return result;
 }
@@ -344,8 +344,8 @@
 {
     std::erase_if(m_records, [now](const auto &entry) { return now - entry.second.at > RecordLifetime; });
     std::erase_if(m_entries, [this, now](const Entry &entry) { return now >= entry.until + m_limits.length; });
-    std::erase_if(m_suspectSuccesses, [now](const auto &entry) { return now - entry.second > Acquittals::Lifetime; });
-    m_acquittals.expire(now);
+    std::erase_if(m_suspectSuccesses, [now](const auto &entry) { return now - entry.second > SuccessHistory::Lifetime; });
+    m_successes.expire(now);
 }
 
 } // namespace currantstack
--- a/src/decisions/acquittals.cc
+++ b/src/decisions/success_history.cc
@@ -1,4 +1,4 @@
-#include "currantstack/decisions/acquittals.h"
+#include "currantstack/decisions/success_history.h"
 
 namespace currantstack
 {
@@ -6,11 +6,11 @@
 namespace
 {
 
-constexpr Duration RenewalPeriod = Acquittals::Lifetime / 4; // a frequent fingerprint takes one entry of the order in this time
+constexpr Duration RenewalPeriod = SuccessHistory::Lifetime / 4; // a frequent fingerprint takes one entry of the order in this time
 
 } // namespace
 
-auto Acquittals::add(Fingerprint fingerprint, TimePoint at) -> void
+auto SuccessHistory::add(Fingerprint fingerprint, TimePoint at) -> void
 {
     const auto [found, isNew] = m_successes.try_emplace(fingerprint, at);
     if (!isNew && at < found->second + RenewalPeriod) {
@@ -24,20 +24,20 @@
     expire(at);
 }
 
-auto Acquittals::lastSuccess(Fingerprint fingerprint) const -> std::optional<TimePoint>
+auto SuccessHistory::lastSuccess(Fingerprint fingerprint) const -> std::optional<TimePoint>
 {
     const auto found = m_successes.find(fingerprint);
     return found == m_successes.end() ? std::nullopt : std::optional(found->second);
 }
 
-auto Acquittals::expire(TimePoint now) -> void
+auto SuccessHistory::expire(TimePoint now) -> void
 {
     while (!m_order.empty() && now - m_order.front().at > Lifetime) {
         dropOldest();
     }
 }
 
-auto Acquittals::dropOldest() -> void
+auto SuccessHistory::dropOldest() -> void
 {
     const auto [fingerprint, at] = m_order.front();
     m_order.pop_front();
--- a/src/edge/quarantine_message.cc
+++ b/src/edge/quarantine_message.cc
@@ -81,12 +81,12 @@
     return crash;
 }
 
-auto decodeAcquittal(const nlohmann::json &row) -> std::optional<Acquittal>
+auto decodeSuccess(const nlohmann::json &row) -> std::optional<ReportedSuccess>
 {
     if (!row.is_array() || row.size() != 2 || !row[0].is_number_unsigned() || !isDuration(row[1])) {
         return std::nullopt;
     }
-    return Acquittal{row[0].get<Fingerprint>(), milliseconds(row[1].get<std::int64_t>())};
+    return ReportedSuccess{row[0].get<Fingerprint>(), milliseconds(row[1].get<std::int64_t>())};
 }
 
 auto malformed(std::string_view what) -> tl::unexpected<Error>
@@ -142,8 +142,8 @@
 auto encodeQuarantine(const QuarantineMessage &message, TimePoint now) -> std::vector<std::string>
 {
     DatagramBuilder builder(message.place);
-    for (const auto &acquittal : message.report.acquittals) {
-        builder.add("acquitted", {acquittal.fingerprint, wholeMs(acquittal.age)});
+    for (const auto &success : message.report.successes) {
+        builder.add("succeeded", {success.fingerprint, wholeMs(success.age)});
     }
     for (const auto &entry : message.report.entries) {
         builder.add("entries", encodeEntry(entry));
@@ -164,12 +164,12 @@
     const auto rows = [&document](const char *name) { return document.value(name, nlohmann::json::array()); };
     QuarantineMessage message;
     message.place = document.contains("place") && isName(document["place"]) ? document["place"].get<std::string>() : "";
-    for (const auto &row : rows("acquitted")) {
-        const auto acquittal = decodeAcquittal(row);
-        if (!acquittal) {
-            return malformed("an acquittal is malformed");
+    for (const auto &row : rows("succeeded")) {
+        const auto success = decodeSuccess(row);
+        if (!success) {
+            return malformed("a success is malformed");
         }
-        message.report.acquittals.push_back(*acquittal);
+        message.report.successes.push_back(*success);
     }
     for (const auto &row : rows("entries")) {
         auto entry = decodeEntry(row);
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -42,7 +42,7 @@
     m_splitter = {};
     m_fillerBytes = 0;
     m_begunAt.reset();
-    m_acquitted = false;
+    m_survivalRecorded = false;
     m_collectingError = false;
     m_attempts.onAttempt();
     if (m_kvSource.empty()) {
@@ -140,7 +140,7 @@
         m_context.latencies.record("event_gap", now - m_lastEventAt);
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
     }
-    acquitAfterBegin();
+    recordSurvival();
     releasePromptTokens();
     m_lastEventId = event.id.value_or(m_lastEventId + 1);
     m_lastEventAt = now;
@@ -150,12 +150,12 @@
     restartStallTimer();
 }
 
-auto StreamRequest::acquitAfterBegin() -> void
+auto StreamRequest::recordSurvival() -> void
 {
     const auto now = m_context.clock.now();
     m_begunAt = m_begunAt.value_or(now);
-    if (!m_acquitted && now - *m_begunAt >= SurvivalTime) {
-        m_acquitted = true;
+    if (!m_survivalRecorded && now - *m_begunAt >= SurvivalTime) {
+        m_survivalRecorded = true;
         m_context.quarantine.recordSuccess(m_request.traits, now);
     }
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -82,7 +82,7 @@
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
-    auto acquitAfterBegin() -> void;
+    auto recordSurvival() -> void;
     auto onStall() -> void;
     auto restartStallTimer() -> void;
     auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
@@ -131,7 +131,7 @@
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     int m_events = 0;
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
-    bool m_acquitted = false; // the quarantine knows that the current decode engine survived the begin of this stream
+    bool m_survivalRecorded = false; // the quarantine knows that the current decode engine survived the begin of this stream
     TimePoint m_lastEventAt;
     Duration m_timeToFirstEvent = Duration::zero();
     Duration m_longestGap = Duration::zero();
--- a/test/crash_detector-test.cc
+++ b/test/crash_detector-test.cc
@@ -19,7 +19,7 @@
 
     ManualClock m_clock;
     CrashDetector m_detector;
-    std::vector<Traits> m_blamed;
+    std::vector<Traits> m_suspects;
     int m_proofsNeeded = 0;
     TimePoint m_crashedAt;
 
@@ -41,7 +41,7 @@
     {
         m_detector.setHooks({[this](const std::string &, const std::vector<Traits> &requests, TimePoint at) {
                                  m_crashedAt = at;
-                                 m_blamed.insert(m_blamed.end(), requests.begin(), requests.end());
+                                 m_suspects.insert(m_suspects.end(), requests.begin(), requests.end());
                              },
                              [this](const Upstream &) { ++m_proofsNeeded; }});
     }
@@ -50,16 +50,16 @@
     {
         close(1);
         close(2);
-        CPPUNIT_ASSERT(m_blamed.empty() && m_proofsNeeded == 1);
+        CPPUNIT_ASSERT(m_suspects.empty() && m_proofsNeeded == 1);
         m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
-        CPPUNIT_ASSERT(m_blamed == (std::vector<Traits>{{1}, {2}}));
+        CPPUNIT_ASSERT(m_suspects == (std::vector<Traits>{{1}, {2}}));
     }
 
     auto refusalBeforeTheClosedConnectionCounts() -> void
     {
         m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
         close(1);
-        CPPUNIT_ASSERT(m_blamed == std::vector<Traits>{{1}});
+        CPPUNIT_ASSERT(m_suspects == std::vector<Traits>{{1}});
     }
 
     auto resetConnectionsAreNoCrash() -> void
@@ -67,7 +67,7 @@
         close(1);
         m_detector.onAlive(incarnationOf(upstream()));
         m_detector.onRefused(incarnationOf(upstream()), m_clock.now()); // ends later for another reason
-        CPPUNIT_ASSERT(m_blamed.empty());
+        CPPUNIT_ASSERT(m_suspects.empty());
     }
 
     auto proofsAreRequestedAtMostOncePerPeriod() -> void
@@ -79,7 +79,7 @@
             m_clock.advance(milliseconds(10));
         }
         CPPUNIT_ASSERT(m_proofsNeeded >= 2 && m_proofsNeeded <= 3);
-        CPPUNIT_ASSERT(m_blamed.empty());
+        CPPUNIT_ASSERT(m_suspects.empty());
     }
 
     auto unreachableUpstreamsAreNoCrash() -> void
@@ -87,7 +87,7 @@
         close(1); // the connection was reset by a cut, and no proof follows
         m_clock.advance(CrashDetector::ProofTimeout + milliseconds(1));
         m_detector.onRemoved(incarnationOf(upstream()), m_clock.now());
-        CPPUNIT_ASSERT(m_blamed.empty());
+        CPPUNIT_ASSERT(m_suspects.empty());
     }
 
     auto upstreamsThatLeaveAreNoCrash() -> void
@@ -95,7 +95,7 @@
         // An upstream of a release loses its entry, completes its requests and ends.
         m_detector.onRemoved(incarnationOf(upstream()), m_clock.now());
         m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
-        CPPUNIT_ASSERT(m_blamed.empty() && m_proofsNeeded == 0);
+        CPPUNIT_ASSERT(m_suspects.empty() && m_proofsNeeded == 0);
     }
 
     auto removedEntryProvesTheCrash() -> void
@@ -105,7 +105,7 @@
         m_clock.advance(milliseconds(3600));
         m_detector.onRemoved(incarnationOf(upstream()), m_clock.now());
         CPPUNIT_ASSERT(m_crashedAt == closedAt);
-        CPPUNIT_ASSERT(m_blamed == std::vector<Traits>{{1}});
+        CPPUNIT_ASSERT(m_suspects == std::vector<Traits>{{1}});
     }
 
     auto restartUnderTheSameIdIsAnotherCrash() -> void
@@ -113,9 +113,9 @@
         close(1);
         m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
         close(2, 5000);
-        CPPUNIT_ASSERT(m_blamed == std::vector<Traits>{{1}});
+        CPPUNIT_ASSERT(m_suspects == std::vector<Traits>{{1}});
         m_detector.onRefused(incarnationOf(upstream(5000)), m_clock.now());
-        CPPUNIT_ASSERT(m_blamed == (std::vector<Traits>{{1}, {2}}));
+        CPPUNIT_ASSERT(m_suspects == (std::vector<Traits>{{1}, {2}}));
     }
 };
 
--- a/test/edge/quarantine_tests.py
+++ b/test/edge/quarantine_tests.py
@@ -12,8 +12,8 @@
 LATE_FROM_CRASH = 3  # the crash after which `CONTACT_S` begins
 
 
-def is_deadly(request):
-    return "deadly" in request.target
+def is_poison(request):
+    return "poison" in request.target
 
 
 async def send_until(rig, end, gap_s, vms, kind, path, statuses):
@@ -48,12 +48,12 @@
     return [line for vm in rig.vms for line in vm.log_text().splitlines() if '"event":"quarantined"' in line]
 
 
-async def quarantine_deadly_request(rig, vms):
-    """Sends the deadly request to these VMs until one of them refuses it."""
+async def quarantine_poison_request(rig, vms):
+    """Sends the poison request to these VMs until one of them refuses it."""
     for service in rig.fleet.services:
-        service.crashes_on, service.restart_s = is_deadly, 0.4
+        service.crashes_on, service.restart_s = is_poison, 0.4
     for vm in itertools.cycle(vms):
-        status = (await rig.send("check", vm, path="deadly", deadline=2000))[1]
+        status = (await rig.send("check", vm, path="poison", deadline=2000))[1]
         await asyncio.sleep(0.3)
         if status == 503 and quarantine_lines(rig):
             return
@@ -61,24 +61,24 @@
 
 
 async def assert_stopped(rig, vms, directory_is_current=True):
-    before = len(runs_of(rig, "deadly"))
+    before = len(runs_of(rig, "poison"))
     for vm in vms:
-        status = (await rig.send("check", vm, path="deadly", deadline=2000))[1]
+        status = (await rig.send("check", vm, path="poison", deadline=2000))[1]
         assert status == 503, (vm.name, status)
         if directory_is_current:
             assert (await rig.send("check", vm, path="sound"))[1] == 200
-    assert len(runs_of(rig, "deadly")) == before, "a VM sent the quarantined request to an upstream"
+    assert len(runs_of(rig, "poison")) == before, "a VM sent the quarantined request to an upstream"
 
 
 async def repeated_request_that_crashes_upstreams_is_stopped():
     """Guards against a request that crashes each upstream which runs it and that its caller repeats at all VMs."""
     async with Rig(vms=3, services=4) as rig:
         for service in rig.fleet.services:
-            service.crashes_on = is_deadly
+            service.crashes_on = is_poison
         repeats, sound, end = [], [], time.monotonic() + 10
-        await asyncio.gather(*(send_until(rig, end, 0.25, rig.vms, "check", "deadly", repeats) for _ in range(2)),
+        await asyncio.gather(*(send_until(rig, end, 0.25, rig.vms, "check", "poison", repeats) for _ in range(2)),
                              send_until(rig, end, 0.05, rig.vms, "book", "sound", sound))
-        late = late_runs(rig, "deadly", LATE_FROM_CRASH)
+        late = late_runs(rig, "poison", LATE_FROM_CRASH)
         assert len(late) <= LATE_RETRIES, f"{len(late)} more runs after three crashes; {len(crashes_of(rig))} crashes in all"
         assert all(status == 200 for at, status in sound if at > end - 3), "sound requests fail although the request is stopped"
 
@@ -86,7 +86,7 @@
 async def quarantine_outlives_all_vms():
     """All VMs are killed at once; the store tells them the quarantine when they start again."""
     async with Rig(vms=3, services=4) as rig:
-        await quarantine_deadly_request(rig, rig.vms)
+        await quarantine_poison_request(rig, rig.vms)
         await asyncio.sleep(2.0)  # until an entry is written
         for vm in rig.vms:
             vm.signal(signal.SIGKILL)
@@ -100,7 +100,7 @@
 async def quarantine_spreads_while_the_store_is_silent():
     async with Rig(vms=3, services=4) as rig:
         rig.fleet.store.mode = "silent"
-        await quarantine_deadly_request(rig, rig.vms[:1])
+        await quarantine_poison_request(rig, rig.vms[:1])
         await asyncio.sleep(1.0)
         await assert_stopped(rig, rig.vms, directory_is_current=False)  # the restarted upstreams are not known
 
@@ -108,7 +108,7 @@
 async def quarantine_reaches_vms_without_datagrams():
     """VMs that cannot reach one another, as across a cut between places, learn the quarantine from the store."""
     async with Rig(vms=2, services=4, hidden_prefix="currantstack/vms/") as rig:
-        await quarantine_deadly_request(rig, rig.vms[:1])
+        await quarantine_poison_request(rig, rig.vms[:1])
         await asyncio.sleep(CONTACT_S - 0.5)
         assert "peer_heard" not in rig.vms[1].log_text(), "the VMs are not cut off from one another"
         await assert_stopped(rig, rig.vms)
@@ -117,7 +117,7 @@
 async def restarted_vm_learns_the_quarantine_from_its_peers():
     """The store has lost the entry, and a VM is rolled."""
     async with Rig(vms=3, services=4) as rig:
-        await quarantine_deadly_request(rig, rig.vms)
+        await quarantine_poison_request(rig, rig.vms)
         await asyncio.sleep(2.0)
         rig.fleet.store.hidden_prefix = "currantstack/quarantine/"
         vm = rig.vms[0]
@@ -174,7 +174,7 @@
     """Streams whose prompts share their first part. Some contain the part `dead`, on which engines crash; the others are sound."""
 
     def __init__(self, rig, end):
-        self.rig, self.end, self.count, self.deadly, self.sound = rig, end, itertools.count(), [], []
+        self.rig, self.end, self.count, self.poison, self.sound = rig, end, itertools.count(), [], []
         for engine in rig.fleet.engines:
             engine.crashes_on, engine.restart_s = lambda request: ",dead:" in request.header("prefix-hash"), 0.6
 
@@ -211,19 +211,19 @@
     """Guards against requests that are all different and crash each engine because of a part that their prompts share."""
     async with Rig(vms=3, prefill=2, decode=6) as rig:
         callers = PromptCallers(rig, time.monotonic() + 14)
-        await asyncio.gather(callers.repeat("dead", callers.deadly, 0.5, 0.4), callers.repeat("bb", callers.sound, 0, 0.15))
+        await asyncio.gather(callers.repeat("dead", callers.poison, 0.5, 0.4), callers.repeat("bb", callers.sound, 0, 0.15))
         callers.check()
 
 
-async def sound_prompts_are_told_from_deadly_ones_that_came_alone():
-    """Until the quarantine, the first part of the deadly prompts was in no other prompt; it must not be refused by itself."""
+async def sound_prompts_are_served_after_poison_prompts_with_the_same_first_part():
+    """Until the quarantine, the first part of the poison prompts was in no other prompt; it must not be refused by itself."""
     async with Rig(vms=3, prefill=2, decode=6) as rig:
         callers = PromptCallers(rig, time.monotonic() + 16)
-        await asyncio.gather(callers.repeat("dead", callers.deadly, 0, 0.4), callers.repeat("bb", callers.sound, 9, 0.1))
+        await asyncio.gather(callers.repeat("dead", callers.poison, 0, 0.4), callers.repeat("bb", callers.sound, 9, 0.1))
         callers.check()
 
 
 TESTS = [repeated_request_that_crashes_upstreams_is_stopped, quarantine_outlives_all_vms, quarantine_spreads_while_the_store_is_silent,
          quarantine_reaches_vms_without_datagrams, restarted_vm_learns_the_quarantine_from_its_peers, failing_upstreams_cause_no_quarantine,
          rolled_vms_cause_no_quarantine, prompt_part_that_crashes_engines_is_stopped,
-         sound_prompts_are_told_from_deadly_ones_that_came_alone]
+         sound_prompts_are_served_after_poison_prompts_with_the_same_first_part]
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -26,7 +26,7 @@
 RECOVERY_LIMIT_S = 12.0  # from the last fault until all VMs serve every kind of request
 KINDS = ("book", "check", "stream", "digest")
 AT_MOST_ONCE = ("book", "digest")
-DEADLY_SHARE = 0.01  # of the requests
+POISON_SHARE = 0.01  # of the requests
 
 
 class Soak(Rig):
@@ -39,12 +39,12 @@
         self.planned_only = seed % 3 == 0
         self.relays, self.responses, self.interrupted, self.drains = {}, [], [], {}
         self.store_faults, self.stopping = False, False
-        self.deadly = set()  # ids of the requests that crash the services that run them
+        self.poison = set()  # ids of the requests that crash the services that run them
 
     async def __aenter__(self):
         await super().__aenter__()
         for service in self.fleet.services:
-            service.crashes_on = lambda request: request.path.endswith("/deadly")
+            service.crashes_on = lambda request: request.path.endswith("/poison")
         for vm in self.vms:
             relay = self.relays[vm.name] = Relay(0, int(self.fleet.store.address.rsplit(":", 1)[1]))
             with open(vm.path, encoding="utf-8") as file:
@@ -73,9 +73,9 @@
                 continue
             kind, vm, request = self.random.choice(KINDS), self.random.choice(ready), self.request_id()
             begin, path = time.monotonic(), "sound"
-            if not self.planned_only and self.random.random() < DEADLY_SHARE:
-                kind, path = "check", "deadly"
-                self.deadly.add(request)
+            if not self.planned_only and self.random.random() < POISON_SHARE:
+                kind, path = "check", "poison"
+                self.poison.add(request)
             try:
                 _, status, headers, body = await self.send(kind, vm, request, deadline=4000, limit=9, path=path)
                 self.responses.append((request, kind, status, headers, body, begin))
@@ -208,7 +208,7 @@
 
     def check_quarantine(self):
         for request, kind, status, _, body, _ in self.responses:
-            if b"quarantined" in body and request not in self.deadly:
+            if b"quarantined" in body and request not in self.poison:
                 yield f"{request} ({kind}) was refused with {status} as quarantined, but crashes no upstream"
 
     def check_drains(self):
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -13,7 +13,7 @@
 
 const TimePoint Start{seconds(1000)};
 constexpr Duration Length = seconds(600);
-constexpr Fingerprint Deadly = 7;
+constexpr Fingerprint Poison = 7;
 constexpr Fingerprint Sound = 8;
 
 auto crash(std::string_view upstream, std::vector<Traits> requests, TimePoint at = Start) -> CrashRecord
@@ -36,7 +36,7 @@
     CPPUNIT_TEST(oldCrashesDoNotCount);
     CPPUNIT_TEST(mergesEntriesAndExpires);
     CPPUNIT_TEST(crashesSeenByDifferentVmsAddUp);
-    CPPUNIT_TEST(neighboursOfADeadlyRequestAreServed);
+    CPPUNIT_TEST(neighboursOfAPoisonRequestAreServed);
     CPPUNIT_TEST(crashWaveStopsNoRequest);
     CPPUNIT_TEST(popularRequestSurvivesTheLossOfARack);
     CPPUNIT_TEST(simultaneousCrashesHaveACommonCause);
@@ -44,57 +44,57 @@
     CPPUNIT_TEST(successLiftsTheQuarantineOnAllVms);
     CPPUNIT_TEST(oneMoreCrashAfterTheQuarantineRenewsIt);
     CPPUNIT_TEST(memoryIsBoundedAndEntriesAreNotEvicted);
-    CPPUNIT_TEST(deadlyRequestIsFoundInAnyOrderOfRecords);
+    CPPUNIT_TEST(poisonRequestIsFoundInAnyOrderOfRecords);
     CPPUNIT_TEST(refusalNamesItsReason);
-    CPPUNIT_TEST(deadlyPartIsToldFromThePartsBesideIt);
+    CPPUNIT_TEST(poisonPartIsDistinguishedFromTheOthers);
     CPPUNIT_TEST(partsThatOnlyCameTogetherAreRefusedTogether);
-    CPPUNIT_TEST(laterCrashWidensTheQuarantineToThePartToBlame);
+    CPPUNIT_TEST(laterCrashSinglesOutThePoisonPart);
     CPPUNIT_TEST(repeatedRequestDoesNotHideThePart);
-    CPPUNIT_TEST(twoDeadlyPartsAreBothFound);
-    CPPUNIT_TEST(deadlyPartIsFoundAmongRandomPrompts);
+    CPPUNIT_TEST(twoPoisonPartsAreBothFound);
+    CPPUNIT_TEST(poisonPartIsFoundAmongRandomPrompts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     auto quarantinesAfterTwoUpstreamsCrash() -> void
     {
         Quarantine quarantine({2, Length});
-        quarantine.recordCrash(crash("e0", {{Deadly}}), Start);
-        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}));
-        CPPUNIT_ASSERT(quarantine.isSuspect(Traits{Deadly}, Start));
-        quarantine.recordCrash(crash("e1", {{Deadly}}), Start);
-        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}));
+        quarantine.recordCrash(crash("e0", {{Poison}}), Start);
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Poison}));
+        CPPUNIT_ASSERT(quarantine.isSuspect(Traits{Poison}, Start));
+        quarantine.recordCrash(crash("e1", {{Poison}}), Start);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Poison}));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, {Sound}));
     }
 
     auto sameUpstreamTwiceCountsOnce() -> void
     {
         Quarantine quarantine({2, Length});
-        quarantine.recordCrash(crash("e0", {{Deadly}}), Start);
-        CPPUNIT_ASSERT(!quarantine.recordCrash(crash("e0", {{Deadly}}), Start));
-        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}));
+        quarantine.recordCrash(crash("e0", {{Poison}}), Start);
+        CPPUNIT_ASSERT(!quarantine.recordCrash(crash("e0", {{Poison}}), Start));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Poison}));
     }
 
     auto oldCrashesDoNotCount() -> void
     {
         Quarantine quarantine({2, Length});
         const auto later = Start + Quarantine::RecordLifetime + seconds(1);
-        quarantine.recordCrash(crash("e0", {{Deadly}}), Start);
-        quarantine.recordCrash(crash("e1", {{Deadly}}, later), later);
-        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}, later));
+        quarantine.recordCrash(crash("e0", {{Poison}}), Start);
+        quarantine.recordCrash(crash("e1", {{Poison}}, later), later);
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Poison}, later));
     }
 
     auto mergesEntriesAndExpires() -> void
     {
         Quarantine first({2, Length});
         Quarantine second({2, Length});
-        first.recordCrash(crash("e0", {{Deadly}}), Start);
-        first.recordCrash(crash("e1", {{Deadly}}), Start);
+        first.recordCrash(crash("e0", {{Poison}}), Start);
+        first.recordCrash(crash("e1", {{Poison}}), Start);
         QuarantineReport report;
         report.entries = first.entries(Start);
         CPPUNIT_ASSERT(second.merge(report, Start));
         CPPUNIT_ASSERT(!second.merge(report, Start));
-        CPPUNIT_ASSERT(isQuarantined(second, {Deadly}, Start + Length - seconds(1)));
-        CPPUNIT_ASSERT(!isQuarantined(second, {Deadly}, Start + Length));
+        CPPUNIT_ASSERT(isQuarantined(second, {Poison}, Start + Length - seconds(1)));
+        CPPUNIT_ASSERT(!isQuarantined(second, {Poison}, Start + Length));
         second.expire(Start + 2 * Length);
         CPPUNIT_ASSERT(second.isEmpty());
     }
@@ -103,21 +103,21 @@
     {
         std::vector<Quarantine> vms(3);
         for (std::size_t number = 0; number < vms.size(); ++number) {
-            vms[number].recordCrash(crash(fmt::format("e{}", number), {{Deadly}}), Start);
+            vms[number].recordCrash(crash(fmt::format("e{}", number), {{Poison}}), Start);
         }
         vms[0].merge(vms[1].report(Start), Start);
-        CPPUNIT_ASSERT(!isQuarantined(vms[0], {Deadly}));
+        CPPUNIT_ASSERT(!isQuarantined(vms[0], {Poison}));
         vms[0].merge(vms[2].report(Start), Start);
-        CPPUNIT_ASSERT(isQuarantined(vms[0], {Deadly}));
+        CPPUNIT_ASSERT(isQuarantined(vms[0], {Poison}));
     }
 
-    auto neighboursOfADeadlyRequestAreServed() -> void
+    auto neighboursOfAPoisonRequestAreServed() -> void
     {
         Quarantine quarantine;
         for (Fingerprint number = 0; number < 5; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}, {100 + number}, {200 + number / 2}}), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Poison}, {100 + number}, {200 + number / 2}}), Start);
         }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Poison}));
         for (const Fingerprint neighbour : {100, 101, 104, 200, 201}) {
             CPPUNIT_ASSERT(!isQuarantined(quarantine, {neighbour}));
         }
@@ -178,9 +178,9 @@
     {
         Quarantine quarantine;
         for (int number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}, {Sound}}, Start + milliseconds(number)), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Poison}, {Sound}}, Start + milliseconds(number)), Start);
         }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Poison}));
     }
 
     auto successLiftsTheQuarantineOnAllVms() -> void
@@ -203,12 +203,12 @@
     {
         Quarantine quarantine;
         for (int number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}}), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Poison}}), Start);
         }
         const auto later = Start + Length + seconds(5);
-        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Deadly}, later));
-        quarantine.recordCrash(crash("e9", {{Deadly}, {Sound}}, later), later);
-        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}, later));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, {Poison}, later));
+        quarantine.recordCrash(crash("e9", {{Poison}, {Sound}}, later), later);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Poison}, later));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, {Sound}, later));
     }
 
@@ -216,21 +216,21 @@
     {
         Quarantine quarantine;
         auto now = Start;
-        const auto blame = [&quarantine, &now](Fingerprint fingerprint) {
+        const auto crashUnder = [&quarantine, &now](Fingerprint fingerprint) {
             now += seconds(1);
             for (int number = 0; number < 3; ++number) {
                 quarantine.recordCrash(crash(fmt::format("e{}.{}", fingerprint, number), {{fingerprint}}, now), now);
             }
         };
-        blame(Deadly);
+        crashUnder(Poison);
         for (Fingerprint made = 1000; made < 1000 + 2 * Quarantine::MaxEntries; ++made) {
-            blame(made);
+            crashUnder(made);
             quarantine.recordSuccess(Traits{1'000'000 + made}, now);
         }
         const auto report = quarantine.report(now);
         CPPUNIT_ASSERT_EQUAL(Quarantine::MaxEntries, report.entries.size());
         CPPUNIT_ASSERT(report.crashes.size() <= Quarantine::MaxRecords);
-        CPPUNIT_ASSERT(isQuarantined(quarantine, {Deadly}, now));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, {Poison}, now));
         std::vector<Traits> flood;
         for (Fingerprint made = 0; made < 1000; ++made) {
             Traits traits(100);
@@ -242,39 +242,39 @@
         const auto record = other.report(Start).crashes.front();
         CPPUNIT_ASSERT_EQUAL(Quarantine::MaxRequestsPerRecord, record.requests.size());
         CPPUNIT_ASSERT_EQUAL(Quarantine::MaxTraits, record.requests.front().size());
-        Acquittals acquittals;
-        for (Fingerprint made = 0; made < 3 * Acquittals::MaxFingerprints; ++made) {
-            acquittals.add(made, Start);
+        SuccessHistory history;
+        for (Fingerprint made = 0; made < 3 * SuccessHistory::MaxFingerprints; ++made) {
+            history.add(made, Start);
         }
-        CPPUNIT_ASSERT(acquittals.size() <= Acquittals::MaxFingerprints);
+        CPPUNIT_ASSERT(history.size() <= SuccessHistory::MaxFingerprints);
     }
 
-    auto deadlyRequestIsFoundInAnyOrderOfRecords() -> void
+    auto poisonRequestIsFoundInAnyOrderOfRecords() -> void
     {
         CHECK_PROPERTY("the request present at all crashes is quarantined in any order of the records", [](std::uint32_t seed) {
             Random random(seed);
             std::vector<CrashRecord> records;
             for (int number = 0; number < 5; ++number) {
-                records.push_back(crash(fmt::format("e{}", number), {{Deadly}, {100 + random() % 6}, {100 + random() % 6}}));
+                records.push_back(crash(fmt::format("e{}", number), {{Poison}, {100 + random() % 6}, {100 + random() % 6}}));
             }
             std::shuffle(records.begin(), records.end(), random);
             Quarantine quarantine;
             for (const auto &record : records) {
                 quarantine.recordCrash(record, Start);
             }
-            RC_ASSERT(isQuarantined(quarantine, {Deadly}));
+            RC_ASSERT(isQuarantined(quarantine, {Poison}));
         });
     }
 
-    auto deadlyPartIsToldFromThePartsBesideIt() -> void
+    auto poisonPartIsDistinguishedFromTheOthers() -> void
     {
         Quarantine quarantine;
         quarantine.recordSuccess(traitsOf(50, Traits{Sound, 9}), Start);
         for (Fingerprint number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Deadly})}), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Poison})}), Start);
         }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(200, Traits{Sound, Deadly})));
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(201, Traits{Deadly})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(200, Traits{Sound, Poison})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(201, Traits{Poison})));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(202, Traits{Sound, 9})));
     }
 
@@ -282,24 +282,24 @@
     {
         Quarantine quarantine;
         for (Fingerprint number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Deadly})}), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Poison})}), Start);
         }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(200, Traits{Sound, Deadly})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(200, Traits{Sound, Poison})));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(201, Traits{Sound, 9})));
         // The success of a request with one of the parts leaves the other.
         quarantine.recordSuccess(traitsOf(201, Traits{Sound, 9}), Start + seconds(1));
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(202, Traits{9, Deadly}), Start + seconds(1)));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(202, Traits{9, Poison}), Start + seconds(1)));
     }
 
-    auto laterCrashWidensTheQuarantineToThePartToBlame() -> void
+    auto laterCrashSinglesOutThePoisonPart() -> void
     {
         Quarantine quarantine;
         for (Fingerprint number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Deadly})}), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100 + number, Traits{Sound, Poison})}), Start);
         }
-        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(200, Traits{9, Deadly})));
-        quarantine.recordCrash(crash("e3", {traitsOf(200, Traits{9, Deadly})}), Start);
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(201, Traits{10, Deadly})));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(200, Traits{9, Poison})));
+        quarantine.recordCrash(crash("e3", {traitsOf(200, Traits{9, Poison})}), Start);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(201, Traits{10, Poison})));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(202, Traits{Sound, 9})));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantine.entries(Start).size());
     }
@@ -308,43 +308,43 @@
     {
         Quarantine quarantine;
         for (Fingerprint number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100, Traits{Sound, Deadly})}), Start);
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {traitsOf(100, Traits{Sound, Poison})}), Start);
         }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(100, Traits{Sound, Deadly})));
-        quarantine.recordCrash(crash("e3", {traitsOf(101, Traits{Sound, Deadly})}), Start);
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(102, Traits{Sound, Deadly})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(100, Traits{Sound, Poison})));
+        quarantine.recordCrash(crash("e3", {traitsOf(101, Traits{Sound, Poison})}), Start);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(102, Traits{Sound, Poison})));
     }
 
-    auto twoDeadlyPartsAreBothFound() -> void
+    auto twoPoisonPartsAreBothFound() -> void
     {
         Quarantine quarantine;
         for (Fingerprint number = 0; number < 4; ++number) {
             const auto at = Start + seconds(number);
             const auto later = at + milliseconds(500);
-            quarantine.recordCrash(crash(fmt::format("a{}", number), {traitsOf(100 + number, Traits{20 + number, Deadly})}, at), at);
+            quarantine.recordCrash(crash(fmt::format("a{}", number), {traitsOf(100 + number, Traits{20 + number, Poison})}, at), at);
             quarantine.recordCrash(crash(fmt::format("b{}", number), {traitsOf(200 + number, Traits{30 + number, 6})}, later), later);
         }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(300, Traits{Deadly})));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(300, Traits{Poison})));
         CPPUNIT_ASSERT(isQuarantined(quarantine, traitsOf(300, Traits{6})));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, traitsOf(300, Traits{20, 30})));
     }
 
-    auto deadlyPartIsFoundAmongRandomPrompts() -> void
+    auto poisonPartIsFoundAmongRandomPrompts() -> void
     {
-        CHECK_PROPERTY("the deadly part is found, and no sound prompt is refused", [](std::uint32_t seed) {
+        CHECK_PROPERTY("the poison part is found, and no sound prompt is refused", [](std::uint32_t seed) {
             Random random(seed);
             Quarantine quarantine;
             const auto sound = [&random]() { return traitsOf(1000 + random(), Traits{100 + random() % 4, 200 + random() % 8}); };
-            const auto deadly = [&random]() { return traitsOf(1000 + random(), Traits{100 + random() % 4, Deadly}); };
+            const auto poison = [&random]() { return traitsOf(1000 + random(), Traits{100 + random() % 4, Poison}); };
             auto now = Start;
             for (int number = 0; number < 6; ++number) {
                 for (int served = 0; served < 20; ++served) {
                     quarantine.recordSuccess(sound(), now);
                 }
                 now += milliseconds(500);
-                quarantine.recordCrash(crash(fmt::format("e{}", number), {deadly(), sound(), sound()}, now), now);
+                quarantine.recordCrash(crash(fmt::format("e{}", number), {poison(), sound(), sound()}, now), now);
             }
-            RC_ASSERT(isQuarantined(quarantine, deadly(), now));
+            RC_ASSERT(isQuarantined(quarantine, poison(), now));
             for (int number = 0; number < 20; ++number) {
                 RC_ASSERT(!isQuarantined(quarantine, sound(), now));
             }
@@ -355,9 +355,9 @@
     {
         Quarantine quarantine;
         for (int number = 0; number < 3; ++number) {
-            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Deadly}}, Start + seconds(number)), Start + seconds(number));
+            quarantine.recordCrash(crash(fmt::format("e{}", number), {{Poison}}, Start + seconds(number)), Start + seconds(number));
         }
-        const auto entry = quarantine.find(Traits{Deadly}, Start + seconds(5));
+        const auto entry = quarantine.find(Traits{Poison}, Start + seconds(5));
         CPPUNIT_ASSERT(entry && entry->observer == "vm0" && entry->age == Duration(seconds(3)));
         CPPUNIT_ASSERT(entry->upstreams == (std::vector<std::string>{"e0", "e1", "e2"}));
     }
--- a/test/quarantine_message-test.cc
+++ b/test/quarantine_message-test.cc
@@ -24,7 +24,7 @@
         QuarantineMessage message{"z1", {}};
         message.report.entries = {{{1, ~Fingerprint(0)}, seconds(600), {"e1@5", "e2@6"}, "vm0", milliseconds(40)}};
         message.report.crashes = {{"e1@5", "vm0", m_now - seconds(2), {{1, 2}, {3}}}};
-        message.report.acquittals = {{9, seconds(1)}};
+        message.report.successes = {{9, seconds(1)}};
         const auto datagrams = encodeQuarantine(message, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), datagrams.size());
         const auto decoded = decodeQuarantine(datagrams.front(), m_now + seconds(5));
@@ -34,7 +34,7 @@
         CPPUNIT_ASSERT(entry.upstreams.size() == 2 && entry.observer == "vm0" && entry.age == Duration(milliseconds(40)));
         const auto &crash = decoded->report.crashes.at(0);
         CPPUNIT_ASSERT(crash.upstream == "e1@5" && crash.at == m_now + seconds(3) && crash.requests == (std::vector<Traits>{{1, 2}, {3}}));
-        CPPUNIT_ASSERT(decoded->report.acquittals.at(0).fingerprint == 9);
+        CPPUNIT_ASSERT(decoded->report.successes.at(0).fingerprint == 9);
     }
 
     auto longReportsAreSplit() -> void
