--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -41,6 +41,7 @@
     }
     m_splitter = {};
     m_fillerBytes = 0;
+    m_heldFiller.clear();
     m_begunAt.reset();
     m_survivalRecorded = false;
     m_collectingError = false;
@@ -129,6 +130,8 @@
         m_fillerBytes += event.bytes.size();
         if (m_headSent) {
             m_request.exchange->write(event.bytes);
+        } else {
+            m_heldFiller.append(event.bytes);
         }
         return;
     }
@@ -168,6 +171,9 @@
         m_answerHeaders.push_back({"Connection", "close"});
     }
     m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
+    if (!m_heldFiller.empty()) {
+        m_request.exchange->write(std::exchange(m_heldFiller, {}));
+    }
     m_timeToFirstEvent = now - m_request.arrivedAt;
     m_context.latencies.record("first_event", m_timeToFirstEvent);
     if (m_kvSource.empty()) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -129,6 +129,7 @@
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId;
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
+    std::string m_heldFiller; // blank lines and comments before the first event, sent with it
     int m_events = 0;
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
     bool m_survivalRecorded = false; // the quarantine knows that the current decode engine survived the begin of this stream
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -260,6 +260,8 @@
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
                 self.crash_under(request)
                 return None
+            if self.draw_fault("comments"):
+                writer.write(chunk(b": hello\n\n"))
             for number in range(int(request.header("last-event-id", "0")) + 1, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
                 event = f"id: {number}\ndata: {request.header('request-id')} {number}\n\n".encode()
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -74,6 +74,9 @@
             assert status == 200 and events(body) == list(range(1, 13)), (kind, status, body)
         request, status, _, body = await rig.send("book")
         assert status == 200 and request.encode() in body, (status, body)
+        await set_fault("comments", rig.fleet.engines)
+        _, status, _, body = await rig.send("digest")
+        assert status == 200 and body.startswith(b": hello\n\nid: 1\n"), f"a comment before the first event is lost: {body!r}"
         await set_fault("unframed_empty", rig.fleet.engines)
         _, status, _, body = await rig.send("digest")
         assert status == 502, f"a stream without any event is answered with {status} {body!r}"
