A caller that does not read is not its engine's fault

The caller is disconnected now, and nothing else happens. callers_that_do_not_read_are_disconnected checks the memory, the end of the engine's work and that the engine serves the next stream.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -104,7 +104,7 @@
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         breakOff("the stream has no events");
     } else if (m_request.exchange->pendingBytes() > MaxCallerBacklog) {
-        breakOff("the caller reads too slowly");
+        fail(false, "the caller reads too slowly", Duration::zero());
     }
 }
 
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -18,6 +18,7 @@
     "endless_body": (b"\r\n", 4096 * b"j"),
     "endless_chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + 4096 * b"j" + b"\r\n"),
     "endless_blank_lines": (b"\r\n", 4096 * b"\n"),
+    "endless_events": (b"\r\n", b"data: " + 4096 * b"j" + b"\n\n"),
     "endless_comments": (b"\r\n", 64 * b": junk\n\n"),
 }
 
