Log software versions of engines and the streams that callers continue

The platform's 'version' of an upstream's entry becomes softwareVersion, and 'Resumes' the id of the first attempt. They are logged when an engine joins, at placement, at the first event, at each resumption, and when a caller continues a stream (caller_continues). No behaviour changes.

--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -179,6 +179,7 @@
                              {"address", entry.address},
                              {"place", entry.place},
                              {"role", name(entry.role)},
+                             {"software_version", entry.softwareVersion},
                              {"revision", value.modRevision}});
     }
     m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -184,6 +184,7 @@
     m_context.log.write("stream", "first_event",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
+                         {"software_version", m_decodeEngine.softwareVersion},
                          {"read_there", m_kvSource.empty()},
                          {"age_ms", toMilliseconds(now - m_request.arrivedAt)},
                          {"expected_ms", toMilliseconds(m_expectedFirstEvent)}});
@@ -368,6 +369,7 @@
     m_context.log.write("stream", "stream_goes_on",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
+                         {"software_version", m_decodeEngine.softwareVersion},
                          {"after_event", m_lastEventId},
                          {"reason", reason},
                          {"sends", m_attempts.count()}});
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -254,8 +254,10 @@
     const auto now = m_context.clock.now();
     const auto &shape = m_request.metadata.shape;
     LogFields fields = {{"request", m_request.metadata.requestId}, {"route", m_request.route->name}, {"decode", plan.decode->id}};
+    fields["software_version"] = plan.decode->softwareVersion;
     if (plan.prefill != nullptr) {
         fields["prefill"] = plan.prefill->id;
+        fields["prefill_software_version"] = plan.prefill->softwareVersion;
         fields["prefill_tokens_ahead"] = m_context.loads.total(plan.prefill->id, now).promptTokens;
     }
     const auto decodeLoad = m_context.loads.total(plan.decode->id, now);
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -23,6 +23,12 @@
         fail(false, "the prompt is larger than an engine's KV memory", Duration::zero());
         return;
     }
+    if (m_request.metadata.continuesStream()) {
+        m_context.log.write("stream", "caller_continues",
+                            {{"request", m_request.metadata.requestId},
+                             {"first_attempt", m_request.metadata.firstAttemptId},
+                             {"after_event", m_request.metadata.lastEventId}});
+    }
     const auto self = shared_from_this();
     m_request.exchange->onDisconnect([self]() {
         self->m_context.log.write("stream", "caller_gone", {{"request", self->m_request.metadata.requestId}, {"events", self->m_events}});
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -74,6 +74,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), upstream->id);
         CPPUNIT_ASSERT(upstream->role == EngineRole::Decode);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1700000000000), upstream->startedAtMs);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), upstream->softwareVersion);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(9), upstream->revision);
         auto plain = entry();
         plain.erase("phase");
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -48,7 +48,8 @@
                                                                {"Deadline-Ms", "14000"},
                                                                {"Token-Count", "1460,80"},
                                                                {"Length-Hint", "70"},
-                                                               {"Last-Event-Id", "12"}}));
+                                                               {"Last-Event-Id", "12"},
+                                                               {"Resumes", "first"}}));
         CPPUNIT_ASSERT_EQUAL(std::string("h.example"), metadata.host);
         CPPUNIT_ASSERT_EQUAL(std::string("r1"), metadata.requestId);
         CPPUNIT_ASSERT(metadata.timeLeft == milliseconds(14000));
@@ -56,6 +57,7 @@
         CPPUNIT_ASSERT_EQUAL(80.0, metadata.shape.outputTokens);
         CPPUNIT_ASSERT_EQUAL(70.0, metadata.shape.hintedOutput);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(12), metadata.lastEventId);
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), metadata.firstAttemptId);
     }
 
     auto limitsAreReadAndMalformedOnesHaveNoValue() -> void
