Failing tests: streams hold events of two software versions

The stand-in engines have a software version, and each event names the one that wrote it, so that the tests read the mixing from what callers get.

--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -36,6 +36,7 @@
         self.server = Server("127.0.0.1", port, self.serve)
         self.state, self.fault, self.fault_share = "ready", "", 0.0
         self.sequence, self.junk_senders = 0, 0
+        self.software_version = "v1"
         self.limits = []  # values of the limit fields in its responses, as text
         self.crashes_on = lambda request: False  # a request for which this holds crashes the upstream shortly after it begins to run
         self.restart_s = 1.0  # from a crash until the next incarnation registers
@@ -45,7 +46,7 @@
         return f"127.0.0.1:{self.server.port}"
 
     def entry(self):
-        return {"service": self.service, "address": self.address, "zone": self.place, "version": "v1", "slots": 6, "state": self.state,
+        return {"service": self.service, "address": self.address, "zone": self.place, "version": self.software_version, "slots": 6, "state": self.state,
                 "cold_left_ms": 0, "seq": self.sequence, "born": self.started_ms}
 
     async def start(self):
@@ -66,8 +67,9 @@
         self.server.stop()
         self.store.delete(f"servers/{self.id}")
 
-    async def restart(self):
+    async def restart(self, software_version=None):
         """Starts a new incarnation, with a new id, at the same port."""
+        self.software_version = software_version or self.software_version
         self.server.stop()
         self.store.delete(f"servers/{self.id}")
         self.id, self.started_ms, self.state = f"i-{next(self.ids)}", int(time.time() * 1000), "ready"
@@ -266,7 +268,8 @@
         return owner is not None
 
     async def stream(self, request, reader, writer, prompt):
-        self.record("run", request, after=int(request.header("last-event-id", "0")))
+        version = self.software_version  # the events show which version wrote them
+        self.record("run", request, after=int(request.header("last-event-id", "0")), version=version)
         self.used_tokens += prompt
         # Faults "unframed..." send neither a length nor chunks; the answer ends with its connection.
         is_framed = not self.fault.startswith("unframed")
@@ -283,7 +286,7 @@
                 writer.write(chunk(b": hello\n\n"))
             for number in range(int(request.header("last-event-id", "0")) + 1, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
-                event = f"id: {number}\ndata: {request.header('request-id')} {number}\n\n".encode()
+                event = f"id: {number}\ndata: {request.header('request-id')} {number} {version}\n\n".encode()
                 if self.draw_fault("unframed_empty") or (number == 6 and self.draw_fault("unframed_torn")):
                     writer.write(event[: len(event) // 2] if self.fault == "unframed_torn" else b"")
                     await writer.drain()
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -11,15 +11,16 @@
 import limit_tests
 import quarantine_tests
 import restore_tests
+import version_tests
 from rig import ROOT, Rig, call, read_response
 from platform_upstreams import JUNK
 
 
 def events(body):
-    """Returns the numbers of a stream's events, which must all carry the same request id."""
+    """Returns the numbers of a stream's events, which must all carry the same request id and be of one software version."""
     found = [line.split(" ") for line in body.decode().split("\n") if line.startswith("data: ")]
-    assert len({request for _, request, _ in found}) <= 1, body
-    return [int(number) for _, _, number in found]
+    assert len({(request, version) for _, request, _, version in found}) <= 1, body
+    return [int(number) for _, _, number, _ in found]
 
 
 async def each_request_kind_is_forwarded():
@@ -393,7 +394,8 @@
          draining_upstreams_get_no_requests, configuration_comes_into_force, compacted_history_is_reloaded,
          requests_are_served_while_the_store_is_unreachable, killed_vms_restart, restarted_upstreams_serve_requests,
          prefilled_prompts_go_to_another_decode_engine, orders_have_one_holder,
-         long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS]
+         long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS,
+         *version_tests.TESTS]
 
 
 def known_red():
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -29,6 +29,7 @@
 KINDS = ("book", "check", "stream", "digest")
 AT_MOST_ONCE = ("book", "digest")
 POISON_SHARE = 0.01  # of the requests
+SOFTWARE_VERSIONS = ("v1", "v2")
 
 
 class Soak(Rig):
@@ -230,9 +231,10 @@
             if headers.get("request-id") != request or "server-stamp" not in headers:
                 yield f"{request}: the response belongs to another request or carries no Server-Stamp"
             if kind in ("stream", "digest"):
-                expected = "".join(f"id: {number}\ndata: {request} {number}\n\n" for number in range(1, 13)).encode()
-                if body != expected:
-                    yield f"{request}: events are missing, duplicated or from another stream: {body!r}"
+                expected = ["".join(f"id: {number}\ndata: {request} {number} {version}\n\n" for number in range(1, 13)).encode()
+                            for version in SOFTWARE_VERSIONS]
+                if body not in expected:
+                    yield f"{request}: events are missing, duplicated, from another stream or of two software versions: {body!r}"
             elif request.encode() not in body:
                 yield f"{request}: the body belongs to another request"
 
--- /dev/null
+++ b/test/edge/version_tests.py
@@ -0,0 +1,175 @@
+"""Process tests of engines with two software versions: no stream holds events of both, and streams go on at their own."""
+
+import asyncio
+import signal
+import time
+
+from rig import Rig
+
+REFUSAL_S = 0.5  # in which a stream that cannot go on must be refused
+
+
+class Stream:
+    """One stream of a caller, which may come back with further attempts."""
+
+    def __init__(self, rig):
+        self.rig, self.id, self.first_attempt = rig, rig.request_id(), None
+        self.numbers, self.versions, self.writer = [], [], None
+
+    async def open(self, vm, **headers):
+        """Sends an attempt and returns its status; its events are read afterwards."""
+        reader, self.writer = await asyncio.open_connection(vm.ip, vm.port)
+        fields = {"Host": "app.example", "Request-Id": self.id, "Deadline-Ms": 7000, "Model": "m", "Token-Count": "1000,100",
+                  "Prefix-Hash": f"{self.id}:1000", "Content-Length": 0, **headers}
+        head = "POST /stream/x HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        self.writer.write(head.encode() + b"\r\n")
+        self.reader = reader
+        return int((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+
+    async def read(self, count=12):
+        """Reads events until there are `count`; an attempt that breaks off ends the reading."""
+        while len(self.numbers) < count:
+            line = (await self.reader.readline()).decode()
+            if not line or line == "0\r\n":
+                return
+            if line.startswith("data: "):
+                _, _, number, version = line.split()
+                self.numbers.append(int(number))
+                self.versions.append(version)
+                self.first_attempt = self.first_attempt or self.id
+
+    async def come_back(self, vm):
+        """Sends another attempt that takes the stream up, and returns its status."""
+        self.writer.transport.abort()
+        self.id = self.rig.request_id()
+        return await self.open(vm, **{"Last-Event-Id": self.numbers[-1], "Resumes": self.first_attempt})
+
+    def assert_sound(self):
+        assert len(set(self.versions)) <= 1, f"{self.first_attempt} holds events of {self.versions}"
+        assert self.numbers == list(range(1, len(self.numbers) + 1)), self.numbers
+
+
+async def begin_streams(rig, vm, count, events=3):
+    streams = [Stream(rig) for _ in range(count)]
+    statuses = await asyncio.gather(*(stream.open(vm) for stream in streams))
+    assert statuses == count * [200], statuses
+    await asyncio.gather(*(stream.read(events) for stream in streams))
+    return streams
+
+
+class MixedRig(Rig):
+    """A rig whose decode engines have the software versions v1 and v2 in turn."""
+
+    def __init__(self, vms=1, decode=4, versions=("v1", "v2"), **options):
+        super().__init__(vms=vms, decode=decode, **options)
+        self.versions = versions
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        for number, engine in enumerate(self.fleet.engines):
+            engine.software_version = self.versions[number % len(self.versions)]
+            engine.EVENT_INTERVAL_S = 0.05
+            engine.register()
+        await asyncio.sleep(3)  # until all VMs know both versions and one another
+        return self
+
+    def decode_engines(self, version):
+        return [engine for engine in self.fleet.engines if engine.software_version == version and engine.role == "decode"]
+
+    async def kill(self, vm):
+        vm.signal(signal.SIGKILL)
+        await vm.process.wait()
+
+
+async def take_up(streams, vms):
+    """Lets all streams come back at once and reads them to their ends; returns the statuses."""
+    async def one(stream, vm):
+        status = await stream.come_back(vm)
+        if status == 200:
+            await stream.read()
+        return status
+    statuses = await asyncio.gather(*(one(stream, vms[number % len(vms)]) for number, stream in enumerate(streams)))
+    for stream in streams:
+        stream.assert_sound()
+    return statuses
+
+
+async def broken_streams_go_on_at_their_software_version():
+    async with MixedRig() as rig:
+        for engine in rig.fleet.engines:
+            engine.fault, engine.fault_share, engine.EVENT_INTERVAL_S = "torn", 0.05, 0.01
+        resumed = 0
+        for _ in range(6):
+            streams = [Stream(rig) for _ in range(6)]
+            statuses = await asyncio.gather(*(stream.open(rig.vms[0]) for stream in streams))
+            await asyncio.gather(*(stream.read() for stream, status in zip(streams, statuses) if status == 200))
+            for stream in streams:
+                stream.assert_sound()
+                resumed += len({run["upstream"] for run in rig.runs_of(stream.id)}) > 1
+        assert resumed > 3, f"only {resumed} streams broke and went on"
+
+
+async def streams_of_a_killed_vm_go_on_at_their_software_version():
+    """The callers come back at VMs that never saw their streams."""
+    async with MixedRig(vms=4) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 12)
+        await rig.kill(rig.vms[0])
+        statuses = await take_up(streams, rig.vms[1:])
+        assert statuses == 12 * [200], statuses
+        assert all(stream.numbers == list(range(1, 13)) for stream in streams)
+
+
+async def callers_that_return_twice_stay_at_their_software_version():
+    """Each return names the attempt that brought the first event, whichever VM relayed it."""
+    async with MixedRig(vms=4) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 8)
+        for vm in rig.vms[1:3]:
+            for stream in streams:
+                assert await stream.come_back(vm) == 200
+                await stream.read(len(stream.numbers) + 2)
+        await rig.kill(rig.vms[0])
+        assert await take_up(streams, rig.vms[1:]) == 8 * [200]
+
+
+async def streams_whose_software_version_left_are_refused_at_once():
+    async with MixedRig(vms=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 8)
+        gone = [stream for stream in streams if stream.versions[0] == "v1"]
+        assert gone, "no stream began at v1"
+        for engine in rig.fleet.engines:
+            if engine.software_version == "v1":
+                engine.crash()
+        await asyncio.sleep(0.7)
+        for stream in gone:
+            stream.first_attempt = stream.first_attempt or stream.id
+            begin = time.monotonic()
+            status = await stream.come_back(rig.vms[1])
+            assert status == 503 and time.monotonic() - begin < REFUSAL_S, (status, time.monotonic() - begin)
+            assert not rig.runs_of(stream.id)
+
+
+async def unknown_streams_are_not_resumed_at_a_guess():
+    async with MixedRig(vms=2) as rig:
+        for versions, expected in ((("v1", "v2"), 503), (("v1", "v1"), 503)):
+            for number, engine in enumerate(rig.fleet.engines):
+                if engine.software_version != versions[number % 2]:
+                    await engine.restart(versions[number % 2])
+            await asyncio.sleep(1.5)
+            stream = Stream(rig)
+            begin = time.monotonic()
+            status = await stream.open(rig.vms[1], **{"Last-Event-Id": 4, "Resumes": "never-seen"})
+            assert status == expected and time.monotonic() - begin < REFUSAL_S, (status, time.monotonic() - begin)
+            assert not rig.runs_of(stream.id)
+
+
+async def unknown_streams_go_on_if_there_is_one_software_version():
+    async with Rig(vms=2) as rig:
+        stream = Stream(rig)
+        assert await stream.open(rig.vms[1], **{"Last-Event-Id": 4, "Resumes": "never-seen"}) == 200
+        await stream.read(8)
+        assert stream.numbers[0] == 5
+
+
+TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
+         callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
+         unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version]
