Streams that callers continue go on at the software version of their first event

Callers that came back, with the id of the attempt that had brought the first event, got the rest of their stream from engines of another software version.

Cause: the VM placed them like new streams; only the VM that relayed the first event knew the version, and it may be dead.

While a service has or had several versions within a minute, each VM tells the version of a stream, at its first event, to three VMs that rendezvous hashing of the attempt's id selects, and a VM to which the caller returns asks five of them. The stream waits for an engine of its version, before streams that can begin anywhere. If the version is unknown, or no engine of it is left, the caller is refused at once. With one version nothing is told or asked, and the stream goes on anywhere; a VM that hears neither of the store nor of its peers does not assume that. When a second version appears, VMs tell what they have relayed in the last 20 s, and begin streams at it a second later, so that all of them know it by then. VMs tell each other the versions of such services with their load reports.

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -54,6 +54,12 @@
     /// Returns up to `count` VMs of all places, chosen at random.
     auto sample(std::size_t count, Random &random) const -> std::vector<SocketAddress>;
 
+    /// Returns the `count` VMs that rendezvous hashing assigns to the key. VMs that know the same peers compute the same.
+    auto holders(std::uint64_t key, std::size_t count) const -> std::vector<SocketAddress>;
+
+    /// Returns whether this VM has peers, and none of them has sent a datagram lately.
+    auto hearsNoPeer(TimePoint now) const -> bool;
+
     /// Returns whether this VM sends the aggregate of its place: the first by name among the VMs of the place that report.
     auto isAggregator(TimePoint now) const -> bool;
 
--- /dev/null
+++ b/include/currantstack/decisions/software_versions.h
@@ -0,0 +1,74 @@
+// Which software versions the upstreams of each service have, and had lately.
+#pragma once
+
+#include "currantstack/clock.h"
+#include "currantstack/decisions/software_version.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace currantstack
+{
+
+/// A version of a service, as one VM tells it to another.
+struct SoftwareVersionNotice
+{
+    std::string service;
+    std::string version;
+    Duration age = Duration::zero(); // since an upstream with this version was last registered
+};
+
+/// Remembers the versions of each service for longer than a stream lives. While a service had one version only, each of its streams is
+/// of that version; otherwise the version of a stream must be known.
+class SoftwareVersions
+{
+public:
+    /// Longer than a caller keeps trying to complete one stream.
+    static constexpr Duration Lifetime = seconds(60);
+    /// Another version gets no streams for this time after a VM first knows it, so that all VMs know it when the first stream begins.
+    static constexpr Duration SettlingTime = seconds(1);
+
+    /// Records that an upstream with this version is registered, or was until `lastSeen`.
+    auto observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void;
+
+    auto merge(const SoftwareVersionNotice &notice, TimePoint now) -> void;
+
+    /// Drops the versions that were not seen for `Lifetime`.
+    auto expire(TimePoint now) -> void;
+
+    /// Returns whether the service has more than one version, or had within `Lifetime`.
+    auto isMixed(std::string_view service) const -> bool;
+
+    /// Returns whether streams may begin at upstreams of this version.
+    auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
+
+    /// Returns whether the service has or had the version.
+    auto has(std::string_view service, SoftwareVersionKey version) const -> bool
+    {
+        return !nameOf(service, version).empty();
+    }
+
+    /// Returns the version as text, for logs; empty if it is not known.
+    auto nameOf(std::string_view service, SoftwareVersionKey version) const -> std::string_view;
+
+    auto mixedServices() const -> std::vector<std::string>;
+
+    /// Returns what to tell other VMs: all versions of the services that have more than one.
+    auto notices(TimePoint now) const -> std::vector<SoftwareVersionNotice>;
+
+private:
+    struct Version
+    {
+        SoftwareVersionKey key = AnySoftwareVersion;
+        TimePoint firstSeen;
+        TimePoint lastSeen;
+        TimePoint settledAt;
+    };
+
+    using Versions = std::map<std::string, Version, std::less<>>;
+
+    std::map<std::string, Versions, std::less<>> m_services;
+};
+
+} // namespace currantstack
--- a/include/currantstack/decisions/upstream_directory.h
+++ b/include/currantstack/decisions/upstream_directory.h
@@ -4,6 +4,7 @@
 #include "currantstack/clock.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -84,6 +85,14 @@
     /// Returns the ids of all entries.
     auto ids() const -> std::vector<std::string>;
 
+    /// Calls the visitor with each entry.
+    auto forEach(const std::function<void(const Upstream &upstream)> &visitor) const -> void
+    {
+        for (const auto &[id, entry] : m_entries) {
+            visitor(entry.upstream);
+        }
+    }
+
     auto find(std::string_view id) const -> const Upstream *;
 
     /// Returns the upstreams of the service that may get new work, ordered by id. Of several entries with the same address, only the
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -9,6 +9,8 @@
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
 #include "currantstack/decisions/request_attempts.h"
+#include "currantstack/decisions/software_versions.h"
+#include "currantstack/decisions/stream_origins.h"
 #include "currantstack/decisions/upstream_directory.h"
 #include "currantstack/edge/latencies.h"
 #include "currantstack/edge/pending_queue.h"
@@ -33,6 +35,19 @@
 /// checks a second apart, and the longest streams need the rest of the platform's drain time.
 inline constexpr Duration DrainAcceptTime = milliseconds(2700);
 
+/// Receives the origin of a stream, or nothing if no VM knows it.
+using OriginFound = std::function<void(const std::optional<StreamOrigin> &origin)>;
+
+/// Access to the origins of streams that other VMs relayed.
+struct OriginHooks
+{
+    /// Runs at the first event that this VM relays of a stream.
+    std::function<void(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version)> announce;
+    std::function<void(std::string_view firstAttemptId, OriginFound callback)> find;
+    /// Returns whether a version may have appeared of which this VM cannot know.
+    std::function<bool()> mayMissVersions;
+};
+
 /// All users run on one event loop. Only the controllers change the state.
 struct EdgeContext
 {
@@ -62,6 +77,9 @@
     ExclusionList exclusions = {};
     Quarantine quarantine = Quarantine();
     CrashDetector crashDetector = {};
+    SoftwareVersions versions = {};
+    StreamOrigins origins = {};
+    OriginHooks originHooks = {};
     bool storeUnreachable = false; // so the directory may be outdated
     bool draining = false;
     TimePoint drainingSince = {};
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -5,6 +5,7 @@
 #include "currantstack/edge/context.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/load_message.h"
+#include "currantstack/edge/origin_message.h"
 #include "currantstack/edge/quarantine_message.h"
 #include "currantstack/edge/vm_registry.h"
 
@@ -22,6 +23,7 @@
     static constexpr Duration Period = milliseconds(60); // between reports while the load changes; well under the duration of a prefill
     static constexpr Duration IdlePeriod = milliseconds(600); // while nothing changes; under half of the lifetime of a report
     static constexpr Duration AggregatePeriod = milliseconds(300); // between aggregates to other places; that traffic is expensive
+    static constexpr Duration VersionsPeriod = milliseconds(500); // between reports of software versions, while a service has several
     static constexpr std::size_t RowsPerDatagram = 36; // of about 35 bytes each, so that a datagram fits the usual path MTU
 
     LoadExchange(EdgeContext &context, DirectoryController &directory);
@@ -41,6 +43,32 @@
         m_onReport = std::move(handler);
     }
 
+    /// Sets the receiver of the datagrams that begin with `OriginMagic`.
+    auto setOriginHandler(std::function<void(std::string_view bytes, const SocketAddress &from)> handler) -> void
+    {
+        m_onOrigins = std::move(handler);
+    }
+
+    /// Returns the `count` VMs that rendezvous hashing assigns to the key.
+    auto holders(std::uint64_t key, std::size_t count) const -> std::vector<SocketAddress>
+    {
+        return m_peers.holders(key, count);
+    }
+
+    /// Sends the datagram to the holders of the key; returns their number.
+    auto sendToHolders(std::string_view bytes, std::uint64_t key, std::size_t count) -> std::size_t;
+
+    auto sendTo(std::string_view bytes, const SocketAddress &target) -> void
+    {
+        sendBytes(bytes, {&target, 1});
+    }
+
+    /// Returns whether there are other VMs and none of them has sent a datagram lately.
+    auto hearsNoPeer() const -> bool
+    {
+        return m_peers.hearsNoPeer(m_context.clock.now());
+    }
+
     /// Sends the datagram to the VMs that receive this VM's loads, and to one VM of each other place in a large fleet.
     auto sendToAll(std::string_view bytes) -> void;
 
@@ -71,10 +99,12 @@
     DirectoryController &m_directory;
     PeerTable m_peers;
     std::function<void(std::string_view bytes)> m_onReport;
+    std::function<void(std::string_view bytes, const SocketAddress &from)> m_onOrigins;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_aggregateTimer;
     std::string m_lastLoads; // last report, encoded
     TimePoint m_sentAt;
+    TimePoint m_versionsSentAt;
     std::uint64_t m_sequence;
     int m_localParts = 0; // datagrams of the last report
     int m_aggregateParts = 0; // datagrams of the last aggregate
--- a/include/currantstack/edge/load_message.h
+++ b/include/currantstack/edge/load_message.h
@@ -5,6 +5,7 @@
 #include "currantstack/decisions/exclusion_list.h"
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/software_versions.h"
 #include "currantstack/error.h"
 
 #include <cstdint>
@@ -37,6 +38,7 @@
     std::vector<ExclusionNotice> exclusions;
     std::vector<UpstreamLoad> loads;
     std::vector<RateLimitReport> limits;
+    std::vector<SoftwareVersionNotice> versions; // of the services that have several
 };
 
 auto encodeLoad(const LoadMessage &message) -> std::string;
--- /dev/null
+++ b/include/currantstack/edge/origin_controller.h
@@ -0,0 +1,62 @@
+// Shares between VMs which software version began each stream, while a service has more than one.
+#pragma once
+
+#include "currantstack/edge/load_exchange.h"
+#include "currantstack/edge/origin_message.h"
+
+#include <unordered_map>
+
+namespace currantstack
+{
+
+/// Tells the origin of each stream to a few VMs that follow from a hash of the stream, and asks these when a caller comes back. While a
+/// service has one software version, nothing is told, as the origin does not matter; when a second one appears, each VM tells the
+/// origins of the streams that it has relayed lately.
+class OriginController
+{
+public:
+    static constexpr std::size_t Copies = 3; // VMs that are told of a stream, beside the one that relays it
+    /// VMs that are asked: more than hold copies, as the VMs known to the teller and to the asker may differ by a few.
+    static constexpr std::size_t AskedVms = 5;
+    static constexpr Duration AskPeriod = milliseconds(100); // over twice the way between regions
+    static constexpr int MaxAsks = 3;
+    static constexpr Duration CheckPeriod = milliseconds(250);
+    static constexpr Duration RefreshPeriod = seconds(1);
+    /// Streams that began earlier have ended when a second version appears.
+    static constexpr Duration ToldAge = seconds(20);
+
+    OriginController(EdgeContext &context, LoadExchange &exchange);
+
+    auto start() -> void;
+
+private:
+    struct Inquiry
+    {
+        std::vector<OriginFound> callbacks;
+        std::unique_ptr<Timer> timer;
+        TimePoint begunAt;
+        int asks = 0;
+        std::size_t asked = 0; // VMs
+        std::set<std::string> unaware; // VMs that do not know the stream
+    };
+
+    auto announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void;
+    auto find(std::string_view firstAttemptId, OriginFound callback) -> void;
+    auto ask(Fingerprint stream) -> void;
+    auto resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void;
+    auto onDatagram(std::string_view bytes, const SocketAddress &from) -> void;
+    auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
+    auto answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void;
+    auto check() -> void;
+    auto refreshVersions(TimePoint now) -> void;
+    auto tellRelayedStreams(TimePoint now) -> void;
+
+    EdgeContext &m_context;
+    LoadExchange &m_exchange;
+    std::unique_ptr<Timer> m_timer;
+    TimePoint m_refreshedAt;
+    std::vector<std::string> m_mixedServices; // at the last check
+    std::unordered_map<Fingerprint, Inquiry> m_inquiries;
+};
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/edge/origin_message.h
@@ -0,0 +1,35 @@
+// Encoding of the datagrams by which VMs tell and ask which software version began a stream.
+#pragma once
+
+#include "currantstack/decisions/software_version.h"
+#include "currantstack/error.h"
+#include "currantstack/fingerprint.h"
+
+#include <vector>
+
+namespace currantstack
+{
+
+/// First byte of a datagram with origins of streams; no encoded load report begins with it.
+inline constexpr std::string_view OriginMagic = "V";
+
+/// Streams that were begun by one software version.
+struct StreamsOfVersion
+{
+    SoftwareVersionKey version = AnySoftwareVersion; // of streams whose origin the sender does not know: `AnySoftwareVersion`
+    std::vector<Fingerprint> streams;
+};
+
+/// Tells origins, or asks for them.
+struct OriginMessage
+{
+    std::vector<StreamsOfVersion> told; // what the sender knows, or that it does not know
+    std::vector<Fingerprint> asked;
+};
+
+auto encodeOrigins(const OriginMessage &message) -> std::string;
+
+/// Returns the error if the datagram is malformed.
+auto decodeOrigins(std::string_view bytes) -> Result<OriginMessage>;
+
+} // namespace currantstack
--- a/include/currantstack/socket_address.h
+++ b/include/currantstack/socket_address.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace currantstack
 {
@@ -19,6 +20,11 @@
     }
 
     auto operator==(const SocketAddress &) const -> bool = default;
+
+    auto operator<(const SocketAddress &other) const -> bool
+    {
+        return std::tie(ip, port) < std::tie(other.ip, other.port);
+    }
 };
 
 } // namespace currantstack
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -1,6 +1,9 @@
 #include "currantstack/decisions/peer_table.h"
 
+#include "currantstack/codec.h"
+
 #include <algorithm>
+#include <functional>
 #include <iterator>
 
 namespace currantstack
@@ -86,6 +89,28 @@
     return result;
 }
 
+auto PeerTable::holders(std::uint64_t key, std::size_t count) const -> std::vector<SocketAddress>
+{
+    std::vector<std::pair<std::uint64_t, const SocketAddress *>> ranked;
+    ranked.reserve(m_peers.size());
+    for (const auto &[vm, peer] : m_peers) {
+        ranked.emplace_back(hash64(vm, key), &peer.address);
+    }
+    count = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), std::greater<>());
+    std::vector<SocketAddress> result;
+    for (std::size_t index = 0; index < count; ++index) {
+        result.push_back(*ranked[index].second);
+    }
+    return result;
+}
+
+auto PeerTable::hearsNoPeer(TimePoint now) const -> bool
+{
+    const auto isHeard = [now](const auto &entry) { return now - entry.second.receivedAt < ReportLifetime; };
+    return !m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), isHeard);
+}
+
 auto PeerTable::reportingVms(TimePoint now) const -> std::size_t
 {
     std::size_t reporting = 0;
--- /dev/null
+++ b/src/decisions/software_versions.cc
@@ -0,0 +1,98 @@
+#include "currantstack/decisions/software_versions.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+namespace
+{
+
+// Versions that are first seen within this time are those of one read of the store.
+constexpr Duration SnapshotSpread = milliseconds(500);
+
+constexpr std::string_view Unnamed = "unnamed"; // in logs, a version that its upstreams do not name
+
+} // namespace
+
+auto SoftwareVersions::observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void
+{
+    auto &versions = m_services[std::string(service)];
+    const bool isFirst =
+        std::all_of(versions.begin(), versions.end(), [now](const auto &entry) { return now - entry.second.firstSeen < SnapshotSpread; });
+    const auto [found, isNew] = versions.try_emplace(std::string(version));
+    auto &entry = found->second;
+    if (isNew) {
+        entry = {softwareVersionKey(service, version), now, lastSeen, isFirst ? now : now + SettlingTime};
+    }
+    entry.lastSeen = std::max(entry.lastSeen, lastSeen);
+}
+
+auto SoftwareVersions::merge(const SoftwareVersionNotice &notice, TimePoint now) -> void
+{
+    if (notice.age < Lifetime) {
+        observe(notice.service, notice.version, now - notice.age, now);
+    }
+}
+
+auto SoftwareVersions::expire(TimePoint now) -> void
+{
+    for (auto &[service, versions] : m_services) {
+        std::erase_if(versions, [now](const auto &entry) { return now - entry.second.lastSeen >= Lifetime; });
+    }
+    std::erase_if(m_services, [](const auto &entry) { return entry.second.empty(); });
+}
+
+auto SoftwareVersions::isMixed(std::string_view service) const -> bool
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.size() > 1;
+}
+
+auto SoftwareVersions::isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return true;
+    }
+    const auto entry = found->second.find(version);
+    return entry == found->second.end() || now >= entry->second.settledAt;
+}
+
+auto SoftwareVersions::nameOf(std::string_view service, SoftwareVersionKey version) const -> std::string_view
+{
+    if (const auto found = m_services.find(service); found != m_services.end()) {
+        for (const auto &[name, entry] : found->second) {
+            if (entry.key == version) {
+                return name.empty() ? Unnamed : std::string_view(name);
+            }
+        }
+    }
+    return "";
+}
+
+auto SoftwareVersions::mixedServices() const -> std::vector<std::string>
+{
+    std::vector<std::string> result;
+    for (const auto &[service, versions] : m_services) {
+        if (versions.size() > 1) {
+            result.push_back(service);
+        }
+    }
+    return result;
+}
+
+auto SoftwareVersions::notices(TimePoint now) const -> std::vector<SoftwareVersionNotice>
+{
+    std::vector<SoftwareVersionNotice> result;
+    for (const auto &[service, versions] : m_services) {
+        for (const auto &[version, entry] : versions) {
+            if (versions.size() > 1) {
+                result.push_back({service, version, std::max(Duration::zero(), now - entry.lastSeen)});
+            }
+        }
+    }
+    return result;
+}
+
+} // namespace currantstack
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -152,6 +152,7 @@
         return;
     }
     const auto entry = *upstream;
+    m_context.versions.observe(entry.service, entry.softwareVersion, m_context.clock.now(), m_context.clock.now());
     const auto *previous = m_context.directory.find(entry.id);
     const auto previousIncarnation = previous == nullptr ? std::string() : incarnationOf(*previous);
     const auto change = isFromCopy ? m_context.directory.applyFromCopy(std::move(*upstream), m_context.clock.now())
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/edge_node.h"
 
 #include "currantstack/edge/directory_controller.h"
+#include "currantstack/edge/origin_controller.h"
 #include "currantstack/edge/quarantine_controller.h"
 #include "currantstack/edge/request_chain.h"
 #include "currantstack/edge/role_controller.h"
@@ -60,6 +61,7 @@
         , directory(context, *adapter.codec, *store)
         , exchange(context, directory)
         , quarantine(context, *adapter.codec, *store, exchange)
+        , origins(context, exchange)
         , registry(context, *adapter.codec, *store, [this](const VmRecords &records) { onVms(records); })
         , orderHolder(context, *adapter.codec, *store, bootClock)
         , roles(context, orderHolder)
@@ -95,6 +97,7 @@
     DirectoryController directory;
     LoadExchange exchange;
     QuarantineController quarantine;
+    OriginController origins;
     VmRegistry registry;
     OrderHolder orderHolder;
     RoleController roles;
@@ -240,6 +243,7 @@
     }
     parts.directory.start();
     parts.quarantine.start();
+    parts.origins.start();
     parts.registry.start();
     parts.orderHolder.start();
     parts.roles.start();
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -105,6 +105,10 @@
             m_onReport(bytes);
             continue;
         }
+        if (bytes.starts_with(OriginMagic)) {
+            m_onOrigins(bytes, toAddress(from));
+            continue;
+        }
         auto message = decodeLoad(bytes);
         if (!message) {
             m_context.counters.at("datagrams_malformed").add();
@@ -131,6 +135,9 @@
         m_context.exclusions.merge(notice, now);
     }
     mergeLimits(message);
+    for (const auto &notice : message.versions) {
+        m_context.versions.merge(notice, now);
+    }
     if (!message.costs.empty()) {
         m_context.costs.merge(message.source, message.costs, now);
     }
@@ -156,10 +163,15 @@
     const auto now = m_context.clock.now();
     auto loads = m_context.loads.own();
     auto limits = m_context.rateLimiter.dueReports(now);
-    auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}});
+    auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}, {}});
     if (bytes == m_lastLoads && limits.empty() && now - m_sentAt < IdlePeriod) {
         return;
     }
+    std::vector<SoftwareVersionNotice> versions;
+    if (now - m_versionsSentAt >= VersionsPeriod) {
+        m_versionsSentAt = now;
+        versions = m_context.versions.notices(now);
+    }
     m_lastLoads = std::move(bytes);
     m_sentAt = now;
     const auto &settings = m_context.settings;
@@ -173,7 +185,8 @@
           m_context.localCosts(),
           m_context.exclusions.notices(now),
           std::move(loads),
-          std::move(limits)},
+          std::move(limits),
+          std::move(versions)},
          m_peers.reportTargets());
 }
 
@@ -205,7 +218,8 @@
           meanPlaceCosts(),
           m_context.exclusions.notices(now),
           std::move(loads),
-          m_context.rateLimiter.aggregate(AggregatePrefix, now)},
+          m_context.rateLimiter.aggregate(AggregatePrefix, now),
+          m_context.versions.notices(now)},
          m_peers.relayTargets(m_sequence));
 }
 
@@ -225,6 +239,7 @@
         first = last;
         sendBytes(encodeLoad(message), targets);
         message.limits.clear(); // they are in the first part
+        message.versions.clear();
     }
     partsBefore = static_cast<int>((loads.size() + RowsPerDatagram - 1) / RowsPerDatagram);
 }
@@ -237,6 +252,13 @@
     }
 }
 
+auto LoadExchange::sendToHolders(std::string_view bytes, std::uint64_t key, std::size_t count) -> std::size_t
+{
+    const auto targets = m_peers.holders(key, count);
+    sendBytes(bytes, targets);
+    return targets.size();
+}
+
 auto LoadExchange::sendToPlace(std::string_view bytes) -> void
 {
     sendBytes(bytes, m_peers.neighbours());
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -149,6 +149,26 @@
     return report;
 }
 
+auto encodeVersions(std::span<const SoftwareVersionNotice> notices) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &notice : notices) {
+        rows.push_back({notice.service, notice.version, std::chrono::duration_cast<milliseconds>(notice.age).count()});
+    }
+    return rows;
+}
+
+auto decodeVersion(const nlohmann::json &row) -> std::optional<SoftwareVersionNotice>
+{
+    const bool valid =
+        row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_string() && row[2].is_number_integer() && row[2] >= 0;
+    if (!valid) {
+        return std::nullopt;
+    }
+    const auto age = std::min<std::int64_t>(row[2].get<std::int64_t>(), toMilliseconds(SoftwareVersions::Lifetime));
+    return SoftwareVersionNotice{row[0].get<std::string>(), row[1].get<std::string>(), milliseconds(age)};
+}
+
 auto malformed(std::string_view what) -> tl::unexpected<Error>
 {
     return fail(ErrorCode::BadInput, "decode load", "", what);
@@ -158,19 +178,22 @@
 
 auto encodeLoad(const LoadMessage &message) -> std::string
 {
-    const nlohmann::json document = {{"src", message.source},
-                                     {"vm", message.vm},
-                                     {"place", message.place},
-                                     {"seq", message.sequence},
-                                     {"sum", message.isAggregate},
-                                     {"spread", message.relayInPlace},
-                                     {"routes", message.revisions.routes},
-                                     {"upstreams", message.revisions.upstreams},
-                                     {"version", message.revisions.routesVersion},
-                                     {"costs", encodeCosts(message.costs)},
-                                     {"avoid", encodeNotices(message.exclusions)},
-                                     {"work", encodeLoads(message.loads)},
-                                     {"limits", encodeLimits(message.limits)}};
+    nlohmann::json document = {{"src", message.source},
+                               {"vm", message.vm},
+                               {"place", message.place},
+                               {"seq", message.sequence},
+                               {"sum", message.isAggregate},
+                               {"spread", message.relayInPlace},
+                               {"routes", message.revisions.routes},
+                               {"upstreams", message.revisions.upstreams},
+                               {"version", message.revisions.routesVersion},
+                               {"costs", encodeCosts(message.costs)},
+                               {"avoid", encodeNotices(message.exclusions)},
+                               {"work", encodeLoads(message.loads)},
+                               {"limits", encodeLimits(message.limits)}};
+    if (!message.versions.empty()) {
+        document["software"] = encodeVersions(message.versions);
+    }
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -198,7 +221,9 @@
     const auto &costs = reader.raw("costs");
     const auto &notices = reader.raw("avoid");
     const auto &limits = reader.raw("limits"); // absent in messages of earlier versions
-    if (!errors.empty() || !rows.is_array() || !costs.is_array() || !notices.is_array() || !(limits.is_array() || limits.is_null())) {
+    const auto &versions = reader.raw("software"); // absent while each service has one
+    if (!errors.empty() || !rows.is_array() || !costs.is_array() || !notices.is_array() || !(limits.is_array() || limits.is_null())
+        || !(versions.is_array() || versions.is_null())) {
         return malformed(describe(errors));
     }
     for (const auto &row : notices) {
@@ -222,6 +247,13 @@
         }
         message.limits.push_back(std::move(*limit));
     }
+    for (const auto &row : versions) {
+        auto version = decodeVersion(row);
+        if (!version) {
+            return malformed("a software version row is malformed");
+        }
+        message.versions.push_back(std::move(*version));
+    }
     for (const auto &row : rows) {
         auto work = decodeLoadRow(row);
         if (!work) {
--- /dev/null
+++ b/src/edge/origin_controller.cc
@@ -0,0 +1,189 @@
+#include "currantstack/edge/origin_controller.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr std::size_t StreamsPerDatagram = 100; // of 9 bytes each, so that a datagram fits the usual path MTU
+
+} // namespace
+
+OriginController::OriginController(EdgeContext &context, LoadExchange &exchange)
+    : m_context(context)
+    , m_exchange(exchange)
+    , m_timer(context.loop.timer([this]() { check(); }))
+{
+    context.originHooks = {
+        [this](std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) {
+            announce(firstAttemptId, service, version);
+        },
+        [this](std::string_view firstAttemptId, OriginFound callback) { find(firstAttemptId, std::move(callback)); },
+        [this]() { return m_context.storeUnreachable && m_exchange.hearsNoPeer(); },
+    };
+    exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
+}
+
+auto OriginController::start() -> void
+{
+    m_timer->startRepeating(CheckPeriod, CheckPeriod);
+}
+
+auto OriginController::announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void
+{
+    const auto stream = streamKey(firstAttemptId);
+    m_context.origins.record(stream, {version, m_context.clock.now(), true});
+    if (m_context.versions.isMixed(service)) {
+        m_context.counters.at("stream_origins_told").add();
+        m_exchange.sendToHolders(encodeOrigins({{{version, {stream}}}, {}}), stream, Copies);
+    }
+}
+
+auto OriginController::find(std::string_view firstAttemptId, OriginFound callback) -> void
+{
+    const auto stream = streamKey(firstAttemptId);
+    const auto now = m_context.clock.now();
+    if (const auto known = m_context.origins.find(stream, now)) {
+        callback(known);
+        return;
+    }
+    auto &inquiry = m_inquiries[stream];
+    inquiry.callbacks.push_back(std::move(callback));
+    if (inquiry.timer) {
+        return; // asked already, for an earlier return of the caller
+    }
+    inquiry.begunAt = now;
+    inquiry.timer = m_context.loop.timer([this, stream]() { ask(stream); });
+    ask(stream);
+}
+
+auto OriginController::ask(Fingerprint stream) -> void
+{
+    auto &inquiry = m_inquiries[stream];
+    if (inquiry.asks++ == MaxAsks) {
+        resolve(stream, std::nullopt);
+        return;
+    }
+    m_context.counters.at("stream_origins_asked").add();
+    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}}), stream, AskedVms);
+    inquiry.timer->startOnce(inquiry.asked == 0 ? Duration::zero() : AskPeriod);
+    if (inquiry.asked == 0) {
+        inquiry.asks = MaxAsks; // there is nobody to ask
+    }
+}
+
+auto OriginController::resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void
+{
+    const auto found = m_inquiries.find(stream);
+    if (found == m_inquiries.end()) {
+        return;
+    }
+    // The timer may be running this function, so that it ends with the current call.
+    auto inquiry = std::make_shared<Inquiry>(std::move(found->second));
+    m_inquiries.erase(found);
+    inquiry->timer->stop();
+    m_context.loop.defer([inquiry]() { inquiry->timer.reset(); });
+    m_context.log.write("origins", "inquiry_ended",
+                        {{"stream", fingerprintText(stream)},
+                         {"known", origin.has_value()},
+                         {"asked", inquiry->asked},
+                         {"unaware", inquiry->unaware.size()},
+                         {"asks", inquiry->asks},
+                         {"took_ms", toMilliseconds(m_context.clock.now() - inquiry->begunAt)}});
+    for (const auto &callback : inquiry->callbacks) {
+        callback(origin);
+    }
+}
+
+auto OriginController::onDatagram(std::string_view bytes, const SocketAddress &from) -> void
+{
+    const auto message = decodeOrigins(bytes);
+    if (!message) {
+        m_context.counters.at("datagrams_malformed").add();
+        m_context.log.write("origins", "datagram_ignored", {{"from", from.text()}, {"error", describe(message.error())}});
+        return;
+    }
+    for (const auto &row : message->told) {
+        onTold(row, from);
+    }
+    if (!message->asked.empty()) {
+        answer(message->asked, from);
+    }
+}
+
+auto OriginController::onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void
+{
+    const auto now = m_context.clock.now();
+    for (const auto stream : row.streams) {
+        if (row.version != AnySoftwareVersion) {
+            m_context.origins.record(stream, {row.version, now, false});
+            resolve(stream, m_context.origins.find(stream, now));
+            continue;
+        }
+        const auto inquiry = m_inquiries.find(stream);
+        if (inquiry != m_inquiries.end() && inquiry->second.unaware.insert(from.text()).second
+            && inquiry->second.unaware.size() >= inquiry->second.asked) {
+            resolve(stream, std::nullopt);
+        }
+    }
+}
+
+auto OriginController::answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void
+{
+    OriginMessage message;
+    for (const auto stream : streams) {
+        const auto origin = m_context.origins.find(stream, m_context.clock.now());
+        message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
+    }
+    m_exchange.sendTo(encodeOrigins(message), from);
+}
+
+auto OriginController::check() -> void
+{
+    const auto now = m_context.clock.now();
+    if (now - m_refreshedAt >= RefreshPeriod) {
+        refreshVersions(now);
+    }
+    auto mixed = m_context.versions.mixedServices();
+    const bool anyNew =
+        std::any_of(mixed.begin(), mixed.end(), [this](const auto &service) { return !std::ranges::count(m_mixedServices, service); });
+    if (mixed != m_mixedServices) {
+        m_context.log.write("origins", "mixed_services_changed", {{"services", mixed}, {"streams_known", m_context.origins.size()}});
+        m_context.counters.at("services_of_several_versions").set(static_cast<std::int64_t>(mixed.size()));
+        m_mixedServices = std::move(mixed);
+    }
+    if (anyNew) {
+        tellRelayedStreams(now);
+    }
+}
+
+auto OriginController::refreshVersions(TimePoint now) -> void
+{
+    m_refreshedAt = now;
+    m_context.directory.forEach(
+        [this, now](const Upstream &upstream) { m_context.versions.observe(upstream.service, upstream.softwareVersion, now, now); });
+    m_context.versions.expire(now);
+    m_context.origins.expire(now);
+}
+
+auto OriginController::tellRelayedStreams(TimePoint now) -> void
+{
+    std::map<std::pair<SocketAddress, SoftwareVersionKey>, std::vector<Fingerprint>> rows;
+    for (const auto &[stream, version] : m_context.origins.relayedSince(now - ToldAge)) {
+        for (const auto &holder : m_exchange.holders(stream, Copies)) {
+            rows[{holder, version}].push_back(stream);
+        }
+    }
+    for (const auto &[target, streams] : rows) {
+        for (std::size_t first = 0; first < streams.size(); first += StreamsPerDatagram) {
+            const auto count = std::min(StreamsPerDatagram, streams.size() - first);
+            const std::span<const Fingerprint> part(streams.data() + first, count);
+            m_exchange.sendTo(encodeOrigins({{{target.second, {part.begin(), part.end()}}}, {}}), target.first);
+        }
+    }
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/origin_message.cc
@@ -0,0 +1,57 @@
+#include "currantstack/edge/origin_message.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace currantstack
+{
+
+namespace
+{
+
+auto isStreams(const nlohmann::json &value) -> bool
+{
+    return value.is_array() && std::all_of(value.begin(), value.end(), [](const auto &stream) { return stream.is_number_unsigned(); });
+}
+
+auto isVersion(const nlohmann::json &value) -> bool
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= std::numeric_limits<SoftwareVersionKey>::max();
+}
+
+} // namespace
+
+auto encodeOrigins(const OriginMessage &message) -> std::string
+{
+    // An array [asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes.
+    auto document = nlohmann::json::array({message.asked});
+    for (const auto &row : message.told) {
+        document.push_back(row.version);
+        document.push_back(row.streams);
+    }
+    std::string bytes(OriginMagic);
+    nlohmann::json::to_msgpack(document, bytes);
+    return bytes;
+}
+
+auto decodeOrigins(std::string_view bytes) -> Result<OriginMessage>
+{
+    bytes.remove_prefix(std::min(bytes.size(), OriginMagic.size()));
+    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    const auto malformed = fail(ErrorCode::BadInput, "decode origins", "", "the message is malformed");
+    if (!document.is_array() || document.size() % 2 != 1 || !isStreams(document[0])) {
+        return malformed;
+    }
+    OriginMessage message;
+    message.asked = document[0].get<std::vector<Fingerprint>>();
+    for (std::size_t index = 1; index < document.size(); index += 2) {
+        if (!isVersion(document[index]) || !isStreams(document[index + 1])) {
+            return malformed;
+        }
+        message.told.push_back({document[index].get<SoftwareVersionKey>(), document[index + 1].get<std::vector<Fingerprint>>()});
+    }
+    return message;
+}
+
+} // namespace currantstack
--- a/src/edge/pending_queue.cc
+++ b/src/edge/pending_queue.cc
@@ -9,16 +9,16 @@
     : m_timer(loop.timer([this]() { retryHeads(); }))
 { }
 
-auto PendingQueue::enqueue(const std::string &service, bool atHead, PlacementAttempt attempt) -> void
+auto PendingQueue::enqueue(const QueueKey &key, bool atHead, PlacementAttempt attempt) -> void
 {
-    auto &queue = m_queues[service];
+    auto &queue = m_queues[key];
     queue.insert(atHead ? queue.begin() : queue.end(), std::move(attempt));
     m_timer->startOnce(RetryPeriod);
 }
 
-auto PendingQueue::size(const std::string &service) const -> std::size_t
+auto PendingQueue::size(const QueueKey &key) const -> std::size_t
 {
-    const auto found = m_queues.find(service);
+    const auto found = m_queues.find(key);
     return found == m_queues.end() ? 0 : found->second.size();
 }
 
@@ -28,7 +28,7 @@
         return; // called from a placement attempt that freed capacity, which the running pass will use
     }
     bool hasPending = false;
-    for (auto &[service, queue] : m_queues) {
+    for (auto &[key, queue] : m_queues) {
         while (!queue.empty()) {
             // The attempt may queue its request at the head again, so it is removed first.
             auto attempt = std::move(queue.front());
--- /dev/null
+++ b/src/edge/stream_continuation.cc
@@ -0,0 +1,104 @@
+// A caller that comes back to go on with a stream: finds the software version that began it, and restricts the stream to its engines.
+#include "stream_request.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+namespace
+{
+
+auto name(Continuation continuation) -> std::string_view
+{
+    switch (continuation) {
+    case Continuation::AtAnyEngine:
+        return "at_any_engine";
+    case Continuation::AtItsVersion:
+        return "at_its_version";
+    case Continuation::Nowhere:
+        break;
+    }
+    return "nowhere";
+}
+
+} // namespace
+
+/// Returns the attempt by which all VMs know the stream.
+auto StreamRequest::firstAttemptId() const -> const std::string &
+{
+    const auto &metadata = m_request.metadata;
+    return metadata.firstAttemptId.empty() ? metadata.requestId : metadata.firstAttemptId;
+}
+
+auto StreamRequest::versionKnowledge() const -> VersionKnowledge
+{
+    const auto &targets = m_request.route->targets;
+    const bool isMixed =
+        std::any_of(targets.begin(), targets.end(), [this](const auto &target) { return m_context.versions.isMixed(target.service); });
+    return {isMixed, m_context.originHooks.mayMissVersions()};
+}
+
+auto StreamRequest::continueStream() -> void
+{
+    const auto &metadata = m_request.metadata;
+    if (metadata.firstAttemptId.empty() || decideContinuation(versionKnowledge(), std::nullopt) == Continuation::AtAnyEngine) {
+        continueFrom(std::nullopt);
+        return;
+    }
+    m_context.originHooks.find(metadata.firstAttemptId, [self = shared_from_this()](const auto &origin) {
+        if (!self->m_done) {
+            self->continueFrom(origin);
+        }
+    });
+}
+
+/// Returns false if no service of the route has the version.
+auto StreamRequest::chooseServiceOf(SoftwareVersionKey version) -> bool
+{
+    const auto &targets = m_request.route->targets;
+    const auto found =
+        std::find_if(targets.begin(), targets.end(), [&](const auto &target) { return m_context.versions.has(target.service, version); });
+    if (found == targets.end()) {
+        return false;
+    }
+    m_request.service = found->service;
+    return true;
+}
+
+auto StreamRequest::continueFrom(const std::optional<StreamOrigin> &origin) -> void
+{
+    const auto now = m_context.clock.now();
+    const auto knowledge = versionKnowledge();
+    const auto continuation = decideContinuation(knowledge, origin);
+    bool isPossible = continuation == Continuation::AtAnyEngine;
+    if (continuation == Continuation::AtItsVersion && chooseServiceOf(origin->version)) {
+        m_version = origin->version;
+        isPossible = enginesOfVersion() > 0;
+    }
+    m_context.counters.at(fmt::format("streams_continued_by_callers{{outcome=\"{}\"}}", isPossible ? name(continuation) : "nowhere")).add();
+    m_context.log.write("stream", "caller_continues",
+                        {{"request", m_request.metadata.requestId},
+                         {"first_attempt", m_request.metadata.firstAttemptId},
+                         {"after_event", m_request.metadata.lastEventId},
+                         {"continues", name(continuation)},
+                         {"service", m_request.service},
+                         {"software_version", origin ? m_context.versions.nameOf(m_request.service, origin->version) : "unknown"},
+                         {"engines_of_version", enginesOfVersion()},
+                         {"known_from",
+                          !origin             ? "nobody"
+                              : origin->isOwn ? "own"
+                                              : "peer"},
+                         {"known_for_ms", origin ? toMilliseconds(now - origin->at) : 0.0},
+                         {"several_versions", knowledge.isMixed},
+                         {"versions_may_be_outdated", knowledge.mayBeOutdated}});
+    if (continuation == Continuation::Nowhere) {
+        fail(false, "the software version that began the stream is not known", Duration::zero());
+    } else if (!isPossible) {
+        fail(false, "no engine of the software version that began the stream is left", Duration::zero());
+    } else {
+        admit();
+    }
+}
+
+} // namespace currantstack
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -169,6 +169,7 @@
     const auto now = m_context.clock.now();
     m_headSent = true;
     m_version = softwareVersionKey(m_decodeEngine);
+    m_context.originHooks.announce(firstAttemptId(), m_decodeEngine.service, m_version);
     if (m_context.draining) {
         m_answerHeaders.push_back({"Connection", "close"});
     }
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -22,11 +22,12 @@
     const auto now = m_context.clock.now();
     const auto &exclusions = m_context.exclusions;
     std::vector<EngineView> result;
+    std::vector<EngineView> unsettled; // used only if there are no others
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
         if (upstream->role != role || upstream->busyWithOrder || exclusions.contains(upstream->id, role, m_context.storeUnreachable, now)) {
             continue;
         }
-        if (role == EngineRole::Decode && !mayGoOnAt(*upstream, m_version)) {
+        if (role == EngineRole::Decode && (!mayGoOnAt(*upstream, m_version) || isAwaited(*upstream))) {
             continue;
         }
         const auto work = m_context.loads.total(upstream->id, now);
@@ -35,9 +36,19 @@
         }
         const auto distance = m_context.settings.places.distance(m_context.settings.place, upstream->place);
         const bool isAggregate = m_context.remoteLoadsAreAggregates && distance != Distance::SamePlace;
-        result.push_back({upstream, work, m_context.health.weight(upstream->id, now), distance, isAggregate});
+        const bool isSettled =
+            role != EngineRole::Decode || m_context.versions.isSettled(upstream->service, upstream->softwareVersion, now);
+        auto &views = isSettled ? result : unsettled;
+        views.push_back({upstream, work, m_context.health.weight(upstream->id, now), distance, isAggregate});
     }
-    return result;
+    return result.empty() ? unsettled : result;
+}
+
+/// Returns whether streams that can go on only at the engine's software version wait for capacity, and this one can go elsewhere.
+auto StreamRequest::isAwaited(const Upstream &engine) const -> bool
+{
+    return m_version == AnySoftwareVersion && m_context.versions.isMixed(m_request.service)
+        && !m_context.pendingQueue.isEmpty({m_request.service, softwareVersionKey(engine)});
 }
 
 /// Returns the number of engines at which the stream could go on if they had capacity.
@@ -142,11 +153,12 @@
     const auto now = m_context.clock.now();
     int running = 0;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
-        if (upstream->role == EngineRole::Decode) {
+        if (upstream->role == EngineRole::Decode && mayGoOnAt(*upstream, m_version)) {
             running += m_context.loads.total(upstream->id, now).requests;
         }
     }
-    const auto waiting = m_context.loads.total(m_request.service, now).requests;
+    const auto waiting = m_version == AnySoftwareVersion ? m_context.loads.total(m_request.service, now).requests
+                                                         : static_cast<int>(m_context.pendingQueue.size(queueKey()));
     const auto streamMs = toMilliseconds(m_context.speedsOf(m_request.service).streamDuration());
     return fromMilliseconds(streamMs * (waiting + 1) / std::max(1, running));
 }
@@ -160,7 +172,7 @@
     if (limited.empty() || !engineViews(role).empty()) {
         return Duration::zero();
     }
-    const auto ahead = static_cast<double>(m_context.pendingQueue.size(m_request.service)) / static_cast<double>(limited.size());
+    const auto ahead = static_cast<double>(m_context.pendingQueue.size(queueKey())) / static_cast<double>(limited.size());
     auto shortest = Duration::max();
     for (const auto engine : limited) {
         shortest = std::min(shortest, m_context.rateLimiter.expectedWait(engine, ahead, now));
@@ -208,7 +220,12 @@
         }
     });
     m_queueTimer->startOnce(fromMilliseconds(maxWaitMs) - age);
-    m_context.pendingQueue.enqueue(m_request.service, atHead, [self = shared_from_this()]() { return self->tryPlace(); });
+    m_context.pendingQueue.enqueue(queueKey(), atHead, [self = shared_from_this()]() { return self->tryPlace(); });
+}
+
+auto StreamRequest::queueKey() const -> QueueKey
+{
+    return {m_request.service, m_version};
 }
 
 auto StreamRequest::leaveQueue() -> void
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -17,18 +17,10 @@
 
 auto StreamRequest::start() -> void
 {
-    m_context.retryBudget.onRequest(m_request.service, m_context.clock.now());
-    m_context.rateLimiter.onRequest(m_request.service, m_context.clock.now());
     if (isTooLarge()) {
         fail(false, "the prompt is larger than an engine's KV memory", Duration::zero());
         return;
     }
-    if (m_request.metadata.continuesStream()) {
-        m_context.log.write("stream", "caller_continues",
-                            {{"request", m_request.metadata.requestId},
-                             {"first_attempt", m_request.metadata.firstAttemptId},
-                             {"after_event", m_request.metadata.lastEventId}});
-    }
     const auto self = shared_from_this();
     m_request.exchange->onDisconnect([self]() {
         self->m_context.log.write("stream", "caller_gone", {{"request", self->m_request.metadata.requestId}, {"events", self->m_events}});
@@ -36,7 +28,18 @@
     });
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time", Duration::zero()); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
-    if (!m_context.pendingQueue.isEmpty(m_request.service) || !tryPlace()) {
+    if (m_request.metadata.continuesStream()) {
+        continueStream();
+    } else {
+        admit();
+    }
+}
+
+auto StreamRequest::admit() -> void
+{
+    m_context.retryBudget.onRequest(m_request.service, m_context.clock.now());
+    m_context.rateLimiter.onRequest(m_request.service, m_context.clock.now());
+    if (!m_context.pendingQueue.isEmpty(queueKey()) || !tryPlace()) {
         enqueue(false);
     }
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -40,6 +40,15 @@
         bool connectionClosed = false; // the engine closed the connection before its answer was complete
     };
 
+    auto admit() -> void;
+
+    // stream_continuation.cc
+    auto continueStream() -> void;
+    auto versionKnowledge() const -> VersionKnowledge;
+    auto continueFrom(const std::optional<StreamOrigin> &origin) -> void;
+    auto chooseServiceOf(SoftwareVersionKey version) -> bool;
+    auto firstAttemptId() const -> const std::string &;
+
     // stream_placement.cc
     auto tryPlace() -> bool;
     auto place(const StreamPlan &plan) -> void;
@@ -50,12 +59,14 @@
     auto limitedWait(EngineRole role) const -> Duration;
     auto refuseForLimits(Duration maxWait) -> bool;
     auto enqueue(bool atHead) -> void;
+    auto queueKey() const -> QueueKey;
     auto leaveQueue() -> void;
     auto claimDecode(bool withPrefill) -> void;
     auto growDecodeClaim() -> void;
     auto tokensPerEvent() const -> std::int64_t;
     auto plan(const PlanFunction &planFunction) const -> std::optional<StreamPlan>;
     auto engineViews(EngineRole role) const -> std::vector<EngineView>;
+    auto isAwaited(const Upstream &engine) const -> bool;
     auto enginesOfVersion() const -> std::size_t;
     auto setClaim(LoadClaim &claim, const Upstream &engine, const InFlightWork &work) -> void;
     auto release(LoadClaim &claim) -> void;
--- a/test/load_table-test.cc
+++ b/test/load_table-test.cc
@@ -87,7 +87,8 @@
                                                 {"y", ExclusionReason::Outdated, EngineRole::None, milliseconds(5)},
                                                 {"z", ExclusionReason::Draining, EngineRole::None, milliseconds(6)}},
                                                {{"e", {double(tokens), 7, 2}}},
-                                               {{"l", 8, 2.5, milliseconds(40), sequence, 1.5}, {"m", 9, {}, milliseconds(50), 0, 0}}};
+                                               {{"l", 8, 2.5, milliseconds(40), sequence, 1.5}, {"m", 9, {}, milliseconds(50), 0, 0}},
+                                               {{"s", "v1", milliseconds(9)}, {"s", "", milliseconds(0)}}};
                            const auto decoded = decodeLoad(encodeLoad(message));
                            RC_ASSERT(decoded.has_value());
                            RC_ASSERT(decoded->vm == vm && decoded->sequence == sequence && decoded->isAggregate == isAggregate
@@ -97,6 +98,8 @@
                            RC_ASSERT(decoded->limits.size() == 2U && decoded->limits[0].limit == 2.5 && decoded->limits[0].sent == sequence
                                      && decoded->limits[0].age == milliseconds(40) && decoded->limits[0].demand == 1.5);
                            RC_ASSERT(!decoded->limits[1].limit && decoded->limits[1].startedAtMs == 9);
+                           RC_ASSERT(decoded->versions.size() == 2U && decoded->versions[0].version == "v1"
+                                     && decoded->versions[0].age == milliseconds(9) && decoded->versions[1].service == "s");
                            RC_ASSERT(decoded->loads.size() == 1U && decoded->loads[0].work.promptTokens == tokens);
                        });
     }
@@ -115,7 +118,8 @@
                                      {{"s", {1, 2, 3, 4}, 5}},
                                      {{"x", ExclusionReason::Draining, EngineRole::None, seconds(1)}},
                                      {{"e", {1, 2, 3}}},
-                                     {{"l", 8, 2.5, milliseconds(40), 3, 1.5}}});
+                                     {{"l", 8, 2.5, milliseconds(40), 3, 1.5}},
+                                     {{"s", "v1", milliseconds(9)}}});
             bytes[position % bytes.size()] = byte;
             (void)decodeLoad(bytes);
         });
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(largeFleetsReportToTheirPlace);
     CPPUNIT_TEST(messagesDoNotGrowWithTheSquareOfTheFleet);
     CPPUNIT_TEST(eachPlaceHasOneAggregator);
+    CPPUNIT_TEST(holdersAreFoundByVmsWithOtherPeers);
     CPPUNIT_TEST(reportingVmsExpire);
     CPPUNIT_TEST(dropsVmsNeitherListedNorReporting);
     CPPUNIT_TEST_SUITE_END();
@@ -65,6 +66,32 @@
         CPPUNIT_ASSERT(perRound <= 390 / 16 + 16);
     }
 
+    auto holdersAreFoundByVmsWithOtherPeers() -> void
+    {
+        constexpr std::size_t Copies = 3;
+        constexpr std::size_t Asked = 5;
+        ManualClock clock;
+        const auto teller = fleet(40, 4, clock.now());
+        PeerTable asker(vmName(7), placeOf(7, 4));
+        for (int vm = 0; vm < 41; ++vm) { // knows a VM that has just joined
+            asker.mergeListed(vmName(vm), placeOf(vm, 4), {"10.0.0.1", static_cast<std::uint16_t>(1000 + vm)}, clock.now());
+        }
+        std::map<std::string, int> told;
+        for (std::uint64_t key = 0; key < 2000; ++key) {
+            const auto asked = asker.holders(key, Asked);
+            for (const auto &holder : teller.holders(key, Copies)) {
+                ++told[holder.text()];
+                CPPUNIT_ASSERT(holder.port == 1007 || std::find(asked.begin(), asked.end(), holder) != asked.end());
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(39), told.size());
+        for (const auto &[holder, count] : told) {
+            CPPUNIT_ASSERT_MESSAGE(holder, count > 100 && count < 220); // 154 on average
+        }
+        CPPUNIT_ASSERT(!teller.hearsNoPeer(clock.now()));
+        CPPUNIT_ASSERT(teller.hearsNoPeer(clock.now() + PeerTable::ReportLifetime));
+    }
+
     auto eachPlaceHasOneAggregator() -> void
     {
         ManualClock clock;
