A response that ends inside its head is an error

Callers could get a 200 with an empty body, framed as whole, or a 503 with the promise that nothing had run, for a request whose upstream stopped in the middle of its answer's head and closed.

Cause: libcurl reports such a response as a success unless a length or chunks were announced, and the client took that word for the message's own end.

The client notes the blank line that ends a head, apart from interim ones, and fails the call as a closed connection without it. All calls of both programs go through this client: services, engines, store, orders, peers.

--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -90,6 +90,10 @@
     long sent = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
     bytesSent += static_cast<std::uint64_t>(sent) + call->options.body.size();
+    if (code == CURLE_OK && !isComplete(*call)) {
+        call->defect = "the response ends inside its head";
+        code = CURLE_PARTIAL_FILE;
+    }
     if (code == CURLE_OK) {
         deliverHead(*call);
     }
@@ -106,6 +110,12 @@
     }
 }
 
+/// Returns false for a response that ends inside its head, which libcurl reports as a success.
+auto HttpClient::Core::isComplete(const Call &call) -> bool
+{
+    return call.headComplete || call.options.connectOnly;
+}
+
 auto HttpClient::Core::toError(const Call &call, CURLcode code) -> Error
 {
     long sent = 0;
@@ -117,8 +127,8 @@
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         error.code = ErrorCode::DeadlineExceeded;
     }
-    if (!call.exceeded.empty()) {
-        error.message = call.exceeded;
+    if (!call.defect.empty()) {
+        error.message = call.defect;
     }
     if (sent == 0) {
         long systemError = 0;
@@ -156,7 +166,7 @@
     call->core->bytesReceived += line.size();
     call->headBytes += line.size();
     if (call->headBytes > call->options.maxHead) {
-        call->exceeded = "the response head is too long";
+        call->defect = "the response head is too long";
         return 0;
     }
     if (call->headDelivered) {
@@ -164,7 +174,12 @@
     }
     const auto colon = line.find(':');
     if (line.starts_with("HTTP/")) {
+        const auto space = line.find(' ');
+        call->headIsInterim = space != std::string_view::npos && line.substr(space + 1).starts_with('1');
+        call->headComplete = false;
         call->response.headers.clear();
+    } else if (line == "\r\n" || line == "\n") {
+        call->headComplete = !call->headIsInterim;
     } else if (colon != std::string_view::npos) {
         auto value = line.substr(colon + 1);
         while (!value.empty() && (value.front() == ' ')) {
@@ -191,7 +206,7 @@
         if (call->handlers.onData) {
             call->handlers.onData(std::string_view(data, size * count));
         } else if (call->response.body.size() + size * count > call->options.maxBody) {
-            call->exceeded = "the response body is too long";
+            call->defect = "the response body is too long";
             return 0;
         } else {
             call->response.body.append(data, size * count);
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -23,11 +23,13 @@
         HttpHandlers handlers;
         HttpResponse response;
         TimePoint lastProgress;
+        bool headIsInterim = false; // the head that is being received has a status below 200
+        bool headComplete = false; // the blank line that ends the final head was received
         bool headDelivered = false;
         bool cancelled = false;
         bool idleExpired = false;
         std::size_t headBytes = 0; // received, of heads and trailers
-        std::string_view exceeded; // the limit that the response exceeded
+        std::string_view defect; // of a response that fails the call, although libcurl would accept it
         int tcpUserTimeout = 0; // milliseconds
 
         ~Call()
@@ -54,6 +56,7 @@
     auto finish(CURL *easy, CURLcode code) -> void;
     auto deliverHead(Call &call) -> void;
     auto rejectDeferred(CallId id, std::unique_ptr<Call> call) -> void;
+    static auto isComplete(const Call &call) -> bool;
     static auto toError(const Call &call, CURLcode code) -> Error;
 
     static auto onSocket(CURL *easy, curl_socket_t socket, int what, void *context, void *data) -> int;
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -174,6 +174,10 @@
             writer.write(response(200, self.headers(request), body)[:-5])
             await writer.drain()
             return None
+        if self.draw_fault("half_head"):
+            writer.write(b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetry-After: 1\r\n")
+            await writer.drain()
+            return None
         if self.draw_fault("foreign"):
             return response(200, [("Request-Id", "someone-else"), (STAMP, "x")], b"not yours")
         if self.draw_fault("unframed"):
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -98,7 +98,7 @@
 
 
 async def bookings_run_once():
-    for fault in ("lost", "torn", "foreign", "error", "surplus"):
+    for fault in ("lost", "torn", "half_head", "foreign", "error", "surplus"):
         async with Rig() as rig:
             for service in rig.fleet.services:
                 service.fault, service.fault_share = fault, 0.5
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -181,7 +181,7 @@
         setattr(relay, fault, 0.0 if fault == "delay" else False)
 
     async def inject_upstream_faults(self, upstreams, duration_s):
-        fault = self.random.choice(("torn", "stall", "shed", "hang", "lost", "error", "foreign", "surplus"))
+        fault = self.random.choice(("torn", "stall", "shed", "hang", "lost", "half_head", "error", "foreign", "surplus"))
         chosen = self.random.sample(upstreams, 1 + len(upstreams) // 3)
         for upstream in chosen:
             upstream.fault, upstream.fault_share = fault, self.random.uniform(0.1, 0.6)
--- /dev/null
+++ b/test/http_client-test.cc
@@ -0,0 +1,171 @@
+#include "currantstack/http_client.h"
+
+#include "check.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace currantstack;
+
+namespace
+{
+
+constexpr Duration TestTimeout = seconds(5);
+
+/// Accepts connections one after the other, answers the first request of each with the given bytes, and closes it.
+class RawServer
+{
+public:
+    explicit RawServer(std::vector<std::string> answers)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address));
+        CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 8));
+        getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this, answers = std::move(answers)]() {
+            for (const auto &answer : answers) {
+                serve(answer);
+            }
+        });
+    }
+
+    ~RawServer()
+    {
+        shutdown(m_socket, SHUT_RDWR);
+        m_thread.join();
+        close(m_socket);
+    }
+
+    RawServer(const RawServer &) = delete;
+    auto operator=(const RawServer &) -> RawServer & = delete;
+
+    auto url() const -> std::string
+    {
+        return fmt::format("http://127.0.0.1:{}/x", m_port);
+    }
+
+private:
+    auto serve(const std::string &answer) const -> void
+    {
+        const int connection = accept(m_socket, nullptr, nullptr);
+        std::array<char, 4096> buffer{};
+        if (connection >= 0 && read(connection, buffer.data(), buffer.size()) > 0) {
+            (void)!write(connection, answer.data(), answer.size());
+        }
+        close(connection);
+    }
+
+    int m_socket;
+    int m_port = 0;
+    std::thread m_thread;
+};
+
+/// The calls of one test. Its loop ends the test if a call takes too long.
+struct ClientFixture
+{
+    Loop loop;
+    HttpClient client{loop};
+    int heads = 0; // delivered to the handlers
+    bool timedOut = false;
+
+    auto get(const std::string &url) -> Result<HttpResponse>
+    {
+        HttpCall call;
+        call.url = url;
+        call.freshConnection = true;
+        call.forbidReuse = true;
+        Result<HttpResponse> result = fail(ErrorCode::Internal, "", "", "");
+        HttpHandlers handlers;
+        handlers.onHead = [this](int /*status*/, const Headers & /*headers*/) { ++heads; };
+        handlers.onDone = [&](Result<HttpResponse> response) {
+            result = std::move(response);
+            loop.stop();
+        };
+        const auto timer = loop.timer([this]() {
+            timedOut = true;
+            loop.stop();
+        });
+        timer->startOnce(TestTimeout);
+        client.start(std::move(call), std::move(handlers));
+        loop.run();
+        CPPUNIT_ASSERT(!timedOut);
+        return result;
+    }
+};
+
+} // namespace
+
+class HttpClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpClientTest);
+    CPPUNIT_TEST(responsesThatEndInsideTheirHeadAreErrors);
+    CPPUNIT_TEST(responsesThatEndInsideTheirBodyAreErrors);
+    CPPUNIT_TEST(completeResponsesAreDelivered);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto assertBroken(const std::string &answer, int headsAllowed) -> void
+    {
+        const RawServer server({answer});
+        ClientFixture fixture;
+        const auto result = fixture.get(server.url());
+        const auto text = fmt::format("{} was taken as complete", answer);
+        CPPUNIT_ASSERT_MESSAGE(text, !result);
+        CPPUNIT_ASSERT_MESSAGE(text, result.error().code == ErrorCode::Unavailable);
+        CPPUNIT_ASSERT_MESSAGE(text, fixture.heads <= headsAllowed);
+    }
+
+public:
+    /// Guards against success, or a promise that nothing ran, that is read out of half a head.
+    auto responsesThatEndInsideTheirHeadAreErrors() -> void
+    {
+        const std::vector<std::string> heads = {
+            "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nServer-Stamp: s\r\nContent-Length: 20\r\n\r\n",
+            "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetry-After: 1\r\n\r\n",
+            "HTTP/1.1 204 X\r\nRequest-Id: r\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\n",
+        };
+        for (const auto &head : heads) {
+            for (std::size_t length = 0; length < head.size() - 1; ++length) {
+                assertBroken(head.substr(0, length), 0);
+            }
+        }
+    }
+
+    auto responsesThatEndInsideTheirBodyAreErrors() -> void
+    {
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", 1);
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        for (std::size_t length = chunked.find("\r\n\r\n") + 4; length < chunked.size() - 4; ++length) {
+            assertBroken(chunked.substr(0, length), 1);
+        }
+    }
+
+    auto completeResponsesAreDelivered() -> void
+    {
+        const std::vector<std::pair<std::string, std::string>> answers = {
+            {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc"},
+            {"HTTP/1.1 200 OK\r\n\r\nuntil the end", "until the end"},
+            {"HTTP/1.1 200 OK\nContent-Length: 3\n\nabc", "abc"},
+            {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+            {"HTTP/1.1 503 X\r\nNot-Run: 1\r\n\r\n", ""},
+        };
+        for (const auto &[answer, body] : answers) {
+            const RawServer server({answer});
+            ClientFixture fixture;
+            const auto result = fixture.get(server.url());
+            CPPUNIT_ASSERT_MESSAGE(answer, result && result->body == body && fixture.heads == 1);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
