A response with an ambiguous body length is an error

Callers could get two of three bytes of a response as a whole body: of several Content-Length fields libcurl uses the last, and of a length beside chunks the chunks. Cause: the same class as the cut head; the client took libcurl's success for the message's own end. Evidence: ambiguousBodyLengthsAreErrors failed for 3 and 2 bytes named in one head, and passes now.

The check that requests get (framingError) applies to the heads of responses.

--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -51,9 +51,10 @@
 /// Returns whether the texts are equal, ignoring case.
 auto equalIgnoringCase(std::string_view left, std::string_view right) -> bool;
 
-/// Returns why the length of the request's body is ambiguous, or an empty text if it is not. Such a request must be rejected and its
-/// connection closed: it allows request smuggling, because two HTTP parsers may disagree on where the next request begins.
-auto framingError(const HttpRequest &request) -> std::string_view;
+/// Returns why the length of the message's body is ambiguous, or an empty text if it is not. Such a message must be rejected and its
+/// connection closed: two HTTP parsers may disagree on where the next message begins, which allows request smuggling, and on whether
+/// the body is complete.
+auto framingError(const Headers &headers) -> std::string_view;
 
 /// Returns the query string "?name=value&...", percent-encoded, or an empty text if there are no parameters.
 auto encodeQuery(const Headers &parameters) -> std::string;
--- a/src/base/http.cc
+++ b/src/base/http.cc
@@ -24,13 +24,13 @@
                       [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
-auto framingError(const HttpRequest &request) -> std::string_view
+auto framingError(const Headers &headers) -> std::string_view
 {
     constexpr std::string_view TokenPunctuation = "!#$%&'*+-.^_`|~"; // RFC 9110, 5.6.2
     int lengths = 0;
     int encodings = 0;
     bool chunked = true;
-    for (const auto &header : request.headers) {
+    for (const auto &header : headers) {
         for (const unsigned char letter : header.name) {
             if (std::isalnum(letter) == 0 && TokenPunctuation.find(static_cast<char>(letter)) == std::string_view::npos) {
                 return "malformed header name";
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -180,6 +180,8 @@
         call->response.headers.clear();
     } else if (line == "\r\n" || line == "\n") {
         call->headComplete = !call->headIsInterim;
+        call->defect = call->headComplete ? framingError(call->response.headers) : std::string_view();
+        return call->defect.empty() ? size * count : 0;
     } else if (colon != std::string_view::npos) {
         auto value = line.substr(colon + 1);
         while (!value.empty() && (value.front() == ' ')) {
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -187,7 +187,7 @@
     auto &exchange = **static_cast<ExchangePtr *>(*state);
     if (!std::exchange(exchange.m_headRead, true)) {
         self->readHead(exchange, method, url);
-        const auto error = self->m_strictFraming ? framingError(exchange.m_request) : std::string_view();
+        const auto error = self->m_strictFraming ? framingError(exchange.m_request.headers) : std::string_view();
         if (!error.empty()) {
             exchange.respond({400, {{"Connection", "close"}}, std::string(error)});
             return self->queueResponse(exchange);
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -16,7 +16,7 @@
     {
         HttpRequest request;
         request.headers = std::move(headers);
-        return !framingError(request).empty();
+        return !framingError(request.headers).empty();
     }
 
 public:
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -109,6 +109,7 @@
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(responsesThatEndInsideTheirHeadAreErrors);
     CPPUNIT_TEST(responsesThatEndInsideTheirBodyAreErrors);
+    CPPUNIT_TEST(ambiguousBodyLengthsAreErrors);
     CPPUNIT_TEST(completeResponsesAreDelivered);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +150,12 @@
         }
     }
 
+    auto ambiguousBodyLengthsAreErrors() -> void
+    {
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc", 0);
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 0);
+    }
+
     auto completeResponsesAreDelivered() -> void
     {
         const std::vector<std::pair<std::string, std::string>> answers = {
