A refusal that names another request promises nothing

Callers were told 503, not run, for bookings that their upstream ran: a faulty upstream had written the refusal of an earlier request before its answer.

Cause: the mark 'not run' was believed whatever request it named. Each request gets its own connection here, so that a kept one is not needed for this. Evidence: refusals_of_earlier_requests_promise_nothing got 503 for a booking that ran, and gets 502 now, also for an id that is sent twice.

A head that echoes another request's id counts as an unknown outcome, for the mark and for 421. One that echoes none is believed as before.

A second test shows that an error in the middle of a stream, with a length, chunks or until the connection closes, does not reach its caller and does not end the stream as complete; it passed before.

--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -58,6 +58,7 @@
     bool notRun = false; // the upstream promises that it did not run the request and will not
     bool fromUpstream = false; // carries an upstream's stamp, so no intermediary produced it
     bool matchesRequest = false; // echoes the request's id
+    bool namesOtherRequest = false; // echoes another request's id, so that it promises nothing about this one
     bool encoded = false; // has a content encoding, so the body is not the upstream's plain body
     NamedLimit limit;
 };
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -57,7 +57,7 @@
 
 auto classifyHead(int status, const AnswerHead &head) -> AttemptOutcome
 {
-    if (head.notRun || status == MisdirectedRequest) {
+    if ((head.notRun || status == MisdirectedRequest) && !head.namesOtherRequest) {
         return AttemptOutcome::NotRun;
     }
     return mayForward(status, head) ? AttemptOutcome::Answered : AttemptOutcome::Unknown;
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -174,6 +174,9 @@
             writer.write(response(200, self.headers(request), body)[:-5])
             await writer.drain()
             return None
+        if self.fault == "repeated_refusal":  # the refusal of an earlier request is written once more
+            writer.write(response(503, [("Not-Run", "1"), ("Request-Id", "earlier"), ("Retry-After", "1")]))
+            await writer.drain()
         if self.draw_fault("half_head"):
             writer.write(b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetry-After: 1\r\n")
             await writer.drain()
@@ -262,6 +265,22 @@
             await asyncio.sleep(2 * prompt / self.PREFILL_TOKENS_PER_MS / 1000)
         return await self.stream(request, reader, writer, prompt)
 
+    async def send_error(self, request, writer, framing):
+        text = b"event: failed\ndata: an error of the engine\n\n"
+        framed = {"length": f"Content-Length: {len(text)}\r\n\r\n".encode() + text, "close": b"\r\n" + text,
+                  "chunks": b"Transfer-Encoding: chunked\r\n\r\n" + chunk(text) + chunk(b"")}[framing]
+        head = "HTTP/1.1 500 X\r\nContent-Type: text/event-stream\r\n" + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request))
+        writer.write(head.encode() + framed)
+        await writer.drain()
+
+    async def break_off(self, request, writer):
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        writer.write((head + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request)) + "\r\n").encode())
+        for number in range(1, 4):
+            writer.write(chunk(f"id: {number}\ndata: {request.header('request-id')} {number} {self.software_version}\n\n".encode()))
+        await writer.drain()
+        writer.transport.abort()
+
     def import_kv(self, source, request):
         """Takes the prompt's KV cache from the prefill engine; returns whether the handle was still valid."""
         address, _, handle = source.partition("/")
@@ -274,6 +293,11 @@
     async def stream(self, request, reader, writer, prompt):
         version = self.software_version  # the events show which version wrote them
         self.record("run", request, after=int(request.header("last-event-id", "0")), version=version)
+        # Faults "resume_error_..." answer a stream that goes on with an error whose body has a length or chunks, or ends with the connection.
+        if self.fault.startswith("resume_error"):
+            if request.header("last-event-id"):
+                return await self.send_error(request, writer, self.fault.removeprefix("resume_error_"))
+            return await self.break_off(request, writer)
         self.used_tokens += prompt
         # Faults "unframed..." send neither a length nor chunks; the answer ends with its connection.
         is_framed = not self.fault.startswith("unframed")
--- /dev/null
+++ b/test/edge/answer_tests.py
@@ -0,0 +1,47 @@
+"""Process tests of upstreams that answer wrongly: with an earlier refusal, or with an error in the middle of a stream."""
+
+import asyncio
+
+from rig import Rig
+
+async def read_all(rig, path):
+    """Sends a streaming request and returns all bytes of the answer."""
+    vm = rig.vms[0]
+    reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+    fields = {"Host": "app.example", "Request-Id": rig.request_id(), "Token-Count": "1000,100", "Content-Length": 0, "Connection": "close"}
+    writer.write((f"POST {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n").encode())
+    data = b""
+    try:
+        while part := await asyncio.wait_for(reader.read(4096), 5):
+            data += part
+    except ConnectionError:
+        pass
+    writer.close()
+    return data
+
+
+async def refusals_of_earlier_requests_promise_nothing():
+    """Guards against 'not run' for a request that an upstream runs, and against a second run of it elsewhere."""
+    async with Rig() as rig:
+        for service in rig.fleet.services:
+            service.fault = "repeated_refusal"
+        for kind in ("book", "book", "check"):
+            request = rig.request_id()
+            for _ in range(2):  # the caller sends the id twice
+                _, status, headers, _ = await rig.send(kind, request_id=request)
+                assert status == 502 and "server-stamp" not in headers, (kind, status)
+            assert kind == "check" or len(rig.runs_of(request)) <= 2, rig.runs_of(request)
+
+
+async def errors_in_the_middle_of_a_stream_do_not_reach_its_caller():
+    for framing in ("length", "chunks", "close"):
+        async with Rig(decode=3) as rig:
+            for engine in rig.fleet.engines:
+                engine.fault = f"resume_error_{framing}"
+            data = await read_all(rig, "/stream/x")
+            assert data.count(b"HTTP/1.1") == 1 and data.count(b"data: ") == 3, (framing, data)
+            assert b"failed" not in data and b"error" not in data, (framing, data)
+            assert not data.endswith(b"0\r\n\r\n"), f"{framing}: the broken stream looks complete"
+
+
+TESTS = [refusals_of_earlier_requests_promise_nothing, errors_in_the_middle_of_a_stream_do_not_reach_its_caller]
