A stream goes on at a third engine if the second answers with an error

Callers whose stream broke off got an aborted answer when the next engine answered with an error of its own, although their route allows more attempts. The error's text did not reach them (tested before).

The error counts as a broken attempt: the engine is left out for a while and the stream goes on elsewhere, within the route's attempts and the retry budget. streams_go_on_at_a_third_engine_after_an_error got three of twelve events before, with the error in a length, in chunks or until the close.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -74,6 +74,12 @@
         onDecodeBroken(outcome, fmt::format("status {}", status), {status == MisdirectedRequest, false});
         return;
     }
+    if (status != 200 && m_headSent) {
+        // The caller cannot get the error in the middle of its stream, but another engine may go on with it.
+        m_context.client.cancel(std::exchange(m_decodeCall, 0));
+        onDecodeBroken(AttemptOutcome::Unknown, fmt::format("status {}", status), {});
+        return;
+    }
     m_handle.clear(); // the decode engine has fetched the KV cache
     m_endsWithConnection = findHeader(headers, "Content-Length").empty() && findHeader(headers, "Transfer-Encoding").empty();
     if (status != 200) {
@@ -207,11 +213,7 @@
         m_attempts.onOutcome(AttemptOutcome::Answered);
         m_context.log.write("stream", "engine_failed",
                             {{"request", m_request.metadata.requestId}, {"engine", m_decodeEngine.id}, {"status", m_errorAnswer.status}});
-        if (m_headSent) {
-            m_request.exchange->abort();
-        } else {
-            m_request.exchange->respond(std::move(m_errorAnswer));
-        }
+        m_request.exchange->respond(std::move(m_errorAnswer));
         finish();
         return;
     }
--- a/test/edge/answer_tests.py
+++ b/test/edge/answer_tests.py
@@ -4,6 +4,10 @@
 
 from rig import Rig
 
+PATIENT = {"name": "patient", "host": "app.example", "prefix": "/patient/", "type": "streaming", "service": "llm", "attempts": 4,
+           "timeout_ms": 8000, "latency_goal_ms": 900, "can_resume": True, "sticky": True}
+
+
 async def read_all(rig, path):
     """Sends a streaming request and returns all bytes of the answer."""
     vm = rig.vms[0]
@@ -44,4 +48,18 @@
             assert not data.endswith(b"0\r\n\r\n"), f"{framing}: the broken stream looks complete"
 
 
-TESTS = [refusals_of_earlier_requests_promise_nothing, errors_in_the_middle_of_a_stream_do_not_reach_its_caller]
+async def streams_go_on_at_a_third_engine_after_an_error():
+    for framing in ("length", "chunks", "close"):
+        async with Rig(decode=3) as rig:
+            rig.fleet.configure([PATIENT])
+            await asyncio.sleep(1)
+            decode = [engine for engine in rig.fleet.engines if engine.role == "decode"]
+            for engine in decode[0], decode[2]:  # those of the VM's own place, which it tries first
+                engine.fault = f"resume_error_{framing}"
+            data = await read_all(rig, "/patient/x")
+            assert data.count(b"data: ") == 12 and data.endswith(b"0\r\n\r\n"), (framing, data)
+            assert b"failed" not in data and len(rig.runs_of("req-1")) == 3, (framing, data, rig.runs_of("req-1"))
+
+
+TESTS = [refusals_of_earlier_requests_promise_nothing, errors_in_the_middle_of_a_stream_do_not_reach_its_caller,
+         streams_go_on_at_a_third_engine_after_an_error]
