Requests of callers never share a connection to an upstream

A caller of currantd got the answer of the request before: a service had written it once more on a kept connection, when the next request arrived.

Cause: the first attempt of an idempotent service call, and the prefill and decode calls of model requests, reused kept connections, and a response there bears nothing that ties it to its request. libcurl closes a kept connection on which bytes wait, but not one on which they arrive after the request was sent. currant-edge has used own connections since its start; both programs now state it in the same way (useOwnConnection).

Still kept: the edge's own calls to engines. There a repeated answer can become another reservation or report; it costs capacity until the reservation ends, and no answer of a caller comes from it.

--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -32,6 +32,14 @@
     std::string target; // request target to send verbatim; empty: the URL's path and query
     std::string step; // name of the operation, for errors
     std::string peer; // name of the server, for errors
+
+    /// Gives the call a connection of its own. A kept connection may be dead or deliver a late answer to an earlier request, and libcurl
+    /// repeats a request on a dead one.
+    auto useOwnConnection() -> void
+    {
+        freshConnection = true;
+        forbidReuse = true;
+    }
 };
 
 /// Callbacks of one call. `onDone` runs exactly once unless the call is cancelled.
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -47,9 +47,7 @@
     call.body = incoming.body;
     call.connectTimeout = ConnectTimeout;
     call.exactHeaders = true;
-    // A reused connection may be dead or hold a late answer to an earlier request, and libcurl repeats a request on a dead connection.
-    call.freshConnection = true;
-    call.forbidReuse = true;
+    call.useOwnConnection();
     call.step = spec.prefillOnly ? "prefill" : "forward";
     call.peer = upstream.id;
     return call;
--- a/src/edge/quarantine_controller.cc
+++ b/src/edge/quarantine_controller.cc
@@ -41,8 +41,7 @@
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = ConnectTimeout;
     call.connectOnly = true;
-    call.freshConnection = true;
-    call.forbidReuse = true;
+    call.useOwnConnection();
     call.step = "probe";
     call.peer = upstream.id;
     HttpHandlers handlers;
--- a/src/engines/model_recovery.cc
+++ b/src/engines/model_recovery.cc
@@ -96,7 +96,7 @@
     call.url = urlOf(m_decode.address, fmt::format("/v1/requests/stream?request_id={}&from={}", m_decode.requestId, m_delivered));
     call.connectTimeout = m_request.config->timeouts.connect;
     call.idleTimeout = m_request.config->timeouts.progress;
-    call.freshConnection = true;
+    call.useOwnConnection();
     call.step = "resume";
     call.peer = m_decode.engine;
     m_resumed = true;
--- a/src/engines/model_relay.cc
+++ b/src/engines/model_relay.cc
@@ -75,7 +75,7 @@
     call.body = dumpJson(toJson(body));
     call.connectTimeout = m_request.config->timeouts.connect;
     call.idleTimeout = std::max<Duration>(m_request.config->timeouts.progress, fromMilliseconds(3 * prefillMs()) + PrefillTimeoutMargin);
-    call.freshConnection = m_failedAttempts > 0;
+    call.useOwnConnection();
     call.step = "prefill";
     call.peer = m_prefill.engine;
     HttpHandlers handlers;
@@ -181,7 +181,7 @@
     call.idleTimeout = m_request.config->timeouts.progress;
     call.firstByteTimeout =
         FirstTokenTimeoutMargin + fromMilliseconds(FirstTokenTimeoutFactor * estimate().decodeStartMs(m_transfer.promptTokens));
-    call.freshConnection = m_failedAttempts > 0;
+    call.useOwnConnection();
     call.step = "decode";
     call.peer = m_decode.engine;
     m_parser = EventStreamParser();
--- a/src/services/service_relay.cc
+++ b/src/services/service_relay.cc
@@ -169,8 +169,7 @@
     call.connectTimeout = m_request.config->timeouts.connect;
     call.totalTimeout = remaining;
     call.idleTimeout = m_request.idempotent ? m_request.config->timeouts.progress : Duration::zero();
-    // A request that must not be repeated gets a new connection, because a reused one may be dead.
-    call.freshConnection = m_attemptCount > 0 || !m_request.idempotent;
+    call.useOwnConnection();
     call.step = "service";
     call.peer = upstream->name;
     HttpHandlers handlers;
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -330,6 +330,47 @@
     time.sleep(1.5)
 
 
+class RepeatingService(threading.Thread):
+    """A service that writes its previous answer once more when the next request arrives on the same connection."""
+
+    def __init__(self, port):
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", port))
+        self.start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        previous = b""
+        while head := connection.recv(65536):
+            body = json.dumps({"target": head.split(b" ")[1].decode()}).encode()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            connection.sendall(previous + answer)
+            previous = answer
+        connection.close()
+
+
+def test_answers_that_are_written_twice_reach_one_caller(cluster):
+    port = cluster.base_port + 450
+    service = RepeatingService(port)
+    document = call(cluster.peer_address("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    document["services"].append({"name": "repeating", "target_ms": 300, "upstreams": [{"name": "repeating0", "address": f"127.0.0.1:{port}", "place": "amman"}],
+                                 "calls": [{"method": "GET", "path_prefix": "/", "idempotent": True}]})
+    result = cluster.submit(document, document["revision"])
+    expect(result[1]["accepted"], f"the service was not accepted: {result}")
+    cluster.wait_for(lambda: call(cluster.caller_address("vm0"), "GET", "/services/repeating/first", None, TOKEN)[0] == 200)
+    for name in ("second", "third", "fourth"):
+        status, answer = call(cluster.caller_address("vm0"), "GET", f"/services/repeating/{name}", None, TOKEN)
+        expect(status == 200 and answer["target"].endswith(name), f"the caller of {name} got {status} {answer}")
+    service.listener.close()
+
+
 def test_drain_interrupts_no_answer(cluster):
     streams = [Stream(cluster.caller_address("vm2"), f"draining {i}", 150).read(2) for i in range(5)]
     cluster.processes["vm2"].send_signal(signal.SIGTERM)
