Failing tests: versions that a VM has missed, or that appear while callers wait

All four tests fail on:

- a stream that waits while a second version appears is placed there;
- streams of a dead VM are refused while the second version gets no streams;
- a VM that was suspended refuses streams as if their version had left.

No behaviour changes.

--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -6,6 +6,8 @@
 
 from rig import Rig
 
+from platform_upstreams import Engine  # noqa: E402
+
 REFUSAL_S = 0.5  # in which a stream that cannot go on must be refused
 
 
@@ -170,7 +172,74 @@
         await stream.read(8)
         assert stream.numbers[0] == 5
 
+async def add_version(rig, version):
+    """Replaces one decode engine by one of another version, as the first step of a release."""
+    engine = next(engine for engine in rig.fleet.engines if engine.role == "decode")
+    await engine.restart(version)
+    return engine
+
+
+async def until_known(vms, version):
+    while not all(f'"software_version":"{version}"' in vm.log_text() for vm in vms):
+        await asyncio.sleep(0.02)
+
+
+async def streams_of_a_dead_vm_go_on_while_a_version_appears():
+    """Nothing was told about streams of the only version, but no stream can have begun at another one yet."""
+    async with MixedRig(vms=4, versions=("v1",)) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 12)
+        await rig.kill(rig.vms[0])
+        await add_version(rig, "v2")
+        await until_known(rig.vms[1:], "v2")
+        assert await take_up(streams, rig.vms[1:]) == 12 * [200]
+
+
+async def a_restarted_vm_does_not_guess_at_a_version_that_left():
+    async with MixedRig(vms=3) as rig:
+        streams = [stream for stream in await begin_streams(rig, rig.vms[0], 16) if stream.versions[0] == "v1"][:4]
+        for engine in rig.fleet.engines:
+            if engine.software_version == "v1":
+                engine.crash()
+        for vm in rig.vms[1:]:
+            await rig.kill(vm)
+            await vm.start()
+            await vm.wait_until_ready()
+            for stream in streams:
+                status = await stream.come_back(vm)
+                if status == 200:
+                    await stream.read()
+                stream.assert_sound()
+                assert status == 503, status
+
+
+async def a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared():
+    async with MixedRig(vms=2, versions=("v1",)) as rig:
+        rig.vms[1].signal(signal.SIGSTOP)
+        for engine in rig.fleet.engines[1:]:
+            await engine.restart("v2")
+        await asyncio.sleep(1.5)
+        streams = [stream for stream in await begin_streams(rig, rig.vms[0], 16) if stream.versions[0] == "v2"]
+        returns = asyncio.create_task(take_up(streams, rig.vms[1:]))
+        await asyncio.sleep(0.3)
+        rig.vms[1].signal(signal.SIGCONT)
+        assert 200 in await returns
+
+
+async def streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned():
+    async with MixedRig(vms=2, versions=("v1",), decode=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 4)
+        for engine in rig.fleet.engines:
+            engine.KV_CAPACITY_TOKENS = 0
+        await rig.kill(rig.vms[0])
+        (await add_version(rig, "v2")).KV_CAPACITY_TOKENS = Engine.KV_CAPACITY_TOKENS
+        returns = asyncio.create_task(take_up(streams, rig.vms[1:]))
+        await until_known(rig.vms[1:], "v2")
+        assert set(await returns) <= {200, 503}
+
 
 TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
          callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
-         unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version]
+         unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
+         streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
+         a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared,
+         streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned]
