A stream that waits stays at the version that was there when its caller returned

Callers that came back while their service had one software version waited for capacity, and were placed at a second version that appeared meanwhile.

Cause: a stream that may go on anywhere had no version until its next event, so that a plan made later chose among all.

The only version that the service has or had is set when the caller returns.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -40,6 +40,9 @@
     /// Returns whether the service has more than one version, or had within `Lifetime`.
     auto isMixed(std::string_view service) const -> bool;
 
+    /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
+    auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
+
     /// Returns whether streams may begin at upstreams of this version.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -49,6 +49,12 @@
     return found != m_services.end() && found->second.size() > 1;
 }
 
+auto SoftwareVersions::onlyVersion(std::string_view service) const -> SoftwareVersionKey
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.size() == 1 ? found->second.begin()->second.key : AnySoftwareVersion;
+}
+
 auto SoftwareVersions::isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool
 {
     const auto found = m_services.find(service);
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -72,6 +72,9 @@
     const auto knowledge = versionKnowledge();
     const auto continuation = decideContinuation(knowledge, origin);
     bool isPossible = continuation == Continuation::AtAnyEngine;
+    if (isPossible) {
+        m_version = m_context.versions.onlyVersion(m_request.service); // another one may appear while the stream waits
+    }
     if (continuation == Continuation::AtItsVersion && chooseServiceOf(origin->version)) {
         m_version = origin->version;
         isPossible = enginesOfVersion() > 0;
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -157,8 +157,9 @@
             running += m_context.loads.total(upstream->id, now).requests;
         }
     }
-    const auto waiting = m_version == AnySoftwareVersion ? m_context.loads.total(m_request.service, now).requests
-                                                         : static_cast<int>(m_context.pendingQueue.size(queueKey()));
+    const auto key = queueKey();
+    const auto waiting = key.version == AnySoftwareVersion ? m_context.loads.total(m_request.service, now).requests
+                                                           : static_cast<int>(m_context.pendingQueue.size(key));
     const auto streamMs = toMilliseconds(m_context.speedsOf(m_request.service).streamDuration());
     return fromMilliseconds(streamMs * (waiting + 1) / std::max(1, running));
 }
@@ -225,7 +226,8 @@
 
 auto StreamRequest::queueKey() const -> QueueKey
 {
-    return {m_request.service, m_version};
+    // While there is one version, all streams wait in one queue.
+    return {m_request.service, m_context.versions.isMixed(m_request.service) ? m_version : AnySoftwareVersion};
 }
 
 auto StreamRequest::leaveQueue() -> void
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -37,7 +37,10 @@
         see("llm", "v1");
         see("other", "v1");
         CPPUNIT_ASSERT(!m_versions.isMixed("llm") && m_versions.notices(m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(softwareVersionKey("llm", "v1"), m_versions.onlyVersion("llm"));
         see("llm", "v2");
+        CPPUNIT_ASSERT_EQUAL(AnySoftwareVersion, m_versions.onlyVersion("llm"));
+        CPPUNIT_ASSERT_EQUAL(AnySoftwareVersion, m_versions.onlyVersion("unknown"));
         CPPUNIT_ASSERT(m_versions.isMixed("llm") && !m_versions.isMixed("other"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.notices(m_now).size());
         m_now += SoftwareVersions::Lifetime - seconds(1);
