Unknown streams go on while only one version can have begun them

Callers whose VM had died were refused when they came back, for as long as a second software version was known and got no streams yet: all their streams were of the first one.

Cause: a service counted as mixed from the moment at which the second version was known, and streams that began before had been told to nobody.

VMs tell with each version for how long it has been known, so that a VM that learns of it late does not count it as unused.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -17,6 +17,7 @@
     std::string service;
     std::string version;
     Duration age = Duration::zero(); // since an upstream with this version was last registered
+    Duration knownFor = Duration::zero(); // since a VM first knew the version
 };
 
 /// Remembers the versions of each service for longer than a stream lives. While a service had one version only, each of its streams is
@@ -46,6 +47,9 @@
     /// Returns whether streams may begin at upstreams of this version.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
+    /// Returns the versions at which streams of the service can have begun.
+    auto settledVersions(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>;
+
     /// Returns whether the service has or had the version.
     auto has(std::string_view service, SoftwareVersionKey version) const -> bool
     {
@@ -71,6 +75,8 @@
 
     using Versions = std::map<std::string, Version, std::less<>>;
 
+    auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> Version &;
+
     std::map<std::string, Versions, std::less<>> m_services;
 };
 
--- a/include/currantstack/decisions/stream_origins.h
+++ b/include/currantstack/decisions/stream_origins.h
@@ -67,15 +67,29 @@
 {
     bool isMixed = false; // the services that can have begun the stream have or had several versions
     bool mayBeOutdated = false; // the VM hears neither of the store nor of its peers, so that it may have missed a version
+    SoftwareVersionKey onlyVersion = AnySoftwareVersion; // at which streams can have begun, if that is one
+};
+
+/// Where a stream goes on, and at which version.
+struct ContinuationPlan
+{
+    Continuation where = Continuation::Nowhere;
+    SoftwareVersionKey version = AnySoftwareVersion;
 };
 
 /// Decides where a stream may go on, given its origin, if that is known.
-inline auto decideContinuation(const VersionKnowledge &knowledge, const std::optional<StreamOrigin> &origin) -> Continuation
+inline auto planContinuation(const VersionKnowledge &knowledge, const std::optional<StreamOrigin> &origin) -> ContinuationPlan
 {
     if (!knowledge.isMixed && !knowledge.mayBeOutdated) {
-        return Continuation::AtAnyEngine;
+        return {Continuation::AtAnyEngine, knowledge.onlyVersion};
+    }
+    if (origin) {
+        return {Continuation::AtItsVersion, origin->version};
+    }
+    if (!knowledge.mayBeOutdated && knowledge.onlyVersion != AnySoftwareVersion) {
+        return {Continuation::AtItsVersion, knowledge.onlyVersion};
     }
-    return origin ? Continuation::AtItsVersion : Continuation::Nowhere;
+    return {};
 }
 
 } // namespace currantstack
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -15,16 +15,21 @@
 
 } // namespace
 
-auto SoftwareVersions::observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void
+auto SoftwareVersions::versionOf(std::string_view service, std::string_view version, TimePoint now) -> Version &
 {
     auto &versions = m_services[std::string(service)];
     const bool isFirst =
         std::all_of(versions.begin(), versions.end(), [now](const auto &entry) { return now - entry.second.firstSeen < SnapshotSpread; });
     const auto [found, isNew] = versions.try_emplace(std::string(version));
-    auto &entry = found->second;
     if (isNew) {
-        entry = {softwareVersionKey(service, version), now, lastSeen, isFirst ? now : now + SettlingTime};
+        found->second = {softwareVersionKey(service, version), now, TimePoint::min(), isFirst ? now : now + SettlingTime};
     }
+    return found->second;
+}
+
+auto SoftwareVersions::observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void
+{
+    auto &entry = versionOf(service, version, now);
     entry.lastSeen = std::max(entry.lastSeen, lastSeen);
 }
 
@@ -32,6 +37,8 @@
 {
     if (notice.age < Lifetime) {
         observe(notice.service, notice.version, now - notice.age, now);
+        auto &entry = versionOf(notice.service, notice.version, now);
+        entry.settledAt = std::min(entry.settledAt, now - notice.knownFor + SettlingTime);
     }
 }
 
@@ -65,6 +72,19 @@
     return entry == found->second.end() || now >= entry->second.settledAt;
 }
 
+auto SoftwareVersions::settledVersions(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
+{
+    std::vector<SoftwareVersionKey> result;
+    if (const auto found = m_services.find(service); found != m_services.end()) {
+        for (const auto &[name, entry] : found->second) {
+            if (now >= entry.settledAt) {
+                result.push_back(entry.key);
+            }
+        }
+    }
+    return result;
+}
+
 auto SoftwareVersions::nameOf(std::string_view service, SoftwareVersionKey version) const -> std::string_view
 {
     if (const auto found = m_services.find(service); found != m_services.end()) {
@@ -94,7 +114,8 @@
     for (const auto &[service, versions] : m_services) {
         for (const auto &[version, entry] : versions) {
             if (versions.size() > 1) {
-                result.push_back({service, version, std::max(Duration::zero(), now - entry.lastSeen)});
+                result.push_back(
+                    {service, version, std::max(Duration::zero(), now - entry.lastSeen), now + SettlingTime - entry.settledAt});
             }
         }
     }
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -153,20 +153,24 @@
 {
     auto rows = nlohmann::json::array();
     for (const auto &notice : notices) {
-        rows.push_back({notice.service, notice.version, std::chrono::duration_cast<milliseconds>(notice.age).count()});
+        rows.push_back({notice.service, notice.version, std::chrono::duration_cast<milliseconds>(notice.age).count(),
+                        std::chrono::duration_cast<milliseconds>(notice.knownFor).count()});
     }
     return rows;
 }
 
 auto decodeVersion(const nlohmann::json &row) -> std::optional<SoftwareVersionNotice>
 {
+    const auto isDuration = [](const nlohmann::json &value) { return value.is_number_integer() && value >= 0; };
     const bool valid =
-        row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_string() && row[2].is_number_integer() && row[2] >= 0;
+        row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
     if (!valid) {
         return std::nullopt;
     }
-    const auto age = std::min<std::int64_t>(row[2].get<std::int64_t>(), toMilliseconds(SoftwareVersions::Lifetime));
-    return SoftwareVersionNotice{row[0].get<std::string>(), row[1].get<std::string>(), milliseconds(age)};
+    const auto duration = [](const nlohmann::json &value) {
+        return milliseconds(std::min<std::int64_t>(value.get<std::int64_t>(), toMilliseconds(SoftwareVersions::Lifetime)));
+    };
+    return SoftwareVersionNotice{row[0].get<std::string>(), row[1].get<std::string>(), duration(row[2]), duration(row[3])};
 }
 
 auto malformed(std::string_view what) -> tl::unexpected<Error>
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -2,6 +2,7 @@
 #include "stream_request.h"
 
 #include <algorithm>
+#include <set>
 
 namespace currantstack
 {
@@ -33,16 +34,24 @@
 
 auto StreamRequest::versionKnowledge() const -> VersionKnowledge
 {
-    const auto &targets = m_request.route->targets;
-    const bool isMixed =
-        std::any_of(targets.begin(), targets.end(), [this](const auto &target) { return m_context.versions.isMixed(target.service); });
-    return {isMixed, m_context.originHooks.mayMissVersions()};
+    const auto &versions = m_context.versions;
+    VersionKnowledge knowledge{false, m_context.originHooks.mayMissVersions(), versions.onlyVersion(m_request.service)};
+    std::set<SoftwareVersionKey> settled;
+    for (const auto &target : m_request.route->targets) {
+        knowledge.isMixed = knowledge.isMixed || versions.isMixed(target.service);
+        const auto ofService = versions.settledVersions(target.service, m_context.clock.now());
+        settled.insert(ofService.begin(), ofService.end());
+    }
+    if (knowledge.isMixed) {
+        knowledge.onlyVersion = settled.size() == 1 ? *settled.begin() : AnySoftwareVersion;
+    }
+    return knowledge;
 }
 
 auto StreamRequest::continueStream() -> void
 {
     const auto &metadata = m_request.metadata;
-    if (metadata.firstAttemptId.empty() || decideContinuation(versionKnowledge(), std::nullopt) == Continuation::AtAnyEngine) {
+    if (metadata.firstAttemptId.empty() || planContinuation(versionKnowledge(), std::nullopt).where == Continuation::AtAnyEngine) {
         continueFrom(std::nullopt);
         return;
     }
@@ -70,13 +79,13 @@
 {
     const auto now = m_context.clock.now();
     const auto knowledge = versionKnowledge();
-    const auto continuation = decideContinuation(knowledge, origin);
+    const auto [continuation, version] = planContinuation(knowledge, origin);
     bool isPossible = continuation == Continuation::AtAnyEngine;
     if (isPossible) {
-        m_version = m_context.versions.onlyVersion(m_request.service); // another one may appear while the stream waits
+        m_version = version; // another one may appear while the stream waits
     }
-    if (continuation == Continuation::AtItsVersion && chooseServiceOf(origin->version)) {
-        m_version = origin->version;
+    if (continuation == Continuation::AtItsVersion && chooseServiceOf(version)) {
+        m_version = version;
         isPossible = enginesOfVersion() > 0;
     }
     m_context.counters.at(fmt::format("streams_continued_by_callers{{outcome=\"{}\"}}", isPossible ? name(continuation) : "nowhere")).add();
@@ -86,7 +95,7 @@
                          {"after_event", m_request.metadata.lastEventId},
                          {"continues", name(continuation)},
                          {"service", m_request.service},
-                         {"software_version", origin ? m_context.versions.nameOf(m_request.service, origin->version) : "unknown"},
+                         {"software_version", m_context.versions.nameOf(m_request.service, version)},
                          {"engines_of_version", enginesOfVersion()},
                          {"known_from",
                           !origin             ? "nobody"
--- a/test/load_table-test.cc
+++ b/test/load_table-test.cc
@@ -88,7 +88,7 @@
                                                 {"z", ExclusionReason::Draining, EngineRole::None, milliseconds(6)}},
                                                {{"e", {double(tokens), 7, 2}}},
                                                {{"l", 8, 2.5, milliseconds(40), sequence, 1.5}, {"m", 9, {}, milliseconds(50), 0, 0}},
-                                               {{"s", "v1", milliseconds(9)}, {"s", "", milliseconds(0)}}};
+                                               {{"s", "v1", milliseconds(9), milliseconds(11)}, {"s", "", milliseconds(0)}}};
                            const auto decoded = decodeLoad(encodeLoad(message));
                            RC_ASSERT(decoded.has_value());
                            RC_ASSERT(decoded->vm == vm && decoded->sequence == sequence && decoded->isAggregate == isAggregate
@@ -99,7 +99,8 @@
                                      && decoded->limits[0].age == milliseconds(40) && decoded->limits[0].demand == 1.5);
                            RC_ASSERT(!decoded->limits[1].limit && decoded->limits[1].startedAtMs == 9);
                            RC_ASSERT(decoded->versions.size() == 2U && decoded->versions[0].version == "v1"
-                                     && decoded->versions[0].age == milliseconds(9) && decoded->versions[1].service == "s");
+                                     && decoded->versions[0].age == milliseconds(9) && decoded->versions[0].knownFor == milliseconds(11)
+                                     && decoded->versions[1].service == "s");
                            RC_ASSERT(decoded->loads.size() == 1U && decoded->loads[0].work.promptTokens == tokens);
                        });
     }
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(keysDifferByServiceAndVersion);
     CPPUNIT_TEST(aServiceStaysMixedForLongerThanItsStreamsLive);
     CPPUNIT_TEST(onlyAFurtherVersionSettles);
+    CPPUNIT_TEST(aVersionIsSettledOnceItIsSettledAtAnyVm);
     CPPUNIT_TEST(noticesCarryAVersionToAVmThatHasNotSeenIt);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,7 +64,26 @@
         m_now += seconds(5);
         see("llm", "v3");
         CPPUNIT_ASSERT(!m_versions.isSettled("llm", "v3", m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.settledVersions("llm", m_now).size());
         CPPUNIT_ASSERT(m_versions.isSettled("llm", "v3", m_now + SoftwareVersions::SettlingTime));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_versions.settledVersions("llm", m_now + SoftwareVersions::SettlingTime).size());
+    }
+
+    auto aVersionIsSettledOnceItIsSettledAtAnyVm() -> void
+    {
+        SoftwareVersions late;
+        for (auto *versions : {&m_versions, &late}) {
+            versions->observe("llm", "v1", m_now, m_now);
+        }
+        m_now += seconds(5);
+        see("llm", "v2");
+        m_now += SoftwareVersions::SettlingTime;
+        late.observe("llm", "v2", m_now, m_now);
+        CPPUNIT_ASSERT(!late.isSettled("llm", "v2", m_now));
+        for (const auto &notice : m_versions.notices(m_now)) {
+            late.merge(notice, m_now);
+        }
+        CPPUNIT_ASSERT(late.isSettled("llm", "v2", m_now));
     }
 
     auto noticesCarryAVersionToAVmThatHasNotSeenIt() -> void
--- a/test/stream_origins-test.cc
+++ b/test/stream_origins-test.cc
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(theFirstOriginOfAStreamCounts);
     CPPUNIT_TEST(originsAreBoundedInNumberAndAge);
     CPPUNIT_TEST(streamsGoOnNowhereAtAGuess);
+    CPPUNIT_TEST(unknownStreamsGoOnAtTheOnlyVersionThatCanHaveBegunThem);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(arbitraryDatagramsAreReadOrRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -45,11 +46,21 @@
     auto streamsGoOnNowhereAtAGuess() -> void
     {
         const StreamOrigin origin{7, m_now, false};
-        CPPUNIT_ASSERT(decideContinuation({false, false}, std::nullopt) == Continuation::AtAnyEngine);
-        CPPUNIT_ASSERT(decideContinuation({true, false}, std::nullopt) == Continuation::Nowhere);
-        CPPUNIT_ASSERT(decideContinuation({false, true}, std::nullopt) == Continuation::Nowhere);
-        CPPUNIT_ASSERT(decideContinuation({true, false}, origin) == Continuation::AtItsVersion);
-        CPPUNIT_ASSERT(decideContinuation({false, true}, origin) == Continuation::AtItsVersion);
+        CPPUNIT_ASSERT(planContinuation({false, false}, std::nullopt).where == Continuation::AtAnyEngine);
+        CPPUNIT_ASSERT(planContinuation({true, false}, std::nullopt).where == Continuation::Nowhere);
+        CPPUNIT_ASSERT(planContinuation({false, true}, std::nullopt).where == Continuation::Nowhere);
+        for (const auto &knowledge : {VersionKnowledge{true, false}, {false, true}, {true, true}, {true, false, 8}, {true, true, 8}}) {
+            const auto plan = planContinuation(knowledge, origin);
+            CPPUNIT_ASSERT(plan.where == Continuation::AtItsVersion && plan.version == 7U);
+        }
+    }
+
+    auto unknownStreamsGoOnAtTheOnlyVersionThatCanHaveBegunThem() -> void
+    {
+        const auto plan = planContinuation({true, false, 8}, std::nullopt);
+        CPPUNIT_ASSERT(plan.where == Continuation::AtItsVersion && plan.version == 8U);
+        CPPUNIT_ASSERT(planContinuation({true, true, 8}, std::nullopt).where == Continuation::Nowhere);
+        CPPUNIT_ASSERT_EQUAL(SoftwareVersionKey(8), planContinuation({false, false, 8}, std::nullopt).version);
     }
 
     auto messagesRoundTrip() -> void
