A VM that was down or suspended asks its peers which versions there were

Callers whose stream had begun at a version that left got the rest from the other version, when they came back at a VM that had just restarted.

Cause: such a VM takes what the store lists for all that there was; notices of its peers reach it up to 0.6 s later. The same holds after a suspension, when the VM acts on what it knew before.

After a start and after each suspension a VM counts its knowledge as incomplete (KnowledgeGap) until a peer without such a gap has answered, or nobody who can be reached knows more, at most for 2 s. Answers to questions for a stream's origin carry the versions that the peer knows. A VM that knows no peer yet asks for up to 0.7 s, in which each live peer has reported to it.

Not covered: if all VMs restart within the seconds after a version has left, nobody remembers it.

--- /dev/null
+++ b/include/currantstack/decisions/knowledge_gap.h
@@ -0,0 +1,53 @@
+// Whether a VM may have missed what its peers know, because it has just started or was suspended.
+#pragma once
+
+#include "currantstack/clock.h"
+
+#include <optional>
+
+namespace currantstack
+{
+
+/// Opens at the start of a VM and after each suspension, and is closed by a peer that tells what it knows. All times are of a clock that
+/// also advances during a suspension.
+class KnowledgeGap
+{
+public:
+    /// A VM whose timers did not run for this time was suspended.
+    static constexpr Duration SuspensionTime = seconds(1);
+    /// A VM that reaches no peer relies on the store after this time.
+    static constexpr Duration Lifetime = seconds(2);
+
+    /// Records that timers run; to be called several times per `SuspensionTime`.
+    auto tick(TimePoint now) -> void
+    {
+        if (wasSuspended(now)) {
+            m_openedAt = now;
+        }
+        m_tickedAt = now;
+    }
+
+    /// Records that a peer has told what it knows. What arrives first after a suspension may have been sent before its end.
+    auto close(TimePoint now) -> void
+    {
+        if (!wasSuspended(now)) {
+            m_openedAt.reset();
+        }
+    }
+
+    auto isOpen(TimePoint now) const -> bool
+    {
+        return wasSuspended(now) || (m_openedAt && now - *m_openedAt < Lifetime);
+    }
+
+private:
+    auto wasSuspended(TimePoint now) const -> bool
+    {
+        return !m_tickedAt || now - *m_tickedAt > SuspensionTime;
+    }
+
+    std::optional<TimePoint> m_tickedAt;
+    std::optional<TimePoint> m_openedAt;
+};
+
+} // namespace currantstack
--- a/include/currantstack/decisions/stream_origins.h
+++ b/include/currantstack/decisions/stream_origins.h
@@ -66,7 +66,7 @@
 struct VersionKnowledge
 {
     bool isMixed = false; // the services that can have begun the stream have or had several versions
-    bool mayBeOutdated = false; // the VM hears neither of the store nor of its peers, so that it may have missed a version
+    bool mayBeOutdated = false; // the VM was down, suspended or cut off, so that it may have missed a version
     SoftwareVersionKey onlyVersion = AnySoftwareVersion; // at which streams can have begun, if that is one
 };
 
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -1,6 +1,7 @@
 // Shares between VMs which software version began each stream, while a service has more than one.
 #pragma once
 
+#include "currantstack/decisions/knowledge_gap.h"
 #include "currantstack/edge/load_exchange.h"
 #include "currantstack/edge/origin_message.h"
 
@@ -20,12 +21,15 @@
     static constexpr std::size_t AskedVms = 5;
     static constexpr Duration AskPeriod = milliseconds(100); // over twice the way between regions
     static constexpr int MaxAsks = 3;
+    /// A VM that has just started knows its peers once each has reported to it.
+    static constexpr int MaxAsksWithoutPeers = 1 + LoadExchange::IdlePeriod / AskPeriod;
     static constexpr Duration CheckPeriod = milliseconds(250);
     static constexpr Duration RefreshPeriod = seconds(1);
     /// Streams that began earlier have ended when a second version appears.
     static constexpr Duration ToldAge = seconds(20);
 
-    OriginController(EdgeContext &context, LoadExchange &exchange);
+    /// `bootClock` also advances while the process or its machine is suspended.
+    OriginController(EdgeContext &context, LoadExchange &exchange, const Clock &bootClock);
 
     auto start() -> void;
 
@@ -46,6 +50,8 @@
     auto resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void;
     auto onDatagram(std::string_view bytes, const SocketAddress &from) -> void;
     auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
+    auto onReport(const VersionReport &report) -> void;
+    auto mayMissVersions() const -> bool;
     auto answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void;
     auto check() -> void;
     auto refreshVersions(TimePoint now) -> void;
@@ -53,6 +59,8 @@
 
     EdgeContext &m_context;
     LoadExchange &m_exchange;
+    const Clock &m_bootClock;
+    KnowledgeGap m_gap;
     std::unique_ptr<Timer> m_timer;
     TimePoint m_refreshedAt;
     std::vector<std::string> m_mixedServices; // at the last check
--- a/include/currantstack/edge/origin_message.h
+++ b/include/currantstack/edge/origin_message.h
@@ -1,10 +1,11 @@
 // Encoding of the datagrams by which VMs tell and ask which software version began a stream.
 #pragma once
 
-#include "currantstack/decisions/software_version.h"
+#include "currantstack/decisions/software_versions.h"
 #include "currantstack/error.h"
 #include "currantstack/fingerprint.h"
 
+#include <optional>
 #include <vector>
 
 namespace currantstack
@@ -20,11 +21,19 @@
     std::vector<Fingerprint> streams;
 };
 
+/// The versions that an answering VM knows.
+struct VersionReport
+{
+    bool isComplete = false; // the sender can have missed none
+    std::vector<SoftwareVersionNotice> versions; // of the services that have several
+};
+
 /// Tells origins, or asks for them.
 struct OriginMessage
 {
     std::vector<StreamsOfVersion> told; // what the sender knows, or that it does not know
     std::vector<Fingerprint> asked;
+    std::optional<VersionReport> report; // in answers only
 };
 
 auto encodeOrigins(const OriginMessage &message) -> std::string;
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/load_message.h"
 
+#include "currantstack/edge/software_version_codec.h"
 #include "currantstack/json.h"
 
 #include <algorithm>
@@ -149,30 +150,6 @@
     return report;
 }
 
-auto encodeVersions(std::span<const SoftwareVersionNotice> notices) -> nlohmann::json
-{
-    auto rows = nlohmann::json::array();
-    for (const auto &notice : notices) {
-        rows.push_back({notice.service, notice.version, std::chrono::duration_cast<milliseconds>(notice.age).count(),
-                        std::chrono::duration_cast<milliseconds>(notice.knownFor).count()});
-    }
-    return rows;
-}
-
-auto decodeVersion(const nlohmann::json &row) -> std::optional<SoftwareVersionNotice>
-{
-    const auto isDuration = [](const nlohmann::json &value) { return value.is_number_integer() && value >= 0; };
-    const bool valid =
-        row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
-    if (!valid) {
-        return std::nullopt;
-    }
-    const auto duration = [](const nlohmann::json &value) {
-        return milliseconds(std::min<std::int64_t>(value.get<std::int64_t>(), toMilliseconds(SoftwareVersions::Lifetime)));
-    };
-    return SoftwareVersionNotice{row[0].get<std::string>(), row[1].get<std::string>(), duration(row[2]), duration(row[3])};
-}
-
 auto malformed(std::string_view what) -> tl::unexpected<Error>
 {
     return fail(ErrorCode::BadInput, "decode load", "", what);
@@ -251,12 +228,12 @@
         }
         message.limits.push_back(std::move(*limit));
     }
-    for (const auto &row : versions) {
-        auto version = decodeVersion(row);
-        if (!version) {
+    if (versions.is_array()) {
+        auto decoded = decodeVersions(versions);
+        if (!decoded) {
             return malformed("a software version row is malformed");
         }
-        message.versions.push_back(std::move(*version));
+        message.versions = std::move(*decoded);
     }
     for (const auto &row : rows) {
         auto work = decodeLoadRow(row);
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -12,9 +12,10 @@
 
 } // namespace
 
-OriginController::OriginController(EdgeContext &context, LoadExchange &exchange)
+OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, const Clock &bootClock)
     : m_context(context)
     , m_exchange(exchange)
+    , m_bootClock(bootClock)
     , m_timer(context.loop.timer([this]() { check(); }))
 {
     context.originHooks = {
@@ -22,7 +23,7 @@
             announce(firstAttemptId, service, version);
         },
         [this](std::string_view firstAttemptId, OriginFound callback) { find(firstAttemptId, std::move(callback)); },
-        [this]() { return m_context.storeUnreachable && m_exchange.hearsNoPeer(); },
+        [this]() { return mayMissVersions(); },
     };
     exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
 }
@@ -32,13 +33,18 @@
     m_timer->startRepeating(CheckPeriod, CheckPeriod);
 }
 
+auto OriginController::mayMissVersions() const -> bool
+{
+    return m_gap.isOpen(m_bootClock.now()) || (m_context.storeUnreachable && m_exchange.hearsNoPeer());
+}
+
 auto OriginController::announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void
 {
     const auto stream = streamKey(firstAttemptId);
     m_context.origins.record(stream, {version, m_context.clock.now(), true});
     if (m_context.versions.isMixed(service)) {
         m_context.counters.at("stream_origins_told").add();
-        m_exchange.sendToHolders(encodeOrigins({{{version, {stream}}}, {}}), stream, Copies);
+        m_exchange.sendToHolders(encodeOrigins({{{version, {stream}}}, {}, {}}), stream, Copies);
     }
 }
 
@@ -63,16 +69,16 @@
 auto OriginController::ask(Fingerprint stream) -> void
 {
     auto &inquiry = m_inquiries[stream];
-    if (inquiry.asks++ == MaxAsks) {
+    if (inquiry.asks++ >= (inquiry.asked == 0 ? MaxAsksWithoutPeers : MaxAsks)) {
+        if (inquiry.asked == 0 || !inquiry.unaware.empty()) {
+            m_gap.close(m_bootClock.now()); // nobody who can be reached knows more
+        }
         resolve(stream, std::nullopt);
         return;
     }
     m_context.counters.at("stream_origins_asked").add();
-    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}}), stream, AskedVms);
-    inquiry.timer->startOnce(inquiry.asked == 0 ? Duration::zero() : AskPeriod);
-    if (inquiry.asked == 0) {
-        inquiry.asks = MaxAsks; // there is nobody to ask
-    }
+    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}}), stream, AskedVms);
+    inquiry.timer->startOnce(AskPeriod); // a VM that has just started gets to know its peers meanwhile
 }
 
 auto OriginController::resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void
@@ -106,6 +112,9 @@
         m_context.log.write("origins", "datagram_ignored", {{"from", from.text()}, {"error", describe(message.error())}});
         return;
     }
+    if (message->report) {
+        onReport(*message->report);
+    }
     for (const auto &row : message->told) {
         onTold(row, from);
     }
@@ -114,6 +123,16 @@
     }
 }
 
+auto OriginController::onReport(const VersionReport &report) -> void
+{
+    for (const auto &notice : report.versions) {
+        m_context.versions.merge(notice, m_context.clock.now());
+    }
+    if (report.isComplete) {
+        m_gap.close(m_bootClock.now());
+    }
+}
+
 auto OriginController::onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void
 {
     const auto now = m_context.clock.now();
@@ -124,9 +143,15 @@
             continue;
         }
         const auto inquiry = m_inquiries.find(stream);
-        if (inquiry != m_inquiries.end() && inquiry->second.unaware.insert(from.text()).second
-            && inquiry->second.unaware.size() >= inquiry->second.asked) {
+        if (inquiry == m_inquiries.end()) {
+            continue;
+        }
+        inquiry->second.unaware.insert(from.text());
+        if (inquiry->second.unaware.size() >= inquiry->second.asked) {
+            m_gap.close(m_bootClock.now()); // nobody knows more
             resolve(stream, std::nullopt);
+        } else if (m_context.versions.mixedServices().empty() && !mayMissVersions()) {
+            resolve(stream, std::nullopt); // the origin no longer matters
         }
     }
 }
@@ -134,6 +159,7 @@
 auto OriginController::answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void
 {
     OriginMessage message;
+    message.report = {!mayMissVersions(), m_context.versions.notices(m_context.clock.now())};
     for (const auto stream : streams) {
         const auto origin = m_context.origins.find(stream, m_context.clock.now());
         message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
@@ -144,6 +170,9 @@
 auto OriginController::check() -> void
 {
     const auto now = m_context.clock.now();
+    if (m_context.directory.size() > 0) {
+        m_gap.tick(m_bootClock.now()); // it opens when the store has been read
+    }
     if (now - m_refreshedAt >= RefreshPeriod) {
         refreshVersions(now);
     }
@@ -181,7 +210,7 @@
         for (std::size_t first = 0; first < streams.size(); first += StreamsPerDatagram) {
             const auto count = std::min(StreamsPerDatagram, streams.size() - first);
             const std::span<const Fingerprint> part(streams.data() + first, count);
-            m_exchange.sendTo(encodeOrigins({{{target.second, {part.begin(), part.end()}}}, {}}), target.first);
+            m_exchange.sendTo(encodeOrigins({{{target.second, {part.begin(), part.end()}}}, {}, {}}), target.first);
         }
     }
 }
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -1,5 +1,7 @@
 #include "currantstack/edge/origin_message.h"
 
+#include "currantstack/edge/software_version_codec.h"
+
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -20,12 +22,34 @@
     return value.is_number_unsigned() && value.get<std::uint64_t>() <= std::numeric_limits<SoftwareVersionKey>::max();
 }
 
+auto encodeReport(const std::optional<VersionReport> &report) -> nlohmann::json
+{
+    return report ? nlohmann::json::array({report->isComplete, encodeVersions(report->versions)}) : nlohmann::json();
+}
+
+/// Returns false if the report is malformed.
+auto decodeReport(const nlohmann::json &value, std::optional<VersionReport> &report) -> bool
+{
+    if (value.is_null()) {
+        return true;
+    }
+    if (!value.is_array() || value.size() != 2 || !value[0].is_boolean()) {
+        return false;
+    }
+    auto versions = decodeVersions(value[1]);
+    if (!versions) {
+        return false;
+    }
+    report = VersionReport{value[0].get<bool>(), std::move(*versions)};
+    return true;
+}
+
 } // namespace
 
 auto encodeOrigins(const OriginMessage &message) -> std::string
 {
-    // An array [asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes.
-    auto document = nlohmann::json::array({message.asked});
+    // An array [report, asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes.
+    auto document = nlohmann::json::array({encodeReport(message.report), message.asked});
     for (const auto &row : message.told) {
         document.push_back(row.version);
         document.push_back(row.streams);
@@ -40,12 +64,13 @@
     bytes.remove_prefix(std::min(bytes.size(), OriginMagic.size()));
     const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
     const auto malformed = fail(ErrorCode::BadInput, "decode origins", "", "the message is malformed");
-    if (!document.is_array() || document.size() % 2 != 1 || !isStreams(document[0])) {
+    OriginMessage message;
+    if (!document.is_array() || document.size() % 2 != 0 || document.empty() || !decodeReport(document[0], message.report)
+        || !isStreams(document[1])) {
         return malformed;
     }
-    OriginMessage message;
-    message.asked = document[0].get<std::vector<Fingerprint>>();
-    for (std::size_t index = 1; index < document.size(); index += 2) {
+    message.asked = document[1].get<std::vector<Fingerprint>>();
+    for (std::size_t index = 2; index < document.size(); index += 2) {
         if (!isVersion(document[index]) || !isStreams(document[index + 1])) {
             return malformed;
         }
--- /dev/null
+++ b/src/edge/software_version_codec.cc
@@ -0,0 +1,54 @@
+#include "currantstack/edge/software_version_codec.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+namespace
+{
+
+auto isDuration(const nlohmann::json &value) -> bool
+{
+    return value.is_number_integer() && value >= 0;
+}
+
+auto isRow(const nlohmann::json &row) -> bool
+{
+    return row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
+}
+
+auto encodeDuration(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+auto decodeDuration(const nlohmann::json &value) -> Duration
+{
+    return milliseconds(std::min<std::int64_t>(value.get<std::int64_t>(), encodeDuration(SoftwareVersions::Lifetime)));
+}
+
+} // namespace
+
+auto encodeVersions(std::span<const SoftwareVersionNotice> notices) -> nlohmann::json
+{
+    auto rows = nlohmann::json::array();
+    for (const auto &notice : notices) {
+        rows.push_back({notice.service, notice.version, encodeDuration(notice.age), encodeDuration(notice.knownFor)});
+    }
+    return rows;
+}
+
+auto decodeVersions(const nlohmann::json &rows) -> std::optional<std::vector<SoftwareVersionNotice>>
+{
+    if (!rows.is_array() || !std::all_of(rows.begin(), rows.end(), isRow)) {
+        return std::nullopt;
+    }
+    std::vector<SoftwareVersionNotice> result;
+    for (const auto &row : rows) {
+        result.push_back({row[0].get<std::string>(), row[1].get<std::string>(), decodeDuration(row[2]), decodeDuration(row[3])});
+    }
+    return result;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/test/knowledge_gap-test.cc
@@ -0,0 +1,69 @@
+#include "currantstack/decisions/knowledge_gap.h"
+
+#include "check.h"
+
+using namespace currantstack;
+
+class KnowledgeGapTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(KnowledgeGapTest);
+    CPPUNIT_TEST(aStartOpensAGapUntilAPeerHasTold);
+    CPPUNIT_TEST(aSuspensionOpensAGap);
+    CPPUNIT_TEST(whatWaitedDuringASuspensionClosesNoGap);
+    CPPUNIT_TEST(aGapEndsWithoutPeers);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Duration TickPeriod = milliseconds(250);
+    KnowledgeGap m_gap;
+    TimePoint m_now = TimePoint() + seconds(1000);
+
+    auto run(Duration time) -> void
+    {
+        for (const auto end = m_now + time; m_now < end; m_now += TickPeriod) {
+            m_gap.tick(m_now);
+        }
+    }
+
+public:
+    auto aStartOpensAGapUntilAPeerHasTold() -> void
+    {
+        CPPUNIT_ASSERT(m_gap.isOpen(m_now));
+        m_gap.close(m_now);
+        CPPUNIT_ASSERT_MESSAGE("closed before the first tick", m_gap.isOpen(m_now));
+        run(TickPeriod);
+        CPPUNIT_ASSERT(m_gap.isOpen(m_now));
+        m_gap.close(m_now);
+        CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
+        run(seconds(10));
+        CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
+    }
+
+    auto aSuspensionOpensAGap() -> void
+    {
+        run(seconds(10));
+        m_now += seconds(3);
+        CPPUNIT_ASSERT_MESSAGE("before the first timer after it", m_gap.isOpen(m_now));
+        run(TickPeriod);
+        CPPUNIT_ASSERT(m_gap.isOpen(m_now));
+        m_gap.close(m_now);
+        CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
+    }
+
+    auto whatWaitedDuringASuspensionClosesNoGap() -> void
+    {
+        run(seconds(10));
+        m_now += seconds(3);
+        m_gap.close(m_now);
+        CPPUNIT_ASSERT(m_gap.isOpen(m_now));
+    }
+
+    auto aGapEndsWithoutPeers() -> void
+    {
+        run(KnowledgeGap::Lifetime - milliseconds(500));
+        CPPUNIT_ASSERT(m_gap.isOpen(m_now));
+        run(seconds(1));
+        CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KnowledgeGapTest);
--- a/test/stream_origins-test.cc
+++ b/test/stream_origins-test.cc
@@ -65,20 +65,23 @@
 
     auto messagesRoundTrip() -> void
     {
+        const VersionReport report{true, {{"llm", "v1", seconds(2), seconds(3)}}};
         CHECK_PROPERTY("an origin message is read as it was written",
-                       [](std::uint32_t version, const std::vector<Fingerprint> &streams, const std::vector<Fingerprint> &asked) {
-                           const auto read = decodeOrigins(encodeOrigins({{{version, streams}}, asked}));
-                           RC_ASSERT(read && read->asked == asked && read->told.size() == 1U);
+                       [&report](std::uint32_t version, const std::vector<Fingerprint> &streams, const std::vector<Fingerprint> &asked) {
+                           const auto read = decodeOrigins(encodeOrigins({{{version, streams}}, asked, report}));
+                           RC_ASSERT(read && read->report && read->report->isComplete && read->report->versions.size() == 1U);
+                           RC_ASSERT(read->report->versions[0].version == "v1" && read->report->versions[0].age == seconds(2));
+                           RC_ASSERT(read->asked == asked && read->told.size() == 1U);
                            RC_ASSERT(read->told[0].version == version && read->told[0].streams == streams);
                        });
-        CPPUNIT_ASSERT(encodeOrigins({{{0xffffffffU, {0xffffffffffffffffULL}}}, {}}).size() <= 20);
+        CPPUNIT_ASSERT(encodeOrigins({{{0xffffffffU, {0xffffffffffffffffULL}}}, {}, {}}).size() <= 20);
     }
 
     auto arbitraryDatagramsAreReadOrRejected() -> void
     {
         CHECK_PROPERTY("no datagram crashes the reader", [](const std::string &bytes) { (void)decodeOrigins("V" + bytes); });
         CHECK_PROPERTY("a message with one changed byte is read or rejected", [](std::uint16_t position, char byte) {
-            auto bytes = encodeOrigins({{{5, {1, 2}}}, {3}});
+            auto bytes = encodeOrigins({{{5, {1, 2}}}, {3}, VersionReport{false, {{"llm", "v1"}}}});
             bytes[position % bytes.size()] = byte;
             (void)decodeOrigins(bytes);
         });
