Streams wait for engines that a VM has not read of yet

Callers that came back at a VM that had just been suspended were refused: "no engine of the software version that began the stream is left", while it had several.

Cause: the VM had the stream's origin from its peers before it read the store again, and took its own list of engines for complete.

While a VM's knowledge is incomplete, such a stream is queued, within the time in which its next event is of use. It does not block streams that can go on anywhere: the queues are by version unless it is the only one of the service.

--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -62,17 +62,15 @@
     });
 }
 
-/// Returns false if no service of the route has the version.
-auto StreamRequest::chooseServiceOf(SoftwareVersionKey version) -> bool
+/// Chooses the service of the route that has the version, if any is known to have it.
+auto StreamRequest::chooseServiceOf(SoftwareVersionKey version) -> void
 {
     const auto &targets = m_request.route->targets;
     const auto found =
         std::find_if(targets.begin(), targets.end(), [&](const auto &target) { return m_context.versions.has(target.service, version); });
-    if (found == targets.end()) {
-        return false;
+    if (found != targets.end()) {
+        m_request.service = found->service;
     }
-    m_request.service = found->service;
-    return true;
 }
 
 auto StreamRequest::continueFrom(const std::optional<StreamOrigin> &origin) -> void
@@ -80,14 +78,12 @@
     const auto now = m_context.clock.now();
     const auto knowledge = versionKnowledge();
     const auto [continuation, version] = planContinuation(knowledge, origin);
-    bool isPossible = continuation == Continuation::AtAnyEngine;
-    if (isPossible) {
-        m_version = version; // another one may appear while the stream waits
-    }
-    if (continuation == Continuation::AtItsVersion && chooseServiceOf(version)) {
-        m_version = version;
-        isPossible = enginesOfVersion() > 0;
+    if (continuation == Continuation::AtItsVersion) {
+        chooseServiceOf(version);
     }
+    m_version = version; // also if it is the only one: another one may appear while the stream waits
+    const bool isPossible =
+        continuation == Continuation::AtAnyEngine || (continuation == Continuation::AtItsVersion && enginesOfVersion() > 0);
     m_context.counters.at(fmt::format("streams_continued_by_callers{{outcome=\"{}\"}}", isPossible ? name(continuation) : "nowhere")).add();
     m_context.log.write("stream", "caller_continues",
                         {{"request", m_request.metadata.requestId},
@@ -106,10 +102,12 @@
                          {"versions_may_be_outdated", knowledge.mayBeOutdated}});
     if (continuation == Continuation::Nowhere) {
         fail(false, "the software version that began the stream is not known", Duration::zero());
-    } else if (!isPossible) {
-        fail(false, "no engine of the software version that began the stream is left", Duration::zero());
-    } else {
+    } else if (isPossible) {
         admit();
+    } else if (knowledge.mayBeOutdated) {
+        waitForEngines();
+    } else {
+        fail(false, "no engine of the software version that began the stream is left", Duration::zero());
     }
 }
 
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -227,7 +227,8 @@
 auto StreamRequest::queueKey() const -> QueueKey
 {
     // While there is one version, all streams wait in one queue.
-    return {m_request.service, m_context.versions.isMixed(m_request.service) ? m_version : AnySoftwareVersion};
+    const bool isOnlyVersion = m_version == m_context.versions.onlyVersion(m_request.service);
+    return {m_request.service, isOnlyVersion ? AnySoftwareVersion : m_version};
 }
 
 auto StreamRequest::leaveQueue() -> void
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -35,10 +35,22 @@
     }
 }
 
-auto StreamRequest::admit() -> void
+auto StreamRequest::countRequest() -> void
 {
     m_context.retryBudget.onRequest(m_request.service, m_context.clock.now());
     m_context.rateLimiter.onRequest(m_request.service, m_context.clock.now());
+}
+
+/// Queues a request for engines that this VM has not read of yet.
+auto StreamRequest::waitForEngines() -> void
+{
+    countRequest();
+    enqueue(true);
+}
+
+auto StreamRequest::admit() -> void
+{
+    countRequest();
     if (!m_context.pendingQueue.isEmpty(queueKey()) || !tryPlace()) {
         enqueue(false);
     }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -41,12 +41,14 @@
     };
 
     auto admit() -> void;
+    auto waitForEngines() -> void;
+    auto countRequest() -> void;
 
     // stream_continuation.cc
     auto continueStream() -> void;
     auto versionKnowledge() const -> VersionKnowledge;
     auto continueFrom(const std::optional<StreamOrigin> &origin) -> void;
-    auto chooseServiceOf(SoftwareVersionKey version) -> bool;
+    auto chooseServiceOf(SoftwareVersionKey version) -> void;
     auto firstAttemptId() const -> const std::string &;
 
     // stream_placement.cc
