Soak with engines of two software versions and callers that return

The soak checked streams for events of two versions, but all its engines had one, and its callers never came back, so that it could not have found the fault.

Some callers close or lose their stream and continue it at any VM, naming the attempt that brought its first event. Checked: no stream mixes versions or misses events, and in runs of planned changes no return is refused because of its version while all VMs have run for 4 s.

--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -39,9 +39,10 @@
         self.log_path = os.path.join(folder, f"{self.name}.log")
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(vm_settings(self.name, self.ip, self.port, store, place, grace))
-        self.process = None
+        self.process, self.started_at = None, 0
 
     async def start(self):
+        self.started_at = time.monotonic()
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(PROGRAM, "--settings", self.path, stdout=log, stderr=log)
 
@@ -118,6 +119,7 @@
         self.fleet.store.hidden_prefix = hidden_prefix
         self.vm_count, self.grace = vms, grace
         self.vms, self.request_count = [], 0
+        self.writers = []  # of streams that are read event by event
         self.vm_of = {}  # name of the VM that took a request, by its id
 
     async def __aenter__(self):
@@ -132,6 +134,8 @@
         for vm in self.vms:
             vm.signal(signal.SIGCONT)
             vm.signal(signal.SIGKILL)
+        for writer in self.writers:
+            writer.transport.abort()
         for vm in self.vms:
             if vm.process:
                 await vm.process.wait()
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -19,6 +19,7 @@
 from limit_tests import CONTACT_S, excess
 from restore_tests import restore
 from rig import ROOT, Rig
+from version_tests import Stream
 
 sys.path.insert(0, os.path.join(ROOT, "support"))
 
@@ -30,6 +31,9 @@
 AT_MOST_ONCE = ("book", "digest")
 POISON_SHARE = 0.01  # of the requests
 SOFTWARE_VERSIONS = ("v1", "v2")
+RETURN_SHARE = 0.3  # of the streams whose callers close the connection and come back
+MAX_ATTEMPTS = 4  # of one returning caller
+ATTEMPT_LIMIT_S = 9.0
 
 
 class Soak(Rig):
@@ -43,11 +47,16 @@
         self.relays, self.responses, self.interrupted, self.drains = {}, [], [], {}
         self.store_faults, self.stopping = False, False
         self.poison = set()  # ids of the requests that crash the services that run them
+        self.returning, self.version_refusals = [], []  # streams that callers continue; refusals because of their software version
 
     async def __aenter__(self):
         await super().__aenter__()
         for service in self.fleet.services:
             service.crashes_on = lambda request: request.path.endswith("/poison")
+        if self.seed % 2:
+            for number, engine in enumerate(self.fleet.engines):
+                engine.software_version = SOFTWARE_VERSIONS[number % 2]
+                engine.register()
         for vm in self.vms:
             relay = self.relays[vm.name] = Relay(0, int(self.fleet.store.address.rsplit(":", 1)[1]))
             with open(vm.path, encoding="utf-8") as file:
@@ -75,6 +84,9 @@
             if not ready:
                 continue
             kind, vm, request = self.random.choice(KINDS), self.random.choice(ready), self.request_id()
+            if kind == "stream" and self.random.random() < RETURN_SHARE:
+                await self.call_and_return(vm)
+                continue
             begin, path = time.monotonic(), "sound"
             if not self.planned_only and self.random.random() < POISON_SHARE:
                 kind, path = "check", "poison"
@@ -85,19 +97,57 @@
             except (EOFError, OSError, asyncio.TimeoutError) as error:
                 self.interrupted.append((request, kind, vm.name, begin, repr(error)))
 
+    async def call_and_return(self, vm):
+        """A caller that closes its connection after some events, or loses it, and continues the stream at any VM."""
+        stream = Stream(self)
+        self.returning.append(stream)
+        for attempt in range(MAX_ATTEMPTS):
+            try:
+                if attempt and not stream.numbers:
+                    stream.id = self.request_id()  # the caller has nothing to continue
+                status = await asyncio.wait_for(stream.come_back(vm) if stream.numbers else stream.open(vm), ATTEMPT_LIMIT_S)
+                if status == 200:
+                    count = self.random.randint(1, 10) if attempt < MAX_ATTEMPTS - 1 else stream.EVENTS
+                    await asyncio.wait_for(stream.read(max(count, len(stream.numbers))), ATTEMPT_LIMIT_S)
+                elif stream.numbers and self.are_in_touch() and "software version" in await asyncio.wait_for(stream.read_body(), ATTEMPT_LIMIT_S):
+                    self.version_refusals.append(f"{stream.id} of {stream.first_attempt} at {vm.name}")
+            except (EOFError, OSError, asyncio.TimeoutError):
+                pass  # the caller comes back
+            if len(stream.numbers) == stream.EVENTS:
+                return
+            ready = [vm for vm in self.vms if vm.process.returncode is None and not getattr(vm, "draining", 0)]
+            vm = self.random.choice(ready or self.vms)
+
+    def are_in_touch(self):
+        """Returns whether all VMs run long enough to know one another."""
+        return all(vm.process.returncode is None and time.monotonic() - vm.started_at > CONTACT_S for vm in self.vms)
+
     # Faults
 
     async def make_planned_change(self):
-        action = self.random.choice(("term", "hup", "drain", "configure"))
+        action = self.random.choice(("term", "hup", "drain", "configure", "release"))
         if action == "term":
             await self.restart_vm(self.random.choice(self.vms))
         elif action == "hup":
             self.random.choice(self.vms).signal(signal.SIGHUP)
         elif action == "drain":
             await self.replace_service(self.random.choice(self.fleet.services))
+        elif action == "release":
+            await self.replace_engine()
         else:
             self.fleet.configure()
 
+    async def replace_engine(self):
+        """Replaces a decode engine by one of any software version; each version that has engines keeps one."""
+        decode = [engine for engine in self.fleet.engines if engine.role == "decode" and engine.state == "ready"]
+        versions = [engine.software_version for engine in decode]
+        replaceable = [engine for engine in decode if versions.count(engine.software_version) > 1]
+        if replaceable:
+            engine = self.random.choice(replaceable)
+            engine.drain()
+            await asyncio.sleep(DRAIN_LIMIT_S + 1.5)
+            await engine.restart(self.random.choice(SOFTWARE_VERSIONS))
+
     async def restart_vm(self, vm):
         vm.draining = True  # callers send it no new requests
         vm.signal(signal.SIGTERM)
@@ -129,7 +179,7 @@
         elif fault == "relay":
             await self.inject_relay_fault(self.relays[vm.name], duration_s)
         elif fault == "restart_engine":
-            await self.random.choice(self.fleet.engines).restart()
+            await self.random.choice(self.fleet.engines).restart(self.random.choice(SOFTWARE_VERSIONS))
         elif fault == "crash":
             self.random.choice(self.fleet.upstreams).crash_and_restart()
         elif fault == "compact":
@@ -204,7 +254,7 @@
 
     def check(self):
         """Returns the violations that were found, one line each."""
-        return [*self.check_runs(), *self.check_responses(), *self.check_quarantine(), *self.check_drains(), *self.check_planned_changes(),
+        return [*self.check_runs(), *self.check_responses(), *self.check_returns(), *self.check_quarantine(), *self.check_drains(), *self.check_planned_changes(),
                 *excess(self)]
 
     def check_runs(self):
@@ -238,6 +288,15 @@
             elif request.encode() not in body:
                 yield f"{request}: the body belongs to another request"
 
+    def check_returns(self):
+        for stream in self.returning:
+            try:
+                stream.assert_sound()
+            except AssertionError as error:
+                yield f"{stream.first_attempt}, continued by its caller: {error}"
+        if self.planned_only:
+            yield from (f"{refusal} was refused because of its software version" for refusal in self.version_refusals)
+
     def check_quarantine(self):
         for request, kind, status, _, body, _ in self.responses:
             if b"quarantined" in body and request not in self.poison:
@@ -280,7 +339,9 @@
         violations = [] if await soak.recover() else [f"not every VM serves requests {RECOVERY_LIMIT_S} s after the last fault"]
         violations += soak.check()
         served = sum(status == 200 for _, _, status, *_ in soak.responses)
-        print(f"seed {seed}: {len(soak.responses)} responses, {served} served, {len(soak.interrupted)} interrupted, {len(violations)} violations",
+        print(f"seed {seed}: {len(soak.responses)} responses, {served} served, {len(soak.interrupted)} interrupted, "
+              f"{sum(len(stream.numbers) == stream.EVENTS for stream in soak.returning)} of {len(soak.returning)} returning streams complete, "
+              f"{len(violations)} violations",
               flush=True)
         for line in violations[:10]:
             print(f"  {line}")
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -14,19 +14,25 @@
 class Stream:
     """One stream of a caller, which may come back with further attempts."""
 
+    EVENTS = Engine.EVENTS
+
     def __init__(self, rig):
         self.rig, self.id, self.first_attempt = rig, rig.request_id(), None
-        self.numbers, self.versions, self.writer = [], [], None
+        self.numbers, self.versions, self.writer, self.body_length = [], [], None, 0
 
     async def open(self, vm, **headers):
         """Sends an attempt and returns its status; its events are read afterwards."""
         reader, self.writer = await asyncio.open_connection(vm.ip, vm.port)
+        self.rig.writers.append(self.writer)
         fields = {"Host": "app.example", "Request-Id": self.id, "Deadline-Ms": 7000, "Model": "m", "Token-Count": "1000,100",
                   "Prefix-Hash": f"{self.id}:1000", "Content-Length": 0, **headers}
         head = "POST /stream/x HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         self.writer.write(head.encode() + b"\r\n")
         self.reader = reader
-        return int((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        _, _, length = head.partition("content-length: ")
+        self.body_length = int(length.partition("\r")[0] or 0)
+        return int(head.split(" ")[1])
 
     async def read(self, count=12):
         """Reads events until there are `count`; an attempt that breaks off ends the reading."""
@@ -34,12 +40,16 @@
             line = (await self.reader.readline()).decode()
             if not line or line == "0\r\n":
                 return
-            if line.startswith("data: "):
+            if line.startswith("data: ") and line.endswith("\n"):
                 _, _, number, version = line.split()
                 self.numbers.append(int(number))
                 self.versions.append(version)
                 self.first_attempt = self.first_attempt or self.id
 
+    async def read_body(self):
+        """Returns the body of a refusal."""
+        return (await self.reader.readexactly(self.body_length)).decode()
+
     async def come_back(self, vm):
         """Sends another attempt that takes the stream up, and returns its status."""
         self.writer.transport.abort()
