explain tells where a stream that a caller continues went on, and why not

currantctl explain printed the raw fields of caller_continues and stream_not_resumable. It now says which software version began the stream, from whom that is known and for how long, how many engines can take it, or that nobody knew it. continuedStreamsNameTheirSoftwareVersion failed before.

--- a/src/edge/explain.cc
+++ b/src/edge/explain.cc
@@ -80,6 +80,36 @@
                        milliseconds(line, "retry_after_ms"));
 }
 
+auto describeContinuation(const Json &line) -> std::string
+{
+    const auto where = text(line, "continues");
+    std::string result =
+        fmt::format("the caller continues attempt {} after event {}: ", text(line, "first_attempt"), text(line, "after_event"));
+    if (where == "nowhere") {
+        result += "no VM that was asked knows the software version that began it";
+    } else if (where == "at_any_engine") {
+        result += "the service has and had one software version";
+    } else if (text(line, "known_from") == "nobody") {
+        result += fmt::format("only software version {} can have begun it", text(line, "software_version"));
+    } else {
+        result += fmt::format("software version {} began it, known from {} for {}", text(line, "software_version"),
+                              text(line, "known_from"), milliseconds(line, "known_for_ms"));
+    }
+    return result + fmt::format("; {} engines can take it", where == "nowhere" ? "0" : text(line, "engines_of_version"));
+}
+
+auto describeUnresumable(const Json &line) -> std::string
+{
+    if (text(line, "version_certain") == "false") {
+        return fmt::format(
+            "cannot go on after event {}: its engine has another software version under the same id, so that either may have "
+            "written the events",
+            text(line, "after_event"));
+    }
+    return fmt::format("cannot go on after event {}: none of the {} engines of software version {} has capacity", text(line, "after_event"),
+                       text(line, "engines_of_version"), text(line, "software_version"));
+}
+
 auto describeEvent(const Json &line) -> std::string
 {
     const auto event = text(line, "event");
@@ -103,6 +133,12 @@
         return fmt::format("broken at {} after {} events and {} without an event: {}; outcome {}", text(line, "engine"),
                            text(line, "events"), milliseconds(line, "silent_ms"), text(line, "reason"), text(line, "outcome"));
     }
+    if (event == "caller_continues") {
+        return describeContinuation(line);
+    }
+    if (event == "stream_not_resumable") {
+        return describeUnresumable(line);
+    }
     if (event == "request_answered") {
         const auto upstream = line.contains("engine") ? text(line, "engine") : text(line, "upstream");
         return fmt::format("answered by {} after {}", upstream, milliseconds(line, "age_ms"));
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(timelineIsOrderedAndIncludesRelatedEvents);
     CPPUNIT_TEST(quarantineNamesItsObservations);
     CPPUNIT_TEST(refusalNamesTheLimitsOfUpstreams);
+    CPPUNIT_TEST(continuedStreamsNameTheirSoftwareVersion);
     CPPUNIT_TEST(malformedLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +56,23 @@
         CPPUNIT_ASSERT(timeline[0].find("may come back after 730 ms") != std::string::npos);
     }
 
+    auto continuedStreamsNameTheirSoftwareVersion() -> void
+    {
+        std::istringstream lines(
+            R"({"time_ms":1000,"vm":"vm1","event":"caller_continues","request":"r2","first_attempt":"r1","after_event":7,"continues":"at_its_version","software_version":"v1","engines_of_version":3,"known_from":"peer","known_for_ms":120.4}
+{"time_ms":1001,"vm":"vm1","event":"caller_continues","request":"r2","first_attempt":"r1","after_event":7,"continues":"nowhere","software_version":"","engines_of_version":3,"known_from":"nobody","known_for_ms":0.0}
+{"time_ms":1002,"vm":"vm1","event":"stream_not_resumable","request":"r2","software_version":"v1","version_certain":true,"engines_of_version":2,"after_event":9}
+{"time_ms":1003,"vm":"vm1","event":"stream_not_resumable","request":"r2","software_version":"v1","version_certain":false,"engines_of_version":2,"after_event":9}
+)");
+        const auto timeline = explainRequest(lines, "r2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), timeline.size());
+        CPPUNIT_ASSERT(timeline[0].find("attempt r1 after event 7: software version v1 began it, known from peer for 120 ms; 3 engines")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(timeline[1].find("no VM that was asked knows the software version that began it; 0 engines") != std::string::npos);
+        CPPUNIT_ASSERT(timeline[2].find("none of the 2 engines of software version v1 has capacity") != std::string::npos);
+        CPPUNIT_ASSERT(timeline[3].find("another software version under the same id") != std::string::npos);
+    }
+
     auto malformedLinesAreSkipped() -> void
     {
         CHECK_PROPERTY("malformed lines are skipped without a crash", [](const std::string &text) {
