A VM whose peers are all silent checks the store before it relies on it

A VM that was cut off continued streams of unknown origin at whichever engine it knew, for as long as its call to the store was still waiting: 2 s in a small fleet, up to 25 s in a large one.

Cause: it counted as cut off only when a call to the store had failed and its peers were silent. Evidence: a_vm_that_is_cut_off_does_not_guess got 200 for an unknown stream 1.9 s after the cut, and gets 503 now.

When all peers have been silent for 1.5 s, the VM reads the upstreams anew, and relies on what it knows again once the store has answered, as a VM must that is left alone (a_vm_that_is_left_alone_relies_on_the_store passed before and passes). Peers that have become known count as heard until they have had the time to report, so that a start of the fleet causes no further calls.

The relays between VMs and the store move from the soak to the rig.

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -57,7 +57,7 @@
     /// Returns the `count` VMs that rendezvous hashing assigns to the key. VMs that know the same peers compute the same.
     auto holders(std::uint64_t key, std::size_t count) const -> std::vector<SocketAddress>;
 
-    /// Returns whether this VM has peers, and none of them has sent a datagram lately.
+    /// Returns whether this VM has peers, and none of them has sent a datagram or become known lately.
     auto hearsNoPeer(TimePoint now) const -> bool;
 
     /// Returns whether this VM sends the aggregate of its place: the first by name among the VMs of the place that report.
@@ -83,6 +83,7 @@
     {
         std::string place;
         SocketAddress address;
+        TimePoint knownSince;
         TimePoint receivedAt; // last datagram
         TimePoint listedAt;
     };
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -81,6 +81,7 @@
     StreamOrigins origins = {};
     OriginHooks originHooks = {};
     bool storeUnreachable = false; // so the directory may be outdated
+    TimePoint upstreamsReadAt = {}; // completely, from the store
     bool draining = false;
     TimePoint drainingSince = {};
 
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -33,6 +33,12 @@
     /// Records which store revisions another VM has observed.
     auto observeRevisions(const StoreRevisions &revisions) -> void;
 
+    /// Reads all upstreams from the store, unless that is under way.
+    auto readUpstreamsAgain() -> void
+    {
+        m_upstreams.readAgain();
+    }
+
     auto revisions() const -> StoreRevisions;
 
     /// Returns whether routes and upstreams have both been read at least once. A VM that has just started is not complete while a peer
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/decisions/knowledge_gap.h"
+#include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/load_exchange.h"
 #include "currantstack/edge/origin_message.h"
 
@@ -29,7 +30,7 @@
     static constexpr Duration ToldAge = seconds(20);
 
     /// `bootClock` also advances while the process or its machine is suspended.
-    OriginController(EdgeContext &context, LoadExchange &exchange, const Clock &bootClock);
+    OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock);
 
     auto start() -> void;
 
@@ -54,13 +55,16 @@
     auto mayMissVersions() const -> bool;
     auto answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void;
     auto check() -> void;
+    auto checkPeers(TimePoint now) -> void;
     auto refreshVersions(TimePoint now) -> void;
     auto tellRelayedStreams(TimePoint now) -> void;
 
     EdgeContext &m_context;
     LoadExchange &m_exchange;
+    DirectoryController &m_directory;
     const Clock &m_bootClock;
     KnowledgeGap m_gap;
+    std::optional<TimePoint> m_peersSilentSince; // all of them
     std::unique_ptr<Timer> m_timer;
     TimePoint m_refreshedAt;
     std::vector<std::string> m_mixedServices; // at the last check
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -14,7 +14,7 @@
     if (vm == m_self) {
         return;
     }
-    auto &peer = m_peers[std::string(vm)];
+    auto &peer = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}}).first->second;
     peer.place = place;
     peer.address = address;
     peer.listedAt = now;
@@ -25,7 +25,7 @@
     if (vm == m_self) {
         return false;
     }
-    const auto [found, isNew] = m_peers.try_emplace(std::string(vm));
+    const auto [found, isNew] = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}});
     auto &peer = found->second;
     peer.place = place;
     peer.address = address;
@@ -107,7 +107,9 @@
 
 auto PeerTable::hearsNoPeer(TimePoint now) const -> bool
 {
-    const auto isHeard = [now](const auto &entry) { return now - entry.second.receivedAt < ReportLifetime; };
+    const auto isHeard = [now](const auto &entry) {
+        return now - std::max(entry.second.receivedAt, entry.second.knownSince) < ReportLifetime;
+    };
     return !m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), isHeard);
 }
 
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -108,6 +108,7 @@
         }
     }
     m_upstreamsRead = true;
+    m_context.upstreamsReadAt = m_context.clock.now();
     m_context.storeUnreachable = false;
 }
 
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -12,9 +12,10 @@
 
 } // namespace
 
-OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, const Clock &bootClock)
+OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock)
     : m_context(context)
     , m_exchange(exchange)
+    , m_directory(directory)
     , m_bootClock(bootClock)
     , m_timer(context.loop.timer([this]() { check(); }))
 {
@@ -35,7 +36,28 @@
 
 auto OriginController::mayMissVersions() const -> bool
 {
-    return m_gap.isOpen(m_bootClock.now()) || (m_context.storeUnreachable && m_exchange.hearsNoPeer());
+    if (m_gap.isOpen(m_bootClock.now())) {
+        return true;
+    }
+    // A VM whose peers are all silent may be cut off; a call to the store shows it only when its wait is over.
+    const bool storeWasRead = m_peersSilentSince && m_context.upstreamsReadAt >= *m_peersSilentSince && !m_context.storeUnreachable;
+    return m_exchange.hearsNoPeer() && !storeWasRead;
+}
+
+auto OriginController::checkPeers(TimePoint now) -> void
+{
+    const bool areSilent = m_exchange.hearsNoPeer();
+    if (areSilent == m_peersSilentSince.has_value()) {
+        return;
+    }
+    m_context.log.write("origins", areSilent ? "peers_silent" : "peers_heard",
+                        {{"silent_ms", m_peersSilentSince ? toMilliseconds(now - *m_peersSilentSince) : 0.0}});
+    if (areSilent) {
+        m_peersSilentSince = now;
+        m_directory.readUpstreamsAgain();
+    } else {
+        m_peersSilentSince.reset();
+    }
 }
 
 auto OriginController::announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void
@@ -173,6 +195,7 @@
     if (m_context.directory.size() > 0) {
         m_gap.tick(m_bootClock.now()); // it opens when the store has been read
     }
+    checkPeers(now);
     if (now - m_refreshedAt >= RefreshPeriod) {
         refreshVersions(now);
     }
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -11,7 +11,10 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "standin"))
 
+sys.path.insert(0, os.path.join(ROOT, "support"))
+
 from platform_fleet import Fleet, vm_settings  # noqa: E402
+from relay import Relay  # noqa: E402
 
 PROGRAM = os.environ.get("CURRANT_EDGE", os.path.join(ROOT, "build", "currant-edge"))
 
@@ -119,6 +122,7 @@
         self.fleet.store.hidden_prefix = hidden_prefix
         self.vm_count, self.grace = vms, grace
         self.vms, self.request_count = [], 0
+        self.relays = []  # between VMs and the store
         self.writers = []  # of streams that are read event by event
         self.vm_of = {}  # name of the VM that took a request, by its id
 
@@ -139,10 +143,30 @@
         for vm in self.vms:
             if vm.process:
                 await vm.process.wait()
+        for relay in self.relays:
+            relay.reset()
+            relay.close()
         for server in [self.fleet.store.server, *(upstream.server for upstream in self.fleet.upstreams)]:
             server.stop()
         await asyncio.sleep(0.05)  # lets the servers' connection handlers finish
 
+    async def relay_store(self, vms):
+        """Restarts the VMs so that each reaches the store through its own relay; returns the relays."""
+        relays = []
+        for vm in vms:
+            relay = Relay(0, int(self.fleet.store.address.rsplit(":", 1)[1]))
+            relays.append(relay)
+            with open(vm.path, encoding="utf-8") as file:
+                text = file.read()
+            with open(vm.path, "w", encoding="utf-8") as file:
+                file.write(text.replace(self.fleet.store.address, f"127.0.0.1:{relay.port}"))
+            vm.signal(signal.SIGKILL)
+            await vm.process.wait()
+            await vm.start()
+            await vm.wait_until_ready()
+        self.relays += relays
+        return relays
+
     def request_id(self):
         self.request_count += 1
         return f"req-{self.request_count}"
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import os
 import random
 import shutil
 import signal
@@ -18,13 +17,9 @@
 
 from limit_tests import CONTACT_S, excess
 from restore_tests import restore
-from rig import ROOT, Rig
+from rig import Rig
 from version_tests import Stream
 
-sys.path.insert(0, os.path.join(ROOT, "support"))
-
-from relay import Relay  # noqa: E402
-
 DRAIN_LIMIT_S = 2.5  # a draining upstream gets no new requests after this time
 RECOVERY_LIMIT_S = 12.0  # from the last fault until all VMs serve every kind of request
 KINDS = ("book", "check", "stream", "digest")
@@ -44,7 +39,7 @@
         self.seed, self.random = seed, random.Random(seed)
         # Every third run makes only planned changes, during which no request may be interrupted.
         self.planned_only = seed % 3 == 0
-        self.relays, self.responses, self.interrupted, self.drains = {}, [], [], {}
+        self.relay_of, self.responses, self.interrupted, self.drains = {}, [], [], {}
         self.store_faults, self.stopping = False, False
         self.poison = set()  # ids of the requests that crash the services that run them
         self.returning, self.version_refusals = [], []  # streams that callers continue; refusals because of their software version
@@ -57,24 +52,9 @@
             for number, engine in enumerate(self.fleet.engines):
                 engine.software_version = SOFTWARE_VERSIONS[number % 2]
                 engine.register()
-        for vm in self.vms:
-            relay = self.relays[vm.name] = Relay(0, int(self.fleet.store.address.rsplit(":", 1)[1]))
-            with open(vm.path, encoding="utf-8") as file:
-                text = file.read()
-            with open(vm.path, "w", encoding="utf-8") as file:
-                file.write(text.replace(self.fleet.store.address, f"127.0.0.1:{relay.port}"))
-            vm.signal(signal.SIGKILL)
-            await vm.process.wait()
-            await vm.start()
-            await vm.wait_until_ready()
+        self.relay_of = dict(zip((vm.name for vm in self.vms), await self.relay_store(self.vms)))
         return self
 
-    async def __aexit__(self, *error):
-        await super().__aexit__(*error)
-        for relay in self.relays.values():
-            relay.reset()
-            relay.close()
-
     # Callers
 
     async def caller(self):
@@ -177,7 +157,7 @@
         elif fault == "store":
             await self.inject_store_fault(duration_s)
         elif fault == "relay":
-            await self.inject_relay_fault(self.relays[vm.name], duration_s)
+            await self.inject_relay_fault(self.relay_of[vm.name], duration_s)
         elif fault == "restart_engine":
             await self.random.choice(self.fleet.engines).restart(self.random.choice(SOFTWARE_VERSIONS))
         elif fault == "crash":
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -235,6 +235,26 @@
         assert 200 in await returns
 
 
+async def a_vm_that_is_cut_off_does_not_guess():
+    """It has missed a version if one appeared, before a call to the store fails."""
+    async with MixedRig(vms=2, versions=("v1",)) as rig:
+        (relay,) = await rig.relay_store(rig.vms[1:])
+        await asyncio.sleep(2)
+        relay.cut = True
+        await rig.kill(rig.vms[0])
+        await asyncio.sleep(1.9)
+        assert await Stream(rig).open(rig.vms[1], **{"Last-Event-Id": 4, "Resumes": "never-seen"}) == 503
+
+
+async def a_vm_that_is_left_alone_relies_on_the_store():
+    async with MixedRig(vms=2, versions=("v1",)) as rig:
+        await rig.kill(rig.vms[0])
+        await asyncio.sleep(2.5)
+        stream = Stream(rig)
+        assert await stream.open(rig.vms[1], **{"Last-Event-Id": 4, "Resumes": "never-seen"}) == 200
+        await stream.read(8)
+
+
 async def streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned():
     async with MixedRig(vms=2, versions=("v1",), decode=2) as rig:
         streams = await begin_streams(rig, rig.vms[0], 4)
@@ -251,5 +271,6 @@
          callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
          streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
-         a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared,
+         a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared, a_vm_that_is_cut_off_does_not_guess,
+         a_vm_that_is_left_alone_relies_on_the_store,
          streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned]
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(smallFleetsReportToAllVms);
     CPPUNIT_TEST(largeFleetsReportToTheirPlace);
     CPPUNIT_TEST(messagesDoNotGrowWithTheSquareOfTheFleet);
+    CPPUNIT_TEST(peersAreSilentOnceTheyHaveHadTimeToReport);
     CPPUNIT_TEST(eachPlaceHasOneAggregator);
     CPPUNIT_TEST(holdersAreFoundByVmsWithOtherPeers);
     CPPUNIT_TEST(reportingVmsExpire);
@@ -92,6 +93,20 @@
         CPPUNIT_ASSERT(teller.hearsNoPeer(clock.now() + PeerTable::ReportLifetime));
     }
 
+    auto peersAreSilentOnceTheyHaveHadTimeToReport() -> void
+    {
+        ManualClock clock;
+        PeerTable table("vm0", "p");
+        CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
+        table.mergeListed("vm1", "p", {"10.0.0.1", 1}, clock.now());
+        CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
+        clock.advance(PeerTable::ReportLifetime);
+        table.mergeListed("vm1", "p", {"10.0.0.1", 1}, clock.now());
+        CPPUNIT_ASSERT(table.hearsNoPeer(clock.now()));
+        table.merge("vm1", "p", {"10.0.0.1", 1}, clock.now());
+        CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
+    }
+
     auto eachPlaceHasOneAggregator() -> void
     {
         ManualClock clock;
