--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -1,6 +1,9 @@
 // Benchmarks of single operations and of the memory that their state takes, at several sizes.
 #include "currantstack/announcer.h"
 #include "currantstack/config.h"
+#include "currantstack/decisions/peer_table.h"
+#include "currantstack/decisions/stream_origins.h"
+#include "currantstack/edge/origin_message.h"
 #include "currantstack/peers.h"
 #include "currantstack/placement.h"
 #include "currantstack/rendezvous.h"
@@ -143,6 +146,37 @@
     }
 }
 
+/// Finds the VMs that hold the origin of a stream and encodes it for them.
+auto tellOrigin(benchmark::State &state) -> void
+{
+    PeerTable peers("vm0", "place0");
+    for (int index = 1; index < state.range(0); ++index) {
+        peers.mergeListed(fmt::format("vm{}", index), fmt::format("place{}", index % PlaceCount), {"10.0.0.1", 7380}, Start);
+    }
+    Fingerprint stream = 0;
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        stream = hash64("attempt", stream);
+        benchmark::DoNotOptimize(peers.holders(stream, 3));
+        bytes = encodeOrigins({{{0x12345678U, {stream}}}, {}, {}}).size();
+    }
+    state.counters["datagram"] = static_cast<double>(bytes);
+}
+
+/// Records the origins of as many streams, and finds one.
+auto findOrigin(benchmark::State &state) -> void
+{
+    const double before = heapBytes();
+    StreamOrigins origins;
+    for (std::int64_t index = 0; index < state.range(0); ++index) {
+        origins.record(hash64("attempt", static_cast<std::uint64_t>(index)), {1, Start, false});
+    }
+    state.counters["bytes"] = heapBytes() - before;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(origins.find(hash64("attempt", 7), Start));
+    }
+}
+
 auto parseDocument(benchmark::State &state) -> void
 {
     const auto document = makeDocument(static_cast<int>(state.range(0)), state.range(0) > 1000 ? 660 : 20);
@@ -213,6 +247,8 @@
 BENCHMARK(requestAndReleaseSlot)->Arg(21)->Arg(400)->Arg(7900);
 BENCHMARK(decideWithQueue)->Arg(10)->Arg(100)->Arg(399)->Iterations(2000);
 BENCHMARK(findOwner)->Arg(7)->Arg(50)->Arg(390);
+BENCHMARK(tellOrigin)->Arg(7)->Arg(50)->Arg(390);
+BENCHMARK(findOrigin)->Arg(1000)->Arg(20000)->Arg(65536);
 BENCHMARK(parseDocument)->Arg(21)->Arg(400)->Arg(7900);
 BENCHMARK(mergeAnnouncement)->Arg(7)->Arg(50)->Arg(390);
 BENCHMARK(signAndVerify);
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -132,6 +132,15 @@
         assert all(stream.numbers == list(range(1, 13)) for stream in streams)
 
 
+async def streams_of_three_software_versions_go_on_at_their_own():
+    """A release that was rolled back half-way and begun again."""
+    async with MixedRig(vms=4, decode=6, versions=("v1", "v2", "v3")) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 18)
+        assert {version for stream in streams for version in stream.versions} == {"v1", "v2", "v3"}
+        await rig.kill(rig.vms[0])
+        assert await take_up(streams, rig.vms[1:]) == 18 * [200]
+
+
 async def callers_that_return_twice_stay_at_their_software_version():
     """Each return names the attempt that brought the first event, whichever VM relayed it."""
     async with MixedRig(vms=4) as rig:
@@ -268,7 +277,7 @@
 
 
 TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
-         callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
+         streams_of_three_software_versions_go_on_at_their_own, callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
          streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
          a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared, a_vm_that_is_cut_off_does_not_guess,
