Callers go on after all VMs have restarted, without waiting for reports

Cause: a VM that has just started knew its peers only once they had reported to it, or 2 s later from the store's list; without a first attempt it asked nobody which versions there were. The test streams_of_one_software_version_go_on_after_all_vms_have_restarted failed.

Such a VM reads the list of VMs when the first caller comes back, and then asks; entries of VMs outlive a restart. That also lets a restarted VM of a large fleet ask those that hold a stream's origin, not just its neighbours. Callers without a first attempt wait for the answers too.

--- a/include/currantstack/decisions/knowledge_gap.h
+++ b/include/currantstack/decisions/knowledge_gap.h
@@ -18,6 +18,14 @@
     /// A VM that reaches no peer relies on the store after this time.
     static constexpr Duration Lifetime = seconds(2);
 
+    /// Records the start, unless timers run already.
+    auto begin(TimePoint now) -> void
+    {
+        if (!m_tickedAt) {
+            tick(now);
+        }
+    }
+
     /// Records that timers run; to be called several times per `SuspensionTime`.
     auto tick(TimePoint now) -> void
     {
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -37,6 +37,12 @@
     /// Updates the peers from the store's list of VMs.
     auto setPeers(const VmRecords &vms) -> void;
 
+    /// Returns whether the store's list of VMs has been read.
+    auto knowsPeers() const -> bool
+    {
+        return m_peersListed;
+    }
+
     /// Sets the receiver of the datagrams that begin with `QuarantineMagic`.
     auto setReportHandler(std::function<void(std::string_view bytes)> handler) -> void
     {
@@ -98,6 +104,7 @@
     EdgeContext &m_context;
     DirectoryController &m_directory;
     PeerTable m_peers;
+    bool m_peersListed = false;
     std::function<void(std::string_view bytes)> m_onReport;
     std::function<void(std::string_view bytes, const SocketAddress &from)> m_onOrigins;
     std::unique_ptr<Timer> m_timer;
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -22,15 +22,17 @@
     static constexpr std::size_t AskedVms = 5;
     static constexpr Duration AskPeriod = milliseconds(100); // over twice the way between regions
     static constexpr int MaxAsks = 3;
-    /// A VM that has just started knows its peers once each has reported to it.
-    static constexpr int MaxAsksWithoutPeers = 1 + LoadExchange::IdlePeriod / AskPeriod;
+    /// A VM that has just started reads the list of VMs before it asks them.
+    static constexpr Duration ListWaitPeriod = milliseconds(20);
+    static constexpr int MaxListWaits = 20;
     static constexpr Duration CheckPeriod = milliseconds(250);
     static constexpr Duration RefreshPeriod = seconds(1);
     /// Streams that began earlier have ended when a second version appears.
     static constexpr Duration ToldAge = seconds(20);
 
-    /// `bootClock` also advances while the process or its machine is suspended.
-    OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock);
+    /// `bootClock` also advances while the process or its machine is suspended; `readVms` reads the store's list of VMs.
+    OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock,
+                     std::function<void()> readVms);
 
     auto start() -> void;
 
@@ -40,6 +42,7 @@
         std::vector<OriginFound> callbacks;
         std::unique_ptr<Timer> timer;
         TimePoint begunAt;
+        int listWaits = 0;
         int asks = 0;
         std::size_t asked = 0; // VMs
         std::set<std::string> unaware; // VMs that do not know the stream
@@ -63,6 +66,7 @@
     LoadExchange &m_exchange;
     DirectoryController &m_directory;
     const Clock &m_bootClock;
+    std::function<void()> m_readVms;
     KnowledgeGap m_gap;
     std::optional<TimePoint> m_peersSilentSince; // all of them
     std::unique_ptr<Timer> m_timer;
--- a/include/currantstack/edge/vm_registry.h
+++ b/include/currantstack/edge/vm_registry.h
@@ -29,6 +29,9 @@
 
     auto start() -> void;
 
+    /// Reads the list now, and again after `FirstReadDelay`.
+    auto readNow() -> void;
+
     /// Stops renewing the lease, so that the entry expires.
     auto stop() -> void;
 
@@ -46,6 +49,7 @@
     std::function<void(const VmRecords &)> m_onVms;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_readTimer;
+    Duration m_readPeriod = ReadPeriod; // until the next read
     std::int64_t m_leaseId = 0; // 0: none
     bool m_registered = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -61,7 +61,7 @@
         , directory(context, *adapter.codec, *store)
         , exchange(context, directory)
         , quarantine(context, *adapter.codec, *store, exchange)
-        , origins(context, exchange, directory, bootClock)
+        , origins(context, exchange, directory, bootClock, [this]() { registry.readNow(); })
         , registry(context, *adapter.codec, *store, [this](const VmRecords &records) { onVms(records); })
         , orderHolder(context, *adapter.codec, *store, bootClock)
         , roles(context, orderHolder)
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -80,6 +80,7 @@
         m_peers.mergeListed(name, record.place, record.peerAddress, now);
     }
     m_peers.expire(now);
+    m_peersListed = true;
     m_context.remoteLoadsAreAggregates = !m_peers.isSmall();
     m_context.rateLimiter.setVms(m_peers.size() + 1);
     m_context.rateLimiter.setReportLag(m_peers.isSmall() ? FleetRateLimiter::SmallFleetLag : FleetRateLimiter::LargeFleetLag);
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -12,11 +12,13 @@
 
 } // namespace
 
-OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock)
+OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock,
+                                   std::function<void()> readVms)
     : m_context(context)
     , m_exchange(exchange)
     , m_directory(directory)
     , m_bootClock(bootClock)
+    , m_readVms(std::move(readVms))
     , m_timer(context.loop.timer([this]() { check(); }))
 {
     context.originHooks = {
@@ -78,6 +80,7 @@
         callback(known);
         return;
     }
+    m_gap.begin(m_bootClock.now());
     auto &inquiry = m_inquiries[stream];
     inquiry.callbacks.push_back(std::move(callback));
     if (inquiry.timer) {
@@ -91,8 +94,17 @@
 auto OriginController::ask(Fingerprint stream) -> void
 {
     auto &inquiry = m_inquiries[stream];
-    if (inquiry.asks++ >= (inquiry.asked == 0 ? MaxAsksWithoutPeers : MaxAsks)) {
-        if (inquiry.asked == 0 || !inquiry.unaware.empty()) {
+    if (!m_exchange.knowsPeers() && inquiry.listWaits < MaxListWaits) {
+        if (m_inquiries.size() == 1 && inquiry.listWaits == 0) {
+            m_readVms();
+        }
+        ++inquiry.listWaits;
+        inquiry.timer->startOnce(ListWaitPeriod);
+        return;
+    }
+    const bool isAlone = inquiry.asks > 0 && inquiry.asked == 0;
+    if (isAlone || inquiry.asks++ == MaxAsks) {
+        if (isAlone || !inquiry.unaware.empty()) {
             m_gap.close(m_bootClock.now()); // nobody who can be reached knows more
         }
         resolve(stream, std::nullopt);
@@ -100,7 +112,7 @@
     }
     m_context.counters.at("stream_origins_asked").add();
     inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}}), stream, AskedVms);
-    inquiry.timer->startOnce(AskPeriod); // a VM that has just started gets to know its peers meanwhile
+    inquiry.timer->startOnce(inquiry.asked == 0 ? Duration::zero() : AskPeriod);
 }
 
 auto OriginController::resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -50,12 +50,14 @@
 
 auto StreamRequest::continueStream() -> void
 {
-    const auto &metadata = m_request.metadata;
-    if (metadata.firstAttemptId.empty() || planContinuation(versionKnowledge(), std::nullopt).where == Continuation::AtAnyEngine) {
+    const auto &firstAttemptId = m_request.metadata.firstAttemptId;
+    const auto knowledge = versionKnowledge();
+    const bool isAnonymous = firstAttemptId.empty() && !knowledge.mayBeOutdated; // otherwise peers tell at least the versions
+    if (isAnonymous || planContinuation(knowledge, std::nullopt).where == Continuation::AtAnyEngine) {
         continueFrom(std::nullopt);
         return;
     }
-    m_context.originHooks.find(metadata.firstAttemptId, [self = shared_from_this()](const auto &origin) {
+    m_context.originHooks.find(firstAttemptId, [self = shared_from_this()](const auto &origin) {
         if (!self->m_done) {
             self->continueFrom(origin);
         }
--- a/src/edge/vm_registry.cc
+++ b/src/edge/vm_registry.cc
@@ -32,6 +32,12 @@
     m_readTimer->startOnce(FirstReadDelay);
 }
 
+auto VmRegistry::readNow() -> void
+{
+    m_readPeriod = FirstReadDelay;
+    readOthers();
+}
+
 auto VmRegistry::readOthers() -> void
 {
     m_store.readStale(m_codec.vmsPrefix(), [this, alive = m_alive](const Result<StoreRange> &range) {
@@ -54,7 +60,7 @@
             records.insert_or_assign(std::move(name), std::move(*record));
         }
         m_onVms(records);
-        m_readTimer->startOnce(ReadPeriod);
+        m_readTimer->startOnce(std::exchange(m_readPeriod, ReadPeriod));
     });
 }
 
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -244,6 +244,22 @@
         assert 200 in await returns
 
 
+async def streams_of_one_software_version_go_on_after_all_vms_have_restarted():
+    """Also if their callers name no first attempt."""
+    async with MixedRig(vms=3, versions=("v1",)) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 4)
+        await asyncio.gather(*(rig.kill(vm) for vm in rig.vms))
+        await asyncio.gather(*(vm.start() for vm in rig.vms))
+        await asyncio.gather(*(vm.wait_until_ready() for vm in rig.vms))
+        begin = time.monotonic()
+        assert await take_up(streams, rig.vms[1:]) == 4 * [200]
+        await rig.kill(rig.vms[0])
+        await rig.vms[0].start()
+        await rig.vms[0].wait_until_ready()
+        assert await Stream(rig).open(rig.vms[0], **{"Last-Event-Id": 4}) == 200
+        assert time.monotonic() - begin < 2.5
+
+
 async def a_vm_that_is_cut_off_does_not_guess():
     """It has missed a version if one appeared, before a call to the store fails."""
     async with MixedRig(vms=2, versions=("v1",)) as rig:
@@ -281,5 +297,5 @@
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
          streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
          a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared, a_vm_that_is_cut_off_does_not_guess,
-         a_vm_that_is_left_alone_relies_on_the_store,
+         a_vm_that_is_left_alone_relies_on_the_store, streams_of_one_software_version_go_on_after_all_vms_have_restarted,
          streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned]
--- a/test/knowledge_gap-test.cc
+++ b/test/knowledge_gap-test.cc
@@ -29,8 +29,8 @@
     {
         CPPUNIT_ASSERT(m_gap.isOpen(m_now));
         m_gap.close(m_now);
-        CPPUNIT_ASSERT_MESSAGE("closed before the first tick", m_gap.isOpen(m_now));
-        run(TickPeriod);
+        CPPUNIT_ASSERT_MESSAGE("closed before the start", m_gap.isOpen(m_now));
+        m_gap.begin(m_now);
         CPPUNIT_ASSERT(m_gap.isOpen(m_now));
         m_gap.close(m_now);
         CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
