--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "currantstack/clock.h"
+#include "currantstack/decisions/relay_choice.h"
 #include "currantstack/placement.h"
 #include "currantstack/socket_address.h"
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +41,21 @@
     /// Adds or updates a VM from which a datagram was received. Returns true if it was not known.
     auto merge(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> bool;
 
+    /// Records the services from whose upstreams the VM reports to be cut off.
+    auto setCutOff(std::string_view vm, std::vector<std::string> services) -> void;
+
+    /// Records the services from whose upstreams most VMs of another place are cut off.
+    auto setPlaceCutOff(std::string_view place, std::vector<std::string> services, TimePoint now) -> void;
+
+    /// Returns the services from whose upstreams most VMs of this VM's place are cut off; `own` are those of this VM.
+    auto placeCutOff(std::span<const std::string> own, TimePoint now) const -> std::vector<std::string>;
+
+    /// Returns the VMs that may forward a request for the service: those not known to be cut off from it.
+    auto relayCandidates(std::string_view service, const PlaceMap &places, TimePoint now) const -> std::vector<RelayCandidate>;
+
+    /// Returns whether a VM has this address.
+    auto hasAddress(std::string_view ip) const -> bool;
+
     /// Drops the VMs that are neither listed nor send datagrams.
     auto expire(TimePoint now) -> void;
 
@@ -86,11 +103,19 @@
         TimePoint knownSince;
         TimePoint receivedAt; // last datagram
         TimePoint listedAt;
+        std::vector<std::string> cutOff; // services, as last reported
+    };
+
+    struct PlaceReport
+    {
+        std::vector<std::string> cutOff; // services
+        TimePoint at;
     };
 
     std::string m_self;
     std::string m_place;
     std::map<std::string, Peer, std::less<>> m_peers;
+    std::map<std::string, PlaceReport, std::less<>> m_placeReports; // of other places in a large fleet
 };
 
 } // namespace currantstack
--- /dev/null
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -0,0 +1,104 @@
+// Tells a VM that has lost its links to a service's upstreams from upstreams that have ended.
+#pragma once
+
+#include "currantstack/clock.h"
+#include "currantstack/decisions/upstream_directory.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantstack
+{
+
+/// Collects the outcomes of this VM's new connections to upstreams. Open connections prove nothing, because they may outlive a cut.
+class UpstreamReach
+{
+public:
+    /// A VM is cut off from a group of upstreams when its last connections to this many of them failed, or to all of a smaller group.
+    static constexpr std::size_t FailuresUntilCutOff = 3;
+    /// A VM is not cut off any more when this many upstreams, or all of a smaller group, have answered since.
+    static constexpr std::size_t AnswersUntilReached = 2;
+    /// Time for which an outcome counts.
+    static constexpr Duration OutcomeLifetime = seconds(8);
+
+    /// The beginning or the end of a cut.
+    struct Change
+    {
+        bool isCutOff = false;
+        std::size_t upstreams = 0; // whose outcomes decided it
+        Duration oldest = Duration::zero(); // age of the oldest of these outcomes
+    };
+
+    /// Records that the upstream answered on a connection that was opened at `openedAt`. Returns the upstreams of the service whose
+    /// refused connections prove their end now that this VM's links are known to work.
+    auto onReached(const Upstream &upstream, TimePoint openedAt) -> std::vector<Upstream>;
+
+    /// Records that a connection opened at `openedAt` failed: it was not established, or was closed before any answer.
+    auto onFailed(const Upstream &upstream, TimePoint openedAt) -> void;
+
+    /// Records that the upstream's host refused a connection. This proves nothing until another upstream answers on a later connection.
+    auto onRefused(const Upstream &upstream, TimePoint openedAt) -> void;
+
+    /// Updates whether this VM is cut off from the group: the usable upstreams of one service that have the same role.
+    auto update(std::span<const Upstream *const> group, TimePoint now) -> std::optional<Change>;
+
+    auto isCutOff(std::string_view service, EngineRole role) const -> bool;
+
+    /// Returns whether this VM is cut off from the upstreams that answer the service's callers: decode engines or plain upstreams.
+    auto isCutOff(std::string_view service) const -> bool;
+
+    /// Returns whether the last connection to the upstream failed.
+    auto isUnreached(std::string_view upstream, TimePoint now) const -> bool;
+
+    /// Returns whether the upstream has answered on a connection that was opened at or after this time.
+    auto hasReached(std::string_view upstream, TimePoint since) const -> bool;
+
+    /// Returns the upstream of a group to probe: the one that was tried longest ago, and has not answered since the cut.
+    auto nextProbe(std::span<const Upstream *const> group) const -> const Upstream *;
+
+    /// Returns the services for which `isCutOff` holds.
+    auto cutOffServices() const -> std::vector<std::string>;
+
+    /// Returns the services with refused connections that an answer of another upstream would prove to be the end of an upstream.
+    auto unprovedServices() const -> std::vector<std::string>;
+
+    /// Returns an upstream that refused connections while this VM was cut off from its group, and must be tried again now.
+    auto nextDoubtful() const -> const Upstream *;
+
+    /// Drops outcomes that are too old to count.
+    auto expire(TimePoint now) -> void;
+
+private:
+    struct Outcome
+    {
+        TimePoint reachedAt; // opening time of the last connection on which the upstream answered
+        TimePoint failedAt; // opening time of the last connection that failed
+    };
+
+    struct Refusal
+    {
+        Upstream upstream;
+        TimePoint openedAt;
+        bool isDoubtful = false; // from a time when this VM was cut off from the group
+    };
+
+    struct Group
+    {
+        bool isCutOff = false;
+        TimePoint reachedAt; // opening time of the last connection on which any upstream answered
+        std::set<std::string> answered; // since the cut
+    };
+
+    using GroupKey = std::pair<std::string, EngineRole>;
+
+    std::map<std::string, Outcome, std::less<>> m_outcomes; // by upstream
+    std::map<std::string, Refusal, std::less<>> m_refusals; // by upstream
+    std::map<GroupKey, Group> m_groups;
+};
+
+} // namespace currantstack
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -8,13 +8,16 @@
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/relay_choice.h"
 #include "currantstack/decisions/request_attempts.h"
 #include "currantstack/decisions/software_versions.h"
 #include "currantstack/decisions/stream_origins.h"
 #include "currantstack/decisions/upstream_directory.h"
+#include "currantstack/decisions/upstream_reach.h"
 #include "currantstack/edge/latencies.h"
 #include "currantstack/edge/pending_queue.h"
 #include "currantstack/edge/protocol.h"
+#include "currantstack/edge/relay_message.h"
 #include "currantstack/edge/settings.h"
 #include "currantstack/event_log.h"
 #include "currantstack/fingerprint.h"
@@ -48,6 +51,13 @@
     std::function<bool()> mayMissVersions;
 };
 
+/// Access to the VMs that forward requests for this one.
+struct RelayHooks
+{
+    /// Returns the VMs that may forward a request for the service.
+    std::function<std::vector<RelayCandidate>(std::string_view service)> candidates;
+};
+
 /// All users run on one event loop. Only the controllers change the state.
 struct EdgeContext
 {
@@ -80,6 +90,9 @@
     SoftwareVersions versions = {};
     StreamOrigins origins = {};
     OriginHooks originHooks = {};
+    UpstreamReach reach = {};
+    RelayHooks relayHooks = {};
+    std::map<std::string, int, std::less<>> relayedInFlight = {}; // requests that other VMs forward for this one, by VM
     bool storeUnreachable = false; // so the directory may be outdated
     TimePoint upstreamsReadAt = {}; // completely, from the store
     bool draining = false;
@@ -133,6 +146,7 @@
     const Route *route = nullptr; // points into `routeTable`
     std::string service;
     TimePoint arrivedAt;
+    std::optional<RelayInfo> relay; // set if another VM took the request from its caller
 
     /// Returns the time by which the caller must have its answer: the earlier of the route's timeout and the caller's own deadline.
     auto deadline() const -> TimePoint
--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -28,8 +28,15 @@
 /// unless the upstream has promised that itself.
 auto mayForward(int status, const AnswerHead &head) -> bool;
 
-/// Reports a failed call to the crash detector if the failure says something about the upstream's process.
-auto observeFailedCall(EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, const Error &error) -> void;
+/// Records what a failed call, sent at `sentAt` on a connection of its own, says about the upstream's process and this VM's links.
+auto observeFailedCall(EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, const Error &error, TimePoint sentAt)
+    -> void;
+
+/// Returns the attempts that the request may make here: the route's, less those of the VM that took it.
+auto attemptsOf(const IncomingRequest &request) -> RequestAttempts;
+
+/// Counts the request in the retry budget and the rate limits, unless the VM that took it has done so.
+auto countRequest(EdgeContext &context, const IncomingRequest &request) -> void;
 
 /// Records the limit that the upstream's response names, or that it names none, and logs what changed.
 auto observeLimit(EdgeContext &context, const Upstream &upstream, int status, const AnswerHead &head, TimePoint sentAt) -> void;
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -84,6 +84,18 @@
     /// Sends the datagram to `count` VMs chosen at random.
     auto sendToSome(std::string_view bytes, std::size_t count) -> void;
 
+    /// Returns the VMs that may forward a request for the service; see `PeerTable::relayCandidates`.
+    auto relayCandidates(std::string_view service) const -> std::vector<RelayCandidate>
+    {
+        return m_peers.relayCandidates(service, m_context.settings.places, m_context.clock.now());
+    }
+
+    /// Returns whether another VM has this address.
+    auto isPeer(std::string_view ip) const -> bool
+    {
+        return m_peers.hasAddress(ip);
+    }
+
     /// Returns the number of VMs, including this one, whose store revisions reach this VM.
     auto reportingVms() const -> std::size_t
     {
--- a/include/currantstack/edge/load_message.h
+++ b/include/currantstack/edge/load_message.h
@@ -39,6 +39,7 @@
     std::vector<UpstreamLoad> loads;
     std::vector<RateLimitReport> limits;
     std::vector<SoftwareVersionNotice> versions; // of the services that have several
+    std::vector<std::string> cutOff; // services whose upstreams the sender, or most VMs of its place, cannot reach
 };
 
 auto encodeLoad(const LoadMessage &message) -> std::string;
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -101,6 +101,9 @@
     /// Returns the headers for the upstream: the caller's, without hop-by-hop headers and the router's own headers, plus those of `spec`.
     virtual auto forwardHeaders(const HttpRequest &request, const ForwardSpec &spec) const -> Headers = 0;
 
+    /// Returns the headers for another VM that forwards the request: the caller's, without hop-by-hop headers.
+    virtual auto relayHeaders(const HttpRequest &request) const -> Headers = 0;
+
     /// Returns the headers of the response to the caller from those of the upstream's response.
     virtual auto answerHeaders(const Headers &headers) const -> Headers = 0;
 
@@ -116,6 +119,12 @@
     /// Returns the call that releases a reservation.
     virtual auto dropReservationCall(const Upstream &engine, std::string_view reservation) const -> HttpCall = 0;
 
+    /// Returns a call to which an upstream at the path responds, whatever its state.
+    virtual auto probeCall(const Upstream &upstream, std::string_view healthPath) const -> HttpCall = 0;
+
+    /// Returns whether the response to a probe proves that another upstream now runs at the address.
+    virtual auto isOtherUpstream(const HttpResponse &response, const Upstream &upstream) const -> bool = 0;
+
     /// Returns the call that fetches the engine's state.
     virtual auto reportCall(const Upstream &engine) const -> HttpCall = 0;
     virtual auto parseReport(const HttpResponse &response) const -> Result<EngineState> = 0;
--- /dev/null
+++ b/include/currantstack/edge/reach_controller.h
@@ -0,0 +1,62 @@
+// Probes the upstreams that this VM cannot reach, and takes requests from VMs that cannot reach theirs.
+#pragma once
+
+#include "currantstack/edge/context.h"
+#include "currantstack/edge/load_exchange.h"
+
+namespace currantstack
+{
+
+/// Probes upstreams while this VM is cut off from them, and others of a service whose upstreams refuse connections.
+class ReachController
+{
+public:
+    static constexpr Duration ShortestPeriod = milliseconds(200); // between probes; drawn at random, which spreads the VMs' returns
+    static constexpr Duration LongestPeriod = milliseconds(400);
+
+    ReachController(EdgeContext &context, LoadExchange &exchange);
+
+    auto start() -> void;
+
+private:
+    auto check() -> void;
+    auto probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void;
+    auto probe(const Upstream &upstream, std::string_view healthPath) -> void;
+
+    EdgeContext &m_context;
+    std::unique_ptr<Timer> m_timer;
+};
+
+/// Receives the requests that other VMs cannot send to upstreams. `handle` forwards one as if its caller had sent it to this VM.
+class RelayEntrance
+{
+public:
+    using Handler = std::function<void(const ExchangePtr &exchange, RelayInfo info)>;
+
+    static constexpr unsigned MaxConnections = 1000;
+    static constexpr std::size_t MaxRequests = 500; // under way for other VMs
+
+    RelayEntrance(EdgeContext &context, const LoadExchange &exchange, Handler handler);
+
+    /// Listens on the address of this VM that other VMs send their datagrams to.
+    auto start(std::size_t maxBody) -> Result<void>;
+
+    /// Returns the number of requests under way for other VMs.
+    auto active() const -> std::size_t
+    {
+        return m_server ? m_server->active() : 0;
+    }
+
+private:
+    auto onRequest(const ExchangePtr &exchange) -> void;
+
+    EdgeContext &m_context;
+    const LoadExchange &m_exchange;
+    Handler m_handler;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+/// Returns a refusal of a request from another VM, which then asks a third one.
+auto relayRefusal(const EdgeContext &context, std::string_view reason) -> HttpResponse;
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/edge/relay_message.h
@@ -0,0 +1,35 @@
+// What a VM that cannot reach a service's upstreams tells the VM that forwards a request for it, in one header.
+#pragma once
+
+#include "currantstack/clock.h"
+#include "currantstack/error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace currantstack
+{
+
+inline constexpr std::string_view RelayHeader = "Currant-Relay"; // of requests between VMs
+inline constexpr std::string_view RelayRefusedHeader = "Currant-Relay-Refused"; // of a response: another VM may take the request
+
+/// State of a request at the VM that took it from its caller.
+struct RelayInfo
+{
+    std::string vm; // that took the request
+    Duration age = Duration::zero(); // since the request arrived there
+    int sends = 0; // attempts that count against the route's limit
+    bool counted = false; // the request is already counted in the retry budget and the rate limits
+    std::int64_t routesVersion = 0; // in force at that VM
+    std::int64_t lastEventId = 0; // of the stream that goes on; 0: as the caller says
+    std::string firstAttemptId; // of the stream that goes on
+};
+
+/// Returns the header's value.
+auto encodeRelay(const RelayInfo &info) -> std::string;
+
+/// Returns the error if the value is malformed.
+auto decodeRelay(std::string_view value) -> Result<RelayInfo>;
+
+} // namespace currantstack
--- a/include/currantstack/edge/request_chain.h
+++ b/include/currantstack/edge/request_chain.h
@@ -13,7 +13,7 @@
 using EdgeFilter = std::function<std::optional<HttpResponse>(EdgeContext &context, IncomingRequest &request)>;
 
 /// Returns the filters in order: VM not stopping, routes loaded, request id present, route found, body size within limits, request
-/// not quarantined, service chosen.
+/// not quarantined, service chosen, upstreams of the service reached.
 auto edgeFilters() -> std::vector<EdgeFilter>;
 
 /// Runs the filters and forwards the request by its route's kind.
@@ -25,9 +25,12 @@
         , m_filters(edgeFilters())
     { }
 
-    auto handle(const ExchangePtr &exchange) -> void;
+    /// Handles a request of a caller, or one that another VM has taken from its caller.
+    auto handle(const ExchangePtr &exchange, std::optional<RelayInfo> relay = std::nullopt) -> void;
 
 private:
+    auto forward(IncomingRequest request) -> void;
+
     EdgeContext &m_context;
     std::vector<EdgeFilter> m_filters;
 };
--- /dev/null
+++ b/include/currantstack/edge/upstream_links.h
@@ -0,0 +1,24 @@
+// Records what calls to upstreams show about this VM's links, and acts on the beginning and the end of a cut.
+#pragma once
+
+#include "currantstack/edge/context.h"
+
+namespace currantstack
+{
+
+/// Records that the upstream answered on a connection that was opened at `openedAt`.
+auto recordReached(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void;
+
+/// Records a call on a connection of its own that failed, if its error says something about the link.
+auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
+
+/// Records a probe that failed for any reason.
+auto recordFailedProbe(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
+
+/// Records that the upstream has ended: another one answers at its address, or its host refuses connections over a sound link.
+auto recordEnd(EdgeContext &context, const Upstream &upstream) -> void;
+
+/// Records that the upstream has not answered in time on a connection that was opened at `openedAt`.
+auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void;
+
+} // namespace currantstack
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -29,6 +29,7 @@
     bool exactHeaders = false; // suppresses libcurl's default Accept, Content-Type and User-Agent
     std::size_t maxHead = 64U << 10; // bytes of all heads and trailers of the response; a longer one fails the call
     std::size_t maxBody = 8U << 20; // bytes of a buffered body; a longer one fails the call
+    std::string sourceIp; // local address of the connection; empty: chosen by the system
     std::string target; // request target to send verbatim; empty: the URL's path and query
     std::string step; // name of the operation, for errors
     std::string peer; // name of the server, for errors
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -30,6 +30,12 @@
         return m_request;
     }
 
+    /// Removes the header from the request and returns its value, or an empty text if there is none.
+    auto takeHeader(std::string_view name) -> std::string;
+
+    /// Returns the IPv4 address of the caller.
+    auto callerIp() const -> std::string;
+
     /// Sends the complete response. Ignored if a response has been started.
     auto respond(HttpResponse response) -> void;
 
--- a/src/base/exchange.cc
+++ b/src/base/exchange.cc
@@ -1,6 +1,9 @@
 // The response side of a request, and the detection of callers that disconnect.
 #include "http_server_core.h"
 
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 namespace currantstack
@@ -68,6 +71,24 @@
     core->scheduleRun();
 }
 
+auto Exchange::takeHeader(std::string_view name) -> std::string
+{
+    std::string value(m_request.header(name));
+    std::erase_if(m_request.headers, [name](const Header &header) { return equalIgnoringCase(header.name, name); });
+    return value;
+}
+
+auto Exchange::callerIp() const -> std::string
+{
+    std::array<char, INET_ADDRSTRLEN> text{};
+    const auto *info = m_completed ? nullptr : MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == nullptr || info->client_addr->sa_family != AF_INET) {
+        return {};
+    }
+    inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in *>(info->client_addr)->sin_addr, text.data(), text.size());
+    return text.data();
+}
+
 auto Exchange::respond(HttpResponse response) -> void
 {
     if (m_answered || m_completed) {
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -61,6 +61,9 @@
         curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
     }
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxConnectionIdleTime);
+    if (!options.sourceIp.empty()) {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + options.sourceIp).c_str());
+    }
     if (!options.target.empty()) {
         curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, options.target.c_str());
     }
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -9,12 +9,22 @@
 namespace currantstack
 {
 
+namespace
+{
+
+auto contains(std::span<const std::string> services, std::string_view service) -> bool
+{
+    return std::find(services.begin(), services.end(), service) != services.end();
+}
+
+} // namespace
+
 auto PeerTable::mergeListed(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> void
 {
     if (vm == m_self) {
         return;
     }
-    auto &peer = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}}).first->second;
+    auto &peer = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}, {}}).first->second;
     peer.place = place;
     peer.address = address;
     peer.listedAt = now;
@@ -25,7 +35,7 @@
     if (vm == m_self) {
         return false;
     }
-    const auto [found, isNew] = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}});
+    const auto [found, isNew] = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}, {}});
     auto &peer = found->second;
     peer.place = place;
     peer.address = address;
@@ -33,6 +43,67 @@
     return isNew;
 }
 
+auto PeerTable::setCutOff(std::string_view vm, std::vector<std::string> services) -> void
+{
+    if (const auto found = m_peers.find(vm); found != m_peers.end()) {
+        found->second.cutOff = std::move(services);
+    }
+}
+
+auto PeerTable::setPlaceCutOff(std::string_view place, std::vector<std::string> services, TimePoint now) -> void
+{
+    if (place != m_place) {
+        m_placeReports.insert_or_assign(std::string(place), PlaceReport{std::move(services), now});
+    }
+}
+
+auto PeerTable::placeCutOff(std::span<const std::string> own, TimePoint now) const -> std::vector<std::string>
+{
+    std::size_t reporting = 1;
+    std::map<std::string, std::size_t> cutOff; // VMs by service
+    const auto count = [&cutOff](std::span<const std::string> services) {
+        for (const auto &service : services) {
+            ++cutOff[service];
+        }
+    };
+    count(own);
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.place == m_place && now - peer.receivedAt < ReportLifetime) {
+            ++reporting;
+            count(peer.cutOff);
+        }
+    }
+    std::vector<std::string> result;
+    for (const auto &[service, vms] : cutOff) {
+        if (2 * vms > reporting) {
+            result.push_back(service);
+        }
+    }
+    return result;
+}
+
+auto PeerTable::relayCandidates(std::string_view service, const PlaceMap &places, TimePoint now) const -> std::vector<RelayCandidate>
+{
+    std::vector<RelayCandidate> result;
+    for (const auto &[vm, peer] : m_peers) {
+        const bool reports = now - peer.receivedAt < ReportLifetime;
+        const auto place = m_placeReports.find(peer.place);
+        const bool isPlaceCutOff =
+            place != m_placeReports.end() && now - place->second.at < ReportLifetime && contains(place->second.cutOff, service);
+        const bool isCutOff = reports ? contains(peer.cutOff, service) : isPlaceCutOff;
+        const bool isSilent = !reports && (isSmall() || peer.place == m_place); // it would report if it ran
+        if (!isCutOff && !isSilent) {
+            result.push_back({vm, peer.address, places.distance(m_place, peer.place), reports, 0});
+        }
+    }
+    return result;
+}
+
+auto PeerTable::hasAddress(std::string_view ip) const -> bool
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [ip](const auto &entry) { return entry.second.address.ip == ip; });
+}
+
 auto PeerTable::expire(TimePoint now) -> void
 {
     std::erase_if(m_peers, [now](const auto &entry) {
--- /dev/null
+++ b/src/decisions/upstream_reach.cc
@@ -0,0 +1,160 @@
+#include "currantstack/decisions/upstream_reach.h"
+
+#include <algorithm>
+
+namespace currantstack
+{
+
+auto UpstreamReach::onReached(const Upstream &upstream, TimePoint openedAt) -> std::vector<Upstream>
+{
+    auto &outcome = m_outcomes[upstream.id];
+    outcome.reachedAt = std::max(outcome.reachedAt, openedAt);
+    auto &group = m_groups[{upstream.service, upstream.role}];
+    group.reachedAt = std::max(group.reachedAt, openedAt);
+    if (group.isCutOff && openedAt > outcome.failedAt) {
+        group.answered.insert(upstream.id);
+    }
+    m_refusals.erase(upstream.id);
+    std::vector<Upstream> proved;
+    std::erase_if(m_refusals, [&](const auto &entry) {
+        const bool isProved =
+            !entry.second.isDoubtful && entry.second.openedAt < openedAt && entry.second.upstream.service == upstream.service;
+        if (isProved) {
+            proved.push_back(entry.second.upstream);
+        }
+        return isProved;
+    });
+    return proved;
+}
+
+auto UpstreamReach::onFailed(const Upstream &upstream, TimePoint openedAt) -> void
+{
+    auto &outcome = m_outcomes[upstream.id];
+    outcome.failedAt = std::max(outcome.failedAt, openedAt);
+    m_groups[{upstream.service, upstream.role}].answered.erase(upstream.id);
+}
+
+auto UpstreamReach::onRefused(const Upstream &upstream, TimePoint openedAt) -> void
+{
+    onFailed(upstream, openedAt);
+    m_refusals.insert_or_assign(upstream.id, Refusal{upstream, openedAt, m_groups[{upstream.service, upstream.role}].isCutOff});
+}
+
+auto UpstreamReach::update(std::span<const Upstream *const> group, TimePoint now) -> std::optional<Change>
+{
+    if (group.empty()) {
+        return std::nullopt;
+    }
+    const GroupKey key{group.front()->service, group.front()->role};
+    // Lost links to one group make a single failure at another one credible.
+    const bool isCutOffElsewhere =
+        std::any_of(m_groups.begin(), m_groups.end(), [&key](const auto &entry) { return entry.first != key && entry.second.isCutOff; });
+    auto &state = m_groups[key];
+    if (state.isCutOff) {
+        if (state.answered.size() < std::min(AnswersUntilReached, group.size())) {
+            return std::nullopt;
+        }
+        state.isCutOff = false;
+        return Change{false, state.answered.size(), now - state.reachedAt};
+    }
+    Change change{true, 0, Duration::zero()};
+    for (const auto *upstream : group) {
+        const auto found = m_outcomes.find(upstream->id);
+        if (found != m_outcomes.end() && found->second.failedAt > state.reachedAt && now - found->second.failedAt < OutcomeLifetime) {
+            ++change.upstreams;
+            change.oldest = std::max<Duration>(change.oldest, now - found->second.failedAt);
+        }
+    }
+    if (change.upstreams == 0 || change.upstreams < (isCutOffElsewhere ? 1 : std::min(FailuresUntilCutOff, group.size()))) {
+        return std::nullopt;
+    }
+    state.isCutOff = true;
+    state.answered.clear();
+    for (auto &[id, refusal] : m_refusals) {
+        refusal.isDoubtful = refusal.isDoubtful || (refusal.upstream.service == key.first && refusal.upstream.role == key.second);
+    }
+    return change;
+}
+
+auto UpstreamReach::isCutOff(std::string_view service, EngineRole role) const -> bool
+{
+    const auto found = m_groups.find({std::string(service), role});
+    return found != m_groups.end() && found->second.isCutOff;
+}
+
+auto UpstreamReach::isCutOff(std::string_view service) const -> bool
+{
+    return isCutOff(service, EngineRole::None) || isCutOff(service, EngineRole::Decode);
+}
+
+auto UpstreamReach::isUnreached(std::string_view upstream, TimePoint now) const -> bool
+{
+    const auto found = m_outcomes.find(upstream);
+    return found != m_outcomes.end() && found->second.failedAt > found->second.reachedAt && now - found->second.failedAt < OutcomeLifetime;
+}
+
+auto UpstreamReach::hasReached(std::string_view upstream, TimePoint since) const -> bool
+{
+    const auto found = m_outcomes.find(upstream);
+    return found != m_outcomes.end() && found->second.reachedAt >= since;
+}
+
+auto UpstreamReach::nextProbe(std::span<const Upstream *const> group) const -> const Upstream *
+{
+    const Upstream *next = nullptr;
+    TimePoint nextTriedAt;
+    for (const auto *upstream : group) {
+        const auto state = m_groups.find({upstream->service, upstream->role});
+        if (state != m_groups.end() && state->second.answered.contains(upstream->id)) {
+            continue;
+        }
+        const auto found = m_outcomes.find(upstream->id);
+        const auto triedAt = found == m_outcomes.end() ? TimePoint() : std::max(found->second.failedAt, found->second.reachedAt);
+        if (next == nullptr || triedAt < nextTriedAt) {
+            next = upstream;
+            nextTriedAt = triedAt;
+        }
+    }
+    return next;
+}
+
+auto UpstreamReach::cutOffServices() const -> std::vector<std::string>
+{
+    std::vector<std::string> result;
+    for (const auto &[key, group] : m_groups) {
+        if (group.isCutOff && key.second != EngineRole::Prefill) {
+            result.push_back(key.first);
+        }
+    }
+    return result;
+}
+
+auto UpstreamReach::unprovedServices() const -> std::vector<std::string>
+{
+    std::set<std::string> services;
+    for (const auto &[id, refusal] : m_refusals) {
+        if (!refusal.isDoubtful) {
+            services.insert(refusal.upstream.service);
+        }
+    }
+    return {services.begin(), services.end()};
+}
+
+auto UpstreamReach::nextDoubtful() const -> const Upstream *
+{
+    for (const auto &[id, refusal] : m_refusals) {
+        if (refusal.isDoubtful && !isCutOff(refusal.upstream.service, refusal.upstream.role)) {
+            return &refusal.upstream;
+        }
+    }
+    return nullptr;
+}
+
+auto UpstreamReach::expire(TimePoint now) -> void
+{
+    std::erase_if(m_outcomes,
+                  [now](const auto &entry) { return now - std::max(entry.second.reachedAt, entry.second.failedAt) > OutcomeLifetime; });
+    std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.openedAt > OutcomeLifetime; });
+}
+
+} // namespace currantstack
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -3,6 +3,7 @@
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/origin_controller.h"
 #include "currantstack/edge/quarantine_controller.h"
+#include "currantstack/edge/reach_controller.h"
 #include "currantstack/edge/request_chain.h"
 #include "currantstack/edge/role_controller.h"
 #include "currantstack/edge/vm_registry.h"
@@ -61,6 +62,8 @@
         , directory(context, *adapter.codec, *store)
         , exchange(context, directory)
         , quarantine(context, *adapter.codec, *store, exchange)
+        , reach(context, exchange)
+        , relayEntrance(context, exchange, [this](const ExchangePtr &request, RelayInfo info) { chain.handle(request, std::move(info)); })
         , origins(context, exchange, directory, bootClock, [this]() { registry.readNow(); })
         , registry(context, *adapter.codec, *store, [this](const VmRecords &records) { onVms(records); })
         , orderHolder(context, *adapter.codec, *store, bootClock)
@@ -97,6 +100,8 @@
     DirectoryController directory;
     LoadExchange exchange;
     QuarantineController quarantine;
+    ReachController reach;
+    RelayEntrance relayEntrance;
     OriginController origins;
     VmRegistry registry;
     OrderHolder orderHolder;
@@ -134,6 +139,9 @@
         return tl::unexpected(opened.error());
     }
     callerServer = std::move(*opened);
+    if (auto openedRelay = relayEntrance.start(MaxBodyBytes); !openedRelay) {
+        return openedRelay;
+    }
     ServerOptions readyOptions;
     readyOptions.address = settings.readinessAddress.ip;
     readyOptions.port = settings.readinessAddress.port;
@@ -188,7 +196,7 @@
         callerServer->quiesce();
         callerServer->closeIdle();
     }
-    const bool idle = callerServer->active() == 0 && context.refusesRequests();
+    const bool idle = callerServer->active() == 0 && relayEntrance.active() == 0 && context.refusesRequests();
     if (!idle && since < settings.drainLimit - KillSafetyMargin) {
         return;
     }
@@ -243,6 +251,7 @@
     }
     parts.directory.start();
     parts.quarantine.start();
+    parts.reach.start();
     parts.origins.start();
     parts.registry.start();
     parts.orderHolder.start();
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -1,5 +1,7 @@
 #include "currantstack/edge/forwarding.h"
 
+#include "currantstack/edge/upstream_links.h"
+
 #include <algorithm>
 #include <span>
 
@@ -71,15 +73,30 @@
     return head.fromUpstream && head.matchesRequest && !head.encoded && !impliesNotRun(status);
 }
 
-auto observeFailedCall(EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, const Error &error) -> void
+auto observeFailedCall(EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, const Error &error, TimePoint sentAt)
+    -> void
 {
     const auto now = context.clock.now();
     const auto *entry = context.directory.find(upstream.id);
-    if (error.connectionRefused) {
-        context.crashDetector.onRefused(incarnationOf(upstream), now);
-    } else if (error.connectionClosed && entry != nullptr && !entry->draining) {
+    if (error.connectionClosed && entry != nullptr && !entry->draining) {
         context.crashDetector.onConnectionClosed(upstream, request.traits, now);
     }
+    recordFailedLink(context, upstream, error, sentAt);
+}
+
+auto attemptsOf(const IncomingRequest &request) -> RequestAttempts
+{
+    const auto &route = *request.route;
+    return {route.kind, route.kind == RouteKind::Stream && route.resumable, route.attempts - (request.relay ? request.relay->sends : 0)};
+}
+
+auto countRequest(EdgeContext &context, const IncomingRequest &request) -> void
+{
+    const auto now = context.clock.now();
+    if (!request.relay || !request.relay->counted) {
+        context.retryBudget.onRequest(request.service, now);
+        context.rateLimiter.onRequest(request.service, now);
+    }
 }
 
 auto observeLimit(EdgeContext &context, const Upstream &upstream, int status, const AnswerHead &head, TimePoint sentAt) -> void
@@ -169,6 +186,9 @@
     switch (answer) {
     case ErrorAnswer::Refused:
         response = context.protocol.refusal(retryAfter, reason);
+        if (request.relay && context.reach.isCutOff(request.service)) {
+            response.headers.push_back({std::string(RelayRefusedHeader), "1"});
+        }
         break;
     case ErrorAnswer::BadGateway:
         response = {502, {{"Content-Type", "text/plain"}}, std::string(reason)};
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -19,6 +19,7 @@
 
 constexpr std::size_t MaxDatagramBytes = 8192;
 constexpr std::string_view AggregatePrefix = "place:"; // of the source of an aggregate
+constexpr Duration RecentContact = seconds(2); // an upstream that answered this VM within this time is where its entry says
 constexpr int MaxReceivesPerWakeup = 64; // so that datagrams do not starve callers' requests
 
 auto toNative(const SocketAddress &address) -> sockaddr_in
@@ -126,6 +127,11 @@
     if (!message.isAggregate && m_peers.merge(message.vm, message.place, from, now)) {
         m_context.log.write("load", "peer_heard", {{"peer", message.vm}, {"place", message.place}, {"address", from.ip}});
     }
+    if (message.isAggregate) {
+        m_peers.setPlaceCutOff(message.place, message.cutOff, now);
+    } else if (message.source == message.vm) {
+        m_peers.setCutOff(message.vm, message.cutOff);
+    }
     m_directory.observeRevisions(message.revisions);
     const bool samePlace = message.place == m_context.settings.place;
     if (message.isAggregate && samePlace && !message.relayInPlace) {
@@ -133,7 +139,12 @@
     }
     m_context.loads.merge(message.source, message.sequence, message.loads, now);
     for (const auto &notice : message.exclusions) {
-        m_context.exclusions.merge(notice, now);
+        // The sender's link to the upstream may be broken, while this VM's is not.
+        const bool isDisproved =
+            notice.reason == ExclusionReason::Outdated && m_context.reach.hasReached(notice.upstream, now - RecentContact);
+        if (!isDisproved) {
+            m_context.exclusions.merge(notice, now);
+        }
     }
     mergeLimits(message);
     for (const auto &notice : message.versions) {
@@ -164,7 +175,8 @@
     const auto now = m_context.clock.now();
     auto loads = m_context.loads.own();
     auto limits = m_context.rateLimiter.dueReports(now);
-    auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}, {}});
+    auto cutOff = m_context.reach.cutOffServices();
+    auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}, {}, cutOff});
     if (bytes == m_lastLoads && limits.empty() && now - m_sentAt < IdlePeriod) {
         return;
     }
@@ -187,7 +199,8 @@
           m_context.exclusions.notices(now),
           std::move(loads),
           std::move(limits),
-          std::move(versions)},
+          std::move(versions),
+          std::move(cutOff)},
          m_peers.reportTargets());
 }
 
@@ -220,7 +233,8 @@
           m_context.exclusions.notices(now),
           std::move(loads),
           m_context.rateLimiter.aggregate(AggregatePrefix, now),
-          m_context.versions.notices(now)},
+          m_context.versions.notices(now),
+          m_peers.placeCutOff(m_context.reach.cutOffServices(), now)},
          m_peers.relayTargets(m_sequence));
 }
 
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -150,6 +150,26 @@
     return report;
 }
 
+/// Returns nothing if a row is no name of a service. Absent rows are none.
+auto decodeServices(const nlohmann::json &rows) -> std::optional<std::vector<std::string>>
+{
+    constexpr std::size_t MaxServices = 256;
+    std::vector<std::string> services;
+    if (rows.is_null()) {
+        return services;
+    }
+    if (!rows.is_array() || rows.size() > MaxServices) {
+        return std::nullopt;
+    }
+    for (const auto &row : rows) {
+        if (!row.is_string()) {
+            return std::nullopt;
+        }
+        services.push_back(row.get<std::string>());
+    }
+    return services;
+}
+
 auto malformed(std::string_view what) -> tl::unexpected<Error>
 {
     return fail(ErrorCode::BadInput, "decode load", "", what);
@@ -175,6 +195,9 @@
     if (!message.versions.empty()) {
         document["software"] = encodeVersions(message.versions);
     }
+    if (!message.cutOff.empty()) {
+        document["cut"] = message.cutOff;
+    }
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -203,6 +226,11 @@
     const auto &notices = reader.raw("avoid");
     const auto &limits = reader.raw("limits"); // absent in messages of earlier versions
     const auto &versions = reader.raw("software"); // absent while each service has one
+    auto cutOff = decodeServices(reader.raw("cut"));
+    if (!cutOff) {
+        return malformed("the services that the sender cannot reach are malformed");
+    }
+    message.cutOff = std::move(*cutOff);
     if (!errors.empty() || !rows.is_array() || !costs.is_array() || !notices.is_array() || !(limits.is_array() || limits.is_null())
         || !(versions.is_array() || versions.is_null())) {
         return malformed(describe(errors));
--- a/src/edge/quarantine_controller.cc
+++ b/src/edge/quarantine_controller.cc
@@ -45,7 +45,7 @@
     call.step = "probe";
     call.peer = upstream.id;
     HttpHandlers handlers;
-    handlers.onDone = [this, upstream](const Result<HttpResponse> &result) {
+    handlers.onDone = [this, upstream, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
         const auto incarnation = incarnationOf(upstream);
         const bool refused = !result && result.error().connectionRefused;
         m_context.counters.at("crash_probes").add();
@@ -58,7 +58,7 @@
         if (result) {
             m_context.crashDetector.onAlive(incarnation);
         } else if (refused) {
-            m_context.crashDetector.onRefused(incarnation, m_context.clock.now());
+            m_context.reach.onRefused(upstream, openedAt); // proves a crash once this VM's links are known to work
         }
     };
     m_context.client.start(std::move(call), std::move(handlers));
--- /dev/null
+++ b/src/edge/reach_controller.cc
@@ -0,0 +1,149 @@
+#include "currantstack/edge/reach_controller.h"
+
+#include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/upstream_links.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr Duration ProbeTimeout = milliseconds(900); // of the whole probe; a plain upstream may answer only when a slot is free
+
+} // namespace
+
+ReachController::ReachController(EdgeContext &context, LoadExchange &exchange)
+    : m_context(context)
+    , m_timer(context.loop.timer([this]() { check(); }))
+{
+    context.relayHooks.candidates = [&context, &exchange](std::string_view service) {
+        auto candidates = exchange.relayCandidates(service);
+        for (auto &candidate : candidates) {
+            const auto found = context.relayedInFlight.find(candidate.vm);
+            candidate.inFlight = found == context.relayedInFlight.end() ? 0 : found->second;
+        }
+        return candidates;
+    };
+}
+
+auto ReachController::start() -> void
+{
+    m_timer->startOnce(LongestPeriod);
+}
+
+auto ReachController::check() -> void
+{
+    std::uniform_real_distribution<double> periodMs(toMilliseconds(ShortestPeriod), toMilliseconds(LongestPeriod));
+    m_timer->startOnce(fromMilliseconds(periodMs(m_context.random)));
+    m_context.reach.expire(m_context.clock.now());
+    if (!m_context.routeTable) {
+        return;
+    }
+    for (const auto &service : m_context.routeTable->services) {
+        for (const auto role : {EngineRole::None, EngineRole::Decode, EngineRole::Prefill}) {
+            if (m_context.reach.isCutOff(service.name, role)) {
+                probeAny(service, [role](const Upstream &upstream) { return upstream.role == role; });
+            }
+        }
+    }
+    if (const auto *upstream = m_context.reach.nextDoubtful()) {
+        const auto *service = m_context.routeTable->service(upstream->service);
+        probe(Upstream(*upstream), service == nullptr ? "" : service->healthPath);
+    }
+    const auto now = m_context.clock.now();
+    for (const auto &name : m_context.reach.unprovedServices()) {
+        if (const auto *service = m_context.routeTable->service(name)) {
+            probeAny(*service, [this, now](const Upstream &upstream) { return !m_context.reach.isUnreached(upstream.id, now); });
+        }
+    }
+}
+
+auto ReachController::probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void
+{
+    auto upstreams = m_context.directory.usable(service.name);
+    std::erase_if(upstreams, [&isEligible](const auto *upstream) { return !isEligible(*upstream); });
+    if (const auto *upstream = m_context.reach.nextProbe(upstreams)) {
+        probe(*upstream, service.healthPath);
+    }
+}
+
+auto ReachController::probe(const Upstream &upstream, std::string_view healthPath) -> void
+{
+    auto call = m_context.protocol.probeCall(upstream, healthPath);
+    call.connectTimeout = ConnectTimeout;
+    call.totalTimeout = ProbeTimeout;
+    HttpHandlers handlers;
+    handlers.onDone = [this, upstream, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
+        m_context.counters.at("link_probes").add();
+        m_context.log.write("links", "upstream_probed",
+                            {{"upstream", upstream.id},
+                             {"service", upstream.service},
+                             {"result", result ? fmt::format("status {}", result->status) : describe(result.error())}});
+        if (!result) {
+            recordFailedProbe(m_context, upstream, result.error(), openedAt);
+            return;
+        }
+        m_context.exclusions.onAccepted(upstream.id);
+        recordReached(m_context, upstream, openedAt);
+        if (m_context.protocol.isOtherUpstream(*result, upstream)) {
+            recordEnd(m_context, upstream);
+        }
+    };
+    m_context.client.start(std::move(call), std::move(handlers));
+}
+
+RelayEntrance::RelayEntrance(EdgeContext &context, const LoadExchange &exchange, Handler handler)
+    : m_context(context)
+    , m_exchange(exchange)
+    , m_handler(std::move(handler))
+{ }
+
+auto RelayEntrance::start(std::size_t maxBody) -> Result<void>
+{
+    ServerOptions options;
+    options.address = m_context.settings.peerAddress.ip;
+    options.port = m_context.settings.peerAddress.port;
+    options.maxBody = maxBody;
+    options.maxConnections = MaxConnections;
+    options.strictFraming = true;
+    auto opened = HttpServer::open(m_context.loop, options, [this](const ExchangePtr &exchange) { onRequest(exchange); });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    m_server = std::move(*opened);
+    return {};
+}
+
+auto RelayEntrance::onRequest(const ExchangePtr &exchange) -> void
+{
+    const auto from = exchange->callerIp();
+    auto info = decodeRelay(exchange->takeHeader(RelayHeader));
+    std::string_view reason;
+    if (!m_exchange.isPeer(from)) {
+        reason = "the sender is not known as a VM";
+    } else if (!info) {
+        reason = "the request has no valid state of its first VM";
+    } else if (m_context.draining) {
+        reason = "this VM is stopping";
+    } else if (m_server->active() > MaxRequests) {
+        reason = "this VM forwards too many requests for others";
+    }
+    if (!reason.empty()) {
+        m_context.counters.at("relays_refused").add();
+        m_context.log.write("relay", "relay_refused", {{"from", from}, {"vm", info ? info->vm.substr(0, 100) : ""}, {"reason", reason}});
+        exchange->respond(relayRefusal(m_context, reason));
+        return;
+    }
+    m_context.counters.at("relays_taken").add();
+    m_handler(exchange, std::move(*info));
+}
+
+auto relayRefusal(const EdgeContext &context, std::string_view reason) -> HttpResponse
+{
+    auto response = context.protocol.refusal(Duration::zero(), reason);
+    response.headers.push_back({std::string(RelayRefusedHeader), "1"});
+    return response;
+}
+
+} // namespace currantstack
--- /dev/null
+++ b/src/edge/relay_message.cc
@@ -0,0 +1,53 @@
+#include "currantstack/edge/relay_message.h"
+
+#include "currantstack/json.h"
+
+#include <limits>
+
+namespace currantstack
+{
+
+namespace
+{
+
+constexpr std::int64_t MaxAgeMs = 3'600'000;
+constexpr std::int64_t MaxSends = 1000;
+constexpr std::string_view Step = "decode relay header";
+
+} // namespace
+
+auto encodeRelay(const RelayInfo &info) -> std::string
+{
+    return dumpJson({{"vm", info.vm},
+                     {"age_ms", std::chrono::duration_cast<milliseconds>(info.age).count()},
+                     {"sends", info.sends},
+                     {"counted", info.counted},
+                     {"routes", info.routesVersion},
+                     {"after", info.lastEventId},
+                     {"first", info.firstAttemptId}});
+}
+
+auto decodeRelay(std::string_view value) -> Result<RelayInfo>
+{
+    constexpr auto MaxNumber = std::numeric_limits<std::int64_t>::max();
+    const auto document = parseJson(std::string(value), Step);
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    ValidationErrors errors;
+    ObjectReader reader(*document, "", errors);
+    RelayInfo info;
+    info.vm = reader.text("vm");
+    info.age = milliseconds(reader.integer("age_ms", 0, MaxAgeMs));
+    info.sends = static_cast<int>(reader.integer("sends", 0, MaxSends));
+    info.counted = reader.boolean("counted");
+    info.routesVersion = reader.integer("routes", 0, MaxNumber);
+    info.lastEventId = reader.integer("after", 0, MaxNumber);
+    info.firstAttemptId = reader.text("first");
+    if (!errors.empty()) {
+        return fail(ErrorCode::BadInput, Step, "", describe(errors));
+    }
+    return info;
+}
+
+} // namespace currantstack
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -1,8 +1,10 @@
 #include "currantstack/edge/request_chain.h"
 
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/reach_controller.h"
 #include "currantstack/edge/service_forwarder.h"
 #include "currantstack/edge/stream_forwarder.h"
+#include "relayed_request.h"
 
 namespace currantstack
 {
@@ -11,13 +13,18 @@
 {
 
 constexpr Duration StoppingRetryAfter = milliseconds(10); // another VM can take the request immediately
+constexpr Duration ShortestCutRetryAfter = milliseconds(300); // upstreams that no VM reaches are probed in about this period
+constexpr Duration LongestCutRetryAfter = milliseconds(1200);
 constexpr Duration UnconfiguredRetryAfter = milliseconds(500); // a starting VM loads its configuration within this time
 
-auto rejectWhenStopping(EdgeContext &context, IncomingRequest & /*request*/) -> std::optional<HttpResponse>
+auto rejectWhenStopping(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
 {
     if (!context.refusesRequests()) {
         return std::nullopt;
     }
+    if (request.relay) {
+        return relayRefusal(context, "this VM is stopping");
+    }
     auto response = context.protocol.refusal(StoppingRetryAfter, "this VM is stopping");
     response.headers.push_back({"Connection", "close"});
     return response;
@@ -25,6 +32,9 @@
 
 auto requireRoutes(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
 {
+    if (request.relay && (!context.routeTable || context.routeTable->version < request.relay->routesVersion)) {
+        return relayRefusal(context, "the configuration of this VM is older than that of the first VM");
+    }
     if (!context.routeTable) {
         return context.protocol.refusal(UnconfiguredRetryAfter, "the configuration is not loaded yet");
     }
@@ -78,14 +88,26 @@
     return std::nullopt;
 }
 
+auto refuseUnreachable(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
+{
+    if (!context.reach.isCutOff(request.service) || mayRelay(context, request)) {
+        return std::nullopt;
+    }
+    if (request.relay) {
+        return relayRefusal(context, "this VM cannot reach the upstreams of the service either");
+    }
+    std::uniform_real_distribution<double> delayMs(toMilliseconds(ShortestCutRetryAfter), toMilliseconds(LongestCutRetryAfter));
+    return context.protocol.refusal(fromMilliseconds(delayMs(context.random)), "no VM reaches the upstreams of the service");
+}
+
 } // namespace
 
 auto edgeFilters() -> std::vector<EdgeFilter>
 {
-    return {rejectWhenStopping, requireRoutes, requireId, findRoute, limitBody, rejectQuarantined, chooseService};
+    return {rejectWhenStopping, requireRoutes, requireId, findRoute, limitBody, rejectQuarantined, chooseService, refuseUnreachable};
 }
 
-auto RequestChain::handle(const ExchangePtr &exchange) -> void
+auto RequestChain::handle(const ExchangePtr &exchange, std::optional<RelayInfo> relay) -> void
 {
     IncomingRequest request;
     request.exchange = exchange;
@@ -93,6 +115,14 @@
     request.fingerprint = requestFingerprint(exchange->request());
     request.traits = traitsOf(request.fingerprint, request.metadata.promptParts);
     request.arrivedAt = m_context.clock.now();
+    request.relay = std::move(relay);
+    if (request.relay) {
+        request.arrivedAt -= request.relay->age;
+        if (request.relay->lastEventId > 0) {
+            request.metadata.lastEventId = request.relay->lastEventId;
+            request.metadata.firstAttemptId = request.relay->firstAttemptId;
+        }
+    }
     m_context.counters.at("requests_taken").add();
     for (const auto &filter : m_filters) {
         if (auto response = filter(m_context, request)) {
@@ -102,13 +132,24 @@
                                  {"target", exchange->request().target},
                                  {"status", response->status},
                                  {"reason", response->body},
+                                 {"relayed_by", request.relay ? request.relay->vm : ""},
                                  {"routes_version", request.routeTable ? request.routeTable->version : 0}});
             m_context.counters.at("requests_rejected").add();
             exchange->respond(std::move(*response));
             return;
         }
     }
-    if (request.route->kind == RouteKind::Stream) {
+    forward(std::move(request));
+}
+
+auto RequestChain::forward(IncomingRequest request) -> void
+{
+    const bool isStream = request.route->kind == RouteKind::Stream;
+    if (m_context.reach.isCutOff(request.service)) {
+        const auto attempts = attemptsOf(request);
+        const auto lastEventId = request.metadata.lastEventId;
+        relayRequest(m_context, {std::move(request), attempts, false, false, lastEventId, {}, "this VM is cut off from the upstreams"});
+    } else if (isStream) {
         forwardStream(m_context, std::move(request));
     } else {
         forwardToService(m_context, std::move(request));
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -2,6 +2,8 @@
 
 #include "currantstack/decisions/service_placement.h"
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/upstream_links.h"
+#include "relayed_request.h"
 
 #include <algorithm>
 
@@ -23,7 +25,7 @@
     ServiceRequest(EdgeContext &context, IncomingRequest request)
         : m_context(context)
         , m_request(std::move(request))
-        , m_attempts(m_request.route->kind, false, m_request.route->attempts)
+        , m_attempts(attemptsOf(m_request))
     { }
 
     auto start() -> void;
@@ -42,7 +44,8 @@
     auto onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void;
     auto onOutcome(const PendingCall &pending, AttemptOutcome outcome, const Result<HttpResponse> &result) -> void;
     auto forwardAnswer(const PendingCall &pending, HttpResponse response) -> void;
-    auto retryOrFail(const PendingCall &failed, std::string_view reason) -> void;
+    auto retryOrFail(const PendingCall &failed, AttemptOutcome outcome, std::string_view reason) -> void;
+    auto handOver(AttemptOutcome outcome, std::string_view reason) -> bool;
     auto hedge() -> void;
     auto fail(bool timedOut, std::string_view reason, Duration retryAfter) -> void;
     auto retryDelay() const -> Duration;
@@ -57,13 +60,13 @@
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_hedgeTimer;
     std::optional<HttpResponse> m_errorAnswer; // an upstream's 5xx response, forwarded if no later attempt succeeds
+    bool m_handedOver = false; // another VM forwards the request
     bool m_done = false;
 };
 
 auto ServiceRequest::start() -> void
 {
-    m_context.retryBudget.onRequest(m_request.service, m_context.clock.now());
-    m_context.rateLimiter.onRequest(m_request.service, m_context.clock.now());
+    countRequest(m_context, m_request);
     const auto self = shared_from_this();
     m_request.exchange->onDisconnect([self]() {
         self->m_context.log.write("forward", "caller_gone", {{"request", self->m_request.metadata.requestId}});
@@ -163,6 +166,7 @@
     releaseLoad(pending);
     auto outcome = result ? AttemptOutcome::Unknown : classifyError(result.error());
     if (result) {
+        recordReached(m_context, pending.upstream, pending.sentAt);
         const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
         observeLimit(m_context, pending.upstream, result->status, head, pending.sentAt);
         outcome = classifyHead(result->status, head);
@@ -176,7 +180,7 @@
     const auto now = m_context.clock.now();
     const auto took = now - pending.sentAt;
     if (!result) {
-        observeFailedCall(m_context, m_request, pending.upstream, result.error());
+        observeFailedCall(m_context, m_request, pending.upstream, result.error(), pending.sentAt);
     } else if (outcome == AttemptOutcome::Answered) {
         m_context.quarantine.recordSuccess(m_request.traits, now);
     }
@@ -200,14 +204,19 @@
     if (upstreamFailed) {
         m_errorAnswer = *result;
     }
-    retryOrFail(pending, reason);
+    retryOrFail(pending, outcome, reason);
 }
 
-auto ServiceRequest::retryOrFail(const PendingCall &failed, std::string_view reason) -> void
+auto ServiceRequest::retryOrFail(const PendingCall &failed, AttemptOutcome outcome, std::string_view reason) -> void
 {
     const auto now = m_context.clock.now();
     const auto refusal = checkQuarantine(m_context, m_request);
-    if (!refusal && m_attempts.mayRetry() && m_request.deadline() > now && m_context.retryBudget.tryAcquire(m_request.service, now)) {
+    const bool isCutOff = m_context.reach.isCutOff(m_request.service);
+    if (!refusal && isCutOff && handOver(outcome, reason)) {
+        return;
+    }
+    if (!refusal && !isCutOff && m_attempts.mayRetry() && m_request.deadline() > now
+        && m_context.retryBudget.tryAcquire(m_request.service, now)) {
         m_context.counters.at("sends_repeated").add();
         if (send(failed.upstream.id) || send("")) {
             return;
@@ -220,9 +229,26 @@
         forwardAnswer(failed, std::move(*m_errorAnswer));
         return;
     }
+    if (!refusal && m_context.reach.isUnreached(failed.upstream.id, now) && handOver(outcome, reason)) {
+        return;
+    }
     fail(false, refusal ? refusal->reason : reason, retryDelay());
 }
 
+/// Lets another VM forward the request if it may be sent once more. Returns false if it may not.
+auto ServiceRequest::handOver(AttemptOutcome outcome, std::string_view reason) -> bool
+{
+    const auto now = m_context.clock.now();
+    const bool maySend = m_pendingCalls.empty() && m_attempts.mayRetry() && m_request.deadline() > now && mayRelay(m_context, m_request);
+    if (!maySend || (outcome != AttemptOutcome::NotSent && !m_context.retryBudget.tryAcquire(m_request.service, now))) {
+        return false;
+    }
+    m_handedOver = true;
+    relayRequest(m_context, {m_request, m_attempts, true, false, 0, {}, reason});
+    finish();
+    return true;
+}
+
 auto ServiceRequest::hedge() -> void
 {
     const auto now = m_context.clock.now();
@@ -266,6 +292,7 @@
     for (const auto &pending : m_pendingCalls) {
         if (timedOut) {
             m_context.health.observeFailure(pending.upstream.id, m_context.clock.now());
+            recordSilence(m_context, pending.upstream, pending.sentAt);
         }
     }
     respondWithError(m_context, m_request, m_attempts, timedOut, reason, retryAfter);
@@ -290,7 +317,9 @@
     m_context.loop.defer([self = shared_from_this()]() {
         self->m_deadlineTimer.reset();
         self->m_hedgeTimer.reset();
-        self->m_request.exchange->onDisconnect(nullptr);
+        if (!self->m_handedOver) {
+            self->m_request.exchange->onDisconnect(nullptr);
+        }
     });
 }
 
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -1,4 +1,5 @@
 // The decode phase of a stream: relays complete events, detects stalls, and resumes on another engine if the route allows it.
+#include "currantstack/edge/upstream_links.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -66,6 +67,7 @@
     if (m_done) {
         return;
     }
+    recordReached(m_context, m_decodeEngine, m_sentAt);
     const auto head = m_context.protocol.parseHead(status, headers, m_request.metadata);
     const auto outcome = classifyHead(status, head);
     observeLimit(m_context, m_decodeEngine, status, head, m_sentAt);
@@ -205,7 +207,7 @@
     }
     m_decodeCall = 0;
     if (!result) {
-        observeFailedCall(m_context, m_request, m_decodeEngine, result.error());
+        observeFailedCall(m_context, m_request, m_decodeEngine, result.error(), m_sentAt);
         onDecodeBroken(classifyError(result.error()), describe(result.error()), evidenceOf(result.error()));
         return;
     }
@@ -220,7 +222,7 @@
     if (const auto reason = incompleteReason(); !reason.empty()) {
         Error error{ErrorCode::Unavailable, "forward", m_decodeEngine.id, std::string(reason)};
         error.connectionClosed = true;
-        observeFailedCall(m_context, m_request, m_decodeEngine, error);
+        observeFailedCall(m_context, m_request, m_decodeEngine, error, m_sentAt);
         onDecodeBroken(AttemptOutcome::Unknown, reason, evidenceOf(error));
         return;
     }
@@ -368,6 +370,10 @@
     if (!mayRetry || now >= m_request.deadline()) {
         return false;
     }
+    if (m_context.reach.isCutOff(m_request.service)) {
+        const bool maySend = outcome == AttemptOutcome::NotSent || m_context.retryBudget.tryAcquire(m_request.service, now);
+        return maySend && isVersionCertain() && handOver(reason);
+    }
     const auto next = planResumption();
     if (!next) {
         m_context.counters.at("streams_not_resumable").add();
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -96,7 +96,7 @@
 /// Returns true if the request leaves the queue: it was placed, refused, or has ended.
 auto StreamRequest::tryPlace() -> bool
 {
-    if (m_done) {
+    if (m_done || leaveIfCutOff()) {
         return true;
     }
     const auto chosen = plan([this](const PlacementInputs &inputs) { return planStream(inputs, m_context.random); });
@@ -206,6 +206,9 @@
         return;
     }
     if (toMilliseconds(atHead ? age : wait) > maxWaitMs) {
+        if (handOverIfUnreached("no engine that this VM reaches is expected to have capacity in time")) {
+            return;
+        }
         fail(false, "no engine is expected to have capacity in time", retryDelay());
         return;
     }
@@ -216,7 +219,7 @@
                          {"expected_wait_ms", toMilliseconds(wait)},
                          {"waiting", m_context.loads.total(m_request.service, m_context.clock.now()).requests}});
     m_queueTimer = m_context.loop.timer([self = shared_from_this()]() {
-        if (self->m_queued) {
+        if (self->m_queued && !self->handOverIfUnreached("no engine that this VM reaches had capacity in time")) {
             self->fail(false, "no engine had capacity in time", self->retryDelay());
         }
     });
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -1,4 +1,5 @@
 // The prefill phase of a stream on a separate engine, whose KV cache the decode engine fetches.
+#include "currantstack/edge/upstream_links.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -42,6 +43,7 @@
     const auto now = m_context.clock.now();
     m_prefillCall = 0;
     if (result) {
+        recordReached(m_context, m_prefillEngine, m_sentAt);
         auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
         head.fromUpstream = head.fromUpstream || result->status == 200; // the response to a prefill has no stamp
         observeLimit(m_context, m_prefillEngine, result->status, head, m_sentAt);
@@ -59,7 +61,7 @@
         return;
     }
     if (!result) {
-        observeFailedCall(m_context, m_request, m_prefillEngine, result.error());
+        observeFailedCall(m_context, m_request, m_prefillEngine, result.error(), m_sentAt);
     }
     if (result) {
         abandonPrefill(AttemptOutcome::NotRun, fmt::format("status {}", result->status), {result->status == MisdirectedRequest, false});
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -35,22 +35,16 @@
     }
 }
 
-auto StreamRequest::countRequest() -> void
-{
-    m_context.retryBudget.onRequest(m_request.service, m_context.clock.now());
-    m_context.rateLimiter.onRequest(m_request.service, m_context.clock.now());
-}
-
 /// Queues a request for engines that this VM has not read of yet.
 auto StreamRequest::waitForEngines() -> void
 {
-    countRequest();
+    countRequest(m_context, m_request);
     enqueue(true);
 }
 
 auto StreamRequest::admit() -> void
 {
-    countRequest();
+    countRequest(m_context, m_request);
     if (!m_context.pendingQueue.isEmpty(queueKey()) || !tryPlace()) {
         enqueue(false);
     }
@@ -120,7 +114,9 @@
         self->m_queueTimer.reset();
         self->m_prefillTimer.reset();
         self->m_stallTimer.reset();
-        self->m_request.exchange->onDisconnect(nullptr);
+        if (!self->m_handedOver) {
+            self->m_request.exchange->onDisconnect(nullptr);
+        }
     });
 }
 
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -16,7 +16,7 @@
     StreamRequest(EdgeContext &context, IncomingRequest request)
         : m_context(context)
         , m_request(std::move(request))
-        , m_attempts(m_request.route->kind, m_request.route->resumable, m_request.route->attempts)
+        , m_attempts(attemptsOf(m_request))
         , m_lastEventId(m_request.metadata.lastEventId)
     { }
 
@@ -42,7 +42,6 @@
 
     auto admit() -> void;
     auto waitForEngines() -> void;
-    auto countRequest() -> void;
 
     // stream_continuation.cc
     auto continueStream() -> void;
@@ -110,6 +109,11 @@
     auto redirect() -> bool;
     auto placeOrEnqueue() -> void;
 
+    // stream_handover.cc
+    auto handOver(std::string_view reason) -> bool;
+    auto leaveIfCutOff() -> bool;
+    auto handOverIfUnreached(std::string_view reason) -> bool;
+
     // stream_request.cc
     auto complete() -> void;
     auto fail(bool timedOut, std::string_view reason, Duration retryAfter) -> void;
@@ -162,6 +166,7 @@
     std::unique_ptr<Timer> m_queueTimer;
     std::unique_ptr<Timer> m_prefillTimer;
     std::unique_ptr<Timer> m_stallTimer;
+    bool m_handedOver = false; // another VM forwards the request
     bool m_done = false;
 };
 
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -78,11 +78,11 @@
 
 auto StreamRequest::evidenceOf(const Error &error) -> FailureEvidence
 {
-    return {error.connectionRefused, error.connectionClosed};
+    return {false, error.connectionClosed};
 }
 
-/// Excludes the engine for a back-off time. If the engine or its host proves that the directory entry is outdated (status 421 or a
-/// refused connection), the exclusion is also announced to the other VMs, so that it does not cost each of them a failed request.
+/// Excludes the engine for a back-off time. If the engine proves that the directory entry is outdated (status 421), the exclusion is also
+/// announced to the other VMs, so that it does not cost each of them a failed request.
 auto StreamRequest::recordFailure(const Upstream &engine, FailureEvidence evidence) -> void
 {
     const auto now = m_context.clock.now();
--- /dev/null
+++ b/src/edge/upstream_links.cc
@@ -0,0 +1,87 @@
+#include "currantstack/edge/upstream_links.h"
+
+namespace currantstack
+{
+
+namespace
+{
+
+auto groupOf(const EdgeContext &context, std::string_view service, EngineRole role) -> std::vector<const Upstream *>
+{
+    auto upstreams = context.directory.usable(service);
+    std::erase_if(upstreams, [role](const auto *upstream) { return upstream->role != role; });
+    return upstreams;
+}
+
+auto updateLinks(EdgeContext &context, const Upstream &upstream) -> void
+{
+    const auto group = groupOf(context, upstream.service, upstream.role);
+    const auto change = context.reach.update(group, context.clock.now());
+    if (!change) {
+        return;
+    }
+    context.counters.at(fmt::format("upstreams_cut_off{{service=\"{}\",role=\"{}\"}}", upstream.service, name(upstream.role)))
+        .set(change->isCutOff ? 1 : 0);
+    context.log.write("links", change->isCutOff ? "upstreams_cut_off" : "upstreams_reached_again",
+                      {{"service", upstream.service},
+                       {"role", name(upstream.role)},
+                       {"upstreams", change->upstreams},
+                       {"of", group.size()},
+                       {"oldest_ms", toMilliseconds(change->oldest)},
+                       {"vms_that_reach_it", context.relayHooks.candidates ? context.relayHooks.candidates(upstream.service).size() : 0}});
+    // Requests that wait for capacity go to another VM, or may be placed again.
+    context.loop.defer([&context]() { context.pendingQueue.retryHeads(); });
+}
+
+} // namespace
+
+auto recordEnd(EdgeContext &context, const Upstream &upstream) -> void
+{
+    const auto now = context.clock.now();
+    context.crashDetector.onRefused(incarnationOf(upstream), now);
+    const auto *entry = context.directory.find(upstream.id);
+    if (entry != nullptr && incarnationOf(*entry) == incarnationOf(upstream)) {
+        context.exclusions.add({upstream.id, ExclusionReason::Outdated, EngineRole::None, ExclusionList::OutdatedLifetime}, now);
+        context.log.write("links", "entry_outdated", {{"upstream", upstream.id}, {"service", upstream.service}});
+    }
+}
+
+auto recordReached(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
+{
+    for (const auto &ended : context.reach.onReached(upstream, openedAt)) {
+        recordEnd(context, ended);
+    }
+    if (context.reach.isCutOff(upstream.service, upstream.role)) {
+        updateLinks(context, upstream);
+    }
+}
+
+auto recordFailedProbe(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
+{
+    if (error.connectionRefused) {
+        context.reach.onRefused(upstream, openedAt);
+    } else {
+        context.reach.onFailed(upstream, openedAt);
+    }
+    updateLinks(context, upstream);
+}
+
+auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
+{
+    if (error.connectionRefused) {
+        context.reach.onRefused(upstream, openedAt);
+    } else if (error.code == ErrorCode::Unreachable || error.connectionClosed) {
+        context.reach.onFailed(upstream, openedAt);
+    } else {
+        return;
+    }
+    updateLinks(context, upstream);
+}
+
+auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
+{
+    context.reach.onFailed(upstream, openedAt);
+    updateLinks(context, upstream);
+}
+
+} // namespace currantstack
--- a/test/edge/quarantine_tests.py
+++ b/test/edge/quarantine_tests.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from rig import Rig
+from rig import Rig, call
 
 CONTACT_S = 4.0  # time in which all VMs must know that a request crashes upstreams
 LATE_RETRIES = 3  # that may still reach upstreams afterwards
@@ -97,8 +97,17 @@
         await assert_stopped(rig, rig.vms)
 
 
+async def wait_until_peers_are_known(rig, limit_s=8):
+    end = time.monotonic() + limit_s
+    for vm in rig.vms:
+        while f"vms_known {len(rig.vms)}" not in (await call(vm.ip, vm.port + 9, "GET", "/metrics", {}, b""))[2].decode():
+            assert time.monotonic() < end, "the VMs do not know one another"
+            await asyncio.sleep(0.1)
+
+
 async def quarantine_spreads_while_the_store_is_silent():
     async with Rig(vms=3, services=4) as rig:
+        await wait_until_peers_are_known(rig)
         rig.fleet.store.mode = "silent"
         await quarantine_poison_request(rig, rig.vms[:1])
         await asyncio.sleep(1.0)
--- /dev/null
+++ b/test/relay_choice-test.cc
@@ -0,0 +1,120 @@
+#include "currantstack/decisions/relay_choice.h"
+
+#include "check.h"
+#include "currantstack/decisions/peer_table.h"
+#include "currantstack/edge/relay_message.h"
+
+using namespace currantstack;
+
+class RelayChoiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayChoiceTest);
+    CPPUNIT_TEST(nearVmsTakeRequestsUntilTheyHaveMoreToDo);
+    CPPUNIT_TEST(vmsThatReportGoFirst);
+    CPPUNIT_TEST(triedVmsAreLeftOut);
+    CPPUNIT_TEST(cutOffAndSilentVmsAreNoCandidates);
+    CPPUNIT_TEST(vmsOfACutOffPlaceAreNoCandidatesInALargeFleet);
+    CPPUNIT_TEST(aPlaceIsCutOffIfMostOfItsVmsAre);
+    CPPUNIT_TEST(relayStateRoundTrips);
+    CPPUNIT_TEST(malformedRelayStateIsRejected);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto nearVmsTakeRequestsUntilTheyHaveMoreToDo() -> void
+    {
+        std::vector<RelayCandidate> candidates{{"near", {}, Distance::SamePlace, true, 0}, {"far", {}, Distance::OtherRegion, true, 0}};
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), chooseRelay(candidates, {}, m_random)->vm);
+        candidates[0].inFlight = 100;
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), chooseRelay(candidates, {}, m_random)->vm);
+    }
+
+    auto vmsThatReportGoFirst() -> void
+    {
+        const std::vector<RelayCandidate> candidates{{"quiet", {}, Distance::SamePlace, false, 0},
+                                                     {"heard", {}, Distance::OtherRegion, true, 50}};
+        CPPUNIT_ASSERT_EQUAL(std::string("heard"), chooseRelay(candidates, {}, m_random)->vm);
+    }
+
+    auto triedVmsAreLeftOut() -> void
+    {
+        const std::vector<RelayCandidate> candidates{{"a", {}, Distance::SamePlace, true, 0}, {"b", {}, Distance::SamePlace, true, 0}};
+        const std::vector<std::string> one{"a"};
+        const std::vector<std::string> both{"a", "b"};
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), chooseRelay(candidates, one, m_random)->vm);
+        CPPUNIT_ASSERT(chooseRelay(candidates, both, m_random) == nullptr);
+    }
+
+    auto cutOffAndSilentVmsAreNoCandidates() -> void
+    {
+        PeerTable table("vm0", "z1");
+        for (const auto *vm : {"vm1", "vm2", "vm3"}) {
+            table.merge(vm, "z1", {"10.0.0.1", 7000}, m_clock.now());
+        }
+        table.setCutOff("vm1", {"llm"});
+        m_clock.advance(PeerTable::ReportLifetime);
+        table.merge("vm1", "z1", {"10.0.0.1", 7000}, m_clock.now());
+        table.merge("vm2", "z1", {"10.0.0.2", 7000}, m_clock.now());
+        const auto candidates = table.relayCandidates("llm", {}, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), candidates.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("vm2"), candidates.front().vm);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.relayCandidates("booking", {}, m_clock.now()).size());
+        CPPUNIT_ASSERT(table.hasAddress("10.0.0.2") && !table.hasAddress("10.0.0.9"));
+    }
+
+    auto vmsOfACutOffPlaceAreNoCandidatesInALargeFleet() -> void
+    {
+        PeerTable table("vm0", "z1");
+        for (std::size_t number = 1; number <= PeerTable::SmallFleet; ++number) {
+            table.mergeListed(fmt::format("vm{}", number), number % 2 == 0 ? "z2" : "z3", {"10.0.0.1", 7000}, m_clock.now());
+        }
+        CPPUNIT_ASSERT_EQUAL(PeerTable::SmallFleet, table.relayCandidates("llm", {}, m_clock.now()).size());
+        table.setPlaceCutOff("z2", {"llm"}, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(PeerTable::SmallFleet / 2, table.relayCandidates("llm", {}, m_clock.now()).size());
+        m_clock.advance(PeerTable::ReportLifetime);
+        CPPUNIT_ASSERT_EQUAL(PeerTable::SmallFleet, table.relayCandidates("llm", {}, m_clock.now()).size());
+    }
+
+    auto aPlaceIsCutOffIfMostOfItsVmsAre() -> void
+    {
+        PeerTable table("vm0", "z1");
+        for (const auto *vm : {"vm1", "vm2"}) {
+            table.merge(vm, "z1", {"10.0.0.1", 7000}, m_clock.now());
+        }
+        const std::vector<std::string> own{"llm"};
+        CPPUNIT_ASSERT(table.placeCutOff(own, m_clock.now()).empty());
+        table.setCutOff("vm1", {"llm", "booking"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.placeCutOff(own, m_clock.now()).size());
+        table.setCutOff("vm2", {"booking"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.placeCutOff(own, m_clock.now()).size());
+    }
+
+    auto relayStateRoundTrips() -> void
+    {
+        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt"};
+        const auto text = encodeRelay(info);
+        CPPUNIT_ASSERT(text.find_first_of("\r\n") == std::string::npos);
+        const auto decoded = decodeRelay(text);
+        CPPUNIT_ASSERT(decoded);
+        CPPUNIT_ASSERT_EQUAL(info.vm, decoded->vm);
+        CPPUNIT_ASSERT(decoded->age == info.age);
+        CPPUNIT_ASSERT_EQUAL(2, decoded->sends);
+        CPPUNIT_ASSERT(decoded->counted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(17), decoded->routesVersion);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), decoded->lastEventId);
+        CPPUNIT_ASSERT_EQUAL(info.firstAttemptId, decoded->firstAttemptId);
+    }
+
+    auto malformedRelayStateIsRejected() -> void
+    {
+        for (const auto *text : {"", "{}", "[]", "{\"vm\":1}",
+                                 "{\"vm\":\"a\",\"age_ms\":-1,\"sends\":0,\"counted\":true,\"routes\":1,\"after\":0,\"first\":\"\"}"}) {
+            CPPUNIT_ASSERT(!decodeRelay(text));
+        }
+    }
+
+private:
+    ManualClock m_clock;
+    Random m_random{1};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayChoiceTest);
