--- a/standin/http_peer.py
+++ b/standin/http_peer.py
@@ -58,10 +58,13 @@
         self.ip, self.port, self.handler = ip, port, handler
         self.writers = set()
         self.server = None
+        self.silent_until = 0.0  # on the loop's clock
+        self.on_listening = []  # called with whether the server listens, when that changes
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
+        self.report_listening()
         return self
 
     @property
@@ -73,15 +76,30 @@
         if self.server:
             self.server.close()
             self.server = None
+            self.report_listening()
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def report_listening(self):
+        for hook in self.on_listening:
+            hook(self.is_listening)
+
+    def fall_silent(self, seconds):
+        """Neither reads nor sends for this time, as a process that stands still; connections are accepted meanwhile."""
+        self.silent_until = asyncio.get_running_loop().time() + seconds
+
+    async def wait_while_silent(self):
+        while (left := self.silent_until - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(left)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
+                await self.wait_while_silent()
                 data = await self.handler(request, reader, writer)
+                await self.wait_while_silent()
                 if data is None:
                     break
                 writer.write(data)
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -68,7 +68,7 @@
         return self.engines + self.services
 
 
-def vm_settings(name, ip, port, store, place="z1", grace=8):
+def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54):
     """Returns the settings file of one VM, as the platform writes it."""
     return f"""node_name: "{name}"
 zone: "{place}"
@@ -87,8 +87,8 @@
 metrics_port: {port + 9}
 bounds:
   grace_s: {grace}
-  retry_budget: 0.2
-  budget_slack: 54
+  retry_budget: {retry_budget}
+  budget_slack: {budget_slack}
   budget_window_s: 10
   lease_ms: 3000
 provider:
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -77,6 +77,11 @@
         await self.server.start()
         self.register()
 
+    def fall_silent(self, seconds):
+        """Neither reads nor sends for this time and then goes on with everything."""
+        self.server.fall_silent(seconds)
+        self.history.append({"event": "silent", "upstream": self.id, "at": time.monotonic(), "seconds": seconds})
+
     def crash_under(self, request):
         if self.server.is_listening:  # otherwise it has already crashed under another request
             self.record("crashed", request)
@@ -314,6 +319,7 @@
                 writer.write(chunk(b": hello\n\n"))
             for number in range(int(request.header("last-event-id", "0")) + 1, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
+                await self.server.wait_while_silent()
                 event = f"id: {number}\ndata: {request.header('request-id')} {number} {version}\n\n".encode()
                 if self.draw_fault("unframed_empty") or (number == 6 and self.draw_fault("unframed_torn")):
                     writer.write(event[: len(event) // 2] if self.fault == "unframed_torn" else b"")
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -35,13 +35,13 @@
 class Vm:
     """One currant-edge process, which logs to a file."""
 
-    def __init__(self, number, store, place, folder, grace=8):
+    def __init__(self, number, store, place, folder, **bounds):
         self.name, self.ip = f"vm{number}", f"127.0.0.{10 + number}"
         self.port = free_port(self.ip)
         self.path = os.path.join(folder, f"{self.name}.yaml")
         self.log_path = os.path.join(folder, f"{self.name}.log")
         with open(self.path, "w", encoding="utf-8") as file:
-            file.write(vm_settings(self.name, self.ip, self.port, store, place, grace))
+            file.write(vm_settings(self.name, self.ip, self.port, store, place, **bounds))
         self.process, self.started_at = None, 0
 
     async def start(self):
@@ -116,11 +116,11 @@
 class Rig:
     """The platform's stand-ins and currant-edge VMs that route to them."""
 
-    def __init__(self, vms=1, seed=0, grace=8, hidden_prefix="", **counts):
+    def __init__(self, vms=1, seed=0, grace=8, hidden_prefix="", bounds=None, **counts):
         self.folder = tempfile.mkdtemp(prefix="currant-edge-")
         self.fleet = Fleet(seed=seed, **counts)
         self.fleet.store.hidden_prefix = hidden_prefix
-        self.vm_count, self.grace = vms, grace
+        self.vm_count, self.bounds = vms, {"grace": grace, **(bounds or {})}
         self.vms, self.request_count = [], 0
         self.relays = []  # between VMs and the store
         self.writers = []  # of streams that are read event by event
@@ -129,7 +129,7 @@
     async def __aenter__(self):
         await self.fleet.start()
         for number in range(self.vm_count):
-            self.vms.append(Vm(number, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, self.grace))
+            self.vms.append(Vm(number, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, **self.bounds))
         await asyncio.gather(*(vm.start() for vm in self.vms))
         await asyncio.gather(*(vm.wait_until_ready() for vm in self.vms))
         return self
