Failing tests: VMs that lose their links to upstreams do not serve their callers

A test can cut one VM off from all or some upstreams while the other VMs reach them: each VM learns from a view of the store that upstreams have the addresses of its own links. Connections get no answer (a full queue of a listening socket), are refused, are reset, or are accepted and never answered; open ones pass nothing, are reset, go on, or lose their answers. A cut relay also holds back that a connection was closed.

With each kind of cut, no request of the cut VM is served (502 or 503) from 2 s after it. If connections are refused, streams at the other VMs are refused too. If all VMs are cut, streams are refused after 0.65 s, where 0.6 s are allowed. A VM that keeps one engine of each role serves its callers.

--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -4,7 +4,9 @@
 import base64
 import copy
 import itertools
+import json
 import random
+import re
 from urllib.parse import unquote
 
 from http_peer import Server, response
@@ -180,3 +182,39 @@
         _, ttl = self.leases[lease]
         self.leases[lease] = (asyncio.get_running_loop().time() + ttl / 1000, ttl)
         return response(200, body={"ttl_ms": ttl})
+
+
+class StoreView:
+    """The store as one VM sees it, on a port of its own: upstreams have the addresses that `address_of` returns for theirs."""
+
+    def __init__(self, store, address_of):
+        self.store, self.address_of = store, address_of
+        self.server = Server(store.server.ip, 0, self.handle)
+
+    async def start(self):
+        await self.server.start()
+        return self
+
+    @property
+    def address(self):
+        return f"{self.server.ip}:{self.server.port}"
+
+    async def handle(self, request, reader, writer):
+        answer = await self.store.handle(request, reader, writer)
+        head, _, body = (answer or b"").partition(b"\r\n\r\n")
+        if not body:
+            return answer
+        body = json.loads(body)
+        for item in body.get("items", body.get("events", [body])):
+            if item.get("key", "").startswith("servers/") and "value" in item:
+                item["value"] = base64.b64encode(await self.translate(base64.b64decode(item["value"]))).decode()
+        data = json.dumps(body).encode()
+        return re.sub(rb"Content-Length: \d+", b"Content-Length: %d" % len(data), head) + b"\r\n\r\n" + data
+
+    async def translate(self, value):
+        """Returns an upstream's entry with the address of this view; what is no entry stays as it is."""
+        try:
+            entry = json.loads(value)
+            return json.dumps({**entry, "address": await self.address_of(entry["address"])}).encode()
+        except (ValueError, TypeError, KeyError):
+            return value
--- a/support/relay.py
+++ b/support/relay.py
@@ -40,11 +40,14 @@
 
     async def _pump(self, reader, writer, generation, from_target):
         try:
-            while data := await reader.read(65536):
+            while True:
+                data = await reader.read(65536)
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 while self.cut or (from_target and self.cut_answers):
                     await asyncio.sleep(0.05)
+                if not data:
+                    return
                 if generation == self.generation:
                     writer.write(data)
                     await writer.drain()
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -13,6 +13,7 @@
 
 sys.path.insert(0, os.path.join(ROOT, "support"))
 
+from links import UpstreamLinks  # noqa: E402
 from platform_fleet import Fleet, vm_settings  # noqa: E402
 from relay import Relay  # noqa: E402
 
@@ -42,6 +43,7 @@
         self.log_path = os.path.join(folder, f"{self.name}.log")
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(vm_settings(self.name, self.ip, self.port, store, place, **bounds))
+        self.store = store
         self.process, self.started_at = None, 0
 
     async def start(self):
@@ -49,6 +51,18 @@
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(PROGRAM, "--settings", self.path, stdout=log, stderr=log)
 
+    async def move_store(self, address):
+        """Restarts the VM with another address of the store."""
+        with open(self.path, encoding="utf-8") as file:
+            text = file.read()
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(text.replace(self.store, address))
+        self.store = address
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+        await self.start()
+        await self.wait_until_ready()
+
     async def is_ready(self):
         try:
             status, _, _ = await call(self.ip, self.port + 1, "GET", "/readyz", {}, b"", 1)
@@ -123,6 +137,7 @@
         self.vm_count, self.bounds = vms, {"grace": grace, **(bounds or {})}
         self.vms, self.request_count = [], 0
         self.relays = []  # between VMs and the store
+        self.links = None  # between VMs and upstreams, if they can be cut
         self.writers = []  # of streams that are read event by event
         self.vm_of = {}  # name of the VM that took a request, by its id
 
@@ -146,27 +161,25 @@
         for relay in self.relays:
             relay.reset()
             relay.close()
+        if self.links:
+            self.links.close()
         for server in [self.fleet.store.server, *(upstream.server for upstream in self.fleet.upstreams)]:
             server.stop()
         await asyncio.sleep(0.05)  # lets the servers' connection handlers finish
 
     async def relay_store(self, vms):
         """Restarts the VMs so that each reaches the store through its own relay; returns the relays."""
-        relays = []
-        for vm in vms:
-            relay = Relay(0, int(self.fleet.store.address.rsplit(":", 1)[1]))
-            relays.append(relay)
-            with open(vm.path, encoding="utf-8") as file:
-                text = file.read()
-            with open(vm.path, "w", encoding="utf-8") as file:
-                file.write(text.replace(self.fleet.store.address, f"127.0.0.1:{relay.port}"))
-            vm.signal(signal.SIGKILL)
-            await vm.process.wait()
-            await vm.start()
-            await vm.wait_until_ready()
+        relays = [Relay(0, int(vm.store.rsplit(":", 1)[1])) for vm in vms]
         self.relays += relays
+        await asyncio.gather(*(vm.move_store(f"127.0.0.1:{relay.port}") for vm, relay in zip(vms, relays)))
         return relays
 
+    async def relay_upstreams(self, vms):
+        """Restarts the VMs so that each reaches each upstream through a link of its own; returns the links."""
+        self.links = self.links or UpstreamLinks(self.fleet)
+        await asyncio.gather(*(self.links.add(vm) for vm in vms))
+        return self.links
+
     def request_id(self):
         self.request_count += 1
         return f"req-{self.request_count}"
