A silent engine's stream is given up only for a resumption that may be sent

What callers saw: streams ended after some events without their end, 0.9 s after the last event of an engine that went on 0.3 s later, also beside a change of the configuration.

Cause: a stalled call was cancelled before the retry budget was asked. With an empty budget, which many streams of one silent engine use up together, the stream was aborted. A prefill without an answer in time was given up in the same way, and its request refused.

Change: the attempt, the plan, the quarantine and the retry budget are checked before the call is cancelled; otherwise the VM waits on (stall_waited_out). A prefill that may not be repeated is waited for once more for 1.5 s.

--- a/include/currantstack/decisions/request_attempts.h
+++ b/include/currantstack/decisions/request_attempts.h
@@ -48,6 +48,12 @@
         return m_count < m_maxAttempts && isSafeToRetry();
     }
 
+    /// Returns whether another attempt may be made if one that is still to be counted ends without having run.
+    auto mayRetryAfterThis() const -> bool
+    {
+        return m_count + 1 < m_maxAttempts && isSafeToRetry();
+    }
+
     /// Returns whether another attempt cannot make an at-most-once request run twice; ignores the limit on attempts.
     auto isSafeToRetry() const -> bool
     {
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -257,13 +257,42 @@
 
 auto StreamRequest::onStall() -> void
 {
-    if (m_done || m_decodeCall == 0 || !m_attempts.mayRetry() || !planResumption()) {
+    if (m_done || m_decodeCall == 0) {
         return;
     }
+    // A sound engine may be silent for a while, so its call is only given up for a resumption that is certain to be allowed.
+    const auto now = m_context.clock.now();
+    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && !checkQuarantine(m_context, m_request) && planResumption();
+    m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
+    if (!m_retryAcquired) {
+        m_context.counters.at("stalls_waited_out").add();
+        m_context.log.write("stream", "stall_waited_out",
+                            {{"request", m_request.metadata.requestId},
+                             {"engine", m_decodeEngine.id},
+                             {"events", m_events},
+                             {"may_move", mayMove},
+                             {"silent_ms", toMilliseconds(now - m_lastEventAt)}});
+        m_stallTimer->startOnce(StallTimeout);
+        return;
+    }
+    recordSilence(m_context, m_decodeEngine, m_sentAt);
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
     onDecodeBroken(AttemptOutcome::Unknown, "no event in time", {});
 }
 
+/// Returns whether the retry budget allows another send after this outcome.
+auto StreamRequest::acquireRetry(AttemptOutcome outcome) -> bool
+{
+    if (outcome == AttemptOutcome::NotSent || std::exchange(m_retryAcquired, false)) {
+        return true;
+    }
+    const bool acquired = m_context.retryBudget.tryAcquire(m_request.service, m_context.clock.now());
+    if (!acquired) {
+        m_context.log.write("stream", "retry_budget_empty", {{"request", m_request.metadata.requestId}, {"service", m_request.service}});
+    }
+    return acquired;
+}
+
 auto StreamRequest::onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
     const auto now = m_context.clock.now();
@@ -320,8 +349,7 @@
     if (!m_attempts.mayRetry() || now >= m_request.deadline()) {
         return false;
     }
-    if (outcome != AttemptOutcome::NotSent && !m_context.retryBudget.tryAcquire(m_request.service, now)) {
-        m_context.log.write("stream", "retry_budget_empty", {{"request", m_request.metadata.requestId}, {"service", m_request.service}});
+    if (!acquireRetry(outcome)) {
         return false;
     }
     if (m_stallTimer) {
@@ -371,8 +399,7 @@
         return false;
     }
     if (m_context.reach.isCutOff(m_request.service)) {
-        const bool maySend = outcome == AttemptOutcome::NotSent || m_context.retryBudget.tryAcquire(m_request.service, now);
-        return maySend && isVersionCertain() && handOver(reason);
+        return isVersionCertain() && acquireRetry(outcome) && handOver(reason);
     }
     const auto next = planResumption();
     if (!next) {
@@ -386,8 +413,7 @@
         return false;
     }
     m_expectedFirstEvent = next->timeToFirstToken;
-    if (outcome != AttemptOutcome::NotSent && !m_context.retryBudget.tryAcquire(m_request.service, now)) {
-        m_context.log.write("stream", "retry_budget_empty", {{"request", m_request.metadata.requestId}, {"service", m_request.service}});
+    if (!acquireRetry(outcome)) {
         return false;
     }
     m_decodeEngine = *next->decode;
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -11,6 +11,7 @@
 // The timeout of a prefill is the expected time multiplied by this factor, plus this margin. Another engine is tried after it.
 constexpr double PrefillTimeoutFactor = 3;
 constexpr Duration PrefillTimeoutMargin = milliseconds(700); // an abandoned prefill costs as much engine time as a useful one
+constexpr Duration SilenceAllowance = milliseconds(1500); // for an engine that is silent for a second and goes on
 // Retry-After of a refusal that is not caused by load.
 constexpr Duration ShortRetryAfter = milliseconds(30);
 
@@ -30,8 +31,8 @@
     HttpHandlers handlers;
     handlers.onDone = [self = shared_from_this()](Result<HttpResponse> result) { self->onPrefilled(std::move(result)); };
     m_prefillCall = m_context.client.start(upstreamCall(m_context, m_request, m_prefillEngine, spec), std::move(handlers));
-    m_prefillTimer =
-        m_context.loop.timer([self = shared_from_this()]() { self->abandonPrefill(AttemptOutcome::Unknown, "no answer in time", {}); });
+    m_prefillWaited = false;
+    m_prefillTimer = m_context.loop.timer([self = shared_from_this()]() { self->onPrefillTimeout(); });
     m_prefillTimer->startOnce(fromMilliseconds(PrefillTimeoutFactor * toMilliseconds(m_expectedPrefill)) + PrefillTimeoutMargin);
 }
 
@@ -88,6 +89,29 @@
     return true;
 }
 
+/// Gives up the prefill if another one may be sent. Otherwise a sound engine that is silent for a while gets the time to go on.
+auto StreamRequest::onPrefillTimeout() -> void
+{
+    const auto now = m_context.clock.now();
+    if (m_done || m_decoding || m_prefillCall == 0) {
+        return;
+    }
+    m_retryAcquired = m_attempts.mayRetryAfterThis() && m_context.retryBudget.tryAcquire(m_request.service, now);
+    if (!m_retryAcquired && !std::exchange(m_prefillWaited, true)) {
+        m_context.counters.at("stalls_waited_out").add();
+        m_context.log.write("stream", "stall_waited_out",
+                            {{"request", m_request.metadata.requestId},
+                             {"engine", m_prefillEngine.id},
+                             {"events", 0},
+                             {"may_move", false},
+                             {"silent_ms", toMilliseconds(now - m_sentAt)}});
+        m_prefillTimer->startOnce(SilenceAllowance);
+        return;
+    }
+    recordSilence(m_context, m_prefillEngine, m_sentAt);
+    abandonPrefill(AttemptOutcome::Unknown, "no answer in time", {});
+}
+
 auto StreamRequest::abandonPrefill(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
     if (m_done || m_decoding) {
@@ -119,7 +143,7 @@
         m_attempts.onAttempt();
         m_attempts.onOutcome(AttemptOutcome::NotRun);
     }
-    if (!m_attempts.mayRetry() || (isAttempt && !m_context.retryBudget.tryAcquire(m_request.service, now))) {
+    if (!m_attempts.mayRetry() || (isAttempt && !acquireRetry(outcome))) {
         fail(false, "the prefill failed", ShortRetryAfter);
     } else {
         placeOrEnqueue();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -86,6 +86,7 @@
     auto startPrefill() -> void;
     auto onPrefilled(Result<HttpResponse> result) -> void;
     auto acceptHandle(const HttpResponse &response) -> bool;
+    auto onPrefillTimeout() -> void;
     auto abandonPrefill(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
     auto freeHandle() -> void;
 
@@ -100,6 +101,7 @@
     auto onFirstEvent() -> void;
     auto recordSurvival() -> void;
     auto onStall() -> void;
+    auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
     auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
     auto resumeElsewhere(AttemptOutcome outcome, std::string_view reason) -> bool;
@@ -160,11 +162,13 @@
     Duration m_timeToFirstEvent = Duration::zero();
     Duration m_longestGap = Duration::zero();
 
+    bool m_retryAcquired = false; // the retry budget has already counted the next send
     bool m_queued = false; // counted in the load table as a pending request of the service
 
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_queueTimer;
     std::unique_ptr<Timer> m_prefillTimer;
+    bool m_prefillWaited = false; // once for the engine of the current prefill, beyond its timeout
     std::unique_ptr<Timer> m_stallTimer;
     bool m_handedOver = false; // another VM forwards the request
     bool m_done = false;
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -14,7 +14,6 @@
 import restore_tests
 import silence_tests
 import stranded_tests
-import stranded_tests
 import version_tests
 from rig import ROOT, Rig, call, read_response
 from platform_upstreams import JUNK
