Failed reservations count as failures of the link to the engine

What callers saw: at a VM that had lost its links before it sent a stream, all streams were refused as without capacity, while bookings were forwarded.

Cause: the first call of a stream is a reservation, and its failure was not recorded for the link, so that the VM did not believe itself cut off.

Change: a reservation that fails without a response is recorded.

--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -12,8 +12,8 @@
 /// Records a call on a connection of its own that failed, if its error says something about the link.
 auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
 
-/// Records a probe that failed for any reason.
-auto recordFailedProbe(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
+/// Records a call of this VM's own, such as a probe, that failed for any reason.
+auto recordFailedCall(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
 
 /// Records that the upstream has ended: another one answers at its address, or its host refuses connections over a sound link.
 auto recordEnd(EdgeContext &context, const Upstream &upstream) -> void;
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -81,7 +81,7 @@
                              {"service", upstream.service},
                              {"result", result ? fmt::format("status {}", result->status) : describe(result.error())}});
         if (!result) {
-            recordFailedProbe(m_context, upstream, result.error(), openedAt);
+            recordFailedCall(m_context, upstream, result.error(), openedAt);
             return;
         }
         m_context.exclusions.onAccepted(upstream.id);
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -1,4 +1,5 @@
 // Reserves KV memory at the decode engine before the prefill starts, so that no prefill is wasted on a full decode engine.
+#include "currantstack/edge/upstream_links.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -33,7 +34,11 @@
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = CallTimeout;
     HttpHandlers handlers;
-    handlers.onDone = [self = shared_from_this(), separatePrefill = plan.prefill != nullptr](const Result<HttpResponse> &result) {
+    handlers.onDone = [self = shared_from_this(), separatePrefill = plan.prefill != nullptr,
+                       sentAt = m_context.clock.now()](const Result<HttpResponse> &result) {
+        if (!result) {
+            recordFailedCall(self->m_context, self->m_decodeEngine, result.error(), sentAt);
+        }
         self->onReserved(result, separatePrefill);
     };
     m_reserveCall = m_context.client.start(std::move(call), std::move(handlers));
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -56,7 +56,7 @@
     }
 }
 
-auto recordFailedProbe(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
+auto recordFailedCall(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
 {
     if (error.connectionRefused) {
         context.reach.onRefused(upstream, openedAt);
