Reject JSON and MessagePack that nest too deeply

What was seen: one store entry near 1 MiB that consists of nesting took the event loop for 190 to 250 ms and up to 77 MB (library alone, -O2, this machine), 880 to 1270 ms in a debug build, again at each read. A VM with such entries in three lists did not answer anything for up to 1.5 s at a time (debug build), lost its watches by timeout and was not ready. No program ended: the text parser and the destructor do not recurse. Text after a NUL byte was ignored, so that such a document counted as sound.

Cause: nothing bounded the depth, and the library ends a text at a NUL byte.

Change: parseJson and the new parseMsgpack build documents through a handler that stops at 256 levels, far beyond any document of the platform (about 6), before memory and time are spent. A text with a NUL byte is rejected. Descriptions of errors name 32 errors at most and bound each path.

--- a/include/currantstack/json.h
+++ b/include/currantstack/json.h
@@ -15,9 +15,19 @@
 
 using Json = nlohmann::json;
 
-/// Parses a complete JSON text; malformed JSON or UTF-8 is an error. `step` names the operation in the error.
+/// Deeper documents are rejected: copying and serializing a document recurse, and each level takes many times its bytes in memory.
+constexpr std::size_t MaxJsonDepth = 256;
+
+/// Parses a complete JSON text; malformed JSON or UTF-8 is an error, and so is nesting beyond `MaxJsonDepth`. `step` names the operation
+/// in the error.
 auto parseJson(std::string_view text, std::string_view step) -> Result<Json>;
 
+/// Parses a complete MessagePack document, with the same bound on nesting.
+auto parseMsgpack(std::string_view bytes, std::string_view step) -> Result<Json>;
+
+/// Returns the text, or its beginning and its size if it is longer than a log line should carry.
+auto excerpt(std::string_view text) -> std::string;
+
 /// Serializes a value; malformed UTF-8 in strings is replaced.
 auto dumpJson(const Json &value) -> std::string;
 
@@ -30,7 +40,9 @@
 
 using ValidationErrors = std::vector<ValidationError>;
 
-/// Returns the errors as "path: message; path: message".
+constexpr std::size_t MaxDescribedErrors = 32;
+
+/// Returns the errors as "path: message; path: message"; after the first `MaxDescribedErrors`, the number of the others.
 auto describe(const ValidationErrors &errors) -> std::string;
 
 /// Reads and validates the fields of a JSON object. Errors are appended to a list, so that one pass reports all of them; the
--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <span>
 
 namespace currantstack
 {
@@ -13,15 +14,85 @@
 const Json Null;
 const Json EmptyObject = Json::object();
 
+constexpr std::size_t MaxExcerptBytes = 200;
+
+/// Builds a document until it nests too deeply.
+class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json>
+{
+public:
+    explicit BoundedBuilder(Json &document)
+        : json_sax_dom_parser(document, false)
+    { }
+
+    // NOLINTBEGIN(readability-identifier-naming): the library's names
+    auto start_object(std::size_t size) -> bool
+    {
+        return enter() && json_sax_dom_parser::start_object(size);
+    }
+
+    auto end_object() -> bool
+    {
+        --m_depth;
+        return json_sax_dom_parser::end_object();
+    }
+
+    auto start_array(std::size_t size) -> bool
+    {
+        return enter() && json_sax_dom_parser::start_array(size);
+    }
+
+    auto end_array() -> bool
+    {
+        --m_depth;
+        return json_sax_dom_parser::end_array();
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+    auto isTooDeep() const -> bool
+    {
+        return m_depth > MaxJsonDepth;
+    }
+
+private:
+    auto enter() -> bool
+    {
+        ++m_depth;
+        return !isTooDeep();
+    }
+
+    std::size_t m_depth = 0;
+};
+
+auto parse(std::string_view bytes, Json::input_format_t format, std::string_view step, std::string_view malformed) -> Result<Json>
+{
+    Json document;
+    BoundedBuilder builder(document);
+    if (!Json::sax_parse(bytes, &builder, format)) {
+        return fail(ErrorCode::BadInput, step, "", builder.isTooDeep() ? "the document is nested too deeply" : malformed);
+    }
+    return document;
+}
+
 } // namespace
 
 auto parseJson(std::string_view text, std::string_view step) -> Result<Json>
 {
-    auto value = Json::parse(text, nullptr, false);
-    if (value.is_discarded()) {
-        return fail(ErrorCode::BadInput, step, "", "the text is not valid JSON in UTF-8");
+    constexpr std::string_view Malformed = "the text is not valid JSON in UTF-8";
+    if (text.find('\0') != std::string_view::npos) {
+        return fail(ErrorCode::BadInput, step, "", Malformed); // the library would end the text there
     }
-    return value;
+    return parse(text, Json::input_format_t::json, step, Malformed);
+}
+
+auto parseMsgpack(std::string_view bytes, std::string_view step) -> Result<Json>
+{
+    return parse(bytes, Json::input_format_t::msgpack, step, "the message is not valid MessagePack");
+}
+
+auto excerpt(std::string_view text) -> std::string
+{
+    return text.size() <= MaxExcerptBytes ? std::string(text)
+                                          : fmt::format("{}... ({} bytes)", text.substr(0, MaxExcerptBytes), text.size());
 }
 
 auto dumpJson(const Json &value) -> std::string
@@ -32,10 +103,14 @@
 auto describe(const ValidationErrors &errors) -> std::string
 {
     std::string text;
-    for (const auto &error : errors) {
-        fmt::format_to(std::back_inserter(text), "{}{}: {}", text.empty() ? "" : "; ", error.path.empty() ? "/" : error.path,
+    const auto count = std::min(errors.size(), MaxDescribedErrors);
+    for (const auto &error : std::span(errors).first(count)) {
+        fmt::format_to(std::back_inserter(text), "{}{}: {}", text.empty() ? "" : "; ", error.path.empty() ? "/" : excerpt(error.path),
                        error.message);
     }
+    if (count < errors.size()) {
+        fmt::format_to(std::back_inserter(text), "; and {} more", errors.size() - count);
+    }
     return text;
 }
 
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -1,10 +1,10 @@
 #include "currantstack/edge/origin_message.h"
 
 #include "currantstack/edge/software_version_codec.h"
+#include "currantstack/json.h"
 
 #include <algorithm>
 #include <limits>
-#include <nlohmann/json.hpp>
 
 namespace currantstack
 {
@@ -62,7 +62,11 @@
 auto decodeOrigins(std::string_view bytes) -> Result<OriginMessage>
 {
     bytes.remove_prefix(std::min(bytes.size(), OriginMagic.size()));
-    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    const auto parsed = parseMsgpack(bytes, "decode origins");
+    if (!parsed) {
+        return tl::unexpected(parsed.error());
+    }
+    const auto &document = *parsed;
     const auto malformed = fail(ErrorCode::BadInput, "decode origins", "", "the message is malformed");
     OriginMessage message;
     if (!document.is_array() || document.size() % 2 != 0 || document.empty() || !decodeReport(document[0], message.report)
