Bound the numbers in peers' reports and the traits of stored quarantines

What was seen: a load row with a negative number of requests, or one beyond 32 bits, was merged; an age beyond 63 bits became a time in the future; a stored quarantine entry could hold any number of traits and an observer's name of any length, which then went into datagrams that no peer accepts. Datagrams with 8,000 levels of nesting were accepted if the nesting stood in a field that the reader ignores.

Change: the counts of load and cost rows have bounds, ages must fit into 63 bits, stored quarantines keep to the bounds of those in datagrams, and the datagrams are read by parseMsgpack.

--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -27,10 +27,17 @@
     return rows;
 }
 
+auto isCount(const nlohmann::json &value, std::uint64_t max) -> bool
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= max;
+}
+
 auto decodeLoadRow(const nlohmann::json &row) -> std::optional<UpstreamLoad>
 {
-    const bool valid = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer() && row[2].is_number_integer()
-        && row[3].is_number_integer();
+    constexpr std::uint64_t MaxTokens = 1'000'000'000'000; // of all requests at one upstream
+    constexpr std::uint64_t MaxRequests = 1'000'000; // at one upstream
+    const bool valid = row.is_array() && row.size() == 4 && row[0].is_string() && isCount(row[1], MaxTokens) && isCount(row[2], MaxTokens)
+        && isCount(row[3], MaxRequests);
     if (!valid) {
         return std::nullopt;
     }
@@ -50,7 +57,8 @@
 auto decodeCost(const nlohmann::json &row) -> std::optional<ServiceCost>
 {
     constexpr std::size_t Columns = 6;
-    bool valid = row.is_array() && row.size() == Columns && row[0].is_string() && row[Columns - 1].is_number_unsigned();
+    constexpr std::uint64_t MaxStreams = std::numeric_limits<int>::max();
+    bool valid = row.is_array() && row.size() == Columns && row[0].is_string() && isCount(row[Columns - 1], MaxStreams);
     for (std::size_t column = 1; valid && column + 1 < Columns; ++column) {
         valid = row[column].is_number() && row[column].get<double>() >= 0 && row[column].get<double>() < 1e9;
     }
@@ -205,12 +213,12 @@
 
 auto decodeLoad(std::string_view bytes) -> Result<LoadMessage>
 {
-    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    if (!document.is_object()) {
-        return malformed("the message is not an object");
+    const auto document = parseMsgpack(bytes, "decode load");
+    if (!document) {
+        return tl::unexpected(document.error());
     }
     ValidationErrors errors;
-    ObjectReader reader(document, "", errors);
+    ObjectReader reader(*document, "", errors);
     LoadMessage message;
     message.source = reader.text("src");
     message.vm = reader.text("vm");
--- a/src/edge/quarantine_message.cc
+++ b/src/edge/quarantine_message.cc
@@ -157,13 +157,16 @@
 auto decodeQuarantine(std::string_view bytes, TimePoint now) -> Result<QuarantineMessage>
 {
     bytes.remove_prefix(std::min(bytes.size(), QuarantineMagic.size()));
-    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    if (!document.is_object()) {
+    const auto document = parseMsgpack(bytes, "decode quarantine");
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    if (!document->is_object()) {
         return malformed("the message is not an object");
     }
-    const auto rows = [&document](const char *name) { return document.value(name, nlohmann::json::array()); };
+    const auto rows = [&document](const char *name) { return document->value(name, Json::array()); };
     QuarantineMessage message;
-    message.place = document.contains("place") && isName(document["place"]) ? document["place"].get<std::string>() : "";
+    message.place = document->contains("place") && isName(document->at("place")) ? document->at("place").get<std::string>() : "";
     for (const auto &row : rows("succeeded")) {
         const auto success = decodeSuccess(row);
         if (!success) {
@@ -209,15 +212,18 @@
     const auto ageMs = epochMilliseconds(now) - reader.integer("crash_ms", 0, std::numeric_limits<std::int64_t>::max());
     QuarantineEntry entry;
     entry.observer = reader.text("observer", "");
-    for (const auto &text : reader.raw("traits")) {
-        entry.traits.push_back(text.is_string() ? fingerprintFromText(text.get_ref<const std::string &>()) : 0);
-    }
+    const auto traits = reader.texts("traits");
+    std::transform(traits.begin(), traits.end(), std::back_inserter(entry.traits),
+                   [](const std::string &text) { return fingerprintFromText(text); });
     for (const auto &upstream : reader.raw("crashed")) {
-        if (isName(upstream)) {
+        if (isName(upstream) && entry.upstreams.size() < Quarantine::MaxUpstreamsPerEntry) {
             entry.upstreams.push_back(upstream.get<std::string>());
         }
     }
     std::sort(entry.traits.begin(), entry.traits.end());
+    if (entry.traits.size() > Quarantine::MaxTraits || entry.observer.size() > MaxNameBytes) {
+        return malformed("too many traits, or the observer's name is too long");
+    }
     if (!errors.empty() || entry.traits.empty() || entry.traits.front() == 0) {
         return malformed(errors.empty() ? "a trait is not a fingerprint" : describe(errors));
     }
--- a/src/edge/software_version_codec.cc
+++ b/src/edge/software_version_codec.cc
@@ -10,7 +10,7 @@
 
 auto isDuration(const nlohmann::json &value) -> bool
 {
-    return value.is_number_integer() && value >= 0;
+    return value.is_number_integer() && value.get<std::int64_t>() >= 0;
 }
 
 auto isRow(const nlohmann::json &row) -> bool
--- a/test/load_table-test.cc
+++ b/test/load_table-test.cc
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(addedAndRemovedWorkCancelsOut);
     CPPUNIT_TEST(messagesRoundTrip);
     CPPUNIT_TEST(malformedDatagramsAreRejected);
+    CPPUNIT_TEST(numbersBeyondTheirBoundsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +106,28 @@
                        });
     }
 
+    auto numbersBeyondTheirBoundsAreRejected() -> void
+    {
+        const auto isRead = [](const char *list, const nlohmann::json &row) {
+            const auto bytes = encodeLoad({"src", "vm", "place", 1, false, false, {}, {}, {}, {}, {}, {}});
+            auto document = nlohmann::json::from_msgpack(bytes);
+            document[list] = nlohmann::json::array({row});
+            std::string changed;
+            nlohmann::json::to_msgpack(document, changed);
+            return decodeLoad(changed).has_value();
+        };
+        constexpr auto Largest = std::numeric_limits<std::uint64_t>::max();
+        CPPUNIT_ASSERT(isRead("work", {"e", 10, 20, 3}) && isRead("work", {"e", 0, 0, 0}));
+        CPPUNIT_ASSERT(!isRead("work", {"e", 10, 20, -3}) && !isRead("work", {"e", 10, 20, 0xffffffffU}));
+        CPPUNIT_ASSERT(!isRead("work", {"e", -10, 20, 3}) && !isRead("work", {"e", Largest, 20, 3})
+                       && !isRead("work", {"e", 10, Largest, 3}));
+        CPPUNIT_ASSERT(isRead("costs", {"s", 1, 2, 3, 4, 5}) && !isRead("costs", {"s", 1, 2, 3, 4, Largest}));
+        CPPUNIT_ASSERT(isRead("software", {"s", "v1", 5, 6}));
+        CPPUNIT_ASSERT(!isRead("software", {"s", "v1", Largest, 6}) && !isRead("software", {"s", "v1", 5, Largest}));
+        CPPUNIT_ASSERT(!isRead("software", {"s", "v1", -1, 6}) && !isRead("software", {"s", "v1", 5, 1e308}));
+        CPPUNIT_ASSERT(!decodeLoad(std::string(8000, '\x91') + '\xc0'));
+    }
+
     auto malformedDatagramsAreRejected() -> void
     {
         CHECK_PROPERTY("no input crashes the decoder", [](const std::string &bytes) { (void)decodeLoad(bytes); });
--- a/test/quarantine_message-test.cc
+++ b/test/quarantine_message-test.cc
@@ -1,5 +1,7 @@
 #include "currantstack/edge/quarantine_message.h"
 
+#include "currantstack/json.h"
+
 #include "check.h"
 
 #include <fmt/format.h>
@@ -13,12 +15,34 @@
     CPPUNIT_TEST(longReportsAreSplit);
     CPPUNIT_TEST(malformedDatagramsAreRejected);
     CPPUNIT_TEST(storedEntryRoundTrip);
+    CPPUNIT_TEST(storedEntriesBeyondTheBoundsAreRejected);
+    CPPUNIT_TEST(deeplyNestedDatagramsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_now{seconds(1000)};
     const WallTime m_wall{seconds(1'700'000'000)};
 
 public:
+    auto storedEntriesBeyondTheBoundsAreRejected() -> void
+    {
+        const auto isRead = [this](std::size_t traits, std::size_t observerBytes) {
+            const Json document = {{"traits", std::vector<std::string>(traits, "ab")},
+                                   {"until_ms", 1'700'000'009'000},
+                                   {"crash_ms", 1'700'000'000'000},
+                                   {"observer", std::string(observerBytes, 'x')}};
+            return decodeStoredEntry(document.dump(), m_wall).has_value();
+        };
+        CPPUNIT_ASSERT(isRead(1, 0) && isRead(Quarantine::MaxTraits, 200));
+        CPPUNIT_ASSERT(!isRead(Quarantine::MaxTraits + 1, 0) && !isRead(100'000, 0) && !isRead(1, 100'000) && !isRead(0, 0));
+    }
+
+    auto deeplyNestedDatagramsAreRejected() -> void
+    {
+        const std::string nested(8000, '\x91');
+        CPPUNIT_ASSERT(!decodeQuarantine("Q" + nested + '\xc0', m_now));
+        CPPUNIT_ASSERT(!decodeQuarantine("Q\x81\xa5" + ("extra" + nested) + '\xc0', m_now));
+    }
+
     auto reportRoundTrip() -> void
     {
         QuarantineMessage message{"z1", {}};
