--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -11,8 +11,16 @@
     CPPUNIT_TEST(readsTheConfiguration);
     CPPUNIT_TEST(readsAnUpstreamEntry);
     CPPUNIT_TEST(rejectsMalformedEntries);
+    CPPUNIT_TEST(rejectsAddressesThatNameNoMachineAndPort);
+    CPPUNIT_TEST(rejectsNumbersBeyondTheirBounds);
+    CPPUNIT_TEST(rejectsTextsThatFitIntoNoHeaderOrDatagram);
+    CPPUNIT_TEST(keysOfOtherDepthNameNoUpstream);
+    CPPUNIT_TEST(deeplyNestedEntriesAreRejected);
+    CPPUNIT_TEST(lastOfDuplicateFieldsCounts);
+    CPPUNIT_TEST(rejectsEnginesOfAnotherTypeInTheConfiguration);
     CPPUNIT_TEST(arbitraryBytesAreReadOrRejected);
     CPPUNIT_TEST(vmRecordsRoundTrip);
+    CPPUNIT_TEST(rejectsMalformedVmRecords);
     CPPUNIT_TEST_SUITE_END();
 
     PlatformCodec m_codec;
@@ -23,6 +31,23 @@
                 {"seq", 4},       {"cold_left_ms", 0},        {"phase", "decode"}, {"born", 1700000000000}};
     }
 
+    auto isRead(std::string_view field, const Json &value) const -> bool
+    {
+        auto document = entry();
+        document[std::string(field)] = value;
+        return m_codec.decodeUpstream({"servers/i-1", document.dump(), 1}).has_value();
+    }
+
+    /// As `isRead`, with the field's value as JSON text.
+    auto isTextRead(std::string_view field, std::string_view value) const -> bool
+    {
+        auto document = entry();
+        document[std::string(field)] = "@";
+        auto text = document.dump();
+        text.replace(text.find("\"@\""), 3, value);
+        return m_codec.decodeUpstream({"servers/i-1", text, 1}).has_value();
+    }
+
 public:
     auto readsTheConfiguration() -> void
     {
@@ -102,6 +127,89 @@
         CPPUNIT_ASSERT(!m_codec.decodeUpstream({"servers/i-1", "", 1}));
     }
 
+    auto rejectsAddressesThatNameNoMachineAndPort() -> void
+    {
+        CPPUNIT_ASSERT(isRead("address", "10.1.2.3:1") && isRead("address", "10.1.2.3:65535"));
+        for (const auto *address :
+             {"10.1.2.3:0", "10.1.2.3:00", "10.1.2.3:65536", "10.1.2.3:99999", "10.1.2.3:+80", "10.1.2.3:-1", "10.1.2.3: 80",
+              "10.1.2.3:80 ", "10.1.2.3:", "10.1.2.3:80:80", "0.0.0.0:80", "255.255.255.255:80", ":80"}) {
+            CPPUNIT_ASSERT_MESSAGE(address, !isRead("address", address));
+        }
+        CPPUNIT_ASSERT(!isRead("address", std::string("10.1.2.3\0:80", 12)));
+        CPPUNIT_ASSERT(!isRead("address", std::string("10.1.2.3:80\0", 12)));
+    }
+
+    auto rejectsNumbersBeyondTheirBounds() -> void
+    {
+        CPPUNIT_ASSERT(isRead("slots", 10'000) && isRead("slots", 1));
+        for (const auto *field : {"slots", "born"}) {
+            for (const auto *value : {"1e999", "18446744073709551616", "18446744073709551615", "-1", "1e308", "1.5", "\"6\"", "[6]"}) {
+                CPPUNIT_ASSERT_MESSAGE(value, !isTextRead(field, value));
+            }
+        }
+        CPPUNIT_ASSERT(!isRead("slots", 1'000'000'000) && !isRead("slots", 0));
+        const auto version = [](const Json &value) { return Json::array({{{"name", "m"}, {"version", value}}}); };
+        CPPUNIT_ASSERT(isRead("models", version(7)) && isRead("models", Json::array()));
+        CPPUNIT_ASSERT(!isRead("models", version(18446744073709551615U)) && !isRead("models", version(-1)));
+        CPPUNIT_ASSERT(!isRead("models", version("7")) && !isRead("models", 7) && !isRead("models", Json::array({7})));
+    }
+
+    auto rejectsTextsThatFitIntoNoHeaderOrDatagram() -> void
+    {
+        for (const auto *field : {"service", "zone", "version"}) {
+            CPPUNIT_ASSERT(isRead(field, std::string(200, 'x')) && isRead(field, "a \u00e9"));
+            CPPUNIT_ASSERT(!isRead(field, std::string(100'000, 'x')));
+            CPPUNIT_ASSERT(!isRead(field, "a\r\nHost: b") && !isRead(field, std::string("a\0", 2)));
+        }
+        const auto isIdRead = [this](const std::string &id) {
+            return m_codec.decodeUpstream({"servers/" + id, entry().dump(), 1}).has_value();
+        };
+        CPPUNIT_ASSERT(isIdRead("i-7f3a91c2") && isIdRead("engine_7.b:c"));
+        for (const auto &id : {std::string(), std::string(100'000, 'x'), std::string("a b"), std::string("a\r\nb"), std::string("\xff")}) {
+            CPPUNIT_ASSERT(!isIdRead(id));
+        }
+        const auto error = m_codec.decodeUpstream({"servers/" + std::string(100'000, 'x'), "{}", 1}).error();
+        CPPUNIT_ASSERT(describe(error).size() < 2000);
+    }
+
+    auto keysOfOtherDepthNameNoUpstream() -> void
+    {
+        CPPUNIT_ASSERT(!m_codec.decodeUpstream({"servers/other/i-1", entry().dump(), 1}));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), m_codec.idOf("servers/i-1"));
+        CPPUNIT_ASSERT(m_codec.idOf("servers/other/i-1") != "i-1");
+    }
+
+    auto deeplyNestedEntriesAreRejected() -> void
+    {
+        for (const std::size_t levels : {std::size_t(1000), std::size_t(100'000), std::size_t(500'000)}) {
+            const auto nested = std::string(levels, '[') + std::string(levels, ']');
+            for (const auto *field : {"extra", "models", "slots", "service"}) {
+                CPPUNIT_ASSERT(!isTextRead(field, nested));
+            }
+            CPPUNIT_ASSERT(!m_codec.decodeUpstream({"servers/i-1", nested, 1}));
+            CPPUNIT_ASSERT(!m_codec.decodeRoutes({"op/config", "{\"version\": 1, \"extra\": " + nested + "}", 1}));
+            CPPUNIT_ASSERT(!m_codec.decodeVm({"currantstack/vms/a", nested, 1}));
+        }
+        CPPUNIT_ASSERT(isTextRead("extra", "[[[{\"a\": [1]}]]]"));
+    }
+
+    auto lastOfDuplicateFieldsCounts() -> void
+    {
+        auto text = entry().dump();
+        text.insert(text.size() - 1, R"(,"slots":7,"slots":8)");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(8), m_codec.decodeUpstream({"servers/i-1", text, 1})->slots);
+    }
+
+    auto rejectsEnginesOfAnotherTypeInTheConfiguration() -> void
+    {
+        const auto isConfigurationRead = [this](const Json &engine) {
+            const Json document = {{"version", 1}, {"services", {{{"name", "s"}, {"engine", engine}}}}};
+            return m_codec.decodeRoutes({"op/config", document.dump(), 1}).has_value();
+        };
+        CPPUNIT_ASSERT(isConfigurationRead(nullptr) && isConfigurationRead({{"slots", 1}, {"kv_tokens", 1}}));
+        CPPUNIT_ASSERT(!isConfigurationRead(7) && !isConfigurationRead(Json::array()) && !isConfigurationRead("none"));
+    }
+
     auto arbitraryBytesAreReadOrRejected() -> void
     {
         CHECK_PROPERTY("no input crashes the readers", [this](const std::string &bytes) {
@@ -122,6 +230,21 @@
         const auto read = m_codec.decodeVm({m_codec.vmsPrefix() + "vm1", m_codec.encodeVm(record), 1});
         CPPUNIT_ASSERT(read && read->name == "vm1" && read->place == "z" && read->peerAddress == record.peerAddress);
     }
+
+    auto rejectsMalformedVmRecords() -> void
+    {
+        const auto isVmRead = [this](const std::string &name, const Json &place, const Json &ip, const Json &port) {
+            return m_codec.decodeVm({"currantstack/vms/" + name, Json({{"place", place}, {"ip", ip}, {"port", port}}).dump(), 1})
+                .has_value();
+        };
+        CPPUNIT_ASSERT(isVmRead("vm1", "z", "10.0.0.9", 7380));
+        CPPUNIT_ASSERT(!isVmRead("vm1", "z", "10.0.0.9", 0) && !isVmRead("vm1", "z", "10.0.0.9", 65536));
+        CPPUNIT_ASSERT(!isVmRead("vm1", "z", "host", 80) && !isVmRead("vm1", "z", "0.0.0.0", 80) && !isVmRead("vm1", "z", "", 80));
+        CPPUNIT_ASSERT(isVmRead("rack 7/vm1", "z", "10.0.0.9", 80) && !isVmRead("", "z", "10.0.0.9", 80)
+                       && !isVmRead("a\nb", "z", "10.0.0.9", 80));
+        CPPUNIT_ASSERT(!isVmRead(std::string(100'000, 'x'), "z", "10.0.0.9", 80));
+        CPPUNIT_ASSERT(!isVmRead("vm1", std::string(100'000, 'x'), "10.0.0.9", 80));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDocumentsTest);
