Stop using entries that turned odd, and log each revision of them once

What was seen: an upstream whose entry could not be read any more kept its previous content and got requests at its previous address for as long as the entry stayed. Each complete read and each poll of the VMs' list logged every unreadable entry again, with its key in full.

Cause: the reader skipped such an entry, and a complete read counted it among those that are present.

Change: an entry that cannot be read names no upstream: the upstream is taken out of the directory at once, also just after an outage of the store, without the evidence of a crash and the notice to peers that go with a deletion. It joins again with the next readable revision. Unreadable entries of upstreams, VMs and quarantines and unreadable configurations are logged once per revision, with at most 200 bytes of their keys.

The stand-in of the store bounds the pages of a read at 1 MB, as the platform's store does.

--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -4,6 +4,7 @@
 #include "currantstack/edge/context.h"
 #include "currantstack/edge/load_message.h"
 #include "currantstack/edge/store_follower.h"
+#include "currantstack/edge/unreadable_entries.h"
 
 namespace currantstack
 {
@@ -51,7 +52,9 @@
     auto onUpstreamEvents(std::span<const StoreEvent> events) -> void;
     auto applyRoutes(const StoreValue &value) -> void;
     auto applyUpstream(const StoreValue &value, bool isFromCopy) -> void;
-    auto removeUpstream(const std::string &id) -> void;
+    auto ignoreUpstream(const StoreValue &value, const Error &error) -> void;
+    auto onDeleted(const std::string &id) -> void;
+    auto removeUpstream(const std::string &id, bool mayHaveExpired) -> UpstreamChange;
     auto removeLimit(const Upstream &upstream) -> void;
     auto removeExpired() -> void;
 
@@ -59,6 +62,8 @@
     const StoreCodec &m_codec;
     StoreFollower m_routes;
     StoreFollower m_upstreams;
+    UnreadableEntries m_unreadableRoutes;
+    UnreadableEntries m_unreadableUpstreams;
     std::unique_ptr<Timer> m_expiryTimer;
     std::unique_ptr<Timer> m_rereadTimer;
     TimePoint m_startedAt;
--- a/include/currantstack/edge/quarantine_store.h
+++ b/include/currantstack/edge/quarantine_store.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/edge/context.h"
 #include "currantstack/edge/store_follower.h"
+#include "currantstack/edge/unreadable_entries.h"
 
 #include <set>
 
@@ -49,6 +50,7 @@
     Store &m_store;
     std::function<void(const QuarantineEntry &)> m_onEntry;
     StoreFollower m_follower;
+    UnreadableEntries m_unreadable;
     std::set<std::string> m_stored; // keys
     std::map<std::string, TimePoint> m_dueAt; // of the next write or deletion of a key
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/currantstack/edge/vm_registry.h
+++ b/include/currantstack/edge/vm_registry.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "currantstack/edge/context.h"
-#include "currantstack/store.h"
+#include "currantstack/edge/unreadable_entries.h"
 
 namespace currantstack
 {
@@ -41,12 +41,14 @@
     auto writeEntry(std::int64_t lease) -> void;
     auto renew() -> void;
     auto readOthers() -> void;
+    auto decode(std::span<const StoreValue> values) -> VmRecords;
     auto retry(std::string_view step, const Error &error) -> void;
 
     EdgeContext &m_context;
     const StoreCodec &m_codec;
     Store &m_store;
     std::function<void(const VmRecords &)> m_onVms;
+    UnreadableEntries m_unreadable;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_readTimer;
     Duration m_readPeriod = ReadPeriod; // until the next read
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -104,9 +104,10 @@
     }
     for (const auto &id : m_context.directory.ids()) {
         if (!seen.contains(id)) {
-            removeUpstream(id);
+            onDeleted(id);
         }
     }
+    m_unreadableUpstreams.retain(range.values);
     m_upstreamsRead = true;
     m_context.upstreamsReadAt = m_context.clock.now();
     m_context.storeUnreachable = false;
@@ -116,7 +117,8 @@
 {
     for (const auto &event : events) {
         if (event.deleted) {
-            removeUpstream(m_codec.idOf(event.value.key));
+            m_unreadableUpstreams.remove(event.value.key);
+            onDeleted(m_codec.idOf(event.value.key));
         } else {
             applyUpstream(event.value, false);
         }
@@ -127,9 +129,13 @@
 {
     auto routeTable = m_codec.decodeRoutes(value);
     if (!routeTable) {
+        if (!m_unreadableRoutes.add(value)) {
+            return;
+        }
         m_context.log.write("directory", "routes_unreadable", {{"revision", value.modRevision}, {"error", describe(routeTable.error())}});
         return;
     }
+    m_unreadableRoutes.remove(value.key);
     const auto previousVersion = m_context.routeTable ? m_context.routeTable->version : 0;
     if (m_context.routeTable && routeTable->version <= previousVersion) {
         return;
@@ -149,9 +155,10 @@
 {
     auto upstream = m_codec.decodeUpstream(value);
     if (!upstream) {
-        m_context.log.write("directory", "entry_ignored", {{"key", value.key}, {"error", describe(upstream.error())}});
+        ignoreUpstream(value, upstream.error());
         return;
     }
+    m_unreadableUpstreams.remove(value.key);
     const auto entry = *upstream;
     m_context.versions.observe(entry.service, entry.softwareVersion, m_context.clock.now(), m_context.clock.now());
     const auto *previous = m_context.directory.find(entry.id);
@@ -187,26 +194,48 @@
     m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
 }
 
-auto DirectoryController::removeUpstream(const std::string &id) -> void
+auto DirectoryController::ignoreUpstream(const StoreValue &value, const Error &error) -> void
+{
+    const auto id = m_codec.idOf(value.key);
+    const bool wasKnown = m_context.directory.find(id) != nullptr;
+    if (m_unreadableUpstreams.add(value)) {
+        m_context.log.write(
+            "directory", "entry_ignored",
+            {{"key", excerpt(value.key)}, {"revision", value.modRevision}, {"was_known", wasKnown}, {"error", describe(error)}});
+    }
+    if (wasKnown) {
+        removeUpstream(id, false); // no evidence that the upstream ended
+    }
+}
+
+auto DirectoryController::onDeleted(const std::string &id) -> void
 {
     const auto now = m_context.clock.now();
-    const bool expired = m_mayHaveExpired && now - m_reachableSince < ExpiryWindow;
+    const bool mayHaveExpired = m_mayHaveExpired && now - m_reachableSince < ExpiryWindow;
     const auto *entry = m_context.directory.find(id);
     const auto incarnation = entry == nullptr ? std::string() : incarnationOf(*entry);
-    if (entry != nullptr && !expired) {
-        removeLimit(*entry);
-    }
-    const auto change = m_context.directory.remove(id, expired, now);
-    if (change == UpstreamChange::Removed) {
+    if (removeUpstream(id, mayHaveExpired) == UpstreamChange::Removed) {
         m_context.crashDetector.onRemoved(incarnation, now);
         m_context.exclusions.add({id, ExclusionReason::Draining, EngineRole::None, ExclusionList::DrainingLifetime}, now);
     }
-    m_context.log.write("directory", expired ? "upstream_lapsed" : "upstream_changed", {{"upstream", id}, {"change", name(change)}});
-    if (expired) {
+    if (mayHaveExpired) {
         m_expiryTimer->startOnce(ExpiryCheckPeriod);
     }
 }
 
+auto DirectoryController::removeUpstream(const std::string &id, bool mayHaveExpired) -> UpstreamChange
+{
+    const auto *entry = m_context.directory.find(id);
+    if (entry != nullptr && !mayHaveExpired) {
+        removeLimit(*entry);
+    }
+    const auto change = m_context.directory.remove(id, mayHaveExpired, m_context.clock.now());
+    m_context.log.write("directory", mayHaveExpired ? "upstream_lapsed" : "upstream_changed",
+                        {{"upstream", excerpt(id)}, {"change", name(change)}});
+    m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
+    return change;
+}
+
 auto DirectoryController::removeLimit(const Upstream &upstream) -> void
 {
     if (m_context.rateLimiter.limitOf(upstream.id)) {
--- a/src/edge/quarantine_store.cc
+++ b/src/edge/quarantine_store.cc
@@ -32,6 +32,7 @@
     for (const auto &value : range.values) {
         onValue(value);
     }
+    m_unreadable.retain(range.values);
 }
 
 auto QuarantineStore::onEvents(std::span<const StoreEvent> events) -> void
@@ -39,6 +40,7 @@
     for (const auto &event : events) {
         if (event.deleted) {
             m_stored.erase(event.value.key);
+            m_unreadable.remove(event.value.key);
         } else {
             onValue(event.value);
         }
@@ -50,9 +52,13 @@
     m_stored.insert(value.key);
     const auto entry = decodeStoredEntry(value.value, m_context.clock.wall());
     if (!entry) {
-        m_context.log.write("quarantine", "entry_ignored", {{"key", value.key}, {"error", describe(entry.error())}});
+        if (m_unreadable.add(value)) {
+            m_context.log.write("quarantine", "entry_ignored",
+                                {{"key", excerpt(value.key)}, {"revision", value.modRevision}, {"error", describe(entry.error())}});
+        }
         return;
     }
+    m_unreadable.remove(value.key);
     m_onEntry(*entry);
 }
 
@@ -111,7 +117,7 @@
                 return;
             }
             m_context.log.write("quarantine", "entry_stored",
-                                {{"key", key}, {"written", outcome->applied}, {"revision", outcome->revision}});
+                                {{"key", excerpt(key)}, {"written", outcome->applied}, {"revision", outcome->revision}});
         });
     });
 }
@@ -128,13 +134,13 @@
             logFailure("delete", key, outcome.error());
             return;
         }
-        m_context.log.write("quarantine", "entry_deleted", {{"key", key}, {"revision", outcome->revision}});
+        m_context.log.write("quarantine", "entry_deleted", {{"key", excerpt(key)}, {"revision", outcome->revision}});
     });
 }
 
 auto QuarantineStore::logFailure(std::string_view step, const std::string &key, const Error &error) -> void
 {
-    m_context.log.write("quarantine", "store_call_failed", {{"step", step}, {"key", key}, {"error", describe(error)}});
+    m_context.log.write("quarantine", "store_call_failed", {{"step", step}, {"key", excerpt(key)}, {"error", describe(error)}});
 }
 
 } // namespace currantstack
--- a/src/edge/vm_registry.cc
+++ b/src/edge/vm_registry.cc
@@ -49,21 +49,31 @@
             m_readTimer->startOnce(FirstReadDelay);
             return;
         }
-        VmRecords records;
-        for (const auto &value : range->values) {
-            auto record = m_codec.decodeVm(value);
-            if (!record) {
-                m_context.log.write("registry", "entry_ignored", {{"key", value.key}, {"error", describe(record.error())}});
-                continue;
-            }
-            auto name = record->name;
-            records.insert_or_assign(std::move(name), std::move(*record));
-        }
-        m_onVms(records);
+        m_onVms(decode(range->values));
         m_readTimer->startOnce(std::exchange(m_readPeriod, ReadPeriod));
     });
 }
 
+auto VmRegistry::decode(std::span<const StoreValue> values) -> VmRecords
+{
+    VmRecords records;
+    for (const auto &value : values) {
+        auto record = m_codec.decodeVm(value);
+        if (!record) {
+            if (m_unreadable.add(value)) {
+                m_context.log.write("registry", "entry_ignored",
+                                    {{"key", excerpt(value.key)}, {"revision", value.modRevision}, {"error", describe(record.error())}});
+            }
+            continue;
+        }
+        m_unreadable.remove(value.key);
+        auto name = record->name;
+        records.insert_or_assign(std::move(name), std::move(*record));
+    }
+    m_unreadable.retain(values);
+    return records;
+}
+
 auto VmRegistry::stop() -> void
 {
     *m_alive = false;
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -14,6 +14,7 @@
 
 class PlatformStore:
     MAX_HISTORY = 500  # changes that are retained for watches
+    PAGE_ITEMS, PAGE_BYTES = 50, 1 << 20  # of a read; a page has one item at least
 
     def __init__(self, ip="127.0.0.1", port=0, seed=0):
         self.server = Server(ip, port, self.handle)
@@ -141,8 +142,14 @@
     def range(self, request):
         prefix, after = unquote(request.query["prefix"]), unquote(request.query.get("after", ""))
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after and not self.is_hidden(key))
-        page = keys[:50]
-        return response(200, body={"items": [self.items[key] for key in page], "has_more": len(keys) > 50, "as_of": self.revision})
+        page, size = [], 0
+        for key in keys[:self.PAGE_ITEMS]:
+            size += len(self.items[key]["value"])
+            if page and size > self.PAGE_BYTES:
+                break
+            page.append(key)
+        items = [self.items[key] for key in page]
+        return response(200, body={"items": items, "has_more": len(keys) > len(page), "as_of": self.revision})
 
     async def watch(self, request):
         prefix, after = unquote(request.query["prefix"]), int(request.query["after"])
