Take over the order holder's key from another writer

What was seen: with a key beside the holder's that begins alike ("currantstack/order-holder-...") no VM ever held the orders, as the check counts every key with the prefix. A value that another writer put into the key itself stayed for good: the holder renewed its lease beside it, without noticing, and after its end no VM could have taken over.

Change: only the key itself counts. A holder reads its key before each renewal (one read in 1.5 s for the whole fleet) and resigns if another revision is there. A value that can name no VM (empty, over 200 bytes, with control characters) is replaced once two checks, 2 s apart at least, found the same revision; the successor waits as for any predecessor, so that a former holder has resigned, or its lease has ended, before the first order. A readable name of a VM that doesn't exist still holds the key: that can't be told from a holder whose entry is late.

Test: order_holder_of_another_writer_is_replaced.

--- a/include/currantstack/edge/order_holder.h
+++ b/include/currantstack/edge/order_holder.h
@@ -8,7 +8,7 @@
 namespace currantstack
 {
 
-/// Competes for the key, renews its lease, and decides whether this VM may send orders now.
+/// Competes for the key, renews its lease while the key holds what it wrote, and decides whether this VM may send orders now.
 class OrderHolder
 {
 public:
@@ -31,8 +31,10 @@
 
 private:
     auto checkHolder() -> void;
-    auto acquire() -> void;
-    auto createKey(std::int64_t lease, TimePoint requestedAt) -> void;
+    auto onHolderRead(std::span<const StoreValue> values) -> void;
+    auto acquire(std::int64_t modRevision) -> void;
+    auto createKey(std::int64_t lease, std::int64_t modRevision, TimePoint requestedAt) -> void;
+    auto verify() -> void;
     auto renew() -> void;
     auto scheduleCheck() -> void;
 
@@ -42,6 +44,7 @@
     const Clock &m_bootClock;
     std::unique_ptr<Timer> m_timer;
     std::int64_t m_leaseId = 0; // in the store
+    std::int64_t m_unreadableRevision = 0; // of the key when the last check found it unreadable
     OrderLease m_orderLease;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/edge/order_holder.cc
+++ b/src/edge/order_holder.cc
@@ -1,8 +1,24 @@
 #include "currantstack/edge/order_holder.h"
 
+#include <algorithm>
+
 namespace currantstack
 {
 
+namespace
+{
+
+constexpr std::size_t MaxNameBytes = 200;
+
+/// Returns whether the value can be the name of a VM, as a holder writes it.
+auto isHolder(std::string_view value) -> bool
+{
+    return !value.empty() && value.size() <= MaxNameBytes
+        && std::none_of(value.begin(), value.end(), [](unsigned char byte) { return byte < ' ' || byte == 0x7f; });
+}
+
+} // namespace
+
 OrderHolder::OrderHolder(EdgeContext &context, const StoreCodec &codec, Store &store, const Clock &bootClock)
     : m_context(context)
     , m_codec(codec)
@@ -10,7 +26,7 @@
     , m_bootClock(bootClock)
     , m_timer(context.loop.timer([this]() {
         if (m_orderLease.isHeld()) {
-            renew();
+            verify();
         } else {
             checkHolder();
         }
@@ -46,33 +62,55 @@
         if (!*alive) {
             return;
         }
-        if (range && range->values.empty()) {
-            acquire();
+        if (range) {
+            onHolderRead(range->values);
         } else {
             scheduleCheck();
         }
     });
 }
 
-auto OrderHolder::acquire() -> void
+auto OrderHolder::onHolderRead(std::span<const StoreValue> values) -> void
+{
+    const auto key = m_codec.orderHolderKey();
+    const auto found = std::find_if(values.begin(), values.end(), [&key](const StoreValue &value) { return value.key == key; });
+    if (found == values.end()) {
+        acquire(0);
+        return;
+    }
+    if (isHolder(found->value)) {
+        m_unreadableRevision = 0;
+        scheduleCheck();
+        return;
+    }
+    // Until the second check, a holder whose key was overwritten notices it.
+    if (std::exchange(m_unreadableRevision, found->modRevision) == found->modRevision) {
+        acquire(found->modRevision);
+        return;
+    }
+    m_context.log.write("orders", "entry_ignored", {{"key", key}, {"revision", found->modRevision}, {"error", "names no VM"}});
+    scheduleCheck();
+}
+
+auto OrderHolder::acquire(std::int64_t modRevision) -> void
 {
     const auto requestedAt = m_bootClock.now();
-    m_store.grantLease(LeaseTtl, [this, alive = m_alive, requestedAt](const Result<std::int64_t> &lease) {
+    m_store.grantLease(LeaseTtl, [this, alive = m_alive, modRevision, requestedAt](const Result<std::int64_t> &lease) {
         if (!*alive) {
             return;
         }
         if (lease) {
-            createKey(*lease, requestedAt);
+            createKey(*lease, modRevision, requestedAt);
         } else {
             scheduleCheck();
         }
     });
 }
 
-auto OrderHolder::createKey(std::int64_t lease, TimePoint requestedAt) -> void
+auto OrderHolder::createKey(std::int64_t lease, std::int64_t modRevision, TimePoint requestedAt) -> void
 {
     StoreTransaction transaction;
-    transaction.compares.push_back({m_codec.orderHolderKey(), 0});
+    transaction.compares.push_back({m_codec.orderHolderKey(), modRevision});
     transaction.puts.push_back({m_codec.orderHolderKey(), m_context.settings.vm, lease});
     m_store.commit(std::move(transaction), [this, alive = m_alive, lease, requestedAt](const Result<StoreOutcome> &outcome) {
         if (!*alive) {
@@ -93,6 +131,25 @@
     });
 }
 
+auto OrderHolder::verify() -> void
+{
+    m_store.read(m_codec.orderHolderKey(), true, [this, alive = m_alive](const Result<StoreRange> &range) {
+        if (!*alive || !m_orderLease.isHeld()) {
+            return;
+        }
+        const bool isOwn = !range || (!range->values.empty() && range->values.front().modRevision == m_orderLease.token());
+        if (!isOwn) {
+            resign("the key was overwritten or deleted");
+        } else if (range) {
+            renew();
+        } else if (m_orderLease.mayHaveExpired(m_bootClock.now())) {
+            resign("the lease was not renewed in time");
+        } else {
+            m_timer->startOnce(RenewPeriod);
+        }
+    });
+}
+
 auto OrderHolder::renew() -> void
 {
     const auto requestedAt = m_bootClock.now();
--- a/test/edge/entry_tests.py
+++ b/test/edge/entry_tests.py
@@ -295,5 +295,32 @@
         assert all(lines(vm, "datagram_ignored") for vm in rig.vms)
 
 
+async def order_holder_of_another_writer_is_replaced():
+    """Guards against a key that no VM wrote, after which no VM sends orders, or two do."""
+    key = "currantstack/order-holder"
+    async with Rig(vms=2) as rig:
+        store = rig.fleet.store
+
+        def found(event):
+            return sorted((json.loads(line[line.index("{"):]) for vm in rig.vms for line in lines(vm, event)), key=lambda line: line["time_ms"])
+
+        async def wait_for(event, count, limit):
+            for _ in range(limit * 20):
+                if len(found(event)) >= count:
+                    return
+                await asyncio.sleep(0.05)
+            raise AssertionError(f"{len(found(event))} lines of {event}, not {count}")
+
+        store.put(f"{key}-of-another-writer", b"x")
+        await wait_for("holder_won", 1, 15)
+        store.put(key, b"\xff\n" + b"x" * 100_000)
+        await wait_for("holder_resigned", 1, 4)
+        await wait_for("holder_won", 2, 25)
+        first, second = found("holder_won")
+        assert second["fence"] > first["fence"] and second["time_ms"] >= found("holder_resigned")[0]["time_ms"]
+        await check_served(rig)
+
+
 TESTS = [odd_upstream_entries_are_left_out_alone, entries_that_turn_odd_are_not_used, odd_entries_are_logged_once_per_revision,
-         odd_configurations_leave_the_last_one_in_force, odd_entries_of_vms_and_quarantines_are_left_out_alone, odd_datagrams_are_ignored]
+         odd_configurations_leave_the_last_one_in_force, odd_entries_of_vms_and_quarantines_are_left_out_alone, odd_datagrams_are_ignored,
+         order_holder_of_another_writer_is_replaced]
