--- a/test/edge/entry_tests.py
+++ b/test/edge/entry_tests.py
@@ -6,8 +6,10 @@
 import os
 import signal
 import socket
+from urllib.parse import unquote
 
 from rig import Rig, call
+from http_peer import response
 
 LONG = "x" * 100_000
 LONGEST_LINE = 4096  # bytes of a log line that names such an entry
@@ -295,6 +297,27 @@
         assert all(lines(vm, "datagram_ignored") for vm in rig.vms)
 
 
+async def odd_answers_of_the_store_change_nothing():
+    """Guards against a list of another type that ends the VMs, or that they take for an empty one."""
+    async with Rig() as rig:
+        store, sound = rig.fleet.store, rig.fleet.store.range
+
+        def with_odd_flag(request):
+            prefix = unquote(request.query["prefix"])
+            items = [item for key, item in store.items.items() if key.startswith(prefix)]
+            return response(200, body={"items": items, "has_more": 7, "as_of": store.revision})
+
+        for answer in (lambda _: response(200, body=[]), lambda _: response(200, body={}), lambda _: response(200, body={"items": 7}),
+                       lambda _: response(200, body={"items": {"a": []}, "has_more": "x", "as_of": "y"}), with_odd_flag):
+            store.range = answer
+            await change_during_outage(rig, lambda: None)
+            await asyncio.sleep(SEEN_S)
+            await check_served(rig, rounds=1)
+        store.range = sound
+        await asyncio.sleep(SEEN_S)
+        await check_served(rig, rounds=1)
+
+
 async def order_holder_of_another_writer_is_replaced():
     """Guards against a key that no VM wrote, after which no VM sends orders, or two do."""
     key = "currantstack/order-holder"
@@ -323,4 +346,4 @@
 
 TESTS = [odd_upstream_entries_are_left_out_alone, entries_that_turn_odd_are_not_used, odd_entries_are_logged_once_per_revision,
          odd_configurations_leave_the_last_one_in_force, odd_entries_of_vms_and_quarantines_are_left_out_alone, odd_datagrams_are_ignored,
-         order_holder_of_another_writer_is_replaced]
+         order_holder_of_another_writer_is_replaced, odd_answers_of_the_store_change_nothing]
