An upstream that announces its leaving in a response gets no new requests

What callers saw: an upstream that stops soon says so with `Server-Leaving: 1` in each response, before its store entry changes, or while the store is away. The router didn't read the header and went on to send it requests, which then failed when it stopped.

Cause: draining was taken from store entries only.

Change: `platform/` decodes the header into `AnswerHead::leaving`. `UpstreamNotices` (a decision without sockets, bounded to 8192 upstreams) holds the announcement for one start of the upstream (id and `startedAtMs`), whatever its entry says. It is read from the responses to requests, prefills, heads of streams, reservations, reports, orders and releases of KV memory; not from status 421 or a response that names another request. Placement of streams and of plain requests, retries, hedges, resumptions, redirects and orders leave such upstreams out. A plan whose engine announces its leaving between placement and a later step (prefill after the reservation, decode after the prefill) is made anew; the prefilled KV cache is kept. Peers get the existing notice of draining, which they heed while the store is unreachable.

Tests: `UpstreamNoticesTest` (new), `onlyOneAnnouncesTheLeaving`, and test/edge/leaving_tests.py.

The rest of edge_test.py was not run for this commit.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -13,6 +13,7 @@
 #include "currantstack/decisions/software_versions.h"
 #include "currantstack/decisions/stream_origins.h"
 #include "currantstack/decisions/upstream_directory.h"
+#include "currantstack/decisions/upstream_notices.h"
 #include "currantstack/decisions/upstream_reach.h"
 #include "currantstack/edge/latencies.h"
 #include "currantstack/edge/pending_queue.h"
@@ -85,6 +86,7 @@
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> requestMs = {}; // duration of a plain service's requests, by service
     ExclusionList exclusions = {};
+    UpstreamNotices notices = {};
     Quarantine quarantine = Quarantine();
     CrashDetector crashDetector = {};
     SoftwareVersions versions = {};
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -59,6 +59,7 @@
     bool fromUpstream = false; // carries an upstream's stamp, so no intermediary produced it
     bool matchesRequest = false; // echoes the request's id
     bool namesOtherRequest = false; // echoes another request's id, so that it promises nothing about this one
+    bool leaving = false; // the upstream stops soon and wants no new requests
     bool encoded = false; // has a content encoding, so the body is not the upstream's plain body
     NamedLimit limit;
 };
--- a/src/edge/role_controller.cc
+++ b/src/edge/role_controller.cc
@@ -1,5 +1,7 @@
 #include "currantstack/edge/role_controller.h"
 
+#include "currantstack/edge/notice_observer.h"
+
 namespace currantstack
 {
 
@@ -51,7 +53,8 @@
     if (mean.streams < MinObservedStreams) {
         return;
     }
-    const auto engines = m_context.directory.usable(service.name);
+    auto engines = m_context.directory.usable(service.name);
+    std::erase_if(engines, [this](const auto *engine) { return m_context.notices.isLeaving(*engine); });
     const auto &cost = mean.cost;
     const double targetPrefill = balancedPrefillEngines(cost, *service.engine, engines.size());
     auto &planner = m_planners[service.name];
@@ -81,7 +84,9 @@
 auto RoleController::sendAnnouncedOrders() -> void
 {
     for (const auto &[engine, role] : std::exchange(m_announced, {})) {
-        fetchState(engine, role);
+        if (mayGetRequest(m_context, engine)) {
+            fetchState(engine, role);
+        }
     }
 }
 
@@ -91,6 +96,7 @@
     call.totalTimeout = CallTimeout;
     HttpHandlers handlers;
     handlers.onDone = [this, engine, role](const Result<HttpResponse> &result) {
+        observeNotices(m_context, engine, result);
         const auto state = result ? m_context.protocol.parseReport(*result) : Result<EngineState>(tl::unexpected(result.error()));
         if (!state) {
             m_context.log.write("orders", "report_unreadable", {{"engine", engine.id}, {"error", describe(state.error())}});
@@ -104,13 +110,14 @@
 auto RoleController::sendOrder(const Upstream &engine, EngineRole role, std::int64_t orderCount) -> void
 {
     const auto fencingToken = m_holder.fencingToken();
-    if (!fencingToken) {
-        return; // the lease was lost while the report was in flight
+    if (!fencingToken || !mayGetRequest(m_context, engine)) {
+        return; // the lease was lost, or the engine announced its leaving, while the report was in flight
     }
     auto call = m_context.protocol.orderCall(engine, {role, m_context.settings.vm, *fencingToken, orderCount});
     call.totalTimeout = CallTimeout;
     HttpHandlers handlers;
     handlers.onDone = [this, engine, role, fencingToken = *fencingToken](const Result<HttpResponse> &result) {
+        observeNotices(m_context, engine, result);
         onOrderAnswered(engine, role, fencingToken, result);
     };
     m_context.counters.at("orders_sent").add();
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/decisions/service_placement.h"
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/upstream_links.h"
 #include "relayed_request.h"
 
@@ -98,7 +99,8 @@
     auto &limiter = m_context.rateLimiter;
     std::vector<ServiceView> result;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
-        if (!limiter.mayAdmit(upstream->id, now) || (!withLimited && limiter.limitOf(upstream->id))) {
+        if (!mayGetRequest(m_context, *upstream) || !limiter.mayAdmit(upstream->id, now)
+            || (!withLimited && limiter.limitOf(upstream->id))) {
             continue;
         }
         result.push_back({upstream, m_context.loads.total(upstream->id, now), m_context.health.weight(upstream->id, now),
@@ -169,6 +171,7 @@
         recordReached(m_context, pending.upstream, pending.sentAt);
         const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
         observeLimit(m_context, pending.upstream, result->status, head, pending.sentAt);
+        observeNotices(m_context, pending.upstream, result->status, head);
         outcome = classifyHead(result->status, head);
     }
     m_attempts.onOutcome(outcome);
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -71,6 +71,7 @@
     const auto head = m_context.protocol.parseHead(status, headers, m_request.metadata);
     const auto outcome = classifyHead(status, head);
     observeLimit(m_context, m_decodeEngine, status, head, m_sentAt);
+    observeNotices(m_context, m_decodeEngine, status, head);
     if (outcome != AttemptOutcome::Answered) {
         m_context.client.cancel(std::exchange(m_decodeCall, 0));
         onDecodeBroken(outcome, fmt::format("status {}", status), {status == MisdirectedRequest, false});
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -27,6 +27,9 @@
         if (upstream->role != role || upstream->busyWithOrder || exclusions.contains(upstream->id, role, m_context.storeUnreachable, now)) {
             continue;
         }
+        if (!mayGetRequest(m_context, *upstream)) {
+            continue;
+        }
         if (role == EngineRole::Decode && (!mayGoOnAt(*upstream, m_version) || isAwaited(*upstream))) {
             continue;
         }
@@ -55,8 +58,9 @@
 auto StreamRequest::enginesOfVersion() const -> std::size_t
 {
     const auto usable = m_context.directory.usable(m_request.service);
-    return static_cast<std::size_t>(
-        std::count_if(usable.begin(), usable.end(), [this](const auto *engine) { return mayGoOnAt(*engine, m_version); }));
+    return static_cast<std::size_t>(std::count_if(usable.begin(), usable.end(), [this](const auto *engine) {
+        return mayGoOnAt(*engine, m_version) && !m_context.notices.isLeaving(*engine);
+    }));
 }
 
 auto StreamRequest::plan(const PlanFunction &planFunction) const -> std::optional<StreamPlan>
@@ -140,13 +144,35 @@
 
 auto StreamRequest::execute(bool separatePrefill) -> void
 {
-    if (separatePrefill && m_kvSource.empty()) {
+    const bool startsPrefill = separatePrefill && m_kvSource.empty();
+    if (!mayGetRequest(m_context, m_decodeEngine) || (startsPrefill && !mayGetRequest(m_context, m_prefillEngine))) {
+        placeAgain();
+    } else if (startsPrefill) {
         startPrefill();
     } else {
         startDecode();
     }
 }
 
+/// Replaces a plan whose engines take no requests any more, with the prefilled KV cache if there is one.
+auto StreamRequest::placeAgain() -> void
+{
+    m_context.counters.at("streams_placed_again").add();
+    m_context.log.write("stream", "plan_outdated",
+                        {{"request", m_request.metadata.requestId},
+                         {"decode", m_decodeEngine.id},
+                         {"prefill", m_prefillClaim.engine},
+                         {"prefilled", !m_handle.empty()}});
+    dropReservation();
+    release(m_prefillClaim);
+    release(m_decodeClaim);
+    if (!m_handle.empty() && redirect()) {
+        return;
+    }
+    freeHandle();
+    placeOrEnqueue();
+}
+
 /// Returns the expected wait for KV memory of a request that joins the queue now, behind those pending at all VMs.
 auto StreamRequest::expectedWait() const -> Duration
 {
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -47,6 +47,7 @@
         auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
         head.fromUpstream = head.fromUpstream || result->status == 200; // the response to a prefill has no stamp
         observeLimit(m_context, m_prefillEngine, result->status, head, m_sentAt);
+        observeNotices(m_context, m_prefillEngine, result->status, head);
     }
     if (result && acceptHandle(*result)) {
         const auto took = now - m_sentAt;
@@ -57,7 +58,7 @@
         m_context.exclusions.onAccepted(m_prefillEngine.id);
         m_prefillTimer->stop();
         release(m_prefillClaim);
-        startDecode();
+        execute(false);
         return;
     }
     if (!result) {
@@ -132,7 +133,7 @@
     if (m_handle.empty()) {
         return;
     }
-    m_context.client.start(m_context.protocol.freeHandleCall(m_prefillEngine, std::exchange(m_handle, {})), {});
+    startRelease(m_context, m_prefillEngine, m_context.protocol.freeHandleCall(m_prefillEngine, std::exchange(m_handle, {})));
 }
 
 } // namespace currantstack
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -4,6 +4,7 @@
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/edge/event_splitter.h"
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/notice_observer.h"
 
 namespace currantstack
 {
@@ -54,6 +55,7 @@
     auto tryPlace() -> bool;
     auto place(const StreamPlan &plan) -> void;
     auto execute(bool separatePrefill) -> void;
+    auto placeAgain() -> void;
     auto firstEventLimit() const -> Duration;
     auto isTooLarge() const -> bool;
     auto expectedWait() const -> Duration;
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -45,6 +45,7 @@
         return;
     }
     m_reserveCall = 0;
+    observeNotices(m_context, m_decodeEngine, result);
     const auto reserved = result ? m_context.protocol.parseReservation(*result) : Result<std::string>(tl::unexpected(result.error()));
     if (reserved) {
         m_reservation = *reserved;
@@ -104,7 +105,7 @@
 auto StreamRequest::dropReservation() -> void
 {
     if (!m_reservation.empty()) {
-        m_context.client.start(m_context.protocol.dropReservationCall(m_decodeEngine, std::exchange(m_reservation, {})), {});
+        startRelease(m_context, m_decodeEngine, m_context.protocol.dropReservationCall(m_decodeEngine, std::exchange(m_reservation, {})));
     }
 }
 
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -8,6 +8,7 @@
 from http_peer import Server, chunk, response
 
 STAMP = "Server-Stamp"
+LEAVING = "Server-Leaving"  # "1" in the responses of an upstream that stops soon
 LIMIT = "Server-Limit"  # requests a second that an upstream takes from all VMs together
 
 # Faults that send bytes without end: what follows the first lines of a head (None: no head at all), and the bytes that are repeated.
@@ -37,6 +38,7 @@
         self.state, self.fault, self.fault_share = "ready", "", 0.0
         self.sequence, self.junk_senders = 0, 0
         self.software_version = "v1"
+        self.leaving = []  # values of the fields in its responses that announce its leaving, as text
         self.limits = []  # values of the limit fields in its responses, as text
         self.crashes_on = lambda request: False  # a request for which this holds crashes the upstream shortly after it begins to run
         self.restart_s = 1.0  # from a crash until the next incarnation registers
@@ -104,20 +106,23 @@
                              "target": request.target, "prompt": request.header("prefix-hash"), "at": time.monotonic(), **fields})
 
     def headers(self, request):
-        return [("Request-Id", request.header("request-id")), (STAMP, f"stamp-{self.id}"), ("Instance-Id", self.id), *self.limit_fields()]
+        return [("Request-Id", request.header("request-id")), (STAMP, f"stamp-{self.id}"), ("Instance-Id", self.id), *self.notice_fields()]
 
-    def limit_fields(self):
-        return [(LIMIT, value) for value in self.limits]
+    def notice_fields(self):
+        return [(LIMIT, value) for value in self.limits] + [(LEAVING, value) for value in self.leaving]
 
     async def serve(self, request, reader, writer):
-        """Handles one request, and records those of callers with the limits that the response names."""
+        """Handles one request, and records those of callers with the limits that the response names, and the router's own calls."""
         limits = list(self.limits)
         if request.header("request-id"):
             self.record("arrived", request, limits=limits)
+        else:
+            self.record("called", request)
         data = await self.handle(request, reader, writer)
-        if data and LIMIT.encode() not in data:
+        if data:
             line, end, rest = data.partition(b"\r\n")
-            data = line + end + b"".join(f"{name}: {value}\r\n".encode() for name, value in self.limit_fields()) + rest
+            fields = [(name, value) for name, value in self.notice_fields() if f"{name}:".encode() not in rest]
+            data = line + end + b"".join(f"{name}: {value}\r\n".encode() for name, value in fields) + rest
         if self.limits and request.header("request-id"):
             self.record("limit_named", request, limits=list(self.limits))
         return data
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(onlyUnencodedStampedAnswersToTheRequestAreForwarded);
     CPPUNIT_TEST(onlyExplicitPromisesCountAsNotRun);
     CPPUNIT_TEST(limitsAreReadAndMalformedOnesHaveNoValue);
+    CPPUNIT_TEST(onlyOneAnnouncesTheLeaving);
     CPPUNIT_TEST(ordersCarryFencingTokenAndExpectedCount);
     CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +61,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("first"), metadata.firstAttemptId);
     }
 
+    auto onlyOneAnnouncesTheLeaving() -> void
+    {
+        const auto isLeaving = [this](const Headers &headers) { return m_protocol.parseHead(503, headers, {}).leaving; };
+        CPPUNIT_ASSERT(isLeaving({{"server-leaving", "1"}}));
+        CPPUNIT_ASSERT(!isLeaving({}));
+        for (const std::string text : {"", "0", "yes", "11"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !isLeaving({{"Server-Leaving", text}}));
+        }
+    }
+
     auto limitsAreReadAndMalformedOnesHaveNoValue() -> void
     {
         const auto limitOf = [this](const Headers &headers) { return m_protocol.parseHead(200, headers, {}).limit; };
