An upstream that refuses with Retry-After gets no requests in that time

What callers saw: an upstream that turns a request away with 503 may say with `Retry-After` how long it wants nothing. The router didn't read it: it sent the upstream further requests, reservations and prefills after its own short back-off, and refused callers with a Retry-After that ended before the upstream took anything.

Change: `platform/` decodes the header of a 503 into `AnswerHead::pause`. `UpstreamNotices` holds the end of the pause for one start of the upstream; of several, the latest end counts, at most an hour from the response. Until then the upstream gets no request, reservation, prefill, report, order or release of KV memory from this VM (the memory is freed when its lifetime ends); a plan that waits for a paused engine is made anew. If all upstreams that could take a request pause, plain requests are refused at once, and streams if the first pause ends later than the stream can wait; Retry-After is the shortest remaining time plus a spread. Other refusals of such a service don't end sooner either. A value that is no decimal number, or several fields, is ignored, one above an hour is cut to it; both are logged and counted.

Tests: `UpstreamNoticesTest` (4 more), `pausesOfRefusalsAreReadAndMalformedOnesHaveNoValue`, and 7 process tests in test/edge/leaving_tests.py.

--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -52,6 +52,13 @@
     std::optional<double> perSecond; // none although there is a text: it is malformed
 };
 
+/// The time in which an upstream that refuses a request wants no further ones.
+struct NamedPause
+{
+    std::string text; // as received; empty if the response names none
+    std::optional<Duration> duration; // none although there is a text: it is malformed
+};
+
 /// Properties of an upstream's response head beyond its status.
 struct AnswerHead
 {
@@ -62,6 +69,7 @@
     bool leaving = false; // the upstream stops soon and wants no new requests
     bool encoded = false; // has a content encoding, so the body is not the upstream's plain body
     NamedLimit limit;
+    NamedPause pause; // of a refusal
 };
 
 /// The KV cache of a prefilled prompt that an engine retains for a decode engine.
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/forwarding.h"
 
+#include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/upstream_links.h"
 
 #include <algorithm>
@@ -29,6 +30,14 @@
     return "limit_ended";
 }
 
+/// Returns `retryAfter`, or a later time if the upstreams that answer the service's requests pause for longer.
+auto afterPause(EdgeContext &context, const IncomingRequest &request, Duration retryAfter) -> Duration
+{
+    const auto pause = pauseOf(context, request.service, [](const Upstream &upstream) { return upstream.role != EngineRole::Prefill; });
+    const bool mayComeBack = retryAfter > Duration::zero();
+    return mayComeBack && pause > retryAfter ? retryAfterPause(context, pause) : retryAfter;
+}
+
 auto impliesNotRun(int status) -> bool
 {
     return status == 408 || status == MisdirectedRequest || status == 429 || status == 503;
@@ -182,6 +191,7 @@
                       std::string_view reason, Duration retryAfter) -> void
 {
     const auto answer = attempts.errorAnswer(timedOut);
+    retryAfter = afterPause(context, request, retryAfter);
     HttpResponse response;
     switch (answer) {
     case ErrorAnswer::Refused:
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -41,6 +41,7 @@
 
     auto send(std::string_view excluded, bool isHedge = false) -> bool;
     auto views(bool withLimited) -> std::vector<ServiceView>;
+    auto refuseForPause() -> bool;
     auto refuseForLimits() -> bool;
     auto onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void;
     auto onOutcome(const PendingCall &pending, AttemptOutcome outcome, const Result<HttpResponse> &result) -> void;
@@ -76,7 +77,7 @@
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time", self->retryDelay()); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
     if (!send("")) {
-        if (!refuseForLimits()) {
+        if (!refuseForPause() && !refuseForLimits()) {
             fail(false, "no usable upstream of the service is known", retryDelay());
         }
         return;
@@ -110,6 +111,19 @@
     return result;
 }
 
+/// Refuses a request if all upstreams of the service pause. Returns false if one does not.
+auto ServiceRequest::refuseForPause() -> bool
+{
+    const auto pause = pauseOf(m_context, m_request.service, [](const Upstream & /*upstream*/) { return true; });
+    if (pause == Duration::zero()) {
+        return false;
+    }
+    const auto retryAfter = retryAfterPause(m_context, pause);
+    logRefusalForPause(m_context, m_request, pause, retryAfter);
+    fail(false, PauseReason, retryAfter);
+    return true;
+}
+
 /// Refuses a request that no upstream may get because of their rate limits. Returns false if that is not the reason.
 auto ServiceRequest::refuseForLimits() -> bool
 {
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -223,12 +223,29 @@
     return false;
 }
 
+/// Refuses a request if all engines of a role that it needs pause for longer than `maxWait`. Returns false if they do not.
+auto StreamRequest::refuseForPause(Duration maxWait) -> bool
+{
+    for (const auto role : {EngineRole::Decode, EngineRole::Prefill}) {
+        const auto pause = pauseOf(m_context, m_request.service, [this, role](const Upstream &engine) {
+            return engine.role == role && (role == EngineRole::Prefill || mayGoOnAt(engine, m_version));
+        });
+        if (pause > std::max<Duration>(maxWait, Duration::zero())) {
+            const auto retryAfter = retryAfterPause(m_context, pause);
+            logRefusalForPause(m_context, m_request, pause, retryAfter);
+            fail(false, PauseReason, retryAfter);
+            return true;
+        }
+    }
+    return false;
+}
+
 auto StreamRequest::enqueue(bool atHead) -> void
 {
     const auto wait = expectedWait();
     const auto age = m_context.clock.now() - m_request.arrivedAt;
     const auto maxWaitMs = toMilliseconds(firstEventLimit() - UnqueuedFirstEvent);
-    if (refuseForLimits(fromMilliseconds(maxWaitMs) - age)) {
+    if (refuseForPause(fromMilliseconds(maxWaitMs) - age) || refuseForLimits(fromMilliseconds(maxWaitMs) - age)) {
         return;
     }
     if (toMilliseconds(atHead ? age : wait) > maxWaitMs) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -60,6 +60,7 @@
     auto isTooLarge() const -> bool;
     auto expectedWait() const -> Duration;
     auto limitedWait(EngineRole role) const -> Duration;
+    auto refuseForPause(Duration maxWait) -> bool;
     auto refuseForLimits(Duration maxWait) -> bool;
     auto enqueue(bool atHead) -> void;
     auto queueKey() const -> QueueKey;
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -39,6 +39,7 @@
         self.sequence, self.junk_senders = 0, 0
         self.software_version = "v1"
         self.leaving = []  # values of the fields in its responses that announce its leaving, as text
+        self.retry_after = []  # values of the Retry-After fields with which it refuses all requests, as text; empty: it refuses none
         self.limits = []  # values of the limit fields in its responses, as text
         self.crashes_on = lambda request: False  # a request for which this holds crashes the upstream shortly after it begins to run
         self.restart_s = 1.0  # from a crash until the next incarnation registers
@@ -118,7 +119,11 @@
             self.record("arrived", request, limits=limits)
         else:
             self.record("called", request)
-        data = await self.handle(request, reader, writer)
+        if self.retry_after and request.path != "/healthz":
+            self.record("refused", request, retry_after=list(self.retry_after))
+            data = response(503, [("Not-Run", "1"), *(("Retry-After", value) for value in self.retry_after)])
+        else:
+            data = await self.handle(request, reader, writer)
         if data:
             line, end, rest = data.partition(b"\r\n")
             fields = [(name, value) for name, value in self.notice_fields() if f"{name}:".encode() not in rest]
--- a/test/edge/leaving_tests.py
+++ b/test/edge/leaving_tests.py
@@ -1,4 +1,4 @@
-"""Process tests of what upstreams say in their responses about further requests: that they leave."""
+"""Process tests of what upstreams say in their responses about further requests: that they leave, or want none for some time."""
 
 import asyncio
 import json
@@ -7,6 +7,7 @@
 
 from rig import Rig
 
+BEGIN_S = 0.5  # from a refusal with Retry-After until it must be obeyed
 TOLD_S = 1.0  # of load, after which each VM has received a response that carries the notice
 
 
@@ -146,6 +147,131 @@
         assert '"event":"upstream_announced_leaving"' in rig.vms[0].log_text(), "no response announced the leaving"
 
 
-TESTS = [leaving_upstream_with_a_ready_entry_gets_no_requests, leaving_upstream_gets_no_requests_after_a_return_of_the_store,
+def assert_pauses_kept(rig):
+    """Asserts that no VM sent an upstream a request in the time of which it said so; of a single VM, also its own calls count."""
+    def vm_of(entry):
+        return rig.vms[0].name if len(rig.vms) == 1 else rig.vm_of.get(entry["request"])
+    requests = [entry for entry in rig.fleet.history if entry["event"] in ("arrived", "called")]
+    for refused in (entry for entry in rig.fleet.history if entry["event"] == "refused"):
+        begin, end = refused["at"] + BEGIN_S, refused["at"] + float(refused["retry_after"][0])
+        late = [entry["at"] - refused["at"] for entry in requests
+                if entry["upstream"] == refused["upstream"] and vm_of(entry) and vm_of(entry) == vm_of(refused) and begin < entry["at"] < end]
+        assert not late, f"{refused['upstream']} refused with {refused['retry_after']} and got requests after {late[:9]} s"
+
+
+async def paused_service_gets_no_requests_until_the_time_ends():
+    async with Rig(vms=2, services=3) as rig:
+        paused = rig.fleet.services[0]
+        paused.retry_after = ["6"]
+        statuses = await load(rig, ["check"], 7, rate=60)
+        paused.retry_after = []
+        await asyncio.sleep(6)
+        since = time.monotonic()
+        statuses += await load(rig, ["check"], 1, rate=60)
+        assert_pauses_kept(rig)
+        assert arrivals(rig, paused, since), "the upstream gets no requests after the time that it named"
+        assert set(statuses) == {200}, statuses
+
+
+async def requests_are_refused_at_once_while_all_upstreams_pause():
+    async with Rig(services=2) as rig:
+        for service in rig.fleet.services:
+            service.retry_after = ["2"]
+        await load(rig, ["check"], 0.3)
+        ends = [max(entry["at"] for entry in rig.fleet.history if entry["event"] == "refused" and entry["upstream"] == service.id) + 2
+                for service in rig.fleet.services]
+        waits = []
+        for kind in 20 * ["check", "book"]:
+            begin = time.monotonic()
+            _, status, headers, _ = await rig.send(kind)
+            assert status == 503 and time.monotonic() - begin < 0.2, (status, time.monotonic() - begin)
+            wait = float(headers["retry-after"])
+            assert min(ends) - 0.1 < begin + wait < min(ends) + 0.6, (wait, min(ends) - begin)
+            waits.append(begin + wait)
+        assert max(waits) - min(waits) > 0.05, "refused callers all come back at the same time"
+        assert_pauses_kept(rig)
+        for service in rig.fleet.services:
+            service.retry_after = []
+        await asyncio.sleep(max(ends) - time.monotonic())
+        assert (await rig.send("check"))[1] == 200
+
+
+async def streams_go_to_other_engines_while_some_pause():
+    async with Rig(prefill=2, decode=3, services=1) as rig:
+        await load(rig, ["stream"], 0.5, rate=4)
+        for engine in (rig.fleet.engines[0], rig.fleet.engines[2]):
+            engine.retry_after = ["3"]
+        statuses = await load(rig, ["stream"], 5, rate=6)
+        assert_pauses_kept(rig)
+        assert {entry["upstream"] for entry in rig.fleet.history if entry["event"] == "refused"} == {rig.fleet.engines[0].id, rig.fleet.engines[2].id}
+        assert set(statuses) == {200}, statuses
+
+
+async def streams_are_refused_at_once_while_all_engines_pause():
+    async with Rig(prefill=1, decode=2, services=1) as rig:
+        for engine in rig.fleet.engines[1:]:
+            engine.retry_after = ["4"]
+        await load(rig, ["stream"], 2, rate=10)
+        for _ in range(10):
+            begin = time.monotonic()
+            _, status, headers, _ = await rig.send("stream")
+            assert status == 503 and time.monotonic() - begin < 0.2, (status, time.monotonic() - begin)
+            assert 1.0 < float(headers["retry-after"]) < 5.0, headers
+        assert_pauses_kept(rig)
+
+
+async def prefilled_prompt_goes_to_another_engine_if_its_decode_engine_pauses_meanwhile():
+    async with Rig(prefill=1, decode=2, services=1) as rig:
+        engine = rig.fleet.engines[0]
+        await load(rig, ["stream"], 0.5, rate=4)
+        engine.PREFILL_TOKENS_PER_MS = 4.4
+        sent = time.monotonic()
+        slow = asyncio.create_task(rig.send("digest", headers={"Token-Count": "3000,100"}))
+        paused = await reserved_engine(rig, sent)
+        paused.retry_after = ["5"]
+        others = [asyncio.create_task(rig.send("stream", headers={"Token-Count": "100,100"})) for _ in range(4)]
+        request, status, _, _ = await slow
+        await asyncio.gather(*others)
+        assert not [entry for entry in arrivals(rig, paused, sent) if entry["request"] == request], "a prefilled prompt went to a paused engine"
+        assert_pauses_kept(rig)
+        assert [entry for entry in rig.fleet.history if entry["event"] == "refused"], "the engine refused nothing"
+        assert status == 200 and len(rig.runs_of(request)) == 1, status
+
+
+async def unreadable_pauses_have_no_effect():
+    async with Rig(services=2) as rig:
+        service = rig.fleet.services[0]
+        for values in (["-1"], ["nan"], ["inf"], ["1e999"], ["soon"], [""], ["Wed, 21 Oct 2026 07:28:00 GMT"], ["1", "2"], ["0"]):
+            service.retry_after = values
+            await load(rig, ["check"], 0.3)
+            service.retry_after = []
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(1)
+        since = time.monotonic()
+        assert set(await load(rig, ["check"], 1)) == {200}
+        assert arrivals(rig, service, since), "an unreadable time kept requests away"
+        log = rig.vms[0].log_text()
+        assert '"event":"pause_unreadable"' in log and '"event":"upstream_pauses"' not in log
+
+
+async def restart_ends_the_pause():
+    async with Rig(services=2) as rig:
+        service = rig.fleet.services[0]
+        service.retry_after = ["60"]
+        await load(rig, ["check"], 0.5)
+        assert_pauses_kept(rig)
+        service.retry_after, service.started_ms = [], service.started_ms + 5000
+        service.register()
+        await asyncio.sleep(0.5)
+        since = time.monotonic()
+        assert set(await load(rig, ["check"], 1)) == {200}
+        assert arrivals(rig, service, since), "the upstream gets no requests after its restart under the same id"
+
+
+TESTS = [paused_service_gets_no_requests_until_the_time_ends, requests_are_refused_at_once_while_all_upstreams_pause,
+         streams_go_to_other_engines_while_some_pause, streams_are_refused_at_once_while_all_engines_pause,
+         prefilled_prompt_goes_to_another_engine_if_its_decode_engine_pauses_meanwhile, unreadable_pauses_have_no_effect,
+         restart_ends_the_pause,
+         leaving_upstream_with_a_ready_entry_gets_no_requests, leaving_upstream_gets_no_requests_after_a_return_of_the_store,
          restart_ends_the_announcement, announcements_of_other_upstreams_at_the_address_do_not_count,
          reservation_at_a_leaving_engine_is_not_used, prefilled_prompt_goes_to_another_engine_if_its_decode_engine_leaves_meanwhile]
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(onlyExplicitPromisesCountAsNotRun);
     CPPUNIT_TEST(limitsAreReadAndMalformedOnesHaveNoValue);
     CPPUNIT_TEST(onlyOneAnnouncesTheLeaving);
+    CPPUNIT_TEST(pausesOfRefusalsAreReadAndMalformedOnesHaveNoValue);
     CPPUNIT_TEST(ordersCarryFencingTokenAndExpectedCount);
     CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +72,23 @@
         }
     }
 
+    auto pausesOfRefusalsAreReadAndMalformedOnesHaveNoValue() -> void
+    {
+        const auto pauseOf = [this](int status, const Headers &headers) { return m_protocol.parseHead(status, headers, {}).pause; };
+        CPPUNIT_ASSERT(pauseOf(503, {}).text.empty() && !pauseOf(503, {}).duration);
+        CPPUNIT_ASSERT(pauseOf(503, {{"retry-after", "2.5"}}).duration == milliseconds(2500));
+        CPPUNIT_ASSERT(pauseOf(503, {{"Retry-After", "0"}}).duration == Duration::zero());
+        CPPUNIT_ASSERT(pauseOf(503, {{"Retry-After", "1e11"}}).duration > std::chrono::hours(1));
+        for (const auto status : {200, 421, 429, 500}) {
+            CPPUNIT_ASSERT(pauseOf(status, {{"Retry-After", "2"}}).text.empty());
+        }
+        for (const auto *text : {"-1", "nan", "inf", "1e999", "soon", "", "0x2", "2,3", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+            const auto pause = pauseOf(503, {{"Retry-After", text}});
+            CPPUNIT_ASSERT_MESSAGE(text, !pause.text.empty() && !pause.duration);
+        }
+        CPPUNIT_ASSERT(!pauseOf(503, {{"Retry-After", "2"}, {"Retry-After", "3"}}).duration);
+    }
+
     auto limitsAreReadAndMalformedOnesHaveNoValue() -> void
     {
         const auto limitOf = [this](const Headers &headers) { return m_protocol.parseHead(200, headers, {}).limit; };
