--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/decisions/service_placement.h"
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/upstream_links.h"
 #include "relayed_request.h"
 
@@ -40,6 +41,7 @@
 
     auto send(std::string_view excluded, bool isHedge = false) -> bool;
     auto views(bool withLimited) -> std::vector<ServiceView>;
+    auto refuseForPause() -> bool;
     auto refuseForLimits() -> bool;
     auto onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void;
     auto onOutcome(const PendingCall &pending, AttemptOutcome outcome, const Result<HttpResponse> &result) -> void;
@@ -75,7 +77,7 @@
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time", self->retryDelay()); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
     if (!send("")) {
-        if (!refuseForLimits()) {
+        if (!refuseForPause() && !refuseForLimits()) {
             fail(false, "no usable upstream of the service is known", retryDelay());
         }
         return;
@@ -98,7 +100,8 @@
     auto &limiter = m_context.rateLimiter;
     std::vector<ServiceView> result;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
-        if (!limiter.mayAdmit(upstream->id, now) || (!withLimited && limiter.limitOf(upstream->id))) {
+        if (!mayGetRequest(m_context, *upstream) || !limiter.mayAdmit(upstream->id, now)
+            || (!withLimited && limiter.limitOf(upstream->id))) {
             continue;
         }
         result.push_back({upstream, m_context.loads.total(upstream->id, now), m_context.health.weight(upstream->id, now),
@@ -108,6 +111,19 @@
     return result;
 }
 
+/// Refuses a request if all upstreams of the service pause. Returns false if one does not.
+auto ServiceRequest::refuseForPause() -> bool
+{
+    const auto pause = pauseOf(m_context, m_request.service, [](const Upstream & /*upstream*/) { return true; });
+    if (pause == Duration::zero()) {
+        return false;
+    }
+    const auto retryAfter = retryAfterPause(m_context, pause);
+    logRefusalForPause(m_context, m_request, pause, retryAfter);
+    fail(false, PauseReason, retryAfter);
+    return true;
+}
+
 /// Refuses a request that no upstream may get because of their rate limits. Returns false if that is not the reason.
 auto ServiceRequest::refuseForLimits() -> bool
 {
@@ -169,6 +185,7 @@
         recordReached(m_context, pending.upstream, pending.sentAt);
         const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
         observeLimit(m_context, pending.upstream, result->status, head, pending.sentAt);
+        observeNotices(m_context, pending.upstream, result->status, head);
         outcome = classifyHead(result->status, head);
     }
     m_attempts.onOutcome(outcome);
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -4,6 +4,7 @@
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/edge/event_splitter.h"
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/notice_observer.h"
 
 namespace currantstack
 {
@@ -54,10 +55,12 @@
     auto tryPlace() -> bool;
     auto place(const StreamPlan &plan) -> void;
     auto execute(bool separatePrefill) -> void;
+    auto placeAgain() -> void;
     auto firstEventLimit() const -> Duration;
     auto isTooLarge() const -> bool;
     auto expectedWait() const -> Duration;
     auto limitedWait(EngineRole role) const -> Duration;
+    auto refuseForPause(Duration maxWait) -> bool;
     auto refuseForLimits(Duration maxWait) -> bool;
     auto enqueue(bool atHead) -> void;
     auto queueKey() const -> QueueKey;
