Every request gets an answer before a planned stop ends

Callers whose requests were open at the end of the grace saw their connections close without an answer, though nothing of some of these requests had run. A reload that shortened the drain limit during a drain caused the same, sooner. Streams were passed on late in the grace although they could not end in time, and upstreams were told the caller's deadline rather than the end of the process.

The cause: `checkDrained` stopped the loop without ending the open requests.

Open requests are now listed in `OpenRequests`. 600 ms before the platform kills the process, or at once if a reload has brought that forward, each request whose caller has received nothing is answered: 503 with a short Retry-After if nothing of it may run, else 502. The loop goes on for at least 200 ms, in which the answers are sent. Streams that have begun go on until the process ends and are then aborted, with a log line. While a VM drains, a request that is expected to outlast the process is refused before it is sent to an upstream, also one that waits in the queue or between prefill and decode, and upstreams get no more time than is left.

Evidence: six process tests in test/edge/stop_tests.py.

--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -95,6 +95,9 @@
         return fromMilliseconds(m_streamMs.value());
     }
 
+    /// Returns the expected time at a decode engine of a stream with this shape; zero until a stream was observed.
+    auto expectedDuration(const RequestShape &shape) const -> Duration;
+
 private:
     MovingAverage m_prefillRate{InitialPrefillRate, 0.05};
     MovingAverage m_mixedPrefillRate{InitialPrefillRate * MixedRateShare, 0.05};
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -15,6 +15,7 @@
 #include "currantstack/decisions/upstream_directory.h"
 #include "currantstack/decisions/upstream_reach.h"
 #include "currantstack/edge/latencies.h"
+#include "currantstack/edge/open_requests.h"
 #include "currantstack/edge/pending_queue.h"
 #include "currantstack/edge/protocol.h"
 #include "currantstack/edge/relay_message.h"
@@ -38,6 +39,12 @@
 /// checks a second apart, and the longest streams need the rest of the platform's drain time.
 inline constexpr Duration DrainAcceptTime = milliseconds(2700);
 
+/// A stopping process ends by itself this long before the platform kills it.
+inline constexpr Duration KillSafetyMargin = milliseconds(400);
+
+/// Time between the last answers of a stopping process and its end, in which the answers are sent.
+inline constexpr Duration AnswerFlushTime = milliseconds(200);
+
 /// Receives the origin of a stream, or nothing if no VM knows it.
 using OriginFound = std::function<void(const std::optional<StreamOrigin> &origin)>;
 
@@ -97,11 +104,25 @@
     TimePoint upstreamsReadAt = {}; // completely, from the store
     bool draining = false;
     TimePoint drainingSince = {};
+    OpenRequests openRequests = {};
+
+    /// Returns when this process ends at the latest.
+    auto stopsAt() const -> TimePoint
+    {
+        return draining ? drainingSince + settings.drainLimit - KillSafetyMargin : TimePoint::max();
+    }
+
+    /// Returns when the callers that have received nothing get an error, because this VM stops.
+    auto answersDueAt() const -> TimePoint
+    {
+        return draining ? stopsAt() - AnswerFlushTime : TimePoint::max();
+    }
 
     /// Returns whether new requests are refused, because this VM stops too soon to complete them.
     auto refusesRequests() const -> bool
     {
-        return draining && clock.now() - drainingSince >= DrainAcceptTime;
+        const auto now = clock.now();
+        return draining && (now - drainingSince >= DrainAcceptTime || now >= answersDueAt());
     }
 
     /// Returns whether another VM has reported a newer configuration lately, which may have other routes.
--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -18,6 +18,12 @@
 /// Returns the HTTP call that forwards the request to the upstream.
 auto upstreamCall(const EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, ForwardSpec spec) -> HttpCall;
 
+inline constexpr std::string_view StopReason = "this VM is stopping";
+inline constexpr Duration StoppingRetryAfter = milliseconds(10); // another VM can take the request immediately
+
+/// Returns whether a request that takes `expected` from now on is likely to outlast this process.
+auto outlastsThisVm(const EdgeContext &context, Duration expected) -> bool;
+
 /// Returns the outcome of a forwarded request that a response head proves.
 auto classifyHead(int status, const AnswerHead &head) -> AttemptOutcome;
 
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -244,6 +244,14 @@
     return {prompt, prompt / prefillRate(), m_streamMs.value(), prompt + OutputKvFactor * m_outputTokens.value()};
 }
 
+auto EngineSpeeds::expectedDuration(const RequestShape &shape) const -> Duration
+{
+    if (m_observedStreams == 0 || m_outputTokens.value() <= 0) {
+        return Duration::zero();
+    }
+    return fromMilliseconds(m_streamMs.value() * expectedOutput(shape) / m_outputTokens.value());
+}
+
 auto EngineSpeeds::expectedOutput(const RequestShape &shape) const -> double
 {
     const double mean = m_observedStreams > 0 ? m_outputTokens.value() : InitialOutputShare * shape.outputTokens;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -18,8 +18,7 @@
 {
 
 constexpr Duration DrainCheckPeriod = milliseconds(100); // also the period in which the log is flushed
-// The process exits by itself this long before the platform kills it.
-constexpr Duration KillSafetyMargin = milliseconds(400);
+constexpr Duration AbortTime = milliseconds(50); // in which aborted streams are closed before the process ends
 constexpr Duration SettingsCheckPeriod = seconds(2);
 // Average interval between the store polls of all VMs together. It puts a configuration change in force within 2.5 s, with half of that
 // time as margin.
@@ -82,6 +81,9 @@
     auto updatePollWait() -> void;
     auto drain() -> void;
     auto checkDrained() -> void;
+    auto answerOpenRequests() -> void;
+    auto isDrained() const -> bool;
+    auto stop() -> void;
     auto reload(bool requested) -> void;
 
     EdgeSettings settings;
@@ -110,6 +112,7 @@
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> metricsServer;
     std::unique_ptr<Timer> drainTimer;
+    std::optional<TimePoint> answeredAt; // when the open requests got their answers because of the stop
     std::unique_ptr<Timer> settingsTimer;
     std::unique_ptr<Timer> flushTimer;
 };
@@ -191,18 +194,49 @@
 
 auto EdgeNode::Parts::checkDrained() -> void
 {
-    const auto since = clock.now() - context.drainingSince;
     if (context.refusesRequests()) {
         callerServer->quiesce();
         callerServer->closeIdle();
     }
-    const bool idle = callerServer->active() == 0 && relayEntrance.active() == 0 && context.refusesRequests();
-    if (!idle && since < settings.drainLimit - KillSafetyMargin) {
-        return;
+    const auto now = clock.now();
+    if (!answeredAt && now >= context.answersDueAt()) {
+        answerOpenRequests();
+    }
+    const bool isOver = answeredAt && now >= std::max(context.stopsAt(), *answeredAt + AnswerFlushTime);
+    if (isOver || isDrained()) {
+        stop();
     }
-    log.write("edge", "stopped", {{"requests_cut", callerServer->active()}, {"drained_ms", toMilliseconds(since)}});
-    log.flush();
-    loop.stop();
+}
+
+auto EdgeNode::Parts::answerOpenRequests() -> void
+{
+    answeredAt = clock.now();
+    const auto open = context.openRequests.size();
+    context.openRequests.end(StopPhase::Unanswered);
+    log.write("edge", "open_requests_answered",
+              {{"open", open},
+               {"streams_left", context.openRequests.size()},
+               {"draining_ms", toMilliseconds(*answeredAt - context.drainingSince)}});
+}
+
+auto EdgeNode::Parts::isDrained() const -> bool
+{
+    return context.refusesRequests() && callerServer->active() == 0 && relayEntrance.active() == 0;
+}
+
+auto EdgeNode::Parts::stop() -> void
+{
+    drainTimer->stop();
+    const auto aborted = context.openRequests.size();
+    context.openRequests.end(StopPhase::All);
+    loop.after(AbortTime, [this, aborted]() {
+        log.write("edge", "stopped",
+                  {{"streams_aborted", aborted},
+                   {"requests_cut", callerServer->active()},
+                   {"drained_ms", toMilliseconds(clock.now() - context.drainingSince)}});
+        log.flush();
+        loop.stop();
+    });
 }
 
 auto EdgeNode::Parts::reload(bool requested) -> void
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -13,6 +13,7 @@
 
 constexpr std::size_t MaxLoggedLimit = 100; // bytes
 constexpr std::size_t MaxLoggedUpstreams = 8;
+constexpr double DurationSpread = 1.5; // of the longer requests relative to the mean
 
 auto name(LimitChange change) -> std::string_view
 {
@@ -40,7 +41,7 @@
 {
     const auto &incoming = request.exchange->request();
     spec.instance = upstream.id;
-    spec.timeLeft = request.deadline() - context.clock.now();
+    spec.timeLeft = std::min(request.deadline(), context.stopsAt()) - context.clock.now();
     HttpCall call;
     call.method = incoming.method;
     call.url = urlOf(upstream.address, "/");
@@ -55,6 +56,11 @@
     return call;
 }
 
+auto outlastsThisVm(const EdgeContext &context, Duration expected) -> bool
+{
+    return context.draining && context.clock.now() + fromMilliseconds(DurationSpread * toMilliseconds(expected)) > context.answersDueAt();
+}
+
 auto classifyHead(int status, const AnswerHead &head) -> AttemptOutcome
 {
     if ((head.notRun || status == MisdirectedRequest) && !head.namesOtherRequest) {
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -66,6 +66,7 @@
     bool m_isStream;
     std::vector<std::string> m_tried; // VMs
     std::string m_vm; // that forwards the request now
+    OpenRequests::Id m_openId = 0;
     HttpClient::CallId m_call = 0;
     HttpResponse m_answer; // its head, and the body of an error
     bool m_headRead = false;
@@ -86,6 +87,11 @@
                                   {{"request", self->m_request.metadata.requestId}, {"vm", self->m_vm}, {"events", self->m_events}});
         self->finish();
     });
+    m_openId = m_context.openRequests.add([self](StopPhase phase) {
+        if (phase == StopPhase::All || !self->m_headSent) {
+            self->fail(false, StopReason);
+        }
+    });
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time"); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
     if (!send(reason)) {
@@ -388,6 +394,7 @@
     if (std::exchange(m_done, true)) {
         return;
     }
+    m_context.openRequests.remove(m_openId);
     endCall();
     // The timers' callbacks own this request, so they are destroyed only after the current call has returned.
     m_context.loop.defer([self = shared_from_this()]() {
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -12,7 +12,6 @@
 namespace
 {
 
-constexpr Duration StoppingRetryAfter = milliseconds(10); // another VM can take the request immediately
 constexpr Duration ShortestCutRetryAfter = milliseconds(300); // upstreams that no VM reaches are probed in about this period
 constexpr Duration LongestCutRetryAfter = milliseconds(1200);
 constexpr Duration UnconfiguredRetryAfter = milliseconds(500); // a starting VM loads its configuration within this time
@@ -25,7 +24,7 @@
     if (request.relay) {
         return relayRefusal(context, "this VM is stopping");
     }
-    auto response = context.protocol.refusal(StoppingRetryAfter, "this VM is stopping");
+    auto response = context.protocol.refusal(StoppingRetryAfter, StopReason);
     response.headers.push_back({"Connection", "close"});
     return response;
 }
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -48,6 +48,7 @@
     auto handOver(AttemptOutcome outcome, std::string_view reason) -> bool;
     auto hedge() -> void;
     auto fail(bool timedOut, std::string_view reason, Duration retryAfter) -> void;
+    auto outlastsThisVm() const -> bool;
     auto retryDelay() const -> Duration;
     auto finish() -> void;
     auto releaseLoad(const PendingCall &pending) -> void;
@@ -57,6 +58,7 @@
     IncomingRequest m_request;
     RequestAttempts m_attempts;
     std::vector<PendingCall> m_pendingCalls;
+    OpenRequests::Id m_openId = 0;
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_hedgeTimer;
     std::optional<HttpResponse> m_errorAnswer; // an upstream's 5xx response, forwarded if no later attempt succeeds
@@ -72,8 +74,13 @@
         self->m_context.log.write("forward", "caller_gone", {{"request", self->m_request.metadata.requestId}});
         self->finish();
     });
+    m_openId = m_context.openRequests.add([self](StopPhase /*phase*/) { self->fail(false, StopReason, StoppingRetryAfter); });
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time", self->retryDelay()); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
+    if (outlastsThisVm()) {
+        fail(false, StopReason, StoppingRetryAfter);
+        return;
+    }
     if (!send("")) {
         if (!refuseForLimits()) {
             fail(false, "no usable upstream of the service is known", retryDelay());
@@ -86,6 +93,12 @@
     }
 }
 
+/// Returns whether an upstream's answer is expected too late, because this VM stops.
+auto ServiceRequest::outlastsThisVm() const -> bool
+{
+    return currantstack::outlastsThisVm(m_context, fromMilliseconds(m_context.requestTimeOf(m_request.service).value()));
+}
+
 auto ServiceRequest::mayHedge() const -> bool
 {
     return m_request.route->kind == RouteKind::Idempotent && m_attempts.mayRetry();
@@ -215,7 +228,7 @@
     if (!refusal && isCutOff && handOver(outcome, reason)) {
         return;
     }
-    if (!refusal && !isCutOff && m_attempts.mayRetry() && m_request.deadline() > now
+    if (!refusal && !isCutOff && m_attempts.mayRetry() && !outlastsThisVm() && m_request.deadline() > now
         && m_context.retryBudget.tryAcquire(m_request.service, now)) {
         m_context.counters.at("sends_repeated").add();
         if (send(failed.upstream.id) || send("")) {
@@ -239,7 +252,8 @@
 auto ServiceRequest::handOver(AttemptOutcome outcome, std::string_view reason) -> bool
 {
     const auto now = m_context.clock.now();
-    const bool maySend = m_pendingCalls.empty() && m_attempts.mayRetry() && m_request.deadline() > now && mayRelay(m_context, m_request);
+    const bool maySend = m_pendingCalls.empty() && m_attempts.mayRetry() && !outlastsThisVm() && m_request.deadline() > now
+        && mayRelay(m_context, m_request);
     if (!maySend || (outcome != AttemptOutcome::NotSent && !m_context.retryBudget.tryAcquire(m_request.service, now))) {
         return false;
     }
@@ -309,6 +323,7 @@
     if (std::exchange(m_done, true)) {
         return;
     }
+    m_context.openRequests.remove(m_openId);
     for (const auto &pending : std::exchange(m_pendingCalls, {})) {
         m_context.client.cancel(pending.call);
         releaseLoad(pending);
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -33,6 +33,9 @@
         fail(false, refusal->reason, refusal->retryAfter);
         return;
     }
+    if (refuseIfTooLong(m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape))) {
+        return;
+    }
     const auto now = m_context.clock.now();
     m_decoding = true;
     m_sentAt = now;
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -110,6 +110,9 @@
     if (!chosen) {
         return false;
     }
+    if (refuseIfTooLong(chosen->timeToFirstToken + m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape))) {
+        return true;
+    }
     leaveQueue();
     place(*chosen);
     return true;
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -26,6 +26,7 @@
         self->m_context.log.write("stream", "caller_gone", {{"request", self->m_request.metadata.requestId}, {"events", self->m_events}});
         self->finish();
     });
+    m_openId = m_context.openRequests.add([self](StopPhase phase) { self->endForStop(phase); });
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time", Duration::zero()); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
     if (m_request.metadata.continuesStream()) {
@@ -94,11 +95,29 @@
     finish();
 }
 
+auto StreamRequest::endForStop(StopPhase phase) -> void
+{
+    if (phase == StopPhase::All || !m_headSent) {
+        fail(false, StopReason, StoppingRetryAfter);
+    }
+}
+
+/// Ends a request that is expected to take so long that this VM stops before. Returns false if it may be sent on.
+auto StreamRequest::refuseIfTooLong(Duration expected) -> bool
+{
+    if (m_headSent || !outlastsThisVm(m_context, expected)) {
+        return false;
+    }
+    fail(false, StopReason, StoppingRetryAfter);
+    return true;
+}
+
 auto StreamRequest::finish() -> void
 {
     if (std::exchange(m_done, true)) {
         return;
     }
+    m_context.openRequests.remove(m_openId);
     m_context.client.cancel(std::exchange(m_reserveCall, 0));
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -118,6 +118,8 @@
     auto complete() -> void;
     auto fail(bool timedOut, std::string_view reason, Duration retryAfter) -> void;
     auto finish() -> void;
+    auto endForStop(StopPhase phase) -> void;
+    auto refuseIfTooLong(Duration expected) -> bool;
     auto retryDelay() const -> Duration;
 
     EdgeContext &m_context;
@@ -160,6 +162,7 @@
     Duration m_timeToFirstEvent = Duration::zero();
     Duration m_longestGap = Duration::zero();
 
+    OpenRequests::Id m_openId = 0;
     bool m_queued = false; // counted in the load table as a pending request of the service
 
     std::unique_ptr<Timer> m_deadlineTimer;
--- /dev/null
+++ b/test/edge/stop_tests.py
@@ -0,0 +1,155 @@
+"""Process tests of a planned stop: requests that are open at its end, and changes of the grace."""
+
+import asyncio
+import signal
+import time
+
+from rig import Rig
+
+SLOW = {"name": "slow", "host": "app.example", "prefix": "/slow/", "type": "unsafe", "service": "booking", "timeout_ms": 20000, "attempts": 1}
+SLOW_SAFE = {**SLOW, "name": "slowsafe", "prefix": "/slowsafe/", "type": "safe"}
+LONG = {"name": "long", "host": "app.example", "prefix": "/long/", "type": "streaming", "service": "llm", "attempts": 1,
+        "timeout_ms": 20000, "latency_goal_ms": 3000, "gap_aim_ms": 2000, "priority": 1}
+STREAM_HEADERS = {"Model": "m", "Token-Count": "2000,100", "Prefix-Hash": "ab:2000"}
+
+
+async def configured(rig):
+    rig.fleet.configure([SLOW, SLOW_SAFE, LONG])
+    await asyncio.sleep(1)
+
+
+async def answer_at(task, begin):
+    """Returns the status, headers and body of a sent request, and the time of its answer after `begin`."""
+    _, status, headers, body = await task
+    return status, headers, body, time.monotonic() - begin
+
+
+def send_stream(rig, vm):
+    return rig.send("long", vm, deadline=20000, limit=15, headers=STREAM_HEADERS)
+
+
+async def requests_open_at_the_end_of_a_stop_are_answered():
+    async with Rig(grace=4) as rig:
+        await configured(rig)
+        vm = rig.vms[0]
+        for upstream in rig.fleet.upstreams:
+            upstream.WORK_S = 30
+        tasks = [asyncio.create_task(rig.send(kind, vm, deadline=20000, limit=15)) for kind in ("slow", "slowsafe") for _ in range(10)]
+        await asyncio.sleep(0.3)
+        begin = time.monotonic()
+        vm.signal(signal.SIGTERM)
+        for task in tasks:
+            status, headers, _, at = await answer_at(task, begin)
+            assert status in (502, 504), (status, headers)
+            assert 2.8 < at < 4, at
+        await asyncio.wait_for(vm.process.wait(), 2)
+        assert vm.process.returncode == 0 and time.monotonic() - begin < 4
+        assert '"requests_cut":0' in vm.log_text().replace(" ", "")
+
+
+async def prompts_that_are_read_at_the_end_of_a_stop_are_refused():
+    """Guards against a cut of a request of which nothing has run, and against 502 for it."""
+    async with Rig(grace=3) as rig:
+        await configured(rig)
+        vm = rig.vms[0]
+        for engine in rig.fleet.engines:
+            engine.PREFILL_TOKENS_PER_MS = 4.0
+        for _ in range(4):
+            await rig.send("long", vm, deadline=20000, headers=STREAM_HEADERS)
+        vm.signal(signal.SIGTERM)
+        begin = time.monotonic()
+        await asyncio.sleep(2.0)
+        task = asyncio.create_task(send_stream(rig, vm))
+        status, headers, _, at = await answer_at(task, begin)
+        assert status == 503 and float(headers["retry-after"]) < 1 and at < 2.9, (status, headers, at)
+        assert not rig.runs_of((await task)[0])
+
+
+async def streams_that_would_outlast_a_stop_are_refused():
+    """Guards against a stream that is passed on late in the grace and cut at its end."""
+    async with Rig(grace=4) as rig:
+        await configured(rig)
+        vm = rig.vms[0]
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = 0.15  # a stream takes about 1.8 s
+        for _ in range(2):
+            assert (await send_stream(rig, vm))[1] == 200
+        vm.signal(signal.SIGTERM)
+        request, status, _, body = await send_stream(rig, vm)
+        assert status == 200 and body.count(b"data: ") == 12 and rig.runs_of(request), "a stream that can end in time is refused"
+        await asyncio.sleep(0.3)
+        request, status, headers, _ = await send_stream(rig, vm)
+        assert status == 503 and float(headers["retry-after"]) < 1, (status, headers)
+        assert not rig.runs_of(request)
+
+
+async def streams_under_way_are_aborted_only_at_the_end_of_a_stop():
+    async with Rig(grace=4) as rig:
+        await configured(rig)
+        vm = rig.vms[0]
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = 0.6
+        reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+        head = "".join(f"{name}: {value}\r\n" for name, value in {"Host": "app.example", "Request-Id": "long-1", "Content-Length": 0, **STREAM_HEADERS}.items())
+        writer.write(f"POST /long/x HTTP/1.1\r\n{head}\r\n".encode())
+        await reader.readuntil(b"data: ")
+        begin = time.monotonic()
+        vm.signal(signal.SIGTERM)
+        data = b""
+        try:
+            while part := await asyncio.wait_for(reader.read(4096), 6):
+                data += part
+        except ConnectionError:
+            pass
+        ended = time.monotonic() - begin
+        writer.close()
+        assert not data.endswith(b"0\r\n\r\n"), "the broken stream looks complete"
+        assert 3.4 < ended < 4, ended
+        await asyncio.wait_for(vm.process.wait(), 1)
+        assert '"stream_aborted"' in vm.log_text()
+
+
+async def a_grace_that_is_shortened_during_a_stop_cuts_no_request():
+    async with Rig(grace=8) as rig:
+        await configured(rig)
+        vm = rig.vms[0]
+        for upstream in rig.fleet.upstreams:
+            upstream.WORK_S = 30
+        task = asyncio.create_task(rig.send("slow", vm, deadline=20000, limit=15))
+        await asyncio.sleep(0.2)
+        vm.signal(signal.SIGTERM)
+        await asyncio.sleep(1.5)
+        with open(vm.path, encoding="utf-8") as file:
+            text = file.read()
+        with open(vm.path, "w", encoding="utf-8") as file:
+            file.write(text.replace("grace_s: 8", "grace_s: 1"))
+        vm.signal(signal.SIGHUP)
+        begin = time.monotonic()
+        status, _, _, at = await answer_at(task, begin)
+        assert status in (502, 504) and at < 1, (status, at)
+        await asyncio.wait_for(vm.process.wait(), 2)
+
+
+async def upstreams_are_told_when_a_stopping_vm_ends():
+    """Guards against work for an answer that comes after the end of the process."""
+    async with Rig(grace=4) as rig:
+        await configured(rig)
+        vm = rig.vms[0]
+        told = []
+        for service in rig.fleet.services:
+            original = service.run
+
+            async def run(request, reader, writer, original=original):
+                told.append(int(request.header("deadline-ms")))
+                return await original(request, reader, writer)
+            service.run = run
+        assert (await rig.send("slow", vm, deadline=20000))[1] == 200
+        vm.signal(signal.SIGTERM)
+        await asyncio.sleep(1)
+        assert (await rig.send("slow", vm, deadline=20000))[1] == 200
+        assert told[0] > 15000 and told[1] < 3000, told
+
+
+TESTS = [requests_open_at_the_end_of_a_stop_are_answered, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
+         streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
+         a_grace_that_is_shortened_during_a_stop_cuts_no_request, upstreams_are_told_when_a_stopping_vm_ends]
