Requests on connections that a stopping VM closes are answered

A draining VM shut down reading of each connection without a request every 100 ms. A request that had begun to arrive, or arrived just after its connection was opened, ended without an answer although its sender sent it whole. Connections that were established but not yet accepted were reset when the VM stopped accepting. Only some answers told the caller that the connection closes. (Whole requests that lay in the kernel at that moment were answered: Linux still delivers them after the shutdown.)

The server now tracks each connection (`ConnectionWatch`): it closes as idle only those of which no byte of a next request has arrived and which have been quiet for 300 ms, accepts what is established before it closes the listening socket, and adds "Connection: close" to all answers of a draining VM. The process ends early only when all connections are closed.

The same watch replaces libmicrohttpd's timeout, which closed idle connections after a fixed 60 s and could not be changed for open ones: a longer idle timeout holds for open connections at once, a shorter one from the next request, and a connection with unread bytes or with a request that waits is never closed. The timeout of slow heads and the limit on their size (status 431) are separate limits.

--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -98,6 +98,14 @@
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
+/// Limits on callers that may change while the server runs. A duration of zero is no limit.
+struct ServerLimits
+{
+    std::size_t maxHead = 0; // bytes; requests with a longer head get status 431; 0: only limited by `ServerOptions::maxHead`
+    Duration headTimeout = Duration::zero(); // from the first byte of a request to the end of its head
+    Duration idleTimeout = Duration::zero(); // between two requests of a connection; never closed sooner
+};
+
 struct ServerOptions
 {
     std::string address = "127.0.0.1"; // IPv4 address
@@ -105,7 +113,7 @@
     std::size_t maxBody = 8U << 20; // bytes; requests with a larger body get status 413
     std::size_t maxHead = 64U << 10; // bytes; memory limit of a connection, including the request's head
     unsigned maxConnections = 20000;
-    unsigned idleTimeout = 60; // seconds without activity until a connection is closed
+    unsigned idleTimeout = 60; // seconds without activity until a connection is closed; 0: unlimited
     bool strictFraming = false; // responds with 400 to a request whose body length is ambiguous
 };
 
@@ -122,18 +130,24 @@
 
     auto port() const -> std::uint16_t;
 
-    /// Stops accepting connections; open connections stay usable.
+    /// Stops accepting connections, except those that are already established; open connections stay usable.
     auto quiesce() -> void;
 
-    /// Closes the connections that have no request in flight.
+    /// Closes the connections that have no request in flight and on which none has begun to arrive.
     auto closeIdle() -> void;
 
-    /// Sets the idle timeout of connections, effective from their next request; `limit` is rounded up to whole seconds.
-    auto setIdleTimeout(Duration limit) -> void;
+    /// Closes each connection after its next response, which tells the caller.
+    auto closeAfterResponses() -> void;
+
+    /// Sets the limits. Open connections get a longer idle timeout at once and a shorter one from their next request.
+    auto setLimits(const ServerLimits &limits) -> void;
 
     /// Returns the number of requests in flight.
     auto active() const -> std::size_t;
 
+    /// Returns the number of open connections.
+    auto connections() const -> std::size_t;
+
 private:
     explicit HttpServer(std::shared_ptr<detail::ServerCore> core);
     std::shared_ptr<detail::ServerCore> m_core;
--- a/src/base/http_server.cc
+++ b/src/base/http_server.cc
@@ -38,9 +38,19 @@
     m_core->closeIdle();
 }
 
-auto HttpServer::setIdleTimeout(Duration limit) -> void
+auto HttpServer::closeAfterResponses() -> void
 {
-    m_core->setIdleTimeout(static_cast<unsigned>(std::chrono::ceil<seconds>(limit).count()));
+    m_core->closeAfterResponses();
+}
+
+auto HttpServer::setLimits(const ServerLimits &limits) -> void
+{
+    m_core->setLimits(limits);
+}
+
+auto HttpServer::connections() const -> std::size_t
+{
+    return m_core->connections();
 }
 
 auto HttpServer::active() const -> std::size_t
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -14,6 +14,14 @@
 namespace
 {
 
+constexpr Duration CheckPeriod = seconds(1); // of the connections' limits
+constexpr int MaxAcceptRounds = 200; // of the daemon, each of which accepts several connections
+
+auto descriptorOf(MHD_Connection *connection) -> int
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 auto openListenSocket(const ServerOptions &options) -> Result<int>
 {
     sockaddr_in address{};
@@ -52,11 +60,11 @@
     socklen_t length = sizeof bound;
     getsockname(*descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
     m_port = ntohs(bound.sin_port);
-    m_daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this, MHD_OPTION_NOTIFY_CONNECTION,
-        &ServerCore::onConnection, this, MHD_OPTION_URI_LOG_CALLBACK, &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor,
-        MHD_OPTION_NOTIFY_COMPLETED, &ServerCore::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections,
-        MHD_OPTION_CONNECTION_TIMEOUT, options.idleTimeout, MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &ServerCore::onAccess, this,
+                                MHD_OPTION_NOTIFY_CONNECTION, &ServerCore::onConnection, this, MHD_OPTION_URI_LOG_CALLBACK,
+                                &ServerCore::onTarget, this, MHD_OPTION_LISTEN_SOCKET, *descriptor, MHD_OPTION_NOTIFY_COMPLETED,
+                                &ServerCore::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections,
+                                MHD_OPTION_CONNECTION_TIMEOUT, 0U, MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maxHead, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         ::close(*descriptor);
         return fail(ErrorCode::Internal, "listen", options.address, "the HTTP daemon did not start");
@@ -66,6 +74,8 @@
     m_io.data = this;
     ev_io_start(m_loop.raw(), &m_io);
     m_timer = m_loop.timer([this]() { run(); });
+    m_checkTimer = m_loop.timer([this]() { closeOverdue(); });
+    m_checkTimer->startRepeating(CheckPeriod, CheckPeriod);
     return {};
 }
 
@@ -76,6 +86,7 @@
     }
     ev_io_stop(m_loop.raw(), &m_io);
     m_timer.reset();
+    m_checkTimer.reset();
     // libmicrohttpd requires that all suspended connections are resumed before the daemon is stopped.
     for (auto *exchange : m_active) {
         exchange->m_aborted = true;
@@ -93,6 +104,10 @@
 {
     if (!m_quiesced && m_daemon != nullptr) {
         m_quiesced = true;
+        const auto listener = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+        for (int round = 0; round < MaxAcceptRounds && waitingConnections(listener) > 0; ++round) {
+            MHD_run(m_daemon);
+        }
         const auto descriptor = MHD_quiesce_daemon(m_daemon);
         if (descriptor != MHD_INVALID_SOCKET) {
             ::close(descriptor);
@@ -135,25 +150,65 @@
 
 auto ServerCore::onConnection(void *context, MHD_Connection *connection, void ** /*state*/, MHD_ConnectionNotificationCode code) -> void
 {
-    auto &connections = static_cast<ServerCore *>(context)->m_connections;
+    auto *self = static_cast<ServerCore *>(context);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        connections.insert(connection);
+        self->m_connections.insert_or_assign(connection, ConnectionWatch(self->m_limits, self->m_clock.now()));
     } else {
-        connections.erase(connection);
+        self->m_connections.erase(connection);
     }
 }
 
-auto ServerCore::closeIdle() -> void
+auto ServerCore::exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>
 {
-    auto idle = m_connections;
+    std::unordered_map<MHD_Connection *, const Exchange *> result;
     for (const auto *exchange : m_active) {
-        idle.erase(exchange->m_connection);
+        result.emplace(exchange->m_connection, exchange);
     }
-    for (auto *connection : idle) {
-        // libmicrohttpd closes the connection when it reads the end of input. A request that arrives meanwhile is not read: its sender
-        // sees a closed connection.
-        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        ::shutdown(info->connect_fd, SHUT_RD);
+    return result;
+}
+
+auto ServerCore::closeIdle() -> void
+{
+    run();
+    const auto exchanges = exchangesByConnection();
+    const auto now = m_clock.now();
+    for (const auto &[connection, watch] : m_connections) {
+        const int descriptor = descriptorOf(connection);
+        if (!exchanges.contains(connection) && watch.isQuiet(tcpProgress(descriptor), now)) {
+            // libmicrohttpd closes the connection when it reads the end of input, after all bytes that arrived before.
+            ::shutdown(descriptor, SHUT_RD);
+        }
+    }
+    run();
+}
+
+auto ServerCore::setLimits(const ServerLimits &limits) -> void
+{
+    m_maxHead = limits.maxHead;
+    m_limits.headTimeout = limits.headTimeout;
+    m_limits.idleTimeout = limits.idleTimeout;
+    for (auto &[connection, watch] : m_connections) {
+        watch.onLimits(m_limits);
+    }
+}
+
+auto ServerCore::closeOverdue() -> void
+{
+    const auto exchanges = exchangesByConnection();
+    const auto now = m_clock.now();
+    for (auto &[connection, watch] : m_connections) {
+        auto phase = ConnectionPhase::BetweenRequests;
+        if (const auto found = exchanges.find(connection); found != exchanges.end()) {
+            const auto &exchange = *found->second;
+            phase = exchange.m_suspended ? ConnectionPhase::Waiting
+                : exchange.m_headRead    ? ConnectionPhase::Transfer
+                                         : ConnectionPhase::Head;
+        }
+        const int descriptor = descriptorOf(connection);
+        const auto verdict = watch.check(m_limits, phase, tcpProgress(descriptor), now);
+        if (verdict != ConnectionVerdict::Keep) {
+            ::shutdown(descriptor, verdict == ConnectionVerdict::CloseIdle ? SHUT_RD : SHUT_RDWR);
+        }
     }
     scheduleRun();
 }
@@ -164,6 +219,9 @@
     auto exchange = std::make_shared<Exchange>(self->weak_from_this(), connection);
     exchange->m_request.target = target;
     self->m_active.insert(exchange.get());
+    if (const auto found = self->m_connections.find(connection); found != self->m_connections.end()) {
+        found->second.onRequest(self->m_limits);
+    }
     return new ExchangePtr(std::move(exchange));
 }
 
@@ -174,10 +232,21 @@
     exchange.m_request.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendValue, &exchange.m_request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &appendValue, &exchange.m_request.query);
-    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, m_idleTimeout);
     const int on = 1;
-    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(descriptorOf(connection), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+/// Returns the response to a request whose head forbids to read its body, or nothing.
+auto ServerCore::headError(const Exchange &exchange) const -> std::optional<HttpResponse>
+{
+    const auto *info = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    if (m_maxHead > 0 && info != nullptr && info->header_size > m_maxHead) {
+        return HttpResponse{431,
+                            {{"Content-Type", "application/problem+json"}, {"Connection", "close"}},
+                            R"({"title":"head too large","status":431,"ran":"no"})"};
+    }
+    const auto error = m_strictFraming ? framingError(exchange.m_request.headers) : std::string_view();
+    return error.empty() ? std::nullopt : std::make_optional(HttpResponse{400, {{"Connection", "close"}}, std::string(error)});
 }
 
 auto ServerCore::onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char * /*version*/,
@@ -187,9 +256,8 @@
     auto &exchange = **static_cast<ExchangePtr *>(*state);
     if (!std::exchange(exchange.m_headRead, true)) {
         self->readHead(exchange, method, url);
-        const auto error = self->m_strictFraming ? framingError(exchange.m_request.headers) : std::string_view();
-        if (!error.empty()) {
-            exchange.respond({400, {{"Connection", "close"}}, std::string(error)});
+        if (auto error = self->headError(exchange)) {
+            exchange.respond(std::move(*error));
             return self->queueResponse(exchange);
         }
         return MHD_YES;
@@ -239,6 +307,9 @@
     for (const auto &header : exchange.m_response.headers) {
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
     }
+    if (m_closesConnections && findHeader(exchange.m_response.headers, "Connection").empty()) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
     const auto result = MHD_queue_response(exchange.m_connection, static_cast<unsigned>(exchange.m_response.status), response);
     MHD_destroy_response(response);
     return result;
@@ -270,7 +341,7 @@
     return static_cast<ssize_t>(copied);
 }
 
-auto ServerCore::onCompleted(void *context, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode code) -> void
+auto ServerCore::onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code) -> void
 {
     if (*state == nullptr) {
         return;
@@ -279,7 +350,11 @@
     const auto exchange = std::move(*holder);
     delete holder;
     *state = nullptr;
-    static_cast<ServerCore *>(context)->m_active.erase(exchange.get());
+    auto *self = static_cast<ServerCore *>(context);
+    self->m_active.erase(exchange.get());
+    if (const auto found = self->m_connections.find(connection); found != self->m_connections.end()) {
+        found->second.onRequestEnd(tcpProgress(descriptorOf(connection)), self->m_clock.now());
+    }
     exchange->markCompleted();
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
         exchange->handleDisconnect();
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -1,9 +1,11 @@
 // The implementation of HttpServer: a libmicrohttpd daemon driven by the event loop.
 #pragma once
 
+#include "currantstack/connection_watch.h"
 #include "currantstack/http_server.h"
 
 #include <microhttpd.h>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace currantstack::detail
@@ -18,7 +20,7 @@
         , m_handler(std::move(handler))
         , m_maxBody(options.maxBody)
         , m_strictFraming(options.strictFraming)
-        , m_idleTimeout(options.idleTimeout)
+        , m_limits{Duration::zero(), seconds(options.idleTimeout), seconds(options.idleTimeout)}
     { }
 
     ~ServerCore()
@@ -45,9 +47,16 @@
 
     auto closeIdle() -> void;
 
-    auto setIdleTimeout(unsigned limit) -> void
+    auto closeAfterResponses() -> void
     {
-        m_idleTimeout = limit;
+        m_closesConnections = true;
+    }
+
+    auto setLimits(const ServerLimits &limits) -> void;
+
+    auto connections() const -> std::size_t
+    {
+        return m_connections.size();
     }
 
     std::unordered_set<Exchange *> m_active; // requests in flight
@@ -61,6 +70,9 @@
     static auto onRead(void *context, std::uint64_t position, char *buffer, size_t size) -> ssize_t;
     static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
     auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
+    auto headError(const Exchange &exchange) const -> std::optional<HttpResponse>;
+    auto closeOverdue() -> void;
+    auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>;
     auto queueResponse(Exchange &exchange) -> MHD_Result;
     auto run() -> void;
 
@@ -68,14 +80,18 @@
     HttpServer::Handler m_handler;
     std::size_t m_maxBody;
     bool m_strictFraming;
-    unsigned m_idleTimeout; // seconds
-    std::unordered_set<MHD_Connection *> m_connections; // open connections
+    ConnectionLimits m_limits;
+    std::size_t m_maxHead = 0; // bytes; 0: unlimited
+    std::unordered_map<MHD_Connection *, ConnectionWatch> m_connections; // open connections
+    SystemClock m_clock;
     MHD_Daemon *m_daemon = nullptr;
     ev_io m_io{};
     std::unique_ptr<Timer> m_timer;
+    std::unique_ptr<Timer> m_checkTimer;
     std::uint16_t m_port = 0;
     bool m_runScheduled = false;
     bool m_quiesced = false;
+    bool m_closesConnections = false;
 };
 
 } // namespace currantstack::detail
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -186,6 +186,7 @@
     }
     context.drainingSince = clock.now();
     log.write("edge", "drain_started", {{"requests_under_way", callerServer->active()}});
+    callerServer->closeAfterResponses();
     registry.stop();
     roles.stop();
     orderHolder.stop();
@@ -221,7 +222,7 @@
 
 auto EdgeNode::Parts::isDrained() const -> bool
 {
-    return context.refusesRequests() && callerServer->active() == 0 && relayEntrance.active() == 0;
+    return context.refusesRequests() && callerServer->active() == 0 && callerServer->connections() == 0 && relayEntrance.active() == 0;
 }
 
 auto EdgeNode::Parts::stop() -> void
--- a/test/edge/stop_tests.py
+++ b/test/edge/stop_tests.py
@@ -1,11 +1,12 @@
-"""Process tests of a planned stop: requests that are open at its end, and changes of the grace."""
+"""Process tests of a planned stop: requests that are open at its end, late requests on open connections, and changes of the grace."""
 
 import asyncio
 import signal
 import time
 
-from rig import Rig
+from rig import Rig, read_response
 
+ACCEPT_S = 2.7  # from SIGTERM until a VM refuses requests
 SLOW = {"name": "slow", "host": "app.example", "prefix": "/slow/", "type": "unsafe", "service": "booking", "timeout_ms": 20000, "attempts": 1}
 SLOW_SAFE = {**SLOW, "name": "slowsafe", "prefix": "/slowsafe/", "type": "safe"}
 LONG = {"name": "long", "host": "app.example", "prefix": "/long/", "type": "streaming", "service": "llm", "attempts": 1,
@@ -40,7 +41,7 @@
         vm.signal(signal.SIGTERM)
         for task in tasks:
             status, headers, _, at = await answer_at(task, begin)
-            assert status in (502, 504), (status, headers)
+            assert status in (502, 504) and headers.get("connection") == "close", (status, headers)
             assert 2.8 < at < 4, at
         await asyncio.wait_for(vm.process.wait(), 2)
         assert vm.process.returncode == 0 and time.monotonic() - begin < 4
@@ -79,7 +80,7 @@
         assert status == 200 and body.count(b"data: ") == 12 and rig.runs_of(request), "a stream that can end in time is refused"
         await asyncio.sleep(0.3)
         request, status, headers, _ = await send_stream(rig, vm)
-        assert status == 503 and float(headers["retry-after"]) < 1, (status, headers)
+        assert status == 503 and float(headers["retry-after"]) < 1 and headers["connection"] == "close", (status, headers)
         assert not rig.runs_of(request)
 
 
@@ -109,6 +110,27 @@
         assert '"stream_aborted"' in vm.log_text()
 
 
+async def late_requests_on_open_connections_are_refused():
+    """Each byte of a request that arrives late in the grace is read, and its sender gets a refusal."""
+    for begun in (b"P", b"POST /book/x HTTP/1.1\r\nHost: app"):
+        async with Rig() as rig:
+            vm = rig.vms[0]
+            whole = b"POST /book/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: late\r\nContent-Length: 0\r\n\r\n"
+            reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+            writer.write(b"GET /check/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: first\r\n\r\n")
+            assert (await read_response(reader))[0] == 200
+            writer.write(begun)
+            await asyncio.sleep(0.1)
+            vm.signal(signal.SIGTERM)
+            await asyncio.sleep(ACCEPT_S + 0.2)
+            writer.write(whole[len(begun):])
+            status, headers, _ = await read_response(reader)
+            assert status == 503 and headers["connection"] == "close" and float(headers["retry-after"]) < 1, (begun, status, headers)
+            assert not rig.runs_of("late")
+            writer.close()
+            await asyncio.wait_for(vm.process.wait(), 2)
+
+
 async def a_grace_that_is_shortened_during_a_stop_cuts_no_request():
     async with Rig(grace=8) as rig:
         await configured(rig)
@@ -152,4 +174,5 @@
 
 TESTS = [requests_open_at_the_end_of_a_stop_are_answered, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
          streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
-         a_grace_that_is_shortened_during_a_stop_cuts_no_request, upstreams_are_told_when_a_stopping_vm_ends]
+         late_requests_on_open_connections_are_refused, a_grace_that_is_shortened_during_a_stop_cuts_no_request,
+         upstreams_are_told_when_a_stopping_vm_ends]
--- a/test/http_server-test.cc
+++ b/test/http_server-test.cc
@@ -5,6 +5,7 @@
 #include "check.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -47,6 +48,12 @@
         CPPUNIT_ASSERT(!timedOut);
     }
 
+    auto runFor(Duration time) -> void
+    {
+        loop.after(time, [this]() { loop.stop(); });
+        loop.run();
+    }
+
     auto post(const std::string &body) -> Result<HttpResponse>
     {
         HttpCall call;
@@ -86,6 +93,27 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(text.size()), send(descriptor, text.data(), text.size(), 0));
 }
 
+/// Returns all bytes that have arrived, and "closed" after them if the connection has ended.
+auto receiveRaw(int descriptor) -> std::string
+{
+    std::string text;
+    std::array<char, 4096> buffer{};
+    while (true) {
+        const auto size = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (size <= 0) {
+            return size < 0 && errno == EAGAIN ? text : text + "closed";
+        }
+        text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+}
+
+auto hasAnswer(std::string_view text, std::string_view status) -> bool
+{
+    return text.substr(0, 9 + status.size()) == "HTTP/1.1 " + std::string(status);
+}
+
+constexpr std::string_view SmallRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
 } // namespace
 
 class HttpServerTest : public CppUnit::TestFixture
@@ -102,6 +130,17 @@
     CPPUNIT_TEST(hostNamesAreRejected);
     CPPUNIT_TEST(idleCallTimesOut);
     CPPUNIT_TEST(tooLongResponsesFailTheCall);
+    CPPUNIT_TEST(requestsThatAreUnreadWhenIdleConnectionsCloseAreAnswered);
+    CPPUNIT_TEST(requestsThatHaveBegunWhenIdleConnectionsCloseAreAnswered);
+    CPPUNIT_TEST(requestsOnNewConnectionsAreAnsweredWhenIdleOnesClose);
+    CPPUNIT_TEST(quietConnectionsAreClosed);
+    CPPUNIT_TEST(establishedConnectionsAreServedAfterTheServerStopsAccepting);
+    CPPUNIT_TEST(stoppingServersCloseConnectionsAfterTheirResponses);
+    CPPUNIT_TEST(longerIdleTimeoutsHoldForOpenConnections);
+    CPPUNIT_TEST(shorterIdleTimeoutsDoNotCloseOnARequest);
+    CPPUNIT_TEST(idleConnectionsCloseAfterTheirTimeout);
+    CPPUNIT_TEST(slowHeadsAreCutOff);
+    CPPUNIT_TEST(tooLongHeadsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -246,6 +285,189 @@
         CPPUNIT_ASSERT_EQUAL(std::string("the response body is too long"), longBody.error().message);
     }
 
+    auto requestsThatAreUnreadWhenIdleConnectionsCloseAreAnswered() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({503, {}, "stopping"}); });
+        const int descriptor = connectRaw(fixture.server->port());
+        sendRaw(descriptor, SmallRequest);
+        fixture.runFor(milliseconds(500));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "503"));
+        sendRaw(descriptor, SmallRequest);
+        fixture.server->closeIdle();
+        fixture.runFor(milliseconds(50));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "503"));
+        close(descriptor);
+    }
+
+    auto requestsThatHaveBegunWhenIdleConnectionsCloseAreAnswered() -> void
+    {
+        for (const std::size_t begun : {1U, 8U, 20U}) {
+            HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({503, {}, "stopping"}); });
+            const int descriptor = connectRaw(fixture.server->port());
+            sendRaw(descriptor, SmallRequest);
+            fixture.runFor(milliseconds(50));
+            CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "503"));
+            sendRaw(descriptor, SmallRequest.substr(0, begun));
+            fixture.runFor(milliseconds(500));
+            fixture.server->closeIdle();
+            fixture.runFor(milliseconds(50));
+            sendRaw(descriptor, SmallRequest.substr(begun));
+            fixture.runFor(milliseconds(50));
+            CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "503"));
+            close(descriptor);
+        }
+    }
+
+    auto requestsOnNewConnectionsAreAnsweredWhenIdleOnesClose() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({503, {}, "stopping"}); });
+        const int descriptor = connectRaw(fixture.server->port());
+        fixture.runFor(milliseconds(20));
+        fixture.server->closeIdle();
+        fixture.runFor(milliseconds(20));
+        sendRaw(descriptor, SmallRequest);
+        fixture.runFor(milliseconds(50));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "503"));
+        close(descriptor);
+    }
+
+    auto quietConnectionsAreClosed() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({200, {}, ""}); });
+        const int used = connectRaw(fixture.server->port());
+        const int unused = connectRaw(fixture.server->port());
+        sendRaw(used, SmallRequest);
+        fixture.runFor(milliseconds(500));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(used), "200"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.server->connections());
+        fixture.server->closeIdle();
+        fixture.runFor(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(std::string("closed"), receiveRaw(used));
+        CPPUNIT_ASSERT_EQUAL(std::string("closed"), receiveRaw(unused));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.server->connections());
+        close(used);
+        close(unused);
+    }
+
+    auto establishedConnectionsAreServedAfterTheServerStopsAccepting() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({503, {}, "stopping"}); });
+        std::vector<int> descriptors;
+        for (int count = 0; count < 50; ++count) {
+            descriptors.push_back(connectRaw(fixture.server->port()));
+            sendRaw(descriptors.back(), SmallRequest);
+        }
+        fixture.server->quiesce();
+        fixture.runFor(milliseconds(100));
+        for (const int descriptor : descriptors) {
+            CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "503"));
+            close(descriptor);
+        }
+    }
+
+    auto stoppingServersCloseConnectionsAfterTheirResponses() -> void
+    {
+        HttpFixture fixture([&fixture](const ExchangePtr &exchange) {
+            if (exchange->request().path == "/stream") {
+                exchange->beginStream(200, {});
+                exchange->end();
+                return;
+            }
+            exchange->respond({503, {}, "stopping"});
+        });
+        fixture.server->closeAfterResponses();
+        for (const auto *path : {"/", "/stream"}) {
+            const int descriptor = connectRaw(fixture.server->port());
+            sendRaw(descriptor, "GET " + std::string(path) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+            fixture.runFor(milliseconds(50));
+            const auto text = receiveRaw(descriptor);
+            CPPUNIT_ASSERT(text.find("Connection: close") != std::string::npos);
+            CPPUNIT_ASSERT(text.ends_with("closed"));
+            close(descriptor);
+        }
+    }
+
+    auto longerIdleTimeoutsHoldForOpenConnections() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({200, {}, ""}); });
+        const int descriptor = connectRaw(fixture.server->port());
+        sendRaw(descriptor, SmallRequest);
+        fixture.runFor(milliseconds(50));
+        fixture.server->setLimits({0, Duration::zero(), seconds(90)});
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "200"));
+        fixture.runFor(milliseconds(4500));
+        sendRaw(descriptor, SmallRequest);
+        fixture.runFor(milliseconds(50));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "200"));
+        close(descriptor);
+    }
+
+    auto shorterIdleTimeoutsDoNotCloseOnARequest() -> void
+    {
+        ExchangePtr waiting;
+        HttpFixture fixture([&waiting](const ExchangePtr &exchange) { waiting = exchange; });
+        fixture.server->setLimits({0, Duration::zero(), seconds(4)});
+        const int descriptor = connectRaw(fixture.server->port());
+        sendRaw(descriptor, SmallRequest);
+        fixture.runFor(milliseconds(50));
+        fixture.server->setLimits({0, Duration::zero(), milliseconds(1)});
+        fixture.runFor(milliseconds(2500));
+        waiting->respond({200, {}, ""});
+        fixture.runFor(milliseconds(2800));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "200"));
+        sendRaw(descriptor, SmallRequest); // sent within the timeout that was in force when the first request was sent
+        fixture.runFor(milliseconds(50));
+        waiting->respond({200, {}, ""});
+        fixture.runFor(milliseconds(50));
+        CPPUNIT_ASSERT(hasAnswer(receiveRaw(descriptor), "200"));
+        close(descriptor);
+    }
+
+    auto idleConnectionsCloseAfterTheirTimeout() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({200, {}, ""}); });
+        fixture.server->setLimits({0, Duration::zero(), milliseconds(200)});
+        const int descriptor = connectRaw(fixture.server->port());
+        sendRaw(descriptor, SmallRequest);
+        fixture.runFor(milliseconds(2500));
+        const auto text = receiveRaw(descriptor);
+        CPPUNIT_ASSERT(hasAnswer(text, "200") && text.ends_with("closed"));
+        close(descriptor);
+    }
+
+    auto slowHeadsAreCutOff() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({200, {}, ""}); });
+        fixture.server->setLimits({0, milliseconds(1500), seconds(60)});
+        for (const std::size_t begun : {1U, 20U}) {
+            const int descriptor = connectRaw(fixture.server->port());
+            sendRaw(descriptor, SmallRequest.substr(0, begun));
+            fixture.runFor(milliseconds(1000));
+            CPPUNIT_ASSERT_EQUAL(std::string(), receiveRaw(descriptor));
+            fixture.runFor(milliseconds(3000));
+            CPPUNIT_ASSERT_EQUAL(std::string("closed"), receiveRaw(descriptor));
+            close(descriptor);
+        }
+    }
+
+    auto tooLongHeadsAreRejected() -> void
+    {
+        HttpFixture fixture([](const ExchangePtr &exchange) { exchange->respond({200, {}, ""}); });
+        fixture.server->setLimits({1000, Duration::zero(), seconds(60)});
+        const auto statusOf = [&fixture](std::size_t headSize) {
+            const std::string start = "GET / HTTP/1.1\r\nHost: x\r\nX-Long: ";
+            const int descriptor = connectRaw(fixture.server->port());
+            sendRaw(descriptor, start + std::string(headSize - start.size() - 4, 'h') + "\r\n\r\n");
+            fixture.runFor(milliseconds(50));
+            const auto text = receiveRaw(descriptor);
+            close(descriptor);
+            return text.substr(9, 3);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(1000));
+        CPPUNIT_ASSERT_EQUAL(std::string("431"), statusOf(1001));
+        CPPUNIT_ASSERT_EQUAL(std::string("431"), statusOf(40000));
+    }
+
     auto hostNamesAreRejected() -> void
     {
         HttpFixture fixture([](const ExchangePtr &) {});
