The configuration's limits on heads and idle connections are applied

max_header_bytes, header_timeout_ms and idle_timeout_ms were decoded and not applied: idle connections closed after 60 s, also if callers were allowed to keep them for longer, heads of any size up to the server's memory limit were taken, and a head could take any time.

Each table of routes that comes into force now sets them. Heads above the limit get 431, and their requests aren't passed on.

Evidence: the three process tests of test/edge/connection_tests.py fail on (200 for a head above the limit; both connections stay open) and pass with the change. Idle timeouts above 60 s are tested by longerIdleTimeoutsHoldForOpenConnections with shorter times only.

--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -22,7 +22,10 @@
     /// others have expired.
     static constexpr Duration RewriteTime = seconds(6);
 
-    DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store);
+    /// Runs when a table of routes comes into force.
+    using RoutesHook = std::function<void(const RouteTable &routeTable)>;
+
+    DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store, RoutesHook onRoutesInForce);
 
     auto start() -> void
     {
@@ -57,6 +60,7 @@
 
     EdgeContext &m_context;
     const StoreCodec &m_codec;
+    RoutesHook m_onRoutesInForce;
     StoreFollower m_routes;
     StoreFollower m_upstreams;
     std::unique_ptr<Timer> m_expiryTimer;
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -33,9 +33,10 @@
 
 } // namespace
 
-DirectoryController::DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store)
+DirectoryController::DirectoryController(EdgeContext &context, const StoreCodec &codec, Store &store, RoutesHook onRoutesInForce)
     : m_context(context)
     , m_codec(codec)
+    , m_onRoutesInForce(std::move(onRoutesInForce))
     , m_routes(context.loop, context.clock, context.random, store, context.log, codec.routesPrefix(),
                {[this](const StoreRange &range, const StoreFollower::Interruption & /*interruption*/) { onRoutes(range.values); },
                 [this](std::span<const StoreEvent> events) {
@@ -136,6 +137,7 @@
     }
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
+    m_onRoutesInForce(*m_context.routeTable);
     m_context.counters.at("routes_version").set(m_context.routeTable->version);
     m_context.log.write("directory", "routes_in_force",
                         {{"version", m_context.routeTable->version},
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -58,7 +58,7 @@
                   PendingQueue(loop),
                   FleetRateLimiter(random)}
         , chain(context)
-        , directory(context, *adapter.codec, *store)
+        , directory(context, *adapter.codec, *store, [this](const RouteTable &routeTable) { applyLimits(routeTable.limits); })
         , exchange(context, directory)
         , quarantine(context, *adapter.codec, *store, exchange)
         , reach(context, exchange)
@@ -79,6 +79,7 @@
     auto onVms(const VmRecords &records) -> void;
     auto isReady() const -> bool;
     auto updatePollWait() -> void;
+    auto applyLimits(const CallerLimits &limits) -> void;
     auto drain() -> void;
     auto checkDrained() -> void;
     auto answerOpenRequests() -> void;
@@ -179,6 +180,11 @@
     counters.at("vms_known").set(static_cast<std::int64_t>(records.size()));
 }
 
+auto EdgeNode::Parts::applyLimits(const CallerLimits &limits) -> void
+{
+    callerServer->setLimits({limits.maxHead, limits.headTimeout, limits.idleTimeout});
+}
+
 auto EdgeNode::Parts::drain() -> void
 {
     if (std::exchange(context.draining, true)) {
