--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -18,8 +18,7 @@
 {
 
 constexpr Duration DrainCheckPeriod = milliseconds(100); // also the period in which the log is flushed
-// The process exits by itself this long before the platform kills it.
-constexpr Duration KillSafetyMargin = milliseconds(400);
+constexpr Duration AbortTime = milliseconds(50); // in which aborted streams are closed before the process ends
 constexpr Duration SettingsCheckPeriod = seconds(2);
 // Average interval between the store polls of all VMs together. It puts a configuration change in force within 2.5 s, with half of that
 // time as margin.
@@ -59,7 +58,7 @@
                   PendingQueue(loop),
                   FleetRateLimiter(random)}
         , chain(context)
-        , directory(context, *adapter.codec, *store)
+        , directory(context, *adapter.codec, *store, [this](const RouteTable &routeTable) { applyLimits(routeTable.limits); })
         , exchange(context, directory)
         , quarantine(context, *adapter.codec, *store, exchange)
         , reach(context, exchange)
@@ -80,8 +79,12 @@
     auto onVms(const VmRecords &records) -> void;
     auto isReady() const -> bool;
     auto updatePollWait() -> void;
+    auto applyLimits(const CallerLimits &limits) -> void;
     auto drain() -> void;
     auto checkDrained() -> void;
+    auto answerOpenRequests() -> void;
+    auto isDrained() const -> bool;
+    auto stop() -> void;
     auto reload(bool requested) -> void;
 
     EdgeSettings settings;
@@ -110,6 +113,7 @@
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> metricsServer;
     std::unique_ptr<Timer> drainTimer;
+    std::optional<TimePoint> answeredAt; // when the open requests got their answers because of the stop
     std::unique_ptr<Timer> settingsTimer;
     std::unique_ptr<Timer> flushTimer;
 };
@@ -176,6 +180,11 @@
     counters.at("vms_known").set(static_cast<std::int64_t>(records.size()));
 }
 
+auto EdgeNode::Parts::applyLimits(const CallerLimits &limits) -> void
+{
+    callerServer->setLimits({limits.maxHead, limits.headTimeout, limits.idleTimeout});
+}
+
 auto EdgeNode::Parts::drain() -> void
 {
     if (std::exchange(context.draining, true)) {
@@ -183,6 +192,7 @@
     }
     context.drainingSince = clock.now();
     log.write("edge", "drain_started", {{"requests_under_way", callerServer->active()}});
+    callerServer->closeAfterResponses();
     registry.stop();
     roles.stop();
     orderHolder.stop();
@@ -191,18 +201,49 @@
 
 auto EdgeNode::Parts::checkDrained() -> void
 {
-    const auto since = clock.now() - context.drainingSince;
     if (context.refusesRequests()) {
         callerServer->quiesce();
         callerServer->closeIdle();
     }
-    const bool idle = callerServer->active() == 0 && relayEntrance.active() == 0 && context.refusesRequests();
-    if (!idle && since < settings.drainLimit - KillSafetyMargin) {
-        return;
+    const auto now = clock.now();
+    if (!answeredAt && now >= context.answersDueAt()) {
+        answerOpenRequests();
     }
-    log.write("edge", "stopped", {{"requests_cut", callerServer->active()}, {"drained_ms", toMilliseconds(since)}});
-    log.flush();
-    loop.stop();
+    const bool isOver = answeredAt && now >= std::max(context.stopsAt(), *answeredAt + AnswerFlushTime);
+    if (isOver || isDrained()) {
+        stop();
+    }
+}
+
+auto EdgeNode::Parts::answerOpenRequests() -> void
+{
+    answeredAt = clock.now();
+    const auto open = context.openRequests.size();
+    context.openRequests.end(StopPhase::Unanswered);
+    log.write("edge", "open_requests_answered",
+              {{"open", open},
+               {"streams_left", context.openRequests.size()},
+               {"draining_ms", toMilliseconds(*answeredAt - context.drainingSince)}});
+}
+
+auto EdgeNode::Parts::isDrained() const -> bool
+{
+    return context.refusesRequests() && callerServer->active() == 0 && callerServer->connections() == 0 && relayEntrance.active() == 0;
+}
+
+auto EdgeNode::Parts::stop() -> void
+{
+    drainTimer->stop();
+    const auto aborted = context.openRequests.size();
+    context.openRequests.end(StopPhase::All);
+    loop.after(AbortTime, [this, aborted]() {
+        log.write("edge", "stopped",
+                  {{"streams_aborted", aborted},
+                   {"requests_cut", callerServer->active()},
+                   {"drained_ms", toMilliseconds(clock.now() - context.drainingSince)}});
+        log.flush();
+        loop.stop();
+    });
 }
 
 auto EdgeNode::Parts::reload(bool requested) -> void
