--- a/src/edge/explain.cc
+++ b/src/edge/explain.cc
@@ -139,6 +139,14 @@
     if (event == "stream_not_resumable") {
         return describeUnresumable(line);
     }
+    if (event == "request_relayed") {
+        return fmt::format("forwarded through {} ({} VMs could take it, {} requests there): {}", text(line, "to"), text(line, "candidates"),
+                           text(line, "in_flight"), text(line, "reason"));
+    }
+    if (event == "request_answered" && line.contains("through")) {
+        return fmt::format("answered through {} with status {} after {}", text(line, "through"), text(line, "status"),
+                           milliseconds(line, "age_ms"));
+    }
     if (event == "request_answered") {
         const auto upstream = line.contains("engine") ? text(line, "engine") : text(line, "upstream");
         return fmt::format("answered by {} after {}", upstream, milliseconds(line, "age_ms"));
@@ -204,7 +212,7 @@
         const bool concurrent = entry.timeMs >= begin - LookbackMs && entry.timeMs <= end;
         const bool related = upstreams.contains(text(entry.line, "upstream")) || upstreams.contains(text(entry.line, "engine"));
         const auto part = text(entry.line, "part");
-        return concurrent && text(entry.line, "vm") == vm && (related || part == "edge" || part == "store");
+        return concurrent && text(entry.line, "vm") == vm && (related || part == "edge" || part == "store" || part == "links");
     });
     std::stable_sort(entries.begin(), entries.end(), byTime);
     for (const auto &entry : entries) {
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/reach_controller.h"
 
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/upstream_links.h"
 
 namespace currantstack
@@ -47,7 +48,7 @@
             }
         }
     }
-    if (const auto *upstream = m_context.reach.nextDoubtful()) {
+    if (const auto *upstream = m_context.reach.nextDoubtful(); upstream != nullptr && mayGetRequest(m_context, *upstream)) {
         const auto *service = m_context.routeTable->service(upstream->service);
         probe(Upstream(*upstream), service == nullptr ? "" : service->healthPath);
     }
@@ -62,7 +63,7 @@
 auto ReachController::probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void
 {
     auto upstreams = m_context.directory.usable(service.name);
-    std::erase_if(upstreams, [&isEligible](const auto *upstream) { return !isEligible(*upstream); });
+    std::erase_if(upstreams, [&](const auto *upstream) { return !mayGetRequest(m_context, *upstream) || !isEligible(*upstream); });
     if (const auto *upstream = m_context.reach.nextProbe(upstreams)) {
         probe(*upstream, service.healthPath);
     }
@@ -76,6 +77,7 @@
     HttpHandlers handlers;
     handlers.onDone = [this, upstream, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
         m_context.counters.at("link_probes").add();
+        observeNotices(m_context, upstream, result);
         m_context.log.write("links", "upstream_probed",
                             {{"upstream", upstream.id},
                              {"service", upstream.service},
@@ -131,7 +133,8 @@
     }
     if (!reason.empty()) {
         m_context.counters.at("relays_refused").add();
-        m_context.log.write("relay", "relay_refused", {{"from", from}, {"vm", info ? info->vm.substr(0, 100) : ""}, {"reason", reason}});
+        m_context.log.write("relay", "relay_refused",
+                            {{"from", from}, {"first_vm", info ? info->vm.substr(0, 100) : ""}, {"reason", reason}});
         exchange->respond(relayRefusal(m_context, reason));
         return;
     }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -84,7 +84,7 @@
     const auto self = shared_from_this();
     m_request.exchange->onDisconnect([self]() {
         self->m_context.log.write("relay", "caller_gone",
-                                  {{"request", self->m_request.metadata.requestId}, {"vm", self->m_vm}, {"events", self->m_events}});
+                                  {{"request", self->m_request.metadata.requestId}, {"through", self->m_vm}, {"events", self->m_events}});
         self->finish();
     });
     m_openId = m_context.openRequests.add([self](StopPhase phase) {
@@ -260,7 +260,8 @@
         m_request.exchange->write(std::exchange(m_heldFiller, {}));
     }
     m_context.latencies.record("first_event", age);
-    m_context.log.write("relay", "first_event", {{"request", m_request.metadata.requestId}, {"vm", m_vm}, {"age_ms", toMilliseconds(age)}});
+    m_context.log.write("relay", "first_event",
+                        {{"request", m_request.metadata.requestId}, {"through", m_vm}, {"age_ms", toMilliseconds(age)}});
 }
 
 auto RelayedRequest::restartEventTimer() -> void
@@ -329,7 +330,7 @@
     m_context.counters.at(status == 503 ? "requests_refused" : "requests_answered").add();
     m_context.log.write("relay", "request_answered",
                         {{"request", m_request.metadata.requestId},
-                         {"vm", m_vm},
+                         {"through", m_vm},
                          {"status", status},
                          {"events", m_events},
                          {"vms_asked", m_tried.size()},
@@ -341,9 +342,12 @@
     endCall();
     m_attempts.onOutcome(outcome);
     m_context.counters.at("relays_failed").add();
-    m_context.log.write(
-        "relay", "relay_failed",
-        {{"request", m_request.metadata.requestId}, {"vm", m_vm}, {"outcome", name(outcome)}, {"reason", reason}, {"events", m_events}});
+    m_context.log.write("relay", "relay_failed",
+                        {{"request", m_request.metadata.requestId},
+                         {"through", m_vm},
+                         {"outcome", name(outcome)},
+                         {"reason", reason},
+                         {"events", m_events}});
     if (!mayAskAnother(outcome) || !send(reason)) {
         fail(false, reason);
     }
@@ -364,7 +368,7 @@
     if (m_headSent) {
         m_context.counters.at("streams_aborted").add();
         m_context.log.write("relay", "stream_aborted",
-                            {{"request", m_request.metadata.requestId}, {"vm", m_vm}, {"events", m_events}, {"reason", reason}});
+                            {{"request", m_request.metadata.requestId}, {"through", m_vm}, {"events", m_events}, {"reason", reason}});
         m_request.exchange->abort();
     } else {
         std::uniform_real_distribution<double> delayMs(toMilliseconds(ShortestRetryAfter), toMilliseconds(LongestRetryAfter));
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -414,14 +414,19 @@
         return {line.split("edge/", 1)[1].strip() for line in file if line.startswith("test: edge/")}
 
 
+def selected(arguments):
+    """Returns the tests that are named, or every Nth one for "--part K/N"; all without arguments."""
+    if arguments[:1] == ["--part"]:
+        part, parts = map(int, arguments[1].split("/"))
+        return TESTS[part - 1::parts]
+    return [test for test in TESTS if not arguments or test.__name__ in arguments]
+
+
 def main():
-    names = sys.argv[1:]
     passed = failed = 0
     red = known_red()
     assert red <= {test.__name__ for test in TESTS}, "KNOWN-RED.txt lists a test that does not exist"
-    for test in TESTS:
-        if names and test.__name__ not in names:
-            continue
+    for test in selected(sys.argv[1:]):
         try:
             asyncio.run(asyncio.wait_for(test(), 90))
             passed += 1
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(quarantineNamesItsObservations);
     CPPUNIT_TEST(refusalNamesTheLimitsOfUpstreams);
     CPPUNIT_TEST(continuedStreamsNameTheirSoftwareVersion);
+    CPPUNIT_TEST(forwardedRequestsAreJoinedOverTheirVms);
     CPPUNIT_TEST(malformedLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -73,6 +74,23 @@
         CPPUNIT_ASSERT(timeline[3].find("another software version under the same id") != std::string::npos);
     }
 
+    auto forwardedRequestsAreJoinedOverTheirVms() -> void
+    {
+        std::istringstream lines(
+            R"({"time_ms":900,"vm":"vm1","part":"links","event":"upstreams_cut_off","service":"llm","role":"decode","upstreams":3,"of":4}
+{"time_ms":1000,"vm":"vm1","part":"relay","event":"request_relayed","request":"r1","to":"vm2","reason":"cut off","candidates":2,"in_flight":1}
+{"time_ms":1005,"vm":"vm2","part":"forward","event":"service_chosen","request":"r1","upstream":"i-1","under_way":2,"health":1.0,"candidates":3,"send":1}
+{"time_ms":1060,"vm":"vm1","part":"relay","event":"request_answered","request":"r1","through":"vm2","status":200,"age_ms":60.0}
+)");
+        const auto timeline = explainRequest(lines, "r1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), timeline.size());
+        CPPUNIT_ASSERT(timeline[0].find("meanwhile: upstreams_cut_off") != std::string::npos);
+        CPPUNIT_ASSERT(timeline[1].find("vm1: forwarded through vm2 (2 VMs could take it, 1 requests there): cut off")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(timeline[2].find("vm2: sent to i-1") != std::string::npos);
+        CPPUNIT_ASSERT(timeline[3].find("answered through vm2 with status 200 after 60 ms") != std::string::npos);
+    }
+
     auto malformedLinesAreSkipped() -> void
     {
         CHECK_PROPERTY("malformed lines are skipped without a crash", [](const std::string &text) {
