A cut ends although some upstreams stay down

Callers of a VM that believed itself cut off were refused for as long as dead upstreams were listed: with 24 upstreams of which 20 stay down, the VM never used the other four again, and with one sound upstream of three never that one.

Cause: a probe counted as a try only when it failed, and only for 8 s, so that the first upstreams by id were probed again before the last ones had their turn. And the end of a cut needed two upstreams even if only one could answer.

A probe now counts from its begin until the cut ends. One answer ends a cut if all other upstreams fail after it.

Evidence: everyUpstreamIsProbedWhileManyStayDown (29 of 60 probed) and aCutEndsAtTheOnlyUpstreamThatAnswers fail on the old code.

--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -21,7 +21,7 @@
 public:
     /// A VM is cut off from a group of upstreams when its last connections to this many of them failed, or to all of a smaller group.
     static constexpr std::size_t FailuresUntilCutOff = 3;
-    /// A VM is not cut off any more when this many upstreams, or all of a smaller group, have answered since.
+    /// A VM is not cut off any more when this many upstreams have answered since, or all that have not failed after the first.
     static constexpr std::size_t AnswersUntilReached = 2;
     /// Time for which an outcome counts.
     static constexpr Duration OutcomeLifetime = seconds(8);
@@ -61,6 +61,9 @@
     /// Returns the upstream of a group to probe: the one that was tried longest ago, and has not answered since the cut.
     auto nextProbe(std::span<const Upstream *const> group) const -> const Upstream *;
 
+    /// Records that a probe of the upstream begins.
+    auto onProbe(const Upstream &upstream, TimePoint now) -> void;
+
     /// Returns the services for which `isCutOff` holds.
     auto cutOffServices() const -> std::vector<std::string>;
 
@@ -91,11 +94,16 @@
     {
         bool isCutOff = false;
         TimePoint reachedAt; // opening time of the last connection on which any upstream answered
-        std::set<std::string> answered; // since the cut
+        std::set<std::string, std::less<>> answered; // since the cut
+        std::set<std::string, std::less<>> failed; // since the first of these answers
+        std::map<std::string, TimePoint, std::less<>> probedAt; // since the cut, by upstream
     };
 
     using GroupKey = std::pair<std::string, EngineRole>;
 
+    static auto mayBeReached(const Group &group, std::span<const Upstream *const> upstreams) -> std::size_t;
+    auto triedAt(const Upstream &upstream) const -> TimePoint;
+
     std::map<std::string, Outcome, std::less<>> m_outcomes; // by upstream
     std::map<std::string, Refusal, std::less<>> m_refusals; // by upstream
     std::map<GroupKey, Group> m_groups;
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -12,7 +12,11 @@
     auto &group = m_groups[{upstream.service, upstream.role}];
     group.reachedAt = std::max(group.reachedAt, openedAt);
     if (group.isCutOff && openedAt > outcome.failedAt) {
+        if (group.answered.empty()) {
+            group.failed.clear(); // the links may have come back with this answer
+        }
         group.answered.insert(upstream.id);
+        group.failed.erase(upstream.id);
     }
     m_refusals.erase(upstream.id);
     std::vector<Upstream> proved;
@@ -31,7 +35,25 @@
 {
     auto &outcome = m_outcomes[upstream.id];
     outcome.failedAt = std::max(outcome.failedAt, openedAt);
-    m_groups[{upstream.service, upstream.role}].answered.erase(upstream.id);
+    auto &group = m_groups[{upstream.service, upstream.role}];
+    group.answered.erase(upstream.id);
+    if (group.isCutOff && openedAt > group.reachedAt) {
+        group.failed.insert(upstream.id);
+    }
+}
+
+auto UpstreamReach::onProbe(const Upstream &upstream, TimePoint now) -> void
+{
+    if (auto &group = m_groups[{upstream.service, upstream.role}]; group.isCutOff) {
+        group.probedAt.insert_or_assign(upstream.id, now);
+    }
+}
+
+/// Returns the number of upstreams that have not failed since the first answer.
+auto UpstreamReach::mayBeReached(const Group &group, std::span<const Upstream *const> upstreams) -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstreams.begin(), upstreams.end(), [&group](const auto *upstream) { return !group.failed.contains(upstream->id); }));
 }
 
 auto UpstreamReach::onRefused(const Upstream &upstream, TimePoint openedAt) -> void
@@ -51,7 +73,7 @@
         std::any_of(m_groups.begin(), m_groups.end(), [&key](const auto &entry) { return entry.first != key && entry.second.isCutOff; });
     auto &state = m_groups[key];
     if (state.isCutOff) {
-        if (state.answered.size() < std::min(AnswersUntilReached, group.size())) {
+        if (state.answered.empty() || state.answered.size() < std::min(AnswersUntilReached, mayBeReached(state, group))) {
             return std::nullopt;
         }
         state.isCutOff = false;
@@ -70,6 +92,8 @@
     }
     state.isCutOff = true;
     state.answered.clear();
+    state.failed.clear();
+    state.probedAt.clear();
     for (auto &[id, refusal] : m_refusals) {
         refusal.isDoubtful = refusal.isDoubtful || (refusal.upstream.service == key.first && refusal.upstream.role == key.second);
     }
@@ -99,20 +123,30 @@
     return found != m_outcomes.end() && found->second.reachedAt >= since;
 }
 
+/// Returns when the upstream was last tried, or probed during the present cut, whose probes count for longer than other outcomes.
+auto UpstreamReach::triedAt(const Upstream &upstream) const -> TimePoint
+{
+    TimePoint result;
+    if (const auto found = m_outcomes.find(upstream.id); found != m_outcomes.end()) {
+        result = std::max(found->second.failedAt, found->second.reachedAt);
+    }
+    if (const auto group = m_groups.find({upstream.service, upstream.role}); group != m_groups.end() && group->second.isCutOff) {
+        const auto found = group->second.probedAt.find(upstream.id);
+        result = found == group->second.probedAt.end() ? result : std::max(result, found->second);
+    }
+    return result;
+}
+
 auto UpstreamReach::nextProbe(std::span<const Upstream *const> group) const -> const Upstream *
 {
     const Upstream *next = nullptr;
-    TimePoint nextTriedAt;
     for (const auto *upstream : group) {
         const auto state = m_groups.find({upstream->service, upstream->role});
         if (state != m_groups.end() && state->second.answered.contains(upstream->id)) {
             continue;
         }
-        const auto found = m_outcomes.find(upstream->id);
-        const auto triedAt = found == m_outcomes.end() ? TimePoint() : std::max(found->second.failedAt, found->second.reachedAt);
-        if (next == nullptr || triedAt < nextTriedAt) {
+        if (next == nullptr || triedAt(*upstream) < triedAt(*next)) {
             next = upstream;
-            nextTriedAt = triedAt;
         }
     }
     return next;
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -70,6 +70,7 @@
 
 auto ReachController::probe(const Upstream &upstream, std::string_view healthPath) -> void
 {
+    m_context.reach.onProbe(upstream, m_context.clock.now());
     auto call = m_context.protocol.probeCall(upstream, healthPath);
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = ProbeTimeout;
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -2,6 +2,8 @@
 
 #include "check.h"
 
+#include <set>
+
 using namespace currantstack;
 
 class UpstreamReachTest : public CppUnit::TestFixture
@@ -16,6 +18,8 @@
     CPPUNIT_TEST(refusalsProveAnEndOnlyWhileLinksWork);
     CPPUNIT_TEST(probesGoToTheUpstreamTriedLongestAgo);
     CPPUNIT_TEST(outcomesExpire);
+    CPPUNIT_TEST(everyUpstreamIsProbedWhileManyStayDown);
+    CPPUNIT_TEST(aCutEndsAtTheOnlyUpstreamThatAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +158,38 @@
         CPPUNIT_ASSERT(m_reach.isUnreached("c", m_clock.now()));
     }
 
+    auto everyUpstreamIsProbedWhileManyStayDown() -> void
+    {
+        m_upstreams = std::vector<Upstream>(60, m_upstreams.front());
+        for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+            m_upstreams[index].id = std::to_string(100 + index);
+        }
+        failNext(3);
+        CPPUNIT_ASSERT(update());
+        std::set<std::string> probed;
+        for (std::size_t count = 0; count < 2 * m_upstreams.size(); ++count) {
+            m_clock.advance(milliseconds(300));
+            m_reach.expire(m_clock.now());
+            const auto *upstream = m_reach.nextProbe(pointers());
+            m_reach.onProbe(*upstream, m_clock.now());
+            m_reach.onFailed(*upstream, m_clock.now());
+            probed.insert(upstream->id);
+        }
+        CPPUNIT_ASSERT_EQUAL(m_upstreams.size(), probed.size());
+    }
+
+    auto aCutEndsAtTheOnlyUpstreamThatAnswers() -> void
+    {
+        failNext(3);
+        CPPUNIT_ASSERT(update());
+        m_reach.onReached(m_upstreams[4], later());
+        failNext(3);
+        CPPUNIT_ASSERT(!update());
+        m_reach.onFailed(m_upstreams[3], later());
+        const auto change = update();
+        CPPUNIT_ASSERT(change && !change->isCutOff);
+    }
+
 private:
     auto later() -> TimePoint
     {
