One dead upstream is no cut beside another service's outage

While all upstreams of one service were down, a single refused connection to one upstream of a sound service made the VM believe itself cut off from that service too, again after each probe of the dead upstream: its callers were sent over other VMs, and refused when all VMs believed the same.

Cause: during a cut from any group, one failure counted as a cut of another group even if that group was answering.

One failure now suffices only if no connection that was opened within the last second was answered; otherwise the usual number counts.

Evidence: aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut fails on the old code.

--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -23,6 +23,8 @@
     static constexpr std::size_t FailuresUntilCutOff = 3;
     /// A VM is not cut off any more when this many upstreams have answered since, or all that have not failed after the first.
     static constexpr std::size_t AnswersUntilReached = 2;
+    /// During a cut from other upstreams, one failure is a cut if no connection that was opened within this time was answered.
+    static constexpr Duration RecentAnswer = seconds(1);
     /// Time for which an outcome counts.
     static constexpr Duration OutcomeLifetime = seconds(8);
 
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -79,6 +79,7 @@
         state.isCutOff = false;
         return Change{false, state.answered.size(), now - state.reachedAt};
     }
+    const bool oneSuffices = isCutOffElsewhere && now - state.reachedAt > RecentAnswer;
     Change change{true, 0, Duration::zero()};
     for (const auto *upstream : group) {
         const auto found = m_outcomes.find(upstream->id);
@@ -87,7 +88,7 @@
             change.oldest = std::max<Duration>(change.oldest, now - found->second.failedAt);
         }
     }
-    if (change.upstreams == 0 || change.upstreams < (isCutOffElsewhere ? 1 : std::min(FailuresUntilCutOff, group.size()))) {
+    if (change.upstreams == 0 || change.upstreams < (oneSuffices ? 1 : std::min(FailuresUntilCutOff, group.size()))) {
         return std::nullopt;
     }
     state.isCutOff = true;
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(outcomesExpire);
     CPPUNIT_TEST(everyUpstreamIsProbedWhileManyStayDown);
     CPPUNIT_TEST(aCutEndsAtTheOnlyUpstreamThatAnswers);
+    CPPUNIT_TEST(aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +191,19 @@
         CPPUNIT_ASSERT(change && !change->isCutOff);
     }
 
+    auto aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut() -> void
+    {
+        Upstream other;
+        other.id = "s";
+        other.service = "booking";
+        m_reach.onFailed(other, later());
+        const std::vector<const Upstream *> group{&other};
+        CPPUNIT_ASSERT(m_reach.update(group, m_clock.now()));
+        m_reach.onReached(m_upstreams[0], later());
+        m_reach.onRefused(m_upstreams[1], later());
+        CPPUNIT_ASSERT(!update());
+    }
+
 private:
     auto later() -> TimePoint
     {
