Forget a cut from a service that has no upstreams any more

A VM that was cut off from a service when its last upstream left, when the service left the configuration, or when all its engines took another role, believed so for ever: it reported the service to all VMs, and took single failures at other services for cuts.

Cause: the end of a cut was only decided with an upstream that answers, and such a group has none.

A cut is dropped when no upstream of the group has been tried or probed for 8 s, with the log line cut_forgotten. Groups of old configurations no longer pile up.

Evidence: aCutFromAGroupWithoutUpstreamsIsForgotten fails on the code before.

--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace currantstack
@@ -28,6 +29,20 @@
     /// Time for which an outcome counts.
     static constexpr Duration OutcomeLifetime = seconds(8);
 
+    /// The usable upstreams of one service that have the same role.
+    struct GroupKey
+    {
+        std::string service;
+        EngineRole role = EngineRole::None;
+
+        auto operator==(const GroupKey &other) const -> bool = default;
+
+        auto operator<(const GroupKey &other) const -> bool
+        {
+            return std::tie(service, role) < std::tie(other.service, other.role);
+        }
+    };
+
     /// The beginning or the end of a cut.
     struct Change
     {
@@ -75,8 +90,9 @@
     /// Returns an upstream that refused connections while this VM was cut off from its group, and must be tried again now.
     auto nextDoubtful() const -> const Upstream *;
 
-    /// Drops outcomes that are too old to count.
-    auto expire(TimePoint now) -> void;
+    /// Drops outcomes that are too old to count, and cuts from groups of which no upstream has been tried for as long: they have none any
+    /// more. Returns these groups.
+    auto expire(TimePoint now) -> std::vector<GroupKey>;
 
 private:
     struct Outcome
@@ -96,13 +112,12 @@
     {
         bool isCutOff = false;
         TimePoint reachedAt; // opening time of the last connection on which any upstream answered
+        TimePoint triedAt; // last outcome or probe of any upstream
         std::set<std::string, std::less<>> answered; // since the cut
         std::set<std::string, std::less<>> failed; // since the first of these answers
         std::map<std::string, TimePoint, std::less<>> probedAt; // since the cut, by upstream
     };
 
-    using GroupKey = std::pair<std::string, EngineRole>;
-
     static auto mayBeReached(const Group &group, std::span<const Upstream *const> upstreams) -> std::size_t;
     auto triedAt(const Upstream &upstream) const -> TimePoint;
 
--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -21,4 +21,7 @@
 /// Records that the upstream has not answered in time on a connection that was opened at `openedAt`.
 auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void;
 
+/// Ends the cuts from groups that have no upstreams any more.
+auto forgetOldCuts(EdgeContext &context) -> void;
+
 } // namespace currantstack
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -11,6 +11,7 @@
     outcome.reachedAt = std::max(outcome.reachedAt, openedAt);
     auto &group = m_groups[{upstream.service, upstream.role}];
     group.reachedAt = std::max(group.reachedAt, openedAt);
+    group.triedAt = std::max(group.triedAt, openedAt);
     if (group.isCutOff && openedAt > outcome.failedAt) {
         if (group.answered.empty()) {
             group.failed.clear(); // the links may have come back with this answer
@@ -37,6 +38,7 @@
     outcome.failedAt = std::max(outcome.failedAt, openedAt);
     auto &group = m_groups[{upstream.service, upstream.role}];
     group.answered.erase(upstream.id);
+    group.triedAt = std::max(group.triedAt, openedAt);
     if (group.isCutOff && openedAt > group.reachedAt) {
         group.failed.insert(upstream.id);
     }
@@ -46,6 +48,7 @@
 {
     if (auto &group = m_groups[{upstream.service, upstream.role}]; group.isCutOff) {
         group.probedAt.insert_or_assign(upstream.id, now);
+        group.triedAt = now;
     }
 }
 
@@ -96,7 +99,7 @@
     state.failed.clear();
     state.probedAt.clear();
     for (auto &[id, refusal] : m_refusals) {
-        refusal.isDoubtful = refusal.isDoubtful || (refusal.upstream.service == key.first && refusal.upstream.role == key.second);
+        refusal.isDoubtful = refusal.isDoubtful || (refusal.upstream.service == key.service && refusal.upstream.role == key.role);
     }
     return change;
 }
@@ -157,8 +160,8 @@
 {
     std::vector<std::string> result;
     for (const auto &[key, group] : m_groups) {
-        if (group.isCutOff && key.second != EngineRole::Prefill) {
-            result.push_back(key.first);
+        if (group.isCutOff && key.role != EngineRole::Prefill) {
+            result.push_back(key.service);
         }
     }
     return result;
@@ -185,11 +188,20 @@
     return nullptr;
 }
 
-auto UpstreamReach::expire(TimePoint now) -> void
+auto UpstreamReach::expire(TimePoint now) -> std::vector<GroupKey>
 {
     std::erase_if(m_outcomes,
                   [now](const auto &entry) { return now - std::max(entry.second.reachedAt, entry.second.failedAt) > OutcomeLifetime; });
     std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.openedAt > OutcomeLifetime; });
+    std::vector<GroupKey> forgotten;
+    std::erase_if(m_groups, [now, &forgotten](const auto &entry) {
+        const bool isOld = now - entry.second.triedAt > OutcomeLifetime;
+        if (isOld && entry.second.isCutOff) {
+            forgotten.push_back(entry.first);
+        }
+        return isOld;
+    });
+    return forgotten;
 }
 
 } // namespace currantstack
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -36,7 +36,7 @@
 {
     std::uniform_real_distribution<double> periodMs(toMilliseconds(ShortestPeriod), toMilliseconds(LongestPeriod));
     m_timer->startOnce(fromMilliseconds(periodMs(m_context.random)));
-    m_context.reach.expire(m_context.clock.now());
+    forgetOldCuts(m_context);
     if (!m_context.routeTable) {
         return;
     }
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -13,6 +13,11 @@
     return upstreams;
 }
 
+auto setCutOffCounter(EdgeContext &context, std::string_view service, EngineRole role, bool isCutOff) -> void
+{
+    context.counters.at(fmt::format("upstreams_cut_off{{service=\"{}\",role=\"{}\"}}", service, name(role))).set(isCutOff ? 1 : 0);
+}
+
 auto updateLinks(EdgeContext &context, const Upstream &upstream) -> void
 {
     const auto group = groupOf(context, upstream.service, upstream.role);
@@ -20,8 +25,7 @@
     if (!change) {
         return;
     }
-    context.counters.at(fmt::format("upstreams_cut_off{{service=\"{}\",role=\"{}\"}}", upstream.service, name(upstream.role)))
-        .set(change->isCutOff ? 1 : 0);
+    setCutOffCounter(context, upstream.service, upstream.role, change->isCutOff);
     context.log.write("links", change->isCutOff ? "upstreams_cut_off" : "upstreams_reached_again",
                       {{"service", upstream.service},
                        {"role", name(upstream.role)},
@@ -84,4 +88,12 @@
     updateLinks(context, upstream);
 }
 
+auto forgetOldCuts(EdgeContext &context) -> void
+{
+    for (const auto &[service, role] : context.reach.expire(context.clock.now())) {
+        setCutOffCounter(context, service, role, false);
+        context.log.write("links", "cut_forgotten", {{"service", service}, {"role", name(role)}});
+    }
+}
+
 } // namespace currantstack
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(everyUpstreamIsProbedWhileManyStayDown);
     CPPUNIT_TEST(aCutEndsAtTheOnlyUpstreamThatAnswers);
     CPPUNIT_TEST(aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut);
+    CPPUNIT_TEST(aCutFromAGroupWithoutUpstreamsIsForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,21 @@
         CPPUNIT_ASSERT(!update());
     }
 
+    auto aCutFromAGroupWithoutUpstreamsIsForgotten() -> void
+    {
+        failNext(3);
+        CPPUNIT_ASSERT(update());
+        m_clock.advance(UpstreamReach::OutcomeLifetime);
+        m_reach.onProbe(m_upstreams[0], m_clock.now());
+        later();
+        m_reach.expire(m_clock.now());
+        CPPUNIT_ASSERT(m_reach.isCutOff("llm"));
+        m_clock.advance(UpstreamReach::OutcomeLifetime); // all upstreams have left, so that there are no probes
+        m_reach.expire(m_clock.now());
+        CPPUNIT_ASSERT(!m_reach.isCutOff("llm"));
+        CPPUNIT_ASSERT(m_reach.cutOffServices().empty());
+    }
+
 private:
     auto later() -> TimePoint
     {
