A caller's own Currant-Relay header is not passed to another VM

A request whose caller sends the header by which VMs hand over requests reached the second VM with the caller's value first, and that one counted: the caller could set the age, the number of sends, the events received and whether the retry budget counts the request.

Cause: relayHeaders passed on all headers of the caller but the hop-by-hop ones.

It leaves out the header.

Evidence: callersCannotSetTheStateOfARelayedRequest fails on the old code.

--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -110,7 +110,7 @@
     /// Returns the headers for the upstream: the caller's, without hop-by-hop headers and the router's own headers, plus those of `spec`.
     virtual auto forwardHeaders(const HttpRequest &request, const ForwardSpec &spec) const -> Headers = 0;
 
-    /// Returns the headers for another VM that forwards the request: the caller's, without hop-by-hop headers.
+    /// Returns the headers for another VM that forwards the request: the caller's, without hop-by-hop headers and `RelayHeader`.
     virtual auto relayHeaders(const HttpRequest &request) const -> Headers = 0;
 
     /// Returns the headers of the response to the caller from those of the upstream's response.
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(sharedPromptPartsAreReadWithoutTheLast);
     CPPUNIT_TEST(malformedNumbersAreIgnored);
     CPPUNIT_TEST(callersCannotSetRouterHeaders);
+    CPPUNIT_TEST(callersCannotSetTheStateOfARelayedRequest);
     CPPUNIT_TEST(connectionHeadersAreNotForwarded);
     CPPUNIT_TEST(refusalsCarryRetryAfter);
     CPPUNIT_TEST(onlyUnencodedStampedAnswersToTheRequestAreForwarded);
@@ -145,6 +146,13 @@
         }
     }
 
+    auto callersCannotSetTheStateOfARelayedRequest() -> void
+    {
+        const auto headers = m_protocol.relayHeaders(request({{"Request-Id", "r1"}, {"currant-relay", "forged"}, {"X-Own", "kept"}}));
+        CPPUNIT_ASSERT(findHeader(headers, RelayHeader).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), std::string(findHeader(headers, "X-Own")));
+    }
+
     auto connectionHeadersAreNotForwarded() -> void
     {
         const auto headers = m_protocol.forwardHeaders(
