--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace currantstack
@@ -21,11 +22,27 @@
 public:
     /// A VM is cut off from a group of upstreams when its last connections to this many of them failed, or to all of a smaller group.
     static constexpr std::size_t FailuresUntilCutOff = 3;
-    /// A VM is not cut off any more when this many upstreams, or all of a smaller group, have answered since.
+    /// A VM is not cut off any more when this many upstreams have answered since, or all that have not failed after the first.
     static constexpr std::size_t AnswersUntilReached = 2;
+    /// During a cut from other upstreams, one failure is a cut if no connection that was opened within this time was answered.
+    static constexpr Duration RecentAnswer = seconds(1);
     /// Time for which an outcome counts.
     static constexpr Duration OutcomeLifetime = seconds(8);
 
+    /// The usable upstreams of one service that have the same role.
+    struct GroupKey
+    {
+        std::string service;
+        EngineRole role = EngineRole::None;
+
+        auto operator==(const GroupKey &other) const -> bool = default;
+
+        auto operator<(const GroupKey &other) const -> bool
+        {
+            return std::tie(service, role) < std::tie(other.service, other.role);
+        }
+    };
+
     /// The beginning or the end of a cut.
     struct Change
     {
@@ -61,6 +78,9 @@
     /// Returns the upstream of a group to probe: the one that was tried longest ago, and has not answered since the cut.
     auto nextProbe(std::span<const Upstream *const> group) const -> const Upstream *;
 
+    /// Records that a probe of the upstream begins.
+    auto onProbe(const Upstream &upstream, TimePoint now) -> void;
+
     /// Returns the services for which `isCutOff` holds.
     auto cutOffServices() const -> std::vector<std::string>;
 
@@ -70,8 +90,9 @@
     /// Returns an upstream that refused connections while this VM was cut off from its group, and must be tried again now.
     auto nextDoubtful() const -> const Upstream *;
 
-    /// Drops outcomes that are too old to count.
-    auto expire(TimePoint now) -> void;
+    /// Drops outcomes that are too old to count, and cuts from groups of which no upstream has been tried for as long: they have none any
+    /// more. Returns these groups.
+    auto expire(TimePoint now) -> std::vector<GroupKey>;
 
 private:
     struct Outcome
@@ -91,10 +112,14 @@
     {
         bool isCutOff = false;
         TimePoint reachedAt; // opening time of the last connection on which any upstream answered
-        std::set<std::string> answered; // since the cut
+        TimePoint triedAt; // last outcome or probe of any upstream
+        std::set<std::string, std::less<>> answered; // since the cut
+        std::set<std::string, std::less<>> failed; // since the first of these answers
+        std::map<std::string, TimePoint, std::less<>> probedAt; // since the cut, by upstream
     };
 
-    using GroupKey = std::pair<std::string, EngineRole>;
+    static auto mayBeReached(const Group &group, std::span<const Upstream *const> upstreams) -> std::size_t;
+    auto triedAt(const Upstream &upstream) const -> TimePoint;
 
     std::map<std::string, Outcome, std::less<>> m_outcomes; // by upstream
     std::map<std::string, Refusal, std::less<>> m_refusals; // by upstream
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -37,7 +37,7 @@
 {
     std::uniform_real_distribution<double> periodMs(toMilliseconds(ShortestPeriod), toMilliseconds(LongestPeriod));
     m_timer->startOnce(fromMilliseconds(periodMs(m_context.random)));
-    m_context.reach.expire(m_context.clock.now());
+    forgetOldCuts(m_context);
     if (!m_context.routeTable) {
         return;
     }
@@ -71,6 +71,7 @@
 
 auto ReachController::probe(const Upstream &upstream, std::string_view healthPath) -> void
 {
+    m_context.reach.onProbe(upstream, m_context.clock.now());
     auto call = m_context.protocol.probeCall(upstream, healthPath);
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = ProbeTimeout;
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -2,6 +2,8 @@
 
 #include "check.h"
 
+#include <set>
+
 using namespace currantstack;
 
 class UpstreamReachTest : public CppUnit::TestFixture
@@ -16,6 +18,10 @@
     CPPUNIT_TEST(refusalsProveAnEndOnlyWhileLinksWork);
     CPPUNIT_TEST(probesGoToTheUpstreamTriedLongestAgo);
     CPPUNIT_TEST(outcomesExpire);
+    CPPUNIT_TEST(everyUpstreamIsProbedWhileManyStayDown);
+    CPPUNIT_TEST(aCutEndsAtTheOnlyUpstreamThatAnswers);
+    CPPUNIT_TEST(aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut);
+    CPPUNIT_TEST(aCutFromAGroupWithoutUpstreamsIsForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +160,66 @@
         CPPUNIT_ASSERT(m_reach.isUnreached("c", m_clock.now()));
     }
 
+    auto everyUpstreamIsProbedWhileManyStayDown() -> void
+    {
+        m_upstreams = std::vector<Upstream>(60, m_upstreams.front());
+        for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+            m_upstreams[index].id = std::to_string(100 + index);
+        }
+        failNext(3);
+        CPPUNIT_ASSERT(update());
+        std::set<std::string> probed;
+        for (std::size_t count = 0; count < 2 * m_upstreams.size(); ++count) {
+            m_clock.advance(milliseconds(300));
+            m_reach.expire(m_clock.now());
+            const auto *upstream = m_reach.nextProbe(pointers());
+            m_reach.onProbe(*upstream, m_clock.now());
+            m_reach.onFailed(*upstream, m_clock.now());
+            probed.insert(upstream->id);
+        }
+        CPPUNIT_ASSERT_EQUAL(m_upstreams.size(), probed.size());
+    }
+
+    auto aCutEndsAtTheOnlyUpstreamThatAnswers() -> void
+    {
+        failNext(3);
+        CPPUNIT_ASSERT(update());
+        m_reach.onReached(m_upstreams[4], later());
+        failNext(3);
+        CPPUNIT_ASSERT(!update());
+        m_reach.onFailed(m_upstreams[3], later());
+        const auto change = update();
+        CPPUNIT_ASSERT(change && !change->isCutOff);
+    }
+
+    auto aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut() -> void
+    {
+        Upstream other;
+        other.id = "s";
+        other.service = "booking";
+        m_reach.onFailed(other, later());
+        const std::vector<const Upstream *> group{&other};
+        CPPUNIT_ASSERT(m_reach.update(group, m_clock.now()));
+        m_reach.onReached(m_upstreams[0], later());
+        m_reach.onRefused(m_upstreams[1], later());
+        CPPUNIT_ASSERT(!update());
+    }
+
+    auto aCutFromAGroupWithoutUpstreamsIsForgotten() -> void
+    {
+        failNext(3);
+        CPPUNIT_ASSERT(update());
+        m_clock.advance(UpstreamReach::OutcomeLifetime);
+        m_reach.onProbe(m_upstreams[0], m_clock.now());
+        later();
+        m_reach.expire(m_clock.now());
+        CPPUNIT_ASSERT(m_reach.isCutOff("llm"));
+        m_clock.advance(UpstreamReach::OutcomeLifetime); // all upstreams have left, so that there are no probes
+        m_reach.expire(m_clock.now());
+        CPPUNIT_ASSERT(!m_reach.isCutOff("llm"));
+        CPPUNIT_ASSERT(m_reach.cutOffServices().empty());
+    }
+
 private:
     auto later() -> TimePoint
     {
