Probes of links read the notices of the upstreams that respond

What callers saw: after a cut, a VM sent requests to an upstream whose response to the VM's own probe had announced its leaving.

Cause: the response to a probe was read for the state of the link only.

Change: the probe's response is read like any other; one of another upstream at the address isn't. An upstream that pauses isn't probed for the end of a cut. In the stand-in, the health path is now refused like any other request while an upstream refuses all.

Tests: `probes_of_links_notice_leaving_upstreams` failed before (on the build of the commit before, "the response to a probe was not read"). `probes_of_links_keep_pauses` passed before and after: it guards the probes of later changes.

--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/reach_controller.h"
 
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/upstream_links.h"
 
 namespace currantstack
@@ -62,7 +63,9 @@
 auto ReachController::probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void
 {
     auto upstreams = m_context.directory.usable(service.name);
-    std::erase_if(upstreams, [&isEligible](const auto *upstream) { return !isEligible(*upstream); });
+    std::erase_if(upstreams, [this, &isEligible](const auto *upstream) {
+        return !isEligible(*upstream) || m_context.notices.pauseLeft(*upstream, m_context.clock.now()) > Duration::zero();
+    });
     if (const auto *upstream = m_context.reach.nextProbe(upstreams)) {
         probe(*upstream, service.healthPath);
     }
@@ -88,6 +91,8 @@
         recordReached(m_context, upstream, openedAt);
         if (m_context.protocol.isOtherUpstream(*result, upstream)) {
             recordEnd(m_context, upstream);
+        } else {
+            observeNotices(m_context, upstream, result);
         }
     };
     m_context.client.start(std::move(call), std::move(handlers));
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -124,7 +124,7 @@
             self.record("arrived", request, limits=limits)
         else:
             self.record("called", request)
-        if self.retry_after and request.path != "/healthz":
+        if self.retry_after:
             self.record("refused", request, retry_after=list(self.retry_after))
             data = response(503, [("Not-Run", "1"), *(("Retry-After", value) for value in self.retry_after)])
         else:
--- a/test/edge/leaving_tests.py
+++ b/test/edge/leaving_tests.py
@@ -268,7 +268,40 @@
         assert arrivals(rig, service, since), "the upstream gets no requests after its restart under the same id"
 
 
-TESTS = [paused_service_gets_no_requests_until_the_time_ends, requests_are_refused_at_once_while_all_upstreams_pause,
+async def return_after_a_cut(rig, change):
+    """Lets all services refuse connections until the VM takes itself for cut off, and return changed, without requests of callers."""
+    for service in rig.fleet.services:
+        service.server.stop()
+    await load(rig, ["check"], 1.5)
+    await asyncio.sleep(0.3)
+    assert '"event":"upstreams_cut_off"' in rig.vms[0].log_text()
+    for service in rig.fleet.services:
+        change(service)
+        await service.server.start()
+    await asyncio.sleep(4)
+
+
+async def probes_of_links_notice_leaving_upstreams():
+    async with Rig(services=3) as rig:
+        def leave(service):
+            service.leaving = ["1"]
+        await return_after_a_cut(rig, leave)
+        assert [entry for entry in rig.fleet.history if entry["event"] == "called" and entry["target"] == "/healthz"], "nothing was probed"
+        assert '"event":"upstream_announced_leaving"' in rig.vms[0].log_text(), "the response to a probe was not read"
+
+
+async def probes_of_links_keep_pauses():
+    async with Rig(services=3) as rig:
+        def pause(service):
+            service.retry_after = ["3"]
+        await return_after_a_cut(rig, pause)
+        assert [entry for entry in rig.fleet.history if entry["event"] == "refused"], "nothing was probed"
+        await load(rig, ["check"], 1)
+        assert_pauses_kept(rig)
+
+
+TESTS = [probes_of_links_notice_leaving_upstreams, probes_of_links_keep_pauses,
+         paused_service_gets_no_requests_until_the_time_ends, requests_are_refused_at_once_while_all_upstreams_pause,
          streams_go_to_other_engines_while_some_pause, streams_are_refused_at_once_while_all_engines_pause,
          prefilled_prompt_goes_to_another_engine_if_its_decode_engine_pauses_meanwhile, unreadable_pauses_have_no_effect,
          restart_ends_the_pause,
