Requests that another VM forwards outlive its silence

A stream was aborted after 0.9 s or 2 s of silence when no third VM or no engine could take it, and a frozen second VM held repeatable requests until their deadline.

Cause: the call to a silent VM or engine was given up before it was certain that another could take the request. A stream that was forwarded from its beginning lost its first attempt's id when it went on at a third VM. Refusals at once, as of a stopping VM, used up the VMs that may be asked.

Change: the candidates, the budget and the deadline are checked first, also while this VM is cut off; a timer runs from the moment of sending; refusals do not count as sends. A VM whose peer port is taken serves its own callers. Ports of test rigs lie in blocks of their own for each process.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -144,7 +144,8 @@
     }
     callerServer = std::move(*opened);
     if (auto openedRelay = relayEntrance.start(MaxBodyBytes); !openedRelay) {
-        return openedRelay;
+        // Other VMs find another one to forward their requests.
+        log.write("relay", "relay_unavailable", {{"error", describe(openedRelay.error())}});
     }
     ServerOptions readyOptions;
     readyOptions.address = settings.readinessAddress.ip;
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -80,7 +80,6 @@
     HttpHandlers handlers;
     handlers.onDone = [this, upstream, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
         m_context.counters.at("link_probes").add();
-        observeNotices(m_context, upstream, result);
         m_context.log.write("links", "upstream_probed",
                             {{"upstream", upstream.id},
                              {"service", upstream.service},
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -10,10 +10,12 @@
 namespace
 {
 
-constexpr std::size_t MaxVms = 3; // that are asked for one request
+constexpr std::size_t MaxSends = 3; // of one request to VMs that do not refuse at once
+constexpr std::size_t MaxVms = 8; // that are asked for one request
 constexpr Duration RelayAllowance = milliseconds(40); // left of the deadline for the way back from the other VM
 // The other VM moves a silent stream itself, so this VM waits longer for it before it asks another one.
 constexpr Duration EventTimeout = milliseconds(2000);
+constexpr int AnswerTimeoutFactor = 2; // of the latency goal, added to the former for the answer or the first event
 constexpr std::size_t MaxCallerBacklog = 4U << 20; // bytes of events that the caller has not read
 constexpr std::size_t MaxErrorBody = 1U << 20; // bytes
 constexpr Duration ShortestRetryAfter = milliseconds(300); // a cut lasts seconds; the balancer sends the caller to another VM
@@ -32,7 +34,12 @@
         , m_firstAttemptId(std::move(start.firstAttemptId))
         , m_resumes(start.headSent)
         , m_isStream(m_request.route->kind == RouteKind::Stream)
-    { }
+    {
+        if (m_firstAttemptId.empty()) {
+            const auto &metadata = m_request.metadata;
+            m_firstAttemptId = metadata.firstAttemptId.empty() ? metadata.requestId : metadata.firstAttemptId;
+        }
+    }
 
     auto start(std::string_view reason) -> void;
 
@@ -49,6 +56,7 @@
     auto onBroken(AttemptOutcome outcome, std::string_view reason) -> void;
     auto mayAskAnother(AttemptOutcome outcome) -> bool;
     auto restartEventTimer() -> void;
+    auto onSilence() -> void;
     auto answerHeaders(const Headers &headers) const -> Headers;
     auto logAnswer(int status) -> void;
     auto fail(bool timedOut, std::string_view reason) -> void;
@@ -65,6 +73,8 @@
     bool m_resumes; // the caller already has events of the stream
     bool m_isStream;
     std::vector<std::string> m_tried; // VMs
+    std::size_t m_sends = 0; // to other VMs, without those that were not sent or refused at once
+    bool m_retryAcquired = false; // the retry budget has already counted the next send
     std::string m_vm; // that forwards the request now
     OpenRequests::Id m_openId = 0;
     HttpClient::CallId m_call = 0;
@@ -102,7 +112,7 @@
 /// Returns false if no VM is left to ask.
 auto RelayedRequest::send(std::string_view reason) -> bool
 {
-    if (m_tried.size() >= MaxVms) {
+    if (m_tried.size() >= MaxVms || m_sends >= MaxSends) {
         return false;
     }
     const auto candidates = m_context.relayHooks.candidates(m_request.service);
@@ -112,6 +122,7 @@
     }
     m_vm = chosen->vm;
     m_tried.push_back(m_vm);
+    ++m_sends;
     ++m_context.relayedInFlight[m_vm];
     m_context.counters.at("requests_relayed").add();
     m_context.log.write("relay", "request_relayed",
@@ -151,6 +162,7 @@
     }
     handlers.onDone = [self = shared_from_this()](const Result<HttpResponse> &result) { self->onDone(result); };
     m_call = m_context.client.start(std::move(call), std::move(handlers));
+    restartEventTimer();
     return true;
 }
 
@@ -264,19 +276,34 @@
                         {{"request", m_request.metadata.requestId}, {"through", m_vm}, {"age_ms", toMilliseconds(age)}});
 }
 
+/// Watches for silence of the other VM: until the first event or the answer, or until the next event.
 auto RelayedRequest::restartEventTimer() -> void
 {
-    if (!m_request.route->resumable) {
+    if (!m_eventTimer) {
+        m_eventTimer = m_context.loop.timer([self = shared_from_this()]() { self->onSilence(); });
+    }
+    m_eventTimer->startOnce(m_headSent ? EventTimeout : AnswerTimeoutFactor * m_request.route->latencyGoal + EventTimeout);
+}
+
+/// Asks another VM if the request may certainly be sent again. Otherwise the other VM may still answer.
+auto RelayedRequest::onSilence() -> void
+{
+    const auto now = m_context.clock.now();
+    if (m_done || m_call == 0) {
         return;
     }
-    if (!m_eventTimer) {
-        m_eventTimer = m_context.loop.timer([self = shared_from_this()]() {
-            if (!self->m_done && self->m_call != 0 && self->m_attempts.mayRetry()) {
-                self->onBroken(AttemptOutcome::Unknown, "no event in time");
-            }
-        });
+    const auto candidates = m_context.relayHooks.candidates(m_request.service);
+    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && m_sends < MaxSends && m_tried.size() < MaxVms
+        && chooseRelay(candidates, m_tried, m_context.random) != nullptr;
+    m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
+    if (m_retryAcquired) {
+        onBroken(AttemptOutcome::Unknown, "no answer in time");
+        return;
     }
-    m_eventTimer->startOnce(EventTimeout);
+    m_context.counters.at("stalls_waited_out").add();
+    m_context.log.write("relay", "stall_waited_out",
+                        {{"request", m_request.metadata.requestId}, {"through", m_vm}, {"events", m_events}, {"may_move", mayMove}});
+    restartEventTimer();
 }
 
 auto RelayedRequest::onDone(const Result<HttpResponse> &result) -> void
@@ -341,6 +368,7 @@
 {
     endCall();
     m_attempts.onOutcome(outcome);
+    m_sends -= outcome == AttemptOutcome::NotSent ? 1 : 0;
     m_context.counters.at("relays_failed").add();
     m_context.log.write("relay", "relay_failed",
                         {{"request", m_request.metadata.requestId},
@@ -357,7 +385,8 @@
 {
     const auto now = m_context.clock.now();
     return m_attempts.mayRetry() && now < m_request.deadline()
-        && (outcome == AttemptOutcome::NotSent || m_context.retryBudget.tryAcquire(m_request.service, now));
+        && (outcome == AttemptOutcome::NotSent || std::exchange(m_retryAcquired, false)
+            || m_context.retryBudget.tryAcquire(m_request.service, now));
 }
 
 auto RelayedRequest::fail(bool timedOut, std::string_view reason) -> void
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -1,5 +1,6 @@
 // The decode phase of a stream: relays complete events, detects stalls, and resumes on another engine if the route allows it.
 #include "currantstack/edge/upstream_links.h"
+#include "relayed_request.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -266,7 +267,10 @@
     }
     // A sound engine may be silent for a while, so its call is only given up for a resumption that is certain to be allowed.
     const auto now = m_context.clock.now();
-    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && !checkQuarantine(m_context, m_request) && planResumption();
+    recordSilence(m_context, m_decodeEngine, m_sentAt);
+    const bool isCutOff = m_context.reach.isCutOff(m_request.service);
+    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && !checkQuarantine(m_context, m_request)
+        && (isCutOff ? isVersionCertain() && mayRelay(m_context, m_request) : planResumption().has_value());
     m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
     if (!m_retryAcquired) {
         m_context.counters.at("stalls_waited_out").add();
@@ -279,7 +283,6 @@
         m_stallTimer->startOnce(StallTimeout);
         return;
     }
-    recordSilence(m_context, m_decodeEngine, m_sentAt);
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
     onDecodeBroken(AttemptOutcome::Unknown, "no event in time", {});
 }
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -20,9 +20,13 @@
 PROGRAM = os.environ.get("CURRANT_EDGE", os.path.join(ROOT, "build", "currant-edge"))
 
 
+FIRST_PORT, PORT_BLOCKS, BLOCK_PORTS = 21000, 115, 100
+
+
 def free_port(ip):
     """Returns a port that is free together with the nine ports after it."""
-    for base in range(21000 + os.getpid() % 5000, 60000, 10):
+    # Below the ports of outgoing connections, and apart from those of rigs of other processes.
+    for base in range(FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS, 60000, 10):
         try:
             for port in range(base, base + 10):
                 with socket.socket() as probe:
