A message with a field or column of a later release is read, not dropped

Callers saw nothing yet: no release has added a column. But during a roll out the VMs of the older build would have dropped every load report of the newer ones, and with it draining engines, rate limits, software versions and cuts.

Cause: rows had to have an exact number of columns, an exclusion with an unknown reason rejected the whole message, several fields of a load report were required for no need, and origins of streams had no place for a new field.

Change: further columns, fields and abilities are ignored; an exclusion with an unknown reason leaves out its own row and is counted; only names and the sequence number of a load report are required. Values of another type or out of their bounds still reject the message.

--- a/include/currantstack/edge/load_message.h
+++ b/include/currantstack/edge/load_message.h
@@ -5,6 +5,7 @@
 #include "currantstack/decisions/exclusion_list.h"
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/peer_protocol.h"
 #include "currantstack/decisions/software_versions.h"
 #include "currantstack/error.h"
 
@@ -40,9 +41,16 @@
     std::vector<RateLimitReport> limits;
     std::vector<SoftwareVersionNotice> versions; // of the services that have several
     std::vector<std::string> cutOff; // services whose upstreams the sender, or most VMs of its place, cannot reach
+    PeerProtocol protocol = {}; // of the sender
+    int unknownRows = 0; // left out of a received message, because only later builds know their kind
 };
 
 auto encodeLoad(const LoadMessage &message) -> std::string;
+
+/// Ignores fields and columns that this build does not know. Only the names and the sequence number are required.
 auto decodeLoad(std::string_view bytes) -> Result<LoadMessage>;
 
+/// Returns a received message as the receiver forwards it within its place, including what this build does not know of it.
+auto encodeForPlace(std::string_view bytes) -> std::string;
+
 } // namespace currantstack
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/decisions/engine_placement.h"
+#include "currantstack/decisions/peer_protocol.h"
 #include "currantstack/decisions/route_table.h"
 #include "currantstack/decisions/upstream_directory.h"
 #include "currantstack/edge/settings.h"
@@ -154,6 +155,7 @@
     std::string name;
     std::string place;
     SocketAddress peerAddress; // receives datagrams of other VMs
+    PeerProtocol protocol = {}; // when the VM registered
 };
 
 /// Encoding of the store's keys and values.
--- a/include/currantstack/json.h
+++ b/include/currantstack/json.h
@@ -28,6 +28,9 @@
 /// Returns the text, or its beginning and its size if it is longer than a log line should carry.
 auto excerpt(std::string_view text) -> std::string;
 
+/// Returns whether the value is an array with at least these columns. A later build may append others.
+auto isRow(const Json &value, std::size_t columns) -> bool;
+
 /// Serializes a value; malformed UTF-8 in strings is replaced.
 auto dumpJson(const Json &value) -> std::string;
 
--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -95,6 +95,11 @@
                                           : fmt::format("{}... ({} bytes)", text.substr(0, MaxExcerptBytes), text.size());
 }
 
+auto isRow(const Json &value, std::size_t columns) -> bool
+{
+    return value.is_array() && value.size() >= columns;
+}
+
 auto dumpJson(const Json &value) -> std::string
 {
     return value.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/load_message.h"
 
+#include "currantstack/edge/peer_protocol_codec.h"
 #include "currantstack/edge/software_version_codec.h"
 #include "currantstack/json.h"
 
@@ -17,6 +18,8 @@
 constexpr std::string_view Draining = "leaving";
 constexpr std::string_view Outdated = "outdated";
 
+constexpr std::string_view RelayInPlace = "spread";
+
 /// Encodes each upstream as an array without field names, to keep the message short.
 auto encodeLoads(std::span<const UpstreamLoad> loads) -> nlohmann::json
 {
@@ -36,8 +39,8 @@
 {
     constexpr std::uint64_t MaxTokens = 1'000'000'000'000; // of all requests at one upstream
     constexpr std::uint64_t MaxRequests = 1'000'000; // at one upstream
-    const bool valid = row.is_array() && row.size() == 4 && row[0].is_string() && isCount(row[1], MaxTokens) && isCount(row[2], MaxTokens)
-        && isCount(row[3], MaxRequests);
+    const bool valid =
+        isRow(row, 4) && row[0].is_string() && isCount(row[1], MaxTokens) && isCount(row[2], MaxTokens) && isCount(row[3], MaxRequests);
     if (!valid) {
         return std::nullopt;
     }
@@ -58,7 +61,7 @@
 {
     constexpr std::size_t Columns = 6;
     constexpr std::uint64_t MaxStreams = std::numeric_limits<int>::max();
-    bool valid = row.is_array() && row.size() == Columns && row[0].is_string() && isCount(row[Columns - 1], MaxStreams);
+    bool valid = isRow(row, Columns) && row[0].is_string() && isCount(row[Columns - 1], MaxStreams);
     for (std::size_t column = 1; valid && column + 1 < Columns; ++column) {
         valid = row[column].is_number() && row[column].get<double>() >= 0 && row[column].get<double>() < 1e9;
     }
@@ -92,13 +95,15 @@
     return rows;
 }
 
+auto isNotice(const nlohmann::json &row) -> bool
+{
+    return isRow(row, 3) && row[0].is_string() && row[1].is_string() && row[2].is_number_integer();
+}
+
+/// Returns nothing if this build does not know the reason.
 auto decodeNotice(const nlohmann::json &row) -> std::optional<ExclusionNotice>
 {
     constexpr std::int64_t MaxExclusionMs = 60'000;
-    const bool valid = row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_string() && row[2].is_number_integer();
-    if (!valid) {
-        return std::nullopt;
-    }
     const auto remaining = std::clamp<std::int64_t>(row[2].get<std::int64_t>(), 0, MaxExclusionMs);
     const auto reasonText = row[1].get<std::string>();
     if (reasonText == Draining || reasonText == Outdated) {
@@ -132,7 +137,7 @@
     constexpr std::size_t Columns = 6;
     constexpr std::int64_t MaxAgeMs = 3'600'000;
     constexpr auto MaxRow = static_cast<std::int64_t>(FleetRateLimiter::MaxRate * RateUnit);
-    bool valid = row.is_array() && row.size() == Columns && row[0].is_string();
+    bool valid = isRow(row, Columns) && row[0].is_string();
     for (std::size_t column = 1; valid && column < Columns; ++column) {
         valid = row[column].is_number_integer();
     }
@@ -178,6 +183,11 @@
     return services;
 }
 
+auto isListOrAbsent(const nlohmann::json &value) -> bool
+{
+    return value.is_array() || value.is_null();
+}
+
 auto malformed(std::string_view what) -> tl::unexpected<Error>
 {
     return fail(ErrorCode::BadInput, "decode load", "", what);
@@ -192,7 +202,7 @@
                                {"place", message.place},
                                {"seq", message.sequence},
                                {"sum", message.isAggregate},
-                               {"spread", message.relayInPlace},
+                               {RelayInPlace, message.relayInPlace},
                                {"routes", message.revisions.routes},
                                {"upstreams", message.revisions.upstreams},
                                {"version", message.revisions.routesVersion},
@@ -206,6 +216,7 @@
     if (!message.cutOff.empty()) {
         document["cut"] = message.cutOff;
     }
+    writeProtocol(document, message.protocol);
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -224,31 +235,39 @@
     message.vm = reader.text("vm");
     message.place = reader.text("place");
     message.sequence = static_cast<std::uint64_t>(reader.integer("seq", 0, std::numeric_limits<std::int64_t>::max()));
-    message.isAggregate = reader.boolean("sum");
-    message.relayInPlace = reader.boolean("spread");
-    message.revisions.routes = reader.integer("routes", 0, std::numeric_limits<std::int64_t>::max());
-    message.revisions.upstreams = reader.integer("upstreams", 0, std::numeric_limits<std::int64_t>::max());
+    message.isAggregate = reader.boolean("sum", false);
+    message.relayInPlace = reader.boolean(RelayInPlace, false);
+    message.revisions.routes = reader.integer("routes", 0, std::numeric_limits<std::int64_t>::max(), 0);
+    message.revisions.upstreams = reader.integer("upstreams", 0, std::numeric_limits<std::int64_t>::max(), 0);
     message.revisions.routesVersion = reader.integer("version", 0, std::numeric_limits<std::int64_t>::max(), 0);
+    message.protocol = readProtocol(reader);
     const auto &rows = reader.raw("work");
     const auto &costs = reader.raw("costs");
     const auto &notices = reader.raw("avoid");
-    const auto &limits = reader.raw("limits"); // absent in messages of earlier versions
+    const auto &limits = reader.raw("limits");
     const auto &versions = reader.raw("software"); // absent while each service has one
     auto cutOff = decodeServices(reader.raw("cut"));
     if (!cutOff) {
         return malformed("the services that the sender cannot reach are malformed");
     }
     message.cutOff = std::move(*cutOff);
-    if (!errors.empty() || !rows.is_array() || !costs.is_array() || !notices.is_array() || !(limits.is_array() || limits.is_null())
-        || !(versions.is_array() || versions.is_null())) {
+    if (!errors.empty()) {
         return malformed(describe(errors));
     }
+    for (const auto *list : {&rows, &costs, &notices, &limits, &versions}) {
+        if (!isListOrAbsent(*list)) {
+            return malformed("a list of rows is of another type");
+        }
+    }
     for (const auto &row : notices) {
-        auto notice = decodeNotice(row);
-        if (!notice) {
+        if (!isNotice(row)) {
             return malformed("an exclusion notice is malformed");
         }
-        message.exclusions.push_back(std::move(*notice));
+        if (auto notice = decodeNotice(row)) {
+            message.exclusions.push_back(std::move(*notice));
+        } else {
+            ++message.unknownRows;
+        }
     }
     for (const auto &row : costs) {
         auto cost = decodeCost(row);
@@ -281,4 +300,16 @@
     return message;
 }
 
+auto encodeForPlace(std::string_view bytes) -> std::string
+{
+    auto document = parseMsgpack(bytes, "relay load");
+    if (!document || !document->is_object()) {
+        return {};
+    }
+    (*document)[std::string(RelayInPlace)] = false;
+    std::string result;
+    nlohmann::json::to_msgpack(*document, result);
+    return result;
+}
+
 } // namespace currantstack
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -33,7 +33,7 @@
     if (value.is_null()) {
         return true;
     }
-    if (!value.is_array() || value.size() != 2 || !value[0].is_boolean()) {
+    if (!value.is_array() || value.size() < 2 || !value[0].is_boolean()) {
         return false;
     }
     auto versions = decodeVersions(value[1]);
@@ -48,7 +48,8 @@
 
 auto encodeOrigins(const OriginMessage &message) -> std::string
 {
-    // An array [report, asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes.
+    // An array [report, asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes. Later
+    // builds may append a name instead of a version, and a value.
     auto document = nlohmann::json::array({encodeReport(message.report), message.asked});
     for (const auto &row : message.told) {
         document.push_back(row.version);
@@ -75,6 +76,9 @@
     }
     message.asked = document[1].get<std::vector<Fingerprint>>();
     for (std::size_t index = 2; index < document.size(); index += 2) {
+        if (document[index].is_string()) {
+            continue; // a field that this build does not know
+        }
         if (!isVersion(document[index]) || !isStreams(document[index + 1])) {
             return malformed;
         }
--- a/src/edge/quarantine_message.cc
+++ b/src/edge/quarantine_message.cc
@@ -56,7 +56,7 @@
 auto decodeEntry(const nlohmann::json &row) -> std::optional<QuarantineEntry>
 {
     constexpr std::size_t Columns = 5;
-    const bool valid = row.is_array() && row.size() == Columns && isTraits(row[0]) && isDuration(row[1]) && row[2].is_array()
+    const bool valid = isRow(row, Columns) && isTraits(row[0]) && isDuration(row[1]) && row[2].is_array()
         && row[2].size() <= Quarantine::MaxUpstreamsPerEntry && std::all_of(row[2].begin(), row[2].end(), isName) && isName(row[3])
         && isDuration(row[4]);
     if (!valid) {
@@ -69,8 +69,8 @@
 auto decodeCrash(const nlohmann::json &row, TimePoint now) -> std::optional<CrashRecord>
 {
     constexpr std::size_t Columns = 4;
-    const bool valid = row.is_array() && row.size() == Columns && isName(row[0]) && isName(row[1]) && isDuration(row[2])
-        && row[3].is_array() && row[3].size() <= Quarantine::MaxRequestsPerRecord && std::all_of(row[3].begin(), row[3].end(), isTraits);
+    const bool valid = isRow(row, Columns) && isName(row[0]) && isName(row[1]) && isDuration(row[2]) && row[3].is_array()
+        && row[3].size() <= Quarantine::MaxRequestsPerRecord && std::all_of(row[3].begin(), row[3].end(), isTraits);
     if (!valid) {
         return std::nullopt;
     }
@@ -83,7 +83,7 @@
 
 auto decodeSuccess(const nlohmann::json &row) -> std::optional<ReportedSuccess>
 {
-    if (!row.is_array() || row.size() != 2 || !row[0].is_number_unsigned() || !isDuration(row[1])) {
+    if (!isRow(row, 2) || !row[0].is_number_unsigned() || !isDuration(row[1])) {
         return std::nullopt;
     }
     return ReportedSuccess{row[0].get<Fingerprint>(), milliseconds(row[1].get<std::int64_t>())};
--- a/src/edge/software_version_codec.cc
+++ b/src/edge/software_version_codec.cc
@@ -1,5 +1,7 @@
 #include "currantstack/edge/software_version_codec.h"
 
+#include "currantstack/json.h"
+
 #include <algorithm>
 
 namespace currantstack
@@ -13,9 +15,9 @@
     return value.is_number_integer() && value.get<std::int64_t>() >= 0;
 }
 
-auto isRow(const nlohmann::json &row) -> bool
+auto isVersionRow(const nlohmann::json &row) -> bool
 {
-    return row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
+    return isRow(row, 4) && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
 }
 
 auto encodeDuration(Duration duration) -> std::int64_t
@@ -41,7 +43,7 @@
 
 auto decodeVersions(const nlohmann::json &rows) -> std::optional<std::vector<SoftwareVersionNotice>>
 {
-    if (!rows.is_array() || !std::all_of(rows.begin(), rows.end(), isRow)) {
+    if (!rows.is_array() || !std::all_of(rows.begin(), rows.end(), isVersionRow)) {
         return std::nullopt;
     }
     std::vector<SoftwareVersionNotice> result;
