VMs say which protocol they speak, and requests go only to VMs that take them

Cause: a VM that is cut off offered requests to every peer that did not report to be cut off as well. It could not know that VMs of an older build do not listen for such requests, that a VM's port was taken, or that it was stopping, and asked them again for each request.

Change: each VM reports its protocol number and whether it forwards for others (not while it stops, and not without its port), in each load report and in its store entry. Aggregates are relayed within a place with the fields that the relaying VM does not know.

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/clock.h"
+#include "currantstack/decisions/peer_protocol.h"
 #include "currantstack/decisions/relay_choice.h"
 #include "currantstack/placement.h"
 #include "currantstack/socket_address.h"
@@ -29,18 +30,31 @@
     static constexpr Duration ListedLifetime = seconds(40);
     /// A VM counts as reporting for this time after its last datagram.
     static constexpr Duration ReportLifetime = milliseconds(1500);
+    /// A VM of a build that does not report whether it takes requests of other VMs is not asked for this time after it refused a
+    /// connection.
+    static constexpr Duration RefusalLifetime = seconds(10);
 
     PeerTable(std::string self, std::string place)
         : m_self(std::move(self))
         , m_place(std::move(place))
     { }
 
-    /// Adds or updates a VM from the store's list.
-    auto mergeListed(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> void;
+    /// Adds or updates a VM from the store's list, which says what the VM could do when it registered.
+    auto mergeListed(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now,
+                     const PeerProtocol &protocol = {}) -> void;
 
     /// Adds or updates a VM from which a datagram was received. Returns true if it was not known.
     auto merge(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> bool;
 
+    /// Records what the VM reports of its build.
+    auto setProtocol(std::string_view vm, const PeerProtocol &protocol) -> void;
+
+    /// Records that nothing listens where the VM would take requests of other VMs.
+    auto onRelayConnectionRefused(std::string_view vm, TimePoint now) -> void;
+
+    /// Returns the number of other VMs by the number of their protocol.
+    auto countByProtocol() const -> std::map<std::int64_t, std::size_t>;
+
     /// Records the services from whose upstreams the VM reports to be cut off.
     auto setCutOff(std::string_view vm, std::vector<std::string> services) -> void;
 
@@ -50,7 +64,8 @@
     /// Returns the services from whose upstreams most VMs of this VM's place are cut off; `own` are those of this VM.
     auto placeCutOff(std::span<const std::string> own, TimePoint now) const -> std::vector<std::string>;
 
-    /// Returns the VMs that may forward a request for the service: those not known to be cut off from it.
+    /// Returns the VMs that may forward a request for the service: those not known to be cut off from it, or
+    /// to take no requests.
     auto relayCandidates(std::string_view service, const PlaceMap &places, TimePoint now) const -> std::vector<RelayCandidate>;
 
     /// Returns whether a VM has this address.
@@ -90,6 +105,11 @@
         return m_peers.size() < SmallFleet;
     }
 
+    auto knows(std::string_view vm) const -> bool
+    {
+        return m_peers.contains(vm);
+    }
+
     auto size() const -> std::size_t
     {
         return m_peers.size();
@@ -103,9 +123,13 @@
         TimePoint knownSince;
         TimePoint receivedAt; // last datagram
         TimePoint listedAt;
-        std::vector<std::string> cutOff; // services, as last reported
+        std::vector<std::string> cutOff = {}; // services, as last reported
+        PeerProtocol protocol = {}; // as last reported, or as listed
+        TimePoint relayRefusedAt = {};
     };
 
+    static auto mayTakeRelays(const Peer &peer, TimePoint now) -> bool;
+
     struct PlaceReport
     {
         std::vector<std::string> cutOff; // services
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -8,6 +8,7 @@
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/peer_protocol.h"
 #include "currantstack/decisions/relay_choice.h"
 #include "currantstack/decisions/request_attempts.h"
 #include "currantstack/decisions/software_versions.h"
@@ -64,6 +65,8 @@
 {
     /// Returns the VMs that may forward a request for the service.
     std::function<std::vector<RelayCandidate>(std::string_view service)> candidates;
+    /// Records that nothing listens where the VM would take requests of others.
+    std::function<void(std::string_view vm)> onConnectionRefused;
 };
 
 /// All users run on one event loop. Only the controllers change the state.
@@ -102,12 +105,19 @@
     UpstreamReach reach = {};
     RelayHooks relayHooks = {};
     std::map<std::string, int, std::less<>> relayedInFlight = {}; // requests that other VMs forward for this one, by VM
+    bool takesRelays = false; // this VM has opened its port for requests of other VMs
     bool storeUnreachable = false; // so the directory may be outdated
     TimePoint upstreamsReadAt = {}; // completely, from the store
     bool draining = false;
     TimePoint drainingSince = {};
     OpenRequests openRequests = {};
 
+    /// Returns what this VM reports of itself to the others.
+    auto ownProtocol() const -> PeerProtocol
+    {
+        return {ProtocolNumber, takesRelays && !draining};
+    }
+
     /// Returns when this process ends at the latest.
     auto stopsAt() const -> TimePoint
     {
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -10,6 +10,7 @@
 #include "currantstack/edge/vm_registry.h"
 
 #include <ev.h>
+#include <set>
 
 namespace currantstack
 {
@@ -90,6 +91,12 @@
         return m_peers.relayCandidates(service, m_context.settings.places, m_context.clock.now());
     }
 
+    /// See `PeerTable::onRelayConnectionRefused`.
+    auto onRelayConnectionRefused(std::string_view vm) -> void
+    {
+        m_peers.onRelayConnectionRefused(vm, m_context.clock.now());
+    }
+
     /// Returns whether another VM has this address.
     auto isPeer(std::string_view ip) const -> bool
     {
@@ -105,7 +112,9 @@
 private:
     static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
     auto receive() -> void;
-    auto onMessage(LoadMessage message, const SocketAddress &from) -> void;
+    auto onMessage(const LoadMessage &message, const SocketAddress &from) -> void;
+    auto observeProtocol(const LoadMessage &message) -> void;
+    auto countProtocols() -> void;
     auto mergeLimits(const LoadMessage &message) -> void;
     auto sendLocalLoads() -> void;
     auto meanPlaceCosts() const -> std::vector<ServiceCost>;
@@ -117,6 +126,8 @@
     DirectoryController &m_directory;
     PeerTable m_peers;
     bool m_peersListed = false;
+    std::map<std::string, std::int64_t, std::less<>> m_protocolsHeard; // number of the protocol that each VM reported last
+    std::set<std::int64_t> m_protocolsCounted; // numbers that have a gauge
     std::function<void(std::string_view bytes)> m_onReport;
     std::function<void(std::string_view bytes, const SocketAddress &from)> m_onOrigins;
     std::unique_ptr<Timer> m_timer;
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -19,15 +19,19 @@
 
 } // namespace
 
-auto PeerTable::mergeListed(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> void
+auto PeerTable::mergeListed(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now,
+                            const PeerProtocol &protocol) -> void
 {
     if (vm == m_self) {
         return;
     }
-    auto &peer = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}, {}}).first->second;
+    auto &peer = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}}).first->second;
     peer.place = place;
     peer.address = address;
     peer.listedAt = now;
+    if (now - peer.receivedAt >= ReportLifetime) {
+        peer.protocol = protocol; // the VM's own reports are newer than the list
+    }
 }
 
 auto PeerTable::merge(std::string_view vm, std::string_view place, const SocketAddress &address, TimePoint now) -> bool
@@ -35,7 +39,7 @@
     if (vm == m_self) {
         return false;
     }
-    const auto [found, isNew] = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}, {}});
+    const auto [found, isNew] = m_peers.try_emplace(std::string(vm), Peer{{}, {}, now, {}, {}});
     auto &peer = found->second;
     peer.place = place;
     peer.address = address;
@@ -43,6 +47,34 @@
     return isNew;
 }
 
+auto PeerTable::setProtocol(std::string_view vm, const PeerProtocol &protocol) -> void
+{
+    if (const auto found = m_peers.find(vm); found != m_peers.end()) {
+        found->second.protocol = protocol;
+    }
+}
+
+auto PeerTable::onRelayConnectionRefused(std::string_view vm, TimePoint now) -> void
+{
+    if (const auto found = m_peers.find(vm); found != m_peers.end()) {
+        found->second.relayRefusedAt = now;
+    }
+}
+
+auto PeerTable::mayTakeRelays(const Peer &peer, TimePoint now) -> bool
+{
+    return peer.protocol.isReported() ? peer.protocol.takesRelays : now - peer.relayRefusedAt >= RefusalLifetime;
+}
+
+auto PeerTable::countByProtocol() const -> std::map<std::int64_t, std::size_t>
+{
+    std::map<std::int64_t, std::size_t> result;
+    for (const auto &[vm, peer] : m_peers) {
+        ++result[peer.protocol.number];
+    }
+    return result;
+}
+
 auto PeerTable::setCutOff(std::string_view vm, std::vector<std::string> services) -> void
 {
     if (const auto found = m_peers.find(vm); found != m_peers.end()) {
@@ -92,8 +124,8 @@
             place != m_placeReports.end() && now - place->second.at < ReportLifetime && contains(place->second.cutOff, service);
         const bool isCutOff = reports ? contains(peer.cutOff, service) : isPlaceCutOff;
         const bool isSilent = !reports && (isSmall() || peer.place == m_place); // it would report if it ran
-        if (!isCutOff && !isSilent) {
-            result.push_back({vm, peer.address, places.distance(m_place, peer.place), reports, 0});
+        if (!isCutOff && !isSilent && mayTakeRelays(peer, now)) {
+            result.push_back({vm, peer.address, places.distance(m_place, peer.place), reports, 0, peer.protocol.takesRelays});
         }
     }
     return result;
--- a/src/decisions/relay_choice.cc
+++ b/src/decisions/relay_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace currantstack
 {
@@ -12,6 +13,11 @@
 constexpr double RequestMs = 2; // delay expected from each request that the VM has in flight
 constexpr double JitterMs = 1; // spreads the first requests over VMs at the same distance
 
+auto rankOf(const RelayCandidate &candidate) -> int
+{
+    return (candidate.takesRelays ? 2 : 0) + (candidate.reports ? 1 : 0);
+}
+
 } // namespace
 
 auto chooseRelay(std::span<const RelayCandidate> candidates, std::span<const std::string> tried, Random &random) -> const RelayCandidate *
@@ -24,7 +30,7 @@
             continue;
         }
         const double ms = toMilliseconds(roundTripTime(candidate.distance)) + RequestMs * candidate.inFlight + jitter(random);
-        if (best == nullptr || (candidate.reports && !best->reports) || (candidate.reports == best->reports && ms < bestMs)) {
+        if (best == nullptr || std::pair(-rankOf(candidate), ms) < std::pair(-rankOf(*best), bestMs)) {
             best = &candidate;
             bestMs = ms;
         }
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/edge_node.h"
 
+#include "currantstack/build_info.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/origin_controller.h"
 #include "currantstack/edge/quarantine_controller.h"
@@ -279,7 +280,9 @@
 {
     auto &parts = *m_parts;
     parts.log.write("edge", "started",
-                    {{"place", parts.settings.place},
+                    {{"build", buildName()},
+                     {"protocol", ProtocolNumber},
+                     {"place", parts.settings.place},
                      {"callers", parts.settings.callerAddress.text()},
                      {"readiness", parts.settings.readinessAddress.text()},
                      {"peers", parts.settings.peerAddress.text()},
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -78,9 +78,11 @@
 {
     const auto now = m_context.clock.now();
     for (const auto &[name, record] : vms) {
-        m_peers.mergeListed(name, record.place, record.peerAddress, now);
+        m_peers.mergeListed(name, record.place, record.peerAddress, now, record.protocol);
     }
     m_peers.expire(now);
+    std::erase_if(m_protocolsHeard, [this](const auto &heard) { return !m_peers.knows(heard.first); });
+    countProtocols();
     m_peersListed = true;
     m_context.remoteLoadsAreAggregates = !m_peers.isSmall();
     m_context.rateLimiter.setVms(m_peers.size() + 1);
@@ -111,17 +113,50 @@
             m_onOrigins(bytes, toAddress(from));
             continue;
         }
-        auto message = decodeLoad(bytes);
+        const auto message = decodeLoad(bytes);
         if (!message) {
             m_context.counters.at("datagrams_malformed").add();
             m_context.log.write("load", "datagram_ignored", {{"error", describe(message.error())}});
             continue;
         }
-        onMessage(std::move(*message), toAddress(from));
+        onMessage(*message, toAddress(from));
+        if (message->isAggregate && message->relayInPlace) {
+            sendBytes(encodeForPlace(bytes), m_peers.neighbours());
+        }
     }
 }
 
-auto LoadExchange::onMessage(LoadMessage message, const SocketAddress &from) -> void
+auto LoadExchange::observeProtocol(const LoadMessage &message) -> void
+{
+    m_peers.setProtocol(message.vm, message.protocol);
+    const auto [heard, isNew] = m_protocolsHeard.try_emplace(message.vm, message.protocol.number);
+    const auto former = std::exchange(heard->second, message.protocol.number);
+    if (isNew ? former != ProtocolNumber : former != message.protocol.number) {
+        m_context.log.write("load", "peer_protocol",
+                            {{"peer", message.vm},
+                             {"protocol", message.protocol.number},
+                             {"former", isNew ? 0 : former},
+                             {"own", ProtocolNumber},
+                             {"takes_relays", message.protocol.takesRelays}});
+    }
+    if (isNew || former != message.protocol.number) {
+        countProtocols();
+    }
+}
+
+auto LoadExchange::countProtocols() -> void
+{
+    auto counts = m_peers.countByProtocol();
+    ++counts[ProtocolNumber]; // this VM
+    for (const auto &[number, vms] : counts) {
+        m_protocolsCounted.insert(number);
+    }
+    for (const auto number : m_protocolsCounted) {
+        m_context.counters.at(fmt::format("vms_by_protocol{{protocol=\"{}\"}}", number)).set(static_cast<std::int64_t>(counts[number]));
+    }
+}
+
+auto LoadExchange::onMessage(const LoadMessage &message, const SocketAddress &from) -> void
 {
     const auto now = m_context.clock.now();
     if (!message.isAggregate && m_peers.merge(message.vm, message.place, from, now)) {
@@ -129,8 +164,12 @@
     }
     if (message.isAggregate) {
         m_peers.setPlaceCutOff(message.place, message.cutOff, now);
-    } else if (message.source == message.vm) {
+    } else if (message.source == message.vm && message.vm != m_context.settings.vm) {
         m_peers.setCutOff(message.vm, message.cutOff);
+        observeProtocol(message);
+    }
+    if (message.unknownRows > 0) {
+        m_context.counters.at("datagram_rows_unknown").add(message.unknownRows);
     }
     m_directory.observeRevisions(message.revisions);
     const bool samePlace = message.place == m_context.settings.place;
@@ -153,10 +192,6 @@
     if (!message.costs.empty()) {
         m_context.costs.merge(message.source, message.costs, now);
     }
-    if (message.isAggregate && message.relayInPlace) {
-        message.relayInPlace = false;
-        sendBytes(encodeLoad(message), m_peers.neighbours());
-    }
 }
 
 auto LoadExchange::mergeLimits(const LoadMessage &message) -> void
@@ -176,7 +211,7 @@
     auto loads = m_context.loads.own();
     auto limits = m_context.rateLimiter.dueReports(now);
     auto cutOff = m_context.reach.cutOffServices();
-    auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}, {}, cutOff});
+    auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}, {}, cutOff, m_context.ownProtocol()});
     if (bytes == m_lastLoads && limits.empty() && now - m_sentAt < IdlePeriod) {
         return;
     }
@@ -242,6 +277,7 @@
 {
     const auto loads = std::exchange(message.loads, {});
     message.revisions = m_directory.revisions();
+    message.protocol = m_context.ownProtocol();
     const auto source = message.source;
     std::size_t first = 0;
     auto &partsBefore = message.isAggregate ? m_aggregateParts : m_localParts;
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -26,6 +26,7 @@
         }
         return candidates;
     };
+    context.relayHooks.onConnectionRefused = [&exchange](std::string_view vm) { exchange.onRelayConnectionRefused(vm); };
 }
 
 auto ReachController::start() -> void
@@ -118,6 +119,7 @@
         return tl::unexpected(opened.error());
     }
     m_server = std::move(*opened);
+    m_context.takesRelays = true;
     return {};
 }
 
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -133,6 +133,7 @@
                          {"reason", reason},
                          {"candidates", candidates.size()},
                          {"in_flight", chosen->inFlight},
+                         {"reports_to_take_relays", chosen->takesRelays},
                          {"after_event", m_lastEventId},
                          {"age_ms", toMilliseconds(m_context.clock.now() - m_request.arrivedAt)}});
     const auto &incoming = m_request.exchange->request();
@@ -312,6 +313,9 @@
         return;
     }
     if (!result) {
+        if (result.error().connectionRefused) {
+            m_context.relayHooks.onConnectionRefused(m_vm);
+        }
         onBroken(classifyError(result.error()), describe(result.error()));
         return;
     }
--- a/src/edge/vm_registry.cc
+++ b/src/edge/vm_registry.cc
@@ -109,8 +109,8 @@
 {
     const auto &settings = m_context.settings;
     StoreTransaction transaction;
-    transaction.puts.push_back(
-        {m_codec.vmsPrefix() + settings.vm, m_codec.encodeVm({settings.vm, settings.place, settings.peerAddress}), lease});
+    transaction.puts.push_back({m_codec.vmsPrefix() + settings.vm,
+                                m_codec.encodeVm({settings.vm, settings.place, settings.peerAddress, m_context.ownProtocol()}), lease});
     m_store.commit(std::move(transaction), [this, alive = m_alive](Result<StoreOutcome> outcome) {
         if (!*alive) {
             return;
--- a/src/gateway/node.cc
+++ b/src/gateway/node.cc
@@ -1,5 +1,6 @@
 #include "currantstack/node.h"
 
+#include "currantstack/build_info.h"
 #include "currantstack/log.h"
 
 #include <random>
@@ -150,7 +151,7 @@
     m_parts->announcer.start();
     m_parts->config.start();
     m_parts->slots.start();
-    NodeLog.info("VM {} started", m_parts->settings.name);
+    NodeLog.info("VM {} started, build {}", m_parts->settings.name, buildName());
     return {};
 }
 
--- a/test/relay_choice-test.cc
+++ b/test/relay_choice-test.cc
@@ -15,6 +15,10 @@
     CPPUNIT_TEST(cutOffAndSilentVmsAreNoCandidates);
     CPPUNIT_TEST(vmsOfACutOffPlaceAreNoCandidatesInALargeFleet);
     CPPUNIT_TEST(aPlaceIsCutOffIfMostOfItsVmsAre);
+    CPPUNIT_TEST(vmsThatSayTheyTakeRequestsGoFirst);
+    CPPUNIT_TEST(vmsThatTakeNoRequestsAreNoCandidates);
+    CPPUNIT_TEST(aRefusalExcludesAVmOfUnknownBuildForAWhile);
+    CPPUNIT_TEST(theListTellsTheProtocolOfVmsThatDoNotReport);
     CPPUNIT_TEST(relayStateRoundTrips);
     CPPUNIT_TEST(malformedRelayStateIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -88,6 +92,57 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.placeCutOff(own, m_clock.now()).size());
     }
 
+    auto vmsThatSayTheyTakeRequestsGoFirst() -> void
+    {
+        const std::vector<RelayCandidate> candidates{{"unknown", {}, Distance::SamePlace, true, 0, false},
+                                                     {"says so", {}, Distance::OtherRegion, true, 50, true}};
+        CPPUNIT_ASSERT_EQUAL(std::string("says so"), chooseRelay(candidates, {}, m_random)->vm);
+        const std::vector<std::string> tried{"says so"};
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), chooseRelay(candidates, tried, m_random)->vm);
+    }
+
+    auto vmsThatTakeNoRequestsAreNoCandidates() -> void
+    {
+        auto table = twoPeers();
+        table.setProtocol("vm1", {ProtocolNumber, false});
+        table.setProtocol("vm2", {ProtocolNumber + 1, true});
+        const auto candidates = table.relayCandidates("llm", {}, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), candidates.size());
+        CPPUNIT_ASSERT(candidates.front().vm == "vm2" && candidates.front().takesRelays);
+        const auto counts = table.countByProtocol();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), counts.at(ProtocolNumber));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), counts.at(ProtocolNumber + 1));
+    }
+
+    auto aRefusalExcludesAVmOfUnknownBuildForAWhile() -> void
+    {
+        auto table = twoPeers();
+        table.setProtocol("vm2", {ProtocolNumber, true});
+        table.onRelayConnectionRefused("vm1", m_clock.now());
+        table.onRelayConnectionRefused("vm2", m_clock.now());
+        const auto candidates = table.relayCandidates("llm", {}, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), candidates.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("vm2"), candidates.front().vm);
+        m_clock.advance(PeerTable::RefusalLifetime);
+        table.merge("vm1", "z1", {"10.0.0.1", 7000}, m_clock.now());
+        table.merge("vm2", "z1", {"10.0.0.2", 7000}, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.relayCandidates("llm", {}, m_clock.now()).size());
+    }
+
+    auto theListTellsTheProtocolOfVmsThatDoNotReport() -> void
+    {
+        auto table = twoPeers();
+        table.setProtocol("vm1", {ProtocolNumber, true});
+        const auto list = [&table, this](const PeerProtocol &protocol) {
+            table.mergeListed("vm1", "z1", {"10.0.0.1", 7000}, m_clock.now(), protocol);
+        };
+        list({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.countByProtocol().at(ProtocolNumber));
+        m_clock.advance(PeerTable::ReportLifetime);
+        list({ProtocolNumber + 1, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.countByProtocol().at(ProtocolNumber + 1));
+    }
+
     auto relayStateRoundTrips() -> void
     {
         const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt"};
@@ -113,6 +168,14 @@
     }
 
 private:
+    auto twoPeers() const -> PeerTable
+    {
+        PeerTable table("vm0", "z1");
+        table.merge("vm1", "z1", {"10.0.0.1", 7000}, m_clock.now());
+        table.merge("vm2", "z1", {"10.0.0.2", 7000}, m_clock.now());
+        return table;
+    }
+
     ManualClock m_clock;
     Random m_random{1};
 };
