A relayed request goes to the service that its first VM drew

Callers at a VM that was cut off from one service of a weighted route saw that service get less than its share, and more requests refused than the route's weights explain.

Evidence: relayed_requests_go_to_the_service_that_the_first_vm_drew failed on this change: of the requests relayed for 'booking', those that were drawn anew for a service without upstreams were refused.

Change: the relay header names the drawn service; the second VM keeps it if its route still sends requests there.

--- a/include/currantstack/decisions/route_table.h
+++ b/include/currantstack/decisions/route_table.h
@@ -86,6 +86,9 @@
     auto service(std::string_view name) const -> const ServiceSpec *;
 };
 
+/// Returns whether the route sends requests to the service.
+auto hasTarget(const Route &route, std::string_view service) -> bool;
+
 /// Selects a service by the targets' weights; `draw` is a uniform random number in [0, 1). Empty if no target has weight.
 auto selectTarget(const Route &route, double draw) -> std::string_view;
 
--- a/include/currantstack/edge/relay_message.h
+++ b/include/currantstack/edge/relay_message.h
@@ -24,6 +24,7 @@
     std::int64_t routesVersion = 0; // in force at that VM
     std::int64_t lastEventId = 0; // of the stream that goes on; 0: as the caller says
     std::string firstAttemptId; // of the stream that goes on
+    std::string service = {}; // that the first VM has drawn among the route's; empty: its build does not say
 };
 
 /// Returns the header's value.
--- a/src/decisions/route_table.cc
+++ b/src/decisions/route_table.cc
@@ -2,6 +2,8 @@
 
 #include "currantstack/http.h"
 
+#include <algorithm>
+
 namespace currantstack
 {
 
@@ -28,6 +30,12 @@
     return nullptr;
 }
 
+auto hasTarget(const Route &route, std::string_view service) -> bool
+{
+    return std::any_of(route.targets.begin(), route.targets.end(),
+                       [service](const RouteTarget &target) { return target.service == service && target.weight > 0; });
+}
+
 auto selectTarget(const Route &route, double draw) -> std::string_view
 {
     double total = 0;
--- a/src/edge/relay_message.cc
+++ b/src/edge/relay_message.cc
@@ -24,7 +24,8 @@
                      {"counted", info.counted},
                      {"routes", info.routesVersion},
                      {"after", info.lastEventId},
-                     {"first", info.firstAttemptId}});
+                     {"first", info.firstAttemptId},
+                     {"service", info.service}});
 }
 
 auto decodeRelay(std::string_view value) -> Result<RelayInfo>
@@ -44,6 +45,7 @@
     info.routesVersion = reader.integer("routes", 0, MaxNumber);
     info.lastEventId = reader.integer("after", 0, MaxNumber);
     info.firstAttemptId = reader.text("first");
+    info.service = reader.text("service", "");
     if (!errors.empty()) {
         return fail(ErrorCode::BadInput, Step, "", describe(errors));
     }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -175,6 +175,7 @@
     info.sends = m_attempts.count();
     info.counted = m_counted;
     info.routesVersion = m_request.routeTable->version;
+    info.service = m_request.service;
     if (m_resumes || m_events > 0) {
         info.lastEventId = m_lastEventId;
         info.firstAttemptId = m_firstAttemptId;
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -79,6 +79,10 @@
 
 auto chooseService(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
 {
+    if (request.relay && hasTarget(*request.route, request.relay->service)) {
+        request.service = request.relay->service;
+        return std::nullopt;
+    }
     const auto draw = std::uniform_real_distribution<double>(0, 1)(context.random);
     request.service = std::string(selectTarget(*request.route, draw));
     if (request.service.empty()) {
--- /dev/null
+++ b/test/edge/relay_tests.py
@@ -0,0 +1,39 @@
+"""Process tests of requests that one VM forwards for another: what the second VM may do with them."""
+
+import asyncio
+import json
+
+from stranded_tests import DETECTION_S, StrandedRig
+
+REQUESTS = 40
+SPLIT = {"name": "split", "host": "app.example", "prefix": "/split/", "type": "safe", "timeout_ms": 3000, "attempts": 2, "latency_goal_ms": 400,
+         "backends": [{"service": "booking", "weight": 1}, {"service": "unknown", "weight": 1}]}
+CONFIGURED_S = 1.0  # until all VMs follow a new configuration
+
+
+async def configured(rig, *routes):
+    rig.fleet.configure(routes)
+    await asyncio.sleep(CONFIGURED_S)
+
+
+def events_of(vm, event):
+    lines = (json.loads(line) for line in vm.log_text().splitlines() if line.startswith("{"))
+    return [line for line in lines if line.get("event") == event]
+
+
+async def relayed_requests_go_to_the_service_that_the_first_vm_drew():
+    """Guards against a second draw among the services of a weighted route; the other service has no upstreams."""
+    async with StrandedRig(vms=3) as rig:
+        await configured(rig, SPLIT)
+        rig.links.cut(rig.vms[0], "refuse", rig.fleet.services)
+        await asyncio.sleep(DETECTION_S)
+        statuses = {}
+        for _ in range(REQUESTS):
+            request, status, _, _ = await rig.send("split", rig.vms[0], deadline=3000)
+            statuses[request] = status
+        relayed = {line["request"] for line in events_of(rig.vms[0], "request_relayed") if line["service"] == "booking"}
+        lost = [request for request in relayed if statuses.get(request) != 200]
+        assert len(relayed & set(statuses)) > REQUESTS / 5 and not lost, (len(relayed), len(lost))
+
+
+TESTS = [relayed_requests_go_to_the_service_that_the_first_vm_drew]
--- a/test/relay_choice-test.cc
+++ b/test/relay_choice-test.cc
@@ -145,7 +145,7 @@
 
     auto relayStateRoundTrips() -> void
     {
-        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt"};
+        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt", "llm"};
         const auto text = encodeRelay(info);
         CPPUNIT_ASSERT(text.find_first_of("\r\n") == std::string::npos);
         const auto decoded = decodeRelay(text);
@@ -157,6 +157,7 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(17), decoded->routesVersion);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(9), decoded->lastEventId);
         CPPUNIT_ASSERT_EQUAL(info.firstAttemptId, decoded->firstAttemptId);
+        CPPUNIT_ASSERT_EQUAL(info.service, decoded->service);
     }
 
     auto malformedRelayStateIsRejected() -> void
