Attempts of a route hold over all VMs that make them

Cause: the second VM got all attempts that were left, and the first one counted its call as a single attempt, whatever the second had sent.

A property test with the worst case of each outcome.

Change: the first VM counts all attempts that it delegates. For a stream that can be resumed it keeps one back, with which a third VM goes on when the second one dies or gives up with 502. A plain request whose second VM died after it may have sent them all is answered 502.

--- a/include/currantstack/decisions/request_attempts.h
+++ b/include/currantstack/decisions/request_attempts.h
@@ -28,19 +28,28 @@
 {
 public:
     RequestAttempts(RouteKind kind, bool resumable, int maxAttempts)
-        : m_idempotent(kind == RouteKind::Idempotent || (kind == RouteKind::Stream && resumable))
+        : m_resumable(kind == RouteKind::Stream && resumable)
+        , m_idempotent(kind == RouteKind::Idempotent || m_resumable)
         , m_maxAttempts(maxAttempts)
     { }
 
-    /// Records that an attempt was started.
-    auto onAttempt() -> void
+    /// Records that an attempt was started, or that another VM was asked, which may make several.
+    auto onAttempt(int attempts = 1) -> void
     {
-        ++m_count;
+        m_count += attempts;
         ++m_pending;
     }
 
-    /// Records the outcome of a pending attempt. An attempt that was not sent does not count against the limit.
-    auto onOutcome(AttemptOutcome outcome) -> void;
+    /// Records the outcome of what `onAttempt` recorded. What was not sent does not count against the limit.
+    auto onOutcome(AttemptOutcome outcome, int attempts = 1) -> void;
+
+    /// Returns how many attempts another VM may make. When that VM dies, nobody knows how many it has made; one is kept for a stream, which
+    /// can go on at a third VM.
+    auto attemptsToDelegate() const -> int
+    {
+        const int left = m_maxAttempts - m_count;
+        return m_resumable && left > 1 ? left - 1 : left;
+    }
 
     /// Returns whether another attempt may be made.
     auto mayRetry() const -> bool
@@ -76,6 +85,7 @@
     }
 
 private:
+    bool m_resumable;
     bool m_idempotent;
     int m_maxAttempts;
     int m_count = 0;
--- a/src/decisions/request_attempts.cc
+++ b/src/decisions/request_attempts.cc
@@ -3,11 +3,11 @@
 namespace currantstack
 {
 
-auto RequestAttempts::onOutcome(AttemptOutcome outcome) -> void
+auto RequestAttempts::onOutcome(AttemptOutcome outcome, int attempts) -> void
 {
     --m_pending;
     if (outcome == AttemptOutcome::NotSent) {
-        --m_count;
+        m_count -= attempts;
     } else if (outcome != AttemptOutcome::NotRun) {
         m_mayHaveRun = true;
     }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -73,6 +73,7 @@
     bool m_resumes; // the caller already has events of the stream
     bool m_isStream;
     std::vector<std::string> m_tried; // VMs
+    int m_delegated = 0; // attempts that the VM which forwards the request now may make
     std::size_t m_sends = 0; // to other VMs, without those that were not sent or refused at once
     bool m_retryAcquired = false; // the retry budget has already counted the next send
     std::string m_vm; // that forwards the request now
@@ -121,6 +122,7 @@
         return false;
     }
     m_vm = chosen->vm;
+    m_delegated = m_attempts.attemptsToDelegate();
     m_tried.push_back(m_vm);
     ++m_sends;
     ++m_context.relayedInFlight[m_vm];
@@ -133,6 +135,7 @@
                          {"reason", reason},
                          {"candidates", candidates.size()},
                          {"in_flight", chosen->inFlight},
+                         {"attempts", m_delegated},
                          {"reports_to_take_relays", chosen->takesRelays},
                          {"after_event", m_lastEventId},
                          {"age_ms", toMilliseconds(m_context.clock.now() - m_request.arrivedAt)}});
@@ -150,7 +153,7 @@
     call.useOwnConnection();
     call.step = "relay";
     call.peer = m_vm;
-    m_attempts.onAttempt();
+    m_attempts.onAttempt(m_delegated);
     m_headRead = false;
     m_answer = {};
     m_splitter = {};
@@ -172,7 +175,7 @@
     RelayInfo info;
     info.vm = m_context.settings.vm;
     info.age = m_context.clock.now() - m_request.arrivedAt + RelayAllowance;
-    info.sends = m_attempts.count();
+    info.sends = m_request.route->attempts - m_delegated;
     info.counted = m_counted;
     info.routesVersion = m_request.routeTable->version;
     info.service = m_request.service;
@@ -190,7 +193,9 @@
     }
     const auto head = m_context.protocol.parseHead(status, headers, m_request.metadata);
     const bool isSuccess = status >= 200 && status < 300;
-    return isSuccess && !mayForward(status, head) ? AttemptOutcome::Unknown : AttemptOutcome::Answered;
+    // The other VM had not all attempts, so a third one may go on where it gave up.
+    const bool isGivenUp = m_isStream && status == 502 && !head.fromUpstream;
+    return isGivenUp || (isSuccess && !mayForward(status, head)) ? AttemptOutcome::Unknown : AttemptOutcome::Answered;
 }
 
 auto RelayedRequest::answerHeaders(const Headers &headers) const -> Headers
@@ -344,7 +349,7 @@
 {
     endCall();
     const auto status = response.status;
-    m_attempts.onOutcome(status == 503 ? AttemptOutcome::NotRun : AttemptOutcome::Answered);
+    m_attempts.onOutcome(status == 503 ? AttemptOutcome::NotRun : AttemptOutcome::Answered, m_delegated);
     // An earlier VM may have sent the request, so that the last one's refusal does not hold for the whole request.
     if (status == 503 && m_attempts.errorAnswer(false) != ErrorAnswer::Refused) {
         fail(false, "another VM may have sent the request before");
@@ -372,7 +377,7 @@
 auto RelayedRequest::onBroken(AttemptOutcome outcome, std::string_view reason) -> void
 {
     endCall();
-    m_attempts.onOutcome(outcome);
+    m_attempts.onOutcome(outcome, m_delegated);
     m_sends -= outcome == AttemptOutcome::NotSent ? 1 : 0;
     m_context.counters.at("relays_failed").add();
     m_context.log.write("relay", "relay_failed",
--- a/test/edge/relay_tests.py
+++ b/test/edge/relay_tests.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import json
+import signal
 
 from stranded_tests import DETECTION_S, StrandedRig
 
 REQUESTS = 40
 SPLIT = {"name": "split", "host": "app.example", "prefix": "/split/", "type": "safe", "timeout_ms": 3000, "attempts": 2, "latency_goal_ms": 400,
          "backends": [{"service": "booking", "weight": 1}, {"service": "unknown", "weight": 1}]}
+ATTEMPTS = 3
+THRICE = {"name": "thrice", "host": "app.example", "prefix": "/thrice/", "type": "safe", "service": "booking", "timeout_ms": 20000,
+          "attempts": ATTEMPTS, "latency_goal_ms": 400}
 CONFIGURED_S = 1.0  # until all VMs follow a new configuration
 
 
@@ -36,4 +40,22 @@
         assert len(relayed & set(statuses)) > REQUESTS / 5 and not lost, (len(relayed), len(lost))
 
 
-TESTS = [relayed_requests_go_to_the_service_that_the_first_vm_drew]
+async def attempts_of_a_route_hold_over_all_vms():
+    """Guards against further attempts because the VM that made earlier ones has died before it could tell."""
+    async with StrandedRig(vms=3, services=6) as rig:
+        await configured(rig, THRICE)
+        rig.links.cut(rig.vms[0], "refuse", rig.fleet.services)
+        await asyncio.sleep(DETECTION_S)
+        for service in rig.fleet.services:
+            service.WORK_S = 4
+        request = rig.request_id()
+        task = asyncio.create_task(rig.send("thrice", rig.vms[0], request, deadline=20000, limit=25))
+        await asyncio.sleep(1)
+        first = events_of(rig.vms[0], "request_relayed")[-1]
+        assert first["request"] == request and rig.runs_of(request), first
+        next(vm for vm in rig.vms if vm.name == first["to"]).signal(signal.SIGKILL)
+        await task
+        assert 2 <= len(rig.runs_of(request)) <= ATTEMPTS, rig.runs_of(request)
+
+
+TESTS = [relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms]
--- a/test/request_attempts-test.cc
+++ b/test/request_attempts-test.cc
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(refusedOnlyIfNothingCanHaveRun);
     CPPUNIT_TEST(attemptsStayWithinTheLimit);
     CPPUNIT_TEST(unsentAttemptsDoNotCount);
+    CPPUNIT_TEST(attemptsOfOtherVmsStayWithinTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
     /// Returns whether the upstream has run the request in the worst case.
@@ -50,6 +51,36 @@
         });
     }
 
+    auto attemptsOfOtherVmsStayWithinTheLimit() -> void
+    {
+        CHECK_PROPERTY("VMs that make all attempts they were given, and die, stay within the limit", [] {
+            const auto kind = *rc::gen::element(RouteKind::Idempotent, RouteKind::AtMostOnce, RouteKind::Stream);
+            const int limit = *rc::gen::inRange(1, 6);
+            const bool resumable = *rc::gen::arbitrary<bool>();
+            RequestAttempts attempts(kind, resumable, limit);
+            int runs = 0;
+            int vms = 0;
+            for (const auto outcome : *outcomes()) {
+                if (!attempts.mayRetry()) {
+                    break;
+                }
+                const int delegated = attempts.attemptsToDelegate();
+                RC_ASSERT(delegated >= 1);
+                attempts.onAttempt(delegated);
+                attempts.onOutcome(outcome, delegated);
+                runs += mayHaveRun(outcome) ? delegated : 0;
+                vms += outcome == AttemptOutcome::Unknown ? 1 : 0;
+            }
+            RC_ASSERT(runs <= limit);
+            RC_ASSERT(vms < 2 || (kind == RouteKind::Stream && resumable));
+        });
+        RequestAttempts stream(RouteKind::Stream, true, 3);
+        CPPUNIT_ASSERT_EQUAL(2, stream.attemptsToDelegate());
+        stream.onAttempt(2);
+        stream.onOutcome(AttemptOutcome::Unknown, 2);
+        CPPUNIT_ASSERT_EQUAL(1, stream.attemptsToDelegate());
+    }
+
     auto refusedOnlyIfNothingCanHaveRun() -> void
     {
         CHECK_PROPERTY("the answer is Refused exactly if nothing can have run", [] {
