A relayed request that would outlast a stop is refused before it is sent

Callers of a VM that was cut off and stopping saw 502 for a booking that had been sent on: it ran, and its answer came after the VM's end.

Evidence: relayed_requests_that_would_outlast_a_stop_are_refused on: 502; with this change 503 with Retry-After, and no run.

Change: the same check, with the expected duration of the service's requests or of the stream, before the first and each further VM is asked.

--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -45,6 +45,7 @@
 
 private:
     auto send(std::string_view reason) -> bool;
+    auto outlastsThisVm() const -> bool;
     auto relayInfo() const -> RelayInfo;
     auto onHead(int status, const Headers &headers) -> void;
     auto onData(std::string_view data) -> void;
@@ -105,11 +106,22 @@
     });
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time"); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
-    if (!send(reason)) {
+    if (!m_headSent && outlastsThisVm()) {
+        fail(false, StopReason);
+    } else if (!send(reason)) {
         fail(false, "no other VM reaches the upstreams of the service");
     }
 }
 
+/// Returns whether the answer is expected too late, because this VM stops.
+auto RelayedRequest::outlastsThisVm() const -> bool
+{
+    const auto &service = m_request.service;
+    const auto expected = m_isStream ? m_context.speedsOf(service).expectedDuration(m_request.metadata.shape)
+                                     : fromMilliseconds(m_context.requestTimeOf(service).value());
+    return currantstack::outlastsThisVm(m_context, expected);
+}
+
 /// Returns false if no VM is left to ask.
 auto RelayedRequest::send(std::string_view reason) -> bool
 {
@@ -394,7 +406,7 @@
 auto RelayedRequest::mayAskAnother(AttemptOutcome outcome) -> bool
 {
     const auto now = m_context.clock.now();
-    return m_attempts.mayRetry() && now < m_request.deadline()
+    return m_attempts.mayRetry() && now < m_request.deadline() && (m_headSent || !outlastsThisVm())
         && (outcome == AttemptOutcome::NotSent || std::exchange(m_retryAcquired, false)
             || m_context.retryBudget.tryAcquire(m_request.service, now));
 }
@@ -411,7 +423,8 @@
         m_request.exchange->abort();
     } else {
         std::uniform_real_distribution<double> delayMs(toMilliseconds(ShortestRetryAfter), toMilliseconds(LongestRetryAfter));
-        respondWithError(m_context, m_request, m_attempts, timedOut, reason, fromMilliseconds(delayMs(m_context.random)));
+        const auto retryAfter = m_context.draining ? StoppingRetryAfter : fromMilliseconds(delayMs(m_context.random));
+        respondWithError(m_context, m_request, m_attempts, timedOut, reason, retryAfter);
     }
     finish();
 }
--- a/test/edge/relay_tests.py
+++ b/test/edge/relay_tests.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 
 from stranded_tests import DETECTION_S, StrandedRig
 
@@ -12,6 +13,10 @@
 ATTEMPTS = 3
 THRICE = {"name": "thrice", "host": "app.example", "prefix": "/thrice/", "type": "safe", "service": "booking", "timeout_ms": 20000,
           "attempts": ATTEMPTS, "latency_goal_ms": 400}
+SLOW = {"name": "slow", "host": "app.example", "prefix": "/slow/", "type": "unsafe", "service": "booking", "timeout_ms": 20000, "attempts": 1,
+        "latency_goal_ms": 3000}
+SLOW_S = 2.0  # time of a run
+LEARNED = 24  # requests after which a VM expects that time
 CONFIGURED_S = 1.0  # until all VMs follow a new configuration
 
 
@@ -58,4 +63,23 @@
         assert 2 <= len(rig.runs_of(request)) <= ATTEMPTS, rig.runs_of(request)
 
 
-TESTS = [relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms]
+async def relayed_requests_that_would_outlast_a_stop_are_refused():
+    """Guards against an at-most-once request that is sent although its answer is expected after the end of the VM that took it."""
+    async with StrandedRig(vms=3, grace=4) as rig:
+        await configured(rig, SLOW)
+        for service in rig.fleet.services:
+            service.WORK_S = SLOW_S
+        await asyncio.gather(*(rig.send("slow", rig.vms[0], deadline=20000, limit=10) for _ in range(LEARNED)))
+        rig.links.cut(rig.vms[0], "refuse", rig.fleet.services)
+        await asyncio.gather(*(rig.send("check", rig.vms[0]) for _ in range(6)))  # by which the VM finds out
+        await asyncio.sleep(DETECTION_S)
+        begin = time.monotonic()
+        rig.vms[0].signal(signal.SIGTERM)
+        await asyncio.sleep(1.7)
+        request, status, headers, _ = await rig.send("slow", rig.vms[0], deadline=20000, limit=5)
+        assert status == 503 and "retry-after" in headers, (status, headers)
+        assert time.monotonic() - begin < 2.7 and not rig.runs_of(request)
+
+
+TESTS = [relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
+         relayed_requests_that_would_outlast_a_stop_are_refused]
