A VM's refused connections make no other VM avoid sound engines

Cause: a refused connection counted as the proof of an end as soon as another upstream of the service answered. Evidence from one VM's links was taken as the state of the upstream. Each receiver also repeated the notice as if it had found the same.

Change: EndEvidence weighs notices and refusals. A VM that receives the notice avoids the engine and probes it once, 50 to 300 ms later at random; an answer of the same engine ends the exclusion. No probe is sent if the VM has reached the engine since the notice was issued, has failed to reach it itself, or does not know its entry any more. A VM that reached it within 2 s goes on using it meanwhile. VMs announce only what they have found themselves. A refused connection proves a crash once a second VM has found the end, one of another place if any reports, or at once if no other VM reports. The messages keep their form.

--- a/include/currantstack/decisions/crash_detector.h
+++ b/include/currantstack/decisions/crash_detector.h
@@ -12,9 +12,9 @@
 /// Returns the name of one start of the upstream, under which its crash is reported.
 auto incarnationOf(const Upstream &upstream) -> std::string;
 
-/// An upstream has crashed if it closed the connection of a running request and then proves to be gone: its host refuses connections,
-/// or its directory entry is removed or replaced. A connection that is merely reset, an upstream that cannot be reached and one that
-/// left after a drain do not count.
+/// An upstream has crashed if it closed the connection of a running request and then proves to be gone: another one answers at its
+/// address, its host refuses connections of several VMs, or its directory entry is removed or replaced. A connection that is merely reset,
+/// an upstream that cannot be reached and one that left after a drain do not count.
 class CrashDetector
 {
 public:
@@ -40,8 +40,8 @@
     /// Records that the upstream closed the connection of a request before its answer was complete.
     auto onConnectionClosed(const Upstream &upstream, Traits traits, TimePoint now) -> void;
 
-    /// Records that the upstream's host refused a connection.
-    auto onRefused(const std::string &incarnation, TimePoint now) -> void;
+    /// Records that the upstream has proved to be gone.
+    auto onEndProved(const std::string &incarnation, TimePoint now) -> void;
 
     /// Records that the directory entry was removed or replaced. This proves the end only of an upstream that closed connections before:
     /// one that leaves as planned may lose its entry while it still runs requests.
--- a/include/currantstack/decisions/exclusion_list.h
+++ b/include/currantstack/decisions/exclusion_list.h
@@ -68,8 +68,9 @@
     /// Adds an exclusion that this VM observed itself.
     auto add(const ExclusionNotice &notice, TimePoint now) -> void;
 
-    /// Records that the store entry was rewritten. Resets an upstream that is excluded as `Outdated`.
-    auto onUpdated(std::string_view upstream, TimePoint now) -> void;
+    /// Records that the store entry was rewritten, or that the upstream answered under it. Resets an upstream that is excluded as
+    /// `Outdated`.
+    auto onCurrent(std::string_view upstream, TimePoint now) -> void;
 
     /// Drops all refusals and exclusions of an upstream that joined or restarted.
     auto reset(std::string_view upstream, TimePoint now) -> void;
@@ -84,7 +85,14 @@
     /// Returns whether the upstream refused as full and still has at least as many requests in flight.
     auto isFull(std::string_view upstream, int requests, TimePoint now) const -> bool;
 
-    /// Returns the notices to announce to other VMs.
+    /// Returns whether this VM itself has observed that the entry is outdated.
+    auto hasObservedOutdated(std::string_view upstream, TimePoint now) const -> bool;
+
+    /// Returns the notices that this VM announces on its own behalf. `Outdated` ones of other VMs are left out: each VM that has not
+    /// verified such a notice would otherwise confirm it to the others.
+    auto ownNotices(TimePoint now) const -> std::vector<ExclusionNotice>;
+
+    /// Returns all notices, for VMs that the other VMs do not reach.
     auto notices(TimePoint now) const -> std::vector<ExclusionNotice>;
 
 private:
@@ -100,6 +108,7 @@
         EngineRole role = EngineRole::None;
         TimePoint firstAt;
         TimePoint until;
+        bool isObserved = false; // by this VM
     };
 
     struct FullRefusal
@@ -108,6 +117,9 @@
         TimePoint until;
     };
 
+    auto select(bool withReceived, TimePoint now) const -> std::vector<ExclusionNotice>;
+    auto insert(const ExclusionNotice &notice, bool isObserved, TimePoint now) -> void;
+
     std::map<std::string, Refusal, std::less<>> m_refusals;
     std::map<std::string, FullRefusal, std::less<>> m_full;
     std::map<std::string, Exclusion, std::less<>> m_exclusions;
--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -92,6 +92,13 @@
     /// Returns whether this VM has peers, and none of them has sent a datagram or become known lately.
     auto hearsNoPeer(TimePoint now) const -> bool;
 
+    /// Returns whether another VM reports to this one, so that it can confirm the end of an upstream.
+    auto hasWitness(TimePoint now) const -> bool;
+
+    /// Returns whether a VM of this place can confirm the end of an upstream that this VM does not reach. VMs of one place may have lost
+    /// the same links, so those of other places count if they report to this VM.
+    auto isWitness(std::string_view place, TimePoint now) const -> bool;
+
     /// Returns whether this VM sends the aggregate of its place: the first by name among the VMs of the place that report.
     auto isAggregator(TimePoint now) const -> bool;
 
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -4,6 +4,7 @@
 #include "currantstack/counters.h"
 #include "currantstack/decisions/cost_table.h"
 #include "currantstack/decisions/crash_detector.h"
+#include "currantstack/decisions/end_evidence.h"
 #include "currantstack/decisions/exclusion_list.h"
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
@@ -103,6 +104,8 @@
     StreamOrigins origins = {};
     OriginHooks originHooks = {};
     UpstreamReach reach = {};
+    EndEvidence endEvidence = {};
+    std::function<bool()> hasWitness = []() { return false; }; // whether another VM can confirm the end of an upstream
     RelayHooks relayHooks = {};
     std::map<std::string, int, std::less<>> relayedInFlight = {}; // requests that other VMs forward for this one, by VM
     bool takesRelays = false; // this VM has opened its port for requests of other VMs
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -50,6 +50,19 @@
         m_onReport = std::move(handler);
     }
 
+    /// Sets the receiver of other VMs' notices that an upstream's entry is outdated. `isWitness` says whether the notice confirms what
+    /// this VM has found.
+    auto setOutdatedHandler(std::function<void(const ExclusionNotice &notice, bool isWitness)> handler) -> void
+    {
+        m_onOutdated = std::move(handler);
+    }
+
+    /// Returns whether another VM can confirm the end of an upstream.
+    auto hasWitness() const -> bool
+    {
+        return m_peers.hasWitness(m_context.clock.now());
+    }
+
     /// Sets the receiver of the datagrams that begin with `OriginMagic`.
     auto setOriginHandler(std::function<void(std::string_view bytes, const SocketAddress &from)> handler) -> void
     {
@@ -129,6 +142,7 @@
     std::map<std::string, std::int64_t, std::less<>> m_protocolsHeard; // number of the protocol that each VM reported last
     std::set<std::int64_t> m_protocolsCounted; // numbers that have a gauge
     std::function<void(std::string_view bytes)> m_onReport;
+    std::function<void(const ExclusionNotice &notice, bool isWitness)> m_onOutdated;
     std::function<void(std::string_view bytes, const SocketAddress &from)> m_onOrigins;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_aggregateTimer;
--- a/include/currantstack/edge/reach_controller.h
+++ b/include/currantstack/edge/reach_controller.h
@@ -7,21 +7,33 @@
 namespace currantstack
 {
 
-/// Probes upstreams while this VM is cut off from them, and others of a service whose upstreams refuse connections.
+/// Probes upstreams while this VM is cut off from them, others of a service whose upstreams refuse connections, and those that another
+/// VM reports to have ended.
 class ReachController
 {
 public:
     static constexpr Duration ShortestPeriod = milliseconds(200); // between probes; drawn at random, which spreads the VMs' returns
     static constexpr Duration LongestPeriod = milliseconds(400);
 
+    static constexpr Duration ShortestVerificationDelay = milliseconds(50); // drawn at random, which spreads the probes of all VMs
+    static constexpr Duration LongestVerificationDelay = milliseconds(300);
+
     ReachController(EdgeContext &context, LoadExchange &exchange);
 
     auto start() -> void;
 
 private:
+    enum class ProbePurpose
+    {
+        Links, // of this VM
+        Notice, // of another VM
+    };
+
     auto check() -> void;
     auto probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void;
-    auto probe(const Upstream &upstream, std::string_view healthPath) -> void;
+    auto onOutdated(const ExclusionNotice &notice, bool isWitness) -> void;
+    auto verify(const std::string &id, TimePoint issuedAt) -> void;
+    auto probe(const Upstream &upstream, std::string_view healthPath, ProbePurpose purpose) -> void;
 
     EdgeContext &m_context;
     std::unique_ptr<Timer> m_timer;
--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -15,9 +15,12 @@
 /// Records a call of this VM's own, such as a probe, that failed for any reason.
 auto recordFailedCall(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
 
-/// Records that the upstream has ended: another one answers at its address, or its host refuses connections over a sound link.
+/// Records that the upstream has ended, because another one answers at its address.
 auto recordEnd(EdgeContext &context, const Upstream &upstream) -> void;
 
+/// Records that another VM has found the upstream's end.
+auto recordWitness(EdgeContext &context, std::string_view upstream) -> void;
+
 /// Records that the upstream has not answered in time on a connection that was opened at `openedAt`.
 auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void;
 
--- a/src/decisions/crash_detector.cc
+++ b/src/decisions/crash_detector.cc
@@ -38,7 +38,7 @@
     }
 }
 
-auto CrashDetector::onRefused(const std::string &incarnation, TimePoint now) -> void
+auto CrashDetector::onEndProved(const std::string &incarnation, TimePoint now) -> void
 {
     expire(now);
     if (m_incarnations.size() < MaxIncarnations || m_incarnations.contains(incarnation)) {
@@ -59,7 +59,7 @@
     entry.ended = true;
     entry.since = now;
     if (entry.closedAt == TimePoint()) {
-        entry.closedAt = now; // refused before a closed connection was noticed
+        entry.closedAt = now; // proved before a closed connection was noticed
     }
     if (auto requests = std::exchange(entry.requests, {}); !requests.empty()) {
         m_hooks.onCrash(incarnation, std::move(requests), entry.closedAt);
--- a/src/decisions/exclusion_list.cc
+++ b/src/decisions/exclusion_list.cc
@@ -48,7 +48,12 @@
 
 auto ExclusionList::add(const ExclusionNotice &notice, TimePoint now) -> void
 {
-    m_exclusions.insert_or_assign(notice.upstream, Exclusion{notice.reason, notice.role, now, now + notice.remaining});
+    insert(notice, true, now);
+}
+
+auto ExclusionList::insert(const ExclusionNotice &notice, bool isObserved, TimePoint now) -> void
+{
+    m_exclusions.insert_or_assign(notice.upstream, Exclusion{notice.reason, notice.role, now, now + notice.remaining, isObserved});
     std::erase_if(m_exclusions, [now](const auto &entry) { return entry.second.until <= now; });
 }
 
@@ -62,7 +67,7 @@
     std::erase_if(m_resetAt, [now](const auto &entry) { return now - entry.second >= StaleNoticeWindow; });
 }
 
-auto ExclusionList::onUpdated(std::string_view upstream, TimePoint now) -> void
+auto ExclusionList::onCurrent(std::string_view upstream, TimePoint now) -> void
 {
     if (const auto exclusion = m_exclusions.find(upstream);
         exclusion != m_exclusions.end() && exclusion->second.reason == ExclusionReason::Outdated) {
@@ -79,7 +84,7 @@
     const auto found = m_exclusions.find(notice.upstream);
     const bool isSame = found != m_exclusions.end() && found->second.reason == notice.reason && found->second.role == notice.role;
     if (found == m_exclusions.end() || found->second.until <= now || (!isSame && now + notice.remaining > found->second.until)) {
-        add(notice, now);
+        insert(notice, false, now);
     } else if (isSame) {
         auto &exclusion = found->second;
         exclusion.until = std::max(exclusion.until, std::min(now + notice.remaining, exclusion.firstAt + MaxNoticeLifetime));
@@ -106,11 +111,29 @@
     return storeUnreachable;
 }
 
+auto ExclusionList::hasObservedOutdated(std::string_view upstream, TimePoint now) const -> bool
+{
+    const auto found = m_exclusions.find(upstream);
+    return found != m_exclusions.end() && found->second.reason == ExclusionReason::Outdated && found->second.isObserved
+        && now < found->second.until;
+}
+
+auto ExclusionList::ownNotices(TimePoint now) const -> std::vector<ExclusionNotice>
+{
+    return select(false, now);
+}
+
 auto ExclusionList::notices(TimePoint now) const -> std::vector<ExclusionNotice>
+{
+    return select(true, now);
+}
+
+auto ExclusionList::select(bool withReceived, TimePoint now) const -> std::vector<ExclusionNotice>
 {
     std::vector<ExclusionNotice> result;
     for (const auto &[upstream, exclusion] : m_exclusions) {
-        if (now < exclusion.until && result.size() < MaxNotices) {
+        const bool isIncluded = withReceived || exclusion.isObserved || exclusion.reason != ExclusionReason::Outdated;
+        if (isIncluded && now < exclusion.until && result.size() < MaxNotices) {
             result.push_back({upstream, exclusion.reason, exclusion.role, exclusion.until - now});
         }
     }
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -216,6 +216,18 @@
     return !m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), isHeard);
 }
 
+auto PeerTable::hasWitness(TimePoint now) const -> bool
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto &entry) { return now - entry.second.receivedAt < ReportLifetime; });
+}
+
+auto PeerTable::isWitness(std::string_view place, TimePoint now) const -> bool
+{
+    return place != m_place || std::none_of(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
+               return entry.second.place != m_place && now - entry.second.receivedAt < ReportLifetime;
+           });
+}
+
 auto PeerTable::reportingVms(TimePoint now) const -> std::size_t
 {
     std::size_t reporting = 0;
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -176,7 +176,7 @@
         m_context.exclusions.reset(entry.id, m_context.clock.now());
     }
     if (change == UpstreamChange::Updated) {
-        m_context.exclusions.onUpdated(entry.id, m_context.clock.now());
+        m_context.exclusions.onCurrent(entry.id, m_context.clock.now());
     }
     if (change == UpstreamChange::Draining) {
         m_context.exclusions.add({entry.id, ExclusionReason::Draining, EngineRole::None, ExclusionList::DrainingLifetime},
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -19,7 +19,6 @@
 
 constexpr std::size_t MaxDatagramBytes = 8192;
 constexpr std::string_view AggregatePrefix = "place:"; // of the source of an aggregate
-constexpr Duration RecentContact = seconds(2); // an upstream that answered this VM within this time is where its entry says
 constexpr int MaxReceivesPerWakeup = 64; // so that datagrams do not starve callers' requests
 
 auto toNative(const SocketAddress &address) -> sockaddr_in
@@ -178,10 +177,9 @@
     }
     m_context.loads.merge(message.source, message.sequence, message.loads, now);
     for (const auto &notice : message.exclusions) {
-        // The sender's link to the upstream may be broken, while this VM's is not.
-        const bool isDisproved =
-            notice.reason == ExclusionReason::Outdated && m_context.reach.hasReached(notice.upstream, now - RecentContact);
-        if (!isDisproved) {
+        if (notice.reason == ExclusionReason::Outdated) {
+            m_onOutdated(notice, !message.isAggregate && m_peers.isWitness(message.place, now));
+        } else {
             m_context.exclusions.merge(notice, now);
         }
     }
@@ -231,7 +229,7 @@
           false,
           {},
           m_context.localCosts(),
-          m_context.exclusions.notices(now),
+          m_context.exclusions.ownNotices(now),
           std::move(loads),
           std::move(limits),
           std::move(versions),
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -26,6 +26,8 @@
         }
         return candidates;
     };
+    context.hasWitness = [&exchange]() { return exchange.hasWitness(); };
+    exchange.setOutdatedHandler([this](const ExclusionNotice &notice, bool isWitness) { onOutdated(notice, isWitness); });
     context.relayHooks.onConnectionRefused = [&exchange](std::string_view vm) { exchange.onRelayConnectionRefused(vm); };
 }
 
@@ -51,7 +53,7 @@
     }
     if (const auto *upstream = m_context.reach.nextDoubtful(); upstream != nullptr && mayGetRequest(m_context, *upstream)) {
         const auto *service = m_context.routeTable->service(upstream->service);
-        probe(Upstream(*upstream), service == nullptr ? "" : service->healthPath);
+        probe(Upstream(*upstream), service == nullptr ? "" : service->healthPath, ProbePurpose::Links);
     }
     const auto now = m_context.clock.now();
     for (const auto &name : m_context.reach.unprovedServices()) {
@@ -68,25 +70,70 @@
         return !isEligible(*upstream) || m_context.notices.pauseLeft(*upstream, m_context.clock.now()) > Duration::zero();
     });
     if (const auto *upstream = m_context.reach.nextProbe(upstreams)) {
-        probe(*upstream, service.healthPath);
+        probe(*upstream, service.healthPath, ProbePurpose::Links);
     }
 }
 
-auto ReachController::probe(const Upstream &upstream, std::string_view healthPath) -> void
+auto ReachController::onOutdated(const ExclusionNotice &notice, bool isWitness) -> void
+{
+    const auto now = m_context.clock.now();
+    const auto issuedAt = EndEvidence::issuedAt(notice, now);
+    const auto &reach = m_context.reach;
+    const EndEvidence::Contact contact{
+        reach.hasReached(notice.upstream, issuedAt), reach.hasReached(notice.upstream, now - EndEvidence::RecentContact),
+        reach.isUnreached(notice.upstream, now) || m_context.exclusions.hasObservedOutdated(notice.upstream, now)};
+    if (isWitness && !contact.sinceNotice) {
+        recordWitness(m_context, notice.upstream);
+    }
+    const auto use = m_context.endEvidence.onNotice(notice, contact, now);
+    if (use == NoticeUse::Exclude || use == NoticeUse::ExcludeAndVerify) {
+        m_context.exclusions.merge(notice, now);
+    }
+    if (use == NoticeUse::Verify || use == NoticeUse::ExcludeAndVerify) {
+        std::uniform_real_distribution<double> delayMs(toMilliseconds(ShortestVerificationDelay), toMilliseconds(LongestVerificationDelay));
+        m_context.loop.after(fromMilliseconds(delayMs(m_context.random)),
+                             [this, id = notice.upstream, issuedAt]() { verify(id, issuedAt); });
+    }
+}
+
+auto ReachController::verify(const std::string &id, TimePoint issuedAt) -> void
+{
+    const auto now = m_context.clock.now();
+    const auto *upstream = m_context.directory.find(id);
+    const auto *service = upstream == nullptr || !m_context.routeTable ? nullptr : m_context.routeTable->service(upstream->service);
+    const bool isReached = m_context.reach.hasReached(id, issuedAt);
+    if (isReached) {
+        m_context.exclusions.onCurrent(id, now);
+    }
+    if (isReached || service == nullptr || m_context.draining || !mayGetRequest(m_context, *upstream)
+        || m_context.exclusions.hasObservedOutdated(id, now)) {
+        m_context.endEvidence.onVerified(id, now);
+        return;
+    }
+    probe(*upstream, service->healthPath, ProbePurpose::Notice);
+}
+
+auto ReachController::probe(const Upstream &upstream, std::string_view healthPath, ProbePurpose purpose) -> void
 {
     m_context.reach.onProbe(upstream, m_context.clock.now());
     auto call = m_context.protocol.probeCall(upstream, healthPath);
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = ProbeTimeout;
     HttpHandlers handlers;
-    handlers.onDone = [this, upstream, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
+    handlers.onDone = [this, upstream, purpose, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
         m_context.counters.at("link_probes").add();
         m_context.log.write("links", "upstream_probed",
                             {{"upstream", upstream.id},
                              {"service", upstream.service},
+                             {"purpose", purpose == ProbePurpose::Notice ? "notice" : "links"},
                              {"result", result ? fmt::format("status {}", result->status) : describe(result.error())}});
+        if (purpose == ProbePurpose::Notice) {
+            m_context.endEvidence.onVerified(upstream.id, m_context.clock.now());
+        }
         if (!result) {
-            recordFailedCall(m_context, upstream, result.error(), openedAt);
+            // An upstream that is merely late says nothing about the notice, nor about this VM's links.
+            const auto record = purpose == ProbePurpose::Notice ? &recordFailedLink : &recordFailedCall;
+            record(m_context, upstream, result.error(), openedAt);
             return;
         }
         m_context.exclusions.onAccepted(upstream.id);
@@ -94,6 +141,7 @@
         if (m_context.protocol.isOtherUpstream(*result, upstream)) {
             recordEnd(m_context, upstream);
         } else {
+            m_context.exclusions.onCurrent(upstream.id, m_context.clock.now());
             observeNotices(m_context, upstream, result);
         }
     };
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -37,23 +37,49 @@
     context.loop.defer([&context]() { context.pendingQueue.retryHeads(); });
 }
 
-} // namespace
-
-auto recordEnd(EdgeContext &context, const Upstream &upstream) -> void
+/// Excludes the upstream unless its entry was replaced meanwhile. The other VMs verify the announcement.
+auto excludeEnded(EdgeContext &context, const Upstream &upstream, bool isProved) -> void
 {
     const auto now = context.clock.now();
-    context.crashDetector.onRefused(incarnationOf(upstream), now);
     const auto *entry = context.directory.find(upstream.id);
     if (entry != nullptr && incarnationOf(*entry) == incarnationOf(upstream)) {
         context.exclusions.add({upstream.id, ExclusionReason::Outdated, EngineRole::None, ExclusionList::OutdatedLifetime}, now);
-        context.log.write("links", "entry_outdated", {{"upstream", upstream.id}, {"service", upstream.service}});
+        context.log.write("links", "entry_outdated", {{"upstream", upstream.id}, {"service", upstream.service}, {"proved", isProved}});
+    }
+}
+
+/// Records that the upstream's host refuses this VM, which reaches others of the service.
+auto recordRefusal(EdgeContext &context, const Upstream &upstream) -> void
+{
+    const auto now = context.clock.now();
+    const bool isProved = context.endEvidence.onRefused(upstream, context.hasWitness(), now);
+    if (isProved) {
+        context.crashDetector.onEndProved(incarnationOf(upstream), now);
+    }
+    excludeEnded(context, upstream, isProved);
+}
+
+} // namespace
+
+auto recordEnd(EdgeContext &context, const Upstream &upstream) -> void
+{
+    context.crashDetector.onEndProved(incarnationOf(upstream), context.clock.now());
+    excludeEnded(context, upstream, true);
+}
+
+auto recordWitness(EdgeContext &context, std::string_view upstream) -> void
+{
+    const auto now = context.clock.now();
+    if (const auto ended = context.endEvidence.onWitness(upstream, now)) {
+        context.crashDetector.onEndProved(incarnationOf(*ended), now);
     }
 }
 
 auto recordReached(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
 {
+    context.endEvidence.onReached(upstream.id);
     for (const auto &ended : context.reach.onReached(upstream, openedAt)) {
-        recordEnd(context, ended);
+        recordRefusal(context, ended);
     }
     if (context.reach.isCutOff(upstream.service, upstream.role)) {
         updateLinks(context, upstream);
--- a/test/crash_detector-test.cc
+++ b/test/crash_detector-test.cc
@@ -51,13 +51,13 @@
         close(1);
         close(2);
         CPPUNIT_ASSERT(m_suspects.empty() && m_proofsNeeded == 1);
-        m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
+        m_detector.onEndProved(incarnationOf(upstream()), m_clock.now());
         CPPUNIT_ASSERT(m_suspects == (std::vector<Traits>{{1}, {2}}));
     }
 
     auto refusalBeforeTheClosedConnectionCounts() -> void
     {
-        m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
+        m_detector.onEndProved(incarnationOf(upstream()), m_clock.now());
         close(1);
         CPPUNIT_ASSERT(m_suspects == std::vector<Traits>{{1}});
     }
@@ -66,7 +66,7 @@
     {
         close(1);
         m_detector.onAlive(incarnationOf(upstream()));
-        m_detector.onRefused(incarnationOf(upstream()), m_clock.now()); // ends later for another reason
+        m_detector.onEndProved(incarnationOf(upstream()), m_clock.now()); // ends later for another reason
         CPPUNIT_ASSERT(m_suspects.empty());
     }
 
@@ -94,7 +94,7 @@
     {
         // An upstream of a release loses its entry, completes its requests and ends.
         m_detector.onRemoved(incarnationOf(upstream()), m_clock.now());
-        m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
+        m_detector.onEndProved(incarnationOf(upstream()), m_clock.now());
         CPPUNIT_ASSERT(m_suspects.empty() && m_proofsNeeded == 0);
     }
 
@@ -111,10 +111,10 @@
     auto restartUnderTheSameIdIsAnotherCrash() -> void
     {
         close(1);
-        m_detector.onRefused(incarnationOf(upstream()), m_clock.now());
+        m_detector.onEndProved(incarnationOf(upstream()), m_clock.now());
         close(2, 5000);
         CPPUNIT_ASSERT(m_suspects == std::vector<Traits>{{1}});
-        m_detector.onRefused(incarnationOf(upstream(5000)), m_clock.now());
+        m_detector.onEndProved(incarnationOf(upstream(5000)), m_clock.now());
         CPPUNIT_ASSERT(m_suspects == (std::vector<Traits>{{1}, {2}}));
     }
 };
--- a/test/exclusion_list-test.cc
+++ b/test/exclusion_list-test.cc
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(staleNoticesAreIgnoredAfterReset);
     CPPUNIT_TEST(delayedNoticesExpire);
     CPPUNIT_TEST(outdatedEntriesAreExcludedUntilTheyAreRewritten);
+    CPPUNIT_TEST(outdatedNoticesOfOtherVmsAreNotRepeatedAsOwn);
     CPPUNIT_TEST_SUITE_END();
 
     ManualClock m_clock;
@@ -157,10 +158,10 @@
         ExclusionList list;
         list.merge({"e", ExclusionReason::Outdated, EngineRole::None, ExclusionList::OutdatedLifetime}, m_clock.now());
         CPPUNIT_ASSERT(list.contains("e", EngineRole::Decode, false, m_clock.now()));
-        list.onUpdated("e", m_clock.now());
+        list.onCurrent("e", m_clock.now());
         CPPUNIT_ASSERT(!list.contains("e", EngineRole::Decode, false, m_clock.now()));
         list.add({"x", ExclusionReason::ChangingRole, EngineRole::Prefill, seconds(20)}, m_clock.now());
-        list.onUpdated("x", m_clock.now());
+        list.onCurrent("x", m_clock.now());
         CPPUNIT_ASSERT(list.contains("x", EngineRole::Decode, false, m_clock.now()));
     }
 
@@ -178,6 +179,22 @@
         }
         CPPUNIT_ASSERT(!list.contains("e", EngineRole::Decode, false, m_clock.now()));
     }
+
+    auto outdatedNoticesOfOtherVmsAreNotRepeatedAsOwn() -> void
+    {
+        ExclusionList list;
+        const ExclusionNotice notice{"e", ExclusionReason::Outdated, EngineRole::None, ExclusionList::OutdatedLifetime};
+        list.merge(notice, m_clock.now());
+        CPPUNIT_ASSERT(list.contains("e", EngineRole::Decode, false, m_clock.now()));
+        CPPUNIT_ASSERT(list.ownNotices(m_clock.now()).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.notices(m_clock.now()).size());
+        CPPUNIT_ASSERT(!list.hasObservedOutdated("e", m_clock.now()));
+        list.add(notice, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), list.ownNotices(m_clock.now()).size());
+        CPPUNIT_ASSERT(list.hasObservedOutdated("e", m_clock.now()));
+        list.merge({"f", ExclusionReason::Draining, EngineRole::None, ExclusionList::DrainingLifetime}, m_clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), list.ownNotices(m_clock.now()).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExclusionListTest);
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(holdersAreFoundByVmsWithOtherPeers);
     CPPUNIT_TEST(reportingVmsExpire);
     CPPUNIT_TEST(dropsVmsNeitherListedNorReporting);
+    CPPUNIT_TEST(vmsOfOtherPlacesAreWitnessesIfTheyReport);
     CPPUNIT_TEST_SUITE_END();
 
     static auto vmName(int number) -> std::string
@@ -142,6 +143,20 @@
         table.expire(clock.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.size());
     }
+
+    auto vmsOfOtherPlacesAreWitnessesIfTheyReport() -> void
+    {
+        ManualClock clock;
+        clock.advance(seconds(100));
+        PeerTable table("a", "z1");
+        CPPUNIT_ASSERT(!table.hasWitness(clock.now()));
+        table.merge("b", "z1", {"10.0.0.2", 1}, clock.now());
+        CPPUNIT_ASSERT(table.hasWitness(clock.now()) && table.isWitness("z1", clock.now()));
+        table.merge("c", "z2", {"10.0.0.3", 1}, clock.now());
+        CPPUNIT_ASSERT(table.isWitness("z2", clock.now()) && !table.isWitness("z1", clock.now()));
+        clock.advance(PeerTable::ReportLifetime);
+        CPPUNIT_ASSERT(!table.hasWitness(clock.now()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
