Process tests of the released and the current build together

Guards against a release that breaks a promise to callers beside VMs of the one in production: answers lost, at-most-once requests run twice, 503 for a request that ran, events lost or repeated, a draining upstream that gets new requests, a configuration that is late, messages or entries of the other build ignored, two order holders, a quarantine that only one build obeys.

Change: a rig chooses the program of each VM. The rolls run under the soak's callers and checks. A test that has no released build prints that it is skipped.

--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -18,9 +18,10 @@
 import silence_tests
 import stop_tests
 import relay_tests
+import release_tests
 import stranded_tests
 import version_tests
-from rig import ROOT, Rig, call, read_response
+from rig import ROOT, Rig, Skipped, call, read_response
 from platform_upstreams import JUNK
 
 
@@ -403,7 +404,7 @@
          requests_are_served_while_the_store_is_unreachable, killed_vms_restart, restarted_upstreams_serve_requests,
          prefilled_prompts_go_to_another_decode_engine, orders_have_one_holder,
          long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS,
-         *version_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *stranded_tests.TESTS, *relay_tests.TESTS, *entry_tests.TESTS, *leaving_tests.TESTS, *stop_tests.TESTS, *connection_tests.TESTS]
+         *version_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *stranded_tests.TESTS, *relay_tests.TESTS, *release_tests.TESTS, *entry_tests.TESTS, *leaving_tests.TESTS, *stop_tests.TESTS, *connection_tests.TESTS]
 
 
 def known_red():
@@ -432,6 +433,8 @@
             asyncio.run(asyncio.wait_for(test(), 90))
             passed += 1
             print(f"ok: {test.__name__}", flush=True)
+        except Skipped as reason:
+            print(f"skipped: {test.__name__}: {reason}", flush=True)
         except Exception as error:  # prints the traceback and continues with the next test
             if test.__name__ in red:
                 print(f"KNOWN RED: {test.__name__}: {error!r} (see KNOWN-RED.txt)", flush=True)
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -18,6 +18,8 @@
 from relay import Relay  # noqa: E402
 
 PROGRAM = os.environ.get("CURRANT_EDGE", os.path.join(ROOT, "build", "currant-edge"))
+# The release in production, built by support/build-production.
+RELEASED = os.environ.get("CURRANT_EDGE_RELEASED", os.path.join(ROOT, "build-production", "currant-edge"))
 
 
 FIRST_PORT, PORT_BLOCKS, BLOCK_PORTS = 21000, 115, 100
@@ -37,10 +39,14 @@
     raise RuntimeError("no free ports")
 
 
+class Skipped(Exception):
+    """Raised by a test that cannot run here; its text says what is missing."""
+
+
 class Vm:
     """One currant-edge process, which logs to a file."""
 
-    def __init__(self, number, store, place, folder, **bounds):
+    def __init__(self, number, store, place, folder, program_of, **bounds):
         self.name, self.ip = f"vm{number}", f"127.0.0.{10 + number}"
         self.port = free_port(self.ip)
         self.path = os.path.join(folder, f"{self.name}.yaml")
@@ -48,12 +54,12 @@
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(vm_settings(self.name, self.ip, self.port, store, place, **bounds))
         self.store = store
-        self.process, self.started_at = None, 0
+        self.process, self.started_at, self.program_of = None, 0, program_of
 
     async def start(self):
         self.started_at = time.monotonic()
         with open(self.log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(PROGRAM, "--settings", self.path, stdout=log, stderr=log)
+            self.process = await asyncio.create_subprocess_exec(self.program_of(self), "--settings", self.path, stdout=log, stderr=log)
 
     async def move_store(self, address):
         """Restarts the VM with another address of the store."""
@@ -148,7 +154,7 @@
     async def __aenter__(self):
         await self.fleet.start()
         for number in range(self.vm_count):
-            self.vms.append(Vm(number, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, **self.bounds))
+            self.vms.append(Vm(number, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, self.program_of, **self.bounds))
         await asyncio.gather(*(vm.start() for vm in self.vms))
         await asyncio.gather(*(vm.wait_until_ready() for vm in self.vms))
         return self
@@ -171,6 +177,10 @@
             server.stop()
         await asyncio.sleep(0.05)  # lets the servers' connection handlers finish
 
+    def program_of(self, vm):
+        """Returns the program with which the VM starts."""
+        return PROGRAM
+
     async def relay_store(self, vms):
         """Restarts the VMs so that each reaches the store through its own relay; returns the relays."""
         relays = [Relay(0, int(vm.store.rsplit(":", 1)[1])) for vm in vms]
