--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -2,13 +2,15 @@
 """Randomized fault soak of currant-edge: real processes, stand-ins and relays on loopback. The guarantees to callers and upstreams are
 checked against the responses that callers received and the runs that upstreams recorded.
 
-Usage: soak.py [--seed N] [--seconds S] [--count N] [--vms N] [--faults NAME ...]
+Usage: soak.py [--seed N] [--seconds S] [--count N] [--vms N] [--faults NAME ...] [--releases]
 
 Makes `count` runs with consecutive seeds. The last line is "N passed, N failed"; the log folder of a failed run is kept and printed.
+With --releases each start of a VM draws its build, the current or the released one.
 """
 
 import argparse
 import asyncio
+import os
 import random
 import shutil
 import signal
@@ -17,7 +19,7 @@
 
 from limit_tests import CONTACT_S, excess
 from restore_tests import restore
-from rig import Rig
+from rig import PROGRAM, RELEASED, Rig
 from version_tests import Stream
 
 from links import MODES  # noqa: E402
@@ -39,9 +41,10 @@
 class Soak(Rig):
     """A rig in which each VM reaches the store through its own relay."""
 
-    def __init__(self, seed, vms, faults=FAULTS):
+    def __init__(self, seed, vms, faults=FAULTS, programs=(PROGRAM,)):
         super().__init__(vms=vms, seed=seed, grace=6, prefill=2, decode=3, services=3)
         self.seed, self.random, self.faults = seed, random.Random(seed), faults
+        self.programs, self.program_draw = programs, random.Random(seed)  # the faults of a seed do not depend on the builds
         # Every third run makes only planned changes, during which no request may be interrupted.
         self.planned_only = seed % 3 == 0
         self.relay_of, self.responses, self.interrupted, self.drains = {}, [], [], {}
@@ -62,6 +65,9 @@
         self.relay_of = dict(zip((vm.name for vm in self.vms), await self.relay_store(self.vms)))
         return self
 
+    def program_of(self, vm):
+        return self.program_draw.choice(self.programs)
+
     # Callers
 
     async def caller(self):
@@ -338,8 +344,8 @@
         return False
 
 
-async def run_seed(seed, seconds, vms, faults):
-    async with Soak(seed, vms, faults) as soak:
+async def run_seed(seed, seconds, vms, faults, programs):
+    async with Soak(seed, vms, faults, programs) as soak:
         callers = [asyncio.create_task(soak.caller()) for _ in range(4 * vms)]
         await soak.run_changes_and_faults(seconds)
         soak.stopping = True
@@ -367,9 +373,14 @@
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--vms", type=int, default=3)
     parser.add_argument("--faults", nargs="+", choices=FAULTS, default=FAULTS)
+    parser.add_argument("--releases", action="store_true")
     arguments = parser.parse_args()
+    if arguments.releases and not os.path.exists(RELEASED):
+        print(f"skipped: there is no released build at {RELEASED}")
+        return
+    programs = (PROGRAM, RELEASED) if arguments.releases else (PROGRAM,)
     seeds = range(arguments.seed, arguments.seed + arguments.count)
-    passed = sum(asyncio.run(run_seed(seed, arguments.seconds, arguments.vms, arguments.faults)) for seed in seeds)
+    passed = sum(asyncio.run(run_seed(seed, arguments.seconds, arguments.vms, arguments.faults, programs)) for seed in seeds)
     print(f"{passed} passed, {arguments.count - passed} failed")
     sys.exit(0 if passed == arguments.count else 1)
 
