A request that arrives while its connection is closed as idle is refused

What callers saw: a request on an open connection, sent when the VM closed the connection as idle, was read and passed on, and the connection ended without an answer.

Cause: the server shuts an idle connection down for reading. Bytes that arrive after the check and before libmicrohttpd reads the end of input are still read. A request that they complete was passed on; the end of input was then taken for the caller's disconnect, which cancelled the request or discarded its answer. The same held for the rest of a slow head or body, whose connection was also shut down for writing.

Change: a request on a connection that this end has shut down for reading is not passed on but gets 408 with "Connection: close", which promises that it has not run. A slow head or body is shut down for reading only, so that the refusal arrives.

--- a/include/currantstack/connection_watch.h
+++ b/include/currantstack/connection_watch.h
@@ -67,6 +67,17 @@
         return isIdle(progress) && now - m_changedAt >= QuietTime;
     }
 
+    /// Records that this end has shut the connection down for reading. Bytes that have arrived are still read.
+    auto closeForReading() -> void
+    {
+        m_isClosedForReading = true;
+    }
+
+    auto isClosedForReading() const -> bool
+    {
+        return m_isClosedForReading;
+    }
+
     /// Returns what to do with the connection now.
     auto check(const ConnectionLimits &limits, ConnectionPhase phase, const TcpProgress &progress, TimePoint now) -> ConnectionVerdict;
 
@@ -76,6 +87,7 @@
     TcpProgress m_progress; // at the last check
     TimePoint m_changedAt; // when the progress was last seen to change
     std::optional<TimePoint> m_headBegunAt; // when a head was first seen incomplete
+    bool m_isClosedForReading = false;
 };
 
 } // namespace currantstack::detail
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -172,16 +172,28 @@
     run();
     const auto exchanges = exchangesByConnection();
     const auto now = m_clock.now();
-    for (const auto &[connection, watch] : m_connections) {
-        const int descriptor = descriptorOf(connection);
-        if (!exchanges.contains(connection) && watch.isQuiet(tcpProgress(descriptor), now)) {
-            // libmicrohttpd closes the connection when it reads the end of input, after all bytes that arrived before.
-            ::shutdown(descriptor, SHUT_RD);
+    for (auto &[connection, watch] : m_connections) {
+        if (!exchanges.contains(connection) && watch.isQuiet(tcpProgress(descriptorOf(connection)), now)) {
+            closeForReading(connection, watch);
         }
     }
     run();
 }
 
+/// libmicrohttpd closes the connection when it reads the end of input, after all bytes that arrive before. A request that these bytes
+/// complete gets status 408.
+auto ServerCore::closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void
+{
+    watch.closeForReading();
+    ::shutdown(descriptorOf(connection), SHUT_RD);
+}
+
+auto ServerCore::isClosedForReading(MHD_Connection *connection) const -> bool
+{
+    const auto found = m_connections.find(connection);
+    return found != m_connections.end() && found->second.isClosedForReading();
+}
+
 auto ServerCore::setLimits(const ServerLimits &limits) -> void
 {
     m_maxHead = limits.maxHead;
@@ -198,16 +210,20 @@
     const auto now = m_clock.now();
     for (auto &[connection, watch] : m_connections) {
         auto phase = ConnectionPhase::BetweenRequests;
+        bool isRead = true; // by the server; otherwise the response is written
         if (const auto found = exchanges.find(connection); found != exchanges.end()) {
             const auto &exchange = *found->second;
             phase = exchange.m_suspended ? ConnectionPhase::Waiting
                 : exchange.m_headRead    ? ConnectionPhase::Transfer
                                          : ConnectionPhase::Head;
+            isRead = !exchange.m_responseQueued;
         }
         const int descriptor = descriptorOf(connection);
         const auto verdict = watch.check(m_limits, phase, tcpProgress(descriptor), now);
-        if (verdict != ConnectionVerdict::Keep) {
-            ::shutdown(descriptor, verdict == ConnectionVerdict::CloseIdle ? SHUT_RD : SHUT_RDWR);
+        if (verdict != ConnectionVerdict::Keep && isRead) {
+            closeForReading(connection, watch);
+        } else if (verdict != ConnectionVerdict::Keep) {
+            ::shutdown(descriptor, SHUT_RDWR);
         }
     }
     scheduleRun();
@@ -276,6 +292,11 @@
         if (exchange.m_bodyTooLarge) {
             exchange.respond(
                 {413, {{"Content-Type", "application/problem+json"}}, R"({"title":"body too large","status":413,"ran":"no"})"});
+        } else if (self->isClosedForReading(connection)) {
+            // libmicrohttpd would take the end of input for the caller's disconnect while the request waits for its answer.
+            exchange.respond({408,
+                              {{"Content-Type", "application/problem+json"}, {"Connection", "close"}},
+                              R"({"title":"the connection is being closed","status":408,"ran":"no"})"});
         } else {
             self->m_handler(*static_cast<ExchangePtr *>(*state));
         }
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -72,6 +72,8 @@
     auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
     auto headError(const Exchange &exchange) const -> std::optional<HttpResponse>;
     auto closeOverdue() -> void;
+    auto isClosedForReading(MHD_Connection *connection) const -> bool;
+    static auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
     auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>;
     auto queueResponse(Exchange &exchange) -> MHD_Result;
     auto run() -> void;
--- a/test/edge/loss_tests.py
+++ b/test/edge/loss_tests.py
@@ -221,6 +221,51 @@
         assert_none_lost(rig, results)
 
 
+IDLE_S = 1.5
+CHECK_S = 1.0  # period of the server's checks
+CONNECTIONS = 400
+ROUNDS = 4
+SPREAD_S = 0.04  # of the requests around the time at which the server closes idle connections
+
+
+async def requests_at_the_end_of_the_idle_time_are_answered():
+    """Guards against a request that arrives while its connection is closed as idle, is passed on and then cut."""
+    async with Rig() as rig:
+        vm, results = rig.vms[0], []
+        publish(rig, lambda document: document["limits"].update(idle_timeout_ms=int(1000 * IDLE_S)))
+        await asyncio.sleep(1)
+        closed_at = None
+        for _ in range(ROUNDS):
+            connections = [await asyncio.open_connection(vm.ip, vm.port) for _ in range(CONNECTIONS)]
+            rig.writers += [writer for _, writer in connections]
+            for begin in range(0, CONNECTIONS, 50):
+                answers = await asyncio.gather(*(exchange(rig, connection, "check") for connection in connections[begin:begin + 50]))
+                assert {sent.status for sent in answers} == {200}
+            idle_since = time.monotonic()
+            if closed_at is None:
+                closings = [asyncio.create_task(reader.read(1)) for reader, _ in connections]
+                await asyncio.wait(closings, return_when=asyncio.FIRST_COMPLETED)
+                closed_at = time.monotonic()
+                await asyncio.gather(*closings)
+            else:
+                closes_at = closed_at + CHECK_S * -(-(idle_since + IDLE_S - closed_at) // CHECK_S)
+
+                async def send(connection):
+                    await asyncio.sleep(closes_at - time.monotonic() + random.uniform(-SPREAD_S, SPREAD_S))
+                    results.append(await exchange(rig, connection, "book"))
+                await asyncio.gather(*(send(connection) for connection in connections))
+            for _, writer in connections:
+                writer.transport.abort()
+        log = vm.log_text()
+        read = [sent for sent in results if sent.status is None and f'"{sent.request}"' in log]
+        assert not read, f"{len(read)} of {len(results)} requests are read and not answered: {read[:3]}"
+        refused = [sent for sent in results if sent.status == 408]
+        assert not any(rig.runs_of(sent.request) for sent in refused), refused
+        answered = [sent for sent in results if sent.status == 200]
+        assert all(sent.status in (200, 408, None) for sent in results), [sent for sent in results if sent.status not in (200, 408, None)][:3]
+        assert 0 < len(answered) < len(results), f"{len(answered)} of {len(results)} requests come before their connection is closed"
+
+
 async def slow_requests(rig, vm, seconds, kind="book"):
     """Sends a body or a head whose last byte comes after this time; returns what its caller got."""
     connection = await asyncio.open_connection(vm.ip, vm.port)
@@ -362,9 +407,9 @@
 
 
 TESTS = [requests_beside_a_stop_and_a_change_are_answered, requests_beside_reloads_and_changes_are_answered,
-         requests_beside_a_start_and_a_change_are_answered, bodies_that_are_complete_after_a_stop_began_are_answered,
-         slow_requests_beside_shorter_limits_are_answered, waiting_requests_beside_shorter_limits_are_answered,
-         relayed_requests_beside_changes_are_answered, relayed_requests_beside_changes_and_an_older_vm_are_answered,
-         relayed_requests_beside_changes_and_older_vms_are_answered, relayed_requests_beside_changes_and_stops_are_answered,
-         relayed_requests_beside_changes_stops_and_silence_are_answered, requests_beside_silence_a_change_and_a_stop_are_answered,
-         requests_beside_four_troubles_are_answered]
+         requests_beside_a_start_and_a_change_are_answered, requests_at_the_end_of_the_idle_time_are_answered,
+         bodies_that_are_complete_after_a_stop_began_are_answered, slow_requests_beside_shorter_limits_are_answered,
+         waiting_requests_beside_shorter_limits_are_answered, relayed_requests_beside_changes_are_answered,
+         relayed_requests_beside_changes_and_an_older_vm_are_answered, relayed_requests_beside_changes_and_older_vms_are_answered,
+         relayed_requests_beside_changes_and_stops_are_answered, relayed_requests_beside_changes_stops_and_silence_are_answered,
+         requests_beside_silence_a_change_and_a_stop_are_answered, requests_beside_four_troubles_are_answered]
