A shorter header timeout holds from the next request on

What callers saw: a request whose head was half arrived when a shorter header_timeout_ms was published lost its connection, although it kept the limit under which it had begun.

Cause: the time of a head was compared with the limit in force at the check, not with the one in force when the head began.

Change: each connection keeps its head timeout like its idle timeout: a longer one takes effect at once, a shorter one from the next request on.

--- a/include/currantstack/connection_watch.h
+++ b/include/currantstack/connection_watch.h
@@ -38,7 +38,8 @@
 {
 public:
     ConnectionWatch(const ConnectionLimits &limits, TimePoint now)
-        : m_idleTimeout(limits.idleTimeout)
+        : m_headTimeout(limits.headTimeout)
+        , m_idleTimeout(limits.idleTimeout)
         , m_changedAt(now)
     { }
 
@@ -82,6 +83,7 @@
     auto check(const ConnectionLimits &limits, ConnectionPhase phase, const TcpProgress &progress, TimePoint now) -> ConnectionVerdict;
 
 private:
+    Duration m_headTimeout; // of the current head or the next one
     Duration m_idleTimeout;
     std::uint64_t m_consumed = 0; // bytes of the requests that have ended
     TcpProgress m_progress; // at the last check
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -139,7 +139,7 @@
     /// Closes each connection after its next response, which tells the caller.
     auto closeAfterResponses() -> void;
 
-    /// Sets the limits. Open connections get a longer idle timeout at once and a shorter one from their next request.
+    /// Sets the limits. Open connections get longer timeouts at once and shorter ones from their next request.
     auto setLimits(const ServerLimits &limits) -> void;
 
     /// Returns the number of requests in flight.
--- a/src/base/connection_watch.cc
+++ b/src/base/connection_watch.cc
@@ -8,6 +8,13 @@
 namespace
 {
 
+/// Returns the longer one of two limits, of which zero is none.
+auto longer(Duration left, Duration right) -> Duration
+{
+    const bool isUnlimited = left == Duration::zero() || right == Duration::zero();
+    return isUnlimited ? Duration::zero() : std::max(left, right);
+}
+
 auto isExceeded(Duration limit, Duration time) -> bool
 {
     return limit > Duration::zero() && time > limit;
@@ -24,8 +31,8 @@
 
 auto ConnectionWatch::onLimits(const ConnectionLimits &limits) -> void
 {
-    const bool isUnlimited = m_idleTimeout == Duration::zero() || limits.idleTimeout == Duration::zero();
-    m_idleTimeout = isUnlimited ? Duration::zero() : std::max(m_idleTimeout, limits.idleTimeout);
+    m_headTimeout = longer(m_headTimeout, limits.headTimeout);
+    m_idleTimeout = longer(m_idleTimeout, limits.idleTimeout);
 }
 
 auto ConnectionWatch::check(const ConnectionLimits &limits, ConnectionPhase phase, const TcpProgress &progress, TimePoint now)
@@ -38,6 +45,7 @@
     }
     if (phase == ConnectionPhase::BetweenRequests && isIdle(progress)) {
         m_headBegunAt.reset();
+        m_headTimeout = limits.headTimeout;
         return isExceeded(m_idleTimeout, now - m_changedAt) ? ConnectionVerdict::CloseIdle : ConnectionVerdict::Keep;
     }
     if (progress.unread > 0) {
@@ -45,9 +53,10 @@
     }
     if (phase == ConnectionPhase::BetweenRequests || phase == ConnectionPhase::Head) {
         m_headBegunAt = m_headBegunAt.value_or(now);
-        return isExceeded(limits.headTimeout, now - *m_headBegunAt) ? ConnectionVerdict::CloseSlow : ConnectionVerdict::Keep;
+        return isExceeded(m_headTimeout, now - *m_headBegunAt) ? ConnectionVerdict::CloseSlow : ConnectionVerdict::Keep;
     }
     m_headBegunAt.reset();
+    m_headTimeout = limits.headTimeout;
     const bool isStalled = phase == ConnectionPhase::Transfer && isExceeded(limits.stallTimeout, now - m_changedAt);
     return isStalled ? ConnectionVerdict::CloseSlow : ConnectionVerdict::Keep;
 }
--- a/test/edge/loss_tests.py
+++ b/test/edge/loss_tests.py
@@ -303,6 +303,27 @@
             assert sent.status == 200, sent
 
 
+async def half_read_heads_beside_shorter_limits_are_answered():
+    """Guards against a lowered header timeout that ends a request which began under the former one."""
+    async with Rig() as rig:
+        vm = rig.vms[0]
+
+        async def slow_head(seconds):
+            reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+            rig.writers.append(writer)
+            request = rig.request_id()
+            data = encoded(request, "book")
+            writer.write(data[:40])
+            await asyncio.sleep(seconds)
+            writer.write(data[40:])
+            return request, (await read_response(reader))[0]
+        tasks = [asyncio.create_task(slow_head(2.5)) for _ in range(4)]
+        await asyncio.sleep(0.3)
+        publish(rig, shorten_everything)
+        for request, status in await asyncio.gather(*tasks):
+            assert status == 200, (request, status)
+
+
 async def waiting_requests_beside_shorter_limits_are_answered():
     """Requests that wait for capacity or for their engines keep the limits that were in force when they came."""
     async with Rig(prefill=1, decode=1) as rig:
@@ -409,7 +430,8 @@
 TESTS = [requests_beside_a_stop_and_a_change_are_answered, requests_beside_reloads_and_changes_are_answered,
          requests_beside_a_start_and_a_change_are_answered, requests_at_the_end_of_the_idle_time_are_answered,
          bodies_that_are_complete_after_a_stop_began_are_answered, slow_requests_beside_shorter_limits_are_answered,
-         waiting_requests_beside_shorter_limits_are_answered, relayed_requests_beside_changes_are_answered,
-         relayed_requests_beside_changes_and_an_older_vm_are_answered, relayed_requests_beside_changes_and_older_vms_are_answered,
-         relayed_requests_beside_changes_and_stops_are_answered, relayed_requests_beside_changes_stops_and_silence_are_answered,
-         requests_beside_silence_a_change_and_a_stop_are_answered, requests_beside_four_troubles_are_answered]
+         half_read_heads_beside_shorter_limits_are_answered, waiting_requests_beside_shorter_limits_are_answered,
+         relayed_requests_beside_changes_are_answered, relayed_requests_beside_changes_and_an_older_vm_are_answered,
+         relayed_requests_beside_changes_and_older_vms_are_answered, relayed_requests_beside_changes_and_stops_are_answered,
+         relayed_requests_beside_changes_stops_and_silence_are_answered, requests_beside_silence_a_change_and_a_stop_are_answered,
+         requests_beside_four_troubles_are_answered]
