--- a/test/edge/loss_tests.py
+++ b/test/edge/loss_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import time
@@ -221,6 +222,34 @@
         assert_none_lost(rig, results)
 
 
+SETTINGS_S = 2.5  # until a VM has read a changed settings file
+
+
+async def vm_that_reloads_while_it_starts_stays_up():
+    """Guards against SIGHUP ending a process that has not yet set its handler."""
+    async with Rig() as rig:
+        vm = rig.vms[0]
+        vm.signal(signal.SIGKILL)
+        await vm.process.wait()
+        with open(vm.path, encoding="utf-8") as file:
+            text = file.read()
+        os.remove(vm.path)
+        os.mkfifo(vm.path)  # the process waits for its settings
+        await vm.start()
+        pipe = await asyncio.to_thread(open, vm.path, "w", encoding="utf-8")
+        with open(f"{vm.path}.new", "w", encoding="utf-8") as file:
+            file.write(text.replace("grace_s: 8", "grace_s: 7"))
+        os.rename(f"{vm.path}.new", vm.path)
+        vm.signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        assert vm.process.returncode is None, vm.process.returncode
+        with pipe:
+            pipe.write(text)
+        await vm.wait_until_ready()
+        await asyncio.sleep(SETTINGS_S)
+        assert '"settings_reloaded"' in vm.log_text(), "the changed settings are not in force"
+
+
 IDLE_S = 1.5
 CHECK_S = 1.0  # period of the server's checks
 CONNECTIONS = 400
@@ -428,10 +457,10 @@
 
 
 TESTS = [requests_beside_a_stop_and_a_change_are_answered, requests_beside_reloads_and_changes_are_answered,
-         requests_beside_a_start_and_a_change_are_answered, requests_at_the_end_of_the_idle_time_are_answered,
-         bodies_that_are_complete_after_a_stop_began_are_answered, slow_requests_beside_shorter_limits_are_answered,
-         half_read_heads_beside_shorter_limits_are_answered, waiting_requests_beside_shorter_limits_are_answered,
-         relayed_requests_beside_changes_are_answered, relayed_requests_beside_changes_and_an_older_vm_are_answered,
-         relayed_requests_beside_changes_and_older_vms_are_answered, relayed_requests_beside_changes_and_stops_are_answered,
-         relayed_requests_beside_changes_stops_and_silence_are_answered, requests_beside_silence_a_change_and_a_stop_are_answered,
-         requests_beside_four_troubles_are_answered]
+         requests_beside_a_start_and_a_change_are_answered, vm_that_reloads_while_it_starts_stays_up,
+         requests_at_the_end_of_the_idle_time_are_answered, bodies_that_are_complete_after_a_stop_began_are_answered,
+         slow_requests_beside_shorter_limits_are_answered, half_read_heads_beside_shorter_limits_are_answered,
+         waiting_requests_beside_shorter_limits_are_answered, relayed_requests_beside_changes_are_answered,
+         relayed_requests_beside_changes_and_an_older_vm_are_answered, relayed_requests_beside_changes_and_older_vms_are_answered,
+         relayed_requests_beside_changes_and_stops_are_answered, relayed_requests_beside_changes_stops_and_silence_are_answered,
+         requests_beside_silence_a_change_and_a_stop_are_answered, requests_beside_four_troubles_are_answered]
