Requests whose body is still arriving at the end of a stop are refused

What callers saw: a request of which a stopping VM had read the head and a part of the body ended with its connection, without a refusal. A closed connection promises nothing, so that an at-most-once request could not be repeated.

Cause: the open requests that are answered at the end of a stop are those that were passed to the handler, which happens when their body is complete.

The log counts them as "unread_refused".

A connection on which only a part of a head has arrived is still closed without a refusal.

--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -136,6 +136,10 @@
     /// Closes the connections that have no request in flight and on which none has begun to arrive.
     auto closeIdle() -> void;
 
+    /// Answers the requests whose body has not arrived completely and ends their connections for writing, so that their callers need not
+    /// guess whether they were read. What still arrives is ignored. Returns their number.
+    auto refuseUnread(const HttpResponse &response) -> std::size_t;
+
     /// Closes each connection after its next response, which tells the caller.
     auto closeAfterResponses() -> void;
 
--- a/src/base/http_server.cc
+++ b/src/base/http_server.cc
@@ -38,6 +38,11 @@
     m_core->closeIdle();
 }
 
+auto HttpServer::refuseUnread(const HttpResponse &response) -> std::size_t
+{
+    return m_core->refuseUnread(response);
+}
+
 auto HttpServer::closeAfterResponses() -> void
 {
     m_core->closeAfterResponses();
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -42,6 +42,16 @@
     return descriptor;
 }
 
+/// Returns the response as it is sent on a connection that ends after it.
+auto encodeResponse(const HttpResponse &response) -> std::string
+{
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
+    for (const auto &header : response.headers) {
+        text += fmt::format("{}: {}\r\n", header.name, header.value);
+    }
+    return text + fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body.size(), response.body);
+}
+
 auto appendValue(void *context, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
 {
     static_cast<Headers *>(context)->push_back({name, value == nullptr ? "" : value});
@@ -180,6 +190,26 @@
     run();
 }
 
+/// Writes to the connections itself, because libmicrohttpd takes no response while a body arrives.
+auto ServerCore::refuseUnread(const HttpResponse &response) -> std::size_t
+{
+    run();
+    const auto text = encodeResponse(response);
+    std::size_t refused = 0;
+    for (auto *exchange : m_active) {
+        if (!exchange->m_headRead || exchange->m_dispatched || exchange->m_responseQueued) {
+            continue;
+        }
+        exchange->m_dispatched = true;
+        exchange->abort();
+        const int descriptor = descriptorOf(exchange->m_connection);
+        const auto sent = ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        refused += sent == static_cast<ssize_t>(text.size()) ? 1 : 0;
+        ::shutdown(descriptor, SHUT_WR);
+    }
+    return refused;
+}
+
 /// libmicrohttpd closes the connection when it reads the end of input, after all bytes that arrive before. A request that these bytes
 /// complete gets status 408.
 auto ServerCore::closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -46,6 +46,7 @@
     }
 
     auto closeIdle() -> void;
+    auto refuseUnread(const HttpResponse &response) -> std::size_t;
 
     auto closeAfterResponses() -> void
     {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/build_info.h"
 #include "currantstack/edge/directory_controller.h"
+#include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/origin_controller.h"
 #include "currantstack/edge/quarantine_controller.h"
 #include "currantstack/edge/reach_controller.h"
@@ -84,6 +85,7 @@
     auto drain() -> void;
     auto checkDrained() -> void;
     auto answerOpenRequests() -> void;
+    auto refuseUnread() -> std::size_t;
     auto isDrained() const -> bool;
     auto stop() -> void;
     auto reload(bool requested) -> void;
@@ -222,12 +224,19 @@
     answeredAt = clock.now();
     const auto open = context.openRequests.size();
     context.openRequests.end(StopPhase::Unanswered);
+    const auto unread = refuseUnread();
     log.write("edge", "open_requests_answered",
               {{"open", open},
+               {"unread_refused", unread},
                {"streams_left", context.openRequests.size()},
                {"draining_ms", toMilliseconds(*answeredAt - context.drainingSince)}});
 }
 
+auto EdgeNode::Parts::refuseUnread() -> std::size_t
+{
+    return callerServer->refuseUnread(context.protocol.refusal(StoppingRetryAfter, StopReason));
+}
+
 auto EdgeNode::Parts::isDrained() const -> bool
 {
     return context.refusesRequests() && callerServer->active() == 0 && callerServer->connections() == 0 && relayEntrance.active() == 0;
@@ -238,9 +247,11 @@
     drainTimer->stop();
     const auto aborted = context.openRequests.size();
     context.openRequests.end(StopPhase::All);
-    loop.after(AbortTime, [this, aborted]() {
+    const auto unread = refuseUnread();
+    loop.after(AbortTime, [this, aborted, unread]() {
         log.write("edge", "stopped",
                   {{"streams_aborted", aborted},
+                   {"unread_refused", unread},
                    {"requests_cut", callerServer->active()},
                    {"drained_ms", toMilliseconds(clock.now() - context.drainingSince)}});
         log.flush();
--- a/test/edge/loss_tests.py
+++ b/test/edge/loss_tests.py
@@ -320,6 +320,29 @@
         await asyncio.wait_for(vm.process.wait(), 3)
 
 
+LATE_S = 3.45  # from SIGTERM, in a stop with a grace of 4 s: after the last answers, before the end of the process
+
+
+async def bodies_that_arrive_across_the_end_of_a_stop_are_refused():
+    """Guards against a cut of a request that is still arriving when the process ends, without telling its caller."""
+    async with Rig(grace=4) as rig:
+        vm = rig.vms[0]
+        tasks = [asyncio.create_task(slow_requests(rig, vm, seconds, kind)) for seconds in (4.5, 6) for kind in WITH_BODY]
+        await asyncio.sleep(0.1)
+        vm.signal(signal.SIGTERM)
+        begin = time.monotonic()
+        connections = [await asyncio.open_connection(vm.ip, vm.port) for _ in range(3)]
+        for _, writer in connections:
+            rig.writers.append(writer)
+            writer.write(b"POST")  # so that the connection is not idle
+        await asyncio.sleep(LATE_S)
+        tasks += [asyncio.create_task(exchange(rig, connection, "book", begun=4, pieces=4, gap_s=1, body=2000 * b"b")) for connection in connections]
+        results = await asyncio.gather(*tasks)
+        assert vm.process.returncode == 0 or await asyncio.wait_for(vm.process.wait(), 1) == 0
+        for sent in results:
+            assert sent.status == 503 and sent.headers.get("connection") == "close", (sent, sent.ended_at - begin)
+
+
 async def slow_requests_beside_shorter_limits_are_answered():
     """Guards against a lowered limit that ends a request which began under the former one."""
     async with Rig() as rig:
@@ -459,8 +482,9 @@
 TESTS = [requests_beside_a_stop_and_a_change_are_answered, requests_beside_reloads_and_changes_are_answered,
          requests_beside_a_start_and_a_change_are_answered, vm_that_reloads_while_it_starts_stays_up,
          requests_at_the_end_of_the_idle_time_are_answered, bodies_that_are_complete_after_a_stop_began_are_answered,
-         slow_requests_beside_shorter_limits_are_answered, half_read_heads_beside_shorter_limits_are_answered,
-         waiting_requests_beside_shorter_limits_are_answered, relayed_requests_beside_changes_are_answered,
-         relayed_requests_beside_changes_and_an_older_vm_are_answered, relayed_requests_beside_changes_and_older_vms_are_answered,
-         relayed_requests_beside_changes_and_stops_are_answered, relayed_requests_beside_changes_stops_and_silence_are_answered,
-         requests_beside_silence_a_change_and_a_stop_are_answered, requests_beside_four_troubles_are_answered]
+         bodies_that_arrive_across_the_end_of_a_stop_are_refused, slow_requests_beside_shorter_limits_are_answered,
+         half_read_heads_beside_shorter_limits_are_answered, waiting_requests_beside_shorter_limits_are_answered,
+         relayed_requests_beside_changes_are_answered, relayed_requests_beside_changes_and_an_older_vm_are_answered,
+         relayed_requests_beside_changes_and_older_vms_are_answered, relayed_requests_beside_changes_and_stops_are_answered,
+         relayed_requests_beside_changes_stops_and_silence_are_answered, requests_beside_silence_a_change_and_a_stop_are_answered,
+         requests_beside_four_troubles_are_answered]
