--- a/include/currantstack/connection_watch.h
+++ b/include/currantstack/connection_watch.h
@@ -38,7 +38,8 @@
 {
 public:
     ConnectionWatch(const ConnectionLimits &limits, TimePoint now)
-        : m_idleTimeout(limits.idleTimeout)
+        : m_headTimeout(limits.headTimeout)
+        , m_idleTimeout(limits.idleTimeout)
         , m_changedAt(now)
     { }
 
@@ -67,15 +68,28 @@
         return isIdle(progress) && now - m_changedAt >= QuietTime;
     }
 
+    /// Records that this end has shut the connection down for reading. Bytes that have arrived are still read.
+    auto closeForReading() -> void
+    {
+        m_isClosedForReading = true;
+    }
+
+    auto isClosedForReading() const -> bool
+    {
+        return m_isClosedForReading;
+    }
+
     /// Returns what to do with the connection now.
     auto check(const ConnectionLimits &limits, ConnectionPhase phase, const TcpProgress &progress, TimePoint now) -> ConnectionVerdict;
 
 private:
+    Duration m_headTimeout; // of the current head or the next one
     Duration m_idleTimeout;
     std::uint64_t m_consumed = 0; // bytes of the requests that have ended
     TcpProgress m_progress; // at the last check
     TimePoint m_changedAt; // when the progress was last seen to change
     std::optional<TimePoint> m_headBegunAt; // when a head was first seen incomplete
+    bool m_isClosedForReading = false;
 };
 
 } // namespace currantstack::detail
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -136,10 +136,14 @@
     /// Closes the connections that have no request in flight and on which none has begun to arrive.
     auto closeIdle() -> void;
 
+    /// Answers the requests whose body has not arrived completely and ends their connections for writing, so that their callers need not
+    /// guess whether they were read. What still arrives is ignored. Returns their number.
+    auto refuseUnread(const HttpResponse &response) -> std::size_t;
+
     /// Closes each connection after its next response, which tells the caller.
     auto closeAfterResponses() -> void;
 
-    /// Sets the limits. Open connections get a longer idle timeout at once and a shorter one from their next request.
+    /// Sets the limits. Open connections get longer timeouts at once and shorter ones from their next request.
     auto setLimits(const ServerLimits &limits) -> void;
 
     /// Returns the number of requests in flight.
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -46,6 +46,7 @@
     }
 
     auto closeIdle() -> void;
+    auto refuseUnread(const HttpResponse &response) -> std::size_t;
 
     auto closeAfterResponses() -> void
     {
@@ -72,6 +73,8 @@
     auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
     auto headError(const Exchange &exchange) const -> std::optional<HttpResponse>;
     auto closeOverdue() -> void;
+    auto isClosedForReading(MHD_Connection *connection) const -> bool;
+    static auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
     auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>;
     auto queueResponse(Exchange &exchange) -> MHD_Result;
     auto run() -> void;
