Both builds exchange aggregates and origins of streams in process tests

Guards against a large fleet in which one place ignores the aggregates of the other build, and against streams that callers cannot continue at a VM of the other build after theirs was killed. 18 VMs, as smaller fleets exchange no aggregates.

--- a/test/edge/release_tests.py
+++ b/test/edge/release_tests.py
@@ -7,12 +7,14 @@
 import signal
 import time
 
+import version_tests
 from quarantine_tests import assert_stopped, quarantine_poison_request, wait_until_peers_are_known
 from relay_tests import events_of
 from restore_tests import lines, until
 from rig import PROGRAM, RELEASED, Rig, Skipped, call
 from soak import DRAIN_LIMIT_S, Soak
 from stranded_tests import DETECTION_S, KINDS, MEASURED_S, SERVED_SHARE, StrandedRig, assert_run_once, assert_served, repeat
+from version_tests import begin_streams, take_up
 
 CURRENT = PROGRAM
 PROTOCOLS = {RELEASED: 1, CURRENT: 2}
@@ -26,6 +28,7 @@
 MIXED_S = 6.0
 LEARNED_S = 4.0  # until VMs know one another, and a quarantine
 SUCCESSION_S = 20.0
+LARGE_FLEET = 18  # VMs; fleets of 16 or less exchange no aggregates
 LOG_FLUSH_S = 1.2
 ONE_VERSION, TWO_VERSIONS = 6, 3  # seeds of runs with planned changes alone, and that many software versions of the engines
 
@@ -65,6 +68,7 @@
         for vm in self.vms:
             ignored = events_of(vm, "datagram_ignored") + events_of(vm, "entry_ignored")
             assert not ignored, (vm.name, ignored[:3])
+        for vm in (vm for vm in self.vms if vm.process.returncode is None):
             metrics = await self.metrics(vm)
             counts = {name: metrics.get(name, 0) for name in ("datagrams_malformed", "datagram_rows_unknown")}
             assert not any(counts.values()), (vm.name, counts)
@@ -74,6 +78,10 @@
     """VMs of both builds."""
 
 
+class MixedVersionRig(Builds, version_tests.MixedRig):
+    """VMs of both builds, and engines of two software versions."""
+
+
 class MixedStrandedRig(Builds, StrandedRig):
     """VMs of both builds, with links to the upstreams that can be cut."""
 
@@ -238,6 +246,25 @@
             assert metrics["vms_known"] == len(rig.vms) and metrics["datagrams_sent"] > 0, (vm.name, metrics)
 
 
+async def vms_of_a_large_fleet_read_aggregates_of_the_other_build():
+    """Places exchange aggregates in a fleet of this size; a released VM writes those of one place, a current VM those of the other."""
+    builds = [(RELEASED, CURRENT)[(number + number // 2) % 2] for number in range(LARGE_FLEET)]
+    async with MixedRig(builds) as rig:
+        await rig.wait_until_in_touch()
+        for place, service in enumerate(rig.fleet.services):
+            service.limits = ["1000"]  # requests a second, many more than there are
+            begin = time.monotonic()
+            results = await send_steadily(rig, rig.vms[place::2][:4], LEARNED_S)
+            assert_served(results, rig.vms[place::2][:4], begin, SERVED_SHARE)
+            limited = {vm.name: (await rig.metrics(vm)).get('upstreams_limited{service="booking"}') for vm in rig.vms}
+            assert set(limited.values()) == {place + 1.0}, limited
+        for vm in rig.vms_of(CURRENT):
+            metrics = await rig.metrics(vm)
+            counted = {protocol: metrics.get(f'vms_by_protocol{{protocol="{protocol}"}}') for protocol in PROTOCOLS.values()}
+            assert counted == dict.fromkeys(counted, LARGE_FLEET / 2), (vm.name, counted)
+        await rig.assert_understood()
+
+
 async def serve_callers_of_a_cut_vm(builds):
     """Cuts the first VM off, and asserts that callers are served at all VMs; returns what it logged for each relayed request."""
     relayed = []
@@ -339,6 +366,19 @@
             await assert_stopped(rig, rig.vms[1:])
 
 
+async def streams_of_a_killed_vm_go_on_at_vms_of_the_other_build():
+    """Each stream keeps its software version, of which the VM that was killed has told the others."""
+    for builds in ([RELEASED, CURRENT, CURRENT], [CURRENT, RELEASED, RELEASED]):
+        async with MixedVersionRig(builds) as rig:
+            await rig.wait_until_in_touch()
+            streams = await begin_streams(rig, rig.vms[0], 12)
+            await rig.kill(rig.vms[0])
+            statuses = await take_up(streams, rig.vms[1:])
+            assert statuses == 12 * [200], statuses
+            assert all(stream.numbers == list(range(1, stream.EVENTS + 1)) for stream in streams)
+            await rig.assert_understood()
+
+
 async def restarted_vms_know_those_of_the_other_build():
     """The VMs that restart learn the addresses of the others from the entries that these have written."""
     async with MixedRig([RELEASED, RELEASED, CURRENT, CURRENT]) as rig:
@@ -354,6 +394,7 @@
 
 TESTS = [rolls_to_the_current_build_and_back_break_no_promise, rolls_amid_two_software_versions_break_no_promise,
          rolls_with_a_death_and_leaving_engines_break_no_promise, cut_vm_serves_its_callers_while_the_others_are_rolled, vms_of_both_builds_read_each_others_reports,
+         vms_of_a_large_fleet_read_aggregates_of_the_other_build,
          cut_vm_beside_released_vms_serves_its_callers, cut_released_vm_serves_its_callers,
          cut_vm_asks_those_that_report_to_take_requests_first, orders_pass_between_builds, quarantine_holds_at_both_builds,
-         quarantine_of_the_other_build_is_read_from_the_store, restarted_vms_know_those_of_the_other_build]
+         quarantine_of_the_other_build_is_read_from_the_store, streams_of_a_killed_vm_go_on_at_vms_of_the_other_build, restarted_vms_know_those_of_the_other_build]
