Notices of one VM's refused connections are tested beside released VMs

Guards against a VM whose links to two engines are cut and which takes its own notice, repeated by idle VMs of the released build, for what a second VM has found: it reports a crash of sound engines with the streams in flight, so that sound prompts may be quarantined.

--- a/test/edge/partial_cut_tests.py
+++ b/test/edge/partial_cut_tests.py
@@ -18,8 +18,8 @@
 class PartialCutRig(StrandedRig):
     """A rig whose VMs 0, 2 and 4 prefer the same two decode engines, in their place. VM 2 is idle, the others of them have traffic."""
 
-    def __init__(self):
-        super().__init__(vms=5, decode=4)
+    def __init__(self, vms=5):
+        super().__init__(vms=vms, decode=4)
 
     async def __aenter__(self):
         await super().__aenter__()
@@ -47,9 +47,9 @@
     return next((int(line.split()[1]) for line in body.decode().splitlines() if line.startswith(f"currantstack_{name} ")), 0)
 
 
-async def cut_from_some_engines(mode):
+async def cut_from_some_engines(mode, make_rig=PartialCutRig):
     """Cuts VM 0 from two engines that it uses, and expects that the other VMs use them."""
-    async with PartialCutRig() as rig:
+    async with make_rig() as rig:
         cut_off = {engine.id for engine in rig.preferred}
         warmup = asyncio.create_task(rig.send_streams(rig.vms[::4], IDLE_S + 2 * SPREAD_S + DETECTION_S))
         await asyncio.sleep(IDLE_S)
@@ -76,10 +76,10 @@
     await cut_from_some_engines("reset")
 
 
-async def cut_while_streams_run(mode):
-    """Cuts VM 0 from two engines again and again, and expects that none of them counts as crashed."""
-    async with PartialCutRig() as rig:
-        traffic = asyncio.create_task(rig.send_streams(rig.vms, IDLE_S + CUTS * 2 * CUT_S))
+async def cut_while_streams_run(mode, make_rig=PartialCutRig, busy=slice(None)):
+    """Cuts VM 0 from two engines again and again while some VMs have traffic, and expects that none of them counts as crashed."""
+    async with make_rig() as rig:
+        traffic = asyncio.create_task(rig.send_streams(rig.vms[busy], IDLE_S + CUTS * 2 * CUT_S))
         await asyncio.sleep(IDLE_S)
         for _ in range(CUTS):
             rig.links.cut(rig.vms[0], mode, rig.preferred)
--- a/test/edge/release_tests.py
+++ b/test/edge/release_tests.py
@@ -8,6 +8,7 @@
 import time
 
 import version_tests
+from partial_cut_tests import PartialCutRig, cut_from_some_engines, cut_while_streams_run
 from quarantine_tests import assert_stopped, quarantine_poison_request, wait_until_peers_are_known
 from relay_tests import events_of
 from restore_tests import lines, until
@@ -86,6 +87,13 @@
     """VMs of both builds, with links to the upstreams that can be cut."""
 
 
+class MixedPartialCutRig(Builds, PartialCutRig):
+    """Five VMs, of which two, of the released build, repeat what they read of others' exclusions."""
+
+    def __init__(self):
+        super().__init__([CURRENT, RELEASED, CURRENT, RELEASED, CURRENT])
+
+
 class Roll(Builds, Soak):
     """VMs whose builds are replaced under the soak's callers, and the soak's checks."""
 
@@ -302,6 +310,15 @@
     assert not others, (len(others), len(first), others[:2])
 
 
+async def engines_that_refuse_one_vm_are_used_beside_released_vms():
+    await cut_from_some_engines("refuse", MixedPartialCutRig)
+
+
+async def engines_that_refuse_one_vm_do_not_count_as_crashed_beside_released_vms():
+    """Guards against a VM's own notice that counts as what a second VM has found, since idle released VMs repeat it."""
+    await cut_while_streams_run("refuse", MixedPartialCutRig, slice(1))
+
+
 async def holding(rig):
     """Returns the VMs that hold the orders."""
     running = [vm for vm in rig.vms if vm.process.returncode is None]
@@ -396,5 +413,6 @@
          rolls_with_a_death_and_leaving_engines_break_no_promise, cut_vm_serves_its_callers_while_the_others_are_rolled, vms_of_both_builds_read_each_others_reports,
          vms_of_a_large_fleet_read_aggregates_of_the_other_build,
          cut_vm_beside_released_vms_serves_its_callers, cut_released_vm_serves_its_callers,
-         cut_vm_asks_those_that_report_to_take_requests_first, orders_pass_between_builds, quarantine_holds_at_both_builds,
+         cut_vm_asks_those_that_report_to_take_requests_first, engines_that_refuse_one_vm_are_used_beside_released_vms,
+         engines_that_refuse_one_vm_do_not_count_as_crashed_beside_released_vms, orders_pass_between_builds, quarantine_holds_at_both_builds,
          quarantine_of_the_other_build_is_read_from_the_store, streams_of_a_killed_vm_go_on_at_vms_of_the_other_build, restarted_vms_know_those_of_the_other_build]
