A VM that hears no other takes refused connections for no proof either

Cause: without a VM that reports, a refusal alone was a proof.

Change: it is one only if there are no other VMs. Otherwise the removal of the entry proves the crash.

--- a/include/currantstack/decisions/end_evidence.h
+++ b/include/currantstack/decisions/end_evidence.h
@@ -51,7 +51,7 @@
 
     /// Records that the upstream refused this VM while its links to others work. Returns whether this proves the end of the upstream:
     /// another VM has found the same, or there is none that could.
-    auto onRefused(const Upstream &upstream, bool hasWitnesses, TimePoint now) -> bool;
+    auto onRefused(const Upstream &upstream, bool mayHaveWitnesses, TimePoint now) -> bool;
 
     /// Records that another VM has found the upstream's end. Returns the upstream if this proves its end, since it refused this VM too.
     auto onWitness(std::string_view upstream, TimePoint now) -> std::optional<Upstream>;
--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -94,9 +94,6 @@
     /// Returns whether this VM has peers, and none of them has sent a datagram or become known lately.
     auto hearsNoPeer(TimePoint now) const -> bool;
 
-    /// Returns whether another VM reports to this one, so that it can confirm the end of an upstream.
-    auto hasWitness(TimePoint now) const -> bool;
-
     /// Returns whether the VM's notice confirms the end of an upstream that this VM does not reach. VMs of one place may have lost the
     /// same links, so only those of other places count if any reports to this VM. VMs of builds before `VerifyingProtocol` repeat
     /// notices of others as their own.
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -105,7 +105,7 @@
     OriginHooks originHooks = {};
     UpstreamReach reach = {};
     EndEvidence endEvidence = {};
-    std::function<bool()> hasWitness = []() { return false; }; // whether another VM can confirm the end of an upstream
+    std::function<bool()> mayHaveWitnesses = []() { return false; }; // other VMs that confirm the end of an upstream
     RelayHooks relayHooks = {};
     std::map<std::string, int, std::less<>> relayedInFlight = {}; // requests that other VMs forward for this one, by VM
     bool takesRelays = false; // this VM has opened its port for requests of other VMs
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -57,10 +57,11 @@
         m_onOutdated = std::move(handler);
     }
 
-    /// Returns whether another VM can confirm the end of an upstream.
-    auto hasWitness() const -> bool
+    /// Returns whether there may be other VMs that find the end of an upstream as well. VMs that this one does not hear count, because
+    /// its links to them may be lost together with those to upstreams.
+    auto mayHaveWitnesses() const -> bool
     {
-        return m_peers.hasWitness(m_context.clock.now());
+        return !m_peersListed || m_peers.size() > 0;
     }
 
     /// Sets the receiver of the datagrams that begin with `OriginMagic`.
--- a/src/decisions/end_evidence.cc
+++ b/src/decisions/end_evidence.cc
@@ -35,11 +35,11 @@
     }
 }
 
-auto EndEvidence::onRefused(const Upstream &upstream, bool hasWitnesses, TimePoint now) -> bool
+auto EndEvidence::onRefused(const Upstream &upstream, bool mayHaveWitnesses, TimePoint now) -> bool
 {
     expire(now);
     m_refusals.insert_or_assign(upstream.id, Refusal{upstream, now});
-    return !hasWitnesses || m_witnessedAt.contains(upstream.id);
+    return !mayHaveWitnesses || m_witnessedAt.contains(upstream.id);
 }
 
 auto EndEvidence::onWitness(std::string_view upstream, TimePoint now) -> std::optional<Upstream>
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -216,11 +216,6 @@
     return !m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), isHeard);
 }
 
-auto PeerTable::hasWitness(TimePoint now) const -> bool
-{
-    return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto &entry) { return now - entry.second.receivedAt < ReportLifetime; });
-}
-
 auto PeerTable::isWitness(std::string_view vm, TimePoint now) const -> bool
 {
     const auto found = m_peers.find(vm);
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -26,7 +26,7 @@
         }
         return candidates;
     };
-    context.hasWitness = [&exchange]() { return exchange.hasWitness(); };
+    context.mayHaveWitnesses = [&exchange]() { return exchange.mayHaveWitnesses(); };
     exchange.setOutdatedHandler([this](const ExclusionNotice &notice, bool isWitness) { onOutdated(notice, isWitness); });
     context.relayHooks.onConnectionRefused = [&exchange](std::string_view vm) { exchange.onRelayConnectionRefused(vm); };
 }
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -52,7 +52,7 @@
 auto recordRefusal(EdgeContext &context, const Upstream &upstream) -> void
 {
     const auto now = context.clock.now();
-    const bool isProved = context.endEvidence.onRefused(upstream, context.hasWitness(), now);
+    const bool isProved = context.endEvidence.onRefused(upstream, context.mayHaveWitnesses(), now);
     if (isProved) {
         context.crashDetector.onEndProved(incarnationOf(upstream), now);
     }
--- a/test/edge/partial_cut_tests.py
+++ b/test/edge/partial_cut_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import time
 
 from rig import call
@@ -101,6 +102,21 @@
     await cut_while_streams_run("reset")
 
 
+async def engines_that_refuse_a_vm_that_hears_no_other_do_not_count_as_crashed():
+    """Guards against a VM that has lost its links to all other VMs too, and takes refused connections for proofs on its own."""
+    async with PartialCutRig() as rig:
+        for vm in rig.vms[1:]:
+            vm.signal(signal.SIGSTOP)
+        traffic = asyncio.create_task(rig.send_streams(rig.vms[:1], IDLE_S + 2 * CUT_S))
+        await asyncio.sleep(IDLE_S)
+        rig.links.cut(rig.vms[0], "refuse", rig.preferred)
+        await asyncio.sleep(CUT_S)
+        rig.links.heal(rig.vms[0])
+        await traffic
+        assert rig.lines(rig.vms[0], "entry_outdated"), "the VM has not noticed the refused connections"
+        assert not rig.lines(rig.vms[0], "crash_observed"), rig.lines(rig.vms[0], "crash_observed")
+
+
 async def ended_engines_are_avoided_by_idle_vms():
     """The engine's entry remains in the store, so that only notices of other VMs tell an idle VM."""
     async with PartialCutRig() as rig:
@@ -121,4 +137,5 @@
 
 TESTS = [engines_that_refuse_one_vm_are_used_by_the_others, engines_that_reset_one_vm_are_used_by_the_others,
          engines_that_refuse_one_vm_do_not_count_as_crashed, engines_that_reset_one_vm_do_not_count_as_crashed,
+         engines_that_refuse_a_vm_that_hears_no_other_do_not_count_as_crashed,
          ended_engines_are_avoided_by_idle_vms]
--- a/test/end_evidence-test.cc
+++ b/test/end_evidence-test.cc
@@ -13,7 +13,7 @@
     CPPUNIT_TEST(upstreamsReachedLatelyAreUsedUntilTheNoticeIsVerified);
     CPPUNIT_TEST(noticesThatAgreeWithOwnFailuresNeedNoProbe);
     CPPUNIT_TEST(refusalsProveAnEndOnlyIfAnotherVmFindsIt);
-    CPPUNIT_TEST(refusalsProveAnEndIfNoOtherVmReports);
+    CPPUNIT_TEST(refusalsProveAnEndIfThereAreNoOtherVms);
     CPPUNIT_TEST(answersAndTimeEndTheEvidence);
     CPPUNIT_TEST_SUITE_END();
 
@@ -90,7 +90,7 @@
         CPPUNIT_ASSERT(m_evidence.onRefused(upstream(), true, m_clock.now())); // the other VM was the first
     }
 
-    auto refusalsProveAnEndIfNoOtherVmReports() -> void
+    auto refusalsProveAnEndIfThereAreNoOtherVms() -> void
     {
         CPPUNIT_ASSERT(m_evidence.onRefused(upstream(), false, m_clock.now()));
     }
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -149,9 +149,7 @@
         ManualClock clock;
         clock.advance(seconds(100));
         PeerTable table("a", "z1");
-        CPPUNIT_ASSERT(!table.hasWitness(clock.now()));
         table.merge("b", "z1", {"10.0.0.2", 1}, clock.now());
-        CPPUNIT_ASSERT(table.hasWitness(clock.now()));
         CPPUNIT_ASSERT(!table.isWitness("b", clock.now())); // it may be of a build that repeats notices
         table.setProtocol("b", {PeerTable::VerifyingProtocol, true});
         CPPUNIT_ASSERT(table.isWitness("b", clock.now()));
@@ -159,7 +157,8 @@
         table.setProtocol("c", {PeerTable::VerifyingProtocol, true});
         CPPUNIT_ASSERT(table.isWitness("c", clock.now()) && !table.isWitness("b", clock.now()));
         clock.advance(PeerTable::ReportLifetime);
-        CPPUNIT_ASSERT(!table.hasWitness(clock.now()));
+        table.merge("b", "z1", {"10.0.0.2", 1}, clock.now());
+        CPPUNIT_ASSERT(table.isWitness("b", clock.now())); // no VM of another place reports any more
     }
 };
 
