Engines that are silent for a second are no lost links

Cause: a reservation that is not answered within 0.5 s counted as a failed connection, although the engine had accepted it.

Change: UpstreamReach tells late answers from failed connections. An upstream that accepts connections counts as not reached once it has answered nothing for 1.5 s. So while as many upstreams are late as would have to fail for a cut, the VM probes one of them every 200 to 400 ms until none is late.

--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -26,6 +26,9 @@
     static constexpr std::size_t AnswersUntilReached = 2;
     /// During a cut from other upstreams, one failure is a cut if no connection that was opened within this time was answered.
     static constexpr Duration RecentAnswer = seconds(1);
+    /// A late answer on an accepted connection counts as a failure if the upstream has answered nothing for this time, which is longer
+    /// than a sound upstream is silent.
+    static constexpr Duration SilenceUntilFailed = milliseconds(1500);
     /// Time for which an outcome counts.
     static constexpr Duration OutcomeLifetime = seconds(8);
 
@@ -58,6 +61,10 @@
     /// Records that a connection opened at `openedAt` failed: it was not established, or was closed before any answer.
     auto onFailed(const Upstream &upstream, TimePoint openedAt) -> void;
 
+    /// Records that the upstream accepted a connection that was opened at `openedAt` and has not answered in time. This is a failure only
+    /// once it has been silent for `SilenceUntilFailed`.
+    auto onLate(const Upstream &upstream, TimePoint openedAt, TimePoint now) -> void;
+
     /// Records that the upstream's host refused a connection. This proves nothing until another upstream answers on a later connection.
     auto onRefused(const Upstream &upstream, TimePoint openedAt) -> void;
 
@@ -75,6 +82,10 @@
     /// Returns whether the upstream has answered on a connection that was opened at or after this time.
     auto hasReached(std::string_view upstream, TimePoint since) const -> bool;
 
+    /// Returns the upstream of a group that is silent to probe: one that accepts connections and has not answered since, and was probed
+    /// longest ago. A group counts as silent from when as many upstreams are late as would have to fail for a cut, until none is late.
+    auto nextLate(std::span<const Upstream *const> group, TimePoint now) -> const Upstream *;
+
     /// Returns the upstream of a group to probe: the one that was tried longest ago, and has not answered since the cut.
     auto nextProbe(std::span<const Upstream *const> group) const -> const Upstream *;
 
@@ -99,6 +110,8 @@
     {
         TimePoint reachedAt; // opening time of the last connection on which the upstream answered
         TimePoint failedAt; // opening time of the last connection that failed
+        TimePoint lateSince; // opening time of the first late connection after `reachedAt`
+        TimePoint probedAt;
     };
 
     struct Refusal
@@ -111,6 +124,7 @@
     struct Group
     {
         bool isCutOff = false;
+        bool isSilent = false; // several upstreams are late
         TimePoint reachedAt; // opening time of the last connection on which any upstream answered
         TimePoint triedAt; // last outcome or probe of any upstream
         std::set<std::string, std::less<>> answered; // since the cut
@@ -118,6 +132,7 @@
         std::map<std::string, TimePoint, std::less<>> probedAt; // since the cut, by upstream
     };
 
+    auto isLate(std::string_view upstream, TimePoint now) const -> bool;
     static auto mayBeReached(const Group &group, std::span<const Upstream *const> upstreams) -> std::size_t;
     auto triedAt(const Upstream &upstream) const -> TimePoint;
 
--- a/include/currantstack/edge/reach_controller.h
+++ b/include/currantstack/edge/reach_controller.h
@@ -7,8 +7,8 @@
 namespace currantstack
 {
 
-/// Probes upstreams while this VM is cut off from them, others of a service whose upstreams refuse connections, and those that another
-/// VM reports to have ended.
+/// Probes upstreams while this VM is cut off from them or several are silent, others of a service whose upstreams refuse connections, and
+/// those that another VM reports to have ended.
 class ReachController
 {
 public:
@@ -31,6 +31,7 @@
 
     auto check() -> void;
     auto probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void;
+    auto probeSilent(const ServiceSpec &service, EngineRole role) -> void;
     auto onOutdated(const ExclusionNotice &notice, bool isWitness) -> void;
     auto verify(const std::string &id, TimePoint issuedAt) -> void;
     auto probe(const Upstream &upstream, std::string_view healthPath, ProbePurpose purpose) -> void;
--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -21,7 +21,7 @@
 /// Records that another VM has found the upstream's end.
 auto recordWitness(EdgeContext &context, std::string_view upstream) -> void;
 
-/// Records that the upstream has not answered in time on a connection that was opened at `openedAt`.
+/// Records that the upstream has not answered in time on a connection that it accepted, and that was opened at `openedAt`.
 auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void;
 
 /// Ends the cuts from groups that have no upstreams any more.
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -44,8 +44,57 @@
     }
 }
 
+auto UpstreamReach::onLate(const Upstream &upstream, TimePoint openedAt, TimePoint now) -> void
+{
+    auto &outcome = m_outcomes[upstream.id];
+    if (openedAt <= outcome.reachedAt) {
+        return;
+    }
+    auto &group = m_groups[{upstream.service, upstream.role}];
+    group.triedAt = std::max(group.triedAt, openedAt);
+    if (outcome.lateSince <= outcome.reachedAt || openedAt - outcome.lateSince > OutcomeLifetime) {
+        outcome.lateSince = openedAt;
+    }
+    outcome.lateSince = std::min(outcome.lateSince, openedAt);
+    if (now - outcome.lateSince >= SilenceUntilFailed) {
+        onFailed(upstream, openedAt);
+    }
+}
+
+auto UpstreamReach::isLate(std::string_view upstream, TimePoint now) const -> bool
+{
+    const auto found = m_outcomes.find(upstream);
+    return found != m_outcomes.end() && found->second.lateSince > found->second.reachedAt
+        && now - found->second.lateSince < OutcomeLifetime;
+}
+
+auto UpstreamReach::nextLate(std::span<const Upstream *const> group, TimePoint now) -> const Upstream *
+{
+    const Upstream *next = nullptr;
+    for (const auto *upstream : group) {
+        if (!isLate(upstream->id, now)) {
+            continue;
+        }
+        if (next == nullptr || m_outcomes[upstream->id].probedAt < m_outcomes[next->id].probedAt) {
+            next = upstream;
+        }
+    }
+    if (group.empty()) {
+        return nullptr;
+    }
+    const auto state = m_groups.find({group.front()->service, group.front()->role});
+    if (state == m_groups.end()) {
+        return nullptr;
+    }
+    state->second.isSilent = state->second.isSilent && next != nullptr;
+    return state->second.isSilent ? next : nullptr;
+}
+
 auto UpstreamReach::onProbe(const Upstream &upstream, TimePoint now) -> void
 {
+    if (const auto found = m_outcomes.find(upstream.id); found != m_outcomes.end()) {
+        found->second.probedAt = now;
+    }
     if (auto &group = m_groups[{upstream.service, upstream.role}]; group.isCutOff) {
         group.probedAt.insert_or_assign(upstream.id, now);
         group.triedAt = now;
@@ -75,6 +124,8 @@
     const bool isCutOffElsewhere =
         std::any_of(m_groups.begin(), m_groups.end(), [&key](const auto &entry) { return entry.first != key && entry.second.isCutOff; });
     auto &state = m_groups[key];
+    const auto late = std::count_if(group.begin(), group.end(), [this, now](const auto *upstream) { return isLate(upstream->id, now); });
+    state.isSilent = state.isSilent || static_cast<std::size_t>(late) >= std::min(FailuresUntilCutOff, group.size());
     if (state.isCutOff) {
         if (state.answered.empty() || state.answered.size() < std::min(AnswersUntilReached, mayBeReached(state, group))) {
             return std::nullopt;
@@ -190,8 +241,9 @@
 
 auto UpstreamReach::expire(TimePoint now) -> std::vector<GroupKey>
 {
-    std::erase_if(m_outcomes,
-                  [now](const auto &entry) { return now - std::max(entry.second.reachedAt, entry.second.failedAt) > OutcomeLifetime; });
+    std::erase_if(m_outcomes, [now](const auto &entry) {
+        return now - std::max({entry.second.reachedAt, entry.second.failedAt, entry.second.lateSince}) > OutcomeLifetime;
+    });
     std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.openedAt > OutcomeLifetime; });
     std::vector<GroupKey> forgotten;
     std::erase_if(m_groups, [now, &forgotten](const auto &entry) {
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -48,6 +48,8 @@
         for (const auto role : {EngineRole::None, EngineRole::Decode, EngineRole::Prefill}) {
             if (m_context.reach.isCutOff(service.name, role)) {
                 probeAny(service, [role](const Upstream &upstream) { return upstream.role == role; });
+            } else {
+                probeSilent(service, role);
             }
         }
     }
@@ -74,6 +76,17 @@
     }
 }
 
+/// Probes an upstream that accepts connections without answering, so that its back-off ends when it answers again.
+auto ReachController::probeSilent(const ServiceSpec &service, EngineRole role) -> void
+{
+    const auto now = m_context.clock.now();
+    auto upstreams = m_context.directory.usable(service.name);
+    std::erase_if(upstreams, [role](const auto *upstream) { return upstream->role != role; });
+    if (const auto *upstream = m_context.reach.nextLate(upstreams, now); upstream != nullptr && mayGetRequest(m_context, *upstream)) {
+        probe(*upstream, service.healthPath, ProbePurpose::Links);
+    }
+}
+
 auto ReachController::onOutdated(const ExclusionNotice &notice, bool isWitness) -> void
 {
     const auto now = m_context.clock.now();
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -88,12 +88,11 @@
 
 auto recordFailedCall(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
 {
-    if (error.connectionRefused) {
-        context.reach.onRefused(upstream, openedAt);
+    if (error.code == ErrorCode::Unreachable || error.connectionClosed || error.connectionRefused) {
+        recordFailedLink(context, upstream, error, openedAt);
     } else {
-        context.reach.onFailed(upstream, openedAt);
+        recordSilence(context, upstream, openedAt);
     }
-    updateLinks(context, upstream);
 }
 
 auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
@@ -110,7 +109,7 @@
 
 auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
 {
-    context.reach.onFailed(upstream, openedAt);
+    context.reach.onLate(upstream, openedAt, context.clock.now());
     updateLinks(context, upstream);
 }
 
--- a/test/edge/silence_tests.py
+++ b/test/edge/silence_tests.py
@@ -1,6 +1,7 @@
 """Process tests of sound upstreams that neither read nor send for about a second and then go on."""
 
 import asyncio
+import time
 
 from rig import Rig
 from version_tests import begin_streams
@@ -8,6 +9,9 @@
 SILENCE_S = 1.2
 EVENT_INTERVAL_S = 0.05
 LIMIT_S = 7.0  # in which a stream must end
+REQUEST_GAP_S = 0.12  # between streams of steady traffic
+TRAFFIC_S = 4.0
+SERVED_SHARE = 0.8
 
 
 async def complete(rig, vm, upstreams, count=6, publishes=0):
@@ -64,5 +68,21 @@
         assert all(len(rig.runs_of(request)) == 1 for request, *_ in results[:4])
 
 
+async def silent_engines_are_no_lost_links():
+    """Guards against streams that are refused because no VM is believed to reach engines that are silent for a second."""
+    async with SilenceRig() as rig:
+        tasks, end = [], time.monotonic() + TRAFFIC_S
+        asyncio.get_running_loop().call_later(TRAFFIC_S / 3, lambda: [engine.fall_silent(SILENCE_S) for engine in rig.decode_engines()])
+        while time.monotonic() < end:
+            tasks += [asyncio.create_task(rig.send(kind)) for kind in ("stream", "digest")]
+            await asyncio.sleep(REQUEST_GAP_S)
+        statuses = [status for _, status, *_ in await asyncio.gather(*tasks)]
+        text = rig.vms[0].log_text()
+        served = f"{statuses.count(200)} of {len(statuses)} served"
+        assert "upstreams_cut_off" not in text and "no VM reaches" not in text, served
+        assert statuses.count(200) >= SERVED_SHARE * len(statuses), f"{served}: engines are avoided after they answer again"
+
+
 TESTS = [streams_outlive_a_silent_second_of_all_engines, streams_outlive_a_silent_second_with_an_empty_retry_budget,
-         streams_outlive_a_silent_second_while_the_configuration_changes, silent_services_answer_late]
+         streams_outlive_a_silent_second_while_the_configuration_changes, silent_services_answer_late,
+         silent_engines_are_no_lost_links]
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(aCutEndsAtTheOnlyUpstreamThatAnswers);
     CPPUNIT_TEST(aDeadUpstreamIsNoCutWhileOthersAnswerDuringAnotherCut);
     CPPUNIT_TEST(aCutFromAGroupWithoutUpstreamsIsForgotten);
+    CPPUNIT_TEST(upstreamsThatAreSilentForASecondAreNoCut);
+    CPPUNIT_TEST(longSilenceOfSeveralUpstreamsIsACut);
+    CPPUNIT_TEST(silentUpstreamsAreProbedUntilAllAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,6 +223,65 @@
         CPPUNIT_ASSERT(m_reach.cutOffServices().empty());
     }
 
+    auto upstreamsThatAreSilentForASecondAreNoCut() -> void
+    {
+        const auto silentSince = m_clock.now();
+        while (m_clock.now() - silentSince < milliseconds(1200)) {
+            const auto openedAt = m_clock.now();
+            m_clock.advance(milliseconds(100));
+            for (const auto &upstream : m_upstreams) {
+                m_reach.onLate(upstream, openedAt, m_clock.now());
+            }
+            CPPUNIT_ASSERT(!update());
+        }
+        for (const auto &upstream : m_upstreams) {
+            m_reach.onReached(upstream, later());
+        }
+        m_clock.advance(milliseconds(100));
+        for (const auto &upstream : m_upstreams) {
+            m_reach.onLate(upstream, m_clock.now(), m_clock.now()); // another silence begins
+        }
+        CPPUNIT_ASSERT(!update());
+        CPPUNIT_ASSERT(!m_reach.isUnreached("a", m_clock.now()));
+    }
+
+    auto longSilenceOfSeveralUpstreamsIsACut() -> void
+    {
+        const auto openedAt = later();
+        m_clock.advance(UpstreamReach::SilenceUntilFailed);
+        for (std::size_t index = 0; index < UpstreamReach::FailuresUntilCutOff; ++index) {
+            m_reach.onLate(m_upstreams[index], openedAt, m_clock.now());
+        }
+        CPPUNIT_ASSERT(update());
+        CPPUNIT_ASSERT(m_reach.isUnreached("a", m_clock.now()));
+    }
+
+    auto silentUpstreamsAreProbedUntilAllAnswer() -> void
+    {
+        const auto openedAt = later();
+        m_clock.advance(milliseconds(500));
+        for (std::size_t index = 0; index < UpstreamReach::FailuresUntilCutOff; ++index) {
+            CPPUNIT_ASSERT(m_reach.nextLate(pointers(), m_clock.now()) == nullptr); // one or two late upstreams are common
+            m_reach.onLate(m_upstreams[index], openedAt, m_clock.now());
+            CPPUNIT_ASSERT(!update());
+        }
+        std::set<std::string> probed;
+        while (const auto *next = m_reach.nextLate(pointers(), m_clock.now())) {
+            probed.insert(next->id);
+            m_reach.onProbe(*next, m_clock.now());
+            const auto &answering = probed.size() < 3 ? m_upstreams[4] : *next;
+            m_reach.onReached(answering, later());
+            if (probed.size() == 3) {
+                m_reach.onReached(m_upstreams[0], later());
+                m_reach.onReached(m_upstreams[1], later());
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(UpstreamReach::FailuresUntilCutOff, probed.size());
+        m_reach.onLate(m_upstreams[0], later(), m_clock.now());
+        CPPUNIT_ASSERT(!update());
+        CPPUNIT_ASSERT(m_reach.nextLate(pointers(), m_clock.now()) == nullptr);
+    }
+
 private:
     auto later() -> TimePoint
     {
