Rolls begin when VMs are in touch, and name the streams that a death may end

Two runs failed by the tests' own conditions, not by a broken promise. In rolls_amid_two_software_versions_break_no_promise (one of five runs) a caller came back within 1.3 s of the start of all VMs, which did not know one another yet, and used up its attempts. In rolls_with_a_death_and_leaving_engines_break_no_promise (one of seven) the caller's last attempt was open at the VM that was killed.

Callers begin once VMs have read one another's reports. A stream may remain incomplete only if it was open at the killed VM, or being opened, at its death.

--- a/test/edge/release_tests.py
+++ b/test/edge/release_tests.py
@@ -99,11 +99,12 @@
 
     def __init__(self, build, seed, vms=3):
         super().__init__(vms * [build], seed=seed)
-        self.killed = {}  # time of the SIGKILL, by VM
+        self.killed, self.broken = {}, []  # time of the SIGKILL, by VM; streams that it may have ended
         self.last_route = "check"
 
     @contextlib.asynccontextmanager
     async def callers(self):
+        await self.wait_until_in_touch()
         tasks = [asyncio.create_task(self.caller()) for _ in range(4 * len(self.vms))]
         yield
         self.stopping = True
@@ -127,9 +128,16 @@
 
     async def kill_and_start(self, vm, build):
         vm.draining, self.killed[vm.name] = True, time.monotonic()
+        self.broken += [stream for stream in self.returning if self.may_break(stream, vm)]
         await self.kill(vm)
         await self.start(vm, build)
 
+    def may_break(self, stream, vm):
+        """Returns whether the stream is open at this VM, or is being opened; if it is its caller's last attempt, it remains incomplete."""
+        writer = stream.writer
+        is_open = writer is not None and not writer.is_closing()
+        return len(stream.numbers) < stream.EVENTS and (not is_open or writer.get_extra_info("peername")[0] == vm.ip)
+
     async def leave(self, upstream):
         """Drains the upstream, which ends later, and starts another incarnation."""
         upstream.drain()
@@ -160,7 +168,8 @@
         self.planned_only = self.planned_only and not self.killed  # interruptions are checked here
         violations = list(self.check())
         assert not interrupted and not violations, (self.folder, interrupted[:3], violations[:5])
-        incomplete = [(stream.first_attempt, stream.numbers) for stream in self.returning if len(stream.numbers) < stream.EVENTS]
+        incomplete = [(stream.first_attempt, stream.numbers) for stream in self.returning
+                      if len(stream.numbers) < stream.EVENTS and stream not in self.broken]
         assert not incomplete, incomplete[:3]
 
     def assert_mostly_served(self, vms, since=0.0):
@@ -212,7 +221,6 @@
     for cut, former, build in ((CURRENT, RELEASED, CURRENT), (RELEASED, CURRENT, RELEASED)):
         async with Roll(former, ONE_VERSION, vms=4) as rig:
             await rig.replace(rig.vms[0], cut)
-            await rig.wait_until_in_touch()
             async with rig.callers():
                 rig.links.cut(rig.vms[0], "live_refuse")
                 await asyncio.sleep(DETECTION_S)
