Streams that waited too long are not refused for rate limits that nobody names

Callers of a stream that had used up its time before it was queued saw 503 with the reason that the upstreams 'have reached the rate limits that they name' and a Retry-After of 5 s, although no upstream named a limit.

Cause: no wait (zero) was compared with the time that is left, which is negative then.

Change: a time that has passed counts as none, as for pauses. The request goes on to the checks that follow, and gets their reason. It has no test of its own.

--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -214,7 +214,7 @@
 auto StreamRequest::refuseForLimits(Duration maxWait) -> bool
 {
     for (const auto role : {EngineRole::Decode, EngineRole::Prefill}) {
-        if (limitedWait(role) <= maxWait) {
+        if (limitedWait(role) <= std::max<Duration>(maxWait, Duration::zero())) {
             continue;
         }
         const auto limited = limitedUpstreams(m_context, m_request.service, role);
