--- a/include/currantstack/journal.h
+++ b/include/currantstack/journal.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,8 +71,10 @@
 
     auto find(std::string_view key) const -> const JournalEntry *;
 
-    /// Loads a stored segment or the stored head. Newer entries of the same key replace older ones, in any order of loading.
-    auto load(const Json &segment, bool isHead) -> void;
+    /// Loads a stored segment or the stored head; null is an absent one. Newer entries of the same key replace older ones, in any order
+    /// of loading. Returns the number of entries that this build cannot read: their keys count as used, and a head is written back with
+    /// them. The error is `BadInput` if the whole part cannot be read.
+    auto load(const Json &segment, bool isHead) -> Result<std::size_t>;
 
     /// Returns the head in stored form: its entries, the number of the next segment and the id of the write.
     auto head(std::string_view writeId) const -> Json;
@@ -107,8 +110,11 @@
     };
 
     auto moveToHead(StoredEntry &stored) -> void;
+    auto loadUnreadable(const Json &value, std::optional<std::int64_t> segment) -> void;
 
     std::map<std::string, StoredEntry, std::less<>> m_entries;
+    std::set<std::string, std::less<>> m_unreadableKeys;
+    Json m_unreadableInHead = Json::array();
     std::map<std::int64_t, std::size_t> m_segmentEntryCounts;
     std::size_t m_headBytes = 0;
     std::int64_t m_nextSegment = 0;
--- a/src/services/journal.cc
+++ b/src/services/journal.cc
@@ -1,5 +1,7 @@
 #include "currantstack/journal.h"
 
+#include <utility>
+
 namespace currantstack
 {
 
@@ -77,6 +79,9 @@
 auto JournalShard::begin(const JournalEntry &intent, const std::function<bool(const JournalEntry &)> &isRunning) -> IntentResult
 {
     const auto found = m_entries.find(intent.key);
+    if (found == m_entries.end() && m_unreadableKeys.contains(intent.key)) {
+        return {IntentDecision::Unknown, std::nullopt};
+    }
     if (found == m_entries.end()) {
         m_entries[intent.key] = {intent, -1};
         m_headBytes += encodedSize(intent);
@@ -138,18 +143,42 @@
     return found == m_entries.end() ? nullptr : &found->second.entry;
 }
 
-auto JournalShard::load(const Json &segment, bool isHead) -> void
+auto JournalShard::loadUnreadable(const Json &value, std::optional<std::int64_t> segment) -> void
 {
-    if (!segment.is_object()) {
-        return;
+    if (value.is_object() && value.contains("key") && value["key"].is_string()) {
+        m_unreadableKeys.insert(value["key"].get<std::string>());
     }
-    const auto number = segment.value("segment", std::int64_t{-1});
-    if (isHead) {
-        m_nextSegment = segment.value("next_segment", std::int64_t{0});
+    if (segment) {
+        ++m_segmentEntryCounts[*segment]; // so that the segment is kept
+    } else {
+        m_unreadableInHead.push_back(value);
+        m_headBytes += value.dump().size();
+    }
+}
+
+auto JournalShard::load(const Json &segment, bool isHead) -> Result<std::size_t>
+{
+    if (segment.is_null()) {
+        return 0;
+    }
+    ValidationErrors errors;
+    ObjectReader reader(segment, "", errors);
+    const auto number = reader.integer("segment", -1, MaxJsonInteger, -1);
+    const auto nextSegment = reader.integer("next_segment", 0, MaxJsonInteger, 0);
+    const auto &entries = reader.raw("entries");
+    if (!entries.is_array()) {
+        reader.addError("entries", "must be a list");
+    }
+    if (!errors.empty()) {
+        return fail(ErrorCode::BadInput, "load journal", "", describe(errors));
     }
-    for (const auto &value : segment.value("entries", Json::array())) {
+    m_nextSegment = isHead ? nextSegment : m_nextSegment;
+    std::size_t unreadable = 0;
+    for (const auto &value : entries) {
         auto entry = journalEntryFromJson(value);
         if (!entry) {
+            ++unreadable;
+            loadUnreadable(value, isHead ? std::nullopt : std::optional(number));
             continue;
         }
         // The head is newer than every segment, and a segment is newer than those with lower numbers.
@@ -174,11 +203,12 @@
     if (!isHead) {
         m_segmentEntryCounts.try_emplace(number, 0);
     }
+    return unreadable;
 }
 
 auto JournalShard::head(std::string_view writeId) const -> Json
 {
-    auto entries = Json::array();
+    auto entries = m_unreadableInHead;
     for (const auto &[key, stored] : m_entries) {
         if (stored.segment < 0) {
             entries.push_back(toJson(stored.entry));
@@ -196,7 +226,8 @@
 {
     ClosedSegment closed;
     closed.number = m_nextSegment++;
-    auto entries = Json::array();
+    auto entries = std::exchange(m_unreadableInHead, Json::array());
+    m_segmentEntryCounts[closed.number] += entries.size();
     for (auto &[key, stored] : m_entries) {
         if (stored.segment < 0) {
             entries.push_back(toJson(stored.entry));
--- a/src/services/journal_service.cc
+++ b/src/services/journal_service.cc
@@ -276,7 +276,19 @@
             if (isHead) {
                 state.modRevision = value.modRevision;
             }
-            state.journal.load(Json::parse(value.value, nullptr, false), isHead);
+            const auto unreadable = state.journal.load(Json::parse(value.value, nullptr, false), isHead);
+            if (!unreadable) {
+                // Without its keys, requests of this shard might run again.
+                JournalLog.error("{} cannot be read, so requests with keys of this shard are refused: {}", value.key,
+                                 describe(unreadable.error()));
+                auto error = unreadable.error();
+                error.code = ErrorCode::Unavailable;
+                return failBatch(shard, std::exchange(state.queue, {}), error);
+            }
+            if (*unreadable > 0) {
+                JournalLog.error("{} has {} entries that this build cannot read; their keys count as used", value.key, *unreadable);
+                m_context.counters.at("journal_entries_unreadable").add(static_cast<std::int64_t>(*unreadable));
+            }
         }
         state.loaded = true;
         runBatch(shard);
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -147,6 +147,7 @@
     CPPUNIT_TEST(refusesKeyOfDifferentRequest);
     CPPUNIT_TEST(abandonedAttemptMayRunAgain);
     CPPUNIT_TEST(expiresOldSegments);
+    CPPUNIT_TEST(keysOfUnreadableEntriesDoNotRunAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -196,6 +197,28 @@
         CPPUNIT_ASSERT((journal.expire(2000) == std::vector<std::int64_t>{closed.number}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, journal.size());
     }
+
+    auto keysOfUnreadableEntriesDoNotRunAgain() -> void
+    {
+        const Json later = {{"key", "key1"}, {"attempt", {{"later", "form"}}}};
+        for (const bool isHead : {true, false}) {
+            JournalShard journal;
+            const Json stored = {{"segment", 0}, {"next_segment", 1}, {"entries", {later, toJson(makeIntent(2, "b"))}}};
+            const auto unreadable = journal.load(stored, isHead);
+            CPPUNIT_ASSERT(unreadable && *unreadable == 1);
+            CPPUNIT_ASSERT(journal.begin(makeIntent(1, "a"), NotRunning).decision == IntentDecision::Unknown);
+            CPPUNIT_ASSERT(journal.begin(makeIntent(3, "c"), NotRunning).decision == IntentDecision::Run);
+            CPPUNIT_ASSERT_EQUAL(isHead, journal.head("w")["entries"].front() == later);
+            CPPUNIT_ASSERT_EQUAL(isHead, journal.closeHead().content["entries"].front() == later);
+            CPPUNIT_ASSERT(journal.head("w")["entries"].empty());
+            CPPUNIT_ASSERT(journal.expire(1'000'000'000).empty());
+            CPPUNIT_ASSERT(journal.begin(makeIntent(1, "a"), NotRunning).decision == IntentDecision::Unknown);
+        }
+        for (const auto *text :
+             {"3", "[]", "{}", R"({"entries":{}})", R"({"entries":[],"next_segment":"later"})", R"({"entries":[],"segment":-5})"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !JournalShard().load(Json::parse(text), true));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalTest);
