--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -151,10 +151,10 @@
         PeerTable table("a", "z1");
         table.merge("b", "z1", {"10.0.0.2", 1}, clock.now());
         CPPUNIT_ASSERT(!table.isWitness("b", clock.now())); // it may be of a build that repeats notices
-        table.setProtocol("b", {PeerTable::VerifyingProtocol, true});
+        table.setProtocol("b", PeerProtocol{PeerTable::VerifyingProtocol, true}, clock.now());
         CPPUNIT_ASSERT(table.isWitness("b", clock.now()));
         table.merge("c", "z2", {"10.0.0.3", 1}, clock.now());
-        table.setProtocol("c", {PeerTable::VerifyingProtocol, true});
+        table.setProtocol("c", PeerProtocol{PeerTable::VerifyingProtocol, true}, clock.now());
         CPPUNIT_ASSERT(table.isWitness("c", clock.now()) && !table.isWitness("b", clock.now()));
         clock.advance(PeerTable::ReportLifetime);
         table.merge("b", "z1", {"10.0.0.2", 1}, clock.now());
