A relayed request keeps its call, and its attempts, unless another VM can take over

Found in review, by reading. A stopping VM gave up the call of a silent request for a move that it then refused, because the answer would outlast it: its caller got 502. And an attempt was kept back for a third VM also where there is none, as in a fleet of two, so that it was never used.

Change: the move asks the same question before the call is given up; an attempt is kept back only if a third VM may take the request.

The check in a drain has no test of its own.

--- a/include/currantstack/decisions/request_attempts.h
+++ b/include/currantstack/decisions/request_attempts.h
@@ -43,12 +43,12 @@
     /// Records the outcome of what `onAttempt` recorded. What was not sent does not count against the limit.
     auto onOutcome(AttemptOutcome outcome, int attempts = 1) -> void;
 
-    /// Returns how many attempts another VM may make. When that VM dies, nobody knows how many it has made; one is kept for a stream, which
-    /// can go on at a third VM.
-    auto attemptsToDelegate() const -> int
+    /// Returns how many attempts another VM may make. When that VM dies, nobody knows how many it has made; one is kept for a stream if
+    /// it could go on at a third VM.
+    auto attemptsToDelegate(bool hasThirdVm) const -> int
     {
         const int left = m_maxAttempts - m_count;
-        return m_resumable && left > 1 ? left - 1 : left;
+        return hasThirdVm && m_resumable && left > 1 ? left - 1 : left;
     }
 
     /// Returns whether another attempt may be made.
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -134,8 +134,8 @@
         return false;
     }
     m_vm = chosen->vm;
-    m_delegated = m_attempts.attemptsToDelegate();
     m_tried.push_back(m_vm);
+    m_delegated = m_attempts.attemptsToDelegate(chooseRelay(candidates, m_tried, m_context.random) != nullptr);
     ++m_sends;
     ++m_context.relayedInFlight[m_vm];
     m_context.counters.at("requests_relayed").add();
@@ -312,8 +312,8 @@
         return;
     }
     const auto candidates = m_context.relayHooks.candidates(m_request.service);
-    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && m_sends < MaxSends && m_tried.size() < MaxVms
-        && chooseRelay(candidates, m_tried, m_context.random) != nullptr;
+    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && (m_headSent || !outlastsThisVm()) && m_sends < MaxSends
+        && m_tried.size() < MaxVms && chooseRelay(candidates, m_tried, m_context.random) != nullptr;
     m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
     if (m_retryAcquired) {
         onBroken(AttemptOutcome::Unknown, "no answer in time");
