A head that begins before the first configuration has a time limit

Change: the first limits that become known hold for the current head too.

Measured: headsThatBeginBeforeTheFirstLimitsAreCutOff; unit tests all pass.

--- a/src/base/connection_watch.cc
+++ b/src/base/connection_watch.cc
@@ -31,7 +31,8 @@
 
 auto ConnectionWatch::onLimits(const ConnectionLimits &limits) -> void
 {
-    m_headTimeout = longer(m_headTimeout, limits.headTimeout);
+    const bool isFirst = m_headTimeout == Duration::zero(); // no limit was known when the connection was opened
+    m_headTimeout = isFirst ? limits.headTimeout : longer(m_headTimeout, limits.headTimeout);
     m_idleTimeout = longer(m_idleTimeout, limits.idleTimeout);
 }
 
--- a/test/connection_watch-test.cc
+++ b/test/connection_watch-test.cc
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(waitingRequestsAreNeverCutOff);
     CPPUNIT_TEST(stalledTransfersAreCutOff);
     CPPUNIT_TEST(changedTimeoutsNeverShortenTheCurrentPause);
+    CPPUNIT_TEST(changedTimeoutsNeverShortenAHead);
+    CPPUNIT_TEST(headsThatBeginBeforeTheFirstLimitsAreCutOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +96,30 @@
         fixture.watch.onRequestEnd(fixture.progress, fixture.clock.now());
         CPPUNIT_ASSERT(!fixture.isKept(seconds(3), ConnectionPhase::BetweenRequests));
     }
+
+    auto changedTimeoutsNeverShortenAHead() -> void
+    {
+        WatchFixture fixture;
+        fixture.progress.received = 10;
+        CPPUNIT_ASSERT(fixture.isKept(milliseconds(1), ConnectionPhase::Head));
+        fixture.limits.headTimeout = seconds(1);
+        fixture.watch.onLimits(fixture.limits);
+        CPPUNIT_ASSERT(fixture.isKept(seconds(3), ConnectionPhase::Head));
+        CPPUNIT_ASSERT(!fixture.isKept(milliseconds(1), ConnectionPhase::Head));
+    }
+
+    auto headsThatBeginBeforeTheFirstLimitsAreCutOff() -> void
+    {
+        WatchFixture fixture;
+        fixture.watch = ConnectionWatch({}, fixture.clock.now());
+        fixture.limits = {};
+        fixture.progress.received = 10;
+        CPPUNIT_ASSERT(fixture.isKept(seconds(1), ConnectionPhase::Head));
+        fixture.limits = Limits;
+        fixture.watch.onLimits(Limits);
+        CPPUNIT_ASSERT(fixture.isKept(seconds(3), ConnectionPhase::Head));
+        CPPUNIT_ASSERT(!fixture.isKept(milliseconds(1), ConnectionPhase::Head));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionWatchTest);
