Quarantine entries that a build cannot read stay in the store

Found in review: a VM deleted each entry that it cannot read, so that VMs of an older build would have deleted those of a later form, and VMs of that build written them again.

Change: only entries that were read are deleted when they are not in force; the others are left to their lease.

Measured: odd_entries_of_vms_and_quarantines_are_left_out_alone, which now looks for such an entry, failed on ('a VM has deleted an entry that it cannot read') and passes.

--- a/src/edge/quarantine_store.cc
+++ b/src/edge/quarantine_store.cc
@@ -49,15 +49,16 @@
 
 auto QuarantineStore::onValue(const StoreValue &value) -> void
 {
-    m_stored.insert(value.key);
     const auto entry = decodeStoredEntry(value.value, m_context.clock.wall());
     if (!entry) {
+        m_stored.erase(value.key); // it may be of a later build, so it is left to its lease
         if (m_unreadable.add(value)) {
             m_context.log.write("quarantine", "entry_ignored",
                                 {{"key", excerpt(value.key)}, {"revision", value.modRevision}, {"error", describe(entry.error())}});
         }
         return;
     }
+    m_stored.insert(value.key);
     m_unreadable.remove(value.key);
     m_onEntry(*entry);
 }
--- a/test/edge/entry_tests.py
+++ b/test/edge/entry_tests.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import time
 from urllib.parse import unquote
 
 from rig import Rig, call
@@ -268,6 +269,8 @@
         entry = {"traits": ["ab"], "until_ms": 1, "crashed": ["i-1"], "observer": "vm9", "crash_ms": 1}
         for number, (_, document) in enumerate(odd_documents(entry, ("until_ms", "crash_ms"), ("observer",))):
             store.put(f"currantstack/quarantine/{number}", document)
+        later = {"traits": {"of": "a later release"}, "until_ms": int(time.time() * 1000) + 60_000}
+        store.put("currantstack/quarantine/later", json.dumps(later).encode())
         store.put("currantstack/quarantine/many", json.dumps({**entry, "until_ms": 1 << 62, "traits": 10_000 * ["ab"]}).encode())
         for vm in rig.vms:
             await restart(vm)
@@ -276,6 +279,7 @@
         for vm in rig.vms:
             assert not [line for line in vm.log_text().splitlines() if len(line) > LONGEST_LINE]
             assert await metric(vm, "vms_known") == len(rig.vms), f"{vm.name} knows other VMs than the sound ones"
+        assert "currantstack/quarantine/later" in store.items, "a VM has deleted an entry that it cannot read"
 
 
 async def odd_datagrams_are_ignored():
