--- a/include/currantstack/connection_watch.h
+++ b/include/currantstack/connection_watch.h
@@ -29,7 +29,7 @@
 enum class ConnectionVerdict
 {
     Keep,
-    CloseIdle, // a request that crosses it is refused
+    CloseIdle, // no request is lost
     CloseSlow,
 };
 
--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -37,7 +37,6 @@
     /// connection.
     static constexpr Duration RefusalLifetime = seconds(10);
 
-    /// From this protocol on, VMs announce only the ends of upstreams that they have found themselves.
     static constexpr std::int64_t VerifyingProtocol = 2;
 
     PeerTable(std::string self, std::string place)
--- a/include/currantstack/edge/relay_message.h
+++ b/include/currantstack/edge/relay_message.h
@@ -19,7 +19,7 @@
 {
     std::string vm; // that took the request
     Duration age = Duration::zero(); // since the request arrived there
-    int sends = 0; // attempts of the route's limit that the second VM may not make
+    int sends = 0; // attempts that count against the route's limit
     bool counted = false; // the request is already counted in the retry budget and the rate limits
     std::int64_t routesVersion = 0; // in force at that VM
     std::int64_t lastEventId = 0; // of the stream that goes on; 0: as the caller says
