Streams end in bounded time when their engine is gone without a word

What callers saw: a stream of a route that cannot be resumed had no time limit between events. Cause: only resumable streams had a stall timer; nothing looked at the engine's entry or at its other streams. Ruled out: ending a stream for a pause of its own (a slow engine pauses as well), or for a removed entry alone (engines that leave without having announced it serve on). Change: UpstreamSilence collects when an engine was heard last and which calls it left unanswered. A stream ends when its engine has started anew, when its entry is gone and a probe unanswered, or, while the store keeps entries, when probes of two VMs are unanswered for 6 s. An event that is begun and not completed ends it too. Such engines get probes instead of requests, and the VMs tell one another.

--- a/include/currantstack/decisions/exclusion_list.h
+++ b/include/currantstack/decisions/exclusion_list.h
@@ -18,6 +18,7 @@
     ChangingRole, // an order to change its role makes it unavailable for some seconds
     Draining, // its store entry says so, or was removed
     Outdated, // its address is unreachable, or the engine there is another one or no longer matches the store entry
+    Silent, // it leaves calls unanswered, see UpstreamSilence
 };
 
 /// An exclusion as VMs announce it to one another.
@@ -65,7 +66,10 @@
     /// Records that the upstream accepted a request, which ends its back-off.
     auto onAccepted(std::string_view upstream) -> void;
 
-    /// Adds an exclusion that this VM observed itself.
+    /// Records that the upstream has sent something, so that it is not silent.
+    auto onHeard(std::string_view upstream) -> void;
+
+    /// Adds an exclusion that this VM observed itself. One for silence is left out while there is another reason.
     auto add(const ExclusionNotice &notice, TimePoint now) -> void;
 
     /// Records that the store entry was rewritten, or that the upstream answered under it. Resets an upstream that is excluded as
@@ -88,8 +92,8 @@
     /// Returns whether this VM itself has observed that the entry is outdated.
     auto hasObservedOutdated(std::string_view upstream, TimePoint now) const -> bool;
 
-    /// Returns the notices that this VM announces on its own behalf. `Outdated` ones of other VMs are left out: each VM that has not
-    /// verified such a notice would otherwise confirm it to the others.
+    /// Returns the notices that this VM announces on its own behalf. `Outdated` and `Silent` ones of other VMs are left out: each VM that
+    /// has not verified such a notice would otherwise confirm it to the others.
     auto ownNotices(TimePoint now) const -> std::vector<ExclusionNotice>;
 
     /// Returns all notices, for VMs that the other VMs do not reach.
--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -95,6 +95,9 @@
     /// Returns the `count` VMs that rendezvous hashing assigns to the key. VMs that know the same peers compute the same.
     auto holders(std::uint64_t key, std::size_t count) const -> std::vector<SocketAddress>;
 
+    /// Returns whether rendezvous hashing assigns the key to this VM as one of `count`, among itself and the VMs that report to it.
+    auto isHolder(std::uint64_t key, std::size_t count, TimePoint now) const -> bool;
+
     /// Returns whether this VM has peers, and none of them has sent a datagram or become known lately.
     auto hearsNoPeer(TimePoint now) const -> bool;
 
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -17,6 +17,7 @@
 #include "currantstack/decisions/upstream_directory.h"
 #include "currantstack/decisions/upstream_notices.h"
 #include "currantstack/decisions/upstream_reach.h"
+#include "currantstack/decisions/upstream_silence.h"
 #include "currantstack/edge/latencies.h"
 #include "currantstack/edge/open_requests.h"
 #include "currantstack/edge/pending_queue.h"
@@ -105,6 +106,7 @@
     OriginHooks originHooks = {};
     UpstreamReach reach = {};
     EndEvidence endEvidence = {};
+    UpstreamSilence silence = {};
     std::function<bool()> mayHaveWitnesses = []() { return false; }; // other VMs that confirm the end of an upstream
     RelayHooks relayHooks = {};
     std::map<std::string, int, std::less<>> relayedInFlight = {}; // requests that other VMs forward for this one, by VM
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -51,11 +51,17 @@
         m_onReport = std::move(handler);
     }
 
-    /// Sets the receiver of other VMs' notices that an upstream's entry is outdated. `isWitness` says whether the notice confirms what
-    /// this VM has found.
-    auto setOutdatedHandler(std::function<void(const ExclusionNotice &notice, bool isWitness)> handler) -> void
+    /// Sets the receiver of other VMs' notices that an upstream's entry is outdated, or that it is silent. `isWitness` says whether the
+    /// notice confirms what this VM has found.
+    auto setEndNoticeHandler(std::function<void(const ExclusionNotice &notice, bool isWitness)> handler) -> void
     {
-        m_onOutdated = std::move(handler);
+        m_onEndNotice = std::move(handler);
+    }
+
+    /// Returns whether rendezvous hashing assigns the key to this VM as one of `count`, among the VMs that it hears.
+    auto isHolder(std::uint64_t key, std::size_t count) const -> bool
+    {
+        return m_peers.isHolder(key, count, m_context.clock.now());
     }
 
     /// Returns whether there may be other VMs that find the end of an upstream as well. VMs that this one does not hear count, because
@@ -144,7 +150,7 @@
     std::map<std::string, std::int64_t, std::less<>> m_protocolsHeard; // number of the protocol that each VM reported last
     std::set<std::int64_t> m_protocolsCounted; // numbers that have a gauge
     std::function<void(std::string_view bytes)> m_onReport;
-    std::function<void(const ExclusionNotice &notice, bool isWitness)> m_onOutdated;
+    std::function<void(const ExclusionNotice &notice, bool isWitness)> m_onEndNotice;
     std::function<void(std::string_view bytes, const SocketAddress &from)> m_onOrigins;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_aggregateTimer;
--- a/include/currantstack/edge/reach_controller.h
+++ b/include/currantstack/edge/reach_controller.h
@@ -7,8 +7,8 @@
 namespace currantstack
 {
 
-/// Probes upstreams while this VM is cut off from them or several are silent, others of a service whose upstreams refuse connections, and
-/// those that another VM reports to have ended.
+/// Probes upstreams while this VM is cut off from them or several are silent, others of a service whose upstreams refuse connections,
+/// those that another VM reports to have ended, and those that may be gone without a word.
 class ReachController
 {
 public:
@@ -18,25 +18,33 @@
     static constexpr Duration ShortestVerificationDelay = milliseconds(50); // drawn at random, which spreads the probes of all VMs
     static constexpr Duration LongestVerificationDelay = milliseconds(300);
 
-    ReachController(EdgeContext &context, LoadExchange &exchange);
+    /// VMs that probe an upstream of which another VM says that it is silent, among those that hear one another.
+    static constexpr std::size_t SilenceWitnesses = 3;
 
-    auto start() -> void;
+    ReachController(EdgeContext &context, LoadExchange &exchange);
 
-private:
     enum class ProbePurpose
     {
         Links, // of this VM
         Notice, // of another VM
+        Silence, // of the upstream
     };
 
+    auto start() -> void;
+
+private:
     auto check() -> void;
     auto probeAny(const ServiceSpec &service, const std::function<bool(const Upstream &upstream)> &isEligible) -> void;
     auto probeSilent(const ServiceSpec &service, EngineRole role) -> void;
+    auto probeSuspects() -> void;
+    auto onEndNotice(const ExclusionNotice &notice, bool isWitness) -> void;
     auto onOutdated(const ExclusionNotice &notice, bool isWitness) -> void;
+    auto onSilent(const ExclusionNotice &notice, bool isWitness) -> void;
     auto verify(const std::string &id, TimePoint issuedAt) -> void;
     auto probe(const Upstream &upstream, std::string_view healthPath, ProbePurpose purpose) -> void;
 
     EdgeContext &m_context;
+    LoadExchange &m_exchange;
     std::unique_ptr<Timer> m_timer;
 };
 
--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -9,6 +9,16 @@
 /// Records that the upstream answered on a connection that was opened at `openedAt`.
 auto recordReached(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void;
 
+/// Records that the upstream has sent something.
+auto recordHeard(EdgeContext &context, const Upstream &upstream) -> void;
+
+/// Records that the upstream has left a call unanswered that was sent at `sentAt` and that sound upstreams answer at once. Unless it has
+/// been heard since, it gets probes instead of requests, and the other VMs are told.
+auto recordUnanswered(EdgeContext &context, const Upstream &upstream, TimePoint sentAt) -> void;
+
+/// Returns what the directory says now about the process that `upstream` is a copy of.
+auto entryStateOf(const EdgeContext &context, const Upstream &upstream) -> EntryState;
+
 /// Records a call on a connection of its own that failed, if its error says something about the link.
 auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
 
--- a/src/decisions/exclusion_list.cc
+++ b/src/decisions/exclusion_list.cc
@@ -46,9 +46,20 @@
     }
 }
 
+auto ExclusionList::onHeard(std::string_view upstream) -> void
+{
+    if (const auto found = m_exclusions.find(upstream); found != m_exclusions.end() && found->second.reason == ExclusionReason::Silent) {
+        m_exclusions.erase(found);
+    }
+}
+
 auto ExclusionList::add(const ExclusionNotice &notice, TimePoint now) -> void
 {
-    insert(notice, true, now);
+    const auto found = m_exclusions.find(notice.upstream);
+    const bool isOther = found != m_exclusions.end() && now < found->second.until && found->second.reason != notice.reason;
+    if (notice.reason != ExclusionReason::Silent || !isOther) {
+        insert(notice, true, now);
+    }
 }
 
 auto ExclusionList::insert(const ExclusionNotice &notice, bool isObserved, TimePoint now) -> void
@@ -104,6 +115,7 @@
     case ExclusionReason::ChangingRole:
         return exclusion->second.role != registeredRole;
     case ExclusionReason::Outdated:
+    case ExclusionReason::Silent:
         return true;
     case ExclusionReason::Draining:
         break;
@@ -132,7 +144,8 @@
 {
     std::vector<ExclusionNotice> result;
     for (const auto &[upstream, exclusion] : m_exclusions) {
-        const bool isIncluded = withReceived || exclusion.isObserved || exclusion.reason != ExclusionReason::Outdated;
+        const bool needsVerification = exclusion.reason == ExclusionReason::Outdated || exclusion.reason == ExclusionReason::Silent;
+        const bool isIncluded = withReceived || exclusion.isObserved || !needsVerification;
         if (isIncluded && now < exclusion.until && result.size() < MaxNotices) {
             result.push_back({upstream, exclusion.reason, exclusion.role, exclusion.until - now});
         }
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -219,6 +219,15 @@
     return result;
 }
 
+auto PeerTable::isHolder(std::uint64_t key, std::size_t count, TimePoint now) const -> bool
+{
+    const auto own = hash64(m_self, key);
+    const auto before = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return now - entry.second.receivedAt < ReportLifetime && hash64(entry.first, key) > own;
+    });
+    return static_cast<std::size_t>(before) < count;
+}
+
 auto PeerTable::hearsNoPeer(TimePoint now) const -> bool
 {
     const auto isHeard = [now](const auto &entry) {
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -174,6 +174,7 @@
     if (change == UpstreamChange::Joined || change == UpstreamChange::Restarted) {
         m_context.health.reset(entry.id);
         m_context.exclusions.reset(entry.id, m_context.clock.now());
+        m_context.silence.reset(entry.id);
     }
     if (change == UpstreamChange::Updated) {
         m_context.exclusions.onCurrent(entry.id, m_context.clock.now());
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -180,8 +180,8 @@
     }
     m_context.loads.merge(message.source, message.sequence, message.loads, now);
     for (const auto &notice : message.exclusions) {
-        if (notice.reason == ExclusionReason::Outdated) {
-            m_onOutdated(notice, !message.isAggregate && m_peers.isWitness(message.vm, now));
+        if (notice.reason == ExclusionReason::Outdated || notice.reason == ExclusionReason::Silent) {
+            m_onEndNotice(notice, !message.isAggregate && m_peers.isWitness(message.vm, now));
         } else {
             m_context.exclusions.merge(notice, now);
         }
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -17,6 +17,7 @@
 // On the wire, the reason of an exclusion is one of these strings, or the new role of an engine that changes its role.
 constexpr std::string_view Draining = "leaving";
 constexpr std::string_view Outdated = "outdated";
+constexpr std::string_view Silent = "silent";
 
 constexpr std::string_view RelayInPlace = "spread";
 
@@ -80,6 +81,8 @@
         return name(notice.role);
     case ExclusionReason::Outdated:
         return Outdated;
+    case ExclusionReason::Silent:
+        return Silent;
     case ExclusionReason::Draining:
         break;
     }
@@ -106,9 +109,11 @@
     constexpr std::int64_t MaxExclusionMs = 60'000;
     const auto remaining = std::clamp<std::int64_t>(row[2].get<std::int64_t>(), 0, MaxExclusionMs);
     const auto reasonText = row[1].get<std::string>();
-    if (reasonText == Draining || reasonText == Outdated) {
-        const auto reason = reasonText == Draining ? ExclusionReason::Draining : ExclusionReason::Outdated;
-        return ExclusionNotice{row[0].get<std::string>(), reason, EngineRole::None, milliseconds(remaining)};
+    for (const auto reason : {ExclusionReason::Draining, ExclusionReason::Outdated, ExclusionReason::Silent}) {
+        ExclusionNotice notice{row[0].get<std::string>(), reason, EngineRole::None, milliseconds(remaining)};
+        if (reasonText == encodeReason(notice)) {
+            return notice;
+        }
     }
     for (const auto role : {EngineRole::Prefill, EngineRole::Decode}) {
         if (reasonText == name(role)) {
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -12,10 +12,24 @@
 
 constexpr Duration ProbeTimeout = milliseconds(900); // of the whole probe; a plain upstream may answer only when a slot is free
 
+auto name(ReachController::ProbePurpose purpose) -> std::string_view
+{
+    switch (purpose) {
+    case ReachController::ProbePurpose::Notice:
+        return "notice";
+    case ReachController::ProbePurpose::Silence:
+        return "silence";
+    case ReachController::ProbePurpose::Links:
+        break;
+    }
+    return "links";
+}
+
 } // namespace
 
 ReachController::ReachController(EdgeContext &context, LoadExchange &exchange)
     : m_context(context)
+    , m_exchange(exchange)
     , m_timer(context.loop.timer([this]() { check(); }))
 {
     context.relayHooks.candidates = [&context, &exchange](std::string_view service) {
@@ -27,7 +41,7 @@
         return candidates;
     };
     context.mayHaveWitnesses = [&exchange]() { return exchange.mayHaveWitnesses(); };
-    exchange.setOutdatedHandler([this](const ExclusionNotice &notice, bool isWitness) { onOutdated(notice, isWitness); });
+    exchange.setEndNoticeHandler([this](const ExclusionNotice &notice, bool isWitness) { onEndNotice(notice, isWitness); });
     context.relayHooks.onConnectionRefused = [&exchange](std::string_view vm) { exchange.onRelayConnectionRefused(vm); };
 }
 
@@ -44,6 +58,7 @@
     if (!m_context.routeTable) {
         return;
     }
+    probeSuspects();
     for (const auto &service : m_context.routeTable->services) {
         for (const auto role : {EngineRole::None, EngineRole::Decode, EngineRole::Prefill}) {
             if (m_context.reach.isCutOff(service.name, role)) {
@@ -87,6 +102,44 @@
     }
 }
 
+/// Probes the upstreams that streams wait for in vain, and those that have left calls unanswered.
+auto ReachController::probeSuspects() -> void
+{
+    const auto now = m_context.clock.now();
+    for (const auto &upstream : m_context.silence.takeDueProbes(now)) {
+        if (m_context.notices.pauseLeft(upstream, now) == Duration::zero()) {
+            probe(upstream, "", ProbePurpose::Silence);
+        }
+    }
+}
+
+auto ReachController::onEndNotice(const ExclusionNotice &notice, bool isWitness) -> void
+{
+    if (notice.reason == ExclusionReason::Silent) {
+        onSilent(notice, isWitness);
+    } else {
+        onOutdated(notice, isWitness);
+    }
+}
+
+/// Avoids an upstream that another VM finds silent, unless this VM has heard it since. Some of the VMs probe it as well.
+auto ReachController::onSilent(const ExclusionNotice &notice, bool isWitness) -> void
+{
+    const auto now = m_context.clock.now();
+    const auto issuedAt = now - std::max<Duration>(Duration::zero(), UpstreamSilence::SuspicionLifetime - notice.remaining);
+    if (m_context.silence.hasHeard(notice.upstream, issuedAt)) {
+        return;
+    }
+    m_context.exclusions.merge(notice, now);
+    if (isWitness) {
+        m_context.silence.onWitness(notice.upstream, now);
+    }
+    const auto *upstream = m_context.directory.find(notice.upstream);
+    if (upstream != nullptr && !m_context.draining && m_exchange.isHolder(hash64(notice.upstream), SilenceWitnesses)) {
+        m_context.silence.onAwaited(*upstream, now - UpstreamSilence::ProbeAfter, now);
+    }
+}
+
 auto ReachController::onOutdated(const ExclusionNotice &notice, bool isWitness) -> void
 {
     const auto now = m_context.clock.now();
@@ -138,7 +191,7 @@
         m_context.log.write("links", "upstream_probed",
                             {{"upstream", upstream.id},
                              {"service", upstream.service},
-                             {"purpose", purpose == ProbePurpose::Notice ? "notice" : "links"},
+                             {"purpose", name(purpose)},
                              {"result", result ? fmt::format("status {}", result->status) : describe(result.error())}});
         if (purpose == ProbePurpose::Notice) {
             m_context.endEvidence.onVerified(upstream.id, m_context.clock.now());
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -17,6 +17,12 @@
 // The timeout for the first event is the expected time multiplied by this factor, plus this margin.
 constexpr double FirstEventTimeoutFactor = 2;
 constexpr Duration FirstEventTimeoutMargin = milliseconds(700);
+// Period in which a stream that may not be moved checks whether its engine is gone.
+constexpr Duration SilenceCheckPeriod = milliseconds(300);
+// An event that is not complete after the longest of these times will not be. Callers disconnect sooner.
+constexpr Duration LongestEventTime = seconds(5);
+constexpr int EventTimeGapFactor = 10; // as a multiple of the gap goal
+constexpr int EventTimeGoalFactor = 5; // as a multiple of the latency goal
 // A prompt that crashes engines does so when they begin to answer it. An engine that has sent events for this time has survived it.
 constexpr Duration SurvivalTime = seconds(1);
 constexpr std::size_t MaxErrorBody = 1U << 20; // bytes
@@ -46,6 +52,7 @@
     }
     m_splitter = {};
     m_fillerBytes = 0;
+    m_partialSince.reset();
     m_heldFiller.clear();
     m_begunAt.reset();
     m_survivalRecorded = false;
@@ -113,7 +120,15 @@
         m_errorAnswer.body.append(data);
         return;
     }
-    if (!m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); })) {
+    recordHeard(m_context, m_decodeEngine);
+    const bool isWithinLimit = m_splitter.feed(data, [this](const RawEvent &event) {
+        m_partialSince.reset();
+        onEvent(event);
+    });
+    if (m_splitter.hasPartial()) {
+        m_partialSince = m_partialSince.value_or(m_context.clock.now());
+    }
+    if (!isWithinLimit) {
         breakOff("an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         breakOff("the stream has no events");
@@ -249,20 +264,62 @@
 
 auto StreamRequest::restartStallTimer() -> void
 {
-    if (!m_request.route->resumable) {
-        return;
-    }
     if (!m_stallTimer) {
         m_stallTimer = m_context.loop.timer([self = shared_from_this()]() { self->onStall(); });
     }
+    if (!m_request.route->resumable) {
+        m_stallTimer->startOnce(UpstreamSilence::ProbeAfter);
+        return;
+    }
     const auto firstEventTimeout =
         fromMilliseconds(FirstEventTimeoutFactor * toMilliseconds(m_expectedFirstEvent)) + FirstEventTimeoutMargin;
     m_stallTimer->startOnce(m_headSent ? StallTimeout : firstEventTimeout);
 }
 
+/// Returns since when the call in flight has brought no event.
+auto StreamRequest::awaitedSince() const -> TimePoint
+{
+    return std::max(m_sentAt, m_lastEventAt);
+}
+
+/// Returns whether the engine has sent the begin of an event and does not complete it.
+auto StreamRequest::isStuckInEvent() const -> bool
+{
+    const auto &route = *m_request.route;
+    const auto limit = std::max<Duration>({LongestEventTime, EventTimeGapFactor * route.gapGoal, EventTimeGoalFactor * route.latencyGoal});
+    return m_partialSince && m_context.clock.now() - *m_partialSince >= limit;
+}
+
+/// Ends a call that brings no event any more: its engine is gone, or does not complete an event. Returns false if neither is certain.
+auto StreamRequest::endsInVain() -> bool
+{
+    const auto now = m_context.clock.now();
+    const auto since = awaitedSince();
+    m_context.silence.onAwaited(m_decodeEngine, since, now);
+    const auto reason = m_context.silence.endReason(m_decodeEngine, entryStateOf(m_context, m_decodeEngine), since, now);
+    if (reason == EndReason::None && !isStuckInEvent()) {
+        return false;
+    }
+    m_context.counters.at("streams_ended_in_vain").add();
+    m_context.log.write("stream", "stream_ends_in_vain",
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"entry", name(entryStateOf(m_context, m_decodeEngine))},
+                         {"reason", reason == EndReason::None ? "partial_event" : name(reason)},
+                         {"unanswered", m_context.silence.unanswered(m_decodeEngine.id)},
+                         {"silent_ms", toMilliseconds(now - since)},
+                         {"age_ms", toMilliseconds(now - m_request.arrivedAt)}});
+    breakOff(reason == EndReason::None ? "the stream completes no event" : "the engine is gone");
+    return true;
+}
+
 auto StreamRequest::onStall() -> void
 {
-    if (m_done || m_decodeCall == 0) {
+    if (m_done || m_decodeCall == 0 || endsInVain()) {
+        return;
+    }
+    if (!m_request.route->resumable) {
+        m_stallTimer->startOnce(SilenceCheckPeriod);
         return;
     }
     // A sound engine may be silent for a while, so its call is only given up for a resumption that is certain to be allowed.
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -23,7 +23,13 @@
     }
     const auto self = shared_from_this();
     m_request.exchange->onDisconnect([self]() {
-        self->m_context.log.write("stream", "caller_gone", {{"request", self->m_request.metadata.requestId}, {"events", self->m_events}});
+        const auto now = self->m_context.clock.now();
+        self->m_context.log.write("stream", "caller_gone",
+                                  {{"request", self->m_request.metadata.requestId},
+                                   {"events", self->m_events},
+                                   {"engine", self->m_decodeCall == 0 ? "" : self->m_decodeEngine.id},
+                                   {"silent_ms", self->m_decodeCall == 0 ? 0.0 : toMilliseconds(now - self->awaitedSince())},
+                                   {"age_ms", toMilliseconds(now - self->m_request.arrivedAt)}});
         self->finish();
     });
     m_openId = m_context.openRequests.add([self](StopPhase phase) { self->endForStop(phase); });
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -106,6 +106,9 @@
     auto onStall() -> void;
     auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
+    auto awaitedSince() const -> TimePoint;
+    auto endsInVain() -> bool;
+    auto isStuckInEvent() const -> bool;
     auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
     auto resumeElsewhere(AttemptOutcome outcome, std::string_view reason) -> bool;
     auto isVersionCertain() const -> bool;
@@ -159,6 +162,7 @@
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId;
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
+    std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
     int m_events = 0;
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -75,8 +75,41 @@
     }
 }
 
+auto recordHeard(EdgeContext &context, const Upstream &upstream) -> void
+{
+    context.silence.onHeard(upstream.id, context.clock.now());
+    context.exclusions.onHeard(upstream.id);
+}
+
+auto recordUnanswered(EdgeContext &context, const Upstream &upstream, TimePoint sentAt) -> void
+{
+    const auto now = context.clock.now();
+    // Plain upstreams may answer only when a slot is free. A VM that is cut off would suspect all upstreams.
+    if (upstream.role == EngineRole::None || context.reach.isCutOff(upstream.service, upstream.role)
+        || !context.silence.onUnanswered(upstream, sentAt, now)) {
+        return;
+    }
+    context.exclusions.add({upstream.id, ExclusionReason::Silent, EngineRole::None, UpstreamSilence::SuspicionLifetime}, now);
+    context.counters.at("calls_unanswered").add();
+    context.log.write("links", "upstream_silent",
+                      {{"upstream", upstream.id},
+                       {"service", upstream.service},
+                       {"unanswered", context.silence.unanswered(upstream.id)},
+                       {"call_ms", toMilliseconds(now - sentAt)}});
+}
+
+auto entryStateOf(const EdgeContext &context, const Upstream &upstream) -> EntryState
+{
+    const auto *entry = context.directory.find(upstream.id);
+    if (entry == nullptr) {
+        return EntryState::Removed;
+    }
+    return entry->startedAtMs == upstream.startedAtMs ? EntryState::Present : EntryState::Replaced;
+}
+
 auto recordReached(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
 {
+    recordHeard(context, upstream);
     context.endEvidence.onReached(upstream.id);
     for (const auto &ended : context.reach.onReached(upstream, openedAt)) {
         recordRefusal(context, ended);
@@ -92,6 +125,7 @@
         recordFailedLink(context, upstream, error, openedAt);
     } else {
         recordSilence(context, upstream, openedAt);
+        recordUnanswered(context, upstream, openedAt);
     }
 }
 
@@ -105,6 +139,9 @@
         return;
     }
     updateLinks(context, upstream);
+    if (error.code == ErrorCode::Unreachable && !error.connectionRefused && !error.connectionClosed) {
+        recordUnanswered(context, upstream, openedAt);
+    }
 }
 
 auto recordSilence(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -212,6 +212,7 @@
     EVENTS = 12  # per stream
     EVENT_INTERVAL_S = 0.015
     PREFILL_TOKENS_PER_MS = 60.0
+    TRICKLE_S = 0.4  # between the bytes of an event that does not end
 
     def __init__(self, store, service, place, history, role, port=0):
         super().__init__(store, service, place, history, port)
@@ -296,6 +297,14 @@
         await writer.drain()
         writer.transport.abort()
 
+    async def trickle(self, event, reader, writer):
+        """Sends the begin of an event and then a byte now and then, until the peer closes the connection."""
+        writer.write(chunk(event[:-2]))
+        while not reader.at_eof() and not writer.transport.is_closing():
+            writer.write(chunk(b"x"))
+            await writer.drain()
+            await asyncio.sleep(self.TRICKLE_S)
+
     def import_kv(self, source, request):
         """Takes the prompt's KV cache from the prefill engine; returns whether the handle was still valid."""
         address, _, handle = source.partition("/")
@@ -340,6 +349,8 @@
                     await writer.drain()
                     writer.transport.abort()
                     return None
+                if number > 2 and self.fault == "trickle":
+                    return await self.trickle(event, reader, writer)
                 if self.draw_fault("stall"):
                     await asyncio.sleep(30)
                 writer.write(frame(event))
