A relayed request keeps the deadline of the VM that took it

Cause: the relay header did not carry the first VM's deadline, so that the second VM applied its own version of the route. Change: the header carries the time left; a build that does not send it is treated as before. Test: relayed_streams_keep_the_deadline_of_the_first_vm fails on (stream aborted) and passes now.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -186,9 +186,15 @@
     TimePoint arrivedAt;
     std::optional<RelayInfo> relay; // set if another VM took the request from its caller
 
-    /// Returns the time by which the caller must have its answer: the earlier of the route's timeout and the caller's own deadline.
+    std::optional<TimePoint> firstVmDeadline; // of the VM that took the request, whose routes may be of another version
+
+    /// Returns the time by which the caller must have its answer: the earlier of the route's timeout and the caller's own deadline, at
+    /// the VM that took the request.
     auto deadline() const -> TimePoint
     {
+        if (firstVmDeadline) {
+            return *firstVmDeadline;
+        }
         return arrivedAt + std::min(route->timeout, metadata.timeLeft.value_or(route->timeout));
     }
 };
--- a/include/currantstack/edge/relay_message.h
+++ b/include/currantstack/edge/relay_message.h
@@ -5,6 +5,7 @@
 #include "currantstack/error.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,7 @@
     std::int64_t lastEventId = 0; // of the stream that goes on; 0: as the caller says
     std::string firstAttemptId; // of the stream that goes on
     std::string service = {}; // that the first VM has drawn among the route's; empty: its build does not say
+    std::optional<Duration> timeLeft = {}; // until the first VM must have the answer; none: its build does not say
 };
 
 /// Returns the header's value.
--- a/src/edge/relay_message.cc
+++ b/src/edge/relay_message.cc
@@ -12,20 +12,25 @@
 
 constexpr std::int64_t MaxAgeMs = 3'600'000;
 constexpr std::int64_t MaxSends = 1000;
+constexpr std::int64_t Unknown = -1;
 constexpr std::string_view Step = "decode relay header";
 
 } // namespace
 
 auto encodeRelay(const RelayInfo &info) -> std::string
 {
-    return dumpJson({{"vm", info.vm},
+    Json document = {{"vm", info.vm},
                      {"age_ms", std::chrono::duration_cast<milliseconds>(info.age).count()},
                      {"sends", info.sends},
                      {"counted", info.counted},
                      {"routes", info.routesVersion},
                      {"after", info.lastEventId},
                      {"first", info.firstAttemptId},
-                     {"service", info.service}});
+                     {"service", info.service}};
+    if (info.timeLeft) {
+        document["left_ms"] = std::chrono::duration_cast<milliseconds>(*info.timeLeft).count();
+    }
+    return dumpJson(document);
 }
 
 auto decodeRelay(std::string_view value) -> Result<RelayInfo>
@@ -46,6 +51,9 @@
     info.lastEventId = reader.integer("after", 0, MaxNumber);
     info.firstAttemptId = reader.text("first");
     info.service = reader.text("service", "");
+    if (const auto left = reader.integer("left_ms", 0, MaxAgeMs, Unknown); left != Unknown) {
+        info.timeLeft = milliseconds(left);
+    }
     if (!errors.empty()) {
         return fail(ErrorCode::BadInput, Step, "", describe(errors));
     }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -189,6 +189,7 @@
     info.age = m_context.clock.now() - m_request.arrivedAt + RelayAllowance;
     info.sends = m_request.route->attempts - m_delegated;
     info.counted = m_counted;
+    info.timeLeft = std::max<Duration>(Duration::zero(), m_request.deadline() - m_context.clock.now() - RelayAllowance);
     info.routesVersion = m_request.routeTable->version;
     info.service = m_request.service;
     if (m_resumes || m_events > 0) {
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -120,6 +120,9 @@
     request.arrivedAt = m_context.clock.now();
     request.relay = std::move(relay);
     if (request.relay) {
+        if (request.relay->timeLeft) {
+            request.firstVmDeadline = request.arrivedAt + *request.relay->timeLeft;
+        }
         request.arrivedAt -= request.relay->age;
         if (request.relay->lastEventId > 0) {
             request.metadata.lastEventId = request.relay->lastEventId;
--- a/test/edge/relay_tests.py
+++ b/test/edge/relay_tests.py
@@ -17,6 +17,12 @@
         "latency_goal_ms": 3000}
 SLOW_S = 2.0  # time of a run
 LEARNED = 24  # requests after which a VM expects that time
+LONG = {"name": "long", "host": "app.example", "prefix": "/long/", "type": "streaming", "service": "llm", "timeout_ms": 8000, "attempts": 1,
+        "latency_goal_ms": 900, "gap_aim_ms": 300, "sticky": True, "priority": 1}
+LONG_S = 3.0  # duration of a stream
+SHORT_TIMEOUT_MS = 1500
+STREAM_FIELDS = {"Model": "m", "Token-Count": "1000,100", "Prefix-Hash": "ab:1000"}
+CHANGE_S = 0.4  # until the VMs that reach the store follow a change
 CONFIGURED_S = 1.0  # until all VMs follow a new configuration
 
 
@@ -81,5 +87,25 @@
         assert time.monotonic() - begin < 2.7 and not rig.runs_of(request)
 
 
-TESTS = [relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
+async def relayed_streams_keep_the_deadline_of_the_first_vm():
+    """Guards against a stream that is aborted because the VM that forwards it follows a newer configuration with a shorter timeout."""
+    async with StrandedRig(vms=2) as rig:
+        await configured(rig, LONG)
+        (relay,) = await rig.relay_store(rig.vms[:1])
+        await asyncio.sleep(CONFIGURED_S)
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = LONG_S / engine.EVENTS
+        rig.links.cut(rig.vms[0], "refuse")
+        await asyncio.gather(*(rig.send(kind, rig.vms[0]) for kind in ("check", "stream") for _ in range(6)))  # by which the VM finds out
+        relay.silence()  # until the first VM opens another connection
+        rig.fleet.configure([{**LONG, "timeout_ms": SHORT_TIMEOUT_MS}])
+        await asyncio.sleep(CHANGE_S)
+        versions = [events_of(vm, "routes_in_force")[-1]["version"] for vm in rig.vms]
+        assert versions[0] < versions[1], f"both VMs follow version {versions}"
+        request, status, _, body = await rig.send("long", rig.vms[0], deadline=10000, limit=15, headers=STREAM_FIELDS)
+        assert [line["request"] for line in events_of(rig.vms[0], "request_relayed")][-1] == request
+        assert status == 200 and body.count(b"data: ") == rig.fleet.engines[0].EVENTS, (status, body)
+
+
+TESTS = [relayed_streams_keep_the_deadline_of_the_first_vm, relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
          relayed_requests_that_would_outlast_a_stop_are_refused]
