Streams are placed by rank and goal, and refused by the wait of those ahead

Cause: PendingQueue was first come, first served per service; the estimate of the wait counted all that waited; engines were given no rank; refusals came after 1.75 s in the queue ("no engine had capacity in time"), since the estimate by the engines' rate is too low while the load grows. Lower ranks leave 3% of the capacity to the highest. The rank goes to the engines, and load reports say how much of the prompts at an engine is of the highest rank.

--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -126,8 +126,18 @@
     const EngineSpeeds &speeds;
     const PlaceMap &places;
     Duration gapGoal; // target time between events of a stream
+    bool isUrgent = false; // of the highest rank, so that engines admit its prompt before those of lower ranks
+    double reservedStreams = 0; // streams for which all decode engines together must keep capacity beside this one
 };
 
+/// Returns the prompt tokens that an engine prefills before a new prompt, which engines admit by rank.
+auto promptTokensAhead(const InFlightWork &work, const RequestShape &shape, bool isUrgent) -> double;
+
+/// Returns the number of streams of this size for which the service's decode engines have capacity beside their work, or when they are
+/// idle.
+auto freeStreams(const PlacementInputs &inputs) -> double;
+auto totalStreams(const PlacementInputs &inputs) -> double;
+
 /// Returns the plan with the shortest expected time to the first token, or nothing if no decode engine has capacity. Decode engines
 /// also run prefills when the load exceeds what the prefill engines can handle.
 auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>;
--- a/include/currantstack/decisions/load_table.h
+++ b/include/currantstack/decisions/load_table.h
@@ -19,6 +19,9 @@
     double promptTokens = 0; // still to be prefilled there
     double kvTokens = 0; // KV cache that its requests occupy when they are complete
     int requests = 0;
+    // Of these, the part of requests with the highest rank among the service's routes, if they have several.
+    double urgentPromptTokens = 0;
+    int urgentRequests = 0;
 
     auto operator+=(const InFlightWork &other) -> InFlightWork &;
     auto operator-=(const InFlightWork &other) -> InFlightWork &;
--- a/include/currantstack/decisions/route_table.h
+++ b/include/currantstack/decisions/route_table.h
@@ -4,7 +4,9 @@
 #include "currantstack/clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,6 +80,16 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     CallerLimits limits;
+    std::map<std::string, std::set<int>, std::less<>> streamRanks; // of the routes with streams, by service; see `indexRanks`
+
+    /// Fills `streamRanks` from the routes.
+    auto indexRanks() -> void;
+
+    /// Returns whether the rank is the highest of several that the service's streams have.
+    auto isUrgent(std::string_view service, int rank) const -> bool;
+
+    /// Returns whether the service's streams have a higher rank than this one.
+    auto hasHigherRank(std::string_view service, int rank) const -> bool;
 
     /// Returns the route of the host with the longest prefix that matches the path, or null.
     auto find(std::string_view host, std::string_view path) const -> const Route *;
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -44,6 +44,7 @@
     std::string kvSource; // "address/handle" of a KV cache prefilled on another engine; empty: none
     std::string reservation; // of KV memory at the upstream; empty: none
     bool prefillOnly = false;
+    std::optional<int> rank; // in which the engine admits waiting requests; 0 is the highest; none: the engine's default
 };
 
 /// The rate of requests that an upstream asks all VMs together to keep to.
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -89,10 +89,11 @@
     return std::uniform_real_distribution<double>(0, JitterMs)(random);
 }
 
-/// Returns the time until the engine has prefilled the tokens, in milliseconds, including the work queued there.
-auto prefillMs(const EngineView &view, double tokens, double rate) -> double
+/// Returns the time until the engine has prefilled the prompt, in milliseconds, including the work queued there.
+auto prefillMs(const EngineView &view, const PlacementInputs &inputs, double rate) -> double
 {
-    return (view.work.promptTokens + tokens) / rate / std::max(view.health, MinHealth);
+    const auto ahead = promptTokensAhead(view.work, inputs.shape, inputs.isUrgent);
+    return (ahead + inputs.shape.promptTokens) / rate / std::max(view.health, MinHealth);
 }
 
 /// Returns the time to transfer the KV cache of the prompt, in milliseconds.
@@ -114,8 +115,7 @@
         if ((requireHealthy && !isHealthy(view)) || !mayGoOnAt(*view.upstream, version)) {
             continue;
         }
-        const auto ms =
-            prefillMs(view, inputs.shape.promptTokens, inputs.speeds.prefillRate()) + toMilliseconds(roundTripTime(view.distance));
+        const auto ms = prefillMs(view, inputs, inputs.speeds.prefillRate()) + toMilliseconds(roundTripTime(view.distance));
         best.consider(ms + jitter(random), view);
     }
     return best;
@@ -126,7 +126,7 @@
 {
     const double base = toMilliseconds(roundTripTime(view.distance)) + StepMs / std::max(view.health, MinHealth);
     if (from == nullptr) {
-        const double prefill = prefillMs(view, inputs.shape.promptTokens, inputs.speeds.mixedPrefillRate());
+        const double prefill = prefillMs(view, inputs, inputs.speeds.mixedPrefillRate());
         return base + prefill;
     }
     // A prefill running on the engine delays the first step of the new stream only by part of a chunk.
@@ -265,8 +265,39 @@
     return shape.promptTokens + OutputKvFactor * expectedOutput(shape);
 }
 
+auto promptTokensAhead(const InFlightWork &work, const RequestShape &shape, bool isUrgent) -> double
+{
+    if (!isUrgent) {
+        return work.promptTokens;
+    }
+    // One prompt of a lower rank may have begun.
+    return work.urgentPromptTokens + std::clamp(work.promptTokens - work.urgentPromptTokens, 0.0, shape.promptTokens);
+}
+
+auto freeStreams(const PlacementInputs &inputs) -> double
+{
+    double result = 0;
+    for (const auto &view : inputs.decode) {
+        const auto slots = static_cast<double>(inputs.spec.slots - view.work.requests);
+        const auto tokens = static_cast<double>(inputs.spec.kvTokens) - view.work.kvTokens;
+        result += std::max(0.0, std::min(slots, std::floor(tokens / std::max(1.0, inputs.speeds.expectedKvTokens(inputs.shape)))));
+    }
+    return result;
+}
+
+auto totalStreams(const PlacementInputs &inputs) -> double
+{
+    const auto tokens = static_cast<double>(inputs.spec.kvTokens);
+    const auto ofEngine =
+        std::min(static_cast<double>(inputs.spec.slots), std::floor(tokens / std::max(1.0, inputs.speeds.expectedKvTokens(inputs.shape))));
+    return ofEngine * static_cast<double>(inputs.decode.size());
+}
+
 auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>
 {
+    if (inputs.reservedStreams > 0 && freeStreams(inputs) < inputs.reservedStreams + 1) {
+        return std::nullopt;
+    }
     const auto mixed = cheapestDecode(inputs, {nullptr, NewPrefillGapShare, "", AnySoftwareVersion}, random);
     const auto pair = cheapestPair(inputs, random);
     const double penalty = MixedPrefillPenalty * inputs.shape.promptTokens / inputs.speeds.mixedPrefillRate();
--- a/src/decisions/load_table.cc
+++ b/src/decisions/load_table.cc
@@ -10,6 +10,8 @@
     promptTokens += other.promptTokens;
     kvTokens += other.kvTokens;
     requests += other.requests;
+    urgentPromptTokens += other.urgentPromptTokens;
+    urgentRequests += other.urgentRequests;
     return *this;
 }
 
@@ -18,6 +20,8 @@
     promptTokens = std::max(0.0, promptTokens - other.promptTokens);
     kvTokens = std::max(0.0, kvTokens - other.kvTokens);
     requests = std::max(0, requests - other.requests);
+    urgentPromptTokens = std::max(0.0, urgentPromptTokens - other.urgentPromptTokens);
+    urgentRequests = std::max(0, urgentRequests - other.urgentRequests);
     return *this;
 }
 
--- a/src/decisions/route_table.cc
+++ b/src/decisions/route_table.cc
@@ -30,6 +30,30 @@
     return nullptr;
 }
 
+auto RouteTable::indexRanks() -> void
+{
+    streamRanks.clear();
+    for (const auto &route : routes) {
+        for (const auto &target : route.targets) {
+            if (route.kind == RouteKind::Stream) {
+                streamRanks[target.service].insert(route.priority);
+            }
+        }
+    }
+}
+
+auto RouteTable::isUrgent(std::string_view service, int rank) const -> bool
+{
+    const auto found = streamRanks.find(service);
+    return found != streamRanks.end() && found->second.size() > 1 && *found->second.begin() == rank;
+}
+
+auto RouteTable::hasHigherRank(std::string_view service, int rank) const -> bool
+{
+    const auto found = streamRanks.find(service);
+    return found != streamRanks.end() && !found->second.empty() && *found->second.begin() < rank;
+}
+
 auto hasTarget(const Route &route, std::string_view service) -> bool
 {
     return std::any_of(route.targets.begin(), route.targets.end(),
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -141,6 +141,7 @@
     if (m_context.routeTable && routeTable->version <= previousVersion) {
         return;
     }
+    routeTable->indexRanks();
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
     m_onRoutesInForce(*m_context.routeTable);
--- a/src/edge/load_message.cc
+++ b/src/edge/load_message.cc
@@ -26,7 +26,13 @@
 {
     auto rows = nlohmann::json::array();
     for (const auto &[upstream, work] : loads) {
-        rows.push_back({upstream, static_cast<std::int64_t>(work.promptTokens), static_cast<std::int64_t>(work.kvTokens), work.requests});
+        nlohmann::json row = {upstream, static_cast<std::int64_t>(work.promptTokens), static_cast<std::int64_t>(work.kvTokens),
+                              work.requests};
+        if (work.urgentRequests > 0) {
+            row.push_back(static_cast<std::int64_t>(work.urgentPromptTokens));
+            row.push_back(work.urgentRequests);
+        }
+        rows.push_back(std::move(row));
     }
     return rows;
 }
@@ -45,7 +51,12 @@
     if (!valid) {
         return std::nullopt;
     }
-    return UpstreamLoad{row[0].get<std::string>(), {row[1].get<double>(), row[2].get<double>(), row[3].get<int>()}};
+    InFlightWork work{row[1].get<double>(), row[2].get<double>(), row[3].get<int>()};
+    if (row.size() >= 6 && isCount(row[4], MaxTokens) && isCount(row[5], MaxRequests)) {
+        work.urgentPromptTokens = row[4].get<double>();
+        work.urgentRequests = row[5].get<int>();
+    }
+    return UpstreamLoad{row[0].get<std::string>(), work};
 }
 
 auto encodeCosts(std::span<const ServiceCost> costs) -> nlohmann::json
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -59,12 +59,13 @@
     m_collectingError = false;
     m_attempts.onAttempt();
     if (m_kvSource.empty()) {
-        m_queuedPromptTokens = m_context.loads.total(m_decodeEngine.id, now).promptTokens;
+        m_queuedPromptTokens = queuedPromptTokens(m_decodeEngine);
     }
     ForwardSpec spec;
     spec.kvSource = m_kvSource;
     spec.reservation = std::exchange(m_reservation, {});
     spec.lastEventId = m_lastEventId;
+    spec.rank = m_request.route->priority;
     HttpHandlers handlers;
     handlers.onHead = [self = shared_from_this()](int status, const Headers &headers) { self->onHead(status, headers); };
     handlers.onData = [self = shared_from_this()](std::string_view data) { self->onData(data); };
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -1,4 +1,5 @@
 // Choice of the engines that run a stream's prefill and decode, and admission control by expected latency.
+#include "currantstack/decisions/admission.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -12,6 +13,9 @@
 constexpr double FirstEventGoalShare = 1.0;
 // A request with a long prompt is admitted up to this multiple of the time that it takes on an idle engine.
 constexpr double LongPromptFactor = 1.5;
+// Capacity that streams leave to those of higher ranks, as a share of all, and at least.
+constexpr double ReservedShare = 0.03;
+constexpr double FewestReservedStreams = 1;
 // Typical time from placement to the first event at an engine without queued prompts.
 constexpr Duration UnqueuedFirstEvent = milliseconds(250);
 
@@ -72,7 +76,34 @@
     const auto prefill = engineViews(EngineRole::Prefill);
     const auto decode = engineViews(EngineRole::Decode);
     return planFunction({prefill, decode, m_request.metadata.shape, *service->engine, m_context.speedsOf(m_request.service),
-                         m_context.settings.places, m_request.route->gapGoal});
+                         m_context.settings.places, m_request.route->gapGoal, isUrgent()});
+}
+
+auto StreamRequest::isUrgent() const -> bool
+{
+    return m_request.routeTable->isUrgent(m_request.service, m_request.route->priority);
+}
+
+auto StreamRequest::waitingStream(bool begun) const -> WaitingStream
+{
+    return {m_request.route->priority, m_request.arrivedAt, m_request.arrivedAt + m_request.route->latencyGoal, begun};
+}
+
+auto StreamRequest::queuedPromptTokens(const Upstream &engine) const -> double
+{
+    const auto work = m_context.loads.total(engine.id, m_context.clock.now());
+    // The claim of this stream is included already.
+    const auto &shape = m_request.metadata.shape;
+    return isUrgent() ? promptTokensAhead(work, shape, true) : work.promptTokens;
+}
+
+/// Returns the capacity, in streams, that a new stream leaves to those of a higher rank, so that these need not wait until one ends.
+auto StreamRequest::reservedStreams(const PlacementInputs &inputs) const -> double
+{
+    if (!m_request.routeTable->hasHigherRank(m_request.service, m_request.route->priority)) {
+        return 0;
+    }
+    return std::max(FewestReservedStreams, ReservedShare * totalStreams(inputs));
 }
 
 auto StreamRequest::tokensPerEvent() const -> std::int64_t
@@ -98,12 +129,15 @@
 }
 
 /// Returns true if the request leaves the queue: it was placed, refused, or has ended.
-auto StreamRequest::tryPlace() -> bool
+auto StreamRequest::tryPlace(bool isTurn) -> bool
 {
     if (m_done || leaveIfCutOff()) {
         return true;
     }
-    const auto chosen = plan([this](const PlacementInputs &inputs) { return planStream(inputs, m_context.random); });
+    const auto chosen = plan([this, isTurn](PlacementInputs inputs) {
+        inputs.reservedStreams = isTurn ? 0 : reservedStreams(inputs);
+        return planStream(inputs, m_context.random);
+    });
     const auto age = m_context.clock.now() - m_request.arrivedAt;
     const bool tooLate = chosen && age + chosen->timeToFirstToken > firstEventLimit();
     if (tooLate) {
@@ -133,14 +167,14 @@
     if (plan.prefill != nullptr) {
         const auto tokens = m_request.metadata.shape.promptTokens;
         m_prefillEngine = *plan.prefill;
-        setClaim(m_prefillClaim, m_prefillEngine, {tokens, tokens, 1});
+        setClaim(m_prefillClaim, m_prefillEngine, workOf(tokens, tokens));
     }
     reserve(plan);
 }
 
 auto StreamRequest::placeOrEnqueue() -> void
 {
-    if (!tryPlace()) {
+    if (!tryPlace(true)) {
         enqueue(true);
     }
 }
@@ -187,10 +221,11 @@
         }
     }
     const auto key = queueKey();
-    const auto waiting = key.version == AnySoftwareVersion ? m_context.loads.total(m_request.service, now).requests
-                                                           : static_cast<int>(m_context.pendingQueue.size(key));
-    const auto streamMs = toMilliseconds(m_context.speedsOf(m_request.service).streamDuration());
-    return fromMilliseconds(streamMs * (waiting + 1) / std::max(1, running));
+    const auto all = m_context.loads.total(m_request.service, now);
+    const auto ahead = key.version == AnySoftwareVersion ? (isUrgent() ? all.urgentRequests : all.requests)
+                                                         : static_cast<int>(m_context.pendingQueue.size(key));
+    return currantstack::expectedWait({ahead, running, m_context.speedsOf(m_request.service).streamDuration(),
+                                       m_context.pendingQueue.longestWait(key, m_request.route->priority, now)});
 }
 
 /// Returns how long the rate limits that the engines of this role name delay a request that joins the queue now; zero if any engine
@@ -251,7 +286,7 @@
     if (refuseForPause(fromMilliseconds(maxWaitMs) - age) || refuseForLimits(fromMilliseconds(maxWaitMs) - age)) {
         return;
     }
-    if (toMilliseconds(atHead ? age : wait) > maxWaitMs) {
+    if (atHead ? toMilliseconds(age) > maxWaitMs : !mayWait(wait, fromMilliseconds(maxWaitMs))) {
         if (handOverIfUnreached("no engine that this VM reaches is expected to have capacity in time")) {
             return;
         }
@@ -259,7 +294,7 @@
         return;
     }
     m_queued = true;
-    m_context.loads.add(m_request.service, {0, 0, 1});
+    m_context.loads.add(m_request.service, workOf(0, 0));
     m_context.log.write("stream", "waits_for_room",
                         {{"request", m_request.metadata.requestId},
                          {"expected_wait_ms", toMilliseconds(wait)},
@@ -270,7 +305,8 @@
         }
     });
     m_queueTimer->startOnce(fromMilliseconds(maxWaitMs) - age);
-    m_context.pendingQueue.enqueue(queueKey(), atHead, [self = shared_from_this()]() { return self->tryPlace(); });
+    m_context.pendingQueue.enqueue(queueKey(), waitingStream(atHead),
+                                   [self = shared_from_this(), atHead](bool isTurn) { return self->tryPlace(isTurn || atHead); });
 }
 
 auto StreamRequest::queueKey() const -> QueueKey
@@ -283,7 +319,7 @@
 auto StreamRequest::leaveQueue() -> void
 {
     if (std::exchange(m_queued, false)) {
-        m_context.loads.remove(m_request.service, {0, 0, 1});
+        m_context.loads.remove(m_request.service, workOf(0, 0));
     }
 }
 
@@ -291,7 +327,13 @@
 {
     const auto &shape = m_request.metadata.shape;
     const auto kvTokens = m_context.speedsOf(m_request.service).expectedKvTokens(shape);
-    setClaim(m_decodeClaim, m_decodeEngine, {withPrefill ? shape.promptTokens : 0, kvTokens, 1});
+    setClaim(m_decodeClaim, m_decodeEngine, workOf(withPrefill ? shape.promptTokens : 0, kvTokens));
+}
+
+/// Returns the work of this request at one engine, or of its wait in the queue.
+auto StreamRequest::workOf(double promptTokens, double kvTokens) const -> InFlightWork
+{
+    return isUrgent() ? InFlightWork{promptTokens, kvTokens, 1, promptTokens, 1} : InFlightWork{promptTokens, kvTokens, 1};
 }
 
 auto StreamRequest::growDecodeClaim() -> void
@@ -322,10 +364,11 @@
 
 auto StreamRequest::releasePromptTokens() -> void
 {
-    const InFlightWork prompt{m_decodeClaim.work.promptTokens, 0, 0};
+    const InFlightWork prompt{m_decodeClaim.work.promptTokens, 0, 0, m_decodeClaim.work.urgentPromptTokens, 0};
     if (prompt.promptTokens > 0) {
         m_context.loads.remove(m_decodeClaim.engine, prompt);
         m_decodeClaim.work.promptTokens = 0;
+        m_decodeClaim.work.urgentPromptTokens = 0;
     }
 }
 
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -24,10 +24,11 @@
         return;
     }
     m_decoding = false;
-    m_queuedPromptTokens = m_context.loads.total(m_prefillEngine.id, m_context.clock.now()).promptTokens;
+    m_queuedPromptTokens = queuedPromptTokens(m_prefillEngine);
     m_sentAt = m_context.clock.now();
     ForwardSpec spec;
     spec.prefillOnly = true;
+    spec.rank = m_request.route->priority;
     HttpHandlers handlers;
     handlers.onDone = [self = shared_from_this()](Result<HttpResponse> result) { self->onPrefilled(std::move(result)); };
     m_prefillCall = m_context.client.start(upstreamCall(m_context, m_request, m_prefillEngine, spec), std::move(handlers));
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -1,20 +1,11 @@
 #include "stream_request.h"
 
+#include "currantstack/decisions/admission.h"
 #include "currantstack/edge/stream_forwarder.h"
 
 namespace currantstack
 {
 
-namespace
-{
-
-// Retry-After range of a refusal under overload. A load peak lasts seconds, so refused callers are spread over the time after it; they
-// miss their latency goal in any case.
-constexpr Duration ShortestRetryAfter = milliseconds(3000);
-constexpr Duration LongestRetryAfter = milliseconds(4600);
-
-} // namespace
-
 auto StreamRequest::start() -> void
 {
     if (isTooLarge()) {
@@ -52,15 +43,14 @@
 auto StreamRequest::admit() -> void
 {
     countRequest(m_context, m_request);
-    if (!m_context.pendingQueue.isEmpty(queueKey()) || !tryPlace()) {
+    if (!m_context.pendingQueue.wouldBeNext(queueKey(), waitingStream(false)) || !tryPlace(false)) {
         enqueue(false);
     }
 }
 
 auto StreamRequest::retryDelay() const -> Duration
 {
-    const std::uniform_real_distribution<double> delayMs(toMilliseconds(ShortestRetryAfter), toMilliseconds(LongestRetryAfter));
-    return fromMilliseconds(std::uniform_real_distribution<double>(delayMs)(m_context.random));
+    return returnDelay(expectedWait(), m_context.random);
 }
 
 auto StreamRequest::complete() -> void
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -52,7 +52,11 @@
     auto firstAttemptId() const -> const std::string &;
 
     // stream_placement.cc
-    auto tryPlace() -> bool;
+    auto isUrgent() const -> bool;
+    auto waitingStream(bool begun) const -> WaitingStream;
+    auto queuedPromptTokens(const Upstream &engine) const -> double;
+    auto reservedStreams(const PlacementInputs &inputs) const -> double;
+    auto tryPlace(bool isTurn) -> bool;
     auto place(const StreamPlan &plan) -> void;
     auto execute(bool separatePrefill) -> void;
     auto placeAgain() -> void;
@@ -66,6 +70,7 @@
     auto queueKey() const -> QueueKey;
     auto leaveQueue() -> void;
     auto claimDecode(bool withPrefill) -> void;
+    auto workOf(double promptTokens, double kvTokens) const -> InFlightWork;
     auto growDecodeClaim() -> void;
     auto tokensPerEvent() const -> std::int64_t;
     auto plan(const PlanFunction &planFunction) const -> std::optional<StreamPlan>;
--- a/test/pending_queue-test.cc
+++ b/test/pending_queue-test.cc
@@ -9,15 +9,19 @@
     CPPUNIT_TEST_SUITE(PendingQueueTest);
     CPPUNIT_TEST(streamsBoundToAVersionArePlacedFirst);
     CPPUNIT_TEST(aWaitingVersionDoesNotBlockOthers);
+    CPPUNIT_TEST(higherRanksArePlacedFirst);
+    CPPUNIT_TEST(streamsThatWerePlacedBeforeGoFirst);
+    CPPUNIT_TEST(aNewcomerKnowsWhetherItIsNext);
+    CPPUNIT_TEST(theLongestWaitIsOfThoseAhead);
     CPPUNIT_TEST_SUITE_END();
 
     Loop m_loop;
     PendingQueue m_queue{m_loop};
     std::string m_placed;
 
-    auto enqueue(const QueueKey &key, std::string name, bool hasCapacity = true) -> void
+    auto enqueue(const QueueKey &key, std::string name, bool hasCapacity = true, const WaitingStream &stream = {}) -> void
     {
-        m_queue.enqueue(key, false, [this, name = std::move(name), hasCapacity]() {
+        m_queue.enqueue(key, stream, [this, name = std::move(name), hasCapacity](bool /*isTurn*/) {
             m_placed += hasCapacity ? name : "";
             return hasCapacity;
         });
@@ -42,6 +46,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("ca"), m_placed);
         CPPUNIT_ASSERT(m_queue.isEmpty({"llm", 4}) && !m_queue.isEmpty({"llm", 9}));
     }
+
+    auto higherRanksArePlacedFirst() -> void
+    {
+        enqueue({"llm"}, "low", true, {2});
+        enqueue({"llm"}, "high", true, {0});
+        m_queue.retryHeads();
+        CPPUNIT_ASSERT_EQUAL(std::string("highlow"), m_placed);
+    }
+
+    auto streamsThatWerePlacedBeforeGoFirst() -> void
+    {
+        enqueue({"llm"}, "new", true, {0});
+        enqueue({"llm"}, "begun", true, {2, {}, {}, true});
+        m_queue.retryHeads();
+        CPPUNIT_ASSERT_EQUAL(std::string("begunnew"), m_placed);
+    }
+
+    auto aNewcomerKnowsWhetherItIsNext() -> void
+    {
+        CPPUNIT_ASSERT(m_queue.wouldBeNext({"llm"}, {2}));
+        enqueue({"llm"}, "waiting", false, {1});
+        CPPUNIT_ASSERT(m_queue.wouldBeNext({"llm"}, {0}));
+        CPPUNIT_ASSERT(!m_queue.wouldBeNext({"llm"}, {2}));
+    }
+
+    auto theLongestWaitIsOfThoseAhead() -> void
+    {
+        const TimePoint now(seconds(10));
+        enqueue({"llm"}, "high", false, {0, now - milliseconds(100)});
+        enqueue({"llm"}, "low", false, {2, now - milliseconds(900)});
+        CPPUNIT_ASSERT(m_queue.longestWait({"llm"}, 0, now) == Duration(milliseconds(100)));
+        CPPUNIT_ASSERT(m_queue.longestWait({"llm"}, 2, now) == Duration(milliseconds(900)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PendingQueueTest);
