--- a/src/edge/explain.cc
+++ b/src/edge/explain.cc
@@ -133,6 +133,11 @@
         return fmt::format("broken at {} after {} events and {} without an event: {}; outcome {}", text(line, "engine"),
                            text(line, "events"), milliseconds(line, "silent_ms"), text(line, "reason"), text(line, "outcome"));
     }
+    if (event == "stream_ends_in_vain") {
+        return fmt::format("ended by this VM after {} without an event: {} (directory entry of {} {}, {} calls unanswered)",
+                           milliseconds(line, "silent_ms"), text(line, "reason"), text(line, "engine"), text(line, "entry"),
+                           text(line, "unanswered"));
+    }
     if (event == "caller_continues") {
         return describeContinuation(line);
     }
--- a/test/engine_placement-test.cc
+++ b/test/engine_placement-test.cc
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(transfersGoToADecodeEngineWithCapacity);
     CPPUNIT_TEST(unhealthyEnginesAreUsedOnlyIfAllAre);
     CPPUNIT_TEST(aPeakLoadIsSpreadEvenly);
+    CPPUNIT_TEST(reservedCapacityIsLeftFree);
+    CPPUNIT_TEST(urgentPromptsOvertakeOthers);
     CPPUNIT_TEST(resumedStreamsAvoidTheFailedEngine);
     CPPUNIT_TEST(pairsAreOfOneSoftwareVersionIfPossible);
     CPPUNIT_TEST(expectedOutputFollowsObservedStreams);
@@ -120,6 +122,30 @@
         CPPUNIT_ASSERT(!plan(Pool{}, {3000, 2000, 0}));
     }
 
+    auto reservedCapacityIsLeftFree() -> void
+    {
+        Pool pool;
+        pool.add(EngineRole::Prefill, "here");
+        pool.add(EngineRole::Decode, "here", {0, 20000, 5});
+        const auto withReserve = [&](double reserved) {
+            const auto prefill = pool.views(EngineRole::Prefill, m_places);
+            const auto decode = pool.views(EngineRole::Decode, m_places);
+            PlacementInputs inputs{prefill, decode, {3000, 2000, 0}, m_spec, m_speeds, m_places, milliseconds(300)};
+            inputs.reservedStreams = reserved;
+            return planStream(inputs, m_random).has_value();
+        };
+        CPPUNIT_ASSERT(withReserve(0) && withReserve(1));
+        CPPUNIT_ASSERT(!withReserve(8));
+    }
+
+    auto urgentPromptsOvertakeOthers() -> void
+    {
+        const InFlightWork work{9000, 0, 3, 1000, 1};
+        const RequestShape shape{3000, 100, 0};
+        CPPUNIT_ASSERT_EQUAL(9000.0, promptTokensAhead(work, shape, false));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("those of its rank and one that has begun", 4000.0, promptTokensAhead(work, shape, true));
+    }
+
     auto aLargeRequestFitsAnIdleEngine() -> void
     {
         Pool pool;
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(refusalNamesTheLimitsOfUpstreams);
     CPPUNIT_TEST(continuedStreamsNameTheirSoftwareVersion);
     CPPUNIT_TEST(forwardedRequestsAreJoinedOverTheirVms);
+    CPPUNIT_TEST(streamsThatEndInVainNameTheEvidence);
     CPPUNIT_TEST(malformedLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +92,16 @@
         CPPUNIT_ASSERT(timeline[3].find("answered through vm2 with status 200 after 60 ms") != std::string::npos);
     }
 
+    auto streamsThatEndInVainNameTheEvidence() -> void
+    {
+        std::istringstream lines(
+            R"({"time_ms":1000,"vm":"vm1","event":"stream_ends_in_vain","request":"r1","engine":"i-1","entry":"removed","reason":"removed","unanswered":2,"silent_ms":2400.2}
+)");
+        const auto timeline = explainRequest(lines, "r1");
+        CPPUNIT_ASSERT(timeline.front().find("after 2400 ms without an event: removed (directory entry of i-1 removed, 2 calls unanswered)")
+                       != std::string::npos);
+    }
+
     auto malformedLinesAreSkipped() -> void
     {
         CHECK_PROPERTY("malformed lines are skipped without a crash", [](const std::string &text) {
--- a/test/load_table-test.cc
+++ b/test/load_table-test.cc
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(reportsExpire);
     CPPUNIT_TEST(addedAndRemovedWorkCancelsOut);
     CPPUNIT_TEST(messagesRoundTrip);
+    CPPUNIT_TEST(urgentWorkIsReported);
     CPPUNIT_TEST(malformedDatagramsAreRejected);
     CPPUNIT_TEST(numbersBeyondTheirBoundsAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -72,6 +73,20 @@
         });
     }
 
+    auto urgentWorkIsReported() -> void
+    {
+        LoadTable table;
+        table.add("e", {100, 200, 2, 40, 1});
+        LoadMessage message;
+        message.source = message.vm = message.place = "v";
+        message.loads = table.own();
+        const auto decoded = decodeLoad(encodeLoad(message));
+        CPPUNIT_ASSERT_EQUAL(40.0, decoded->loads.front().work.urgentPromptTokens);
+        CPPUNIT_ASSERT_EQUAL(1, decoded->loads.front().work.urgentRequests);
+        table.remove("e", {100, 200, 2, 40, 1});
+        CPPUNIT_ASSERT(table.own().empty());
+    }
+
     auto messagesRoundTrip() -> void
     {
         CHECK_PROPERTY("decoding returns the encoded message",
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -134,6 +134,11 @@
         ForwardSpec spec;
         spec.instance = "i-1";
         spec.timeLeft = milliseconds(900);
+        CPPUNIT_ASSERT(findHeader(m_protocol.forwardHeaders(request({{"Request-Priority", "0"}}), spec), "Request-Priority").empty());
+        spec.rank = 2;
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("2"),
+            std::string(findHeader(m_protocol.forwardHeaders(request({{"Request-Priority", "0"}}), spec), "Request-Priority")));
         for (const auto *name :
              {"Kv-Source", "kv-hold", "KV-BACKUP", "Pin-Ms", "Stage", "Expect-Instance", "Deadline-Ms", "Last-Event-Id"}) {
             const auto headers = m_protocol.forwardHeaders(request({{"Request-Id", "r1"}, {name, "forged"}, {"X-Own", "kept"}}), spec);
--- a/test/route_table-test.cc
+++ b/test/route_table-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(queryIsNotPartOfThePath);
     CPPUNIT_TEST(targetsAreSelectedByWeight);
     CPPUNIT_TEST(targetsWithoutWeightAreNeverSelected);
+    CPPUNIT_TEST(onlyTheHighestOfSeveralRanksIsUrgent);
     CPPUNIT_TEST_SUITE_END();
 
     static auto table() -> RouteTable
@@ -82,6 +83,24 @@
         });
         CPPUNIT_ASSERT(selectTarget({}, 0.5).empty());
     }
+
+    auto onlyTheHighestOfSeveralRanksIsUrgent() -> void
+    {
+        const auto stream = [](std::string service, int priority) {
+            Route route;
+            route.kind = RouteKind::Stream;
+            route.priority = priority;
+            route.targets = {{std::move(service), 1}};
+            return route;
+        };
+        RouteTable table;
+        table.routes = {stream("llm", 2), stream("llm", 1), stream("llm", 2), stream("other", 3)};
+        table.indexRanks();
+        CPPUNIT_ASSERT(table.isUrgent("llm", 1) && !table.isUrgent("llm", 2));
+        CPPUNIT_ASSERT(table.hasHigherRank("llm", 2) && !table.hasHigherRank("llm", 1));
+        CPPUNIT_ASSERT_MESSAGE("a single rank has nothing to go before", !table.isUrgent("other", 3) && !table.hasHigherRank("other", 3));
+        CPPUNIT_ASSERT(!table.isUrgent("unknown", 0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
