--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -38,6 +38,7 @@
     static constexpr Duration RefusalLifetime = seconds(10);
 
     static constexpr std::int64_t VerifyingProtocol = 2;
+    static constexpr std::int64_t SilenceProtocol = 3; // from which on VMs know notices of silent upstreams
 
     PeerTable(std::string self, std::string place)
         : m_self(std::move(self))
@@ -58,6 +59,9 @@
     /// Records that nothing listens where the VM would take requests of other VMs.
     auto onRelayConnectionRefused(std::string_view vm, TimePoint now) -> void;
 
+    /// Returns whether no VM is known to have a lower protocol.
+    auto allHaveProtocol(std::int64_t number) const -> bool;
+
     /// Returns the number of other VMs by the number of their protocol.
     auto countByProtocol() const -> std::map<std::int64_t, std::size_t>;
 
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -137,6 +137,7 @@
     auto observeProtocol(const LoadMessage &message) -> void;
     auto countProtocols() -> void;
     auto mergeLimits(const LoadMessage &message) -> void;
+    auto understood(std::vector<ExclusionNotice> notices) const -> std::vector<ExclusionNotice>;
     auto sendLocalLoads() -> void;
     auto meanPlaceCosts() const -> std::vector<ServiceCost>;
     auto sendAggregate() -> void;
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -219,6 +219,11 @@
     return result;
 }
 
+auto PeerTable::allHaveProtocol(std::int64_t number) const -> bool
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [number](const auto &entry) { return entry.second.protocol.number >= number; });
+}
+
 auto PeerTable::isHolder(std::uint64_t key, std::size_t count, TimePoint now) const -> bool
 {
     const auto own = hash64(m_self, key);
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -206,6 +206,15 @@
     }
 }
 
+/// Returns the notices that all VMs know. A VM of an earlier build would count the others as messages that it cannot read.
+auto LoadExchange::understood(std::vector<ExclusionNotice> notices) const -> std::vector<ExclusionNotice>
+{
+    if (!m_peers.allHaveProtocol(PeerTable::SilenceProtocol)) {
+        std::erase_if(notices, [](const auto &notice) { return notice.reason == ExclusionReason::Silent; });
+    }
+    return notices;
+}
+
 auto LoadExchange::sendLocalLoads() -> void
 {
     const auto now = m_context.clock.now();
@@ -213,7 +222,7 @@
     auto limits = m_context.rateLimiter.dueReports(now);
     auto cutOff = m_context.reach.cutOffServices();
     auto bytes = encodeLoad({{}, {}, {}, 0, false, false, {}, {}, {}, loads, {}, {}, cutOff, m_context.ownProtocol()});
-    auto notices = m_context.exclusions.ownNotices(now);
+    auto notices = understood(m_context.exclusions.ownNotices(now));
     std::set<std::string, std::less<>> excluded;
     for (const auto &notice : notices) {
         excluded.insert(notice.upstream);
@@ -279,7 +288,7 @@
           true,
           {},
           meanPlaceCosts(),
-          m_context.exclusions.notices(now),
+          understood(m_context.exclusions.notices(now)),
           std::move(loads),
           m_context.rateLimiter.aggregate(AggregatePrefix, now),
           m_context.versions.notices(now),
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -7,17 +7,16 @@
 namespace
 {
 
-// A request is refused when its first event is expected later than this share of the latency goal, because it would also delay the
-// requests queued behind it.
+// A stream is late if its first event is expected later than this share of the latency goal.
 constexpr double FirstEventGoalShare = 1.0;
-// A request with a long prompt is admitted up to this multiple of the time that it takes on an idle engine.
+// A stream with a long prompt is late after this multiple of the time that it takes on an idle engine.
 constexpr double LongPromptFactor = 1.5;
-// Capacity that streams leave to those of higher ranks, as a share of all, and at least.
+// Shares of all capacity: what streams leave to those of a higher rank, and late streams to those that can still meet their goal.
 constexpr double ReservedShare = 0.03;
-// A stream that has missed its goal is placed only if its first event is expected within this share of the goal.
-constexpr double LateFirstEventShare = 0.75;
-constexpr double LateReservedShare = 0.1; // that late streams leave to those that can still meet their goal
+constexpr double LateReservedShare = 0.1;
 constexpr double FewestReservedStreams = 1;
+// A late stream is placed only if its first event is expected within this share of the goal.
+constexpr double LateFirstEventShare = 0.75;
 // Typical time from placement to the first event at an engine without queued prompts.
 constexpr Duration UnqueuedFirstEvent = milliseconds(250);
 
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(reportingVmsExpire);
     CPPUNIT_TEST(dropsVmsNeitherListedNorReporting);
     CPPUNIT_TEST(vmsOfOtherPlacesAreWitnessesIfTheyReport);
+    CPPUNIT_TEST(aFleetHasAProtocolIfAllItsVmsHaveIt);
+    CPPUNIT_TEST(aFewVmsHoldEachKey);
     CPPUNIT_TEST_SUITE_END();
 
     static auto vmName(int number) -> std::string
@@ -160,6 +162,35 @@
         table.merge("b", "z1", {"10.0.0.2", 1}, clock.now());
         CPPUNIT_ASSERT(table.isWitness("b", clock.now())); // no VM of another place reports any more
     }
+
+    auto aFleetHasAProtocolIfAllItsVmsHaveIt() -> void
+    {
+        PeerTable table("vm0", "z1");
+        CPPUNIT_ASSERT(table.allHaveProtocol(3));
+        table.mergeListed("vm1", "z1", {"10.0.0.1", 7000}, TimePoint(seconds(100)), {3, true});
+        CPPUNIT_ASSERT(table.allHaveProtocol(3));
+        table.mergeListed("vm2", "z1", {"10.0.0.2", 7000}, TimePoint(seconds(100)), {2, true});
+        CPPUNIT_ASSERT(!table.allHaveProtocol(3) && table.allHaveProtocol(2));
+    }
+
+    auto aFewVmsHoldEachKey() -> void
+    {
+        constexpr int Vms = 40;
+        const TimePoint now(seconds(1));
+        for (std::uint64_t key = 0; key < 20; ++key) {
+            int holders = 0;
+            for (int self = 0; self < Vms; ++self) {
+                PeerTable table(fmt::format("vm{}", self), "z1");
+                for (int other = 0; other < Vms; ++other) {
+                    if (other != self) {
+                        table.merge(fmt::format("vm{}", other), "z1", {"10.0.0.1", 7000}, now);
+                    }
+                }
+                holders += table.isHolder(key, 3, now) ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL(3, holders);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
