Review case 2: its engines are shared with other cases

Moves the stand-in of model engines to review/common/engines.py, for further cases. What the case shows and how stays as it was.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,89 +4,35 @@
 import itertools
 import os
 import sys
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
 
 from harness import DISRUPTED, LIMITS, Deployment, Record, main, read_response, request_bytes  # noqa: E402
-from http_peer import chunk, response  # noqa: E402
-from platform_upstreams import Engine  # noqa: E402
+from engines import DRAIN_MS, ENGINE_SPEC, LlmEngine, stream_route  # noqa: E402
 
-DRAIN_MS = 2500
 PREFILL_ENGINES, DECODE_ENGINES = 3, 5
 SLOW_FACTOR = 4.0  # of srv_slow; one engine of eight, a share of 0.125 of at most 0.15
 LEAVING = 2  # engines of eight, a share of 0.25, as the largest of scale_in in the site file
-LINGER_S = 1.5  # an engine serves this long after its drain time, and then exits
 ROUNDS = 6
 BURST = 34  # requests of a round
 PROMPT_TOKENS, OUTPUT_TOKENS = 3000, 170
 
 
-class LlmEngine(Engine):
-    """An engine that reads one prompt after the other and exits some time after it has reported that it drains."""
-
-    KV_CAPACITY_TOKENS = 33770
-    PREFILL_TOKENS_PER_MS = 33.33
-    EVENTS = 170
-    EVENT_INTERVAL_S = 0.01
-    slow = 1.0
-    drained_at = None
-    held = 0  # reservations so far
-
-    async def start(self):
-        self.reading = asyncio.Lock()
-        return await super().start()
-
-    def entry(self):
-        return {**super().entry(), "slots": 64}
-
-    async def handle(self, request, reader, writer):
-        if request.path == "/hold-take":
-            self.held += 1
-        return await super().handle(request, reader, writer)
-
-    async def run(self, request, reader, writer):
-        if request.header("stage") != "prefill" or self.role != "prefill":
-            if self.drained_at and request.header("stage") != "prefill":
-                self.record("late" if time.monotonic() - self.drained_at > DRAIN_MS / 1000 else "in_time", request,
-                            after_ms=round(1000 * (time.monotonic() - self.drained_at)))
-            return await super().run(request, reader, writer)
-        async with self.reading:
-            prompt = int(request.header("token-count").split(",")[0])
-            await asyncio.sleep(prompt / self.PREFILL_TOKENS_PER_MS / 1000 * self.slow)
-            if reader.at_eof():
-                return None
-            self.record("prompt_read", request)
-            handle = f"k{self.id}-{next(self.local_ids)}"
-            self.handles[handle] = request.header("request-id")
-            asyncio.get_running_loop().call_later(0.5, self.handles.pop, handle, None)
-            return response(200, body={"kv_handle": handle, "tokens": prompt, "version": 1})
-
-    async def leave(self):
-        """Drains as planned: reports it, serves on for the drain time and a little longer, and exits."""
-        self.drain()
-        self.drained_at = time.monotonic()
-        await asyncio.sleep(DRAIN_MS / 1000 + LINGER_S)
-        self.store.delete(f"servers/{self.id}")
-        self.server.stop()
+class DigestEngine(LlmEngine):
+    EVENTS = OUTPUT_TOKENS
 
 
 def make_upstreams(store):
-    history, zones = [], ("amman-marka", "irbid-north", "aqaba-port")
+    history = []
     roles = ["prefill"] * PREFILL_ENGINES + ["decode"] * DECODE_ENGINES
-    engines = [LlmEngine(store, "llm", zones[0], history, role) for role in roles]
     store.engines = {}
-    return engines
+    return [DigestEngine(store, "llm", "amman-marka", history, role) for role in roles]
 
 
 def configuration():
-    route = {"name": "digest", "host": "app.example", "prefix": "/digest/", "type": "streaming", "service": "llm", "attempts": 1,
-             "timeout_ms": 14000, "latency_goal_ms": 900, "gap_aim_ms": 300, "priority": 1, "sticky": True, "can_resume": False}
-    engine = {"slots": 64, "kv_tokens": 33770, "kv_token_bytes": 18432, "link_mbps": 550000.0, "moves": True, "backups": True, "stride": 1,
-              "most": 12, "kv_hold_s": 0.5, "reconfig_s": 6.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": [{"name": "m"}]}
-    return {"version": 3, "routes": [route],
-            "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 360, "engine": engine}], "limits": LIMITS}
+    return {"version": 3, "routes": [stream_route("digest")],
+            "services": [{"name": "llm", "health_path": "/healthz", "max_conns": 360, "engine": ENGINE_SPEC}], "limits": LIMITS}
 
 
 class Clients:
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -161,6 +161,10 @@
         except (FileNotFoundError, ProcessLookupError):
             return 0
 
+    def log_text(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
     async def kill(self):
         if self.process and self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
@@ -170,11 +174,11 @@
 class Deployment:
     """A store, upstreams and VMs. `make_upstreams(store)` returns the upstreams, with a server each."""
 
-    def __init__(self, folder, zones, make_upstreams, configuration, record=None):
+    def __init__(self, folder, zones, make_upstreams, configuration, record=None, store=None):
         self.record = record or Record(folder)
         self.temporary = tempfile.mkdtemp(prefix="currantstack-review-")
         self.zones, self.make_upstreams, self.configuration = zones, make_upstreams, configuration
-        self.store, self.upstreams, self.vms = PlatformStore(), [], []
+        self.store, self.upstreams, self.vms = store or PlatformStore(), [], []
 
     async def __aenter__(self):
         await self.store.start()
