--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -27,7 +27,7 @@
   - "front"
 ip: "{ip}"
 zone: "{zone}"
-region: "{zone}-region"
+region: "{region}"
 zones:
   amman-marka: "amman"
   irbid-north: "irbid"
@@ -127,8 +127,8 @@
         self.port, self.ready_port = ports, ports + 1
         self.path, self.log_path = os.path.join(folder, f"{self.name}.yaml"), os.path.join(folder, f"{self.name}.log")
         with open(self.path, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(name=self.name, ip=self.ip, zone=zone, port=ports, ready_port=ports + 1, first_port=ports + 2,
-                                       last_port=ports + 17, metrics_port=ports + 18, store=store.address))
+            file.write(SETTINGS.format(name=self.name, ip=self.ip, zone=zone, region=zone.partition("-")[0], port=ports, ready_port=ports + 1,
+                                       first_port=ports + 2, last_port=ports + 17, metrics_port=ports + 18, store=store.address))
         self.process = None
 
     async def start(self):
@@ -161,10 +161,6 @@
         except (FileNotFoundError, ProcessLookupError):
             return 0
 
-    def log_text(self):
-        with open(self.log_path, encoding="utf-8") as file:
-            return file.read()
-
     async def kill(self):
         if self.process and self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
