--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
+sys.path.insert(0, os.path.dirname(HERE))
 
 from harness import DISRUPTED, LIMITS, Deployment, main, read_response, request_bytes  # noqa: E402
 from engines import DRAIN_MS, ENGINE_SPEC, LlmEngine, stream_route  # noqa: E402
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # the deploy file, into target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -B - standin/*.py review/common/*.py review/*/case.py <<'PROGRAM'
+python3 -B - standin/*.py review/*.py review/*/case.py <<'PROGRAM'
 import ast
 import sys
 
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -11,7 +11,7 @@
 import time
 import tomllib
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "standin"))
 
 from platform_store import PlatformStore  # noqa: E402
