--- a/review/harness.py
+++ b/review/harness.py
@@ -177,6 +177,13 @@
         self.store, self.upstreams, self.vms = store or PlatformStore(), [], []
 
     async def __aenter__(self):
+        try:
+            return await self.start()
+        except BaseException:
+            await self.__aexit__()  # a VM that does not become ready must not stay behind
+            raise
+
+    async def start(self):
         await self.store.start()
         self.upstreams = self.make_upstreams(self.store)
         for upstream in self.upstreams:
@@ -193,7 +200,7 @@
         for vm in self.vms:
             await vm.kill()
         for server in [self.store.server, *(upstream.server for upstream in self.upstreams)]:
-            server.stop()
+            server.stop()  # also if it has not started
         await asyncio.sleep(0.05)
         shutil.rmtree(self.temporary, ignore_errors=True)
 
