Each stream that is aborted has a line with its cause

Callers saw streams end without their last event. Of the ways in which a stream is aborted, those after a broken call were counted but not logged, those at the deadline logged but not counted, so that a log did not tell whether a stream ended for lack of attempts, capacity or time.

All ways now pass through one function, which counts the stream in streams_aborted and logs its engine, events, sends, silence, the time that was left and the version of the routes.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -382,12 +382,6 @@
     if (notStarted ? restart(outcome) : resumeElsewhere(outcome, reason)) {
         return;
     }
-    if (m_headSent) {
-        m_context.counters.at("streams_aborted").add();
-        m_request.exchange->abort();
-        finish();
-        return;
-    }
     fail(false, reason, ShortRetryAfter);
 }
 
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -75,18 +75,35 @@
     finish();
 }
 
+/// Ends a stream that has begun without its last event.
+auto StreamRequest::abort(std::string_view reason) -> void
+{
+    const auto now = m_context.clock.now();
+    m_context.counters.at("streams_aborted").add();
+    m_context.log.write("stream", "stream_aborted",
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"events", m_events},
+                         {"reason", reason},
+                         {"sends", m_attempts.count()},
+                         {"silent_ms", toMilliseconds(now - m_lastEventAt)},
+                         {"age_ms", toMilliseconds(now - m_request.arrivedAt)},
+                         {"time_left_ms", toMilliseconds(m_request.deadline() - now)},
+                         {"routes_version", m_request.routeTable->version}});
+    m_request.exchange->abort();
+    finish();
+}
+
 auto StreamRequest::fail(bool timedOut, std::string_view reason, Duration retryAfter) -> void
 {
     if (m_done) {
         return;
     }
     if (m_headSent) {
-        m_context.log.write("stream", "stream_aborted",
-                            {{"request", m_request.metadata.requestId}, {"events", m_events}, {"reason", reason}});
-        m_request.exchange->abort();
-    } else {
-        respondWithError(m_context, m_request, m_attempts, timedOut, reason, retryAfter);
+        abort(reason);
+        return;
     }
+    respondWithError(m_context, m_request, m_attempts, timedOut, reason, retryAfter);
     finish();
 }
 
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -133,6 +133,7 @@
 
     // stream_request.cc
     auto complete() -> void;
+    auto abort(std::string_view reason) -> void;
     auto fail(bool timedOut, std::string_view reason, Duration retryAfter) -> void;
     auto finish() -> void;
     auto endForStop(StopPhase phase) -> void;
