A stream leaves a silent engine only for one that has reserved capacity for it

Cause: a stalled stream gave up its call first and looked for another engine afterwards. The plan is an estimate: the new engine may be full, silent or not accept connections, and after the second attempt nothing was left but to abort an answer whose engine would have gone on. And a stream that had begun was aborted at once when no engine had room at that moment, while one that had not begun could wait.

Change: nextStep (decisions/stream_resumption) decides what a stream does whose engine is silent or whose call broke. A stalled stream reserves capacity at another engine, up to three, and gives up its call only when that is granted, so at no time two engines work for it; an event that comes meanwhile ends the move. A stream that has begun and lost its engine is queued ahead of those that have not, until an engine grants capacity, its deadline passes or its caller leaves. It is given up at once only if no engine may go on with it.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -1,6 +1,5 @@
 // The decode phase of a stream: relays complete events, detects stalls, and resumes on another engine if the route allows it.
 #include "currantstack/edge/upstream_links.h"
-#include "relayed_request.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -9,16 +8,8 @@
 namespace
 {
 
-// A resumable stream moves to another engine after this time without an event. It is shorter than the time after which callers
-// disconnect, and longer than the gaps between events of an engine that is merely busy.
-constexpr Duration StallTimeout = milliseconds(900);
 // Retry-After of a refusal that is not caused by load.
 constexpr Duration ShortRetryAfter = milliseconds(30);
-// The timeout for the first event is the expected time multiplied by this factor, plus this margin.
-constexpr double FirstEventTimeoutFactor = 2;
-constexpr Duration FirstEventTimeoutMargin = milliseconds(700);
-// Period in which a stream that may not be moved checks whether its engine is gone.
-constexpr Duration SilenceCheckPeriod = milliseconds(300);
 // An event that is not complete after the longest of these times will not be. Callers disconnect sooner.
 constexpr Duration LongestEventTime = seconds(5);
 constexpr int EventTimeGapFactor = 10; // as a multiple of the gap goal
@@ -272,9 +263,7 @@
         m_stallTimer->startOnce(UpstreamSilence::ProbeAfter);
         return;
     }
-    const auto firstEventTimeout =
-        fromMilliseconds(FirstEventTimeoutFactor * toMilliseconds(m_expectedFirstEvent)) + FirstEventTimeoutMargin;
-    m_stallTimer->startOnce(m_headSent ? StallTimeout : firstEventTimeout);
+    m_stallTimer->startOnce(eventTimeout(m_headSent, m_headSent, m_expectedFirstEvent));
 }
 
 /// Returns since when the call in flight has brought no event.
@@ -314,37 +303,6 @@
     return true;
 }
 
-auto StreamRequest::onStall() -> void
-{
-    if (m_done || m_decodeCall == 0 || endsInVain()) {
-        return;
-    }
-    if (!m_request.route->resumable) {
-        m_stallTimer->startOnce(SilenceCheckPeriod);
-        return;
-    }
-    // A sound engine may be silent for a while, so its call is only given up for a resumption that is certain to be allowed.
-    const auto now = m_context.clock.now();
-    recordSilence(m_context, m_decodeEngine, m_sentAt);
-    const bool isCutOff = m_context.reach.isCutOff(m_request.service);
-    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && !checkQuarantine(m_context, m_request)
-        && (isCutOff ? isVersionCertain() && mayRelay(m_context, m_request) : planResumption().has_value());
-    m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
-    if (!m_retryAcquired) {
-        m_context.counters.at("stalls_waited_out").add();
-        m_context.log.write("stream", "stall_waited_out",
-                            {{"request", m_request.metadata.requestId},
-                             {"engine", m_decodeEngine.id},
-                             {"events", m_events},
-                             {"may_move", mayMove},
-                             {"silent_ms", toMilliseconds(now - m_lastEventAt)}});
-        m_stallTimer->startOnce(StallTimeout);
-        return;
-    }
-    m_context.client.cancel(std::exchange(m_decodeCall, 0));
-    onDecodeBroken(AttemptOutcome::Unknown, "no event in time", {});
-}
-
 /// Returns whether the retry budget allows another send after this outcome.
 auto StreamRequest::acquireRetry(AttemptOutcome outcome) -> bool
 {
@@ -360,44 +318,41 @@
 
 auto StreamRequest::onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
-    const auto now = m_context.clock.now();
     m_attempts.onOutcome(outcome);
     const bool handleLost = outcome == AttemptOutcome::NotRun && !m_kvSource.empty() && !evidence.entryOutdated;
     if (!handleLost) {
         recordFailure(m_decodeEngine, evidence);
     }
-    m_context.log.write("stream", "stream_broken",
-                        {{"request", m_request.metadata.requestId},
-                         {"engine", m_decodeEngine.id},
-                         {"outcome", name(outcome)},
-                         {"reason", reason},
-                         {"connection_closed", evidence.connectionClosed},
-                         {"events", m_events},
-                         {"silent_ms", toMilliseconds(now - m_lastEventAt)}});
+    logBroken(outcome, reason, evidence);
     if (const auto refusal = checkQuarantine(m_context, m_request)) {
         fail(false, refusal->reason, refusal->retryAfter);
         return;
     }
     const bool notStarted = !m_headSent && (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::NotSent);
-    if (notStarted ? restart(outcome) : resumeElsewhere(outcome, reason)) {
+    if (notStarted) {
+        cancelSuccessor();
+        if (!restart(outcome)) {
+            fail(false, reason, ShortRetryAfter);
+        }
         return;
     }
-    fail(false, reason, ShortRetryAfter);
-}
-
-/// Returns false if the engine has restarted under its id with another software version, so that either may have written the events.
-auto StreamRequest::isVersionCertain() const -> bool
-{
-    const auto *entry = m_context.directory.find(m_decodeEngine.id);
-    return !m_headSent || entry == nullptr || entry->softwareVersion == m_decodeEngine.softwareVersion;
+    m_brokenOutcome = outcome;
+    m_stallTimer->stop();
+    if (m_successorClaim.engine.empty()) { // otherwise a reservation is under way already
+        resume(reason);
+    }
 }
 
-auto StreamRequest::planResumption() const -> std::optional<StreamPlan>
+auto StreamRequest::logBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) const -> void
 {
-    if (!isVersionCertain()) {
-        return std::nullopt;
-    }
-    return plan([this](const PlacementInputs &inputs) { return planResume(inputs, m_decodeEngine.id, m_context.random); });
+    m_context.log.write("stream", "stream_broken",
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"outcome", name(outcome)},
+                         {"reason", reason},
+                         {"connection_closed", evidence.connectionClosed},
+                         {"events", m_events},
+                         {"silent_ms", toMilliseconds(m_context.clock.now() - m_lastEventAt)}});
 }
 
 /// Retries a request that no engine has run: with the prefilled KV cache if the prefill engine still retains it, else from the
@@ -450,44 +405,4 @@
     return true;
 }
 
-auto StreamRequest::resumeElsewhere(AttemptOutcome outcome, std::string_view reason) -> bool
-{
-    const auto now = m_context.clock.now();
-    const bool mayRetry = m_attempts.mayRetry();
-    if (!mayRetry || now >= m_request.deadline()) {
-        return false;
-    }
-    if (m_context.reach.isCutOff(m_request.service)) {
-        return isVersionCertain() && acquireRetry(outcome) && handOver(reason);
-    }
-    const auto next = planResumption();
-    if (!next) {
-        m_context.counters.at("streams_not_resumable").add();
-        m_context.log.write("stream", "stream_not_resumable",
-                            {{"request", m_request.metadata.requestId},
-                             {"software_version", m_decodeEngine.softwareVersion},
-                             {"version_certain", isVersionCertain()},
-                             {"engines_of_version", enginesOfVersion()},
-                             {"after_event", m_lastEventId}});
-        return false;
-    }
-    m_expectedFirstEvent = next->timeToFirstToken;
-    if (!acquireRetry(outcome)) {
-        return false;
-    }
-    m_decodeEngine = *next->decode;
-    freeHandle();
-    m_context.counters.at("streams_continued").add();
-    m_context.log.write("stream", "stream_goes_on",
-                        {{"request", m_request.metadata.requestId},
-                         {"engine", m_decodeEngine.id},
-                         {"software_version", m_decodeEngine.softwareVersion},
-                         {"after_event", m_lastEventId},
-                         {"reason", reason},
-                         {"sends", m_attempts.count()}});
-    claimDecode(true);
-    startDecode();
-    return true;
-}
-
 } // namespace currantstack
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -347,10 +347,14 @@
 }
 
 auto StreamRequest::claimDecode(bool withPrefill) -> void
+{
+    setClaim(m_decodeClaim, m_decodeEngine, decodeWork(withPrefill));
+}
+
+auto StreamRequest::decodeWork(bool withPrefill) const -> InFlightWork
 {
     const auto &shape = m_request.metadata.shape;
-    const auto kvTokens = m_context.speedsOf(m_request.service).expectedKvTokens(shape);
-    setClaim(m_decodeClaim, m_decodeEngine, workOf(withPrefill ? shape.promptTokens : 0, kvTokens));
+    return workOf(withPrefill ? shape.promptTokens : 0, m_context.speedsOf(m_request.service).expectedKvTokens(shape));
 }
 
 /// Returns the work of this request at one engine, or of its wait in the queue.
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -138,6 +138,7 @@
     leaveQueue();
     release(m_prefillClaim);
     release(m_decodeClaim);
+    release(m_successorClaim);
     m_context.loop.defer([&context = m_context]() { context.pendingQueue.retryHeads(); });
     // The timers' callbacks own this request, so they are destroyed only after the current call has returned.
     m_context.loop.defer([self = shared_from_this()]() {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/decisions/admission.h"
 #include "currantstack/decisions/software_version.h"
+#include "currantstack/decisions/stream_resumption.h"
 #include "currantstack/edge/event_splitter.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/notice_observer.h"
@@ -25,6 +26,12 @@
     auto start() -> void;
 
 private:
+    /// Period in which a stream that may not be moved checks whether its engine is gone.
+    static constexpr Duration SilenceCheckPeriod = milliseconds(300);
+
+    /// Receives the id of a reservation, or why there is none.
+    using ReservationDone = std::function<void(const Result<std::string> &reserved)>;
+
     /// Chooses the engines, or returns nothing if no engine has capacity.
     using PlanFunction = std::function<std::optional<StreamPlan>(const PlacementInputs &inputs)>;
 
@@ -74,6 +81,7 @@
     auto queueKey() const -> QueueKey;
     auto leaveQueue() -> void;
     auto claimDecode(bool withPrefill) -> void;
+    auto decodeWork(bool withPrefill) const -> InFlightWork;
     auto workOf(double promptTokens, double kvTokens) const -> InFlightWork;
     auto growDecodeClaim() -> void;
     auto tokensPerEvent() const -> std::int64_t;
@@ -87,8 +95,11 @@
     auto logPlan(const StreamPlan &plan) const -> void;
 
     // stream_reservation.cc
+    auto takesReservations(const Upstream &engine) const -> bool;
+    auto startReservation(const Upstream &engine, Duration lifetime, ReservationDone done) -> void;
+    auto recordRefusedReservation(const Upstream &engine, const Error &error) -> void;
     auto reserve(const StreamPlan &plan) -> void;
-    auto onReserved(const Result<HttpResponse> &result, bool separatePrefill) -> void;
+    auto onReserved(const Result<std::string> &reserved, bool separatePrefill) -> void;
     auto dropReservation() -> void;
     auto isBusy(const Upstream &engine) const -> bool;
     auto recordFailure(const Upstream &engine, FailureEvidence evidence) -> void;
@@ -112,20 +123,38 @@
     auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
     auto recordSurvival() -> void;
-    auto onStall() -> void;
     auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
     auto awaitedSince() const -> TimePoint;
     auto endsInVain() -> bool;
     auto isStuckInEvent() const -> bool;
     auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
-    auto resumeElsewhere(AttemptOutcome outcome, std::string_view reason) -> bool;
-    auto isVersionCertain() const -> bool;
-    auto planResumption() const -> std::optional<StreamPlan>;
+    auto logBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) const -> void;
     auto restart(AttemptOutcome outcome) -> bool;
     auto redirect() -> bool;
     auto placeOrEnqueue() -> void;
 
+    // stream_resumption.cc
+    auto isVersionCertain() const -> bool;
+    auto hasOtherEngine() const -> bool;
+    auto planResumption() const -> std::optional<StreamPlan>;
+    auto resumptionState(bool hasCapacity) const -> ResumptionState;
+    auto onStall() -> void;
+    auto resume(std::string_view reason) -> void;
+    auto takeStep(ResumptionStep step, const ResumptionState &state, const std::optional<StreamPlan> &next) -> void;
+    auto waitOutStall(std::string_view reason) -> void;
+    auto waitForRetry(const ResumptionState &state) -> void;
+    auto waitForCapacity() -> void;
+    auto tryResume() -> bool;
+    auto reserveSuccessor(const StreamPlan &plan) -> void;
+    auto onSuccessorReserved(const Result<std::string> &reserved) -> void;
+    auto dropSuccessor(const std::string &reservation) -> void;
+    auto cancelSuccessor() -> void;
+    auto endStalledCall() -> void;
+    auto moveToSuccessor(const std::string &reservation) -> void;
+    auto acquireResumption() -> bool;
+    auto giveUp(const ResumptionState &state) -> void;
+
     // stream_handover.cc
     auto handOver(std::string_view reason) -> bool;
     auto leaveIfCutOff() -> bool;
@@ -146,8 +175,10 @@
 
     LoadClaim m_prefillClaim;
     LoadClaim m_decodeClaim;
+    LoadClaim m_successorClaim; // while capacity is reserved at `m_successor`
     Upstream m_prefillEngine; // copies, because the directory may drop an entry while its engine is in use
     Upstream m_decodeEngine;
+    Upstream m_successor; // engine at which a stalled or broken stream is to go on
     SoftwareVersionKey m_version = AnySoftwareVersion; // that began the stream; the plans choose only decode engines of this version
     Duration m_expectedPrefill = Duration::zero();
     Duration m_expectedFirstEvent = Duration::zero();
@@ -181,6 +212,14 @@
     Duration m_timeToFirstEvent = Duration::zero();
     Duration m_longestGap = Duration::zero();
 
+    // Search for another engine.
+    std::string m_breakReason;
+    AttemptOutcome m_brokenOutcome = AttemptOutcome::Unknown; // of the last call
+    Duration m_successorFirstEvent = Duration::zero(); // expected
+    int m_eventsAtStall = 0;
+    int m_reservationsTried = 0; // since the last stall
+    bool m_waitsToResume = false;
+
     bool m_retryAcquired = false; // the retry budget has already counted the next send
     OpenRequests::Id m_openId = 0;
     bool m_queued = false; // counted in the load table as a pending request of the service
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -18,63 +18,66 @@
 
 } // namespace
 
-auto StreamRequest::reserve(const StreamPlan &plan) -> void
+auto StreamRequest::takesReservations(const Upstream &engine) const -> bool
 {
     const auto *service = m_request.routeTable->service(m_request.service);
     // An engine in need gets no calls besides the request itself.
-    if (service->engine->reservationLifetime == Duration::zero() || m_context.rateLimiter.limitOf(m_decodeEngine.id)) {
-        execute(plan.prefill != nullptr);
-        return;
-    }
-    const auto lifetime = fromMilliseconds(ReservationLifetimeFactor * toMilliseconds(plan.prefillTime)) + ReservationLifetimeMargin;
+    return service->engine->reservationLifetime > Duration::zero() && !m_context.rateLimiter.limitOf(engine.id);
+}
+
+auto StreamRequest::startReservation(const Upstream &engine, Duration lifetime, ReservationDone done) -> void
+{
+    const auto *service = m_request.routeTable->service(m_request.service);
     const auto tokens = std::min(m_context.speedsOf(m_request.service).expectedKvTokens(m_request.metadata.shape),
                                  static_cast<double>(service->engine->kvTokens));
-    auto call = m_context.protocol.reserveCall(m_decodeEngine, static_cast<std::int64_t>(tokens),
-                                               std::min(lifetime, service->engine->reservationLifetime));
+    auto call =
+        m_context.protocol.reserveCall(engine, static_cast<std::int64_t>(tokens), std::min(lifetime, service->engine->reservationLifetime));
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = CallTimeout;
     HttpHandlers handlers;
-    handlers.onDone = [self = shared_from_this(), separatePrefill = plan.prefill != nullptr,
+    handlers.onDone = [self = shared_from_this(), engine, done = std::move(done),
                        sentAt = m_context.clock.now()](const Result<HttpResponse> &result) {
+        auto &context = self->m_context;
         if (!result) {
-            recordFailedCall(self->m_context, self->m_decodeEngine, result.error(), sentAt);
+            recordFailedCall(context, engine, result.error(), sentAt);
+        }
+        if (self->m_done) {
+            return;
+        }
+        self->m_reserveCall = 0;
+        observeNotices(context, engine, result);
+        auto reserved = result ? context.protocol.parseReservation(*result) : Result<std::string>(tl::unexpected(result.error()));
+        if (reserved) {
+            context.exclusions.onAccepted(engine.id);
         }
-        self->onReserved(result, separatePrefill);
+        done(reserved);
     };
     m_reserveCall = m_context.client.start(std::move(call), std::move(handlers));
 }
 
-auto StreamRequest::onReserved(const Result<HttpResponse> &result, bool separatePrefill) -> void
+auto StreamRequest::reserve(const StreamPlan &plan) -> void
 {
-    if (m_done) {
+    if (!takesReservations(m_decodeEngine)) {
+        execute(plan.prefill != nullptr);
         return;
     }
-    m_reserveCall = 0;
-    observeNotices(m_context, m_decodeEngine, result);
-    const auto reserved = result ? m_context.protocol.parseReservation(*result) : Result<std::string>(tl::unexpected(result.error()));
+    const auto lifetime = fromMilliseconds(ReservationLifetimeFactor * toMilliseconds(plan.prefillTime)) + ReservationLifetimeMargin;
+    startReservation(m_decodeEngine, lifetime,
+                     [self = shared_from_this(), separatePrefill = plan.prefill != nullptr](const Result<std::string> &reserved) {
+                         self->onReserved(reserved, separatePrefill);
+                     });
+}
+
+auto StreamRequest::onReserved(const Result<std::string> &reserved, bool separatePrefill) -> void
+{
     if (reserved) {
         m_reservation = *reserved;
-        m_context.exclusions.onAccepted(m_decodeEngine.id);
         execute(separatePrefill);
         return;
     }
-    const auto now = m_context.clock.now();
-    m_context.counters.at("reservations_refused").add();
-    m_context.log.write("stream", "reservation_refused",
-                        {{"request", m_request.metadata.requestId},
-                         {"engine", m_decodeEngine.id},
-                         {"error", describe(reserved.error())},
-                         {"kv_booked", m_context.loads.total(m_decodeEngine.id, now).kvTokens}});
     release(m_decodeClaim);
     release(m_prefillClaim);
-    if (reserved.error().code == ErrorCode::Overloaded && isBusy(m_decodeEngine)) {
-        const auto streamDuration = m_context.speedsOf(m_request.service).streamDuration();
-        m_context.exclusions.onFull(m_decodeEngine.id, m_context.loads.total(m_decodeEngine.id, now).requests, streamDuration, now);
-    } else if (reserved.error().code == ErrorCode::Overloaded) {
-        m_context.exclusions.onRefused(m_decodeEngine.id, now);
-    } else {
-        recordFailure(m_decodeEngine, evidenceOf(reserved.error()));
-    }
+    recordRefusedReservation(m_decodeEngine, reserved.error());
     if (!m_handle.empty() && redirect()) {
         return;
     }
@@ -82,6 +85,24 @@
     placeOrEnqueue();
 }
 
+/// Excludes an engine that has not granted a reservation for a back-off time.
+auto StreamRequest::recordRefusedReservation(const Upstream &engine, const Error &error) -> void
+{
+    const auto now = m_context.clock.now();
+    const auto load = m_context.loads.total(engine.id, now);
+    m_context.counters.at("reservations_refused").add();
+    m_context.log.write(
+        "stream", "reservation_refused",
+        {{"request", m_request.metadata.requestId}, {"engine", engine.id}, {"error", describe(error)}, {"kv_booked", load.kvTokens}});
+    if (error.code == ErrorCode::Overloaded && isBusy(engine)) {
+        m_context.exclusions.onFull(engine.id, load.requests, m_context.speedsOf(m_request.service).streamDuration(), now);
+    } else if (error.code == ErrorCode::Overloaded) {
+        m_context.exclusions.onRefused(engine.id, now);
+    } else {
+        recordFailure(engine, evidenceOf(error));
+    }
+}
+
 auto StreamRequest::evidenceOf(const Error &error) -> FailureEvidence
 {
     return {false, error.connectionClosed};
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -218,6 +218,7 @@
         super().__init__(store, service, place, history, port)
         self.role, self.order_count, self.highest_fence = role, 0, 0
         self.handles, self.holds, self.used_tokens = {}, {}, 0
+        self.is_full = False  # it has no room for further streams
         self.local_ids = itertools.count(1)
 
     def entry(self):
@@ -231,7 +232,7 @@
             return self.order(request)
         if parts[0] == "hold-take":
             tokens = request.json()["tokens"]
-            if self.used_tokens + sum(self.holds.values()) + tokens > self.KV_CAPACITY_TOKENS:
+            if self.is_full or self.used_tokens + sum(self.holds.values()) + tokens > self.KV_CAPACITY_TOKENS:
                 return response(503)
             hold = f"h{next(self.local_ids)}"
             self.holds[hold] = tokens
@@ -273,6 +274,8 @@
             return response(200, body={"kv_handle": handle, "tokens": prompt, "version": 1})
         if self.role != "decode" or self.draw_fault("moved"):
             return response(421)
+        if self.is_full and request.header("kv-hold") not in self.holds:
+            return response(503, [("Not-Run", "1")])
         source = request.header("kv-source")
         if source and not self.import_kv(source, request):
             return response(503, [("Not-Run", "1")])
--- /dev/null
+++ b/test/edge/resumption_tests.py
@@ -0,0 +1,93 @@
+"""Process tests of streams that have begun and lose their engine, or wait for it, while no other engine can take them at once."""
+
+import asyncio
+
+from silence_tests import SilenceRig, complete
+from stranded_tests import StrandedRig
+from version_tests import begin_streams
+
+SILENCE_S = 1.3
+FULL_S = 1.0  # until engines have room again
+LIMIT_S = 7.0  # in which a stream must end
+SLOW_INTERVAL_S = 0.1
+
+
+def others(rig, engine):
+    return [other for other in rig.decode_engines() if other is not engine]
+
+
+def set_full(engines, is_full=True):
+    for engine in engines:
+        engine.is_full = is_full
+
+
+async def begin_at(rig, engine, count=4):
+    """Begins streams that all run at this engine."""
+    set_full(others(rig, engine))
+    streams = await begin_streams(rig, rig.vms[0], count)
+    assert all(rig.runs_of(stream.id)[-1]["upstream"] == engine.id for stream in streams)
+    return streams
+
+
+async def read_to_the_end(streams):
+    await asyncio.wait_for(asyncio.gather(*(stream.read() for stream in streams)), LIMIT_S)
+    for stream in streams:
+        stream.assert_sound()
+    incomplete = [len(stream.numbers) for stream in streams if len(stream.numbers) < stream.EVENTS]
+    assert not incomplete, f"{len(incomplete)} of {len(streams)} streams ended after {incomplete} events"
+
+
+async def outlive_silence(publishes=0):
+    async with SilenceRig() as rig:
+        engine = rig.decode_engines()[0]
+        streams = await begin_at(rig, engine)
+        engine.fall_silent(SILENCE_S)
+        for _ in range(publishes):
+            rig.fleet.configure()
+            await asyncio.sleep(SILENCE_S / 3)
+        await read_to_the_end(streams)
+
+
+async def streams_outlive_a_silent_engine_while_the_others_are_full():
+    """Guards against streams that leave a sound engine for one that refuses them."""
+    await outlive_silence()
+
+
+async def streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes():
+    await outlive_silence(publishes=3)
+
+
+async def streams_outlive_a_silent_engine_while_the_others_accept_no_connection():
+    """Guards against streams that leave a sound engine for one that does not answer."""
+    async with StrandedRig() as rig:
+        decode = [engine for engine in rig.fleet.engines if engine.role == "decode"]
+        for engine in decode:
+            engine.EVENT_INTERVAL_S = SLOW_INTERVAL_S
+        set_full(decode[1:])
+        streams = await begin_streams(rig, rig.vms[0], 4)
+        set_full(decode[1:], False)
+        rig.links.cut(rig.vms[0], "live", decode[1:])
+        decode[0].fall_silent(SILENCE_S)
+        await read_to_the_end(streams)
+
+
+async def begun_streams_wait_for_room_when_their_engine_ends():
+    """Guards against streams that are aborted because no engine has room at the moment at which theirs ends."""
+    async with SilenceRig() as rig:
+        engine = rig.decode_engines()[0]
+        streams = await begin_at(rig, engine)
+        rest = others(rig, engine)
+        engine.crash()
+        asyncio.get_running_loop().call_later(FULL_S, set_full, rest, False)
+        await read_to_the_end(streams)
+
+
+async def streams_of_all_engines_outlive_a_silent_second_of_one():
+    async with SilenceRig() as rig:
+        await complete(rig, rig.vms[0], rig.decode_engines()[:1], publishes=2)
+
+
+TESTS = [streams_outlive_a_silent_engine_while_the_others_are_full,
+         streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes,
+         streams_outlive_a_silent_engine_while_the_others_accept_no_connection, begun_streams_wait_for_room_when_their_engine_ends,
+         streams_of_all_engines_outlive_a_silent_second_of_one]
