Streams that have begun wait at other VMs instead of being refused like new ones

Cause: the second VM admitted such a stream like a new one, whose caller can come back, and the first VM took the refusals of all for the end.

Change: the second VM queues a stream whose caller has events ahead of those that have not begun, until the first VM's deadline. The first VM asks again while all refuse.

--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -1,7 +1,5 @@
 #include "relayed_request.h"
 
-#include "currantstack/edge/event_splitter.h"
-
 #include <algorithm>
 
 namespace currantstack
@@ -16,80 +14,11 @@
 // The other VM moves a silent stream itself, so this VM waits longer for it before it asks another one.
 constexpr Duration EventTimeout = milliseconds(2000);
 constexpr int AnswerTimeoutFactor = 2; // of the latency goal, added to the former for the answer or the first event
-constexpr std::size_t MaxCallerBacklog = 4U << 20; // bytes of events that the caller has not read
-constexpr std::size_t MaxErrorBody = 1U << 20; // bytes
+constexpr Duration AskAgainPeriod = milliseconds(300); // of a stream that has begun while all other VMs refuse it
 constexpr Duration ShortestRetryAfter = milliseconds(300); // a cut lasts seconds; the balancer sends the caller to another VM
 constexpr Duration LongestRetryAfter = milliseconds(1200);
 
-class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>
-{
-public:
-    RelayedRequest(EdgeContext &context, RelayStart start)
-        : m_context(context)
-        , m_request(std::move(start.request))
-        , m_attempts(start.attempts)
-        , m_counted(start.counted)
-        , m_headSent(start.headSent)
-        , m_lastEventId(start.lastEventId)
-        , m_firstAttemptId(std::move(start.firstAttemptId))
-        , m_resumes(start.headSent)
-        , m_isStream(m_request.route->kind == RouteKind::Stream)
-    {
-        if (m_firstAttemptId.empty()) {
-            const auto &metadata = m_request.metadata;
-            m_firstAttemptId = metadata.firstAttemptId.empty() ? metadata.requestId : metadata.firstAttemptId;
-        }
-    }
-
-    auto start(std::string_view reason) -> void;
-
-private:
-    auto send(std::string_view reason) -> bool;
-    auto outlastsThisVm() const -> bool;
-    auto relayInfo() const -> RelayInfo;
-    auto onHead(int status, const Headers &headers) -> void;
-    auto onData(std::string_view data) -> void;
-    auto onEvent(const RawEvent &event) -> void;
-    auto beginStream() -> void;
-    auto onDone(const Result<HttpResponse> &result) -> void;
-    auto onAnswer(HttpResponse response) -> void;
-    auto classify(int status, const Headers &headers) const -> AttemptOutcome;
-    auto onBroken(AttemptOutcome outcome, std::string_view reason) -> void;
-    auto mayAskAnother(AttemptOutcome outcome) -> bool;
-    auto restartEventTimer() -> void;
-    auto onSilence() -> void;
-    auto answerHeaders(const Headers &headers) const -> Headers;
-    auto logAnswer(int status) -> void;
-    auto fail(bool timedOut, std::string_view reason) -> void;
-    auto endCall() -> void;
-    auto finish() -> void;
-
-    EdgeContext &m_context;
-    IncomingRequest m_request;
-    RequestAttempts m_attempts;
-    bool m_counted;
-    bool m_headSent;
-    std::int64_t m_lastEventId;
-    std::string m_firstAttemptId;
-    bool m_resumes; // the caller already has events of the stream
-    bool m_isStream;
-    std::vector<std::string> m_tried; // VMs
-    int m_delegated = 0; // attempts that the VM which forwards the request now may make
-    std::size_t m_sends = 0; // to other VMs, without those that were not sent or refused at once
-    bool m_retryAcquired = false; // the retry budget has already counted the next send
-    std::string m_vm; // that forwards the request now
-    OpenRequests::Id m_openId = 0;
-    HttpClient::CallId m_call = 0;
-    HttpResponse m_answer; // its head, and the body of an error
-    bool m_headRead = false;
-    EventSplitter m_splitter;
-    std::string m_heldFiller; // blank lines and comments before the first event, sent with it
-    std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
-    int m_events = 0;
-    std::unique_ptr<Timer> m_deadlineTimer;
-    std::unique_ptr<Timer> m_eventTimer;
-    bool m_done = false;
-};
+} // namespace
 
 auto RelayedRequest::start(std::string_view reason) -> void
 {
@@ -108,8 +37,8 @@
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
     if (!m_headSent && outlastsThisVm()) {
         fail(false, StopReason);
-    } else if (!send(reason)) {
-        fail(false, "no other VM reaches the upstreams of the service");
+    } else if (m_breakReason = "no other VM reaches the upstreams of the service"; !send(reason) && !waitToAskAgain()) {
+        fail(false, m_breakReason);
     }
 }
 
@@ -199,109 +128,16 @@
     return info;
 }
 
-auto RelayedRequest::classify(int status, const Headers &headers) const -> AttemptOutcome
-{
-    if (!findHeader(headers, RelayRefusedHeader).empty()) {
-        return AttemptOutcome::NotSent;
-    }
-    const auto head = m_context.protocol.parseHead(status, headers, m_request.metadata);
-    const bool isSuccess = status >= 200 && status < 300;
-    // The other VM had not all attempts, so a third one may go on where it gave up.
-    const bool isGivenUp = m_isStream && status == 502 && !head.fromUpstream;
-    return isGivenUp || (isSuccess && !mayForward(status, head)) ? AttemptOutcome::Unknown : AttemptOutcome::Answered;
-}
-
-auto RelayedRequest::answerHeaders(const Headers &headers) const -> Headers
-{
-    auto result = m_context.protocol.answerHeaders(headers);
-    if (m_context.draining) {
-        result.push_back({"Connection", "close"});
-    }
-    return result;
-}
-
-auto RelayedRequest::onHead(int status, const Headers &headers) -> void
-{
-    if (m_done || m_call == 0) {
-        return;
-    }
-    const auto outcome = classify(status, headers);
-    if (outcome != AttemptOutcome::Answered || (status != 200 && m_headSent)) {
-        const bool isNotRun = outcome == AttemptOutcome::NotSent || status == 503;
-        onBroken(isNotRun ? AttemptOutcome::NotSent : AttemptOutcome::Unknown, fmt::format("status {}", status));
-        return;
-    }
-    m_headRead = true;
-    m_answer = {status, answerHeaders(headers), ""};
-}
-
-auto RelayedRequest::onData(std::string_view data) -> void
-{
-    if (m_done || m_call == 0 || !m_headRead) {
-        return;
-    }
-    if (m_answer.status != 200) {
-        if (m_answer.body.size() + data.size() > MaxErrorBody) {
-            onBroken(AttemptOutcome::Unknown, "the error response is too long");
-            return;
-        }
-        m_answer.body.append(data);
-        return;
-    }
-    if (!m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); })) {
-        onBroken(AttemptOutcome::Unknown, "an event exceeds the size limit");
-    } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
-        onBroken(AttemptOutcome::Unknown, "the stream has no events");
-    } else if (!m_done && m_request.exchange->pendingBytes() > MaxCallerBacklog) {
-        fail(false, "the caller reads too slowly");
-    }
-}
-
-auto RelayedRequest::onEvent(const RawEvent &event) -> void
-{
-    if (m_done || m_call == 0 || (event.id && *event.id <= m_lastEventId)) {
-        return; // the caller already has the event
-    }
-    if (event.isEmpty && !m_headSent) {
-        m_heldFiller.append(event.bytes);
-        m_fillerBytes += event.bytes.size();
-        return;
-    }
-    if (event.isEmpty) {
-        m_fillerBytes += event.bytes.size();
-        m_request.exchange->write(event.bytes);
-        return;
-    }
-    m_fillerBytes = 0;
-    beginStream();
-    m_request.exchange->write(event.bytes);
-    m_lastEventId = event.id.value_or(m_lastEventId + 1);
-    ++m_events;
-    restartEventTimer();
-}
-
-/// Sends the head and what preceded the first event, unless the caller has them.
-auto RelayedRequest::beginStream() -> void
-{
-    if (std::exchange(m_headSent, true)) {
-        return;
-    }
-    const auto age = m_context.clock.now() - m_request.arrivedAt;
-    m_request.exchange->beginStream(m_answer.status, m_answer.headers);
-    if (!m_heldFiller.empty()) {
-        m_request.exchange->write(std::exchange(m_heldFiller, {}));
-    }
-    m_context.latencies.record("first_event", age);
-    m_context.log.write("relay", "first_event",
-                        {{"request", m_request.metadata.requestId}, {"through", m_vm}, {"age_ms", toMilliseconds(age)}});
-}
-
-/// Watches for silence of the other VM: until the first event or the answer, or until the next event.
+/// Watches for silence of the other VM: until the first event or the answer, or until the next event. Without one, asks again later.
 auto RelayedRequest::restartEventTimer() -> void
 {
     if (!m_eventTimer) {
         m_eventTimer = m_context.loop.timer([self = shared_from_this()]() { self->onSilence(); });
     }
+    if (m_call == 0) {
+        m_eventTimer->startOnce(AskAgainPeriod);
+        return;
+    }
     m_eventTimer->startOnce(m_headSent ? EventTimeout : AnswerTimeoutFactor * m_request.route->latencyGoal + EventTimeout);
 }
 
@@ -309,7 +145,11 @@
 auto RelayedRequest::onSilence() -> void
 {
     const auto now = m_context.clock.now();
-    if (m_done || m_call == 0) {
+    if (m_done) {
+        return;
+    }
+    if (m_call == 0) {
+        askAnother();
         return;
     }
     const auto candidates = m_context.relayHooks.candidates(m_request.service);
@@ -326,67 +166,6 @@
     restartEventTimer();
 }
 
-auto RelayedRequest::onDone(const Result<HttpResponse> &result) -> void
-{
-    if (m_done || m_call == 0) {
-        return;
-    }
-    if (!result) {
-        if (result.error().connectionRefused) {
-            m_context.relayHooks.onConnectionRefused(m_vm);
-        }
-        onBroken(classifyError(result.error()), describe(result.error()));
-        return;
-    }
-    if (m_isStream && m_answer.status == 200) {
-        if (m_splitter.hasPartial()) {
-            onBroken(AttemptOutcome::Unknown, "the stream ends inside an event");
-            return;
-        }
-        endCall();
-        beginStream();
-        m_request.exchange->end();
-        logAnswer(200);
-        finish();
-        return;
-    }
-    const auto outcome = m_isStream ? AttemptOutcome::Answered : classify(result->status, result->headers);
-    if (outcome != AttemptOutcome::Answered) {
-        onBroken(outcome, fmt::format("status {}", result->status));
-        return;
-    }
-    onAnswer(m_isStream ? std::move(m_answer) : HttpResponse{result->status, answerHeaders(result->headers), result->body});
-}
-
-auto RelayedRequest::onAnswer(HttpResponse response) -> void
-{
-    endCall();
-    const auto status = response.status;
-    m_attempts.onOutcome(status == 503 ? AttemptOutcome::NotRun : AttemptOutcome::Answered, m_delegated);
-    // An earlier VM may have sent the request, so that the last one's refusal does not hold for the whole request.
-    if (status == 503 && m_attempts.errorAnswer(false) != ErrorAnswer::Refused) {
-        fail(false, "another VM may have sent the request before");
-        return;
-    }
-    m_request.exchange->respond(std::move(response));
-    logAnswer(status);
-    finish();
-}
-
-auto RelayedRequest::logAnswer(int status) -> void
-{
-    const auto age = m_context.clock.now() - m_request.arrivedAt;
-    m_context.latencies.record(m_isStream ? "stream" : "service_answer", age);
-    m_context.counters.at(status == 503 ? "requests_refused" : "requests_answered").add();
-    m_context.log.write("relay", "request_answered",
-                        {{"request", m_request.metadata.requestId},
-                         {"through", m_vm},
-                         {"status", status},
-                         {"events", m_events},
-                         {"vms_asked", m_tried.size()},
-                         {"age_ms", toMilliseconds(age)}});
-}
-
 auto RelayedRequest::onBroken(AttemptOutcome outcome, std::string_view reason) -> void
 {
     endCall();
@@ -399,11 +178,37 @@
                          {"outcome", name(outcome)},
                          {"reason", reason},
                          {"events", m_events}});
-    if (!mayAskAnother(outcome) || !send(reason)) {
-        fail(false, reason);
+    m_brokenOutcome = outcome;
+    m_breakReason = reason;
+    askAnother();
+}
+
+auto RelayedRequest::askAnother() -> void
+{
+    if ((!mayAskAnother(m_brokenOutcome) || !send(m_breakReason)) && !waitToAskAgain()) {
+        fail(false, m_breakReason);
     }
 }
 
+/// Lets a stream that has begun wait until another VM can take it. Returns false if none may.
+auto RelayedRequest::waitToAskAgain() -> bool
+{
+    const auto timeLeft = m_request.deadline() - m_context.clock.now();
+    if (!m_headSent || !m_attempts.mayRetry() || m_sends >= MaxSends || timeLeft <= AskAgainPeriod) {
+        return false;
+    }
+    m_context.counters.at("resumptions_delayed").add();
+    m_context.log.write("relay", "waits_to_resume",
+                        {{"request", m_request.metadata.requestId},
+                         {"reason", m_breakReason},
+                         {"vms_asked", m_tried.size()},
+                         {"after_event", m_lastEventId},
+                         {"time_left_ms", toMilliseconds(timeLeft)}});
+    m_tried.clear();
+    restartEventTimer();
+    return true;
+}
+
 auto RelayedRequest::mayAskAnother(AttemptOutcome outcome) -> bool
 {
     const auto now = m_context.clock.now();
@@ -461,8 +266,6 @@
     });
 }
 
-} // namespace
-
 auto mayRelay(const EdgeContext &context, const IncomingRequest &request) -> bool
 {
     return !request.relay && context.relayHooks.candidates && !context.relayHooks.candidates(request.service).empty();
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -85,6 +85,12 @@
     return m_request.routeTable->isUrgent(m_request.service, m_request.route->priority);
 }
 
+/// Returns whether the caller has received events of the stream through another VM, and waits for the next one.
+auto StreamRequest::hasBegunElsewhere() const -> bool
+{
+    return m_request.relay && m_request.relay->lastEventId > 0;
+}
+
 auto StreamRequest::waitingStream(bool begun) const -> WaitingStream
 {
     return {m_request.route->priority, m_request.arrivedAt, m_request.arrivedAt + firstEventLimit() - UnqueuedFirstEvent, begun};
@@ -139,6 +145,9 @@
 /// still meet theirs.
 auto StreamRequest::isSoonEnough(const StreamPlan &plan) const -> bool
 {
+    if (hasBegunElsewhere()) {
+        return true;
+    }
     const auto age = m_context.clock.now() - m_request.arrivedAt;
     const auto limit = firstEventLimit();
     return isLate() ? plan.timeToFirstToken <= fromMilliseconds(LateFirstEventShare * toMilliseconds(limit))
@@ -243,6 +252,9 @@
 /// Returns how long this request waits in the queue at most, from its arrival.
 auto StreamRequest::longestWait() const -> Duration
 {
+    if (hasBegunElsewhere()) {
+        return m_request.deadline() - m_request.arrivedAt - UnqueuedFirstEvent;
+    }
     const auto duration = m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape);
     return std::max(firstEventLimit() - UnqueuedFirstEvent,
                     lateWait(firstEventLimit(), m_request.deadline() - m_request.arrivedAt - duration - UnqueuedFirstEvent));
@@ -306,7 +318,9 @@
     if (refuseForPause(onTimeWait - age) || refuseForLimits(onTimeWait - age)) {
         return;
     }
-    const bool mayJoin = mayWait(expectedWait(estimate), onTimeWait - age) || mayWaitLate(estimate, longestWait() - age);
+    const bool begun = atHead || hasBegunElsewhere();
+    const bool mayJoin =
+        hasBegunElsewhere() || mayWait(expectedWait(estimate), onTimeWait - age) || mayWaitLate(estimate, longestWait() - age);
     if (atHead ? age > longestWait() : !mayJoin) {
         if (handOverIfUnreached("no engine that this VM reaches is expected to have capacity in time")) {
             return;
@@ -328,8 +342,8 @@
         }
     });
     m_queueTimer->startOnce(longestWait() - age);
-    m_context.pendingQueue.enqueue(queueKey(), waitingStream(atHead),
-                                   [self = shared_from_this(), atHead](bool isTurn) { return self->tryPlace(isTurn || atHead); });
+    m_context.pendingQueue.enqueue(queueKey(), waitingStream(begun),
+                                   [self = shared_from_this(), begun](bool isTurn) { return self->tryPlace(isTurn || begun); });
 }
 
 auto StreamRequest::queueKey() const -> QueueKey
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -42,7 +42,7 @@
 auto StreamRequest::admit() -> void
 {
     countRequest(m_context, m_request);
-    if (!m_context.pendingQueue.wouldBeNext(queueKey(), waitingStream(false)) || !tryPlace(false)) {
+    if (!m_context.pendingQueue.wouldBeNext(queueKey(), waitingStream(hasBegunElsewhere())) || !tryPlace(hasBegunElsewhere())) {
         enqueue(false);
     }
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -61,6 +61,7 @@
 
     // stream_placement.cc
     auto isUrgent() const -> bool;
+    auto hasBegunElsewhere() const -> bool;
     auto waitingStream(bool begun) const -> WaitingStream;
     auto queuedPromptTokens(const Upstream &engine) const -> double;
     auto reservedStreams(const PlacementInputs &inputs) const -> double;
--- a/test/edge/resumption_tests.py
+++ b/test/edge/resumption_tests.py
@@ -82,6 +82,19 @@
         await read_to_the_end(streams)
 
 
+async def begun_streams_wait_for_room_at_another_vm():
+    """Guards against streams of a VM that is cut off which another VM refuses like new ones."""
+    async with StrandedRig(vms=2) as rig:
+        decode = [engine for engine in rig.fleet.engines if engine.role == "decode"]
+        for engine in decode:
+            engine.EVENT_INTERVAL_S = SLOW_INTERVAL_S
+        streams = await begin_streams(rig, rig.vms[0], 4)
+        set_full(decode)
+        rig.links.cut(rig.vms[0], "hang")
+        asyncio.get_running_loop().call_later(SILENCE_S + FULL_S, set_full, decode, False)
+        await read_to_the_end(streams)
+
+
 async def streams_of_all_engines_outlive_a_silent_second_of_one():
     async with SilenceRig() as rig:
         await complete(rig, rig.vms[0], rig.decode_engines()[:1], publishes=2)
@@ -90,4 +103,4 @@
 TESTS = [streams_outlive_a_silent_engine_while_the_others_are_full,
          streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes,
          streams_outlive_a_silent_engine_while_the_others_accept_no_connection, begun_streams_wait_for_room_when_their_engine_ends,
-         streams_of_all_engines_outlive_a_silent_second_of_one]
+         begun_streams_wait_for_room_at_another_vm, streams_of_all_engines_outlive_a_silent_second_of_one]
