The first event of a moved stream has time for the prompt

A stream that goes on at another engine was held to the limit between two events while that engine read its prompt, so that a route with three attempts could leave it for a third one although it was about to answer.

The limit is now that of a first event until the engine has sent one, and at least that between two events. StreamResumptionTest has the decision.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -263,7 +263,7 @@
         m_stallTimer->startOnce(UpstreamSilence::ProbeAfter);
         return;
     }
-    m_stallTimer->startOnce(eventTimeout(m_headSent, m_headSent, m_expectedFirstEvent));
+    m_stallTimer->startOnce(eventTimeout(m_begunAt.has_value(), m_headSent, m_expectedFirstEvent));
 }
 
 /// Returns since when the call in flight has brought no event.
