A queue's time limit ends with the wait for which it was set

A stream that had waited in the queue before it began kept that wait's timer. When it lost its engine and waited for capacity again, the old timer aborted it at the limit of a wait for a first event, seconds before its deadline.

Evidence: streams_that_waited_before_they_began_wait_for_room_when_their_engine_ends fails on (4 of 4 streams aborted after three events, 2.70 s after their arrival with 4.3 s left, four runs of four) and passes three runs of three.

--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -357,6 +357,9 @@
 {
     if (std::exchange(m_queued, false)) {
         m_context.loads.remove(m_request.service, workOf(0, 0));
+        if (m_queueTimer) {
+            m_queueTimer->stop();
+        }
     }
 }
 
--- a/test/edge/resumption_tests.py
+++ b/test/edge/resumption_tests.py
@@ -8,6 +8,8 @@
 
 SILENCE_S = 1.3
 FULL_S = 1.0  # until engines have room again
+QUEUED_S = 0.1  # until an engine has room for new streams
+LONG_FULL_S = 3.5  # longer than a new stream waits, shorter than its deadline
 LIMIT_S = 7.0  # in which a stream must end
 SLOW_INTERVAL_S = 0.1
 
@@ -82,6 +84,19 @@
         await read_to_the_end(streams)
 
 
+async def streams_that_waited_before_they_began_wait_for_room_when_their_engine_ends():
+    """Guards against streams that are aborted when the wait for their first event would have ended."""
+    async with SilenceRig() as rig:
+        engine = rig.decode_engines()[0]
+        rest = others(rig, engine)
+        set_full(rig.decode_engines())
+        asyncio.get_running_loop().call_later(QUEUED_S, set_full, [engine], False)
+        streams = await begin_streams(rig, rig.vms[0], 4)
+        engine.crash()
+        asyncio.get_running_loop().call_later(LONG_FULL_S, set_full, rest, False)
+        await read_to_the_end(streams)
+
+
 async def begun_streams_wait_for_room_at_another_vm():
     """Guards against streams of a VM that is cut off which another VM refuses like new ones."""
     async with StrandedRig(vms=2) as rig:
@@ -103,4 +118,5 @@
 TESTS = [streams_outlive_a_silent_engine_while_the_others_are_full,
          streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes,
          streams_outlive_a_silent_engine_while_the_others_accept_no_connection, begun_streams_wait_for_room_when_their_engine_ends,
+         streams_that_waited_before_they_began_wait_for_room_when_their_engine_ends,
          begun_streams_wait_for_room_at_another_vm, streams_of_all_engines_outlive_a_silent_second_of_one]
