Waiting streams do not hold up new ones, nor move to engines that leave

A begun stream that waits for capacity stood at the head of the queue of new streams. No busy engine may read a long prompt for a resumption, so that it stayed there until its deadline and all new streams of the service were refused at that VM although engines had room. It now waits in the queue of its software version, which is tried first.

A stalled stream moved to the engine that had granted a reservation even if that had begun to drain since it was chosen.

--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -138,6 +138,7 @@
     // stream_resumption.cc
     auto isVersionCertain() const -> bool;
     auto hasOtherEngine() const -> bool;
+    auto isUsable(const Upstream &engine) const -> bool;
     auto planResumption() const -> std::optional<StreamPlan>;
     auto resumptionState(bool hasCapacity) const -> ResumptionState;
     auto onStall() -> void;
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -47,6 +47,13 @@
     });
 }
 
+/// Returns whether the engine still takes requests since it was chosen.
+auto StreamRequest::isUsable(const Upstream &engine) const -> bool
+{
+    const auto *entry = m_context.directory.find(engine.id);
+    return entry != nullptr && !entry->draining && entry->startedAtMs == engine.startedAtMs && mayGetRequest(m_context, engine);
+}
+
 auto StreamRequest::resumptionState(bool hasCapacity) const -> ResumptionState
 {
     const auto now = m_context.clock.now();
@@ -171,7 +178,8 @@
     release(m_decodeClaim);
     m_queued = true;
     m_context.loads.add(m_request.service, workOf(0, 0));
-    m_context.pendingQueue.enqueue(queueKey(), waitingStream(true), [self = shared_from_this()](bool) { return self->tryResume(); });
+    // Not in the queue of new streams, which can be placed at engines at which this one may not go on.
+    m_context.pendingQueue.enqueue({m_request.service, m_version}, waitingStream(true), [self = shared_from_this()](bool) { return self->tryResume(); });
 }
 
 /// Returns whether the stream leaves the queue.
@@ -232,7 +240,7 @@
         dropSuccessor(*reserved);
         return;
     }
-    const auto state = resumptionState(true);
+    const auto state = resumptionState(isUsable(m_successor));
     if (nextStep(state) != ResumptionStep::Reserve) {
         dropSuccessor(*reserved);
         resume(m_breakReason);
--- a/test/edge/resumption_tests.py
+++ b/test/edge/resumption_tests.py
@@ -4,7 +4,7 @@
 
 from silence_tests import SilenceRig, complete
 from stranded_tests import StrandedRig
-from version_tests import begin_streams
+from version_tests import Stream, begin_streams
 
 SILENCE_S = 1.3
 FULL_S = 1.0  # until engines have room again
@@ -12,6 +12,10 @@
 LONG_FULL_S = 3.5  # longer than a new stream waits, shorter than its deadline
 LIMIT_S = 7.0  # in which a stream must end
 SLOW_INTERVAL_S = 0.1
+VERY_SLOW_INTERVAL_S = 0.5
+LONG_PROMPT = 8000  # tokens; an engine with streams may not read it within the gap goal
+NEW_STREAM_S = 2.0  # in which new streams must begin while there is room
+RESERVATION_S = 0.3  # that a reservation takes, less than its timeout
 
 
 def others(rig, engine):
@@ -97,6 +101,45 @@
         await read_to_the_end(streams)
 
 
+async def streams_that_wait_to_go_on_do_not_hold_up_new_ones():
+    """Guards against a long prompt, which no busy engine may read for a resumption, at the head of the queue of all streams."""
+    async with SilenceRig(decode=2) as rig:
+        engine, other = rig.decode_engines()
+        engine.EVENT_INTERVAL_S = other.EVENT_INTERVAL_S = VERY_SLOW_INTERVAL_S
+        set_full([other])
+        long = Stream(rig)
+        assert await long.open(rig.vms[0], **{"Token-Count": f"{LONG_PROMPT},100", "Prefix-Hash": f"{long.id}:{LONG_PROMPT}"}) == 200
+        await long.read(1)
+        set_full([engine])
+        set_full([other], False)
+        await begin_streams(rig, rig.vms[0], 4, events=1)  # so that the other engine is busy
+        engine.crash()
+        await asyncio.sleep(SLOW_INTERVAL_S)
+        await asyncio.wait_for(begin_streams(rig, rig.vms[0], 4, events=1), NEW_STREAM_S)
+
+
+async def streams_do_not_move_to_an_engine_that_leaves_while_it_reserves():
+    """Guards against streams that leave a sound engine for one that has begun to drain after it was chosen."""
+    async with SilenceRig() as rig:
+        engine, other, *_ = rig.decode_engines()
+        streams = await begin_at(rig, engine)
+        set_full([other], False)
+        handle = other.handle
+
+        async def handle_while_leaving(request, reader, writer):
+            if request.path.startswith("/hold-take") and other.state == "ready":
+                other.drain()
+            if request.path.startswith("/hold-take"):
+                await asyncio.sleep(RESERVATION_S)
+            return await handle(request, reader, writer)
+        other.handle = handle_while_leaving
+        engine.fall_silent(SILENCE_S)
+        await read_to_the_end(streams)
+        assert other.state == "draining"
+        moved = [stream.id for stream in streams if rig.runs_of(stream.id)[-1]["upstream"] == other.id]
+        assert not moved, f"{len(moved)} of {len(streams)} streams moved to the engine that leaves"
+
+
 async def begun_streams_wait_for_room_at_another_vm():
     """Guards against streams of a VM that is cut off which another VM refuses like new ones."""
     async with StrandedRig(vms=2) as rig:
@@ -119,4 +162,5 @@
          streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes,
          streams_outlive_a_silent_engine_while_the_others_accept_no_connection, begun_streams_wait_for_room_when_their_engine_ends,
          streams_that_waited_before_they_began_wait_for_room_when_their_engine_ends,
+         streams_that_wait_to_go_on_do_not_hold_up_new_ones, streams_do_not_move_to_an_engine_that_leaves_while_it_reserves,
          begun_streams_wait_for_room_at_another_vm, streams_of_all_engines_outlive_a_silent_second_of_one]
