A begun stream keeps its route when another VM goes on with it

A VM that is cut off hands its streams to another VM. If a change of the configuration had dropped the route meanwhile, the other VM answered 404, and the first one took that for a send whose outcome is unknown: no attempt was left, and the stream was aborted. The second VM now uses the routes of the first one's version for a stream that has begun, of the last four versions.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -31,6 +31,7 @@
 #include "currantstack/http_server.h"
 #include "currantstack/loop.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -87,6 +88,7 @@
     PendingQueue pendingQueue;
     FleetRateLimiter rateLimiter; // of the upstreams that name a limit
     RouteTablePtr routeTable = nullptr; // in force; null until the first one is read
+    std::deque<RouteTablePtr> formerRouteTables = {}; // a few, newest last; for streams that began at other VMs
     TimePoint routesReadAt = {};
     UpstreamDirectory directory = {};
     LoadTable loads = {};
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -11,6 +11,7 @@
 {
 
 constexpr Duration ExpiryCheckPeriod = milliseconds(250);
+constexpr std::size_t MaxFormerRouteTables = 4; // streams last for seconds
 
 auto name(UpstreamChange change) -> std::string_view
 {
@@ -142,6 +143,12 @@
         return;
     }
     routeTable->indexRanks();
+    if (m_context.routeTable) {
+        m_context.formerRouteTables.push_back(m_context.routeTable);
+    }
+    if (m_context.formerRouteTables.size() > MaxFormerRouteTables) {
+        m_context.formerRouteTables.pop_front();
+    }
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
     m_onRoutesInForce(*m_context.routeTable);
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -6,6 +6,8 @@
 #include "currantstack/edge/stream_forwarder.h"
 #include "relayed_request.h"
 
+#include <algorithm>
+
 namespace currantstack
 {
 
@@ -29,6 +31,16 @@
     return response;
 }
 
+/// Returns the routes by which the request is handled: for a stream that has begun at another VM, those that it had there if they are known.
+auto routesOf(const EdgeContext &context, const IncomingRequest &request) -> RouteTablePtr
+{
+    const auto &former = context.formerRouteTables;
+    const auto found = std::find_if(former.begin(), former.end(), [&request](const auto &routeTable) {
+        return request.relay && request.relay->lastEventId > 0 && routeTable->version == request.relay->routesVersion;
+    });
+    return found == former.end() ? context.routeTable : *found;
+}
+
 auto requireRoutes(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
 {
     if (request.relay && (!context.routeTable || context.routeTable->version < request.relay->routesVersion)) {
@@ -37,7 +49,7 @@
     if (!context.routeTable) {
         return context.protocol.refusal(UnconfiguredRetryAfter, "the configuration is not loaded yet");
     }
-    request.routeTable = context.routeTable;
+    request.routeTable = routesOf(context, request);
     return std::nullopt;
 }
 
--- a/test/edge/relay_tests.py
+++ b/test/edge/relay_tests.py
@@ -6,6 +6,7 @@
 import time
 
 from stranded_tests import DETECTION_S, StrandedRig
+from version_tests import Stream
 
 REQUESTS = 40
 SPLIT = {"name": "split", "host": "app.example", "prefix": "/split/", "type": "safe", "timeout_ms": 3000, "attempts": 2, "latency_goal_ms": 400,
@@ -19,6 +20,8 @@
 LEARNED = 24  # requests after which a VM expects that time
 LONG = {"name": "long", "host": "app.example", "prefix": "/long/", "type": "streaming", "service": "llm", "timeout_ms": 8000, "attempts": 1,
         "latency_goal_ms": 900, "gap_aim_ms": 300, "sticky": True, "priority": 1}
+DROPPED = {**LONG, "name": "dropped", "prefix": "/dropped/", "attempts": 2, "can_resume": True}
+SLOW_EVENT_S = 0.3
 LONG_S = 3.0  # duration of a stream
 SHORT_TIMEOUT_MS = 1500
 STREAM_FIELDS = {"Model": "m", "Token-Count": "1000,100", "Prefix-Hash": "ab:1000"}
@@ -107,5 +110,22 @@
         assert status == 200 and body.count(b"data: ") == rig.fleet.engines[0].EVENTS, (status, body)
 
 
-TESTS = [relayed_streams_keep_the_deadline_of_the_first_vm, relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
+async def streams_whose_route_was_dropped_go_on_at_another_vm():
+    """Guards against a stream that is aborted because the VM that is to go on with it follows a newer configuration without its route."""
+    async with StrandedRig(vms=2) as rig:
+        await configured(rig, DROPPED)
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = SLOW_EVENT_S
+        streams = [Stream(rig, DROPPED["prefix"]) for _ in range(4)]
+        assert await asyncio.gather(*(stream.open(rig.vms[0]) for stream in streams)) == 4 * [200]
+        await asyncio.gather(*(stream.read(2) for stream in streams))
+        await configured(rig)
+        rig.links.cut(rig.vms[0], "hang")
+        await asyncio.gather(*(stream.read() for stream in streams))
+        assert events_of(rig.vms[0], "request_relayed")
+        events = [len(stream.numbers) for stream in streams]
+        assert events == 4 * [Stream.EVENTS], f"the streams ended after {events} events"
+
+
+TESTS = [streams_whose_route_was_dropped_go_on_at_another_vm, relayed_streams_keep_the_deadline_of_the_first_vm, relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
          relayed_requests_that_would_outlast_a_stop_are_refused]
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -16,8 +16,8 @@
 
     EVENTS = Engine.EVENTS
 
-    def __init__(self, rig):
-        self.rig, self.id, self.first_attempt = rig, rig.request_id(), None
+    def __init__(self, rig, prefix="/stream/"):
+        self.rig, self.prefix, self.id, self.first_attempt = rig, prefix, rig.request_id(), None
         self.numbers, self.versions, self.writer, self.body_length = [], [], None, 0
 
     async def open(self, vm, **headers):
@@ -26,7 +26,7 @@
         self.rig.writers.append(self.writer)
         fields = {"Host": "app.example", "Request-Id": self.id, "Deadline-Ms": 7000, "Model": "m", "Token-Count": "1000,100",
                   "Prefix-Hash": f"{self.id}:1000", "Content-Length": 0, **headers}
-        head = "POST /stream/x HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        head = f"POST {self.prefix}x HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         self.writer.write(head.encode() + b"\r\n")
         self.reader = reader
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
