Begun streams go on at their engine once it has restarted under its id

A stream that lost its engine waited for another one although only the restarted process of that engine, which has its id, had room: the plan left engines out by id, while the wait was for another process.

--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -34,7 +34,8 @@
     if (!isVersionCertain()) {
         return std::nullopt;
     }
-    return plan([this](const PlacementInputs &inputs) { return planResume(inputs, m_decodeEngine.id, m_context.random); });
+    const std::string_view excluded = entryStateOf(m_context, m_decodeEngine) == EntryState::Replaced ? "" : m_decodeEngine.id;
+    return plan([this, excluded](const PlacementInputs &inputs) { return planResume(inputs, excluded, m_context.random); });
 }
 
 /// Returns whether an engine is left that may go on with the stream once it has capacity.
--- a/test/edge/resumption_tests.py
+++ b/test/edge/resumption_tests.py
@@ -1,6 +1,7 @@
 """Process tests of streams that have begun and lose their engine, or wait for it, while no other engine can take them at once."""
 
 import asyncio
+import time
 
 from silence_tests import SilenceRig, complete
 from stranded_tests import StrandedRig
@@ -15,6 +16,7 @@
 VERY_SLOW_INTERVAL_S = 0.5
 LONG_PROMPT = 8000  # tokens; an engine with streams may not read it within the gap goal
 NEW_STREAM_S = 2.0  # in which new streams must begin while there is room
+RESTART_S = 0.2
 RESERVATION_S = 0.3  # that a reservation takes, less than its timeout
 
 
@@ -101,6 +103,19 @@
         await read_to_the_end(streams)
 
 
+async def begun_streams_go_on_at_their_engine_after_it_has_restarted():
+    """Guards against streams that wait in vain because the engine with room has the id of the one that they lost."""
+    async with SilenceRig(decode=2) as rig:
+        engine = rig.decode_engines()[0]
+        streams = await begin_at(rig, engine)
+        engine.server.stop()
+        await asyncio.sleep(RESTART_S)
+        engine.started_ms = int(time.time() * 1000)
+        await engine.server.start()
+        engine.register()
+        await read_to_the_end(streams)
+
+
 async def streams_that_wait_to_go_on_do_not_hold_up_new_ones():
     """Guards against a long prompt, which no busy engine may read for a resumption, at the head of the queue of all streams."""
     async with SilenceRig(decode=2) as rig:
@@ -162,5 +177,6 @@
          streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes,
          streams_outlive_a_silent_engine_while_the_others_accept_no_connection, begun_streams_wait_for_room_when_their_engine_ends,
          streams_that_waited_before_they_began_wait_for_room_when_their_engine_ends,
+         begun_streams_go_on_at_their_engine_after_it_has_restarted,
          streams_that_wait_to_go_on_do_not_hold_up_new_ones, streams_do_not_move_to_an_engine_that_leaves_while_it_reserves,
          begun_streams_wait_for_room_at_another_vm, streams_of_all_engines_outlive_a_silent_second_of_one]
