--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -31,7 +31,8 @@
     return response;
 }
 
-/// Returns the routes by which the request is handled: for a stream that has begun at another VM, those that it had there if they are known.
+/// Returns the routes by which the request is handled: for a stream that has begun at another VM, those that it had there if they are
+/// known.
 auto routesOf(const EdgeContext &context, const IncomingRequest &request) -> RouteTablePtr
 {
     const auto &former = context.formerRouteTables;
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -180,7 +180,8 @@
     m_queued = true;
     m_context.loads.add(m_request.service, workOf(0, 0));
     // Not in the queue of new streams, which can be placed at engines at which this one may not go on.
-    m_context.pendingQueue.enqueue({m_request.service, m_version}, waitingStream(true), [self = shared_from_this()](bool) { return self->tryResume(); });
+    m_context.pendingQueue.enqueue({m_request.service, m_version}, waitingStream(true),
+                                   [self = shared_from_this()](bool) { return self->tryResume(); });
 }
 
 /// Returns whether the stream leaves the queue.
