Streams without retry budget reserve nothing; replaced routes are kept for a bounded time

The budget is now asked before.

The routes that a VM keeps for streams of VMs with an older configuration are bounded in routes, tables and time (RouteHistory), since eight tables of a large configuration would take tens of megabytes.

Also by reading: a relayed stream whose caller has events waits like its first VM's own, also beside short pauses of engines; the stall timer is set again if it expires during a reservation; a broken stream releases its claim at the lost engine; VMs that refuse a stream are asked again at growing intervals.

--- a/include/currantstack/decisions/fleet_retry_budget.h
+++ b/include/currantstack/decisions/fleet_retry_budget.h
@@ -43,6 +43,9 @@
 
     auto onRequest(std::string_view service, TimePoint now) -> void;
 
+    /// Returns whether one more retry is allowed, without counting it.
+    auto mayAcquire(std::string_view service, TimePoint now) -> bool;
+
     /// Returns whether one more retry is allowed, and counts it if so.
     auto tryAcquire(std::string_view service, TimePoint now) -> bool;
 
--- a/include/currantstack/decisions/stream_resumption.h
+++ b/include/currantstack/decisions/stream_resumption.h
@@ -14,6 +14,7 @@
     bool hasBegun = false; // the caller has received events
     bool hasCall = false; // the call to its engine is still open, and the engine may go on
     bool mayRetry = false; // the route allows another attempt
+    bool hasRetryBudget = true; // allows a send now; otherwise later
     bool isInTime = false; // neither the deadline nor the end of this VM comes first
     bool isQuarantined = false;
     bool isVersionCertain = true; // false: the engine's process was replaced, and either may have sent the events
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -12,6 +12,7 @@
 #include "currantstack/decisions/peer_protocol.h"
 #include "currantstack/decisions/relay_choice.h"
 #include "currantstack/decisions/request_attempts.h"
+#include "currantstack/decisions/route_history.h"
 #include "currantstack/decisions/software_versions.h"
 #include "currantstack/decisions/stream_origins.h"
 #include "currantstack/decisions/upstream_directory.h"
@@ -31,7 +32,6 @@
 #include "currantstack/http_server.h"
 #include "currantstack/loop.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 
@@ -88,7 +88,7 @@
     PendingQueue pendingQueue;
     FleetRateLimiter rateLimiter; // of the upstreams that name a limit
     RouteTablePtr routeTable = nullptr; // in force; null until the first one is read
-    std::deque<RouteTablePtr> formerRouteTables = {}; // a few, newest last; for streams that began at other VMs
+    RouteHistory formerRoutes = {};
     TimePoint routesReadAt = {};
     UpstreamDirectory directory = {};
     LoadTable loads = {};
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -68,6 +68,7 @@
     StoreFollower m_upstreams;
     UnreadableEntries m_unreadableRoutes;
     UnreadableEntries m_unreadableUpstreams;
+    std::unique_ptr<Timer> m_routesTimer; // expiry of replaced routes
     std::unique_ptr<Timer> m_expiryTimer;
     std::unique_ptr<Timer> m_rereadTimer;
     TimePoint m_startedAt;
--- a/src/decisions/fleet_retry_budget.cc
+++ b/src/decisions/fleet_retry_budget.cc
@@ -20,17 +20,22 @@
     trim(window, now);
 }
 
-auto FleetRetryBudget::tryAcquire(std::string_view service, TimePoint now) -> bool
+auto FleetRetryBudget::mayAcquire(std::string_view service, TimePoint now) -> bool
 {
     auto &window = m_windows[std::string(service)];
     trim(window, now);
     const auto share = m_bound.slack / static_cast<double>(m_vms);
     const auto allowed = UsedShare * (m_bound.ratio * static_cast<double>(window.requests.size()) + share);
-    if (static_cast<double>(window.retries.size()) + 1 > allowed) {
-        return false;
+    return static_cast<double>(window.retries.size()) + 1 <= allowed;
+}
+
+auto FleetRetryBudget::tryAcquire(std::string_view service, TimePoint now) -> bool
+{
+    const bool isAllowed = mayAcquire(service, now);
+    if (isAllowed) {
+        m_windows[std::string(service)].retries.push_back(now);
     }
-    window.retries.push_back(now);
-    return true;
+    return isAllowed;
 }
 
 } // namespace currantstack
--- a/src/decisions/stream_resumption.cc
+++ b/src/decisions/stream_resumption.cc
@@ -21,6 +21,9 @@
         return otherwise;
     }
     const bool waits = state.hasBegun && !state.hasCall;
+    if (!state.hasRetryBudget) {
+        return waits && state.hasOtherEngine ? ResumptionStep::Wait : otherwise;
+    }
     if (state.isCutOff) {
         if (state.hasOtherVm) {
             return ResumptionStep::HandOver;
@@ -47,6 +50,9 @@
     if (!state.isVersionCertain) {
         return "the software version of its events is uncertain";
     }
+    if (!state.hasRetryBudget) {
+        return "the retry budget is empty";
+    }
     if (state.isCutOff) {
         return "no VM reaches the engines of the service";
     }
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -11,7 +11,6 @@
 {
 
 constexpr Duration ExpiryCheckPeriod = milliseconds(250);
-constexpr std::size_t MaxFormerRouteTables = 4; // streams last for seconds
 
 auto name(UpstreamChange change) -> std::string_view
 {
@@ -51,6 +50,7 @@
                   {[this](const StoreRange &range, const auto &interruption) { onUpstreams(range, interruption); },
                    [this](std::span<const StoreEvent> events) { onUpstreamEvents(events); },
                    [this]() { m_context.storeUnreachable = true; }})
+    , m_routesTimer(context.loop.timer([this]() { m_context.formerRoutes.expire(m_context.clock.now()); }))
     , m_expiryTimer(context.loop.timer([this]() { removeExpired(); }))
     , m_rereadTimer(context.loop.timer([this]() { m_upstreams.readAgain(); }))
     , m_startedAt(context.clock.now())
@@ -144,10 +144,8 @@
     }
     routeTable->indexRanks();
     if (m_context.routeTable) {
-        m_context.formerRouteTables.push_back(m_context.routeTable);
-    }
-    if (m_context.formerRouteTables.size() > MaxFormerRouteTables) {
-        m_context.formerRouteTables.pop_front();
+        m_context.formerRoutes.add(m_context.routeTable, m_context.clock.now());
+        m_routesTimer->startOnce(RouteHistory::Lifetime);
     }
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -14,7 +14,9 @@
 // The other VM moves a silent stream itself, so this VM waits longer for it before it asks another one.
 constexpr Duration EventTimeout = milliseconds(2000);
 constexpr int AnswerTimeoutFactor = 2; // of the latency goal, added to the former for the answer or the first event
-constexpr Duration AskAgainPeriod = milliseconds(300); // of a stream that has begun while all other VMs refuse it
+// Pauses of a stream that has begun while all other VMs refuse it; each is twice as long as the one before.
+constexpr Duration FirstAskAgainPause = milliseconds(300);
+constexpr Duration LongestAskAgainPause = milliseconds(1200);
 constexpr Duration ShortestRetryAfter = milliseconds(300); // a cut lasts seconds; the balancer sends the caller to another VM
 constexpr Duration LongestRetryAfter = milliseconds(1200);
 
@@ -135,7 +137,7 @@
         m_eventTimer = m_context.loop.timer([self = shared_from_this()]() { self->onSilence(); });
     }
     if (m_call == 0) {
-        m_eventTimer->startOnce(AskAgainPeriod);
+        m_eventTimer->startOnce(m_askAgainPause);
         return;
     }
     m_eventTimer->startOnce(m_headSent ? EventTimeout : AnswerTimeoutFactor * m_request.route->latencyGoal + EventTimeout);
@@ -194,7 +196,7 @@
 auto RelayedRequest::waitToAskAgain() -> bool
 {
     const auto timeLeft = m_request.deadline() - m_context.clock.now();
-    if (!m_headSent || !m_attempts.mayRetry() || m_sends >= MaxSends || timeLeft <= AskAgainPeriod) {
+    if (!m_headSent || !m_attempts.mayRetry() || m_sends >= MaxSends || timeLeft <= LongestAskAgainPause) {
         return false;
     }
     m_context.counters.at("resumptions_delayed").add();
@@ -205,6 +207,7 @@
                          {"after_event", m_lastEventId},
                          {"time_left_ms", toMilliseconds(timeLeft)}});
     m_tried.clear();
+    m_askAgainPause = std::clamp(2 * m_askAgainPause, FirstAskAgainPause, LongestAskAgainPause);
     restartEventTimer();
     return true;
 }
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -77,6 +77,7 @@
     std::vector<std::string> m_tried; // VMs
     int m_delegated = 0; // attempts that the VM which forwards the request now may make
     std::size_t m_sends = 0; // to other VMs, without those that were not sent or refused at once
+    Duration m_askAgainPause = Duration::zero();
     std::string m_breakReason; // of the last call
     AttemptOutcome m_brokenOutcome = AttemptOutcome::NotSent;
     bool m_retryAcquired = false; // the retry budget has already counted the next send
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -6,8 +6,6 @@
 #include "currantstack/edge/stream_forwarder.h"
 #include "relayed_request.h"
 
-#include <algorithm>
-
 namespace currantstack
 {
 
@@ -35,11 +33,9 @@
 /// known.
 auto routesOf(const EdgeContext &context, const IncomingRequest &request) -> RouteTablePtr
 {
-    const auto &former = context.formerRouteTables;
-    const auto found = std::find_if(former.begin(), former.end(), [&request](const auto &routeTable) {
-        return request.relay && request.relay->lastEventId > 0 && routeTable->version == request.relay->routesVersion;
-    });
-    return found == former.end() ? context.routeTable : *found;
+    const bool hasBegun = request.relay && request.relay->lastEventId > 0;
+    const auto former = hasBegun ? context.formerRoutes.find(request.relay->routesVersion) : nullptr;
+    return former ? former : context.routeTable;
 }
 
 auto requireRoutes(EdgeContext &context, IncomingRequest &request) -> std::optional<HttpResponse>
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -338,6 +338,7 @@
     }
     m_brokenOutcome = outcome;
     m_stallTimer->stop();
+    release(m_decodeClaim);
     if (m_successorClaim.engine.empty()) { // otherwise a reservation is under way already
         resume(reason);
     }
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -315,7 +315,8 @@
     const auto estimate = queueEstimate();
     const auto age = m_context.clock.now() - m_request.arrivedAt;
     const Duration onTimeWait = firstEventLimit() - UnqueuedFirstEvent;
-    if (refuseForPause(onTimeWait - age) || refuseForLimits(onTimeWait - age)) {
+    const Duration pauseLimit = hasBegunElsewhere() ? longestWait() - age : onTimeWait - age;
+    if (refuseForPause(pauseLimit) || refuseForLimits(pauseLimit)) {
         return;
     }
     const bool begun = atHead || hasBegunElsewhere();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -154,6 +154,7 @@
     auto cancelSuccessor() -> void;
     auto endStalledCall() -> void;
     auto moveToSuccessor(const std::string &reservation) -> void;
+    auto needsNoRetryBudget() const -> bool;
     auto acquireResumption() -> bool;
     auto giveUp(const ResumptionState &state) -> void;
 
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -59,9 +59,10 @@
 {
     const auto now = m_context.clock.now();
     ResumptionState state;
-    state.hasBegun = m_headSent;
+    state.hasBegun = m_headSent || hasBegunElsewhere();
     state.hasCall = m_decodeCall != 0;
     state.mayRetry = m_attempts.mayRetry();
+    state.hasRetryBudget = needsNoRetryBudget() || m_context.retryBudget.mayAcquire(m_request.service, now);
     state.isInTime = now < m_request.deadline()
         && (m_headSent || !outlastsThisVm(m_context, m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape)));
     state.isQuarantined = m_context.quarantine.find(m_request.traits, now).has_value();
@@ -75,7 +76,11 @@
 
 auto StreamRequest::onStall() -> void
 {
-    if (m_done || m_reserveCall != 0) {
+    if (m_done) {
+        return;
+    }
+    if (m_reserveCall != 0) {
+        m_stallTimer->startOnce(StallTimeout);
         return;
     }
     if (m_decodeCall == 0) {
@@ -120,7 +125,7 @@
         }
         return;
     case ResumptionStep::Wait:
-        if (state.isCutOff) {
+        if (state.isCutOff || !state.hasRetryBudget) {
             m_stallTimer->startOnce(RetryPeriod);
         } else {
             waitForCapacity();
@@ -193,7 +198,7 @@
     const auto next = planResumption();
     const auto state = resumptionState(next.has_value());
     const auto step = nextStep(state);
-    if (step == ResumptionStep::Wait && !state.isCutOff) {
+    if (step == ResumptionStep::Wait && !state.isCutOff && state.hasRetryBudget) {
         return false;
     }
     leaveQueue();
@@ -305,11 +310,16 @@
     startDecode();
 }
 
+/// Returns whether the last send counts for the next one, because no byte of it was sent.
+auto StreamRequest::needsNoRetryBudget() const -> bool
+{
+    return m_decodeCall == 0 && m_brokenOutcome == AttemptOutcome::NotSent;
+}
+
 /// Returns whether the retry budget allows to send the stream to another engine or VM.
 auto StreamRequest::acquireResumption() -> bool
 {
-    return (m_decodeCall == 0 && m_brokenOutcome == AttemptOutcome::NotSent)
-        || m_context.retryBudget.tryAcquire(m_request.service, m_context.clock.now());
+    return needsNoRetryBudget() || m_context.retryBudget.tryAcquire(m_request.service, m_context.clock.now());
 }
 
 auto StreamRequest::giveUp(const ResumptionState &state) -> void
--- a/test/edge/resumption_tests.py
+++ b/test/edge/resumption_tests.py
@@ -79,6 +79,19 @@
         await read_to_the_end(streams)
 
 
+async def stalled_streams_without_retry_budget_reserve_nothing():
+    """Guards against reservations that are taken and dropped while no retry is allowed."""
+    async with SilenceRig(bounds={"retry_budget": 0.0, "budget_slack": 0}) as rig:
+        engine = rig.decode_engines()[0]
+        streams = await begin_at(rig, engine)
+        set_full(others(rig, engine), False)
+        known = len(rig.fleet.history)
+        engine.fall_silent(SILENCE_S)
+        await read_to_the_end(streams)
+        reserved = [entry for entry in rig.fleet.history[known:] if entry.get("target") == "/hold-take"]
+        assert not reserved, f"{len(reserved)} reservations"
+
+
 async def begun_streams_wait_for_room_when_their_engine_ends():
     """Guards against streams that are aborted because no engine has room at the moment at which theirs ends."""
     async with SilenceRig() as rig:
@@ -176,6 +189,7 @@
 TESTS = [streams_outlive_a_silent_engine_while_the_others_are_full,
          streams_outlive_a_silent_engine_while_the_others_are_full_and_the_configuration_changes,
          streams_outlive_a_silent_engine_while_the_others_accept_no_connection, begun_streams_wait_for_room_when_their_engine_ends,
+         stalled_streams_without_retry_budget_reserve_nothing,
          streams_that_waited_before_they_began_wait_for_room_when_their_engine_ends,
          begun_streams_go_on_at_their_engine_after_it_has_restarted,
          streams_that_wait_to_go_on_do_not_hold_up_new_ones, streams_do_not_move_to_an_engine_that_leaves_while_it_reserves,
--- a/test/fleet_retry_budget-test.cc
+++ b/test/fleet_retry_budget-test.cc
@@ -9,9 +9,19 @@
     CPPUNIT_TEST_SUITE(FleetRetryBudgetTest);
     CPPUNIT_TEST(theFleetStaysBelowTheBoundInEveryWindow);
     CPPUNIT_TEST(servicesHaveSeparateBudgets);
+    CPPUNIT_TEST(questionsDoNotCount);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    auto questionsDoNotCount() -> void
+    {
+        ManualClock clock;
+        FleetRetryBudget budget({0, 2, seconds(10)});
+        CPPUNIT_ASSERT(budget.mayAcquire("s", clock.now()) && budget.mayAcquire("s", clock.now()));
+        CPPUNIT_ASSERT(budget.tryAcquire("s", clock.now()));
+        CPPUNIT_ASSERT(!budget.mayAcquire("s", clock.now()) && !budget.tryAcquire("s", clock.now()));
+    }
+
     auto theFleetStaysBelowTheBoundInEveryWindow() -> void
     {
         CHECK_PROPERTY("retries of all VMs stay below ratio x requests + slack in any window", [] {
--- a/test/stream_resumption-test.cc
+++ b/test/stream_resumption-test.cc
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(stalledStreamsReserveBeforeTheyMove);
     CPPUNIT_TEST(brokenStreamsWaitForCapacity);
     CPPUNIT_TEST(brokenStreamsOfNoEngineAreGivenUpAtOnce);
+    CPPUNIT_TEST(streamsWithoutRetryBudgetAskNoEngine);
     CPPUNIT_TEST(streamsOfCutOffVmsAreHandedOver);
     CPPUNIT_TEST(openCallsAreNeverGivenUpForNothing);
     CPPUNIT_TEST(firstEventsOfMovedStreamsHaveTimeForThePrompt);
@@ -33,7 +34,7 @@
     static auto anyState() -> ResumptionState
     {
         ResumptionState state;
-        for (auto *field : {&state.hasBegun, &state.hasCall, &state.mayRetry, &state.isInTime, &state.isQuarantined,
+        for (auto *field : {&state.hasBegun, &state.hasCall, &state.mayRetry, &state.hasRetryBudget, &state.isInTime, &state.isQuarantined,
                             &state.isVersionCertain, &state.isCutOff, &state.hasOtherVm, &state.hasOtherEngine, &state.hasCapacity}) {
             *field = *rc::gen::arbitrary<bool>();
         }
@@ -78,6 +79,18 @@
         CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::GiveUp);
     }
 
+    auto streamsWithoutRetryBudgetAskNoEngine() -> void
+    {
+        auto state = stalled();
+        state.hasCapacity = true;
+        state.hasRetryBudget = false;
+        CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::KeepCall);
+        state.hasCall = false;
+        CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::Wait);
+        state.hasBegun = false;
+        CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::GiveUp);
+    }
+
     auto streamsOfCutOffVmsAreHandedOver() -> void
     {
         auto state = broken();
