An entry whose service is not named hides no upstream at its address

Callers got 503 ("no usable upstream of the service is known") for as long as the store held an entry of another writer, with a service that the configuration does not name, at the address of a sound upstream.

UpstreamDirectory::usable kept only the newest entry of an address, whatever its service.

The directory now asks whether an entry names an upstream of the configuration in force. One that does not hides no other; it stays itself usable for requests which came under an older configuration, unless a newer recognized entry has its address. An engine of another named service still hides the entry of the engine that had the address before (unit test).

--- a/include/currantstack/decisions/route_table.h
+++ b/include/currantstack/decisions/route_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/clock.h"
+#include "currantstack/decisions/upstream_directory.h"
 
 #include <cstdint>
 #include <map>
@@ -98,6 +99,9 @@
     auto service(std::string_view name) const -> const ServiceSpec *;
 };
 
+/// Returns whether the entry names an upstream of one of the services; other writers may leave entries that do not.
+auto recognizes(const RouteTable &routeTable, const Upstream &upstream) -> bool;
+
 /// Returns whether the route sends requests to the service.
 auto hasTarget(const Route &route, std::string_view service) -> bool;
 
--- a/include/currantstack/decisions/upstream_directory.h
+++ b/include/currantstack/decisions/upstream_directory.h
@@ -65,6 +65,11 @@
     /// How long a removed upstream is remembered, for entries that come back with an older copy of the store.
     static constexpr Duration RemovedLifetime = seconds(60);
 
+    using Recognizer = std::function<bool(const Upstream &upstream)>;
+
+    /// Sets which entries name an upstream of the configuration in force; without it, all do.
+    auto setRecognizer(Recognizer recognizes) -> void;
+
     /// Adds or updates an entry.
     auto apply(Upstream upstream) -> UpstreamChange;
 
@@ -95,8 +100,14 @@
 
     auto find(std::string_view id) const -> const Upstream *;
 
-    /// Returns the upstreams of the service that may get new work, ordered by id. Of several entries with the same address, only the
-    /// newest is returned.
+    /// Returns whether the entry names an upstream of the configuration in force, and not something of another writer.
+    auto isRecognized(const Upstream &upstream) const -> bool
+    {
+        return !m_recognizes || m_recognizes(upstream);
+    }
+
+    /// Returns the upstreams of the service that may get new work, ordered by id. An entry is left out if a newer recognized one has the
+    /// same address.
     auto usable(std::string_view service) const -> std::vector<const Upstream *>;
 
     auto size() const -> std::size_t
@@ -108,6 +119,7 @@
     struct Entry
     {
         Upstream upstream;
+        bool isRecognized = true;
         bool expired = false;
         TimePoint expiredAt;
     };
@@ -120,6 +132,7 @@
 
     auto rememberRemoved(const Upstream &upstream, TimePoint now) -> void;
 
+    Recognizer m_recognizes;
     std::map<std::string, Entry, std::less<>> m_entries;
     std::map<std::string, Removed, std::less<>> m_removed; // by id
 };
--- a/src/decisions/route_table.cc
+++ b/src/decisions/route_table.cc
@@ -30,6 +30,11 @@
     return nullptr;
 }
 
+auto recognizes(const RouteTable &routeTable, const Upstream &upstream) -> bool
+{
+    return routeTable.service(upstream.service) != nullptr;
+}
+
 auto RouteTable::indexRanks() -> void
 {
     streamRanks.clear();
--- a/src/decisions/upstream_directory.cc
+++ b/src/decisions/upstream_directory.cc
@@ -18,11 +18,20 @@
     return "decode";
 }
 
+auto UpstreamDirectory::setRecognizer(Recognizer recognizes) -> void
+{
+    m_recognizes = std::move(recognizes);
+    for (auto &[id, entry] : m_entries) {
+        entry.isRecognized = isRecognized(entry.upstream);
+    }
+}
+
 auto UpstreamDirectory::apply(Upstream upstream) -> UpstreamChange
 {
+    const bool recognized = isRecognized(upstream);
     const auto [found, isNew] = m_entries.try_emplace(upstream.id);
     auto &entry = found->second;
-    const auto previous = std::exchange(entry, Entry{std::move(upstream), false, {}});
+    const auto previous = std::exchange(entry, Entry{std::move(upstream), recognized, false, {}});
     if (entry.upstream.draining) {
         return !isNew && previous.upstream.draining ? UpstreamChange::None : UpstreamChange::Draining;
     }
@@ -117,6 +126,9 @@
 {
     std::map<std::string_view, const Upstream *> newest; // by address
     for (const auto &[id, entry] : m_entries) {
+        if (!entry.isRecognized) {
+            continue;
+        }
         auto &current = newest[entry.upstream.address];
         if (current == nullptr || current->revision < entry.upstream.revision) {
             current = &entry.upstream;
@@ -125,7 +137,13 @@
     std::vector<const Upstream *> result;
     for (const auto &[id, entry] : m_entries) {
         const auto &upstream = entry.upstream;
-        if (upstream.service == service && !upstream.draining && newest[upstream.address] == &upstream) {
+        if (upstream.service != service || upstream.draining) {
+            continue;
+        }
+        const auto found = newest.find(upstream.address);
+        const bool isHidden =
+            found != newest.end() && found->second != &upstream && (entry.isRecognized || found->second->revision > upstream.revision);
+        if (!isHidden) {
             result.push_back(&upstream);
         }
     }
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -144,6 +144,8 @@
     routeTable->indexRanks();
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
+    m_context.directory.setRecognizer(
+        [routeTable = m_context.routeTable](const Upstream &upstream) { return recognizes(*routeTable, upstream); });
     m_onRoutesInForce(*m_context.routeTable);
     m_context.counters.at("routes_version").set(m_context.routeTable->version);
     m_context.log.write("directory", "routes_in_force",
--- a/test/edge/entry_tests.py
+++ b/test/edge/entry_tests.py
@@ -65,6 +65,7 @@
     yield "models=7", with_field(entry, "models", "7")
 
 
+ALL_KINDS = ("check", "book", "stream", "digest")
 ODD_IDS = ("!{}", "i-1!{}", "~{}")  # they sort before, among and after those of the stand-ins
 
 
@@ -208,6 +209,18 @@
         await check_used(True)
 
 
+async def entries_of_services_that_are_not_named_hide_no_upstream():
+    """Guards against an entry of another writer that is newer than that of the sound upstream at its address."""
+    async with Rig() as rig:
+        store = rig.fleet.store
+        for upstream in rig.fleet.upstreams:
+            store.put(f"servers/odd-{upstream.id}", json.dumps({**upstream.entry(), "service": "unnamed"}).encode())
+        await asyncio.sleep(SEEN_S)
+        for _ in range(4):
+            for kind, answer in zip(ALL_KINDS, await asyncio.gather(*(rig.send(kind) for kind in ALL_KINDS))):
+                assert answer[1] == 200, (kind, answer)
+
+
 async def odd_entries_are_logged_once_per_revision():
     """Guards against a log that each poll or read fills."""
     async with Rig() as rig:
@@ -348,6 +361,7 @@
         await check_served(rig)
 
 
-TESTS = [odd_upstream_entries_are_left_out_alone, entries_that_turn_odd_are_not_used, odd_entries_are_logged_once_per_revision,
+TESTS = [odd_upstream_entries_are_left_out_alone, entries_that_turn_odd_are_not_used,
+         entries_of_services_that_are_not_named_hide_no_upstream, odd_entries_are_logged_once_per_revision,
          odd_configurations_leave_the_last_one_in_force, odd_entries_of_vms_and_quarantines_are_left_out_alone, odd_datagrams_are_ignored,
          order_holder_of_another_writer_is_replaced, odd_answers_of_the_store_change_nothing]
--- a/test/upstream_directory-test.cc
+++ b/test/upstream_directory-test.cc
@@ -12,14 +12,17 @@
     CPPUNIT_TEST(expiredEntriesStayUsableForTheGracePeriod);
     CPPUNIT_TEST(expiredDrainingEntriesAreRemovedAtOnce);
     CPPUNIT_TEST(newestEntryOfAnAddressIsUsed);
+    CPPUNIT_TEST(entriesThatAreNotRecognizedHideNoOthers);
+    CPPUNIT_TEST(engineOfAnotherServiceHidesThePreviousOneAtItsAddress);
     CPPUNIT_TEST(anOlderCopyOfTheStoreBringsNoDrainedOrRemovedUpstreamBack);
     CPPUNIT_TEST_SUITE_END();
 
-    static auto upstream(const std::string &id, const std::string &address, std::int64_t revision = 1) -> Upstream
+    static auto upstream(const std::string &id, const std::string &address, std::int64_t revision = 1, const std::string &service = "s")
+        -> Upstream
     {
         Upstream result;
         result.id = id;
-        result.service = "s";
+        result.service = service;
         result.address = address;
         result.startedAtMs = 100;
         result.revision = revision;
@@ -92,6 +95,35 @@
         CPPUNIT_ASSERT_EQUAL(std::string("new"), usable.front()->id);
     }
 
+    auto entriesThatAreNotRecognizedHideNoOthers() -> void
+    {
+        UpstreamDirectory directory;
+        directory.setRecognizer([](const Upstream &entry) { return entry.service != "unnamed"; });
+        directory.apply(upstream("sound", "10.0.0.1:1", 5));
+        directory.apply(upstream("other", "10.0.0.1:1", 9, "unnamed"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.usable("s").size());
+        directory.setRecognizer(nullptr); // the next configuration names the service
+        CPPUNIT_ASSERT(directory.usable("s").empty());
+        directory.setRecognizer([](const Upstream &entry) { return entry.service == "s"; });
+        directory.apply(upstream("other", "10.0.0.1:1", 10, "unnamed again"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.usable("s").size());
+    }
+
+    auto engineOfAnotherServiceHidesThePreviousOneAtItsAddress() -> void
+    {
+        UpstreamDirectory directory;
+        directory.setRecognizer([](const Upstream &entry) { return entry.service != "unnamed"; });
+        directory.apply(upstream("gone", "10.0.0.1:1", 5));
+        directory.apply(upstream("next", "10.0.0.1:1", 9, "t"));
+        CPPUNIT_ASSERT(directory.usable("s").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.usable("t").size());
+        // An entry that is not recognized stays for requests which came under an older configuration, unless it is outdated.
+        directory.apply(upstream("dropped", "10.0.0.1:1", 8, "unnamed"));
+        CPPUNIT_ASSERT(directory.usable("unnamed").empty());
+        directory.apply(upstream("dropped", "10.0.0.2:1", 8, "unnamed"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.usable("unnamed").size());
+    }
+
     auto anOlderCopyOfTheStoreBringsNoDrainedOrRemovedUpstreamBack() -> void
     {
         UpstreamDirectory directory;
