Entries with missing fields add no software version to a service

Callers that went on with a stream got 503 ("the software version that began the stream is not known") while the store held an entry of another writer for their service, with a version of its own.

Entries that lack phase, version, seq or cold_left_ms, or have the latter two with another type, were read as upstreams; their version made the service count as mixed for 60 s.

An entry of a service with engines that names no role is not recognized. Versions count from recognized entries only, and from none until a configuration names the services.

--- a/include/currantstack/decisions/upstream_directory.h
+++ b/include/currantstack/decisions/upstream_directory.h
@@ -36,7 +36,7 @@
     std::int64_t slots = 1; // requests that it runs concurrently
     std::int64_t startedAtMs = 0; // Unix time in milliseconds; a new value under the same id means a restart
     std::int64_t modelVersion = 0; // of the weights
-    std::string softwareVersion; // of the upstream's program, such as "v1.1"; empty: not named
+    std::string softwareVersion; // of the upstream's program, such as "v1.1"
     std::int64_t orderCount = 0; // orders accepted since its start
     bool draining = false;
     bool busyWithOrder = false; // is carrying out an order
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -55,6 +55,7 @@
     auto onUpstreamEvents(std::span<const StoreEvent> events) -> void;
     auto applyRoutes(const StoreValue &value) -> void;
     auto applyUpstream(const StoreValue &value, bool isFromCopy) -> void;
+    auto observeVersion(const Upstream &upstream) -> void;
     auto ignoreUpstream(const StoreValue &value, const Error &error) -> void;
     auto onDeleted(const std::string &id) -> void;
     auto removeUpstream(const std::string &id, bool mayHaveExpired) -> UpstreamChange;
--- a/src/decisions/route_table.cc
+++ b/src/decisions/route_table.cc
@@ -32,7 +32,8 @@
 
 auto recognizes(const RouteTable &routeTable, const Upstream &upstream) -> bool
 {
-    return routeTable.service(upstream.service) != nullptr;
+    const auto *service = routeTable.service(upstream.service);
+    return service != nullptr && (!service->engine || upstream.role != EngineRole::None);
 }
 
 auto RouteTable::indexRanks() -> void
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -53,7 +53,9 @@
     , m_expiryTimer(context.loop.timer([this]() { removeExpired(); }))
     , m_rereadTimer(context.loop.timer([this]() { m_upstreams.readAgain(); }))
     , m_startedAt(context.clock.now())
-{ }
+{
+    m_context.directory.setRecognizer([](const Upstream & /*upstream*/) { return false; }); // until a configuration names the services
+}
 
 auto DirectoryController::observeRevisions(const StoreRevisions &revisions) -> void
 {
@@ -146,6 +148,7 @@
     m_context.routesReadAt = m_context.clock.now();
     m_context.directory.setRecognizer(
         [routeTable = m_context.routeTable](const Upstream &upstream) { return recognizes(*routeTable, upstream); });
+    m_context.directory.forEach([this](const Upstream &upstream) { observeVersion(upstream); });
     m_onRoutesInForce(*m_context.routeTable);
     m_context.counters.at("routes_version").set(m_context.routeTable->version);
     m_context.log.write("directory", "routes_in_force",
@@ -165,7 +168,7 @@
     }
     m_unreadableUpstreams.remove(value.key);
     const auto entry = *upstream;
-    m_context.versions.observe(entry.service, entry.softwareVersion, m_context.clock.now(), m_context.clock.now());
+    observeVersion(entry);
     const auto *previous = m_context.directory.find(entry.id);
     const auto previousIncarnation = previous == nullptr ? std::string() : incarnationOf(*previous);
     const auto change = isFromCopy ? m_context.directory.applyFromCopy(std::move(*upstream), m_context.clock.now())
@@ -200,6 +203,14 @@
     m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
 }
 
+auto DirectoryController::observeVersion(const Upstream &upstream) -> void
+{
+    const auto now = m_context.clock.now();
+    if (m_context.directory.isRecognized(upstream)) {
+        m_context.versions.observe(upstream.service, upstream.softwareVersion, now, now);
+    }
+}
+
 auto DirectoryController::ignoreUpstream(const StoreValue &value, const Error &error) -> void
 {
     const auto id = m_codec.idOf(value.key);
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -227,8 +227,11 @@
 auto OriginController::refreshVersions(TimePoint now) -> void
 {
     m_refreshedAt = now;
-    m_context.directory.forEach(
-        [this, now](const Upstream &upstream) { m_context.versions.observe(upstream.service, upstream.softwareVersion, now, now); });
+    m_context.directory.forEach([this, now](const Upstream &upstream) {
+        if (m_context.directory.isRecognized(upstream)) {
+            m_context.versions.observe(upstream.service, upstream.softwareVersion, now, now);
+        }
+    });
     m_context.versions.expire(now);
     m_context.origins.expire(now);
 }
--- a/test/edge/entry_tests.py
+++ b/test/edge/entry_tests.py
@@ -221,6 +221,23 @@
                 assert answer[1] == 200, (kind, answer)
 
 
+async def odd_entries_of_engines_add_no_software_version():
+    """Guards against an entry of another writer whose version makes a service count as mixed, so that callers cannot go on with streams."""
+    changes = [lambda entry, field=field: entry.pop(field) for field in ("phase", "cold_left_ms", "seq", "version")]
+    changes += [lambda entry, field=field: entry.update({field: "x"}) for field in ("cold_left_ms", "seq", "service")]
+    async with Rig() as rig:
+        for engine in rig.fleet.engines:
+            for number, change in enumerate(changes):
+                entry = {**engine.entry(), "version": "v9"}
+                change(entry)
+                rig.fleet.store.put(f"servers/odd{number}-{engine.id}", json.dumps(entry).encode())
+        await asyncio.sleep(SEEN_S)
+        for _ in range(4):
+            _, status, _, body = await rig.send("stream", headers={"Last-Event-Id": 3})
+            assert status == 200 and body.count(b"data: ") == rig.fleet.engines[0].EVENTS - 3, (status, body)
+        assert not await metric(rig.vms[0], "services_of_several_versions")
+
+
 async def odd_entries_are_logged_once_per_revision():
     """Guards against a log that each poll or read fills."""
     async with Rig() as rig:
@@ -362,6 +379,7 @@
 
 
 TESTS = [odd_upstream_entries_are_left_out_alone, entries_that_turn_odd_are_not_used,
-         entries_of_services_that_are_not_named_hide_no_upstream, odd_entries_are_logged_once_per_revision,
+         entries_of_services_that_are_not_named_hide_no_upstream, odd_entries_of_engines_add_no_software_version,
+         odd_entries_are_logged_once_per_revision,
          odd_configurations_leave_the_last_one_in_force, odd_entries_of_vms_and_quarantines_are_left_out_alone, odd_datagrams_are_ignored,
          order_holder_of_another_writer_is_replaced, odd_answers_of_the_store_change_nothing]
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -116,6 +116,11 @@
             return !m_codec.decodeUpstream({"servers/i-1", document.dump(), 1}).has_value();
         };
         CPPUNIT_ASSERT(isRejected([](Json &document) { document.erase("service"); }));
+        for (const auto *field : {"address", "zone", "version", "slots", "state", "cold_left_ms", "seq"}) {
+            CPPUNIT_ASSERT_MESSAGE(field, isRejected([field](Json &document) { document.erase(field); }));
+        }
+        CPPUNIT_ASSERT(isRejected([](Json &document) { document["cold_left_ms"] = "0"; }));
+        CPPUNIT_ASSERT(isRejected([](Json &document) { document["seq"] = "4"; }));
         CPPUNIT_ASSERT(isRejected([](Json &document) { document["address"] = 7; }));
         CPPUNIT_ASSERT(isRejected([](Json &document) { document["address"] = "host:80"; }));
         CPPUNIT_ASSERT(isRejected([](Json &document) { document["address"] = "10.0.0.1"; }));
--- a/test/route_table-test.cc
+++ b/test/route_table-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(queryIsNotPartOfThePath);
     CPPUNIT_TEST(targetsAreSelectedByWeight);
     CPPUNIT_TEST(targetsWithoutWeightAreNeverSelected);
+    CPPUNIT_TEST(upstreamsOfNamedServicesAreRecognized);
     CPPUNIT_TEST(onlyTheHighestOfSeveralRanksIsUrgent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +85,22 @@
         CPPUNIT_ASSERT(selectTarget({}, 0.5).empty());
     }
 
+    auto upstreamsOfNamedServicesAreRecognized() -> void
+    {
+        RouteTable routeTable;
+        routeTable.services = {{"llm", "", 0, EngineSpec()}, {"booking", "", 0, std::nullopt}};
+        const auto isRecognized = [&](const std::string &service, EngineRole role) {
+            Upstream upstream;
+            upstream.service = service;
+            upstream.role = role;
+            return recognizes(routeTable, upstream);
+        };
+        CPPUNIT_ASSERT(isRecognized("llm", EngineRole::Prefill) && isRecognized("llm", EngineRole::Decode));
+        CPPUNIT_ASSERT(isRecognized("booking", EngineRole::None));
+        CPPUNIT_ASSERT(!isRecognized("llm", EngineRole::None)); // its role is missing
+        CPPUNIT_ASSERT(!isRecognized("other", EngineRole::None) && !isRecognized("", EngineRole::Decode));
+    }
+
     auto onlyTheHighestOfSeveralRanksIsUrgent() -> void
     {
         const auto stream = [](std::string service, int priority) {
