Idle connections are closed before they keep other callers out

With 2,500 idle connections a VM took no further one, although it said that it was ready: the next caller got no answer within 5 s.

The limit was a constant, and nothing closed a connection before its idle time was over. libmicrohttpd besides accepts again only with the run after the one that closes a connection, up to a second later.

When less than a sixteenth of the connections is left, those that have been idle for the longest are closed until an eighth is: only connections on which no byte of a request has arrived, and which have not changed for 0.3 s. A request that crosses the closing gets the refusal that there was already (408), or none without having been read. The limit is now two thirds of the descriptors less 200 for files: the lower one of limits.max_fds in the settings and RLIMIT_NOFILE. The rest is left for upstreams. 4,100 descriptors give 2,600 connections. The counter idle_connections_closed and the log line of that name are new; the line started names both numbers.

A process with RLIMIT_NOFILE 800 keeps to 400 connections.

The settings of the process tests now name max_fds (4,100).

--- a/include/currantstack/connection_watch.h
+++ b/include/currantstack/connection_watch.h
@@ -37,6 +37,8 @@
 class ConnectionWatch
 {
 public:
+    static constexpr Duration QuietTime = milliseconds(300); // longer than a request is on its way
+
     ConnectionWatch(const ConnectionLimits &limits, TimePoint now)
         : m_headTimeout(limits.headTimeout)
         , m_idleTimeout(limits.idleTimeout)
@@ -64,10 +66,15 @@
     /// The same for long enough that none is expected to be on its way.
     auto isQuiet(const TcpProgress &progress, TimePoint now) const -> bool
     {
-        constexpr Duration QuietTime = milliseconds(300);
         return isIdle(progress) && now - m_changedAt >= QuietTime;
     }
 
+    /// Returns when the connection was last seen to change.
+    auto changedAt() const -> TimePoint
+    {
+        return m_changedAt;
+    }
+
     /// Records that this end has shut the connection down for reading. Bytes that have arrived are still read.
     auto closeForReading() -> void
     {
--- a/include/currantstack/edge/settings.h
+++ b/include/currantstack/edge/settings.h
@@ -26,6 +26,7 @@
     Duration drainLimit = seconds(8); // from SIGTERM to SIGKILL
     RetryBound retryBound;
     Duration orderLease = seconds(3); // wait of a new order holder, while orders of the previous one may still arrive
+    std::uint64_t maxDescriptors = 0; // that the platform allows the process; 0: not named
     bool bootstrap = false; // first start of the whole system; only logged
 };
 
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -103,7 +103,7 @@
 {
     std::size_t maxHead = 0; // bytes; requests with a longer head get status 431; 0: only limited by `ServerOptions::maxHead`
     Duration headTimeout = Duration::zero(); // from the first byte of a request to the end of its head
-    Duration idleTimeout = Duration::zero(); // between two requests of a connection; never closed sooner
+    Duration idleTimeout = Duration::zero(); // between two requests; never closed sooner unless connections run out
 };
 
 struct ServerOptions
@@ -112,9 +112,10 @@
     std::uint16_t port = 0; // 0 selects a free port
     std::size_t maxBody = 8U << 20; // bytes; requests with a larger body get status 413
     std::size_t maxHead = 64U << 10; // bytes; memory limit of a connection, including the request's head
-    unsigned maxConnections = 20000;
+    unsigned maxConnections = 20000; // before they run out, those that have been idle for the longest are closed
     unsigned idleTimeout = 60; // seconds without activity until a connection is closed; 0: unlimited
     bool strictFraming = false; // responds with 400 to a request whose body length is ambiguous
+    std::function<void(std::size_t closed, std::size_t open)> onIdleClosed; // runs when idle connections are closed to make room
 };
 
 /// Listens on one address and calls the handler for each request once its body is complete.
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -1,5 +1,6 @@
 #include "http_server_core.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
 #include <fmt/format.h>
@@ -15,6 +16,10 @@
 {
 
 constexpr Duration CheckPeriod = seconds(1); // of the connections' limits
+constexpr Duration RoomPeriod = milliseconds(10); // between two times at which idle connections are closed to make room
+constexpr Duration FullPeriod = milliseconds(100); // the same while none is idle
+constexpr std::size_t ReservedShare = 16; // idle connections are closed when fewer than this part of all connections are left
+constexpr std::size_t FreedShare = 8; // until this part is left
 constexpr int MaxAcceptRounds = 200; // of the daemon, each of which accepts several connections
 
 auto descriptorOf(MHD_Connection *connection) -> int
@@ -86,6 +91,7 @@
     m_timer = m_loop.timer([this]() { run(); });
     m_checkTimer = m_loop.timer([this]() { closeOverdue(); });
     m_checkTimer->startRepeating(CheckPeriod, CheckPeriod);
+    m_roomTimer = m_loop.timer([this]() { makeRoom(); });
     return {};
 }
 
@@ -97,6 +103,8 @@
     ev_io_stop(m_loop.raw(), &m_io);
     m_timer.reset();
     m_checkTimer.reset();
+    m_roomTimer.reset();
+    m_roomScheduled = true; // connections may still be accepted below
     // libmicrohttpd requires that all suspended connections are resumed before the daemon is stopped.
     for (auto *exchange : m_active) {
         exchange->m_aborted = true;
@@ -163,8 +171,15 @@
     auto *self = static_cast<ServerCore *>(context);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         self->m_connections.insert_or_assign(connection, ConnectionWatch(self->m_limits, self->m_clock.now()));
+        if (self->m_connections.size() > self->mostConnections() && !std::exchange(self->m_roomScheduled, true)) {
+            self->m_roomTimer->startOnce(RoomPeriod);
+        }
     } else {
+        const bool wasFull = self->m_connections.size() >= self->m_maxConnections;
         self->m_connections.erase(connection);
+        if (wasFull) {
+            self->scheduleRun(); // libmicrohttpd accepts connections again with its next run
+        }
     }
 }
 
@@ -190,6 +205,47 @@
     run();
 }
 
+/// Returns up to how many connections none is closed for others.
+auto ServerCore::mostConnections() const -> std::size_t
+{
+    return m_maxConnections - m_maxConnections / ReservedShare;
+}
+
+/// Closes the connections that have been idle for the longest, so that others can be accepted.
+auto ServerCore::makeRoom() -> void
+{
+    const auto exchanges = exchangesByConnection();
+    const auto now = m_clock.now();
+    const auto target = m_maxConnections - m_maxConnections / FreedShare;
+    std::size_t open = 0;
+    std::vector<std::pair<TimePoint, MHD_Connection *>> waiting;
+    for (const auto &[connection, watch] : m_connections) {
+        open += watch.isClosedForReading() ? 0 : 1;
+        const bool mayBeQuiet = now - watch.changedAt() >= ConnectionWatch::QuietTime && !exchanges.contains(connection);
+        if (mayBeQuiet && !watch.isClosedForReading()) {
+            waiting.emplace_back(watch.changedAt(), connection);
+        }
+    }
+    m_roomScheduled = open > mostConnections();
+    if (!m_roomScheduled) {
+        return;
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::size_t closed = 0;
+    for (const auto &[changedAt, connection] : waiting) {
+        auto &watch = m_connections.at(connection);
+        if (open - closed > target && watch.isQuiet(tcpProgress(descriptorOf(connection)), now)) {
+            closeForReading(connection, watch);
+            ++closed;
+        }
+    }
+    m_roomTimer->startOnce(closed > 0 ? RoomPeriod : FullPeriod);
+    if (closed > 0 && m_onIdleClosed) {
+        m_onIdleClosed(closed, open);
+    }
+    scheduleRun();
+}
+
 /// Writes to the connections itself, because libmicrohttpd takes no response while a body arrives.
 auto ServerCore::refuseUnread(const HttpResponse &response) -> std::size_t
 {
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -19,6 +19,8 @@
         : m_loop(loop)
         , m_handler(std::move(handler))
         , m_maxBody(options.maxBody)
+        , m_maxConnections(options.maxConnections)
+        , m_onIdleClosed(options.onIdleClosed)
         , m_strictFraming(options.strictFraming)
         , m_limits{Duration::zero(), seconds(options.idleTimeout), seconds(options.idleTimeout)}
     { }
@@ -73,6 +75,8 @@
     auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
     auto headError(const Exchange &exchange) const -> std::optional<HttpResponse>;
     auto closeOverdue() -> void;
+    auto mostConnections() const -> std::size_t;
+    auto makeRoom() -> void;
     auto isClosedForReading(MHD_Connection *connection) const -> bool;
     static auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
     auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>;
@@ -82,6 +86,8 @@
     Loop &m_loop;
     HttpServer::Handler m_handler;
     std::size_t m_maxBody;
+    std::size_t m_maxConnections;
+    std::function<void(std::size_t closed, std::size_t open)> m_onIdleClosed;
     bool m_strictFraming;
     ConnectionLimits m_limits;
     std::size_t m_maxHead = 0; // bytes; 0: unlimited
@@ -91,8 +97,10 @@
     ev_io m_io{};
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_checkTimer;
+    std::unique_ptr<Timer> m_roomTimer;
     std::uint16_t m_port = 0;
     bool m_runScheduled = false;
+    bool m_roomScheduled = false;
     bool m_quiesced = false;
     bool m_closesConnections = false;
 };
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/edge_node.h"
 
 #include "currantstack/build_info.h"
+#include "currantstack/edge/descriptor_budget.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/origin_controller.h"
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <random>
+#include <sys/resource.h>
 
 namespace currantstack
 {
@@ -28,7 +30,14 @@
 constexpr Duration ShortestPollWait = seconds(2);
 constexpr Duration LongestPollWait = seconds(25); // the store allows 30 s
 constexpr std::size_t MaxBodyBytes = 8U << 20; // bound on request bodies, independent of the configured limit
-constexpr unsigned MaxCallerConnections = 2500; // the smallest machines allow 4,100 descriptors, upstream connections included
+
+/// Returns how many descriptors this process may have.
+auto descriptorLimit(const EdgeSettings &settings) -> std::uint64_t
+{
+    rlimit limit{};
+    const auto ofProcess = getrlimit(RLIMIT_NOFILE, &limit) == 0 ? std::uint64_t(limit.rlim_cur) : RLIM_INFINITY;
+    return settings.maxDescriptors == 0 ? ofProcess : std::min(ofProcess, settings.maxDescriptors);
+}
 
 auto randomSeed() -> std::uint64_t
 {
@@ -139,7 +148,11 @@
     options.address = settings.callerAddress.ip;
     options.port = settings.callerAddress.port;
     options.maxBody = MaxBodyBytes;
-    options.maxConnections = MaxCallerConnections;
+    options.maxConnections = callerConnections(descriptorLimit(settings));
+    options.onIdleClosed = [this](std::size_t closed, std::size_t open) {
+        counters.at("idle_connections_closed").add(static_cast<std::int64_t>(closed));
+        log.write("edge", "idle_connections_closed", {{"closed", closed}, {"open", open}});
+    };
     options.strictFraming = true;
     auto opened = HttpServer::open(loop, options, [this](const ExchangePtr &request) { chain.handle(request); });
     if (!opened) {
@@ -298,6 +311,8 @@
                      {"readiness", parts.settings.readinessAddress.text()},
                      {"peers", parts.settings.peerAddress.text()},
                      {"store", parts.settings.storeAddress.text()},
+                     {"descriptors", descriptorLimit(parts.settings)},
+                     {"caller_connections", callerConnections(descriptorLimit(parts.settings))},
                      {"bootstrap", parts.settings.bootstrap}});
     if (auto opened = parts.openServers(); !opened) {
         return opened;
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -68,7 +68,7 @@
         return self.engines + self.services
 
 
-def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54):
+def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100):
     """Returns the settings file of one VM, as the platform writes it."""
     return f"""node_name: "{name}"
 zone: "{place}"
@@ -85,6 +85,8 @@
   - {port + 9}
 bootstrap: true
 metrics_port: {port + 9}
+limits:
+  max_fds: {max_fds}
 bounds:
   grace_s: {grace}
   retry_budget: {retry_budget}
--- a/test/edge/connection_tests.py
+++ b/test/edge/connection_tests.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import json
+import os
+import resource
+import signal
+import time
 
 from platform_fleet import configuration
 from rig import Rig, read_response
@@ -55,5 +59,97 @@
         writer.close()
 
 
-TESTS = [heads_up_to_the_configured_limit_are_served, idle_connections_are_closed_after_the_configured_time,
+async def open_idle(rig, count):
+    """Opens connections, in groups that the listener's queue holds; returns their readers."""
+    vm, readers = rig.vms[0], []
+    while len(readers) < count:
+        group = await asyncio.gather(*(asyncio.open_connection(vm.ip, vm.port) for _ in range(min(100, count - len(readers)))))
+        rig.writers += [writer for _, writer in group]
+        readers += [reader for reader, _ in group]
+    return readers
+
+
+def count_open(readers):
+    return sum(not reader.at_eof() for reader in readers)
+
+
+async def check_new_callers(rig, count=20):
+    for _ in range(count):
+        begin = time.monotonic()
+        assert (await rig.send("check", limit=5))[1] == 200
+        assert time.monotonic() - begin < 1, "a new caller waits for its connection"
+
+
+async def idle_connections_lock_no_caller_out():
+    """Guards against a VM that says that it is ready and takes no connection, because idle ones hold all that it may have."""
+    async with Rig() as rig:
+        vm = rig.vms[0]
+        slow_reader, slow = await asyncio.open_connection(vm.ip, vm.port)
+        slow.write(SMALL[:20])
+        longest_idle, _ = await open_idle(rig, 2)
+        oldest = await open_idle(rig, 1500)
+        await asyncio.sleep(0.5)
+        latest = await open_idle(rig, 1300)
+        await check_new_callers(rig)
+        slow.write(SMALL[20:])
+        assert (await read_response(slow_reader))[0] == 200, "a request that has begun to arrive is cut off"
+        assert await vm.is_ready()
+        assert await asyncio.wait_for(longest_idle.read(1), 1) == b"", "the connection that has been idle for the longest is not closed"
+        assert count_open(oldest) < len(oldest) and count_open(latest) == len(latest), (count_open(oldest), count_open(latest))
+        assert vm.resident_mb() < 110, vm.resident_mb()
+        slow.close()
+
+
+async def requests_on_connections_that_are_closed_for_others_are_answered_or_refused():
+    """Guards against a request that crosses the closing of its connection and is run without an answer."""
+    async with Rig(bounds={"max_fds": 500}) as rig:
+        vm, outcomes = rig.vms[0], []
+
+        async def send_later(number):
+            try:
+                reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+                rig.writers.append(writer)
+                await asyncio.sleep(0.3 + number % 40 * 0.01)
+                writer.write(SMALL.replace(b"kept", b"late-%d" % number).replace(b"GET /check", b"POST /book"))
+                outcomes.append((f"late-{number}", (await asyncio.wait_for(read_response(reader), 5))[0]))
+            except (EOFError, OSError):
+                outcomes.append((f"late-{number}", None))
+        for begin in range(0, 1000, 50):
+            tasks = [asyncio.create_task(send_later(number)) for number in range(begin, begin + 50)]
+            await open_idle(rig, 50)
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(1)
+        assert len(outcomes) == 1000, len(outcomes)
+        assert {status for _, status in outcomes} <= {200, 408, None}
+        run = {entry["request"] for entry in rig.fleet.history if entry["event"] == "run"}
+        lost = [request for request, status in outcomes if (request in run) != (status == 200)]
+        assert not lost, f"{len(lost)} requests ran without an answer, or the other way round: {lost[:5]}"
+        assert sum(status == 200 for _, status in outcomes) > 100, outcomes[:20]
+        assert "idle_connections_closed" in vm.log_text()
+
+
+async def connections_follow_the_descriptors_that_there_are():
+    for max_fds, own_limit, expected in ((500, None, 200), (4100, 800, 400)):
+        async with Rig(bounds={"max_fds": max_fds}) as rig:
+            vm = rig.vms[0]
+            if own_limit:
+                vm.signal(signal.SIGKILL)
+                await vm.process.wait()
+                limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+                resource.setrlimit(resource.RLIMIT_NOFILE, (own_limit, limits[1]))
+                try:
+                    await vm.start()
+                finally:
+                    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+                await vm.wait_until_ready()
+            readers = await open_idle(rig, 2 * expected)
+            await check_new_callers(rig, 5)
+            assert count_open(readers) <= expected, count_open(readers)
+            used = len(os.listdir(f"/proc/{vm.process.pid}/fd"))
+            assert used < min(max_fds, own_limit or max_fds) - 200, used
+
+
+TESTS = [idle_connections_lock_no_caller_out, requests_on_connections_that_are_closed_for_others_are_answered_or_refused,
+         connections_follow_the_descriptors_that_there_are, heads_up_to_the_configured_limit_are_served, idle_connections_are_closed_after_the_configured_time,
          slow_heads_are_cut_off_after_the_configured_time]
--- a/test/platform/settings-test.cc
+++ b/test/platform/settings-test.cc
@@ -29,6 +29,9 @@
   - 7380
   - 7395
 bootstrap: true
+limits:
+  cores: 1
+  max_fds: 4100
 bounds:
   grace_s: 8
   retry_budget: 0.2
@@ -57,6 +60,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:8149"), settings->callerAddress.text());
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:7380"), settings->peerAddress.text());
         CPPUNIT_ASSERT(settings->drainLimit == seconds(8));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4100), settings->maxDescriptors);
         CPPUNIT_ASSERT(settings->places.distance("z1", "z2") == Distance::OtherRegion);
         CPPUNIT_ASSERT(settings->bootstrap);
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:9464"), settings->metricsAddress.text());
@@ -65,6 +69,9 @@
     auto unknownFieldsAreIgnored() -> void
     {
         CPPUNIT_ASSERT(parseSettings(text() + "something_new:\n  - 1\n").has_value());
+        for (const auto *limits : {"", "limits:\n", "limits:\n  max_fds:\n", "limits: 3\n"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), errorOf("limits:\n  cores: 1\n  max_fds: 4100\n", limits));
+        }
     }
 
     auto errorsNameTheField() -> void
@@ -73,6 +80,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("grace_s has the wrong type"), errorOf("grace_s: 8", "grace_s: long"));
         CPPUNIT_ASSERT_EQUAL(std::string("front must be \"IP number:port\""), errorOf("10.1.0.38:8149", "host:8149"));
         CPPUNIT_ASSERT_EQUAL(std::string("ready must name a port from 1 to 65535"), errorOf("10.1.0.38:8141", "10.1.0.38:0"));
+        CPPUNIT_ASSERT_EQUAL(std::string("max_fds has the wrong type"), errorOf("max_fds: 4100", "max_fds: many"));
         CPPUNIT_ASSERT(!parseSettings("- a list").has_value());
         CPPUNIT_ASSERT(!parseSettings(": : :").has_value());
         CPPUNIT_ASSERT(!loadSettings("/nowhere/settings.yaml").has_value());
