A caller that ends its input gets the answer to a request that runs once

A caller that shut down its sending direction after its request got no answer: the end of its input counted as a disconnect, and the call to the upstream was ended.

The end of input and the close of a connection cannot be told apart until something is sent. Work for a caller that has closed its connection must stop within half a second; that holds for streams and for requests that may be repeated, so they are ended as before. Requests that another VM forwards are ended as before.

libmicrohttpd may take the end of input for a disconnect when it resumes the connection (seen when several were resumed in one run: one of two answers was cut), so the response is sent beside it. A caller that does not read it is cut off after the usual time without progress.

--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -50,6 +50,11 @@
     /// Sets the callback that runs once if the caller disconnects before the response is complete.
     auto onDisconnect(std::function<void()> callback) -> void;
 
+    /// Sets the callback that runs if the caller ends its sending direction before the response has begun. It may have closed the
+    /// connection as well, which only sending to it can tell. The callback returns whether the response is still to be sent; without one,
+    /// the caller counts as disconnected.
+    auto onEndOfInput(std::function<bool()> callback) -> void;
+
     auto isDisconnected() const -> bool
     {
         return m_disconnected;
@@ -71,6 +76,7 @@
 
     struct DisconnectWatcher;
     auto handleDisconnect() -> void;
+    auto survivesEndOfInput() -> bool;
     auto markCompleted() -> void;
     auto resume() -> void;
     auto watchForDisconnect() -> void;
@@ -82,6 +88,7 @@
     std::string m_pending;
     std::size_t m_pendingOffset = 0;
     std::function<void()> m_onDisconnect;
+    std::function<bool()> m_onEndOfInput;
     std::unique_ptr<DisconnectWatcher> m_watcher;
     bool m_bodyTooLarge = false;
     bool m_headRead = false;
--- a/src/base/exchange.cc
+++ b/src/base/exchange.cc
@@ -1,6 +1,7 @@
 // The response side of a request, and the detection of callers that disconnect.
 #include "http_server_core.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
@@ -9,11 +10,13 @@
 namespace currantstack
 {
 
-/// Detects that the caller closes a suspended connection, which libmicrohttpd does not monitor.
+/// Detects that the caller closes a suspended connection, which libmicrohttpd does not monitor. After the end of its input, sends the
+/// response as well: libmicrohttpd may take the end for a disconnect when the connection is resumed.
 struct Exchange::DisconnectWatcher
 {
     ev_io io{};
     struct ev_loop *loop = nullptr;
+    bool inputEnded = false;
 
     ~DisconnectWatcher()
     {
@@ -32,9 +35,40 @@
             return; // a pipelined request; libmicrohttpd detects a disconnect once this one has its response
         }
         const auto exchange = static_cast<Exchange *>(watcher->data)->shared_from_this();
+        if (received == 0 && exchange->survivesEndOfInput()) {
+            exchange->m_watcher->inputEnded = true;
+            return;
+        }
         exchange->handleDisconnect();
         exchange->abort();
     }
+
+    static auto onWritable(struct ev_loop *loop, ev_io *watcher, int /*events*/) -> void
+    {
+        const auto exchange = static_cast<Exchange *>(watcher->data)->shared_from_this();
+        const auto rest = std::string_view(exchange->m_pending).substr(exchange->m_pendingOffset);
+        const auto sent = send(watcher->fd, rest.data(), rest.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
+        exchange->m_pendingOffset += static_cast<std::size_t>(std::max<ssize_t>(0, sent));
+        if (sent <= 0 || exchange->pendingBytes() == 0) {
+            ev_io_stop(loop, watcher);
+            exchange->m_responseQueued = false;
+            exchange->m_aborted = true; // ends the connection
+            exchange->resume();
+        }
+    }
+
+    auto sendResponse(Exchange &exchange) -> void
+    {
+        exchange.m_pending = detail::encodeResponse(exchange.m_response);
+        exchange.m_responseQueued = true;
+        ev_io_stop(loop, &io);
+        ev_io_set(&io, io.fd, EV_WRITE);
+        ev_set_cb(&io, &DisconnectWatcher::onWritable);
+        ev_io_start(loop, &io);
+    }
 };
 
 Exchange::Exchange(std::weak_ptr<detail::ServerCore> core, MHD_Connection *connection)
@@ -97,6 +131,10 @@
     m_answered = true;
     m_response = std::move(response);
     m_ended = true;
+    if (m_watcher && m_watcher->inputEnded) {
+        m_watcher->sendResponse(*this);
+        return;
+    }
     resume();
 }
 
@@ -142,6 +180,16 @@
     m_onDisconnect = std::move(callback);
 }
 
+auto Exchange::onEndOfInput(std::function<bool()> callback) -> void
+{
+    m_onEndOfInput = std::move(callback);
+}
+
+auto Exchange::survivesEndOfInput() -> bool
+{
+    return !m_answered && m_onEndOfInput && m_onEndOfInput();
+}
+
 auto Exchange::handleDisconnect() -> void
 {
     if (m_disconnected) {
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -47,16 +47,6 @@
     return descriptor;
 }
 
-/// Returns the response as it is sent on a connection that ends after it.
-auto encodeResponse(const HttpResponse &response) -> std::string
-{
-    auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
-    for (const auto &header : response.headers) {
-        text += fmt::format("{}: {}\r\n", header.name, header.value);
-    }
-    return text + fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body.size(), response.body);
-}
-
 auto appendValue(void *context, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
 {
     static_cast<Headers *>(context)->push_back({name, value == nullptr ? "" : value});
@@ -65,6 +55,17 @@
 
 } // namespace
 
+auto encodeResponse(const HttpResponse &response) -> std::string
+{
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
+    for (const auto &header : response.headers) {
+        if (!equalIgnoringCase(header.name, "Connection")) {
+            text += fmt::format("{}: {}\r\n", header.name, header.value);
+        }
+    }
+    return text + fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body.size(), response.body);
+}
+
 auto ServerCore::start(const ServerOptions &options) -> Result<void>
 {
     const auto descriptor = openListenSocket(options);
@@ -299,9 +300,9 @@
         bool isRead = true; // by the server; otherwise the response is written
         if (const auto found = exchanges.find(connection); found != exchanges.end()) {
             const auto &exchange = *found->second;
-            phase = exchange.m_suspended ? ConnectionPhase::Waiting
-                : exchange.m_headRead    ? ConnectionPhase::Transfer
-                                         : ConnectionPhase::Head;
+            phase = exchange.m_suspended && !exchange.m_ended ? ConnectionPhase::Waiting
+                : exchange.m_headRead                         ? ConnectionPhase::Transfer
+                                                              : ConnectionPhase::Head;
             isRead = !exchange.m_responseQueued;
         }
         const int descriptor = descriptorOf(connection);
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -11,6 +11,9 @@
 namespace currantstack::detail
 {
 
+/// Returns the response as it is sent on a connection that ends after it.
+auto encodeResponse(const HttpResponse &response) -> std::string;
+
 /// Owns the libmicrohttpd daemon and its loop watchers. Exchanges hold weak references to it.
 class ServerCore : public std::enable_shared_from_this<ServerCore>
 {
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -55,6 +55,7 @@
     auto finish() -> void;
     auto releaseLoad(const PendingCall &pending) -> void;
     auto mayHedge() const -> bool;
+    auto onEndOfInput() -> bool;
 
     EdgeContext &m_context;
     IncomingRequest m_request;
@@ -64,6 +65,7 @@
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_hedgeTimer;
     std::optional<HttpResponse> m_errorAnswer; // an upstream's 5xx response, forwarded if no later attempt succeeds
+    bool m_inputEnded = false; // the caller may have left, so the request goes to no further upstream
     bool m_handedOver = false; // another VM forwards the request
     bool m_done = false;
 };
@@ -76,6 +78,7 @@
         self->m_context.log.write("forward", "caller_gone", {{"request", self->m_request.metadata.requestId}});
         self->finish();
     });
+    m_request.exchange->onEndOfInput([self]() { return self->onEndOfInput(); });
     m_openId = m_context.openRequests.add([self](StopPhase /*phase*/) { self->fail(false, StopReason, StoppingRetryAfter); });
     m_deadlineTimer = m_context.loop.timer([self]() { self->fail(true, "no answer in time", self->retryDelay()); });
     m_deadlineTimer->startOnce(m_request.deadline() - AnswerMargin - m_context.clock.now());
@@ -101,6 +104,19 @@
     return currantstack::outlastsThisVm(m_context, fromMilliseconds(m_context.requestTimeOf(m_request.service).value()));
 }
 
+/// Keeps a request in flight that may run at most once: its caller may still read the answer, while ending the call would leave open
+/// whether it has run. Others are ended, because their caller may be gone, and the work for it has to stop.
+auto ServiceRequest::onEndOfInput() -> bool
+{
+    if (m_request.route->kind != RouteKind::AtMostOnce || m_request.relay || m_pendingCalls.empty()) {
+        return false;
+    }
+    m_inputEnded = true;
+    m_context.counters.at("requests_kept_after_input").add();
+    m_context.log.write("forward", "caller_ended_input", {{"request", m_request.metadata.requestId}});
+    return true;
+}
+
 auto ServiceRequest::mayHedge() const -> bool
 {
     return m_request.route->kind == RouteKind::Idempotent && m_attempts.mayRetry();
@@ -242,10 +258,11 @@
     const auto now = m_context.clock.now();
     const auto refusal = checkQuarantine(m_context, m_request);
     const bool isCutOff = m_context.reach.isCutOff(m_request.service);
-    if (!refusal && isCutOff && handOver(outcome, reason)) {
+    const bool maySend = !refusal && !m_inputEnded;
+    if (maySend && isCutOff && handOver(outcome, reason)) {
         return;
     }
-    if (!refusal && !isCutOff && m_attempts.mayRetry() && !outlastsThisVm() && m_request.deadline() > now
+    if (maySend && !isCutOff && m_attempts.mayRetry() && !outlastsThisVm() && m_request.deadline() > now
         && m_context.retryBudget.tryAcquire(m_request.service, now)) {
         m_context.counters.at("sends_repeated").add();
         if (send(failed.upstream.id) || send("")) {
@@ -259,7 +276,7 @@
         forwardAnswer(failed, std::move(*m_errorAnswer));
         return;
     }
-    if (!refusal && m_context.reach.isUnreached(failed.upstream.id, now) && handOver(outcome, reason)) {
+    if (maySend && m_context.reach.isUnreached(failed.upstream.id, now) && handOver(outcome, reason)) {
         return;
     }
     fail(false, refusal ? refusal->reason : reason, retryDelay());
@@ -349,6 +366,7 @@
     m_context.loop.defer([self = shared_from_this()]() {
         self->m_deadlineTimer.reset();
         self->m_hedgeTimer.reset();
+        self->m_request.exchange->onEndOfInput(nullptr);
         if (!self->m_handedOver) {
             self->m_request.exchange->onDisconnect(nullptr);
         }
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -172,6 +172,7 @@
 
 class Service(Upstream):
     WORK_S = 0.02  # time of one run
+    PADDING_BYTES = 0  # at the end of each body
 
     async def run(self, request, reader, writer):
         self.record("run", request)
@@ -179,7 +180,7 @@
         if self.crashes_on(request):
             self.crash_under(request)
             return None
-        body = json.dumps({"echo": request.header("request-id"), "body": len(request.body)}).encode()
+        body = json.dumps({"echo": request.header("request-id"), "body": len(request.body)}).encode() + self.PADDING_BYTES * b" "
         if self.draw_fault("lost"):
             writer.transport.abort()
             return None
--- a/test/edge/connection_tests.py
+++ b/test/edge/connection_tests.py
@@ -8,6 +8,7 @@
 import time
 
 from platform_fleet import configuration
+from loss_tests import encoded
 from rig import Rig, read_response
 
 SMALL = b"GET /check/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: kept\r\nContent-Length: 0\r\n\r\n"
@@ -150,6 +151,47 @@
             assert used < min(max_fds, own_limit or max_fds) - 200, used
 
 
-TESTS = [idle_connections_lock_no_caller_out, requests_on_connections_that_are_closed_for_others_are_answered_or_refused,
+async def send_and_end_input(rig, kind):
+    """Sends a request and ends the sending direction of its connection; returns its id and what the caller got."""
+    reader, writer = await asyncio.open_connection(rig.vms[0].ip, rig.vms[0].port)
+    rig.writers.append(writer)
+    request = rig.request_id()
+    writer.write(encoded(request, kind))
+    writer.write_eof()
+    try:
+        return request, (await asyncio.wait_for(read_response(reader), 5))[0]
+    except EOFError:
+        return request, None
+
+
+async def caller_that_ends_its_input_gets_the_answer_to_a_request_that_runs_at_most_once():
+    async with Rig() as rig:
+        for service in rig.fleet.services:
+            service.WORK_S = 0.7
+        for request, status in await asyncio.gather(*(send_and_end_input(rig, "book") for _ in range(8))):
+            assert status == 200 and len(rig.runs_of(request)) == 1, (request, status)
+        for service in rig.fleet.services:
+            service.PADDING_BYTES = 3_000_000  # more than a socket takes at once
+        assert [status for _, status in await asyncio.gather(*(send_and_end_input(rig, "book") for _ in range(2)))] == 2 * [200]
+
+
+async def work_for_a_caller_that_ends_its_input_stops():
+    """An end of input may be the close of the connection, after which work that may be repeated has to stop."""
+    async with Rig() as rig:
+        for service in rig.fleet.services:
+            service.WORK_S = 2
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = 0.2
+        begin = time.monotonic()
+        results = await asyncio.gather(*(send_and_end_input(rig, kind) for kind in ("check", "stream", "digest")))
+        assert time.monotonic() - begin < 0.5
+        assert [status for _, status in results] == 3 * [None], results
+        await asyncio.sleep(0.2)  # until the log is written
+        gone = [json.loads(line[line.index("{"):])["request"] for line in rig.vms[0].log_text().splitlines() if '"caller_gone"' in line]
+        assert sorted(gone) == sorted(request for request, _ in results), gone
+
+
+TESTS = [caller_that_ends_its_input_gets_the_answer_to_a_request_that_runs_at_most_once, work_for_a_caller_that_ends_its_input_stops,
+         idle_connections_lock_no_caller_out, requests_on_connections_that_are_closed_for_others_are_answered_or_refused,
          connections_follow_the_descriptors_that_there_are, heads_up_to_the_configured_limit_are_served, idle_connections_are_closed_after_the_configured_time,
          slow_heads_are_cut_off_after_the_configured_time]
