The first event of a stream is passed on also if its id is 0

A caller would have missed the first event of a stream whose ids begin with 0.

An event counted as a repetition if its id was not above the last one, which is 0 while there is none. With a stand-in whose ids begin with 0, the stream lacked its first event.

Ids are compared only once the caller has an event. An engine that goes on after event 0 gets Last-Event-Id: 0. Last-Event-Id: 0 of a caller still means that it has no event, and a stream that another VM goes on with after event 0 alone begins anew there, without the event being repeated to the caller.

--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -40,7 +40,7 @@
 {
     std::string instance; // the upstream's id; another upstream at the address refuses the request
     Duration timeLeft = Duration::zero();
-    std::int64_t lastEventId = 0;
+    std::optional<std::int64_t> lastEventId; // of the last event that the caller has; none: the stream begins
     std::string kvSource; // "address/handle" of a KV cache prefilled on another engine; empty: none
     std::string reservation; // of KV memory at the upstream; empty: none
     bool prefillOnly = false;
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -259,7 +259,8 @@
 
 auto RelayedRequest::onEvent(const RawEvent &event) -> void
 {
-    if (m_done || m_call == 0 || (event.id && *event.id <= m_lastEventId)) {
+    const bool hasEvents = m_headSent || m_lastEventId > 0;
+    if (m_done || m_call == 0 || (event.id && hasEvents && *event.id <= m_lastEventId)) {
         return; // the caller already has the event
     }
     if (event.isEmpty && !m_headSent) {
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -64,7 +64,7 @@
     ForwardSpec spec;
     spec.kvSource = m_kvSource;
     spec.reservation = std::exchange(m_reservation, {});
-    spec.lastEventId = m_lastEventId;
+    spec.lastEventId = lastHeldEvent();
     spec.rank = m_request.route->priority;
     HttpHandlers handlers;
     handlers.onHead = [self = shared_from_this()](int status, const Headers &headers) { self->onHead(status, headers); };
@@ -153,7 +153,7 @@
     if (m_done) {
         return;
     }
-    if (event.id && *event.id <= m_lastEventId) {
+    if (event.id && event.id <= lastHeldEvent()) {
         return; // the caller already received it from the previous engine
     }
     if (event.isEmpty) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -108,6 +108,10 @@
     auto onData(std::string_view data) -> void;
     auto breakOff(std::string_view reason) -> void;
     auto onEvent(const RawEvent &event) -> void;
+    auto lastHeldEvent() const -> std::optional<std::int64_t>
+    {
+        return m_headSent || m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt;
+    }
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
@@ -169,7 +173,7 @@
     bool m_endsWithConnection = false; // the answer has neither a length nor chunks
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
-    std::int64_t m_lastEventId;
+    std::int64_t m_lastEventId; // that the caller has; 0 before the head is sent: none
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -211,6 +211,7 @@
 class Engine(Upstream):
     KV_CAPACITY_TOKENS = 24000
     EVENTS = 12  # per stream
+    FIRST_ID = 1  # of the events
     EVENT_INTERVAL_S = 0.015
     PREFILL_TOKENS_PER_MS = 60.0
     TRICKLE_S = 0.4  # between the bytes of an event that does not end
@@ -337,7 +338,7 @@
                 return None
             if self.draw_fault("comments"):
                 writer.write(chunk(b": hello\n\n"))
-            for number in range(int(request.header("last-event-id", "0")) + 1, self.EVENTS + 1):
+            for number in range(int(request.header("last-event-id", str(self.FIRST_ID - 1))) + 1, self.EVENTS + self.FIRST_ID):
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
                 await self.server.wait_while_silent()
                 event = f"id: {number}\ndata: {request.header('request-id')} {number} {version}\n\n".encode()
@@ -345,7 +346,8 @@
                     writer.write(event[: len(event) // 2] if self.fault == "unframed_torn" else b"")
                     await writer.drain()
                     return None
-                if self.draw_fault("torn"):
+                is_begun = number > self.FIRST_ID and not request.header("last-event-id")
+                if self.draw_fault("torn") or (is_begun and self.draw_fault("torn_after_first")):
                     writer.write(chunk(event[: len(event) // 2]))
                     await writer.drain()
                     writer.transport.abort()
--- a/test/edge/answer_tests.py
+++ b/test/edge/answer_tests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from rig import Rig
+from stranded_tests import DETECTION_S, StrandedRig
 
 PATIENT = {"name": "patient", "host": "app.example", "prefix": "/patient/", "type": "streaming", "service": "llm", "attempts": 4,
            "timeout_ms": 8000, "latency_goal_ms": 900, "can_resume": True, "sticky": True}
@@ -61,5 +62,28 @@
             assert b"failed" not in data and len(rig.runs_of("req-1")) == 3, (framing, data, rig.runs_of("req-1"))
 
 
-TESTS = [refusals_of_earlier_requests_promise_nothing, errors_in_the_middle_of_a_stream_do_not_reach_its_caller,
+def event_ids(data):
+    return [int(line[4:]) for line in data.decode().split("\n") if line.startswith("id: ")]
+
+
+async def streams_whose_ids_begin_with_0_are_complete():
+    """Guards against a first event that is taken for one which the caller already has."""
+    async with StrandedRig(vms=2) as rig:
+        for engine in rig.fleet.engines:
+            engine.FIRST_ID = 0
+        for kind in ("stream", "digest"):
+            assert event_ids((await rig.send(kind))[3]) == list(range(12)), kind
+        for engine in rig.fleet.engines:
+            engine.fault, engine.fault_share = "torn_after_first", 1.0
+        request, _, _, body = await rig.send("stream")
+        assert event_ids(body) == list(range(12)) and len(rig.runs_of(request)) == 2, (body, rig.runs_of(request))
+        for engine in rig.fleet.engines:
+            engine.fault = ""
+        rig.links.cut(rig.vms[0], "refuse")
+        await asyncio.sleep(DETECTION_S)
+        for kind in ("stream", "digest"):
+            assert event_ids((await rig.send(kind))[3]) == list(range(12)), f"relayed {kind}"
+
+
+TESTS = [streams_whose_ids_begin_with_0_are_complete, refusals_of_earlier_requests_promise_nothing, errors_in_the_middle_of_a_stream_do_not_reach_its_caller,
          streams_go_on_at_a_third_engine_after_an_error]
