--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -50,6 +50,11 @@
     /// Sets the callback that runs once if the caller disconnects before the response is complete.
     auto onDisconnect(std::function<void()> callback) -> void;
 
+    /// Sets the callback that runs if the caller ends its sending direction before the response has begun. It may have closed the
+    /// connection as well, which only sending to it can tell. The callback returns whether the response is still to be sent; without one,
+    /// the caller counts as disconnected.
+    auto onEndOfInput(std::function<bool()> callback) -> void;
+
     auto isDisconnected() const -> bool
     {
         return m_disconnected;
@@ -71,6 +76,7 @@
 
     struct DisconnectWatcher;
     auto handleDisconnect() -> void;
+    auto survivesEndOfInput() -> bool;
     auto markCompleted() -> void;
     auto resume() -> void;
     auto watchForDisconnect() -> void;
@@ -82,6 +88,7 @@
     std::string m_pending;
     std::size_t m_pendingOffset = 0;
     std::function<void()> m_onDisconnect;
+    std::function<bool()> m_onEndOfInput;
     std::unique_ptr<DisconnectWatcher> m_watcher;
     bool m_bodyTooLarge = false;
     bool m_headRead = false;
@@ -103,7 +110,7 @@
 {
     std::size_t maxHead = 0; // bytes; requests with a longer head get status 431; 0: only limited by `ServerOptions::maxHead`
     Duration headTimeout = Duration::zero(); // from the first byte of a request to the end of its head
-    Duration idleTimeout = Duration::zero(); // between two requests of a connection; never closed sooner
+    Duration idleTimeout = Duration::zero(); // between two requests; never closed sooner unless connections run out
 };
 
 struct ServerOptions
@@ -112,9 +119,10 @@
     std::uint16_t port = 0; // 0 selects a free port
     std::size_t maxBody = 8U << 20; // bytes; requests with a larger body get status 413
     std::size_t maxHead = 64U << 10; // bytes; memory limit of a connection, including the request's head
-    unsigned maxConnections = 20000;
+    unsigned maxConnections = 20000; // before they run out, those that have been idle for the longest are closed
     unsigned idleTimeout = 60; // seconds without activity until a connection is closed; 0: unlimited
     bool strictFraming = false; // responds with 400 to a request whose body length is ambiguous
+    std::function<void(std::size_t closed, std::size_t open)> onIdleClosed; // runs when idle connections are closed to make room
 };
 
 /// Listens on one address and calls the handler for each request once its body is complete.
--- a/src/decisions/route_table.cc
+++ b/src/decisions/route_table.cc
@@ -30,6 +30,12 @@
     return nullptr;
 }
 
+auto recognizes(const RouteTable &routeTable, const Upstream &upstream) -> bool
+{
+    const auto *service = routeTable.service(upstream.service);
+    return service != nullptr && (!service->engine || upstream.role != EngineRole::None);
+}
+
 auto RouteTable::indexRanks() -> void
 {
     streamRanks.clear();
--- a/test/edge/connection_tests.py
+++ b/test/edge/connection_tests.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import json
+import os
+import resource
+import signal
+import time
 
 from platform_fleet import configuration
+from loss_tests import encoded
 from rig import Rig, read_response
 
 SMALL = b"GET /check/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: kept\r\nContent-Length: 0\r\n\r\n"
@@ -55,5 +60,138 @@
         writer.close()
 
 
-TESTS = [heads_up_to_the_configured_limit_are_served, idle_connections_are_closed_after_the_configured_time,
+async def open_idle(rig, count):
+    """Opens connections, in groups that the listener's queue holds; returns their readers."""
+    vm, readers = rig.vms[0], []
+    while len(readers) < count:
+        group = await asyncio.gather(*(asyncio.open_connection(vm.ip, vm.port) for _ in range(min(100, count - len(readers)))))
+        rig.writers += [writer for _, writer in group]
+        readers += [reader for reader, _ in group]
+    return readers
+
+
+def count_open(readers):
+    return sum(not reader.at_eof() for reader in readers)
+
+
+async def check_new_callers(rig, count=20):
+    for _ in range(count):
+        begin = time.monotonic()
+        assert (await rig.send("check", limit=5))[1] == 200
+        assert time.monotonic() - begin < 1, "a new caller waits for its connection"
+
+
+async def idle_connections_lock_no_caller_out():
+    """Guards against a VM that says that it is ready and takes no connection, because idle ones hold all that it may have."""
+    async with Rig() as rig:
+        vm = rig.vms[0]
+        slow_reader, slow = await asyncio.open_connection(vm.ip, vm.port)
+        slow.write(SMALL[:20])
+        longest_idle, _ = await open_idle(rig, 2)
+        oldest = await open_idle(rig, 1500)
+        await asyncio.sleep(0.5)
+        latest = await open_idle(rig, 1300)
+        await check_new_callers(rig)
+        slow.write(SMALL[20:])
+        assert (await read_response(slow_reader))[0] == 200, "a request that has begun to arrive is cut off"
+        assert await vm.is_ready()
+        assert await asyncio.wait_for(longest_idle.read(1), 1) == b"", "the connection that has been idle for the longest is not closed"
+        assert count_open(oldest) < len(oldest) and count_open(latest) == len(latest), (count_open(oldest), count_open(latest))
+        assert vm.resident_mb() < 110, vm.resident_mb()
+        slow.close()
+
+
+async def requests_on_connections_that_are_closed_for_others_are_answered_or_refused():
+    """Guards against a request that crosses the closing of its connection and is run without an answer."""
+    async with Rig(bounds={"max_fds": 500}) as rig:
+        vm, outcomes = rig.vms[0], []
+
+        async def send_later(number):
+            try:
+                reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+                rig.writers.append(writer)
+                await asyncio.sleep(0.3 + number % 40 * 0.01)
+                writer.write(SMALL.replace(b"kept", b"late-%d" % number).replace(b"GET /check", b"POST /book"))
+                outcomes.append((f"late-{number}", (await asyncio.wait_for(read_response(reader), 5))[0]))
+            except (EOFError, OSError):
+                outcomes.append((f"late-{number}", None))
+        for begin in range(0, 1000, 50):
+            tasks = [asyncio.create_task(send_later(number)) for number in range(begin, begin + 50)]
+            await open_idle(rig, 50)
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(1)
+        assert len(outcomes) == 1000, len(outcomes)
+        assert {status for _, status in outcomes} <= {200, 408, None}
+        run = {entry["request"] for entry in rig.fleet.history if entry["event"] == "run"}
+        lost = [request for request, status in outcomes if (request in run) != (status == 200)]
+        assert not lost, f"{len(lost)} requests ran without an answer, or the other way round: {lost[:5]}"
+        assert sum(status == 200 for _, status in outcomes) > 100, outcomes[:20]
+        assert "idle_connections_closed" in vm.log_text()
+
+
+async def connections_follow_the_descriptors_that_there_are():
+    for max_fds, own_limit, expected in ((500, None, 200), (4100, 800, 400)):
+        async with Rig(bounds={"max_fds": max_fds}) as rig:
+            vm = rig.vms[0]
+            if own_limit:
+                vm.signal(signal.SIGKILL)
+                await vm.process.wait()
+                limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+                resource.setrlimit(resource.RLIMIT_NOFILE, (own_limit, limits[1]))
+                try:
+                    await vm.start()
+                finally:
+                    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+                await vm.wait_until_ready()
+            readers = await open_idle(rig, 2 * expected)
+            await check_new_callers(rig, 5)
+            assert count_open(readers) <= expected, count_open(readers)
+            used = len(os.listdir(f"/proc/{vm.process.pid}/fd"))
+            assert used < min(max_fds, own_limit or max_fds) - 200, used
+
+
+async def send_and_end_input(rig, kind):
+    """Sends a request and ends the sending direction of its connection; returns its id and what the caller got."""
+    reader, writer = await asyncio.open_connection(rig.vms[0].ip, rig.vms[0].port)
+    rig.writers.append(writer)
+    request = rig.request_id()
+    writer.write(encoded(request, kind))
+    writer.write_eof()
+    try:
+        return request, (await asyncio.wait_for(read_response(reader), 5))[0]
+    except EOFError:
+        return request, None
+
+
+async def caller_that_ends_its_input_gets_the_answer_to_a_request_that_runs_at_most_once():
+    async with Rig() as rig:
+        for service in rig.fleet.services:
+            service.WORK_S = 0.7
+        for request, status in await asyncio.gather(*(send_and_end_input(rig, "book") for _ in range(8))):
+            assert status == 200 and len(rig.runs_of(request)) == 1, (request, status)
+        for service in rig.fleet.services:
+            service.PADDING_BYTES = 3_000_000  # more than a socket takes at once
+        assert [status for _, status in await asyncio.gather(*(send_and_end_input(rig, "book") for _ in range(2)))] == 2 * [200]
+
+
+async def work_for_a_caller_that_ends_its_input_stops():
+    """An end of input may be the close of the connection, after which work that may be repeated has to stop."""
+    async with Rig() as rig:
+        for service in rig.fleet.services:
+            service.WORK_S = 2
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = 0.2
+        begin = time.monotonic()
+        results = await asyncio.gather(*(send_and_end_input(rig, kind) for kind in ("check", "stream", "digest")))
+        assert time.monotonic() - begin < 0.5
+        assert [status for _, status in results] == 3 * [None], results
+        await asyncio.sleep(0.2)  # until the log is written
+        gone = [json.loads(line[line.index("{"):])["request"] for line in rig.vms[0].log_text().splitlines() if '"caller_gone"' in line]
+        assert sorted(gone) == sorted(request for request, _ in results), gone
+
+
+TESTS = [caller_that_ends_its_input_gets_the_answer_to_a_request_that_runs_at_most_once, work_for_a_caller_that_ends_its_input_stops,
+         idle_connections_lock_no_caller_out, requests_on_connections_that_are_closed_for_others_are_answered_or_refused,
+         connections_follow_the_descriptors_that_there_are, heads_up_to_the_configured_limit_are_served, idle_connections_are_closed_after_the_configured_time,
          slow_heads_are_cut_off_after_the_configured_time]
