An engine without an entry may be silent for two seconds

Callers saw streams aborted whose engine went on half a second later. An engine that leaves without having announced it loses its entry and serves on. If it was silent for 1.5 s meanwhile and had left a call of the VM unanswered, such as a reservation, its streams ended as those of an engine that is gone. The same held for an entry that lapses during a silence.

An engine without an entry is gone after 2.2 s of silence now. One whose entry another process has is gone after 1.5 s, as before. A caller of an engine that is really gone knows it 0.7 s later.

--- a/include/currantstack/decisions/upstream_silence.h
+++ b/include/currantstack/decisions/upstream_silence.h
@@ -38,8 +38,11 @@
     /// An upstream that a stream waits for is probed after this silence. Sound engines pause for less between two events.
     static constexpr Duration ProbeAfter = milliseconds(900);
     static constexpr Duration ProbePeriod = milliseconds(700); // between two probes of an upstream
-    /// Silence after which an upstream without an entry is gone. It covers what was sent before the end and is still under way.
-    static constexpr Duration GoneAfter = milliseconds(1500);
+    /// Silence after which an upstream whose entry another process has is gone. It covers what was sent before and is still under way.
+    static constexpr Duration ReplacedAfter = milliseconds(1500);
+    /// Silence after which an upstream without an entry is gone. One that leaves without having announced it serves on for a while, and a
+    /// sound upstream may be silent for two seconds.
+    static constexpr Duration GoneAfter = milliseconds(2200);
     /// Silence after which an upstream is gone although its entry is there. The store removes the entries of ended upstreams sooner, so
     /// this counts only while the store is away.
     static constexpr Duration DarkAfter = seconds(6);
--- a/src/decisions/upstream_silence.cc
+++ b/src/decisions/upstream_silence.cc
@@ -60,7 +60,7 @@
     const auto heardAt = found == m_records.end() ? TimePoint() : found->second.heardAt;
     if (entry == EntryState::Replaced) {
         // What another process sends under the same id says nothing about this stream.
-        return now - since >= GoneAfter ? EndReason::Replaced : EndReason::None;
+        return now - since >= ReplacedAfter ? EndReason::Replaced : EndReason::None;
     }
     const auto silence = now - std::max(since, heardAt);
     if (silence < GoneAfter || found == m_records.end() || found->second.unanswered == 0) {
--- a/test/edge/silent_upstream_tests.py
+++ b/test/edge/silent_upstream_tests.py
@@ -8,6 +8,7 @@
 
 from loss_tests import send_until
 from rig import Rig
+from silent_stream_tests import SLOW_LIMIT_S, PatientRig
 from stranded_tests import DETECTION_S, StrandedRig
 
 LONGEST_SILENCE_S = 2.0
@@ -18,6 +19,7 @@
 LATE_S = 0.3  # before the end of the silence
 PAUSE_S = 0.1
 STREAMS_SERVED_SHARE = 0.8  # a KV cache may be gone when its engine goes on
+EXPIRY_S = 0.7  # from the silence until the store removes the entry
 
 
 class Traffic:
@@ -121,8 +123,23 @@
         assert "upstreams_cut_off" not in rig.vms[0].log_text()
 
 
+async def streams_outlive_the_silence_of_an_engine_whose_entry_is_removed():
+    """Guards against streams that end because a leaving engine, which serves on without its entry, is silent for a while."""
+    async with PatientRig(decode=2, interval_s=0.2) as rig:
+        streams = await rig.begin()
+        engine = rig.engine_of(streams[0])
+        disturbed = [stream for stream in streams if rig.engine_of(stream) is engine]
+        engine.fall_silent(LONGEST_SILENCE_S)
+        hasty = [asyncio.create_task(rig.send("patient", vm)) for vm in rig.vms for _ in range(6)]  # their reservations are unanswered
+        await asyncio.sleep(EXPIRY_S)
+        rig.fleet.store.delete(f"servers/{engine.id}")
+        complete = await asyncio.gather(*(stream.end(SLOW_LIMIT_S) for stream in disturbed))
+        assert all(complete), f"{complete.count(False)} of {len(complete)} streams are aborted"
+        await asyncio.gather(*hasty)
+
+
 TESTS = [plain_requests_outlive_a_silence_of_all_services, plain_requests_outlive_a_silence_of_one_service,
          plain_requests_outlive_a_silence_of_all_services_but_one,
          prompts_outlive_a_silence_of_all_prefill_engines, prompts_outlive_a_silence_of_one_prefill_engine,
          reservations_outlive_a_silence_of_all_decode_engines, relayed_plain_requests_outlive_a_silence_of_all_services,
-         services_that_are_silent_for_two_seconds_are_no_lost_links]
+         services_that_are_silent_for_two_seconds_are_no_lost_links, streams_outlive_the_silence_of_an_engine_whose_entry_is_removed]
--- a/test/upstream_silence-test.cc
+++ b/test/upstream_silence-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(aSlowEngineIsNeverGone);
     CPPUNIT_TEST(anEngineWithoutEntryIsGoneOnceAProbeIsUnanswered);
     CPPUNIT_TEST(anEngineThatServesOnWithoutEntryIsNotGone);
+    CPPUNIT_TEST(anEngineWithoutEntryMayBeSilentForTwoSeconds);
     CPPUNIT_TEST(anEngineThatStartedAnewIsGone);
     CPPUNIT_TEST(anEngineWithAnEntryIsGoneOnlyIfAnotherVmSaysSo);
     CPPUNIT_TEST(awaitedAndSuspectedEnginesAreProbed);
@@ -77,8 +78,17 @@
         CPPUNIT_ASSERT(reason(EntryState::Removed) == EndReason::None);
     }
 
+    auto anEngineWithoutEntryMayBeSilentForTwoSeconds() -> void
+    {
+        leaveUnanswered();
+        after(seconds(2));
+        CPPUNIT_ASSERT(reason(EntryState::Removed) == EndReason::None);
+    }
+
     auto anEngineThatStartedAnewIsGone() -> void
     {
+        after(UpstreamSilence::ReplacedAfter - milliseconds(1));
+        CPPUNIT_ASSERT(reason(EntryState::Replaced) == EndReason::None);
         after(seconds(2));
         m_silence.onHeard("e", m_now); // the new process answers
         CPPUNIT_ASSERT(reason(EntryState::Replaced) == EndReason::Replaced);
