Check an upstream's state where a request is sent to it

Callers' streams broke off without any failure: their decode engine had reported that it drains, and exited while it served them.

The state of an engine was checked only when it was chosen. Before the call, only what the engine had announced in its own responses was.

A stream that it stops goes to another decode engine with its KV cache while that lives; else it is placed again, waits, or is refused before its first event.

--- a/include/currantstack/decisions/exclusion_list.h
+++ b/include/currantstack/decisions/exclusion_list.h
@@ -86,6 +86,9 @@
     /// the entry has the new role. Draining notices count only if the store is unreachable, as its entries are more recent.
     auto contains(std::string_view upstream, EngineRole registeredRole, bool storeUnreachable, TimePoint now) const -> bool;
 
+    /// Returns whether a VM has announced that the upstream drains.
+    auto isAnnouncedDraining(std::string_view upstream, TimePoint now) const -> bool;
+
     /// Returns whether the upstream refused as full and still has at least as many requests in flight.
     auto isFull(std::string_view upstream, int requests, TimePoint now) const -> bool;
 
--- a/src/decisions/exclusion_list.cc
+++ b/src/decisions/exclusion_list.cc
@@ -123,6 +123,12 @@
     return storeUnreachable;
 }
 
+auto ExclusionList::isAnnouncedDraining(std::string_view upstream, TimePoint now) const -> bool
+{
+    const auto found = m_exclusions.find(upstream);
+    return found != m_exclusions.end() && found->second.reason == ExclusionReason::Draining && now < found->second.until;
+}
+
 auto ExclusionList::hasObservedOutdated(std::string_view upstream, TimePoint now) const -> bool
 {
     const auto found = m_exclusions.find(upstream);
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -3,6 +3,7 @@
 #include "currantstack/decisions/service_placement.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/notice_observer.h"
+#include "currantstack/edge/send_check.h"
 #include "currantstack/edge/upstream_links.h"
 #include "relayed_request.h"
 
@@ -113,7 +114,7 @@
     auto &limiter = m_context.rateLimiter;
     std::vector<ServiceView> result;
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
-        if (!mayGetRequest(m_context, *upstream) || !limiter.mayAdmit(upstream->id, now)
+        if (sendBlockOf(m_context, *upstream) != SendBlock::None || !limiter.mayAdmit(upstream->id, now)
             || (!withLimited && limiter.limitOf(upstream->id))) {
             continue;
         }
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -1,4 +1,5 @@
 // Choice of the engines that run a stream's prefill and decode, and admission control by expected latency.
+#include "currantstack/edge/send_check.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -192,7 +193,7 @@
 auto StreamRequest::execute(bool separatePrefill) -> void
 {
     const bool startsPrefill = separatePrefill && m_kvSource.empty();
-    if (!mayGetRequest(m_context, m_decodeEngine) || (startsPrefill && !mayGetRequest(m_context, m_prefillEngine))) {
+    if (!maySendTo(m_decodeEngine, "decode") || (startsPrefill && !maySendTo(m_prefillEngine, "prefill"))) {
         placeAgain();
     } else if (startsPrefill) {
         startPrefill();
@@ -201,6 +202,12 @@
     }
 }
 
+/// Returns whether an engine of the plan may still get a call; a reservation or a prefill may have taken seconds since.
+auto StreamRequest::maySendTo(const Upstream &engine, std::string_view way) -> bool
+{
+    return maySend(m_context, m_request, engine, way, m_plannedAt);
+}
+
 /// Replaces a plan whose engines take no requests any more, with the prefilled KV cache if there is one.
 auto StreamRequest::placeAgain() -> void
 {
@@ -350,6 +357,7 @@
 {
     const auto &shape = m_request.metadata.shape;
     const auto kvTokens = m_context.speedsOf(m_request.service).expectedKvTokens(shape);
+    m_plannedAt = m_context.clock.now();
     setClaim(m_decodeClaim, m_decodeEngine, workOf(withPrefill ? shape.promptTokens : 0, kvTokens));
 }
 
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -60,6 +60,7 @@
     auto tryPlace(bool isTurn) -> bool;
     auto place(const StreamPlan &plan) -> void;
     auto execute(bool separatePrefill) -> void;
+    auto maySendTo(const Upstream &engine, std::string_view way) -> bool;
     auto placeAgain() -> void;
     auto firstEventLimit() const -> Duration;
     auto isTooLarge() const -> bool;
@@ -159,6 +160,7 @@
     HttpClient::CallId m_decodeCall = 0;
     TimePoint m_prefilledAt; // when `m_handle` was received
     TimePoint m_sentAt; // of the call in flight
+    TimePoint m_plannedAt; // when the decode engine was chosen
     TimePoint m_decodeStartedAt; // of the first decode call
 
     EventSplitter m_splitter;
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -20,6 +20,10 @@
 
 auto StreamRequest::reserve(const StreamPlan &plan) -> void
 {
+    if (!maySendTo(m_decodeEngine, "reservation")) {
+        placeAgain();
+        return;
+    }
     const auto *service = m_request.routeTable->service(m_request.service);
     // An engine in need gets no calls besides the request itself.
     if (service->engine->reservationLifetime == Duration::zero() || m_context.rateLimiter.limitOf(m_decodeEngine.id)) {
