Merge the gate before each send

An upstream's state is checked where a request is sent. The successor of a stalled stream passes the same gate when it has granted a reservation.

--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -68,6 +68,7 @@
     auto tryPlace(bool isTurn) -> bool;
     auto place(const StreamPlan &plan) -> void;
     auto execute(bool separatePrefill) -> void;
+    auto maySendTo(const Upstream &engine, std::string_view way) -> bool;
     auto placeAgain() -> void;
     auto firstEventLimit() const -> Duration;
     auto isTooLarge() const -> bool;
@@ -142,7 +143,6 @@
     // stream_resumption.cc
     auto isVersionCertain() const -> bool;
     auto hasOtherEngine() const -> bool;
-    auto isUsable(const Upstream &engine) const -> bool;
     auto planResumption() const -> std::optional<StreamPlan>;
     auto resumptionState(bool hasCapacity) const -> ResumptionState;
     auto onStall() -> void;
@@ -198,6 +198,7 @@
     HttpClient::CallId m_decodeCall = 0;
     TimePoint m_prefilledAt; // when `m_handle` was received
     TimePoint m_sentAt; // of the call in flight
+    TimePoint m_plannedAt; // when the decode engine was chosen
     TimePoint m_decodeStartedAt; // of the first decode call
 
     EventSplitter m_splitter;
@@ -223,6 +224,7 @@
     std::string m_breakReason;
     AttemptOutcome m_brokenOutcome = AttemptOutcome::Unknown; // of the last call
     Duration m_successorFirstEvent = Duration::zero(); // expected
+    TimePoint m_successorChosenAt;
     int m_eventsAtStall = 0;
     int m_reservationsTried = 0; // since the last stall
     bool m_waitsToResume = false;
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -20,6 +20,10 @@
 
 auto StreamRequest::takesReservations(const Upstream &engine) const -> bool
 {
+    if (!maySendTo(m_decodeEngine, "reservation")) {
+        placeAgain();
+        return;
+    }
     const auto *service = m_request.routeTable->service(m_request.service);
     // An engine in need gets no calls besides the request itself.
     return service->engine->reservationLifetime > Duration::zero() && !m_context.rateLimiter.limitOf(engine.id);
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -1,4 +1,5 @@
 // A stream that goes on at another engine: its open call is given up only once the other engine has reserved capacity for it.
+#include "currantstack/edge/send_check.h"
 #include "currantstack/edge/upstream_links.h"
 #include "relayed_request.h"
 #include "stream_request.h"
@@ -48,13 +49,6 @@
     });
 }
 
-/// Returns whether the engine still takes requests since it was chosen.
-auto StreamRequest::isUsable(const Upstream &engine) const -> bool
-{
-    const auto *entry = m_context.directory.find(engine.id);
-    return entry != nullptr && !entry->draining && entry->startedAtMs == engine.startedAtMs && mayGetRequest(m_context, engine);
-}
-
 auto StreamRequest::resumptionState(bool hasCapacity) const -> ResumptionState
 {
     const auto now = m_context.clock.now();
@@ -211,6 +205,7 @@
 {
     m_successor = *plan.decode;
     m_successorFirstEvent = plan.timeToFirstToken;
+    m_successorChosenAt = m_context.clock.now();
     m_eventsAtStall = m_events;
     ++m_reservationsTried;
     setClaim(m_successorClaim, m_successor, decodeWork(true));
@@ -247,7 +242,7 @@
         dropSuccessor(*reserved);
         return;
     }
-    const auto state = resumptionState(isUsable(m_successor));
+    const auto state = resumptionState(maySend(m_context, m_request, m_successor, "decode", m_successorChosenAt));
     if (nextStep(state) != ResumptionStep::Reserve) {
         dropSuccessor(*reserved);
         resume(m_breakReason);
