--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -20,10 +20,6 @@
 
 auto StreamRequest::takesReservations(const Upstream &engine) const -> bool
 {
-    if (!maySendTo(m_decodeEngine, "reservation")) {
-        placeAgain();
-        return;
-    }
     const auto *service = m_request.routeTable->service(m_request.service);
     // An engine in need gets no calls besides the request itself.
     return service->engine->reservationLifetime > Duration::zero() && !m_context.rateLimiter.limitOf(engine.id);
@@ -61,6 +57,10 @@
 
 auto StreamRequest::reserve(const StreamPlan &plan) -> void
 {
+    if (!maySendTo(m_decodeEngine, "reservation")) {
+        placeAgain();
+        return;
+    }
     if (!takesReservations(m_decodeEngine)) {
         execute(plan.prefill != nullptr);
         return;
