Soak: silences in series, callers that keep their connections, and requests without an answer

The soak could not show a request that is lost beside silence and changes: upstreams fell silent once for at most 1.5 s, its callers opened a connection for each request and left a VM that drained, and a request without an answer counted only in runs with planned work.

Upstreams now fall silent for 0.8 to 2 s in series, beside changes of the configuration, SIGHUP and restarts that overlap one another and the other faults. Half as many callers again send on connections that they keep until the VM closes them or its process is gone.

Checks that changed: a refusal of a request that ran is a violation for every kind, not only for those that run at most once; a run that repeats counts for all requests, those without an answer included.

--- a/test/edge/links.py
+++ b/test/edge/links.py
@@ -25,7 +25,8 @@
     def __init__(self, server):
         self.mode, self.server_is_up, self.blockers = "", True, []
         super().__init__(0, server.port)
-        server.on_listening.append(self.follow)
+        self.upstream_hooks = server.on_listening
+        self.upstream_hooks.append(self.follow)
 
     def set_mode(self, mode):
         self.mode = mode
@@ -82,6 +83,7 @@
         await super()._accept(reader, writer)
 
     def close(self):
+        self.upstream_hooks.remove(self.follow)
         Relay._loop.call_soon_threadsafe(self._stop_listening)
         self.reset()
 
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -2,9 +2,10 @@
 """Randomized fault soak of currant-edge: real processes, stand-ins and relays on loopback. The guarantees to callers and upstreams are
 checked against the responses that callers received and the runs that upstreams recorded.
 
-Usage: soak.py [--seed N] [--seconds S] [--count N] [--vms N] [--faults NAME ...] [--releases]
+Usage: soak.py [--seed N] [--seconds S] [--count N] [--vms N] [--clients N] [--faults NAME ...] [--releases]
 
 Makes `count` runs with consecutive seeds. The last line is "N passed, N failed"; the log folder of a failed run is kept and printed.
+`clients` is the number of callers with new connections for each VM; half as many keep theirs until the process is gone.
 With --releases each start of a VM draws its build, the current or the released one.
 """
 
@@ -20,6 +21,7 @@
 from limit_tests import CONTACT_S, excess
 from restore_tests import restore
 from rig import PROGRAM, RELEASED, Rig
+from soak_callers import CALLER_LIMIT_S, DEADLINE_S, Impairments, call_on_kept_connections, reaches_deadline, unexcused
 from version_tests import Stream
 
 from links import MODES  # noqa: E402
@@ -27,11 +29,14 @@
 DRAIN_LIMIT_S = 2.5  # a draining upstream gets no new requests after this time
 RECOVERY_LIMIT_S = 12.0  # from the last fault until all VMs serve every kind of request
 FAULTS = ("kill", "freeze", "store", "relay", "restart_engine", "crash", "engines", "services", "compact", "limit", "return", "stranded",
-          "silent")
+          "silent", "series")
 KINDS = ("book", "check", "stream", "digest")
 AT_MOST_ONCE = ("book", "digest")
 POISON_SHARE = 0.01  # of the requests
 SOFTWARE_VERSIONS = ("v1", "v2")
+SILENCE_S = (0.8, 2.0)  # of sound upstreams
+SERIES_ROUNDS = 3
+START_S = 0.2  # of a process, until it handles signals
 RETURN_SHARE = 0.3  # of the streams whose callers close the connection and come back
 DELIVERY_S = 0.5  # from the end of a cut until what was sent before has arrived
 MAX_ATTEMPTS = 4  # of one returning caller
@@ -45,9 +50,11 @@
         super().__init__(vms=vms, seed=seed, grace=6, prefill=2, decode=3, services=3)
         self.seed, self.random, self.faults = seed, random.Random(seed), faults
         self.programs, self.program_draw = programs, random.Random(seed)  # the faults of a seed do not depend on the builds
-        # Every third run makes only planned changes, during which no request may be interrupted.
+        # Every third run makes only planned changes beside silent upstreams, during which no request may be interrupted.
         self.planned_only = seed % 3 == 0
         self.relay_of, self.responses, self.interrupted, self.drains = {}, [], [], {}
+        self.cut, self.impairments = [], Impairments()  # all requests without an answer
+        self.starting = asyncio.Lock()
         self.store_faults, self.stopping = False, False
         self.delayed = []  # times in which requests that were sent earlier may arrive at an upstream: its id, begin, end
         self.poison = set()  # ids of the requests that crash the services that run them
@@ -85,10 +92,12 @@
                 kind, path = "check", "poison"
                 self.poison.add(request)
             try:
-                _, status, headers, body = await self.send(kind, vm, request, deadline=4000, limit=9, path=path)
+                _, status, headers, body = await self.send(kind, vm, request, deadline=int(1000 * DEADLINE_S), limit=CALLER_LIMIT_S, path=path)
                 self.responses.append((request, kind, status, headers, body, begin))
             except (EOFError, OSError, asyncio.TimeoutError) as error:
-                self.interrupted.append((request, kind, vm.name, begin, repr(error)))
+                if not reaches_deadline(kind, begin, time.monotonic()):
+                    self.interrupted.append((request, kind, vm.name, begin, repr(error)))
+                self.cut.append((request, kind, vm.name, begin, time.monotonic(), repr(error)))
 
     async def call_and_return(self, vm):
         """A caller that closes its connection after some events, or loses it, and continues the stream at any VM."""
@@ -142,13 +151,34 @@
             await engine.restart(self.random.choice(SOFTWARE_VERSIONS))
 
     async def restart_vm(self, vm):
-        vm.draining = True  # callers send it no new requests
+        if sum(getattr(each, "draining", 0) for each in self.vms) >= max(1, len(self.vms) // 4):
+            return
+        vm.draining = True  # callers with new connections send it no new requests
         vm.signal(signal.SIGTERM)
         await asyncio.wait_for(vm.process.wait(), 10)
-        await vm.start()
+        await self.start_vm(vm)
         await vm.wait_until_ready()
         vm.draining = False
 
+    async def start_vm(self, vm):
+        async with self.starting:
+            if vm.process.returncode is not None:
+                await vm.start()
+
+    async def make_series(self, rounds):
+        """Lets upstreams fall silent one time after the other, while the configuration changes and VMs reload and restart."""
+        restarts = []
+        for _ in range(rounds):
+            for upstream in self.choose_upstreams():
+                upstream.fall_silent(self.random.uniform(*SILENCE_S))
+            self.fleet.configure()
+            started = [vm for vm in self.vms if time.monotonic() - vm.started_at > START_S]
+            self.random.choice(started or self.vms).signal(signal.SIGHUP)
+            if self.random.random() < 0.5:
+                restarts.append(asyncio.create_task(self.restart_vm(self.random.choice(self.vms))))
+            await asyncio.sleep(self.random.uniform(0.5, 2))
+        await asyncio.gather(*restarts)
+
     async def replace_service(self, service):
         service.drain()
         self.drains[service.id] = (time.monotonic(), self.store_faults)
@@ -159,21 +189,27 @@
         fault = self.random.choice(self.faults)
         vm, duration_s = self.random.choice(self.vms), self.random.uniform(0.5, 3)
         if fault == "kill":
-            vm.signal(signal.SIGKILL)
-            await vm.process.wait()
-            await vm.start()
+            with self.impairments.of(vm.name):
+                vm.signal(signal.SIGKILL)
+                await vm.process.wait()
+                await self.start_vm(vm)
         elif fault == "freeze":
-            vm.signal(signal.SIGSTOP)
-            await asyncio.sleep(duration_s)
-            vm.signal(signal.SIGCONT)
+            with self.impairments.of(vm.name):
+                vm.signal(signal.SIGSTOP)
+                await asyncio.sleep(duration_s)
+                vm.signal(signal.SIGCONT)
         elif fault == "store":
             await self.inject_store_fault(duration_s)
         elif fault == "relay":
             await self.inject_relay_fault(self.relay_of[vm.name], duration_s)
         elif fault == "restart_engine":
-            await self.random.choice(self.fleet.engines).restart(self.random.choice(SOFTWARE_VERSIONS))
+            engine = self.random.choice(self.fleet.engines)
+            with self.impairments.of(engine.id):
+                await engine.restart(self.random.choice(SOFTWARE_VERSIONS))
         elif fault == "crash":
-            self.random.choice(self.fleet.upstreams).crash_and_restart()
+            upstream = self.random.choice(self.fleet.upstreams)
+            with self.impairments.of(upstream.id):
+                upstream.crash_and_restart()
         elif fault == "compact":
             self.fleet.store.compact()
         elif fault == "limit":
@@ -184,7 +220,9 @@
             await self.strand_vms()
         elif fault == "silent":
             for upstream in self.choose_upstreams():
-                upstream.fall_silent(self.random.uniform(1.0, 1.5))
+                upstream.fall_silent(self.random.uniform(*SILENCE_S))
+        elif fault == "series":
+            await self.make_series(SERIES_ROUNDS)
         else:
             await self.inject_upstream_faults(self.fleet.services if fault == "services" else self.fleet.engines, duration_s)
 
@@ -196,11 +234,12 @@
         """Cuts some or all VMs off from some or all upstreams and heals them."""
         vms = self.random.sample(self.vms, self.random.randint(1, len(self.vms)))
         mode, upstreams, begin = self.random.choice(list(MODES)), self.choose_upstreams(), time.monotonic()
-        for vm in vms:
-            self.links.cut(vm, mode, upstreams)
-        await asyncio.sleep(self.random.uniform(1, 4))
-        for vm in vms:
-            self.links.heal(vm)
+        with self.impairments.of(*(vm.name for vm in vms)):
+            for vm in vms:
+                self.links.cut(vm, mode, upstreams)
+            await asyncio.sleep(self.random.uniform(1, 4))
+            for vm in vms:
+                self.links.heal(vm)
         if mode == "hang":
             self.delayed += [(upstream.id, begin, time.monotonic() + DELIVERY_S) for upstream in upstreams]
 
@@ -246,19 +285,22 @@
     async def inject_upstream_faults(self, upstreams, duration_s):
         fault = self.random.choice(("torn", "stall", "shed", "hang", "lost", "half_head", "error", "foreign", "surplus"))
         chosen = self.random.sample(upstreams, 1 + len(upstreams) // 3)
-        for upstream in chosen:
-            upstream.fault, upstream.fault_share = fault, self.random.uniform(0.1, 0.6)
-        await asyncio.sleep(duration_s)
-        for upstream in chosen:
-            upstream.fault = ""
+        with self.impairments.of(*(upstream.id for upstream in chosen)):
+            for upstream in chosen:
+                upstream.fault, upstream.fault_share = fault, self.random.uniform(0.1, 0.6)
+            await asyncio.sleep(duration_s)
+            for upstream in chosen:
+                upstream.fault = ""
 
     async def run_changes_and_faults(self, seconds):
         end, tasks = time.monotonic() + seconds, []
+        if self.planned_only:
+            tasks.append(asyncio.create_task(self.make_series(max(1, int(seconds / 2)))))
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
             planned = self.planned_only or self.random.random() < 0.4
             if planned:
-                await self.make_planned_change()  # planned changes never overlap
+                await self.make_planned_change()  # these overlap the series of silences, not one another
             else:
                 tasks.append(asyncio.create_task(self.inject_fault()))  # faults do
         await asyncio.gather(*tasks)
@@ -268,10 +310,10 @@
     def check(self):
         """Returns the violations that were found, one line each."""
         return [*self.check_runs(), *self.check_responses(), *self.check_returns(), *self.check_quarantine(), *self.check_drains(), *self.check_planned_changes(),
-                *excess(self)]
+                *self.check_answers(), *excess(self)]
 
     def check_runs(self):
-        kinds = {request: kind for request, kind, *_ in [*self.responses, *self.interrupted]}
+        kinds = {request: kind for request, kind, *_ in [*self.responses, *self.cut]}
         runs = {}
         for entry in self.fleet.history:
             if entry["event"] == "run":
@@ -282,7 +324,7 @@
             if kinds.get(request) in AT_MOST_ONCE and len(entries) > 1:
                 yield f"{request} ({kinds[request]}) ran {len(entries)} times"
         for request, kind, status, *_ in self.responses:
-            if status in (503, 429, 408, 421) and kind in AT_MOST_ONCE and request in runs:
+            if status in (503, 429, 408, 421) and request in runs:
                 yield f"{request} ({kind}) was refused with {status}, but ran"
 
     def check_responses(self):
@@ -328,6 +370,10 @@
             for request, kind, vm, begin, error in self.interrupted:
                 yield f"{request} ({kind}) at {vm} was interrupted by a planned change: {error}"
 
+    def check_answers(self):
+        if self.programs == (PROGRAM,):  # the released build has faults that are known
+            yield from unexcused(self)
+
     async def recover(self):
         """Returns whether all VMs serve every kind of request within the limit."""
         end = time.monotonic() + RECOVERY_LIMIT_S
@@ -344,16 +390,17 @@
         return False
 
 
-async def run_seed(seed, seconds, vms, faults, programs):
+async def run_seed(seed, seconds, vms, clients, faults, programs):
     async with Soak(seed, vms, faults, programs) as soak:
-        callers = [asyncio.create_task(soak.caller()) for _ in range(4 * vms)]
+        callers = [asyncio.create_task(soak.caller()) for _ in range(clients * vms)]
+        callers += [asyncio.create_task(call_on_kept_connections(soak, KINDS)) for _ in range(clients * vms // 2)]
         await soak.run_changes_and_faults(seconds)
         soak.stopping = True
         await asyncio.gather(*callers)
         violations = [] if await soak.recover() else [f"not every VM serves requests {RECOVERY_LIMIT_S} s after the last fault"]
         violations += soak.check()
         served = sum(status == 200 for _, _, status, *_ in soak.responses)
-        print(f"seed {seed}: {len(soak.responses)} responses, {served} served, {len(soak.interrupted)} interrupted, "
+        print(f"seed {seed}: {len(soak.responses)} responses, {served} served, {len(soak.cut)} without an answer, "
               f"{sum(len(stream.numbers) == stream.EVENTS for stream in soak.returning)} of {len(soak.returning)} returning streams complete, "
               f"{len(violations)} violations",
               flush=True)
@@ -372,6 +419,7 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--vms", type=int, default=3)
+    parser.add_argument("--clients", type=int, default=4)
     parser.add_argument("--faults", nargs="+", choices=FAULTS, default=FAULTS)
     parser.add_argument("--releases", action="store_true")
     arguments = parser.parse_args()
@@ -380,7 +428,7 @@
         return
     programs = (PROGRAM, RELEASED) if arguments.releases else (PROGRAM,)
     seeds = range(arguments.seed, arguments.seed + arguments.count)
-    passed = sum(asyncio.run(run_seed(seed, arguments.seconds, arguments.vms, arguments.faults, programs)) for seed in seeds)
+    passed = sum(asyncio.run(run_seed(seed, arguments.seconds, arguments.vms, arguments.clients, arguments.faults, programs)) for seed in seeds)
     print(f"{passed} passed, {arguments.count - passed} failed")
     sys.exit(0 if passed == arguments.count else 1)
 
