Resume a watch that the store cuts instead of taking it for an outage

Callers' streams broke off: within 2.5 s after the store had cut watches, an engine left without a report, and VMs that heard of its removal went on using it for 2 s.

StoreFollower took each ended watch for an outage of the store, after which entries that vanish may merely have expired.

planResumption tells four cases apart: a watch that was cut is resumed from its position; one whose history is gone is replaced by a read; a store that is away, or turns this VM away, is read when it answers, and only then do entries that vanish stay in use as before. A cut counts as an outage if other calls of this VM failed since the watch was last answered, or if the resumed watch gets no answer. The first poll of a watch does not wait, so that what was missed arrives at once and the store shows that it answers; a series of cuts backs off up to 0.85 s.

PollPause stays: 0.6 s after another change, or 0.85 s after a cut, a VM knows of a removal, and it checks the state again before each call.

Logs: watch_cut, watch_resumed, the cause in store_lost, store_back_ms in upstream_lapsed.

The stand-in of the store can cut watches for these tests.

--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -6,17 +6,20 @@
 #include "currantstack/placement.h"
 #include "currantstack/store.h"
 
+#include <optional>
+
 namespace currantstack
 {
 
-/// Reads all keys under a prefix, then watches it; reads all keys again after any interruption of the watch.
+/// Reads all keys under a prefix, then watches it. A watch that is cut is resumed from its position; after other interruptions, all keys
+/// are read again.
 class StoreFollower
 {
 public:
     /// What happened before a read of all keys.
     struct Interruption
     {
-        bool wasUnreachable = false;
+        bool wasUnreachable = false; // for this VM, so that entries may have expired meanwhile
         bool returnedFromCopy = false; // keys may be older than what was observed before, or lost
     };
 
@@ -34,6 +37,7 @@
     StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks);
 
     static constexpr Duration LagTolerance = milliseconds(500); // a watch event in flight arrives within this time
+    static constexpr Duration CalmWatchTime = seconds(5); // a watch that is cut later is resumed without back-off
 
     auto start() -> void;
 
@@ -69,7 +73,10 @@
     auto onRead(Result<StoreRange> range) -> void;
     auto watch() -> void;
     auto restartLaggingWatch() -> void;
+    auto resume() -> void;
+    auto onWatchEvents(std::span<const StoreEvent> events, std::int64_t revision) -> void;
     auto onWatchEnded(const Error &error) -> void;
+    auto resumeLater(const Error &error) -> void;
     auto retry(const Error &error) -> void;
 
     Loop &m_loop;
@@ -81,6 +88,7 @@
     Hooks m_hooks;
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_lagTimer;
+    std::unique_ptr<Timer> m_resumeTimer;
     std::int64_t m_currentRevision = 0; // all changes up to this revision have been observed
     std::int64_t m_lastChangeRevision = 0;
     std::int64_t m_peerRevision = 0; // highest revision of a change that another VM has observed
@@ -88,6 +96,10 @@
     std::function<void()> m_cancelWatch;
     TimePoint m_lastAnswerAt;
     TimePoint m_unreachableSince;
+    TimePoint m_watchedSince; // begin of the watch, or of the one before the last cut
+    std::optional<TimePoint> m_cutAt; // set until the resumed watch is answered
+    int m_cuts = 0; // in a row, of watches that were cut soon
+    std::int64_t m_failedCalls = 0; // of the store, when it last answered the watch
     int m_failures = 0;
     bool m_unreachable = false;
     bool m_stopped = false;
--- a/include/currantstack/error.h
+++ b/include/currantstack/error.h
@@ -41,6 +41,7 @@
     std::string message;
     bool connectionRefused = false; // the peer's host is up, but nothing listens on the port
     bool connectionClosed = false; // the peer closed or reset the connection before the response was complete
+    bool turnedAway = false; // the peer answered that it serves this caller no calls now
 };
 
 template<typename T>
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -81,6 +81,12 @@
         read(prefix, false, std::move(done));
     }
 
+    /// Returns how many calls besides watches the store has left unanswered or turned away so far.
+    virtual auto failedCalls() const -> std::int64_t
+    {
+        return 0;
+    }
+
     /// Sets how long one poll of a long-polling watch waits for a change. No effect on stores with streaming watches.
     virtual auto setPollWait(Duration /*wait*/) -> void
     { }
@@ -94,7 +100,8 @@
     virtual auto grantLease(seconds ttl, std::function<void(Result<std::int64_t>)> done) -> void = 0;
     virtual auto renewLease(std::int64_t lease, std::function<void(Result<bool>)> done) -> void = 0;
 
-    /// Watches the keys of a prefix from the revision on. `onEvents` receives changes in order; `onEnd` runs when the watch fails.
+    /// Watches the keys of a prefix from the revision on. `onEvents` receives changes in order; `onEnd` runs when the watch fails. A
+    /// long-polling store runs `onEvents` at once also if nothing has changed, which shows that it answers.
     /// Returns a function that cancels the watch without running `onEnd`.
     virtual auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
         -> std::function<void()> = 0;
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -234,8 +234,11 @@
         removeLimit(*entry);
     }
     const auto change = m_context.directory.remove(id, mayHaveExpired, m_context.clock.now());
-    m_context.log.write("directory", mayHaveExpired ? "upstream_lapsed" : "upstream_changed",
-                        {{"upstream", excerpt(id)}, {"change", name(change)}});
+    LogFields fields = {{"upstream", excerpt(id)}, {"change", name(change)}};
+    if (mayHaveExpired) {
+        fields["store_back_ms"] = toMilliseconds(m_context.clock.now() - m_reachableSince);
+    }
+    m_context.log.write("directory", mayHaveExpired ? "upstream_lapsed" : "upstream_changed", std::move(fields));
     m_context.counters.at("upstreams_known").set(static_cast<std::int64_t>(m_context.directory.size()));
     return change;
 }
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/store_follower.h"
 
 #include "currantstack/decisions/store_history.h"
+#include "currantstack/decisions/watch_end.h"
 #include "currantstack/retry.h"
 
 namespace currantstack
@@ -16,6 +17,7 @@
     , m_hooks(std::move(hooks))
     , m_timer(loop.timer([this]() { read(); }))
     , m_lagTimer(loop.timer([this]() { restartLaggingWatch(); }))
+    , m_resumeTimer(loop.timer([this]() { resume(); }))
     , m_lastAnswerAt(clock.now())
 { }
 
@@ -30,6 +32,7 @@
     *m_alive = false;
     m_timer->stop();
     m_lagTimer->stop();
+    m_resumeTimer->stop();
     if (m_cancelWatch) {
         std::exchange(m_cancelWatch, nullptr)();
     }
@@ -52,6 +55,8 @@
     }
     m_lastAnswerAt = m_clock.now();
     m_failures = 0;
+    m_failedCalls = m_store.failedCalls();
+    m_cutAt.reset();
     const bool wasUnreachable = std::exchange(m_unreachable, false);
     LogFields fields = {{"prefix", m_prefix}, {"revision", range->revision}, {"entries", range->values.size()}};
     if (wasUnreachable) {
@@ -67,6 +72,7 @@
         m_lastChangeRevision = std::max(m_lastChangeRevision, value.modRevision);
     }
     m_hooks.onSnapshot(*range, {wasUnreachable, returnedFromCopy});
+    m_watchedSince = m_lastAnswerAt;
     watch();
 }
 
@@ -75,15 +81,9 @@
     m_cancelWatch = m_store.watch(
         m_prefix, m_currentRevision + 1,
         [this, alive = m_alive](std::span<const StoreEvent> events, std::int64_t revision) {
-            if (!*alive) {
-                return;
-            }
-            m_lastAnswerAt = m_clock.now();
-            m_currentRevision = std::max(m_currentRevision, revision);
-            for (const auto &event : events) {
-                m_lastChangeRevision = std::max(m_lastChangeRevision, event.value.modRevision);
+            if (*alive) {
+                onWatchEvents(events, revision);
             }
-            m_hooks.onEvents(events);
         },
         [this, alive = m_alive](const Error &error) {
             if (*alive) {
@@ -93,6 +93,25 @@
         });
 }
 
+auto StoreFollower::onWatchEvents(std::span<const StoreEvent> events, std::int64_t revision) -> void
+{
+    m_lastAnswerAt = m_clock.now();
+    m_failedCalls = m_store.failedCalls();
+    if (const auto cutAt = std::exchange(m_cutAt, std::nullopt)) {
+        m_log.write("store", "watch_resumed",
+                    {{"prefix", m_prefix},
+                     {"current_to", m_currentRevision},
+                     {"revision", revision},
+                     {"missed", events.size()},
+                     {"gap_ms", toMilliseconds(m_lastAnswerAt - *cutAt)}});
+    }
+    m_currentRevision = std::max(m_currentRevision, revision);
+    for (const auto &event : events) {
+        m_lastChangeRevision = std::max(m_lastChangeRevision, event.value.modRevision);
+    }
+    m_hooks.onEvents(events);
+}
+
 auto StoreFollower::observeRevision(std::int64_t revision) -> void
 {
     m_peerRevision = std::max(m_peerRevision, revision);
@@ -114,21 +133,58 @@
 
 auto StoreFollower::readAgain() -> void
 {
+    const bool isReading = !m_cancelWatch && !m_cutAt;
+    if (isReading) {
+        return;
+    }
     if (m_cancelWatch) {
         std::exchange(m_cancelWatch, nullptr)();
-        read();
     }
+    m_resumeTimer->stop();
+    m_cutAt.reset();
+    read();
 }
 
 auto StoreFollower::onWatchEnded(const Error &error) -> void
 {
-    if (error.code == ErrorCode::Conflict) {
-        // The store has compacted the history that the watch needs, but is reachable: a full read follows without back-off.
-        m_log.write("store", "history_lost", {{"prefix", m_prefix}, {"error", describe(error)}});
+    const WatchEvidence evidence{!m_cutAt, m_store.failedCalls() != m_failedCalls};
+    switch (planResumption(classifyWatchEnd(error), evidence)) {
+    case WatchResumption::Resume:
+        resumeLater(error);
+        break;
+    case WatchResumption::ReadAll:
+        m_log.write("store", "history_lost", {{"prefix", m_prefix}, {"current_to", m_currentRevision}, {"error", describe(error)}});
+        m_cutAt.reset();
         read();
-        return;
+        break;
+    case WatchResumption::ReadAllOnReturn:
+        m_cutAt.reset();
+        retry(error);
+        break;
     }
-    retry(error);
+}
+
+/// Resumes a watch that was cut. The time until then stays far below that in which a change must be in force.
+auto StoreFollower::resumeLater(const Error &error) -> void
+{
+    const auto now = m_clock.now();
+    m_cuts = now - m_watchedSince >= CalmWatchTime ? 0 : m_cuts + 1;
+    const auto delay = m_cuts <= 1 ? FirstBackoff : backoff(m_cuts, FirstBackoff, LongestBackoff, m_random) + FirstBackoff;
+    m_cutAt = now;
+    m_log.write("store", "watch_cut",
+                {{"prefix", m_prefix},
+                 {"current_to", m_currentRevision},
+                 {"error", describe(error)},
+                 {"heard_ms_ago", toMilliseconds(now - m_lastAnswerAt)},
+                 {"cuts", m_cuts},
+                 {"resume_in_ms", toMilliseconds(delay)}});
+    m_resumeTimer->startOnce(delay);
+}
+
+auto StoreFollower::resume() -> void
+{
+    m_watchedSince = m_clock.now();
+    watch();
 }
 
 auto StoreFollower::retry(const Error &error) -> void
@@ -136,9 +192,11 @@
     if (!std::exchange(m_unreachable, true)) {
         m_unreachableSince = m_clock.now();
         m_hooks.onUnreachable();
-        m_log.write(
-            "store", "store_lost",
-            {{"prefix", m_prefix}, {"error", describe(error)}, {"heard_ms_ago", toMilliseconds(m_unreachableSince - m_lastAnswerAt)}});
+        m_log.write("store", "store_lost",
+                    {{"prefix", m_prefix},
+                     {"cause", name(classifyWatchEnd(error))},
+                     {"error", describe(error)},
+                     {"heard_ms_ago", toMilliseconds(m_unreachableSince - m_lastAnswerAt)}});
     }
     m_timer->startOnce(m_failures == 0 ? FirstBackoff : backoff(m_failures, FirstBackoff, LongestBackoff, m_random) + FirstBackoff);
     ++m_failures;
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -28,6 +28,7 @@
         self.random = random.Random(seed)
         # Modes besides "up": "silent" never answers, "busy" answers 503, "many" answers 429, and "reset" resets connections.
         self.mode, self.delay_s, self.lost_reply_share = "up", 0.002, 0.0
+        self.cut_watches_after_s = None  # if set, the connection of each watch that waits is closed after this time
         self.blocked_ips = set()  # callers that never get an answer
         self.hidden_prefix = ""  # if set, reads and watches leave out the keys that begin with it, as a store that has lost them does
 
@@ -153,7 +154,8 @@
 
     async def watch(self, request):
         prefix, after = unquote(request.query["prefix"]), int(request.query["after"])
-        end = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        begin = asyncio.get_running_loop().time()
+        end = begin + int(request.query["wait_ms"]) / 1000
         if after < self.compacted_revision or after > self.revision:
             return response(410)
         while True:  # a poll that is already waiting reports only at its end that the history was compacted
@@ -164,8 +166,11 @@
                 return response(410)
             if events or left <= 0 or self.mode != "up":
                 return response(200 if self.mode == "up" else 503, body={"events": events, "as_of": self.revision})
+            cut_after_s = self.cut_watches_after_s
+            if cut_after_s is not None and asyncio.get_running_loop().time() - begin >= cut_after_s:
+                return None
             try:
-                await asyncio.wait_for(self.change_event.wait(), min(left, 0.2))
+                await asyncio.wait_for(self.change_event.wait(), min(left, 0.2 if cut_after_s is None else 0.02))
             except asyncio.TimeoutError:
                 pass
 
--- /dev/null
+++ b/test/store_follower-test.cc
@@ -0,0 +1,226 @@
+#include "currantstack/edge/store_follower.h"
+
+#include "check.h"
+#include "watch_errors.h"
+
+using namespace currantstack;
+
+namespace
+{
+
+/// A store whose calls the test answers. Reads are answered at once unless `readError` is set.
+class ScriptedStore : public Store
+{
+public:
+    auto read(std::string_view /*key*/, bool /*exact*/, std::function<void(Result<StoreRange>)> done) -> void override
+    {
+        ++reads;
+        if (readError) {
+            done(tl::unexpected(*readError));
+        } else {
+            done(StoreRange{revision, {}});
+        }
+    }
+
+    auto commit(StoreTransaction /*transaction*/, std::function<void(Result<StoreOutcome>)> /*done*/) -> void override
+    { }
+
+    auto grantLease(seconds /*ttl*/, std::function<void(Result<std::int64_t>)> /*done*/) -> void override
+    { }
+
+    auto renewLease(std::int64_t /*lease*/, std::function<void(Result<bool>)> /*done*/) -> void override
+    { }
+
+    auto failedCalls() const -> std::int64_t override
+    {
+        return failed;
+    }
+
+    auto watch(std::string_view /*prefix*/, std::int64_t fromRevision, WatchHook events, std::function<void(Error)> end)
+        -> std::function<void()> override
+    {
+        watchedFrom.push_back(fromRevision);
+        onEvents = std::move(events);
+        onEnd = std::move(end);
+        return []() {};
+    }
+
+    /// Ends the watch in flight.
+    auto end(const Error &error) -> void
+    {
+        std::exchange(onEnd, nullptr)(error);
+    }
+
+    int reads = 0;
+    std::int64_t revision = 10;
+    std::int64_t failed = 0;
+    std::optional<Error> readError;
+    std::vector<std::int64_t> watchedFrom;
+    WatchHook onEvents;
+    std::function<void(Error)> onEnd;
+};
+
+} // namespace
+
+class StoreFollowerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreFollowerTest);
+    CPPUNIT_TEST(aCutWatchIsResumedFromItsPosition);
+    CPPUNIT_TEST(aSeriesOfCutsBacksOff);
+    CPPUNIT_TEST(lostHistoryIsReadAgainWithoutAnOutage);
+    CPPUNIT_TEST(aStoreThatIsAwayIsReadWhenItReturns);
+    CPPUNIT_TEST(aStoreThatTurnsThisVmAwayIsReadWhenItServesAgain);
+    CPPUNIT_TEST(aCutOfAnUnansweredWatchIsAnOutage);
+    CPPUNIT_TEST(aCutAfterOtherCallsFailedIsAnOutage);
+    CPPUNIT_TEST(aReadReplacesAResumptionThatIsPending);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Duration Patience = StoreFollower::LongestBackoff + StoreFollower::FirstBackoff + milliseconds(200);
+
+    SystemClock m_clock;
+    Loop m_loop;
+    Random m_random{1};
+    std::string m_lines;
+    EventLog m_log{m_clock, "vm", [this](std::string_view bytes) {
+                       m_lines += bytes;
+                       return bytes.size();
+                   }};
+    ScriptedStore m_store;
+    std::vector<StoreFollower::Interruption> m_snapshots;
+    int m_outages = 0;
+    std::size_t m_events = 0;
+    std::unique_ptr<StoreFollower> m_follower;
+
+    /// Runs the loop until the condition holds, or for `Patience`.
+    auto runUntil(const std::function<bool()> &condition) -> bool
+    {
+        const auto end = m_clock.now() + Patience;
+        while (!condition() && m_clock.now() < end) {
+            m_loop.after(milliseconds(5), [this]() { m_loop.stop(); });
+            m_loop.run();
+        }
+        return condition();
+    }
+
+    auto runUntilWatches(std::size_t count) -> void
+    {
+        CPPUNIT_ASSERT(runUntil([this, count]() { return m_store.watchedFrom.size() >= count; }));
+        CPPUNIT_ASSERT_EQUAL(count, m_store.watchedFrom.size());
+    }
+
+    auto hasLine(const std::string &text) -> bool
+    {
+        m_log.flush();
+        return m_lines.find(text) != std::string::npos;
+    }
+
+public:
+    auto setUp() -> void override
+    {
+        StoreFollower::Hooks hooks;
+        hooks.onSnapshot = [this](const StoreRange & /*range*/, const auto &interruption) { m_snapshots.push_back(interruption); };
+        hooks.onEvents = [this](std::span<const StoreEvent> events) { m_events += events.size(); };
+        hooks.onUnreachable = [this]() { ++m_outages; };
+        m_follower = std::make_unique<StoreFollower>(m_loop, m_clock, m_random, m_store, m_log, "servers/", std::move(hooks));
+        m_follower->start();
+        m_store.onEvents({}, 10);
+    }
+
+    auto tearDown() -> void override
+    {
+        m_follower->stop();
+    }
+
+    auto aCutWatchIsResumedFromItsPosition() -> void
+    {
+        m_store.onEvents({}, 14);
+        m_store.end(cutWatch());
+        runUntilWatches(2);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(15), m_store.watchedFrom.back());
+        const StoreEvent removal{{"servers/i-1", "", 16}, true};
+        m_store.onEvents({&removal, 1}, 16);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_events);
+        CPPUNIT_ASSERT_EQUAL(1, m_store.reads);
+        CPPUNIT_ASSERT_EQUAL(0, m_outages);
+        CPPUNIT_ASSERT(!m_follower->isUnreachable());
+        CPPUNIT_ASSERT(hasLine("\"watch_resumed\"") && !hasLine("\"store_lost\""));
+    }
+
+    auto aSeriesOfCutsBacksOff() -> void
+    {
+        const auto begin = m_clock.now();
+        for (std::size_t cuts = 1; cuts <= 8; ++cuts) {
+            m_store.end(cutWatch());
+            runUntilWatches(cuts + 1);
+            m_store.onEvents({}, 10);
+        }
+        CPPUNIT_ASSERT(m_clock.now() - begin > 12 * StoreFollower::FirstBackoff);
+        CPPUNIT_ASSERT_EQUAL(0, m_outages);
+        CPPUNIT_ASSERT_EQUAL(1, m_store.reads);
+    }
+
+    auto lostHistoryIsReadAgainWithoutAnOutage() -> void
+    {
+        m_store.end(watchError(ErrorCode::Conflict));
+        CPPUNIT_ASSERT_EQUAL(2, m_store.reads);
+        CPPUNIT_ASSERT(!m_snapshots.back().wasUnreachable);
+        CPPUNIT_ASSERT_EQUAL(0, m_outages);
+        CPPUNIT_ASSERT(hasLine("\"history_lost\""));
+    }
+
+    auto aStoreThatIsAwayIsReadWhenItReturns() -> void
+    {
+        m_store.readError = watchError(ErrorCode::Unreachable);
+        m_store.end(watchError(ErrorCode::DeadlineExceeded));
+        CPPUNIT_ASSERT_EQUAL(1, m_outages);
+        CPPUNIT_ASSERT(runUntil([this]() { return m_store.reads >= 2; }));
+        m_store.readError.reset();
+        runUntilWatches(2);
+        CPPUNIT_ASSERT(m_snapshots.back().wasUnreachable);
+        CPPUNIT_ASSERT(hasLine("\"cause\":\"no_answer\"") && hasLine("\"store_regained\""));
+    }
+
+    auto aStoreThatTurnsThisVmAwayIsReadWhenItServesAgain() -> void
+    {
+        auto turnedAway = watchError(ErrorCode::Unreachable);
+        turnedAway.turnedAway = true;
+        m_store.end(turnedAway);
+        CPPUNIT_ASSERT_EQUAL(1, m_outages);
+        runUntilWatches(2);
+        CPPUNIT_ASSERT(m_snapshots.back().wasUnreachable);
+        CPPUNIT_ASSERT(hasLine("\"cause\":\"turned_away\""));
+    }
+
+    auto aCutOfAnUnansweredWatchIsAnOutage() -> void
+    {
+        m_store.end(cutWatch());
+        runUntilWatches(2);
+        m_store.end(cutWatch());
+        CPPUNIT_ASSERT_EQUAL(1, m_outages);
+        runUntilWatches(3);
+        CPPUNIT_ASSERT(m_snapshots.back().wasUnreachable);
+    }
+
+    auto aCutAfterOtherCallsFailedIsAnOutage() -> void
+    {
+        ++m_store.failed;
+        m_store.end(cutWatch());
+        CPPUNIT_ASSERT_EQUAL(1, m_outages);
+        runUntilWatches(2);
+        CPPUNIT_ASSERT(m_snapshots.back().wasUnreachable);
+        m_store.onEvents({}, 10);
+        m_store.end(cutWatch());
+        CPPUNIT_ASSERT_EQUAL(1, m_outages);
+    }
+
+    auto aReadReplacesAResumptionThatIsPending() -> void
+    {
+        m_store.end(cutWatch());
+        m_follower->readAgain();
+        CPPUNIT_ASSERT_EQUAL(2, m_store.reads);
+        CPPUNIT_ASSERT(!runUntil([this]() { return m_store.watchedFrom.size() > 2; }));
+        CPPUNIT_ASSERT(!m_snapshots.back().wasUnreachable);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
