One budget bounds the memory of all requests; what does not fit is refused early

Cause: nothing bounded the sum of what a VM holds, and limits.memory_mb was not read. A body was held by the request and copied for each call; unread events were held in a text that kept what had been read and doubled when it grew; collected answers were copied three times. Change: MemoryBudget, without sockets, divides the memory of the settings among connections, requests, bodies, calls, answers, backlogs and tables. A declared body that does not fit gets 503 with Retry-After when its head is read, one of unknown length when it no longer fits; nothing of either has been sent. Small bodies and new requests may fill 0.9 of the budget, larger bodies 0.75, so that accepted ones can go on. Answers for which there is no room are not read until there is. A backlog may take a quarter of the free budget, up to the former 4 MB. A body is held once. Gauges and a counter by use, one log line a refusal. memory_mb is required, from 68 MB on. Large buffers are given back to the system when they end. Found by the property: a text with a reserved buffer that was still empty was accounted too low when it grew.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -9,6 +9,7 @@
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/decisions/load_table.h"
+#include "currantstack/decisions/memory_budget.h"
 #include "currantstack/decisions/peer_protocol.h"
 #include "currantstack/decisions/relay_choice.h"
 #include "currantstack/decisions/request_attempts.h"
@@ -83,6 +84,7 @@
     EventLog &log;
     Counters &counters;
     Latencies &latencies;
+    MemoryBudget &memory; // of the whole process
     FleetRetryBudget retryBudget;
     PendingQueue pendingQueue;
     FleetRateLimiter rateLimiter; // of the upstreams that name a limit
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -71,6 +71,7 @@
     std::unique_ptr<Timer> m_expiryTimer;
     std::unique_ptr<Timer> m_rereadTimer;
     TimePoint m_startedAt;
+    MemoryGrant m_routesMemory; // of the table in force
     TimePoint m_reachableSince;
     bool m_mayHaveExpired = false; // the store was unreachable, so entries may have expired meanwhile
     bool m_upstreamsRead = false;
--- a/include/currantstack/edge/settings.h
+++ b/include/currantstack/edge/settings.h
@@ -5,6 +5,7 @@
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/socket_address.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,6 +27,7 @@
     Duration drainLimit = seconds(8); // from SIGTERM to SIGKILL
     RetryBound retryBound;
     Duration orderLease = seconds(3); // wait of a new order holder, while orders of the previous one may still arrive
+    std::size_t memory = 0; // bytes that the process may use
     bool bootstrap = false; // first start of the whole system; only logged
 };
 
--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/error.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +11,8 @@
 namespace currantstack
 {
 
+class MemoryGrant;
+
 struct Header
 {
     std::string name;
@@ -46,6 +49,7 @@
     int status = 200;
     Headers headers;
     std::string body;
+    std::shared_ptr<MemoryGrant> memory = {}; // for the body, if the client accounts it
 };
 
 /// Returns whether the texts are equal, ignoring case.
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -11,6 +11,8 @@
 namespace currantstack
 {
 
+class MemoryBudget;
+
 /// A request and its options. Timeouts of zero are disabled unless stated otherwise.
 struct HttpCall
 {
@@ -18,6 +20,7 @@
     std::string url;
     Headers headers;
     std::string body;
+    std::shared_ptr<const std::string> sharedBody; // sent instead of `body` if set, and held until the call ends
     Duration connectTimeout = milliseconds(500);
     Duration totalTimeout = Duration::zero(); // limit on the whole call
     Duration idleTimeout = Duration::zero(); // limit on the time without received data
@@ -34,6 +37,12 @@
     std::string step; // name of the operation, for errors
     std::string peer; // name of the server, for errors
 
+    /// Returns the body that is sent.
+    auto payload() const -> const std::string &
+    {
+        return sharedBody ? *sharedBody : body;
+    }
+
     /// Gives the call a connection of its own. A kept connection may be dead or deliver a late answer to an earlier request, and libcurl
     /// repeats a request on a dead one.
     auto useOwnConnection() -> void
@@ -57,7 +66,9 @@
 public:
     using CallId = std::uint64_t;
 
-    explicit HttpClient(Loop &loop);
+    /// Accounts the calls' buffers and the buffered bodies of responses in `memory`, which outlives the client; null: unlimited. While it
+    /// has no room for the body of a response, that response is not read.
+    explicit HttpClient(Loop &loop, MemoryBudget *memory = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     auto operator=(const HttpClient &) -> HttpClient & = delete;
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -1,6 +1,8 @@
 // An HTTP server for the event loop, built on libmicrohttpd.
 #pragma once
 
+#include "currantstack/byte_queue.h"
+#include "currantstack/decisions/memory_budget.h"
 #include "currantstack/http.h"
 #include "currantstack/loop.h"
 
@@ -30,6 +32,12 @@
         return m_request;
     }
 
+    /// Returns the request's body, which stays valid as long as the pointer.
+    auto sharedBody() -> std::shared_ptr<const std::string>
+    {
+        return {shared_from_this(), &m_request.body};
+    }
+
     /// Removes the header from the request and returns its value, or an empty text if there is none.
     auto takeHeader(std::string_view name) -> std::string;
 
@@ -63,9 +71,12 @@
     /// Returns the number of body bytes written but not yet passed to the connection.
     auto pendingBytes() const -> std::size_t
     {
-        return m_pending.size() - m_pendingOffset;
+        return m_pending.size();
     }
 
+    /// Returns whether more bytes wait for the caller than `limit` or the free memory allows.
+    auto hasBacklog(std::size_t limit) const -> bool;
+
 private:
     friend class detail::ServerCore;
 
@@ -79,8 +90,10 @@
     MHD_Connection *m_connection;
     HttpRequest m_request;
     HttpResponse m_response;
-    std::string m_pending;
-    std::size_t m_pendingOffset = 0;
+    ByteQueue m_pending;
+    MemoryGrant m_requestMemory;
+    MemoryGrant m_bodyMemory;
+    MemoryGrant m_backlogMemory; // of `m_pending`
     std::function<void()> m_onDisconnect;
     std::unique_ptr<DisconnectWatcher> m_watcher;
     bool m_bodyTooLarge = false;
@@ -115,6 +128,9 @@
     unsigned maxConnections = 20000;
     unsigned idleTimeout = 60; // seconds without activity until a connection is closed; 0: unlimited
     bool strictFraming = false; // responds with 400 to a request whose body length is ambiguous
+    MemoryBudget *memory = nullptr; // shared with the process's other users, outlives the server; null: unlimited
+    /// Returns the response to a request for which there is no memory. It must not have side effects on the server.
+    std::function<HttpResponse(const HttpRequest &request, const MemoryShortage &shortage)> onMemoryShortage;
 };
 
 /// Listens on one address and calls the handler for each request once its body is complete.
--- a/src/base/exchange.cc
+++ b/src/base/exchange.cc
@@ -118,9 +118,15 @@
         return;
     }
     m_pending.append(data);
+    m_backlogMemory.set(m_pending.heldBytes());
     resume();
 }
 
+auto Exchange::hasBacklog(std::size_t limit) const -> bool
+{
+    return pendingBytes() > std::min(limit, m_backlogMemory.backlogLimit());
+}
+
 auto Exchange::end() -> void
 {
     m_ended = true;
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -1,7 +1,9 @@
 // Configures the libcurl handle of a call and processes its response.
 #include "http_client_core.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +15,8 @@
 namespace
 {
 
+constexpr std::size_t CallBytes = 24U << 10; // of libcurl's state and receive buffer
+constexpr std::size_t UploadBufferBytes = 64U << 10; // of libcurl
 constexpr long MaxConnectionIdleTime = 60; // seconds until an idle connection is not reused
 
 } // namespace
@@ -38,9 +42,10 @@
     curl_easy_setopt(easy, CURLOPT_URL, options.url.c_str());
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options.method.c_str());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headerList);
-    if (!options.body.empty() || options.method == "POST" || options.method == "PUT") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(options.body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, options.body.c_str());
+    const auto &payload = options.payload();
+    if (!payload.empty() || options.method == "POST" || options.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(payload.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, payload.c_str()); // libcurl does not copy it
     }
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Core::onHeader);
@@ -92,7 +97,7 @@
     }
     long sent = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-    bytesSent += static_cast<std::uint64_t>(sent) + call->options.body.size();
+    bytesSent += static_cast<std::uint64_t>(sent) + call->options.payload().size();
     if (code == CURLE_OK && !isComplete(*call)) {
         call->defect = "the response ends inside its head";
         code = CURLE_PARTIAL_FILE;
@@ -105,6 +110,9 @@
         return;
     }
     auto callback = std::move(call->handlers.onDone);
+    if (call->bodyMemory.bytes() > 0) {
+        call->response.memory = std::make_shared<MemoryGrant>(std::move(call->bodyMemory));
+    }
     auto result =
         code == CURLE_OK ? Result<HttpResponse>(std::move(call->response)) : Result<HttpResponse>(tl::unexpected(toError(*call, code)));
     remove(call->id);
@@ -144,6 +152,41 @@
     return error;
 }
 
+auto HttpClient::Core::Call::account() -> void
+{
+    if (core->memory != nullptr) {
+        memory = core->memory->grant(MemoryUse::Calls);
+        memory.set(CallBytes + std::min(options.payload().size(), UploadBufferBytes));
+        bodyMemory = core->memory->grant(MemoryUse::Answers);
+    }
+}
+
+auto HttpClient::Core::Call::reserve(std::size_t size) -> bool
+{
+    auto &body = response.body;
+    const auto needed = body.size() + size;
+    if (needed > options.maxBody) {
+        return true; // it is not kept
+    }
+    std::size_t declared = 0;
+    const auto text = findHeader(response.headers, "Content-Length");
+    std::from_chars(text.data(), text.data() + text.size(), declared);
+    return bodyMemory.tryGrow(body, std::clamp(declared, needed, options.maxBody), options.maxBody);
+}
+
+auto HttpClient::Core::resumePaused() -> void
+{
+    for (auto &[id, call] : calls) {
+        if (call->paused && !call->cancelled && call->reserve(1)) {
+            call->paused = false;
+            ++curlDepth;
+            curl_easy_pause(call->easy, CURLPAUSE_CONT);
+            --curlDepth;
+        }
+    }
+    processCompleted();
+}
+
 auto HttpClient::Core::deliverHead(Call &call) -> void
 {
     if (call.headDelivered) {
@@ -205,8 +248,12 @@
         return 0;
     }
     call->lastProgress = call->core->clock.now();
-    call->core->bytesReceived += size * count;
     call->core->deliverHead(*call);
+    if (!call->cancelled && !call->handlers.onData && !call->reserve(size * count)) {
+        call->paused = true;
+        return CURL_WRITEFUNC_PAUSE; // libcurl delivers the same data again
+    }
+    call->core->bytesReceived += size * count;
     if (!call->cancelled) {
         if (call->handlers.onData) {
             call->handlers.onData(std::string_view(data, size * count));
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -46,8 +46,8 @@
     });
 }
 
-HttpClient::HttpClient(Loop &loop)
-    : m_core(std::make_unique<Core>(loop))
+HttpClient::HttpClient(Loop &loop, MemoryBudget *memory)
+    : m_core(std::make_unique<Core>(loop, memory))
 { }
 
 HttpClient::~HttpClient() = default;
@@ -61,6 +61,7 @@
     entry->options = std::move(call);
     entry->handlers = std::move(handlers);
     entry->lastProgress = m_core->clock.now();
+    entry->account();
     if (!hasNumericHost(entry->options.url)) {
         m_core->rejectDeferred(id, std::move(entry));
         return id;
--- a/src/base/http_client_core.cc
+++ b/src/base/http_client_core.cc
@@ -11,8 +11,9 @@
 
 } // namespace
 
-HttpClient::Core::Core(Loop &eventLoop)
+HttpClient::Core::Core(Loop &eventLoop, MemoryBudget *budget)
     : loop(eventLoop)
+    , memory(budget)
 {
     curl_global_init(CURL_GLOBAL_ALL);
     multi = curl_multi_init();
@@ -28,7 +29,10 @@
         --curlDepth;
         processCompleted();
     });
-    idleTimer = loop.timer([this]() { failIdleCalls(); });
+    idleTimer = loop.timer([this]() {
+        resumePaused();
+        failIdleCalls();
+    });
     idleTimer->startRepeating(IdleCheckPeriod, IdleCheckPeriod);
 }
 
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -1,6 +1,7 @@
 // The implementation of HttpClient: its calls in flight and its libcurl multi handle.
 #pragma once
 
+#include "currantstack/decisions/memory_budget.h"
 #include "currantstack/http_client.h"
 
 #include <curl/curl.h>
@@ -31,6 +32,15 @@
         std::size_t headBytes = 0; // received, of heads and trailers
         std::string_view defect; // of a response that fails the call, although libcurl would accept it
         int tcpUserTimeout = 0; // milliseconds
+        bool paused = false; // the response is not read, because there is no memory for its body
+        MemoryGrant memory; // of the call's buffers
+        MemoryGrant bodyMemory; // of the response's body
+
+        /// Accounts the memory of a call that begins.
+        auto account() -> void;
+
+        /// Makes room for a part of the response's body, or for all of it if its head declares the length.
+        auto reserve(std::size_t size) -> bool;
 
         ~Call()
         {
@@ -47,12 +57,13 @@
         Core *core = nullptr;
     };
 
-    explicit Core(Loop &eventLoop);
+    Core(Loop &eventLoop, MemoryBudget *budget);
     ~Core();
     auto configure(Call &call) -> void;
     auto remove(CallId id) -> void;
     auto processCompleted() -> void;
     auto failIdleCalls() -> void;
+    auto resumePaused() -> void;
     auto finish(CURL *easy, CURLcode code) -> void;
     auto deliverHead(Call &call) -> void;
     auto rejectDeferred(CallId id, std::unique_ptr<Call> call) -> void;
@@ -67,6 +78,7 @@
     static auto onBody(char *data, size_t size, size_t count, void *context) -> size_t;
 
     Loop &loop;
+    MemoryBudget *memory; // null: unlimited
     SystemClock clock;
     CURLM *multi;
     std::unique_ptr<Timer> timer;
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -42,16 +42,6 @@
     return descriptor;
 }
 
-/// Returns the response as it is sent on a connection that ends after it.
-auto encodeResponse(const HttpResponse &response) -> std::string
-{
-    auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
-    for (const auto &header : response.headers) {
-        text += fmt::format("{}: {}\r\n", header.name, header.value);
-    }
-    return text + fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body.size(), response.body);
-}
-
 auto appendValue(void *context, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
 {
     static_cast<Headers *>(context)->push_back({name, value == nullptr ? "" : value});
@@ -166,6 +156,7 @@
     } else {
         self->m_connections.erase(connection);
     }
+    self->accountConnections();
 }
 
 auto ServerCore::exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>
@@ -190,22 +181,15 @@
     run();
 }
 
-/// Writes to the connections itself, because libmicrohttpd takes no response while a body arrives.
 auto ServerCore::refuseUnread(const HttpResponse &response) -> std::size_t
 {
     run();
-    const auto text = encodeResponse(response);
     std::size_t refused = 0;
     for (auto *exchange : m_active) {
         if (!exchange->m_headRead || exchange->m_dispatched || exchange->m_responseQueued) {
             continue;
         }
-        exchange->m_dispatched = true;
-        exchange->abort();
-        const int descriptor = descriptorOf(exchange->m_connection);
-        const auto sent = ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        refused += sent == static_cast<ssize_t>(text.size()) ? 1 : 0;
-        ::shutdown(descriptor, SHUT_WR);
+        refused += respondUnread(*exchange, response) ? 1 : 0;
     }
     return refused;
 }
@@ -306,18 +290,15 @@
             exchange.respond(std::move(*error));
             return self->queueResponse(exchange);
         }
-        return MHD_YES;
+        const auto shortage = self->reserveForRequest(exchange);
+        return shortage ? self->refuseForMemory(exchange, *shortage) : MHD_YES;
     }
     if (*size > 0) {
-        if (exchange.m_request.body.size() + *size > self->m_maxBody) {
-            exchange.m_bodyTooLarge = true;
-        } else {
-            exchange.m_request.body.append(data, *size);
-        }
+        const auto shortage = self->appendBody(exchange, {data, *size});
         *size = 0;
-        return MHD_YES;
+        return shortage ? self->refuseForMemory(exchange, *shortage) : MHD_YES;
     }
-    if (!exchange.m_dispatched) {
+    if (!exchange.m_dispatched && !exchange.m_answered) {
         exchange.m_dispatched = true;
         if (exchange.m_bodyTooLarge) {
             exchange.respond(
@@ -353,7 +334,8 @@
     if (exchange.m_streaming) {
         response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 16U << 10, &ServerCore::onRead, &exchange, nullptr);
     } else {
-        response = MHD_create_response_from_buffer(exchange.m_response.body.size(), exchange.m_response.body.data(), MHD_RESPMEM_MUST_COPY);
+        response =
+            MHD_create_response_from_buffer(exchange.m_response.body.size(), exchange.m_response.body.data(), MHD_RESPMEM_PERSISTENT);
     }
     for (const auto &header : exchange.m_response.headers) {
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
@@ -382,13 +364,8 @@
         exchange->watchForDisconnect();
         return 0;
     }
-    const auto copied = std::min(size, pending);
-    std::memcpy(buffer, exchange->m_pending.data() + exchange->m_pendingOffset, copied);
-    exchange->m_pendingOffset += copied;
-    if (exchange->m_pendingOffset == exchange->m_pending.size()) {
-        exchange->m_pending.clear();
-        exchange->m_pendingOffset = 0;
-    }
+    const auto copied = exchange->m_pending.read(buffer, size);
+    exchange->m_backlogMemory.set(exchange->m_pending.heldBytes());
     return static_cast<ssize_t>(copied);
 }
 
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -20,6 +20,8 @@
         , m_handler(std::move(handler))
         , m_maxBody(options.maxBody)
         , m_strictFraming(options.strictFraming)
+        , m_memory(options.memory)
+        , m_onMemoryShortage(options.onMemoryShortage)
         , m_limits{Duration::zero(), seconds(options.idleTimeout), seconds(options.idleTimeout)}
     { }
 
@@ -72,6 +74,11 @@
     static auto onReadable(struct ev_loop *loop, ev_io *watcher, int events) -> void;
     auto readHead(Exchange &exchange, const char *method, const char *url) -> void;
     auto headError(const Exchange &exchange) const -> std::optional<HttpResponse>;
+    auto reserveForRequest(Exchange &exchange) -> std::optional<MemoryShortage>;
+    auto appendBody(Exchange &exchange, std::string_view data) -> std::optional<MemoryShortage>;
+    auto refuseForMemory(Exchange &exchange, const MemoryShortage &shortage) -> MHD_Result;
+    static auto respondUnread(Exchange &exchange, const HttpResponse &response) -> bool;
+    auto accountConnections() -> void;
     auto closeOverdue() -> void;
     auto isClosedForReading(MHD_Connection *connection) const -> bool;
     static auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
@@ -83,6 +90,9 @@
     HttpServer::Handler m_handler;
     std::size_t m_maxBody;
     bool m_strictFraming;
+    MemoryBudget *m_memory; // null: unlimited
+    std::function<HttpResponse(const HttpRequest &request, const MemoryShortage &shortage)> m_onMemoryShortage;
+    MemoryGrant m_connectionMemory;
     ConnectionLimits m_limits;
     std::size_t m_maxHead = 0; // bytes; 0: unlimited
     std::unordered_map<MHD_Connection *, ConnectionWatch> m_connections; // open connections
--- /dev/null
+++ b/src/base/http_server_memory.cc
@@ -0,0 +1,111 @@
+// The server's part in the memory budget: it reserves memory for requests and refuses those that do not fit.
+#include "http_server_core.h"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+namespace currantstack::detail
+{
+
+namespace
+{
+
+constexpr std::size_t MaxDiscardedBody = 16U << 10; // bytes of a body that is read, so that its connection can be used again
+
+auto declaredLength(const HttpRequest &request) -> std::size_t
+{
+    std::size_t length = 0;
+    const auto text = request.header("Content-Length");
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
+/// Returns the response as it is sent on a connection that ends after it.
+auto encodeResponse(const HttpResponse &response) -> std::string
+{
+    auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
+    for (const auto &header : response.headers) {
+        text += fmt::format("{}: {}\r\n", header.name, header.value);
+    }
+    return text + fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body.size(), response.body);
+}
+
+} // namespace
+
+/// Reserves memory for the request and for the body that its head declares. Returns what is short, or nothing.
+auto ServerCore::reserveForRequest(Exchange &exchange) -> std::optional<MemoryShortage>
+{
+    const auto declared = declaredLength(exchange.m_request);
+    exchange.m_bodyTooLarge = declared > m_maxBody;
+    if (m_memory == nullptr) {
+        return std::nullopt;
+    }
+    exchange.m_requestMemory = m_memory->grant(MemoryUse::Requests);
+    exchange.m_bodyMemory = m_memory->grant(MemoryUse::Bodies);
+    exchange.m_backlogMemory = m_memory->grant(MemoryUse::Backlogs);
+    if (!exchange.m_requestMemory.tryResize(MemoryBudget::RequestBytes)) {
+        return MemoryShortage{MemoryUse::Requests, MemoryBudget::RequestBytes};
+    }
+    if (!exchange.m_bodyTooLarge && !exchange.m_bodyMemory.tryGrow(exchange.m_request.body, declared, declared)) {
+        return MemoryShortage{MemoryUse::Bodies, declared};
+    }
+    return std::nullopt;
+}
+
+/// Keeps a part of the body, unless the request is refused already. Returns what is short, or nothing.
+auto ServerCore::appendBody(Exchange &exchange, std::string_view data) -> std::optional<MemoryShortage>
+{
+    auto &body = exchange.m_request.body;
+    const auto size = body.size() + data.size();
+    if (exchange.m_answered || exchange.m_bodyTooLarge) {
+        return std::nullopt;
+    }
+    if (size > m_maxBody) {
+        exchange.m_bodyTooLarge = true;
+        return std::nullopt;
+    }
+    if (!exchange.m_bodyMemory.tryGrow(body, size, m_maxBody)) {
+        return MemoryShortage{MemoryUse::Bodies, size};
+    }
+    body.append(data);
+    return std::nullopt;
+}
+
+/// Responds to a request that does not fit, before its body is read. What still arrives of the body is ignored.
+auto ServerCore::refuseForMemory(Exchange &exchange, const MemoryShortage &shortage) -> MHD_Result
+{
+    auto response = m_onMemoryShortage ? m_onMemoryShortage(exchange.m_request, shortage) : HttpResponse{503, {}, "out of memory"};
+    std::string().swap(exchange.m_request.body);
+    exchange.m_bodyMemory.set(0);
+    const bool isChunked = !exchange.m_request.header("Transfer-Encoding").empty();
+    const bool isShort = !isChunked && declaredLength(exchange.m_request) <= MaxDiscardedBody;
+    if (isShort) {
+        exchange.respond(std::move(response));
+    } else {
+        respondUnread(exchange, response);
+    }
+    return MHD_YES;
+}
+
+/// Writes to the connection itself, because libmicrohttpd takes no response while a body arrives. Returns whether all was sent.
+auto ServerCore::respondUnread(Exchange &exchange, const HttpResponse &response) -> bool
+{
+    exchange.m_dispatched = true;
+    exchange.abort();
+    const auto text = encodeResponse(response);
+    const int descriptor = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    const auto sent = ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    ::shutdown(descriptor, SHUT_WR);
+    return sent == static_cast<ssize_t>(text.size());
+}
+
+auto ServerCore::accountConnections() -> void
+{
+    if (m_memory != nullptr && m_connectionMemory.bytes() == 0) {
+        m_connectionMemory = m_memory->grant(MemoryUse::Connections);
+    }
+    m_connectionMemory.set(m_connections.size() * MemoryBudget::ConnectionBytes);
+}
+
+} // namespace currantstack::detail
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr std::size_t TableBytesPerDocumentByte = 8; // of the routes in force and of their reading
 constexpr Duration ExpiryCheckPeriod = milliseconds(250);
 
 auto name(UpstreamChange change) -> std::string_view
@@ -53,6 +54,7 @@
     , m_expiryTimer(context.loop.timer([this]() { removeExpired(); }))
     , m_rereadTimer(context.loop.timer([this]() { m_upstreams.readAgain(); }))
     , m_startedAt(context.clock.now())
+    , m_routesMemory(context.memory.grant(MemoryUse::Tables))
 { }
 
 auto DirectoryController::observeRevisions(const StoreRevisions &revisions) -> void
@@ -142,6 +144,7 @@
         return;
     }
     routeTable->indexRanks();
+    m_routesMemory.set(TableBytesPerDocumentByte * value.value.size());
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
     m_onRoutesInForce(*m_context.routeTable);
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -3,6 +3,7 @@
 #include "currantstack/build_info.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/memory_refusal.h"
 #include "currantstack/edge/origin_controller.h"
 #include "currantstack/edge/quarantine_controller.h"
 #include "currantstack/edge/reach_controller.h"
@@ -44,8 +45,9 @@
         : settings(std::move(initialSettings))
         , adapter(std::move(platformAdapter))
         , random(randomSeed())
+        , memory(MemoryBudget::budgetOf(settings.memory))
         , log(clock, settings.vm, std::move(sink))
-        , client(loop)
+        , client(loop, &memory)
         , store(adapter.openStore(loop, client, counters))
         , context{loop,
                   clock,
@@ -56,6 +58,7 @@
                   log,
                   counters,
                   latencies,
+                  memory,
                   FleetRetryBudget(settings.retryBound),
                   PendingQueue(loop, clock),
                   FleetRateLimiter(random)}
@@ -95,6 +98,7 @@
     SystemClock clock;
     BootClock bootClock;
     Random random;
+    MemoryBudget memory; // outlives all that holds grants
     Loop loop;
     EventLog log;
     Counters counters;
@@ -141,6 +145,10 @@
     options.maxBody = MaxBodyBytes;
     options.maxConnections = MaxCallerConnections;
     options.strictFraming = true;
+    options.memory = &memory;
+    options.onMemoryShortage = [this](const HttpRequest &request, const MemoryShortage &shortage) {
+        return refuseForMemory(context, request, shortage, false);
+    };
     auto opened = HttpServer::open(loop, options, [this](const ExchangePtr &request) { chain.handle(request); });
     if (!opened) {
         return tl::unexpected(opened.error());
@@ -165,6 +173,7 @@
     metricsOptions.address = settings.metricsAddress.ip;
     metricsOptions.port = settings.metricsAddress.port;
     auto openedMetrics = HttpServer::open(loop, metricsOptions, [this](const ExchangePtr &request) {
+        updateMemoryGauges(context);
         request->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText(counters, latencies)});
     });
     if (openedMetrics) {
@@ -298,6 +307,8 @@
                      {"readiness", parts.settings.readinessAddress.text()},
                      {"peers", parts.settings.peerAddress.text()},
                      {"store", parts.settings.storeAddress.text()},
+                     {"memory", parts.settings.memory},
+                     {"memory_budget", parts.memory.bytes()},
                      {"bootstrap", parts.settings.bootstrap}});
     if (auto opened = parts.openServers(); !opened) {
         return opened;
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -56,7 +56,7 @@
     call.url = urlOf(upstream.address, "/");
     call.target = incoming.target;
     call.headers = context.protocol.forwardHeaders(incoming, spec);
-    call.body = incoming.body;
+    call.sharedBody = request.exchange->sharedBody();
     call.connectTimeout = ConnectTimeout;
     call.exactHeaders = true;
     call.useOwnConnection();
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/reach_controller.h"
 
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/memory_refusal.h"
 #include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/upstream_links.h"
 
@@ -228,6 +229,10 @@
     options.maxBody = maxBody;
     options.maxConnections = MaxConnections;
     options.strictFraming = true;
+    options.memory = &m_context.memory;
+    options.onMemoryShortage = [this](const HttpRequest &request, const MemoryShortage &shortage) {
+        return refuseForMemory(m_context, request, shortage, true);
+    };
     auto opened = HttpServer::open(m_context.loop, options, [this](const ExchangePtr &exchange) { onRequest(exchange); });
     if (!opened) {
         return tl::unexpected(opened.error());
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -158,7 +158,7 @@
     call.target = incoming.target;
     call.headers = m_context.protocol.relayHeaders(incoming);
     call.headers.push_back({std::string(RelayHeader), encodeRelay(relayInfo())});
-    call.body = incoming.body;
+    call.sharedBody = m_request.exchange->sharedBody();
     call.connectTimeout = ConnectTimeout;
     call.sourceIp = m_context.settings.peerAddress.ip;
     call.exactHeaders = true;
@@ -252,7 +252,7 @@
         onBroken(AttemptOutcome::Unknown, "an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         onBroken(AttemptOutcome::Unknown, "the stream has no events");
-    } else if (!m_done && m_request.exchange->pendingBytes() > MaxCallerBacklog) {
+    } else if (!m_done && m_request.exchange->hasBacklog(MaxCallerBacklog)) {
         fail(false, "the caller reads too slowly");
     }
 }
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -44,7 +44,7 @@
     auto refuseForPause() -> bool;
     auto refuseForLimits() -> bool;
     auto onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void;
-    auto onOutcome(const PendingCall &pending, AttemptOutcome outcome, const Result<HttpResponse> &result) -> void;
+    auto onOutcome(const PendingCall &pending, AttemptOutcome outcome, Result<HttpResponse> result) -> void;
     auto forwardAnswer(const PendingCall &pending, HttpResponse response) -> void;
     auto retryOrFail(const PendingCall &failed, AttemptOutcome outcome, std::string_view reason) -> void;
     auto handOver(AttemptOutcome outcome, std::string_view reason) -> bool;
@@ -202,10 +202,10 @@
         outcome = classifyHead(result->status, head);
     }
     m_attempts.onOutcome(outcome);
-    onOutcome(pending, outcome, result);
+    onOutcome(pending, outcome, std::move(result));
 }
 
-auto ServiceRequest::onOutcome(const PendingCall &pending, AttemptOutcome outcome, const Result<HttpResponse> &result) -> void
+auto ServiceRequest::onOutcome(const PendingCall &pending, AttemptOutcome outcome, Result<HttpResponse> result) -> void
 {
     const auto now = m_context.clock.now();
     const auto took = now - pending.sentAt;
@@ -217,7 +217,7 @@
     const bool upstreamFailed = outcome == AttemptOutcome::Answered && result->status >= 500;
     if (outcome == AttemptOutcome::Answered && !upstreamFailed) {
         m_context.requestTimeOf(m_request.service).observe(toMilliseconds(took));
-        forwardAnswer(pending, *result);
+        forwardAnswer(pending, std::move(*result));
         return;
     }
     if (!upstreamFailed) {
@@ -232,7 +232,7 @@
                          {"connection_closed", !result && result.error().connectionClosed},
                          {"took_ms", toMilliseconds(took)}});
     if (upstreamFailed) {
-        m_errorAnswer = *result;
+        m_errorAnswer = std::move(*result);
     }
     retryOrFail(pending, outcome, reason);
 }
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -133,7 +133,7 @@
         breakOff("an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         breakOff("the stream has no events");
-    } else if (m_request.exchange->pendingBytes() > MaxCallerBacklog) {
+    } else if (m_request.exchange->hasBacklog(MaxCallerBacklog)) {
         fail(false, "the caller reads too slowly", Duration::zero());
     }
 }
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -68,7 +68,7 @@
         return self.engines + self.services
 
 
-def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54):
+def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, memory_mb=110):
     """Returns the settings file of one VM, as the platform writes it."""
     return f"""node_name: "{name}"
 zone: "{place}"
@@ -84,6 +84,8 @@
   - {port + 2}
   - {port + 9}
 bootstrap: true
+limits:
+  memory_mb: {memory_mb}
 metrics_port: {port + 9}
 bounds:
   grace_s: {grace}
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -95,6 +95,11 @@
         with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
             return next(int(line.split()[1]) for line in file if line.startswith("VmHWM")) / 1024
 
+    def anonymous_mb(self):
+        """Returns the process's resident memory without pages of files, in units of 1,000,000 bytes."""
+        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
+            return next((int(line.split()[1]) for line in file if line.startswith("RssAnon")), 0) * 1024 / 1e6
+
     def log_text(self):
         with open(self.log_path, encoding="utf-8") as file:
             return file.read()
--- a/test/platform/settings-test.cc
+++ b/test/platform/settings-test.cc
@@ -29,6 +29,8 @@
   - 7380
   - 7395
 bootstrap: true
+limits:
+  memory_mb: 110
 bounds:
   grace_s: 8
   retry_budget: 0.2
@@ -59,6 +61,7 @@
         CPPUNIT_ASSERT(settings->drainLimit == seconds(8));
         CPPUNIT_ASSERT(settings->places.distance("z1", "z2") == Distance::OtherRegion);
         CPPUNIT_ASSERT(settings->bootstrap);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(110'000'000), settings->memory);
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:9464"), settings->metricsAddress.text());
     }
 
@@ -73,6 +76,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string("grace_s has the wrong type"), errorOf("grace_s: 8", "grace_s: long"));
         CPPUNIT_ASSERT_EQUAL(std::string("front must be \"IP number:port\""), errorOf("10.1.0.38:8149", "host:8149"));
         CPPUNIT_ASSERT_EQUAL(std::string("ready must name a port from 1 to 65535"), errorOf("10.1.0.38:8141", "10.1.0.38:0"));
+        CPPUNIT_ASSERT_EQUAL(std::string("limits is missing"), errorOf("limits:", "others:"));
+        CPPUNIT_ASSERT_EQUAL(std::string("memory_mb is missing"), errorOf("memory_mb", "memory"));
+        CPPUNIT_ASSERT_EQUAL(std::string("memory_mb has the wrong type"), errorOf("memory_mb: 110", "memory_mb: much"));
+        for (const std::string absurd : {"0", "-110", "67", "1e30", ".inf", ".nan"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string("memory_mb must be from 68 to 1099511"), errorOf("memory_mb: 110", "memory_mb: " + absurd));
+        }
         CPPUNIT_ASSERT(!parseSettings("- a list").has_value());
         CPPUNIT_ASSERT(!parseSettings(": : :").has_value());
         CPPUNIT_ASSERT(!loadSettings("/nowhere/settings.yaml").has_value());
