A VM starts from memory_mb 42 on, the smallest that leaves room for a body of 4 MB

Seen: the budget's change refused to start a VM with less than 68 MB, although an idle one takes 1.7 MB of anonymous memory. Cause: the smallest memory was chosen larger than a body of max_body_bytes needs.

--- a/include/currantstack/decisions/memory_budget.h
+++ b/include/currantstack/decisions/memory_budget.h
@@ -38,7 +38,7 @@
 class MemoryBudget
 {
 public:
-    static constexpr std::size_t MinMemory = 64U << 20; // bytes; smallest memory of a process that can be divided
+    static constexpr std::size_t MinMemory = 40U << 20; // bytes; smallest memory of a process that leaves room for a body of 4 MB
     static constexpr std::size_t MaxMemory = std::size_t(1) << 40; // bytes
     static constexpr std::size_t ProcessBytes = 24U << 20; // memory of a process without requests
     static constexpr double HeapShare = 0.85; // of a process's memory; the rest is overhead of the allocator and of sockets
