Merge the memory budget

One budget bounds the memory of all requests. The answer to a caller that has ended its input is written from the same queue of blocks as a stream.

--- a/include/currantstack/edge/settings.h
+++ b/include/currantstack/edge/settings.h
@@ -5,6 +5,7 @@
 #include "currantstack/decisions/fleet_retry_budget.h"
 #include "currantstack/socket_address.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +28,7 @@
     RetryBound retryBound;
     Duration orderLease = seconds(3); // wait of a new order holder, while orders of the previous one may still arrive
     std::uint64_t maxDescriptors = 0; // that the platform allows the process; 0: not named
+    std::size_t memory = 0; // bytes that the process may use
     bool bootstrap = false; // first start of the whole system; only logged
 };
 
--- a/src/base/exchange.cc
+++ b/src/base/exchange.cc
@@ -46,12 +46,12 @@
     static auto onWritable(struct ev_loop *loop, ev_io *watcher, int /*events*/) -> void
     {
         const auto exchange = static_cast<Exchange *>(watcher->data)->shared_from_this();
-        const auto rest = std::string_view(exchange->m_pending).substr(exchange->m_pendingOffset);
-        const auto sent = send(watcher->fd, rest.data(), rest.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        const auto next = exchange->m_pending.front();
+        const auto sent = send(watcher->fd, next.data(), next.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
-        exchange->m_pendingOffset += static_cast<std::size_t>(std::max<ssize_t>(0, sent));
+        exchange->m_pending.drop(static_cast<std::size_t>(std::max<ssize_t>(0, sent)));
         if (sent <= 0 || exchange->pendingBytes() == 0) {
             ev_io_stop(loop, watcher);
             exchange->m_responseQueued = false;
@@ -62,7 +62,7 @@
 
     auto sendResponse(Exchange &exchange) -> void
     {
-        exchange.m_pending = detail::encodeResponse(exchange.m_response);
+        exchange.m_pending.append(detail::encodeResponse(exchange.m_response));
         exchange.m_responseQueued = true;
         ev_io_stop(loop, &io);
         ev_io_set(&io, io.fd, EV_WRITE);
@@ -156,9 +156,15 @@
         return;
     }
     m_pending.append(data);
+    m_backlogMemory.set(m_pending.heldBytes());
     resume();
 }
 
+auto Exchange::hasBacklog(std::size_t limit) const -> bool
+{
+    return pendingBytes() > std::min(limit, m_backlogMemory.backlogLimit());
+}
+
 auto Exchange::end() -> void
 {
     m_ended = true;
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -182,6 +182,7 @@
             self->scheduleRun(); // libmicrohttpd accepts connections again with its next run
         }
     }
+    self->accountConnections();
 }
 
 auto ServerCore::exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>
@@ -251,18 +252,12 @@
 auto ServerCore::refuseUnread(const HttpResponse &response) -> std::size_t
 {
     run();
-    const auto text = encodeResponse(response);
     std::size_t refused = 0;
     for (auto *exchange : m_active) {
         if (!exchange->m_headRead || exchange->m_dispatched || exchange->m_responseQueued) {
             continue;
         }
-        exchange->m_dispatched = true;
-        exchange->abort();
-        const int descriptor = descriptorOf(exchange->m_connection);
-        const auto sent = ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        refused += sent == static_cast<ssize_t>(text.size()) ? 1 : 0;
-        ::shutdown(descriptor, SHUT_WR);
+        refused += respondUnread(*exchange, response) ? 1 : 0;
     }
     return refused;
 }
@@ -363,18 +358,15 @@
             exchange.respond(std::move(*error));
             return self->queueResponse(exchange);
         }
-        return MHD_YES;
+        const auto shortage = self->reserveForRequest(exchange);
+        return shortage ? self->refuseForMemory(exchange, *shortage) : MHD_YES;
     }
     if (*size > 0) {
-        if (exchange.m_request.body.size() + *size > self->m_maxBody) {
-            exchange.m_bodyTooLarge = true;
-        } else {
-            exchange.m_request.body.append(data, *size);
-        }
+        const auto shortage = self->appendBody(exchange, {data, *size});
         *size = 0;
-        return MHD_YES;
+        return shortage ? self->refuseForMemory(exchange, *shortage) : MHD_YES;
     }
-    if (!exchange.m_dispatched) {
+    if (!exchange.m_dispatched && !exchange.m_answered) {
         exchange.m_dispatched = true;
         if (exchange.m_bodyTooLarge) {
             exchange.respond(
@@ -410,7 +402,8 @@
     if (exchange.m_streaming) {
         response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 16U << 10, &ServerCore::onRead, &exchange, nullptr);
     } else {
-        response = MHD_create_response_from_buffer(exchange.m_response.body.size(), exchange.m_response.body.data(), MHD_RESPMEM_MUST_COPY);
+        response =
+            MHD_create_response_from_buffer(exchange.m_response.body.size(), exchange.m_response.body.data(), MHD_RESPMEM_PERSISTENT);
     }
     for (const auto &header : exchange.m_response.headers) {
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
@@ -439,13 +432,8 @@
         exchange->watchForDisconnect();
         return 0;
     }
-    const auto copied = std::min(size, pending);
-    std::memcpy(buffer, exchange->m_pending.data() + exchange->m_pendingOffset, copied);
-    exchange->m_pendingOffset += copied;
-    if (exchange->m_pendingOffset == exchange->m_pending.size()) {
-        exchange->m_pending.clear();
-        exchange->m_pendingOffset = 0;
-    }
+    const auto copied = exchange->m_pending.read(buffer, size);
+    exchange->m_backlogMemory.set(exchange->m_pending.heldBytes());
     return static_cast<ssize_t>(copied);
 }
 
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr std::size_t TableBytesPerDocumentByte = 8; // of the routes in force and of their reading
 constexpr Duration ExpiryCheckPeriod = milliseconds(250);
 
 auto name(UpstreamChange change) -> std::string_view
@@ -54,6 +55,7 @@
     , m_expiryTimer(context.loop.timer([this]() { removeExpired(); }))
     , m_rereadTimer(context.loop.timer([this]() { m_upstreams.readAgain(); }))
     , m_startedAt(context.clock.now())
+    , m_routesMemory(context.memory.grant(MemoryUse::Tables))
 {
     m_context.directory.setRecognizer([](const Upstream & /*upstream*/) { return false; }); // until a configuration names the services
 }
@@ -149,6 +151,7 @@
         m_context.formerRoutes.add(m_context.routeTable, m_context.clock.now());
         m_routesTimer->startOnce(RouteHistory::Lifetime);
     }
+    m_routesMemory.set(TableBytesPerDocumentByte * value.value.size());
     m_context.routeTable = std::make_shared<RouteTable>(std::move(*routeTable));
     m_context.routesReadAt = m_context.clock.now();
     m_context.directory.setRecognizer(
--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -65,7 +65,7 @@
         onBroken(AttemptOutcome::Unknown, "an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         onBroken(AttemptOutcome::Unknown, "the stream has no events");
-    } else if (!m_done && m_request.exchange->pendingBytes() > MaxCallerBacklog) {
+    } else if (!m_done && m_request.exchange->hasBacklog(MaxCallerBacklog)) {
         fail(false, "the caller reads too slowly");
     }
 }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -89,7 +89,7 @@
     call.target = incoming.target;
     call.headers = m_context.protocol.relayHeaders(incoming);
     call.headers.push_back({std::string(RelayHeader), encodeRelay(relayInfo())});
-    call.body = incoming.body;
+    call.sharedBody = m_request.exchange->sharedBody();
     call.connectTimeout = ConnectTimeout;
     call.sourceIp = m_context.settings.peerAddress.ip;
     call.exactHeaders = true;
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -68,7 +68,7 @@
         return self.engines + self.services
 
 
-def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100):
+def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100, memory_mb=110):
     """Returns the settings file of one VM, as the platform writes it."""
     return f"""node_name: "{name}"
 zone: "{place}"
@@ -87,6 +87,7 @@
 metrics_port: {port + 9}
 limits:
   max_fds: {max_fds}
+  memory_mb: {memory_mb}
 bounds:
   grace_s: {grace}
   retry_budget: {retry_budget}
