--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -248,7 +248,6 @@
     scheduleRun();
 }
 
-/// Writes to the connections itself, because libmicrohttpd takes no response while a body arrives.
 auto ServerCore::refuseUnread(const HttpResponse &response) -> std::size_t
 {
     run();
--- a/src/base/http_server_memory.cc
+++ b/src/base/http_server_memory.cc
@@ -2,7 +2,6 @@
 #include "http_server_core.h"
 
 #include <charconv>
-#include <fmt/format.h>
 #include <sys/socket.h>
 
 namespace currantstack::detail
@@ -21,16 +20,6 @@
     return length;
 }
 
-/// Returns the response as it is sent on a connection that ends after it.
-auto encodeResponse(const HttpResponse &response) -> std::string
-{
-    auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
-    for (const auto &header : response.headers) {
-        text += fmt::format("{}: {}\r\n", header.name, header.value);
-    }
-    return text + fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body.size(), response.body);
-}
-
 } // namespace
 
 /// Reserves memory for the request and for the body that its head declares. Returns what is short, or nothing.
