Logs tell how an answer ended and whether its events were in order

No log told how an engine's answer was framed, how it ended, its last event id, or whether the engine's entry was there, so that an engine that ends in the middle of an answer without a length could not be told from one that completed it, nor a gap of ids from a sound run.

request_answered and stream_broken name the framing (length, chunks, connection) and the state of the engine's entry; request_answered the last event and the gaps of ids; stream_aborted the last event. EventSequence follows the ids of all runs of a stream; event_out_of_order and events_out_of_order{place} record ids that go back in one run or skip. No behaviour changes.

--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -60,6 +60,20 @@
 /// the body is complete.
 auto framingError(const Headers &headers) -> std::string_view;
 
+/// What marks the end of a response's body.
+enum class BodyFraming
+{
+    Length,
+    Chunks,
+    Connection, // the sender closes the connection, as it also does when its process ends
+};
+
+/// Returns the framing of the response with these headers.
+auto framingOf(const Headers &headers) -> BodyFraming;
+
+/// Returns "length", "chunks" or "connection".
+auto name(BodyFraming framing) -> std::string_view;
+
 /// Returns the query string "?name=value&...", percent-encoded, or an empty text if there are no parameters.
 auto encodeQuery(const Headers &parameters) -> std::string;
 
--- a/src/base/http.cc
+++ b/src/base/http.cc
@@ -49,6 +49,27 @@
     return chunked ? "" : "unknown transfer encoding";
 }
 
+auto framingOf(const Headers &headers) -> BodyFraming
+{
+    if (!findHeader(headers, "Transfer-Encoding").empty()) {
+        return BodyFraming::Chunks;
+    }
+    return findHeader(headers, "Content-Length").empty() ? BodyFraming::Connection : BodyFraming::Length;
+}
+
+auto name(BodyFraming framing) -> std::string_view
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::Connection:
+        break;
+    }
+    return "connection";
+}
+
 auto encodeQuery(const Headers &parameters) -> std::string
 {
     std::string text;
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -318,6 +318,9 @@
                         {{"request", m_request.metadata.requestId},
                          {"upstream", pending.upstream.id},
                          {"status", response.status},
+                         {"framing", name(framingOf(response.headers))},
+                         {"entry", name(entryStateOf(m_context, pending.upstream))},
+                         {"bytes", response.body.size()},
                          {"age_ms", toMilliseconds(age)}});
     response.headers = m_context.protocol.answerHeaders(response.headers);
     if (m_context.draining) {
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -42,6 +42,7 @@
         m_lastEventAt = now;
     }
     m_splitter = {};
+    m_sequence.beginRun();
     m_fillerBytes = 0;
     m_partialSince.reset();
     m_heldFiller.clear();
@@ -87,7 +88,7 @@
         return;
     }
     m_handle.clear(); // the decode engine has fetched the KV cache
-    m_endsWithConnection = findHeader(headers, "Content-Length").empty() && findHeader(headers, "Transfer-Encoding").empty();
+    m_framing = framingOf(headers);
     if (status != 200) {
         m_collectingError = true;
         m_errorAnswer = {status, m_context.protocol.answerHeaders(headers), ""};
@@ -144,6 +145,10 @@
     if (m_done) {
         return;
     }
+    const auto place = event.isEmpty ? EventPlace::Next : m_sequence.onEvent(event.id);
+    if (place == EventPlace::Regressed || place == EventPlace::Gap) {
+        logDisorder(place, event);
+    }
     if (event.id && event.id <= lastHeldEvent()) {
         return; // the caller already received it from the previous engine
     }
@@ -174,6 +179,19 @@
     restartStallTimer();
 }
 
+auto StreamRequest::logDisorder(EventPlace place, const RawEvent &event) const -> void
+{
+    m_context.counters.at(fmt::format("events_out_of_order{{place=\"{}\"}}", name(place))).add();
+    m_context.log.write("stream", "event_out_of_order",
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"place", name(place)},
+                         {"id", event.id.value_or(0)},
+                         {"after_event", m_lastEventId},
+                         {"events", m_events},
+                         {"sends", m_attempts.count()}});
+}
+
 auto StreamRequest::recordSurvival() -> void
 {
     const auto now = m_context.clock.now();
@@ -248,7 +266,7 @@
     if (m_splitter.hasPartial()) {
         return "the stream ends inside an event";
     }
-    if (m_endsWithConnection && !m_begunAt) {
+    if (m_framing == BodyFraming::Connection && !m_begunAt) {
         return "the connection was closed before the first event";
     }
     return "";
@@ -352,7 +370,10 @@
                          {"outcome", name(outcome)},
                          {"reason", reason},
                          {"connection_closed", evidence.connectionClosed},
+                         {"framing", name(m_framing)},
+                         {"entry", name(entryStateOf(m_context, m_decodeEngine))},
                          {"events", m_events},
+                         {"after_event", m_lastEventId},
                          {"silent_ms", toMilliseconds(m_context.clock.now() - m_lastEventAt)}});
 }
 
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -1,6 +1,7 @@
 #include "stream_request.h"
 
 #include "currantstack/edge/stream_forwarder.h"
+#include "currantstack/edge/upstream_links.h"
 
 namespace currantstack
 {
@@ -67,7 +68,11 @@
     m_context.log.write("stream", "request_answered",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
+                         {"framing", name(m_framing)},
+                         {"entry", name(entryStateOf(m_context, m_decodeEngine))},
                          {"events", m_events},
+                         {"last_event", m_lastEventId},
+                         {"gaps", m_sequence.gaps()},
                          {"sends", m_attempts.count()},
                          {"first_event_ms", toMilliseconds(m_timeToFirstEvent)},
                          {"longest_gap_ms", toMilliseconds(m_longestGap)},
@@ -84,6 +89,7 @@
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
                          {"events", m_events},
+                         {"last_event", m_lastEventId},
                          {"reason", reason},
                          {"sends", m_attempts.count()},
                          {"silent_ms", toMilliseconds(now - m_lastEventAt)},
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/decisions/admission.h"
+#include "currantstack/decisions/event_sequence.h"
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/decisions/stream_resumption.h"
 #include "currantstack/edge/event_splitter.h"
@@ -21,6 +22,7 @@
         , m_request(std::move(request))
         , m_attempts(attemptsOf(m_request))
         , m_lastEventId(m_request.metadata.lastEventId)
+        , m_sequence(m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt)
     { }
 
     auto start() -> void;
@@ -121,6 +123,7 @@
     auto onData(std::string_view data) -> void;
     auto breakOff(std::string_view reason) -> void;
     auto onEvent(const RawEvent &event) -> void;
+    auto logDisorder(EventPlace place, const RawEvent &event) const -> void;
     auto lastHeldEvent() const -> std::optional<std::int64_t>
     {
         return m_headSent || m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt;
@@ -206,10 +209,11 @@
     int m_answerStatus = 0;
     HttpResponse m_errorAnswer; // an engine's own error response, while its body arrives
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
-    bool m_endsWithConnection = false; // the answer has neither a length nor chunks
+    BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId; // that the caller has; 0 before the head is sent: none
+    EventSequence m_sequence; // of the events of all runs
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(headerNamesIgnoreCase);
     CPPUNIT_TEST(acceptsSingleBodyLength);
     CPPUNIT_TEST(rejectsAmbiguousBodyLength);
+    CPPUNIT_TEST(tellsHowABodyEnds);
     CPPUNIT_TEST_SUITE_END();
 
     static auto hasFramingError(Headers headers) -> bool
@@ -43,6 +44,13 @@
         CPPUNIT_ASSERT(hasFramingError({{"Content-Length ", "5"}}));
         CPPUNIT_ASSERT(hasFramingError({{"Transfer\tEncoding", "chunked"}}));
     }
+
+    auto tellsHowABodyEnds() -> void
+    {
+        CPPUNIT_ASSERT(framingOf({{"content-length", "0"}}) == BodyFraming::Length);
+        CPPUNIT_ASSERT(framingOf({{"transfer-encoding", "chunked"}}) == BodyFraming::Chunks);
+        CPPUNIT_ASSERT(framingOf({{"Content-Type", "text/event-stream"}}) == BodyFraming::Connection);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
