An answer without a length counts as complete only if its upstream outlived it

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of an ended process in the same way (FIN). StreamRequest took every such end after a first event for the end of the stream, ServiceRequest for that of the answer. A guarantee was assumed that the connection does not give; the class is the same for both.

Change: the end is held back for 30 ms, then for a connection to the upstream, unless it was heard on another one; a refused one, or an entry that names another start, makes the end doubtful. A doubtful call has failed: resumed, repeated, or visibly broken off (docs/design/24). This works because a process that has ended listens no more, whatever closed its connections.

--- /dev/null
+++ b/include/currantstack/decisions/answer_end.h
@@ -0,0 +1,50 @@
+// Decides whether an answer without a length or chunks is complete: the end of its connection may be that of its upstream's process.
+#pragma once
+
+#include "currantstack/clock.h"
+#include "currantstack/decisions/upstream_silence.h"
+
+#include <optional>
+#include <string_view>
+
+namespace currantstack
+{
+
+/// What a connection showed that was opened after the end of an answer.
+enum class ConnectionTrial
+{
+    Accepted,
+    Refused, // nothing listens at the upstream's address
+    NoAnswer,
+};
+
+/// What is known of an upstream once it has closed the connection of its answer.
+struct AnswerEndEvidence
+{
+    EntryState entry = EntryState::Present; // of the process that answered
+    bool heardSince = false; // the process has sent something since
+    std::optional<ConnectionTrial> connection; // of the last trial
+    int trials = 0;
+};
+
+enum class AnswerEnd
+{
+    Complete, // the process outlived its answer, so it ended the answer itself
+    Undecided, // a connection is to be tried
+    Doubtful, // the process ended, or cannot be reached
+};
+
+/// A process that ends closes its connections and stops listening at almost the same time. What it shows later than this is certain.
+inline constexpr Duration EndSettleTime = milliseconds(30);
+
+/// Connections that are tried before the end counts as doubtful.
+inline constexpr int MaxEndTrials = 2;
+
+/// Judges the end of an answer that only its connection marks. A doubtful answer must not look complete to its caller.
+auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd;
+
+/// Return the names in logs.
+auto name(AnswerEnd end) -> std::string_view;
+auto name(ConnectionTrial trial) -> std::string_view;
+
+} // namespace currantstack
--- /dev/null
+++ b/include/currantstack/edge/end_confirmation.h
@@ -0,0 +1,46 @@
+// Holds the end of an answer back until its upstream is known to have outlived it.
+#pragma once
+
+#include "currantstack/decisions/answer_end.h"
+#include "currantstack/edge/context.h"
+
+namespace currantstack
+{
+
+/// Confirms the end of one answer that neither a length nor chunks mark.
+class EndConfirmation : public std::enable_shared_from_this<EndConfirmation>
+{
+public:
+    /// `isComplete`: the upstream has outlived its answer. Runs once after `start` has returned, unless it is cancelled.
+    using Done = std::function<void(bool isComplete)>;
+
+    EndConfirmation(EdgeContext &context, Upstream upstream, std::string requestId, Done done)
+        : m_context(context)
+        , m_upstream(std::move(upstream))
+        , m_requestId(std::move(requestId))
+        , m_done(std::move(done))
+        , m_endedAt(context.clock.now())
+    { }
+
+    auto start() -> void;
+    auto cancel() -> void;
+
+private:
+    auto judge() -> void;
+    auto tryConnection() -> void;
+    auto onTried(const Result<HttpResponse> &result, TimePoint openedAt) -> void;
+
+    EdgeContext &m_context;
+    Upstream m_upstream;
+    std::string m_requestId;
+    Done m_done;
+    TimePoint m_endedAt;
+    AnswerEndEvidence m_evidence;
+    HttpClient::CallId m_call = 0;
+    std::unique_ptr<Timer> m_timer;
+};
+
+/// Returns the error of a call whose answer's end is doubtful.
+auto doubtfulEndError(const Upstream &upstream) -> Error;
+
+} // namespace currantstack
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/service_forwarder.h"
 
 #include "currantstack/decisions/service_placement.h"
+#include "currantstack/edge/end_confirmation.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/notice_observer.h"
 #include "currantstack/edge/send_check.h"
@@ -38,12 +39,15 @@
         HttpClient::CallId call = 0;
         Upstream upstream; // a copy, because the directory may drop the entry during the call
         TimePoint sentAt;
+        std::shared_ptr<EndConfirmation> endConfirmation = {}; // while the end of the answer is held back
     };
 
     auto send(std::string_view excluded, bool isHedge = false) -> bool;
     auto views(bool withLimited) -> std::vector<ServiceView>;
     auto refuseForPause() -> bool;
     auto refuseForLimits() -> bool;
+    auto onCallDone(HttpClient::CallId call, Result<HttpResponse> result) -> void;
+    auto isEndDoubtful(const Result<HttpResponse> &result) const -> bool;
     auto onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void;
     auto onOutcome(const PendingCall &pending, AttemptOutcome outcome, Result<HttpResponse> result) -> void;
     auto forwardAnswer(const PendingCall &pending, HttpResponse response) -> void;
@@ -194,12 +198,39 @@
     auto call = upstreamCall(m_context, m_request, *chosen, {});
     auto callId = std::make_shared<HttpClient::CallId>(0);
     HttpHandlers handlers;
-    handlers.onDone = [self = shared_from_this(), callId](Result<HttpResponse> result) { self->onAnswer(*callId, std::move(result)); };
+    handlers.onDone = [self = shared_from_this(), callId](Result<HttpResponse> result) { self->onCallDone(*callId, std::move(result)); };
     *callId = m_context.client.start(std::move(call), std::move(handlers));
     m_pendingCalls.push_back({*callId, target, now});
     return true;
 }
 
+/// Returns whether only the end of the connection marks that of an answer which is to be forwarded.
+auto ServiceRequest::isEndDoubtful(const Result<HttpResponse> &result) const -> bool
+{
+    if (!result || framingOf(result->headers) != BodyFraming::Connection) {
+        return false;
+    }
+    const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
+    return classifyHead(result->status, head) == AttemptOutcome::Answered;
+}
+
+auto ServiceRequest::onCallDone(HttpClient::CallId call, Result<HttpResponse> result) -> void
+{
+    const auto found =
+        std::find_if(m_pendingCalls.begin(), m_pendingCalls.end(), [call](const PendingCall &pending) { return pending.call == call; });
+    if (m_done || found == m_pendingCalls.end() || !isEndDoubtful(result)) {
+        onAnswer(call, std::move(result));
+        return;
+    }
+    auto held = std::make_shared<Result<HttpResponse>>(std::move(result));
+    found->endConfirmation = std::make_shared<EndConfirmation>(
+        m_context, found->upstream, m_request.metadata.requestId,
+        [self = shared_from_this(), call, held, upstream = found->upstream](bool isComplete) {
+            self->onAnswer(call, isComplete ? std::move(*held) : tl::unexpected(doubtfulEndError(upstream)));
+        });
+    found->endConfirmation->start();
+}
+
 auto ServiceRequest::onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void
 {
     const auto found =
@@ -364,6 +395,9 @@
     m_context.openRequests.remove(m_openId);
     for (const auto &pending : std::exchange(m_pendingCalls, {})) {
         m_context.client.cancel(pending.call);
+        if (pending.endConfirmation) {
+            pending.endConfirmation->cancel();
+        }
         releaseLoad(pending);
     }
     // The timers' callbacks own this request, so they are destroyed only after the current call has returned.
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -237,10 +237,41 @@
     }
     m_decodeCall = 0;
     if (!result) {
-        observeFailedCall(m_context, m_request, m_decodeEngine, result.error(), m_sentAt);
-        onDecodeBroken(classifyError(result.error()), describe(result.error()), evidenceOf(result.error()));
+        onDecodeFailed(result.error());
         return;
     }
+    if (m_framing == BodyFraming::Connection && incompleteReason().empty()) {
+        confirmEnd();
+        return;
+    }
+    onDecodeEnd();
+}
+
+auto StreamRequest::onDecodeFailed(const Error &error) -> void
+{
+    observeFailedCall(m_context, m_request, m_decodeEngine, error, m_sentAt);
+    onDecodeBroken(classifyError(error), describe(error), evidenceOf(error));
+}
+
+/// Holds the end back until the engine is known to have outlived its answer.
+auto StreamRequest::confirmEnd() -> void
+{
+    m_stallTimer->stop();
+    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId,
+                                                          [self = shared_from_this()](bool isComplete) {
+                                                              self->m_endConfirmation.reset();
+                                                              if (isComplete) {
+                                                                  self->onDecodeEnd();
+                                                              } else {
+                                                                  self->m_collectingError = false;
+                                                                  self->onDecodeFailed(doubtfulEndError(self->m_decodeEngine));
+                                                              }
+                                                          });
+    m_endConfirmation->start();
+}
+
+auto StreamRequest::onDecodeEnd() -> void
+{
     if (m_collectingError) {
         m_attempts.onOutcome(AttemptOutcome::Answered);
         m_context.log.write("stream", "engine_failed",
@@ -266,7 +297,7 @@
     if (m_splitter.hasPartial()) {
         return "the stream ends inside an event";
     }
-    if (m_framing == BodyFraming::Connection && !m_begunAt) {
+    if (m_framing == BodyFraming::Connection && !m_begunAt && !m_collectingError && !lastHeldEvent()) {
         return "the connection was closed before the first event";
     }
     return "";
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -139,6 +139,9 @@
     m_context.client.cancel(std::exchange(m_reserveCall, 0));
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    if (m_endConfirmation) {
+        std::exchange(m_endConfirmation, nullptr)->cancel();
+    }
     freeHandle();
     dropReservation();
     leaveQueue();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -5,6 +5,7 @@
 #include "currantstack/decisions/event_sequence.h"
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/decisions/stream_resumption.h"
+#include "currantstack/edge/end_confirmation.h"
 #include "currantstack/edge/event_splitter.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/notice_observer.h"
@@ -129,6 +130,9 @@
         return m_headSent || m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt;
     }
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
+    auto onDecodeFailed(const Error &error) -> void;
+    auto confirmEnd() -> void;
+    auto onDecodeEnd() -> void;
     auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
     auto recordSurvival() -> void;
@@ -210,6 +214,7 @@
     HttpResponse m_errorAnswer; // an engine's own error response, while its body arrives
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
+    std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId; // that the caller has; 0 before the head is sent: none
--- a/standin/http_peer.py
+++ b/standin/http_peer.py
@@ -80,6 +80,14 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def end(self):
+        """Closes the listener and all connections in the ordinary way, as the kernel does for a process that is killed."""
+        self.server.close()
+        self.server = None
+        self.report_listening()
+        for writer in list(self.writers):
+            writer.close()
+
     def report_listening(self):
         for hook in self.on_listening:
             hook(self.is_listening)
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -90,6 +90,12 @@
             self.record("crashed", request)
             self.crash_and_restart()
 
+    async def end_process(self, request):
+        """Ends the process as the kernel does: what was written is still sent."""
+        self.record("ended", request)
+        self.server.end()
+        await asyncio.sleep(0)
+
     def crash_and_restart(self):
         """Ends the process; its entry expires some time later and another incarnation starts at the same port."""
         if not self.server.is_listening:
@@ -199,10 +205,13 @@
             return None
         if self.draw_fault("foreign"):
             return response(200, [("Request-Id", "someone-else"), (STAMP, "x")], b"not yours")
-        if self.draw_fault("unframed"):
+        is_ended = self.draw_fault("unframed_ended")
+        if is_ended or self.draw_fault("unframed"):
             head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request)) + "\r\n"
-            writer.write(head.encode() + body)
+            writer.write(head.encode() + body[: len(body) // 2 if is_ended else len(body)])
             await writer.drain()
+            if is_ended:
+                await self.end_process(request)
             return None
         answer = response(200, self.headers(request), body)
         return answer + answer if self.draw_fault("surplus") else answer
@@ -345,6 +354,9 @@
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
                 await self.server.wait_while_silent()
                 event = f"id: {number}\ndata: {request.header('request-id')} {number} {version}\n\n".encode()
+                if number == 6 and self.draw_fault("unframed_ended"):
+                    await self.end_process(request)
+                    return None
                 if self.draw_fault("unframed_empty") or (number == 6 and self.draw_fault("unframed_torn")):
                     writer.write(event[: len(event) // 2] if self.fault == "unframed_torn" else b"")
                     await writer.drain()
