Answers without a body have no end to confirm

What callers saw: none yet; a review showed that a booking answered with 204 got 502 when its service ended within 30 ms.

Cause: framingOf took a 204 or 304, which has neither a length nor chunks, for an answer that ends with its connection. It looks at the status now.

--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -63,15 +63,16 @@
 /// What marks the end of a response's body.
 enum class BodyFraming
 {
+    None, // there is no body
     Length,
     Chunks,
     Connection, // the sender closes the connection, as it also does when its process ends
 };
 
-/// Returns the framing of the response with these headers.
-auto framingOf(const Headers &headers) -> BodyFraming;
+/// Returns the framing of a response, of which the status 204 and 304 have no body. See RFC 9112, 6.3.
+auto framingOf(int status, const Headers &headers) -> BodyFraming;
 
-/// Returns "length", "chunks" or "connection".
+/// Returns "none", "length", "chunks" or "connection".
 auto name(BodyFraming framing) -> std::string_view;
 
 /// Returns the query string "?name=value&...", percent-encoded, or an empty text if there are no parameters.
--- a/src/base/http.cc
+++ b/src/base/http.cc
@@ -49,8 +49,13 @@
     return chunked ? "" : "unknown transfer encoding";
 }
 
-auto framingOf(const Headers &headers) -> BodyFraming
+auto framingOf(int status, const Headers &headers) -> BodyFraming
 {
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    if (status == NoContent || status == NotModified) {
+        return BodyFraming::None;
+    }
     if (!findHeader(headers, "Transfer-Encoding").empty()) {
         return BodyFraming::Chunks;
     }
@@ -60,6 +65,8 @@
 auto name(BodyFraming framing) -> std::string_view
 {
     switch (framing) {
+    case BodyFraming::None:
+        return "none";
     case BodyFraming::Length:
         return "length";
     case BodyFraming::Chunks:
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -207,7 +207,7 @@
 /// Returns whether only the end of the connection marks that of an answer which is to be forwarded.
 auto ServiceRequest::isEndDoubtful(const Result<HttpResponse> &result) const -> bool
 {
-    if (!result || framingOf(result->headers) != BodyFraming::Connection) {
+    if (!result || framingOf(result->status, result->headers) != BodyFraming::Connection) {
         return false;
     }
     const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
@@ -349,7 +349,7 @@
                         {{"request", m_request.metadata.requestId},
                          {"upstream", pending.upstream.id},
                          {"status", response.status},
-                         {"framing", name(framingOf(response.headers))},
+                         {"framing", name(framingOf(response.status, response.headers))},
                          {"entry", name(entryStateOf(m_context, pending.upstream))},
                          {"bytes", response.body.size()},
                          {"age_ms", toMilliseconds(age)}});
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -88,7 +88,7 @@
         return;
     }
     m_handle.clear(); // the decode engine has fetched the KV cache
-    m_framing = framingOf(headers);
+    m_framing = framingOf(status, headers);
     if (status != 200) {
         m_collectingError = true;
         m_errorAnswer = {status, m_context.protocol.answerHeaders(headers), ""};
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -47,9 +47,10 @@
 
     auto tellsHowABodyEnds() -> void
     {
-        CPPUNIT_ASSERT(framingOf({{"content-length", "0"}}) == BodyFraming::Length);
-        CPPUNIT_ASSERT(framingOf({{"transfer-encoding", "chunked"}}) == BodyFraming::Chunks);
-        CPPUNIT_ASSERT(framingOf({{"Content-Type", "text/event-stream"}}) == BodyFraming::Connection);
+        CPPUNIT_ASSERT(framingOf(200, {{"content-length", "0"}}) == BodyFraming::Length);
+        CPPUNIT_ASSERT(framingOf(200, {{"transfer-encoding", "chunked"}}) == BodyFraming::Chunks);
+        CPPUNIT_ASSERT(framingOf(200, {{"Content-Type", "text/event-stream"}}) == BodyFraming::Connection);
+        CPPUNIT_ASSERT(framingOf(204, {}) == BodyFraming::None);
     }
 };
 
