A held end is judged by the process that answered, and holds nothing else

What callers saw: none yet; an independent review of the fix showed with real processes: streams complete after events 1 to 3 of 12 because a new process at the engine's address, or bytes that were late, vouched for the end; a torn stream that an empty continuation completed; a stream sent once more while its end was held; bookings that were whole and got 502, because the service resets connections beyond its limit.

Cause: the evidence was not tied to the process that answered, nor to the time after the end; a reservation went on while the end was held; each empty continuation counted as the end, not only one after a doubtful end; a reset on connecting counted as no answer.

Change: another start at the address since makes the end doubtful; an upstream without an entry is tried again after 1 s, when a new process would have registered; only an answer on a connection opened later vouches; a VM that was suspended settles first; the reservation is cancelled; an empty continuation counts only after a doubtful end; a reset connection is an accepted one, and trials are 0.2 s apart. The time that an end is held does not count as the service's time.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -22,7 +22,7 @@
 struct AnswerEndEvidence
 {
     EntryState entry = EntryState::Present; // of the process that answered
-    bool heardSince = false; // the process has sent something since
+    bool reachedSince = false; // it has answered on a connection that was opened since
     std::optional<ConnectionTrial> connection; // of the last trial
     int trials = 0;
 };
@@ -37,8 +37,12 @@
 /// A process that ends closes its connections and stops listening at almost the same time. What it shows later than this is certain.
 inline constexpr Duration EndSettleTime = milliseconds(30);
 
-/// Connections that are tried before the end counts as doubtful.
+/// Connections that are tried before the end counts as doubtful, and the pause between them.
 inline constexpr int MaxEndTrials = 2;
+inline constexpr Duration EndTrialPause = milliseconds(200);
+
+/// Time in which the store's watch brings the entry of a new process. It is the pause between trials of an upstream without an entry.
+inline constexpr Duration NewEntryTime = milliseconds(1000);
 
 /// Judges the end of an answer that only its connection marks. A doubtful answer must not look complete to its caller.
 auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd;
--- a/include/currantstack/edge/end_confirmation.h
+++ b/include/currantstack/edge/end_confirmation.h
@@ -26,6 +26,9 @@
     auto cancel() -> void;
 
 private:
+    auto wait(Duration time) -> void;
+    auto onTimer() -> void;
+    auto isReplaced() const -> bool;
     auto judge() -> void;
     auto tryConnection() -> void;
     auto onTried(const Result<HttpResponse> &result, TimePoint openedAt) -> void;
@@ -35,6 +38,7 @@
     std::string m_requestId;
     Done m_done;
     TimePoint m_endedAt;
+    TimePoint m_dueAt; // of the timer
     AnswerEndEvidence m_evidence;
     HttpClient::CallId m_call = 0;
     std::unique_ptr<Timer> m_timer;
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -141,14 +141,16 @@
     if (!call.defect.empty()) {
         error.message = call.defect;
     }
+    bool isReset = false; // while the connection was opened
     if (sent == 0) {
         long systemError = 0;
         curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &systemError);
         error.code = ErrorCode::Unreachable;
         error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+        isReset = call.options.connectOnly && systemError == ECONNRESET;
     }
     error.connectionClosed =
-        code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
+        isReset || code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
     return error;
 }
 
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -8,7 +8,10 @@
     if (evidence.entry == EntryState::Replaced || evidence.connection == ConnectionTrial::Refused) {
         return AnswerEnd::Doubtful;
     }
-    if (evidence.heardSince || evidence.connection == ConnectionTrial::Accepted) {
+    const bool hasEntry = evidence.entry == EntryState::Present;
+    const bool isAccepted = evidence.connection == ConnectionTrial::Accepted;
+    // Without an entry, the address may be that of a new process, whose entry arrives before the last trial.
+    if (evidence.reachedSince || (isAccepted && (hasEntry || evidence.trials >= MaxEndTrials))) {
         return AnswerEnd::Complete;
     }
     return evidence.trials < MaxEndTrials ? AnswerEnd::Undecided : AnswerEnd::Doubtful;
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -8,8 +8,14 @@
 
 auto EndConfirmation::start() -> void
 {
-    m_timer = m_context.loop.timer([self = shared_from_this()]() { self->judge(); });
-    m_timer->startOnce(EndSettleTime);
+    m_timer = m_context.loop.timer([self = shared_from_this()]() { self->onTimer(); });
+    wait(EndSettleTime);
+}
+
+auto EndConfirmation::wait(Duration time) -> void
+{
+    m_dueAt = m_context.clock.now() + time;
+    m_timer->startOnce(time);
 }
 
 auto EndConfirmation::cancel() -> void
@@ -20,16 +26,42 @@
     m_context.loop.defer([self = shared_from_this()]() { self->m_timer.reset(); });
 }
 
-auto EndConfirmation::judge() -> void
+auto EndConfirmation::onTimer() -> void
 {
     if (!m_done) {
         return;
     }
+    if (m_context.clock.now() - m_dueAt > EndSettleTime) {
+        wait(EndSettleTime); // this VM was suspended: what happened meanwhile may still lie unread
+    } else if (m_evidence.trials == 0) {
+        judge();
+    } else {
+        tryConnection();
+    }
+}
+
+/// Returns whether another process is registered at the upstream's address since.
+auto EndConfirmation::isReplaced() const -> bool
+{
+    bool result = false;
+    m_context.directory.forEach([this, &result](const Upstream &other) {
+        const bool isNewer = other.startedAtMs > m_upstream.startedAtMs || other.revision > m_upstream.revision;
+        result = result
+            || (other.address == m_upstream.address && other.id != m_upstream.id && isNewer && m_context.directory.isRecognized(other));
+    });
+    return result;
+}
+
+auto EndConfirmation::judge() -> void
+{
     const auto now = m_context.clock.now();
-    m_evidence.entry = entryStateOf(m_context, m_upstream);
-    // What arrives in the first half may have been sent before the end.
-    m_evidence.heardSince = m_context.silence.hasHeard(m_upstream.id, m_endedAt + EndSettleTime / 2);
+    m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
+    m_evidence.reachedSince = m_context.reach.hasReached(m_upstream.id, m_endedAt + EndSettleTime);
     const auto end = judgeAnswerEnd(m_evidence);
+    if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
+        wait(m_evidence.entry == EntryState::Removed ? NewEntryTime : EndTrialPause);
+        return;
+    }
     if (end == AnswerEnd::Undecided) {
         tryConnection();
         return;
@@ -39,7 +71,7 @@
                         {{"request", m_requestId},
                          {"upstream", m_upstream.id},
                          {"entry", name(m_evidence.entry)},
-                         {"heard_since", m_evidence.heardSince},
+                         {"reached_since", m_evidence.reachedSince},
                          {"connection", m_evidence.connection ? name(*m_evidence.connection) : "not_tried"},
                          {"trials", m_evidence.trials},
                          {"held_ms", toMilliseconds(now - m_endedAt)},
@@ -70,7 +102,10 @@
 auto EndConfirmation::onTried(const Result<HttpResponse> &result, TimePoint openedAt) -> void
 {
     m_call = 0;
-    if (result) {
+    if (!m_done) {
+        return;
+    }
+    if (result || result.error().connectionClosed) { // an upstream resets connections beyond its limit at once
         m_evidence.connection = ConnectionTrial::Accepted;
     } else {
         m_evidence.connection = result.error().connectionRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -40,6 +40,7 @@
         Upstream upstream; // a copy, because the directory may drop the entry during the call
         TimePoint sentAt;
         std::shared_ptr<EndConfirmation> endConfirmation = {}; // while the end of the answer is held back
+        std::optional<TimePoint> endedAt = {}; // of the answer whose end is held back
     };
 
     auto send(std::string_view excluded, bool isHedge = false) -> bool;
@@ -228,6 +229,7 @@
         [self = shared_from_this(), call, held, upstream = found->upstream](bool isComplete) {
             self->onAnswer(call, isComplete ? std::move(*held) : tl::unexpected(doubtfulEndError(upstream)));
         });
+    found->endedAt = m_context.clock.now();
     found->endConfirmation->start();
 }
 
@@ -256,7 +258,7 @@
 auto ServiceRequest::onOutcome(const PendingCall &pending, AttemptOutcome outcome, Result<HttpResponse> result) -> void
 {
     const auto now = m_context.clock.now();
-    const auto took = now - pending.sentAt;
+    const auto took = pending.endedAt.value_or(now) - pending.sentAt;
     if (!result) {
         observeFailedCall(m_context, m_request, pending.upstream, result.error(), pending.sentAt);
     } else if (outcome == AttemptOutcome::Answered) {
@@ -373,7 +375,7 @@
         return;
     }
     for (const auto &pending : m_pendingCalls) {
-        if (timedOut) {
+        if (timedOut && !pending.endConfirmation) {
             m_context.health.observeFailure(pending.upstream.id, m_context.clock.now());
             recordSilence(m_context, pending.upstream, pending.sentAt);
         }
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -49,6 +49,7 @@
     m_begunAt.reset();
     m_survivalRecorded = false;
     m_collectingError = false;
+    m_framing = BodyFraming::None;
     m_attempts.onAttempt();
     if (m_kvSource.empty()) {
         m_queuedPromptTokens = queuedPromptTokens(m_decodeEngine);
@@ -257,19 +258,27 @@
 auto StreamRequest::confirmEnd() -> void
 {
     m_stallTimer->stop();
-    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId,
-                                                          [self = shared_from_this()](bool isComplete) {
-                                                              self->m_endConfirmation.reset();
-                                                              if (isComplete) {
-                                                                  self->onDecodeEnd();
-                                                              } else {
-                                                                  self->m_collectingError = false;
-                                                                  self->onDecodeFailed(doubtfulEndError(self->m_decodeEngine));
-                                                              }
-                                                          });
+    cancelSuccessor();
+    const auto done = [self = shared_from_this()](bool isComplete) { self->onEndJudged(isComplete); };
+    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, done);
     m_endConfirmation->start();
 }
 
+auto StreamRequest::onEndJudged(bool isComplete) -> void
+{
+    m_endConfirmation.reset();
+    if (isComplete) {
+        onDecodeEnd();
+        return;
+    }
+    const auto error = doubtfulEndError(m_decodeEngine);
+    m_collectingError = false;
+    observeFailedCall(m_context, m_request, m_decodeEngine, error, m_sentAt);
+    auto evidence = evidenceOf(error);
+    evidence.endDoubtful = true;
+    onDecodeBroken(AttemptOutcome::Unknown, describe(error), evidence);
+}
+
 auto StreamRequest::onDecodeEnd() -> void
 {
     if (m_collectingError) {
@@ -297,7 +306,7 @@
     if (m_splitter.hasPartial()) {
         return "the stream ends inside an event";
     }
-    if (m_framing == BodyFraming::Connection && !m_begunAt && !m_collectingError && !lastHeldEvent()) {
+    if (m_framing == BodyFraming::Connection && !m_begunAt && !m_collectingError && !m_mayHaveEnded) {
         return "the connection was closed before the first event";
     }
     return "";
@@ -386,6 +395,7 @@
         return;
     }
     m_brokenOutcome = outcome;
+    m_mayHaveEnded = evidence.endDoubtful;
     m_stallTimer->stop();
     release(m_decodeClaim);
     if (m_successorClaim.engine.empty()) { // otherwise a reservation is under way already
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -50,6 +50,7 @@
     {
         bool entryOutdated = false; // the directory entry no longer matches the engine at the address
         bool connectionClosed = false; // the engine closed the connection before its answer was complete
+        bool endDoubtful = false; // all of the answer may have arrived
     };
 
     auto admit() -> void;
@@ -132,6 +133,7 @@
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto onDecodeFailed(const Error &error) -> void;
     auto confirmEnd() -> void;
+    auto onEndJudged(bool isComplete) -> void;
     auto onDecodeEnd() -> void;
     auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
@@ -215,6 +217,7 @@
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
+    bool m_mayHaveEnded = false; // the last run may have sent all events, so that the next one may have none left
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     std::int64_t m_lastEventId; // that the caller has; 0 before the head is sent: none
--- a/test/answer_end-test.cc
+++ b/test/answer_end-test.cc
@@ -11,7 +11,7 @@
     CPPUNIT_TEST(upstreamThatAcceptsConnectionsHasEndedItsAnswerItself);
     CPPUNIT_TEST(upstreamThatRefusesConnectionsHasEnded);
     CPPUNIT_TEST(unreachableUpstreamIsTriedAgainAndThenDoubtful);
-    CPPUNIT_TEST(nothingHeardFromAnotherProcessConfirmsTheEnd);
+    CPPUNIT_TEST(nothingOfAnotherProcessConfirmsTheEnd);
     CPPUNIT_TEST(eachJudgementEndsAndNeedsEvidenceToBeComplete);
     CPPUNIT_TEST_SUITE_END();
 
@@ -25,7 +25,8 @@
     auto upstreamThatAcceptsConnectionsHasEndedItsAnswerItself() -> void
     {
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Accepted, 1}) == AnswerEnd::Complete);
-        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Accepted, 1}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Accepted, 1}) == AnswerEnd::Undecided);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Accepted, MaxEndTrials}) == AnswerEnd::Complete);
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, true, std::nullopt, 0}) == AnswerEnd::Complete);
     }
 
@@ -41,7 +42,7 @@
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::NoAnswer, MaxEndTrials}) == AnswerEnd::Doubtful);
     }
 
-    auto nothingHeardFromAnotherProcessConfirmsTheEnd() -> void
+    auto nothingOfAnotherProcessConfirmsTheEnd() -> void
     {
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Replaced, true, ConnectionTrial::Accepted, 1}) == AnswerEnd::Doubtful);
     }
