Relays pass a reset on as a reset

By reading, not by a run: VMs of the rig that reach upstreams through relays get an ordinary close where the upstream resets its connection, as the relay closes the other side of a connection whose read fails. An answer that ends with its connection then looks complete although it was reset, so the rig would blame the VM.

The relay resets the other side when reading or writing fails; Link used the same function for its cuts, which moves to Relay.

--- a/support/relay.py
+++ b/support/relay.py
@@ -1,6 +1,8 @@
 """A TCP relay that injects faults: delays, resets, dropped traffic in one or both directions, and connections that go silent."""
 
 import asyncio
+import socket
+import struct
 import threading
 
 
@@ -51,9 +53,18 @@
                 if generation == self.generation:
                     writer.write(data)
                     await writer.drain()
+        except ConnectionError:
+            self._reset(writer)  # the end of an answer must not look like an ordinary close
+            raise
         finally:
             writer.close()
 
+    def _reset(self, writer):
+        connection = writer.get_extra_info("socket")
+        if connection.fileno() >= 0:  # its other end may have closed it just now
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
     def close(self):
         """Stops listening and frees the port."""
         Relay._loop.call_soon_threadsafe(self.server.close)
--- a/test/edge/links.py
+++ b/test/edge/links.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 
 from platform_store import StoreView
 from relay import Relay
@@ -70,12 +69,6 @@
                 filler.connect_ex(("127.0.0.1", self.port))
                 self.blockers.append(filler)
 
-    def _reset(self, writer):
-        connection = writer.get_extra_info("socket")
-        if connection.fileno() >= 0:  # its other end may have closed it just now
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
-
     async def _accept(self, reader, writer):
         if self.mode == "reset":
             self._reset(writer)
