Stand-in engines and services may be processes of their own

Callers on real machines saw streams that end as complete after a part of their events; no test showed it. Cause in the rig: all stand-ins live in the test's process, so an upstream that "crashes" aborts its connections there, while real upstreams are processes that are killed, whose connections the kernel closes with FIN, in the middle of an answer too.

Entries stay with the rig's store: removed some time after a kill (`expiry_s`), written anew after a start, under a new id or the same one with a later `born` (`keeps_id`). A decode engine takes a KV cache from the engine process that made the handle. `unframed_share` of the answers has neither a length nor chunks; the fault "killed" ends an upstream in the middle of its answer. Rig(processes=True) uses them, `send` can speak HTTP/1.0, and read_response reads a body without length to the end of the connection instead of taking it for empty.

--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -40,7 +40,8 @@
 class Fleet:
     """The store and all upstreams of one platform, on one event loop."""
 
-    def __init__(self, prefill=2, decode=3, services=2, seed=0):
+    def __init__(self, prefill=2, decode=3, services=2, seed=0, kinds=(Engine, Service)):
+        self.engine_kind, self.service_kind = kinds
         self.counts = prefill, decode, services
         self.store = PlatformStore(seed=seed)
         self.history, self.version = [], 0
@@ -51,9 +52,9 @@
         prefill, decode, services = self.counts
         for number in range(prefill + decode):
             role = "prefill" if number < prefill else "decode"
-            self.engines.append(await Engine(self.store, "llm", PLACES[number % 2], self.history, role).start())
+            self.engines.append(await self.engine_kind(self.store, "llm", PLACES[number % 2], self.history, role).start())
         for number in range(services):
-            self.services.append(await Service(self.store, "booking", PLACES[number % 2], self.history).start())
+            self.services.append(await self.service_kind(self.store, "booking", PLACES[number % 2], self.history).start())
         self.store.engines = {engine.address: engine for engine in self.engines}
         self.configure()
         return self
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -43,6 +43,9 @@
         self.limits = []  # values of the limit fields in its responses, as text
         self.crashes_on = lambda request: False  # a request for which this holds crashes the upstream shortly after it begins to run
         self.restart_s = 1.0  # from a crash until the next incarnation registers
+        self.expiry_s = 0.0  # from a crash until its entry is removed; 0: half of the time above
+        self.keeps_id = False  # the next incarnation after a crash has the id of this one
+        self.unframed_share = 0.0  # of its answers has neither a length nor chunks and ends with the connection
 
     @property
     def address(self):
@@ -95,15 +98,18 @@
         if not self.server.is_listening:
             return
         self.server.stop()
-        asyncio.get_running_loop().create_task(self.start_again())
+        expiry = asyncio.get_running_loop().call_later(self.expiry_s or self.restart_s / 2, self.store.delete, f"servers/{self.id}")
+        asyncio.get_running_loop().create_task(self.start_again(expiry))
 
-    async def start_again(self):
-        await asyncio.sleep(self.restart_s / 2)
-        self.store.delete(f"servers/{self.id}")
-        await asyncio.sleep(self.restart_s / 2)
+    async def start_again(self, expiry):
+        await asyncio.sleep(self.restart_s)
         if self.server.is_listening:
             return  # it was restarted meanwhile
-        self.id, self.started_ms, self.state = f"i-{next(self.ids)}", int(time.time() * 1000), "ready"
+        if self.keeps_id:
+            expiry.cancel()  # its new entry replaces the one that has not expired yet
+        else:
+            self.id = f"i-{next(self.ids)}"
+        self.started_ms, self.state = int(time.time() * 1000), "ready"
         await self.server.start()
         self.register()
 
@@ -137,6 +143,9 @@
             self.record("limit_named", request, limits=list(self.limits))
         return data
 
+    def draw_unframed(self):
+        return self.unframed_share and self.store.random.random() < self.unframed_share
+
     def draw_fault(self, kind):
         """Returns whether this request gets the fault; the share of faulty requests is `fault_share`."""
         return self.fault == kind and self.store.random.random() < self.fault_share
@@ -173,6 +182,7 @@
 class Service(Upstream):
     WORK_S = 0.02  # time of one run
     PADDING_BYTES = 0  # at the end of each body
+    BODY_PAUSE_S = 0.0  # in the middle of each body
 
     async def run(self, request, reader, writer):
         self.record("run", request)
@@ -199,18 +209,27 @@
             return None
         if self.draw_fault("foreign"):
             return response(200, [("Request-Id", "someone-else"), (STAMP, "x")], b"not yours")
-        if self.draw_fault("unframed"):
-            head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in self.headers(request)) + "\r\n"
-            writer.write(head.encode() + body)
+        answer, is_framed = response(200, self.headers(request), body), True
+        if self.draw_fault("unframed") or self.draw_unframed():
+            answer, is_framed = answer.replace(b"Content-Length: %d\r\n" % len(body), b""), False
+        is_killed = self.draw_fault("killed")
+        if self.BODY_PAUSE_S or is_killed or not is_framed:
+            rest = len(answer) - len(body) // 2
+            writer.write(answer[:rest])
             await writer.drain()
-            return None
-        answer = response(200, self.headers(request), body)
+            if is_killed:
+                return self.crash_under(request)
+            await asyncio.sleep(self.BODY_PAUSE_S)
+            writer.write(answer[rest:])
+            await writer.drain()
+            return b"" if is_framed else None
         return answer + answer if self.draw_fault("surplus") else answer
 
 
 class Engine(Upstream):
     KV_CAPACITY_TOKENS = 24000
     EVENTS = 12  # per stream
+    LAST_BEFORE_KILL = 5  # event of a stream whose engine has the fault "killed"
     FIRST_ID = 1  # of the events
     EVENT_INTERVAL_S = 0.015
     PREFILL_TOKENS_PER_MS = 60.0
@@ -243,6 +262,8 @@
         if parts[0] == "hold-drop":
             self.holds.pop(parts[1], None)
             return response(200)
+        if parts[0] == "kv-take":  # a call of another stand-in
+            return response(200, body={"request": self.handles.pop(parts[1], None)})
         if parts[0] == "kv-handle":
             self.handles.pop(parts[1], None)
             return response(200)
@@ -270,7 +291,7 @@
                 return response(421)
             await asyncio.sleep(prompt / self.PREFILL_TOKENS_PER_MS / 1000)
             self.record("prompt_read", request)
-            handle = f"k{next(self.local_ids)}"
+            handle = f"k{next(self.local_ids)}-{self.server.port}"
             self.handles[handle] = request.header("request-id")
             asyncio.get_running_loop().call_later(0.5, self.handles.pop, handle, None)
             return response(200, body={"kv_handle": handle, "tokens": prompt, "version": 1})
@@ -279,7 +300,7 @@
         if self.is_full and request.header("kv-hold") not in self.holds:
             return response(503, [("Not-Run", "1")])
         source = request.header("kv-source")
-        if source and not self.import_kv(source, request):
+        if source and not await self.import_kv(source, request):
             return response(503, [("Not-Run", "1")])
         self.holds.pop(request.header("kv-hold"), None)
         if not source:
@@ -310,15 +331,19 @@
             await writer.drain()
             await asyncio.sleep(self.TRICKLE_S)
 
-    def import_kv(self, source, request):
+    async def import_kv(self, source, request):
         """Takes the prompt's KV cache from the prefill engine; returns whether the handle was still valid."""
         address, _, handle = source.partition("/")
-        engine = self.store.engines.get(address)
-        owner = engine.handles.pop(handle, None) if engine else None
+        owner = await self.take_kv(address, handle)
         if owner is not None and owner != request.header("request-id"):
             self.record("foreign_handle", request, owner=owner)
         return owner is not None
 
+    async def take_kv(self, address, handle):
+        """Returns the request whose KV cache the handle names, or None if it is not valid any more."""
+        engine = self.store.engines.get(address)
+        return engine.handles.pop(handle, None) if engine else None
+
     async def stream(self, request, reader, writer, prompt):
         version = self.software_version  # the events show which version wrote them
         self.record("run", request, after=int(request.header("last-event-id", "0")), version=version)
@@ -329,7 +354,7 @@
             return await self.break_off(request, writer)
         self.used_tokens += prompt
         # Faults "unframed..." send neither a length nor chunks; the answer ends with its connection.
-        is_framed = not self.fault.startswith("unframed")
+        is_framed = not (self.fault.startswith("unframed") or self.draw_unframed())
         frame = chunk if is_framed else bytes
         try:
             head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + "Transfer-Encoding: chunked\r\n" * is_framed
@@ -350,8 +375,10 @@
                     await writer.drain()
                     return None
                 is_begun = number > self.FIRST_ID and not request.header("last-event-id")
+                if number == self.LAST_BEFORE_KILL + 1 and is_begun and self.draw_fault("killed"):
+                    return self.crash_under(request)
                 if self.draw_fault("torn") or (is_begun and self.draw_fault("torn_after_first")):
-                    writer.write(chunk(event[: len(event) // 2]))
+                    writer.write(frame(event[: len(event) // 2]))
                     await writer.drain()
                     writer.transport.abort()
                     return None
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -13,6 +13,7 @@
 
 sys.path.insert(0, os.path.join(ROOT, "support"))
 
+from engine_process import EngineProcess, ServiceProcess  # noqa: E402
 from links import UpstreamLinks  # noqa: E402
 from platform_fleet import Fleet, vm_settings  # noqa: E402
 from relay import Relay  # noqa: E402
@@ -122,19 +123,21 @@
                 body += await reader.readexactly(size)
                 await reader.readexactly(2)
             await reader.readexactly(2)
+        elif "content-length" in headers:
+            body = await reader.readexactly(int(headers["content-length"]))
         else:
-            body = await reader.readexactly(int(headers.get("content-length", "0")))
+            body = await reader.read()  # until the connection ends; a reset raises an error
         return status, headers, body
     except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
         raise EOFError(str(error)) from error
 
 
-async def call(ip, port, method, target, headers, body, limit=10):
+async def call(ip, port, method, target, headers, body, limit=10, version="1.1"):
     """Sends one request on a new connection; returns status, headers and body."""
     async def exchange():
         reader, writer = await asyncio.open_connection(ip, port)
         try:
-            head = f"{method} {target} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            head = f"{method} {target} HTTP/{version}\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers.items())
             writer.write(head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
             return await read_response(reader)
         finally:
@@ -143,11 +146,12 @@
 
 
 class Rig:
-    """The platform's stand-ins and currant-edge VMs that route to them."""
+    """The platform's stand-ins and currant-edge VMs that route to them; engines and services may be processes of their own."""
 
-    def __init__(self, vms=1, seed=0, grace=8, hidden_prefix="", bounds=None, **counts):
+    def __init__(self, vms=1, seed=0, grace=8, hidden_prefix="", bounds=None, processes=False, **counts):
         self.folder = tempfile.mkdtemp(prefix="currant-edge-")
-        self.fleet = Fleet(seed=seed, **counts)
+        self.processes = processes
+        self.fleet = Fleet(seed=seed, **counts, **({"kinds": (EngineProcess, ServiceProcess)} if processes else {}))
         self.fleet.store.hidden_prefix = hidden_prefix
         self.vm_count, self.bounds = vms, {"grace": grace, **(bounds or {})}
         self.vms, self.request_count = [], 0
@@ -180,6 +184,8 @@
             self.links.close()
         for server in [self.fleet.store.server, *(upstream.server for upstream in self.fleet.upstreams)]:
             server.stop()
+        if self.processes:
+            await asyncio.gather(*(upstream.server.end() for upstream in self.fleet.upstreams))
         await asyncio.sleep(0.05)  # lets the servers' connection handlers finish
 
     def program_of(self, vm):
@@ -204,7 +210,7 @@
         return f"req-{self.request_count}"
 
     async def send(self, kind, vm=None, request_id=None, deadline=6000, limit=10, headers=None, path="x?q=%20a//b",
-                   body=b"x" * 50):
+                   body=b"x" * 50, version="1.1"):
         """Sends one request to the route of this name; returns its id, status, headers and body."""
         vm = vm or self.vms[0]
         request_id = request_id or self.request_id()
@@ -216,7 +222,7 @@
         fields.update(headers or {})
         if kind == "check":
             method, body = "GET", b""
-        return request_id, *await call(vm.ip, vm.port, method, f"/{kind}/{path}", fields, body, limit)
+        return request_id, *await call(vm.ip, vm.port, method, f"/{kind}/{path}", fields, body, limit, version)
 
     def runs_of(self, request_id):
         """Returns the runs of the request that upstreams recorded."""
