Tests of answers without framing whose upstream is killed

Callers saw streams that end as complete after 5 of 12 events, and parts of plain answers as whole ones. Cause: the end of an answer that has neither a length nor chunks is taken on trust, and the kernel ends it in the ordinary way when the upstream's process is killed.

--- a/test/edge/soak_callers.py
+++ b/test/edge/soak_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import time
 
 from loss_tests import LOSS_SLACK_S, MEASURING_S, exchange
@@ -10,6 +11,7 @@
 DEADLINE_MARGIN_S = 0.3  # by which a VM ends a stream before its deadline
 CALLER_LIMIT_S = 9.0
 AFTERMATH_S = 1.5  # after an impairment, in which requests that it has disturbed may still end
+SOFTWARE_VERSIONS = ("v1", "v2")
 PAUSE_S = 0.08  # mean time between two requests on a connection
 SMALL_BODY, LARGE_BODY = b"b" * 50, b"b" * 20000
 
@@ -19,6 +21,14 @@
     return kind in ("stream", "digest") and end - begin > DEADLINE_S - DEADLINE_MARGIN_S
 
 
+def is_whole(kind, request, body):
+    """Returns whether a body is all that an upstream answers: each event of one stream and one software version, or a whole plain body."""
+    if kind in ("stream", "digest"):
+        return body in ["".join(f"id: {number}\ndata: {request} {number} {version}\n\n" for number in range(1, 13)).encode()
+                        for version in SOFTWARE_VERSIONS]
+    return re.fullmatch(rb'{"echo": "%s", "body": \d+}' % request.encode(), body) is not None
+
+
 class Impairments:
     """Times in which VMs or upstreams were impaired, so that requests at them may end without an answer."""
 
