Streams that break off are reset for callers without chunks

A caller that takes no chunks (HTTP/1.0, as some proxies speak) has only the end of its connection to know that a stream is complete. A stream that was aborted, cut at the end of a stop, or cut because its caller read too slowly ended with an ordinary close, so that its first part looked like the whole.

libmicrohttpd shuts a connection down for writing before it closes it, also after MHD_CONTENT_READER_END_WITH_ERROR and when its daemon is stopped, and closeOverdue() shut it down itself. All three send FIN.

Exchange::resetUnlessFramed() disconnects the socket at once, which sends a reset whatever libmicrohttpd does later; bytes that the caller has not read may be lost. It runs on abort, on the server's end and on the cut of a slow reader. A stream that is aborted before its head sends none. Chunked responses are unchanged: their last chunk is missing.

--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -47,7 +47,8 @@
     /// Sends the complete response. Ignored if a response has been started.
     auto respond(HttpResponse response) -> void;
 
-    /// Sends the response head; the body follows with `write`. Closing the server aborts streams that have not ended.
+    /// Sends the response head; the body follows with `write`. Closing the server aborts streams that have not ended. A caller that does
+    /// not accept chunks takes the end of the connection for the end of the body, so it sees a reset if the body is incomplete.
     auto beginStream(int status, Headers headers) -> void;
     auto write(std::string_view data) -> void;
     auto end() -> void;
@@ -89,6 +90,8 @@
     auto handleDisconnect() -> void;
     auto survivesEndOfInput() -> bool;
     auto markCompleted() -> void;
+    auto endsWithConnection() const -> bool;
+    auto resetUnlessFramed() -> void;
     auto resume() -> void;
     auto watchForDisconnect() -> void;
 
@@ -105,6 +108,7 @@
     std::unique_ptr<DisconnectWatcher> m_watcher;
     bool m_bodyTooLarge = false;
     bool m_headRead = false;
+    bool m_acceptsChunks = false;
     bool m_dispatched = false;
     bool m_suspended = false;
     bool m_answered = false;
--- a/src/base/exchange.cc
+++ b/src/base/exchange.cc
@@ -178,6 +178,7 @@
     }
     m_aborted = true;
     m_answered = true;
+    resetUnlessFramed();
     resume();
 }
 
@@ -209,6 +210,24 @@
     }
 }
 
+/// Returns whether only the end of the connection tells the caller the end of the body.
+auto Exchange::endsWithConnection() const -> bool
+{
+    return m_streaming && !m_acceptsChunks;
+}
+
+/// Ends the connection with a reset now, and not with the end of output that libmicrohttpd sends, if the caller would take that for the end
+/// of the body.
+auto Exchange::resetUnlessFramed() -> void
+{
+    if (m_completed || !m_responseQueued || !endsWithConnection()) {
+        return;
+    }
+    sockaddr address{};
+    address.sa_family = AF_UNSPEC;
+    ::connect(MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, &address, sizeof address);
+}
+
 auto Exchange::markCompleted() -> void
 {
     m_completed = true;
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -110,6 +110,7 @@
     for (auto *exchange : m_active) {
         exchange->m_aborted = true;
         exchange->m_answered = true;
+        exchange->resetUnlessFramed();
         if (std::exchange(exchange->m_suspended, false)) {
             MHD_resume_connection(exchange->m_connection);
         }
@@ -185,10 +186,10 @@
     self->accountConnections();
 }
 
-auto ServerCore::exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>
+auto ServerCore::exchangesByConnection() const -> std::unordered_map<MHD_Connection *, Exchange *>
 {
-    std::unordered_map<MHD_Connection *, const Exchange *> result;
-    for (const auto *exchange : m_active) {
+    std::unordered_map<MHD_Connection *, Exchange *> result;
+    for (auto *exchange : m_active) {
         result.emplace(exchange->m_connection, exchange);
     }
     return result;
@@ -291,19 +292,20 @@
     const auto now = m_clock.now();
     for (auto &[connection, watch] : m_connections) {
         auto phase = ConnectionPhase::BetweenRequests;
-        bool isRead = true; // by the server; otherwise the response is written
+        Exchange *exchange = nullptr;
         if (const auto found = exchanges.find(connection); found != exchanges.end()) {
-            const auto &exchange = *found->second;
-            phase = exchange.m_suspended && !exchange.m_ended ? ConnectionPhase::Waiting
-                : exchange.m_headRead                         ? ConnectionPhase::Transfer
-                                                              : ConnectionPhase::Head;
-            isRead = !exchange.m_responseQueued;
+            exchange = found->second;
+            phase = exchange->m_suspended && !exchange->m_ended ? ConnectionPhase::Waiting
+                : exchange->m_headRead                          ? ConnectionPhase::Transfer
+                                                                : ConnectionPhase::Head;
         }
         const int descriptor = descriptorOf(connection);
         const auto verdict = watch.check(m_limits, phase, tcpProgress(descriptor), now);
+        const bool isRead = exchange == nullptr || !exchange->m_responseQueued; // by the server; otherwise the response is written
         if (verdict != ConnectionVerdict::Keep && isRead) {
             closeForReading(connection, watch);
         } else if (verdict != ConnectionVerdict::Keep) {
+            exchange->resetUnlessFramed();
             ::shutdown(descriptor, SHUT_RDWR);
         }
     }
@@ -346,12 +348,13 @@
     return error.empty() ? std::nullopt : std::make_optional(HttpResponse{400, {{"Connection", "close"}}, std::string(error)});
 }
 
-auto ServerCore::onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char * /*version*/,
+auto ServerCore::onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
                           const char *data, size_t *size, void **state) -> MHD_Result
 {
     auto *self = static_cast<ServerCore *>(context);
     auto &exchange = **static_cast<ExchangePtr *>(*state);
     if (!std::exchange(exchange.m_headRead, true)) {
+        exchange.m_acceptsChunks = std::string_view(version) != MHD_HTTP_VERSION_1_0;
         self->readHead(exchange, method, url);
         if (auto error = self->headError(exchange)) {
             exchange.respond(std::move(*error));
@@ -394,7 +397,7 @@
         return MHD_YES;
     }
     exchange.m_responseQueued = true;
-    if (exchange.m_aborted && !exchange.m_streaming) {
+    if (exchange.m_aborted && (!exchange.m_streaming || exchange.endsWithConnection())) {
         return MHD_NO;
     }
     MHD_Response *response = nullptr;
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -89,7 +89,7 @@
     auto makeRoom() -> void;
     auto isClosedForReading(MHD_Connection *connection) const -> bool;
     static auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
-    auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, const Exchange *>;
+    auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, Exchange *>;
     auto queueResponse(Exchange &exchange) -> MHD_Result;
     auto run() -> void;
 
