A killed VM's streams are reset for callers without chunks

When a VM was killed in the middle of a stream, the system closed the connection to its caller in the ordinary way, so that a caller without chunks (HTTP/1.0) took the first part for the whole stream.

While such a response is in progress, its socket has a linger time of zero, with which the system resets the connection when the process ends. The option is taken back when libmicrohttpd has passed on the whole response, before it closes the socket, so the bytes of a complete stream are sent although the VM ends. Chunked responses and kept connections never have the option.

--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -91,6 +91,7 @@
     auto survivesEndOfInput() -> bool;
     auto markCompleted() -> void;
     auto endsWithConnection() const -> bool;
+    auto setResetOnClose(bool isOn) -> void;
     auto resetUnlessFramed() -> void;
     auto resume() -> void;
     auto watchForDisconnect() -> void;
--- a/src/base/exchange.cc
+++ b/src/base/exchange.cc
@@ -216,6 +216,14 @@
     return m_streaming && !m_acceptsChunks;
 }
 
+/// Sets whether the system ends the connection with a reset, also if the process is killed.
+auto Exchange::setResetOnClose(bool isOn) -> void
+{
+    const linger option{isOn ? 1 : 0, 0};
+    setsockopt(MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, SOL_SOCKET, SO_LINGER, &option,
+               sizeof option);
+}
+
 /// Ends the connection with a reset now, and not with the end of output that libmicrohttpd sends, if the caller would take that for the end
 /// of the body.
 auto Exchange::resetUnlessFramed() -> void
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -413,6 +413,9 @@
     if (m_closesConnections && findHeader(exchange.m_response.headers, "Connection").empty()) {
         MHD_add_response_header(response, "Connection", "close");
     }
+    if (exchange.endsWithConnection()) {
+        exchange.setResetOnClose(true); // until the response is complete
+    }
     const auto result = MHD_queue_response(exchange.m_connection, static_cast<unsigned>(exchange.m_response.status), response);
     MHD_destroy_response(response);
     return result;
@@ -453,6 +456,9 @@
     if (const auto found = self->m_connections.find(connection); found != self->m_connections.end()) {
         found->second.onRequestEnd(tcpProgress(descriptorOf(connection)), self->m_clock.now());
     }
+    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && exchange->endsWithConnection()) {
+        exchange->setResetOnClose(false); // bytes that wait in the connection are still sent
+    }
     exchange->markCompleted();
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
         exchange->handleDisconnect();
--- a/test/edge/caller_tests.py
+++ b/test/edge/caller_tests.py
@@ -83,6 +83,19 @@
                 assert caller.is_chunked() == (version == "1.1") and not caller.looks_complete(), (version, fields, caller.end)
 
 
+async def streams_of_killed_vms_do_not_look_complete():
+    """Guards against the end of output that the system sends for a killed process."""
+    for version, fields in VARIANTS:
+        async with Rig() as rig:
+            for engine in rig.fleet.engines:
+                engine.EVENT_INTERVAL_S = 0.1
+            async with Caller(rig, "stream", version, fields) as caller:
+                await caller.read_events(3)
+                rig.vms[0].signal(signal.SIGKILL)
+                await caller.read_rest()
+                assert not caller.looks_complete() and caller.events() != EVENTS, (version, fields, caller.events(), caller.end)
+
+
 async def streams_cut_at_the_end_of_a_stop_do_not_look_complete():
     async with Rig(grace=3) as rig:
         for engine in rig.fleet.engines:
@@ -100,6 +113,27 @@
         assert rig.vms[0].process.returncode == 0
 
 
+async def complete_streams_outlive_their_vm():
+    """Guards against a reset that takes the last bytes of a complete stream from a caller who has yet to read them."""
+    async with Rig() as rig:
+        vm = rig.vms[0]
+        for version, fields in VARIANTS:
+            async with Caller(rig, "stream", version, fields) as caller:
+                while f'"{caller.id}"' not in answered(vm):
+                    await asyncio.sleep(0.1)
+                vm.signal(signal.SIGKILL)
+                await vm.process.wait()
+                await caller.read_rest()
+                assert caller.events() == EVENTS and caller.looks_complete(), (version, fields, caller.data, caller.end)
+            await vm.start()
+            await vm.wait_until_ready()
+
+
+def answered(vm):
+    """Returns the lines of the VM's log about answers."""
+    return "\n".join(line for line in vm.log_text().splitlines() if "request_answered" in line)
+
+
 async def streams_of_draining_vms_are_chunked():
     async with Rig() as rig:
         async with Caller(rig, "stream", "1.1") as early:
@@ -141,5 +175,5 @@
         body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
 
 
-TESTS = [broken_streams_do_not_look_complete, streams_cut_at_the_end_of_a_stop_do_not_look_complete,
-         streams_of_draining_vms_are_chunked, slow_readers_get_every_byte_in_order]
+TESTS = [broken_streams_do_not_look_complete, streams_of_killed_vms_do_not_look_complete, streams_cut_at_the_end_of_a_stop_do_not_look_complete,
+         complete_streams_outlive_their_vm, streams_of_draining_vms_are_chunked, slow_readers_get_every_byte_in_order]
