Test of currantd's streams whose engines end in the middle

The streams of currantd's engines name their end, so a stream that breaks off with an ordinary close isn't taken as complete. No test showed that.

A relay in front of each decode engine answers without length or chunks and closes after 7 tokens; a streamed and a collected completion of 20 tokens are complete and in order.

--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -2,6 +2,7 @@
 
 import base64
 import http.client
+import http.server
 import json
 import os
 import pathlib
@@ -371,6 +372,73 @@
     service.listener.close()
 
 
+class ClosingEngine(http.server.ThreadingHTTPServer):
+    """Relays the calls of an engine. Its answers have neither length nor chunks, and a stream ends with its connection after a few tokens."""
+
+    TOKENS = 7  # of a stream
+
+    def __init__(self, port, engine):
+        self.engine, self.cut = engine, 0
+        super().__init__(("127.0.0.1", port), ClosingAnswer)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class ClosingAnswer(http.server.BaseHTTPRequestHandler):
+    def relay(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        host, port = self.server.engine.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        try:
+            connection.request(self.command, self.path, body, {"Content-Type": "application/json"})
+            self.answer(connection.getresponse())
+        except ConnectionError:
+            pass  # the engine restarts, or the VM has closed its connection
+        connection.close()
+
+    def answer(self, response):
+        self.send_response(response.status)
+        self.send_header("Content-Type", response.headers.get("Content-Type", "text/plain"))
+        self.end_headers()
+        tokens = 0
+        while line := response.readline():
+            tokens += line.startswith(b"data: ")
+            if tokens > self.server.TOKENS:
+                self.server.cut += 1
+                return
+            self.wfile.write(line)
+
+    do_GET = do_POST = relay
+
+    def log_message(self, *_):
+        pass
+
+
+def test_streams_that_end_with_their_connection_are_completed(cluster):
+    """Guards against the part of a stream that an engine without framing has sent being taken for the whole."""
+    document = call(cluster.peer_address("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    original = [engine["address"] for engine in document["pools"][1]["engines"]]
+    engines = [ClosingEngine(cluster.base_port + 460 + index, address) for index, address in enumerate(original)]
+    try:
+        for engine, closing in zip(document["pools"][1]["engines"], engines):
+            engine["address"] = f"127.0.0.1:{closing.server_port}"
+        result = cluster.submit(document, document["revision"])
+        expect(result[1]["accepted"], f"the addresses were not accepted: {result}")
+        time.sleep(3)
+        stream = Stream(cluster.caller_address("vm0"), "file without frames " * 30, 20).read()
+        expect(stream.is_complete(), f"the stream is not complete: {stream.tokens}")
+        status, answer = call(cluster.caller_address("vm1"), "POST", "/v1/completions", {"model": "caseworker", "prompt": "frames " * 30, "max_tokens": 20}, TOKEN, timeout=20)
+        expect(status == 200 and answer["usage"]["completion_tokens"] == 20 and answer["choices"][0]["finish_reason"] == "length", f"{status} {answer}")
+        expect([int(token.split("-")[1]) for token in answer["choices"][0]["text"].split()] == list(range(20)), f"{answer}")
+        expect(sum(closing.cut for closing in engines) >= 4, "no stream was cut")
+    finally:
+        document = call(cluster.peer_address("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+        for engine, address in zip(document["pools"][1]["engines"], original):
+            engine["address"] = address
+        cluster.submit(document, document["revision"])
+        time.sleep(3)
+        [closing.shutdown() for closing in engines]
+
+
 def test_drain_interrupts_no_answer(cluster):
     streams = [Stream(cluster.caller_address("vm2"), f"draining {i}", 150).read(2) for i in range(5)]
     cluster.processes["vm2"].send_signal(signal.SIGTERM)
