Test of truncated answers of engines

Answers to prefills, reservations and reports may end with their connection. Nothing showed that a part of one is an error. It is: each part of the three documents is refused.

--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -24,10 +24,19 @@
     CPPUNIT_TEST(onlyOneAnnouncesTheLeaving);
     CPPUNIT_TEST(pausesOfRefusalsAreReadAndMalformedOnesHaveNoValue);
     CPPUNIT_TEST(ordersCarryFencingTokenAndExpectedCount);
+    CPPUNIT_TEST(truncatedAnswersOfEnginesAreErrors);
     CPPUNIT_TEST_SUITE_END();
 
     PlatformProtocol m_protocol;
 
+    /// Fails the test unless the whole body is read and each part of it is an error.
+    static auto checkParts(const std::string &body, const std::function<bool(const std::string &body)> &isRead) -> void
+    {
+        for (std::size_t size = 0; size <= body.size(); ++size) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body.substr(0, size), size == body.size(), isRead(body.substr(0, size)));
+        }
+    }
+
     static auto request(Headers headers) -> HttpRequest
     {
         HttpRequest result;
@@ -209,6 +218,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::string(findHeader(call.headers, "Expect-Instance")));
         CPPUNIT_ASSERT(m_protocol.isFencedOff({412, {}, ""}) && !m_protocol.isFencedOff({409, {}, ""}));
     }
+
+    auto truncatedAnswersOfEnginesAreErrors() -> void
+    {
+        checkParts(R"({"kv_handle":"k1","tokens":100,"version":1})",
+                   [this](const std::string &body) { return m_protocol.parsePrefill(body).has_value(); });
+        checkParts(R"({"hold":"h1"})", [this](const std::string &body) {
+            return m_protocol.parseReservation({200, {}, body}).has_value();
+        });
+        checkParts(R"({"phase":"decode","busy":false,"seq":3})", [this](const std::string &body) {
+            return m_protocol.parseReport({200, {}, body}).has_value();
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
