Test of a relaying VM that is killed in the middle of a stream

The first VM must not pass on the end of the relaying VM as the end of the stream. Callers with chunks never saw that; for callers without, the abort at the first VM looked complete until streams that break off were reset.

--- a/test/edge/caller_tests.py
+++ b/test/edge/caller_tests.py
@@ -5,6 +5,7 @@
 import socket
 
 from rig import Rig
+from stranded_tests import DETECTION_S, StrandedRig
 
 STREAM_FIELDS = {"Host": "app.example", "Deadline-Ms": 20000, "Model": "m", "Token-Count": "1000,100", "Prefix-Hash": "ab:1000", "Content-Length": 0}
 EVENTS = list(range(1, 13))
@@ -96,6 +97,22 @@
                 assert not caller.looks_complete() and caller.events() != EVENTS, (version, fields, caller.events(), caller.end)
 
 
+async def relayed_streams_of_killed_vms_do_not_look_complete():
+    """Guards against the end of a relaying VM that the first VM passes on as the end of the stream."""
+    for version, fields in VARIANTS:
+        async with StrandedRig(vms=2) as rig:
+            for engine in rig.fleet.engines:
+                engine.EVENT_INTERVAL_S = 0.1
+            rig.links.cut(rig.vms[0], "refuse")
+            await asyncio.sleep(DETECTION_S)
+            async with Caller(rig, "digest", version, fields) as caller:
+                await caller.read_events(3)
+                rig.vms[1].signal(signal.SIGKILL)
+                await caller.read_rest()
+                assert "request_relayed" in rig.vms[0].log_text()
+                assert not caller.looks_complete() and caller.events() != EVENTS, (version, fields, caller.events(), caller.end)
+
+
 async def streams_cut_at_the_end_of_a_stop_do_not_look_complete():
     async with Rig(grace=3) as rig:
         for engine in rig.fleet.engines:
@@ -175,5 +192,5 @@
         body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
 
 
-TESTS = [broken_streams_do_not_look_complete, streams_of_killed_vms_do_not_look_complete, streams_cut_at_the_end_of_a_stop_do_not_look_complete,
-         complete_streams_outlive_their_vm, streams_of_draining_vms_are_chunked, slow_readers_get_every_byte_in_order]
+TESTS = [broken_streams_do_not_look_complete, streams_of_killed_vms_do_not_look_complete, relayed_streams_of_killed_vms_do_not_look_complete,
+         streams_cut_at_the_end_of_a_stop_do_not_look_complete, complete_streams_outlive_their_vm, streams_of_draining_vms_are_chunked, slow_readers_get_every_byte_in_order]
