A caller that returns after the event with id 0 gets it once

Callers of engines that number events from 0 got event 0 twice when they came back with `Last-Event-Id: 0`, at the VM that they left, at another one, and through a relay; and their return was not recognized as a continuation, so that it was not kept to the software version that began the stream.

`RequestMetadata`, `RelayInfo` and both forwarders used 0 for "no event".

"None" is explicit now. `StreamRequest` and `RelayedRequest` each hold one `EventSequence` instead of their own last id. The relay header keeps `after`, an integer of at least 0 of which 0 is none for the released build, and adds `has_events`; a header without that field is read as before. `after_event` and `last_event` in logs are null where the caller has no event.

Before: callers_that_return_after_event_0_get_it_once failed with [0, 0, 1, 2, ...].

--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -25,13 +25,13 @@
     std::optional<Duration> timeLeft; // until the caller's deadline
     RequestShape shape; // zero for requests to plain services
     std::vector<Fingerprint> promptParts; // parts of the prompt that other requests may share, in order; without the request's own part
-    std::int64_t lastEventId = 0; // last event that the caller has received; 0: none
+    std::optional<std::int64_t> lastEventId; // of the last event that the caller has received; none: it has no event
     std::string firstAttemptId; // attempt that brought the first event of the stream that the request continues; empty: not named
 
     /// Returns whether the caller continues a stream of an earlier attempt.
     auto continuesStream() const -> bool
     {
-        return lastEventId > 0 || !firstAttemptId.empty();
+        return lastEventId || !firstAttemptId.empty();
     }
 };
 
--- a/include/currantstack/edge/relay_message.h
+++ b/include/currantstack/edge/relay_message.h
@@ -23,7 +23,7 @@
     int sends = 0; // attempts that count against the route's limit
     bool counted = false; // the request is already counted in the retry budget and the rate limits
     std::int64_t routesVersion = 0; // in force at that VM
-    std::int64_t lastEventId = 0; // of the stream that goes on; 0: as the caller says
+    std::optional<std::int64_t> lastEventId = {}; // of the stream that goes on; none: as the caller says
     std::string firstAttemptId; // of the stream that goes on
     std::string service = {}; // that the first VM has drawn among the route's; empty: its build does not say
     std::optional<Duration> timeLeft = {}; // until the first VM must have the answer; none: its build does not say
--- a/src/edge/relay_message.cc
+++ b/src/edge/relay_message.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/json.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace currantstack
@@ -19,14 +20,16 @@
 
 auto encodeRelay(const RelayInfo &info) -> std::string
 {
-    Json document = {{"vm", info.vm},
-                     {"age_ms", std::chrono::duration_cast<milliseconds>(info.age).count()},
-                     {"sends", info.sends},
-                     {"counted", info.counted},
-                     {"routes", info.routesVersion},
-                     {"after", info.lastEventId},
-                     {"first", info.firstAttemptId},
-                     {"service", info.service}};
+    Json document = {
+        {"vm", info.vm},
+        {"age_ms", std::chrono::duration_cast<milliseconds>(info.age).count()},
+        {"sends", info.sends},
+        {"counted", info.counted},
+        {"routes", info.routesVersion},
+        {"after", std::max<std::int64_t>(0, info.lastEventId.value_or(0))}, // builds that do not read `has_events` take 0 for none
+        {"has_events", info.lastEventId.has_value()},
+        {"first", info.firstAttemptId},
+        {"service", info.service}};
     if (info.timeLeft) {
         document["left_ms"] = std::chrono::duration_cast<milliseconds>(*info.timeLeft).count();
     }
@@ -48,7 +51,10 @@
     info.sends = static_cast<int>(reader.integer("sends", 0, MaxSends));
     info.counted = reader.boolean("counted");
     info.routesVersion = reader.integer("routes", 0, MaxNumber);
-    info.lastEventId = reader.integer("after", 0, MaxNumber);
+    const auto after = reader.integer("after", 0, MaxNumber);
+    if (reader.boolean("has_events", after > 0)) {
+        info.lastEventId = after;
+    }
     info.firstAttemptId = reader.text("first");
     info.service = reader.text("service", "");
     if (const auto left = reader.integer("left_ms", 0, MaxAgeMs, Unknown); left != Unknown) {
--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -72,9 +72,8 @@
 
 auto RelayedRequest::onEvent(const RawEvent &event) -> void
 {
-    const bool hasEvents = m_headSent || m_lastEventId > 0;
-    if (m_done || m_call == 0 || (event.id && hasEvents && *event.id <= m_lastEventId)) {
-        return; // the caller already has the event
+    if (m_done || m_call == 0) {
+        return;
     }
     if (event.isEmpty && !m_headSent) {
         m_heldFiller.append(event.bytes);
@@ -86,10 +85,13 @@
         m_request.exchange->write(event.bytes);
         return;
     }
+    const auto place = m_sequence.onEvent(event.id);
+    if (place == EventPlace::Received || place == EventPlace::Repeated || place == EventPlace::Regressed) {
+        return; // the caller already has it
+    }
     m_fillerBytes = 0;
     beginStream();
     m_request.exchange->write(event.bytes);
-    m_lastEventId = event.id.value_or(m_lastEventId + 1);
     ++m_events;
     restartEventTimer();
 }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -1,4 +1,5 @@
 #include "relayed_request.h"
+#include "event_order.h"
 
 #include <algorithm>
 
@@ -80,7 +81,7 @@
                          {"in_flight", chosen->inFlight},
                          {"attempts", m_delegated},
                          {"reports_to_take_relays", chosen->takesRelays},
-                         {"after_event", m_lastEventId},
+                         {"after_event", eventField(m_sequence.lastId())},
                          {"age_ms", toMilliseconds(m_context.clock.now() - m_request.arrivedAt)}});
     const auto &incoming = m_request.exchange->request();
     HttpCall call;
@@ -100,6 +101,7 @@
     m_headRead = false;
     m_answer = {};
     m_splitter = {};
+    m_sequence.beginRun();
     m_heldFiller.clear();
     m_fillerBytes = 0;
     HttpHandlers handlers;
@@ -124,7 +126,7 @@
     info.routesVersion = m_request.routeTable->version;
     info.service = m_request.service;
     if (m_resumes || m_events > 0) {
-        info.lastEventId = m_lastEventId;
+        info.lastEventId = m_sequence.lastId();
         info.firstAttemptId = m_firstAttemptId;
     }
     return info;
@@ -204,7 +206,7 @@
                         {{"request", m_request.metadata.requestId},
                          {"reason", m_breakReason},
                          {"vms_asked", m_tried.size()},
-                         {"after_event", m_lastEventId},
+                         {"after_event", eventField(m_sequence.lastId())},
                          {"time_left_ms", toMilliseconds(timeLeft)}});
     m_tried.clear();
     m_askAgainPause = std::clamp(2 * m_askAgainPause, FirstAskAgainPause, LongestAskAgainPause);
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -1,6 +1,7 @@
 // A caller's request that another VM forwards, because this one cannot reach the service's upstreams.
 #pragma once
 
+#include "currantstack/decisions/event_sequence.h"
 #include "currantstack/edge/event_splitter.h"
 #include "currantstack/edge/forwarding.h"
 
@@ -14,7 +15,7 @@
     RequestAttempts attempts;
     bool counted = false; // in this VM's retry budget and rate limits
     bool headSent = false; // of a stream; the caller has received events up to `lastEventId`
-    std::int64_t lastEventId = 0;
+    std::optional<std::int64_t> lastEventId; // none: it has no event
     std::string firstAttemptId; // of a stream that goes on
     std::string_view reason;
 };
@@ -29,7 +30,7 @@
         , m_attempts(start.attempts)
         , m_counted(start.counted)
         , m_headSent(start.headSent)
-        , m_lastEventId(start.lastEventId)
+        , m_sequence(start.lastEventId)
         , m_firstAttemptId(std::move(start.firstAttemptId))
         , m_resumes(start.headSent)
         , m_isStream(m_request.route->kind == RouteKind::Stream)
@@ -70,7 +71,7 @@
     RequestAttempts m_attempts;
     bool m_counted;
     bool m_headSent;
-    std::int64_t m_lastEventId;
+    EventSequence m_sequence; // of the events of all runs that the caller has
     std::string m_firstAttemptId;
     bool m_resumes; // the caller already has events of the stream
     bool m_isStream;
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -33,7 +33,7 @@
 /// known.
 auto routesOf(const EdgeContext &context, const IncomingRequest &request) -> RouteTablePtr
 {
-    const bool hasBegun = request.relay && request.relay->lastEventId > 0;
+    const bool hasBegun = request.relay && request.relay->lastEventId;
     const auto former = hasBegun ? context.formerRoutes.find(request.relay->routesVersion) : nullptr;
     return former ? former : context.routeTable;
 }
@@ -133,7 +133,7 @@
             request.firstVmDeadline = request.arrivedAt + *request.relay->timeLeft;
         }
         request.arrivedAt -= request.relay->age;
-        if (request.relay->lastEventId > 0) {
+        if (request.relay->lastEventId) {
             request.metadata.lastEventId = request.relay->lastEventId;
             request.metadata.firstAttemptId = request.relay->firstAttemptId;
         }
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -1,4 +1,5 @@
 // A caller that comes back to go on with a stream: finds the software version that began it, and restricts the stream to its engines.
+#include "event_order.h"
 #include "stream_request.h"
 
 #include <algorithm>
@@ -90,7 +91,7 @@
     m_context.log.write("stream", "caller_continues",
                         {{"request", m_request.metadata.requestId},
                          {"first_attempt", m_request.metadata.firstAttemptId},
-                         {"after_event", m_request.metadata.lastEventId},
+                         {"after_event", eventField(m_request.metadata.lastEventId)},
                          {"continues", name(continuation)},
                          {"service", m_request.service},
                          {"software_version", m_context.versions.nameOf(m_request.service, version)},
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -1,5 +1,6 @@
 // The decode phase of a stream: relays complete events, detects stalls, and resumes on another engine if the route allows it.
 #include "currantstack/edge/upstream_links.h"
+#include "event_order.h"
 #include "stream_request.h"
 
 namespace currantstack
@@ -56,7 +57,7 @@
     ForwardSpec spec;
     spec.kvSource = m_kvSource;
     spec.reservation = std::exchange(m_reservation, {});
-    spec.lastEventId = lastHeldEvent();
+    spec.lastEventId = m_sequence.lastId();
     spec.rank = m_request.route->priority;
     HttpHandlers handlers;
     handlers.onHead = [self = shared_from_this()](int status, const Headers &headers) { self->onHead(status, headers); };
@@ -149,8 +150,8 @@
     if (place == EventPlace::Regressed || place == EventPlace::Gap) {
         logDisorder(place, event);
     }
-    if (event.id && event.id <= lastHeldEvent()) {
-        return; // the caller already received it from the previous engine
+    if (place == EventPlace::Received || place == EventPlace::Repeated || place == EventPlace::Regressed) {
+        return; // the caller already has it
     }
     if (event.isEmpty) {
         m_fillerBytes += event.bytes.size();
@@ -171,7 +172,6 @@
     }
     recordSurvival();
     releasePromptTokens();
-    m_lastEventId = event.id.value_or(m_lastEventId + 1);
     m_lastEventAt = now;
     ++m_events;
     growDecodeClaim();
@@ -187,7 +187,7 @@
                          {"engine", m_decodeEngine.id},
                          {"place", name(place)},
                          {"id", event.id.value_or(0)},
-                         {"after_event", m_lastEventId},
+                         {"after_event", eventField(m_sequence.lastId())},
                          {"events", m_events},
                          {"sends", m_attempts.count()}});
 }
@@ -373,7 +373,7 @@
                          {"framing", name(m_framing)},
                          {"entry", name(entryStateOf(m_context, m_decodeEngine))},
                          {"events", m_events},
-                         {"after_event", m_lastEventId},
+                         {"after_event", eventField(m_sequence.lastId())},
                          {"silent_ms", toMilliseconds(m_context.clock.now() - m_lastEventAt)}});
 }
 
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -89,7 +89,7 @@
 /// Returns whether the caller has received events of the stream through another VM, and waits for the next one.
 auto StreamRequest::hasBegunElsewhere() const -> bool
 {
-    return m_request.relay && m_request.relay->lastEventId > 0;
+    return m_request.relay && m_request.relay->lastEventId;
 }
 
 auto StreamRequest::waitingStream(bool begun) const -> WaitingStream
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/edge/stream_forwarder.h"
 #include "currantstack/edge/upstream_links.h"
+#include "event_order.h"
 
 namespace currantstack
 {
@@ -71,7 +72,7 @@
                          {"framing", name(m_framing)},
                          {"entry", name(entryStateOf(m_context, m_decodeEngine))},
                          {"events", m_events},
-                         {"last_event", m_lastEventId},
+                         {"last_event", eventField(m_sequence.lastId())},
                          {"gaps", m_sequence.gaps()},
                          {"sends", m_attempts.count()},
                          {"first_event_ms", toMilliseconds(m_timeToFirstEvent)},
@@ -89,7 +90,7 @@
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
                          {"events", m_events},
-                         {"last_event", m_lastEventId},
+                         {"last_event", eventField(m_sequence.lastId())},
                          {"reason", reason},
                          {"sends", m_attempts.count()},
                          {"silent_ms", toMilliseconds(now - m_lastEventAt)},
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -21,8 +21,7 @@
         : m_context(context)
         , m_request(std::move(request))
         , m_attempts(attemptsOf(m_request))
-        , m_lastEventId(m_request.metadata.lastEventId)
-        , m_sequence(m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt)
+        , m_sequence(m_request.metadata.lastEventId)
     { }
 
     auto start() -> void;
@@ -124,10 +123,6 @@
     auto breakOff(std::string_view reason) -> void;
     auto onEvent(const RawEvent &event) -> void;
     auto logDisorder(EventPlace place, const RawEvent &event) const -> void;
-    auto lastHeldEvent() const -> std::optional<std::int64_t>
-    {
-        return m_headSent || m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt;
-    }
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto incompleteReason() const -> std::string_view;
     auto onFirstEvent() -> void;
@@ -212,8 +207,7 @@
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
-    std::int64_t m_lastEventId; // that the caller has; 0 before the head is sent: none
-    EventSequence m_sequence; // of the events of all runs
+    EventSequence m_sequence; // of the events of all runs that the caller has
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -1,6 +1,7 @@
 // A stream that goes on at another engine: its open call is given up only once the other engine has reserved capacity for it.
 #include "currantstack/edge/send_check.h"
 #include "currantstack/edge/upstream_links.h"
+#include "event_order.h"
 #include "relayed_request.h"
 #include "stream_request.h"
 
@@ -171,7 +172,7 @@
                              {"reason", m_breakReason},
                              {"software_version", m_decodeEngine.softwareVersion},
                              {"engines_of_version", enginesOfVersion()},
-                             {"after_event", m_lastEventId},
+                             {"after_event", eventField(m_sequence.lastId())},
                              {"silent_ms", toMilliseconds(m_context.clock.now() - m_lastEventAt)},
                              {"time_left_ms", toMilliseconds(m_request.deadline() - m_context.clock.now())}});
     }
@@ -299,7 +300,7 @@
                          {"engine", m_decodeEngine.id},
                          {"software_version", m_decodeEngine.softwareVersion},
                          {"reserved", !reservation.empty()},
-                         {"after_event", m_lastEventId},
+                         {"after_event", eventField(m_sequence.lastId())},
                          {"reason", m_breakReason},
                          {"sends", m_attempts.count()}});
     startDecode();
@@ -326,7 +327,7 @@
                              {"software_version", m_decodeEngine.softwareVersion},
                              {"version_certain", state.isVersionCertain},
                              {"engines_of_version", enginesOfVersion()},
-                             {"after_event", m_lastEventId}});
+                             {"after_event", eventField(m_sequence.lastId())}});
     }
     fail(false, m_headSent ? fmt::format("{}; {}", m_breakReason, giveUpReason(state)) : m_breakReason, ShortRetryAfter);
 }
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -17,6 +17,7 @@
 import limit_tests
 import loss_tests
 import memory_tests
+import order_tests
 import outdated_plan_tests
 import partial_cut_tests
 import quarantine_tests
@@ -415,7 +416,7 @@
          prefilled_prompts_go_to_another_decode_engine, orders_have_one_holder,
          long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS,
          *version_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *silent_stream_tests.TESTS, *silent_upstream_tests.TESTS, *resumption_tests.TESTS, *stranded_tests.TESTS, *partial_cut_tests.TESTS, *relay_tests.TESTS,
-         *release_tests.TESTS, *entry_tests.TESTS, *leaving_tests.TESTS, *stop_tests.TESTS, *connection_tests.TESTS, *loss_tests.TESTS, *change_tests.TESTS, *outdated_plan_tests.TESTS, *cut_watch_tests.TESTS, *memory_tests.TESTS]
+         *release_tests.TESTS, *entry_tests.TESTS, *leaving_tests.TESTS, *stop_tests.TESTS, *connection_tests.TESTS, *loss_tests.TESTS, *change_tests.TESTS, *outdated_plan_tests.TESTS, *cut_watch_tests.TESTS, *memory_tests.TESTS, *order_tests.TESTS]
 
 
 def known_red():
--- /dev/null
+++ b/test/edge/order_tests.py
@@ -0,0 +1,78 @@
+"""Process tests of the order of a stream's events: no event is missing, none comes twice, and a run that lost one is not complete."""
+
+import asyncio
+
+from relay_tests import DROPPED, configured, events_of
+from release_tests import CURRENT, MixedStrandedRig
+from rig import RELEASED
+from stranded_tests import DETECTION_S, StrandedRig
+from version_tests import Stream
+
+FIELDS = {"Model": "m", "Token-Count": "1000,100", "Prefix-Hash": "ab:1000"}
+
+
+def numbers(body):
+    return [int(line.split(" ")[2]) for line in body.decode().split("\n") if line.startswith("data: ")]
+
+
+async def get(rig, kind, vm=None, **headers):
+    """Returns the numbers of the stream's events and that of its runs; the numbers are None if it ends visibly broken."""
+    request = rig.request_id()
+    try:
+        _, status, _, body = await rig.send(kind, vm, request, headers={**FIELDS, **headers})
+        assert status == 200, (status, body)
+        received = numbers(body)
+    except EOFError:
+        received = None
+    return received, len(rig.runs_of(request))
+
+
+async def callers_that_return_after_event_0_get_it_once():
+    """Guards against the event with id 0 that a returning caller gets again, at the VM that it left, at another one, or through a relay."""
+    async with StrandedRig(vms=2) as rig:
+        for engine in rig.fleet.engines:
+            engine.FIRST_ID = 0
+        for vm in rig.vms:
+            stream = Stream(rig)
+            assert await stream.open(rig.vms[0]) == 200
+            await stream.read(1)
+            assert await stream.come_back(vm) == 200
+            await stream.read()
+            assert stream.numbers == list(range(12)), (vm.name, stream.numbers)
+            assert await get(rig, "stream", vm, **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1)
+        rig.links.cut(rig.vms[0], "refuse")
+        await asyncio.sleep(DETECTION_S)
+        assert await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1)
+        assert events_of(rig.vms[0], "request_relayed"), "the request was not relayed"
+
+
+async def streams_that_another_vm_takes_over_after_event_0_are_complete():
+    """Guards against event 0 that comes twice, or another start of the stream, when the VM is cut off after it."""
+    async with StrandedRig(vms=2) as rig:
+        await configured(rig, DROPPED)
+        for engine in rig.fleet.engines:
+            engine.FIRST_ID, engine.EVENT_INTERVAL_S = 0, 0.3
+        streams = [Stream(rig, DROPPED["prefix"]) for _ in range(4)]
+        assert await asyncio.gather(*(stream.open(rig.vms[0]) for stream in streams)) == 4 * [200]
+        await asyncio.gather(*(stream.read(1) for stream in streams))
+        rig.links.cut(rig.vms[0], "hang")
+        await asyncio.gather(*(stream.read() for stream in streams))
+        assert [stream.numbers for stream in streams] == 4 * [list(range(12))], [stream.numbers for stream in streams]
+        relayed = events_of(rig.vms[0], "request_relayed")
+        assert relayed and all(line["after_event"] is not None for line in relayed), relayed
+
+
+async def event_0_comes_once_through_a_vm_of_another_build():
+    """Guards against event 0 that a returning caller gets again because one of two builds takes its id for none."""
+    for builds in ((CURRENT, RELEASED), (RELEASED, CURRENT)):
+        async with MixedStrandedRig(builds) as rig:
+            for engine in rig.fleet.engines:
+                engine.FIRST_ID = 0
+            await rig.wait_until_in_touch()
+            rig.links.cut(rig.vms[0], "refuse")
+            await asyncio.sleep(DETECTION_S)
+            assert await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1), builds
+
+
+TESTS = [callers_that_return_after_event_0_get_it_once, streams_that_another_vm_takes_over_after_event_0_are_complete,
+         event_0_comes_once_through_a_vm_of_another_build]
--- a/test/event_sequence-test.cc
+++ b/test/event_sequence-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(eventsOfAnEarlierRunAreReceived);
     CPPUNIT_TEST(lowerIdInOneRunIsARegression);
     CPPUNIT_TEST(skippedIdIsAGap);
+    CPPUNIT_TEST(zeroIsAnIdLikeOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +65,15 @@
         CPPUNIT_ASSERT(sequence.onEvent(8) == EventPlace::Gap);
         CPPUNIT_ASSERT(sequence.lastId() == 8 && sequence.gaps() == 1);
     }
+
+    auto zeroIsAnIdLikeOthers() -> void
+    {
+        EventSequence sequence(0);
+        sequence.beginRun();
+        CPPUNIT_ASSERT(sequence.onEvent(0) == EventPlace::Received && sequence.onEvent(1) == EventPlace::Next);
+        EventSequence none(std::nullopt);
+        CPPUNIT_ASSERT(none.onEvent(0) == EventPlace::Next && none.onEvent(0) == EventPlace::Repeated);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSequenceTest);
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -59,7 +59,7 @@
         CPPUNIT_ASSERT_EQUAL(1460.0, metadata.shape.promptTokens);
         CPPUNIT_ASSERT_EQUAL(80.0, metadata.shape.outputTokens);
         CPPUNIT_ASSERT_EQUAL(70.0, metadata.shape.hintedOutput);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(12), metadata.lastEventId);
+        CPPUNIT_ASSERT(metadata.lastEventId == 12);
         CPPUNIT_ASSERT_EQUAL(std::string("first"), metadata.firstAttemptId);
     }
 
@@ -126,7 +126,7 @@
             m_protocol.parseRequest(request({{"Deadline-Ms", "-5"}, {"Token-Count", "many"}, {"Last-Event-Id", "1e999"}}));
         CPPUNIT_ASSERT(!metadata.timeLeft);
         CPPUNIT_ASSERT_EQUAL(0.0, metadata.shape.promptTokens);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), metadata.lastEventId);
+        CPPUNIT_ASSERT(!metadata.lastEventId);
     }
 
     auto callersCannotSetRouterHeaders() -> void
--- a/test/relay_choice-test.cc
+++ b/test/relay_choice-test.cc
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(theListTellsTheProtocolOfVmsThatDoNotReport);
     CPPUNIT_TEST(aVmThatNoLongerReportsItsProtocolIsOfAnOlderBuild);
     CPPUNIT_TEST(relayStateRoundTrips);
+    CPPUNIT_TEST(event0IsNotTakenForNone);
     CPPUNIT_TEST(malformedRelayStateIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -168,13 +169,26 @@
         CPPUNIT_ASSERT_EQUAL(2, decoded->sends);
         CPPUNIT_ASSERT(decoded->counted);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(17), decoded->routesVersion);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), decoded->lastEventId);
+        CPPUNIT_ASSERT(decoded->lastEventId == 9);
         CPPUNIT_ASSERT_EQUAL(info.firstAttemptId, decoded->firstAttemptId);
         CPPUNIT_ASSERT_EQUAL(info.service, decoded->service);
         CPPUNIT_ASSERT(decoded->timeLeft == info.timeLeft);
         CPPUNIT_ASSERT_MESSAGE("a build that does not say it", !decodeRelay(encodeRelay({"vm0"}))->timeLeft);
     }
 
+    // A caller that has event 0 gets it twice.
+    auto event0IsNotTakenForNone() -> void
+    {
+        RelayInfo info{"vm0"};
+        CPPUNIT_ASSERT(!decodeRelay(encodeRelay(info))->lastEventId);
+        for (const std::int64_t id : {0, 1, 9}) {
+            info.lastEventId = id;
+            CPPUNIT_ASSERT(decodeRelay(encodeRelay(info))->lastEventId == id);
+        }
+        info.lastEventId = -1;
+        CPPUNIT_ASSERT_MESSAGE("builds without `has_events` reject a negative number", decodeRelay(encodeRelay(info))->lastEventId == 0);
+    }
+
     auto malformedRelayStateIsRejected() -> void
     {
         for (const auto *text : {"", "{}", "[]", "{\"vm\":1}",
--- a/test/release_compatibility-test.cc
+++ b/test/release_compatibility-test.cc
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(originsWithLaterFieldsAreRead);
     CPPUNIT_TEST(quarantineReportsWithLaterFieldsAndColumnsAreRead);
     CPPUNIT_TEST(storedDocumentsWithLaterFieldsAreRead);
+    CPPUNIT_TEST(relayedStreamsOfBuildsWithoutEvent0AreRead);
     CPPUNIT_TEST(protocolsRoundTrip);
     CPPUNIT_TEST_SUITE_END();
 
@@ -276,6 +277,23 @@
         checkJournal(head);
     }
 
+    // A stream that has not begun is taken for one that has, or the other way round.
+    auto relayedStreamsOfBuildsWithoutEvent0AreRead() -> void
+    {
+        const auto headerOf = [](std::int64_t after) {
+            return fmt::format(R"({{"vm":"vm1","age_ms":250,"sends":2,"counted":true,"routes":17,"after":{},"first":"first"}})", after);
+        };
+        CPPUNIT_ASSERT(!decodeRelay(headerOf(0))->lastEventId);
+        CPPUNIT_ASSERT(decodeRelay(headerOf(9))->lastEventId == 9);
+        for (const std::optional<std::int64_t> &id :
+             {std::optional<std::int64_t>(), std::optional<std::int64_t>(0), std::optional<std::int64_t>(9)}) {
+            RelayInfo info{"vm1"};
+            info.lastEventId = id;
+            const auto after = parseJson(encodeRelay(info), "test")->at("after");
+            CPPUNIT_ASSERT_MESSAGE("as the released build reads it", after.is_number_integer() && after == id.value_or(0));
+        }
+    }
+
     auto protocolsRoundTrip() -> void
     {
         for (const auto &protocol : {PeerProtocol{}, PeerProtocol{ProtocolNumber, false}, PeerProtocol{ProtocolNumber, true}}) {
