A run whose event ids go back is given up

Callers got a stream that ended as complete with a piece missing when an engine sent an earlier id in the place of an event: the event was dropped as one that the caller already had, and the stream went on after it.

The protocol has increasing ids, so an id below that of the previous event of the same run shows that the run is broken. Such a call is given up now: what belongs after the last event is asked for at another engine where the route may be resumed, else the caller's stream breaks off. Repetitions of the last event of a run, and events that an engine sends anew in a run that goes on, are dropped as before. A relayed stream has the same rule.

The run is marked while its bytes are split and given up afterwards, because a reservation that succeeds at once begins the next run, which replaces the splitter. event_out_of_order and events_out_of_order name the outcome.

--- a/include/currantstack/decisions/event_sequence.h
+++ b/include/currantstack/decisions/event_sequence.h
@@ -33,20 +33,18 @@
         m_runHasEvents = false;
     }
 
-    /// Returns the place of the run's next event, and records it unless the caller has it.
+    /// Returns the place of the run's next event, and records it if it is the following one. An event after a gap is recorded by `passGap`.
     auto onEvent(std::optional<std::int64_t> id) -> EventPlace;
 
+    /// Records an event after a gap, because the caller gets it.
+    auto passGap(std::int64_t id) -> void;
+
     auto lastId() const -> std::optional<std::int64_t>
     {
         return m_lastId;
     }
 
-    /// Return the number of events with these places, over all runs.
-    auto regressed() const -> int
-    {
-        return m_regressed;
-    }
-
+    /// Returns the number of gaps that the caller got.
     auto gaps() const -> int
     {
         return m_gaps;
@@ -55,7 +53,6 @@
 private:
     std::optional<std::int64_t> m_lastId;
     bool m_runHasEvents = false; // that the caller did not have before
-    int m_regressed = 0;
     int m_gaps = 0;
 };
 
--- a/src/decisions/event_sequence.cc
+++ b/src/decisions/event_sequence.cc
@@ -1,27 +1,36 @@
 #include "currantstack/decisions/event_sequence.h"
 
+#include <limits>
+
 namespace currantstack
 {
 
 auto EventSequence::onEvent(std::optional<std::int64_t> id) -> EventPlace
 {
     if (!id) {
-        m_lastId = m_lastId.value_or(0) + 1;
+        m_lastId = m_lastId.value_or(0) + (m_lastId == std::numeric_limits<std::int64_t>::max() ? 0 : 1);
         m_runHasEvents = true;
         return EventPlace::Next;
     }
     if (m_lastId && *id < *m_lastId) {
-        m_regressed += m_runHasEvents ? 1 : 0;
         return m_runHasEvents ? EventPlace::Regressed : EventPlace::Received;
     }
     if (m_lastId && *id == *m_lastId) {
         return m_runHasEvents ? EventPlace::Repeated : EventPlace::Received;
     }
-    const bool isGap = m_lastId && *id - *m_lastId > 1;
-    m_gaps += isGap ? 1 : 0;
+    if (m_lastId && *id - 1 != *m_lastId) {
+        return EventPlace::Gap;
+    }
+    m_lastId = id;
+    m_runHasEvents = true;
+    return EventPlace::Next;
+}
+
+auto EventSequence::passGap(std::int64_t id) -> void
+{
     m_lastId = id;
     m_runHasEvents = true;
-    return isGap ? EventPlace::Gap : EventPlace::Next;
+    ++m_gaps;
 }
 
 auto name(EventPlace place) -> std::string_view
--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -1,4 +1,5 @@
 // The answer that another VM sends for a relayed request.
+#include "event_order.h"
 #include "relayed_request.h"
 
 namespace currantstack
@@ -61,7 +62,10 @@
         m_answer.body.append(data);
         return;
     }
-    if (!m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); })) {
+    const bool isWithinLimit = m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); });
+    if (m_isDisordered) {
+        onBroken(AttemptOutcome::Unknown, RegressionReason);
+    } else if (!isWithinLimit) {
         onBroken(AttemptOutcome::Unknown, "an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         onBroken(AttemptOutcome::Unknown, "the stream has no events");
@@ -72,7 +76,7 @@
 
 auto RelayedRequest::onEvent(const RawEvent &event) -> void
 {
-    if (m_done || m_call == 0) {
+    if (m_done || m_call == 0 || m_isDisordered) {
         return;
     }
     if (event.isEmpty && !m_headSent) {
@@ -86,8 +90,23 @@
         return;
     }
     const auto place = m_sequence.onEvent(event.id);
-    if (place == EventPlace::Received || place == EventPlace::Repeated || place == EventPlace::Regressed) {
-        return; // the caller already has it
+    if (place == EventPlace::Received || place == EventPlace::Repeated) {
+        return;
+    }
+    if (place == EventPlace::Regressed || place == EventPlace::Gap) {
+        m_isDisordered = place == EventPlace::Regressed;
+        logDisorder(m_context, "relay", place, m_isDisordered ? BrokenOff : Passed,
+                    {{"request", m_request.metadata.requestId},
+                     {"through", m_vm},
+                     {"id", eventField(event.id)},
+                     {"after_event", eventField(m_sequence.lastId())},
+                     {"events", m_events}});
+    }
+    if (m_isDisordered) {
+        return;
+    }
+    if (place == EventPlace::Gap) {
+        m_sequence.passGap(*event.id);
     }
     m_fillerBytes = 0;
     beginStream();
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -102,6 +102,7 @@
     m_answer = {};
     m_splitter = {};
     m_sequence.beginRun();
+    m_isDisordered = false;
     m_heldFiller.clear();
     m_fillerBytes = 0;
     HttpHandlers handlers;
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -88,6 +88,7 @@
     HttpResponse m_answer; // its head, and the body of an error
     bool m_headRead = false;
     EventSplitter m_splitter;
+    bool m_isDisordered = false; // the current run has sent an event with a lower id than the one before it
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     int m_events = 0;
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -44,6 +44,7 @@
     }
     m_splitter = {};
     m_sequence.beginRun();
+    m_disorder = {};
     m_fillerBytes = 0;
     m_partialSince.reset();
     m_heldFiller.clear();
@@ -122,7 +123,9 @@
     if (m_splitter.hasPartial()) {
         m_partialSince = m_partialSince.value_or(m_context.clock.now());
     }
-    if (!isWithinLimit) {
+    if (!m_disorder.empty()) {
+        breakOff(m_disorder);
+    } else if (!isWithinLimit) {
         breakOff("an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         breakOff("the stream has no events");
@@ -141,57 +144,6 @@
     onDecodeBroken(AttemptOutcome::Unknown, reason, {});
 }
 
-auto StreamRequest::onEvent(const RawEvent &event) -> void
-{
-    if (m_done) {
-        return;
-    }
-    const auto place = event.isEmpty ? EventPlace::Next : m_sequence.onEvent(event.id);
-    if (place == EventPlace::Regressed || place == EventPlace::Gap) {
-        logDisorder(place, event);
-    }
-    if (place == EventPlace::Received || place == EventPlace::Repeated || place == EventPlace::Regressed) {
-        return; // the caller already has it
-    }
-    if (event.isEmpty) {
-        m_fillerBytes += event.bytes.size();
-        if (m_headSent) {
-            m_request.exchange->write(event.bytes);
-        } else {
-            m_heldFiller.append(event.bytes);
-        }
-        return;
-    }
-    m_fillerBytes = 0;
-    const auto now = m_context.clock.now();
-    if (!m_headSent) {
-        onFirstEvent();
-    } else {
-        m_context.latencies.record("event_gap", now - m_lastEventAt);
-        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
-    }
-    recordSurvival();
-    releasePromptTokens();
-    m_lastEventAt = now;
-    ++m_events;
-    growDecodeClaim();
-    m_request.exchange->write(event.bytes);
-    restartStallTimer();
-}
-
-auto StreamRequest::logDisorder(EventPlace place, const RawEvent &event) const -> void
-{
-    m_context.counters.at(fmt::format("events_out_of_order{{place=\"{}\"}}", name(place))).add();
-    m_context.log.write("stream", "event_out_of_order",
-                        {{"request", m_request.metadata.requestId},
-                         {"engine", m_decodeEngine.id},
-                         {"place", name(place)},
-                         {"id", event.id.value_or(0)},
-                         {"after_event", eventField(m_sequence.lastId())},
-                         {"events", m_events},
-                         {"sends", m_attempts.count()}});
-}
-
 auto StreamRequest::recordSurvival() -> void
 {
     const auto now = m_context.clock.now();
@@ -202,34 +154,6 @@
     }
 }
 
-auto StreamRequest::onFirstEvent() -> void
-{
-    const auto now = m_context.clock.now();
-    m_headSent = true;
-    m_version = softwareVersionKey(m_decodeEngine);
-    m_context.originHooks.announce(firstAttemptId(), m_decodeEngine.service, m_version);
-    if (m_context.draining) {
-        m_answerHeaders.push_back({"Connection", "close"});
-    }
-    m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
-    if (!m_heldFiller.empty()) {
-        m_request.exchange->write(std::exchange(m_heldFiller, {}));
-    }
-    m_timeToFirstEvent = now - m_request.arrivedAt;
-    m_context.latencies.record("first_event", m_timeToFirstEvent);
-    if (m_kvSource.empty()) {
-        const auto distance = m_context.settings.places.distance(m_context.settings.place, m_decodeEngine.place);
-        m_context.speedsOf(m_request.service).observeMixedPrefill(m_queuedPromptTokens, now - m_sentAt - 2 * roundTripTime(distance));
-    }
-    m_context.log.write("stream", "first_event",
-                        {{"request", m_request.metadata.requestId},
-                         {"engine", m_decodeEngine.id},
-                         {"software_version", m_decodeEngine.softwareVersion},
-                         {"read_there", m_kvSource.empty()},
-                         {"age_ms", toMilliseconds(now - m_request.arrivedAt)},
-                         {"expected_ms", toMilliseconds(m_expectedFirstEvent)}});
-}
-
 auto StreamRequest::onDecodeDone(const Result<HttpResponse> &result) -> void
 {
     if (m_done || m_decodeCall == 0) {
--- /dev/null
+++ b/src/edge/stream_events.cc
@@ -0,0 +1,103 @@
+// The events of a decode call: passes them on in order, and gives up a run that has lost some.
+#include "event_order.h"
+#include "stream_request.h"
+
+namespace currantstack
+{
+
+auto StreamRequest::onEvent(const RawEvent &event) -> void
+{
+    if (m_done || !m_disorder.empty()) {
+        return;
+    }
+    if (event.isEmpty) {
+        m_fillerBytes += event.bytes.size();
+        if (m_headSent) {
+            m_request.exchange->write(event.bytes);
+        } else {
+            m_heldFiller.append(event.bytes);
+        }
+        return;
+    }
+    if (!isInOrder(event)) {
+        return;
+    }
+    m_fillerBytes = 0;
+    const auto now = m_context.clock.now();
+    if (!m_headSent) {
+        onFirstEvent();
+    } else {
+        m_context.latencies.record("event_gap", now - m_lastEventAt);
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+    }
+    recordSurvival();
+    releasePromptTokens();
+    m_lastEventAt = now;
+    ++m_events;
+    growDecodeClaim();
+    m_request.exchange->write(event.bytes);
+    restartStallTimer();
+}
+
+/// Returns whether the event is the next one for the caller. Marks the run as broken if it has lost events.
+auto StreamRequest::isInOrder(const RawEvent &event) -> bool
+{
+    switch (m_sequence.onEvent(event.id)) {
+    case EventPlace::Next:
+        return true;
+    case EventPlace::Received:
+    case EventPlace::Repeated:
+        return false;
+    case EventPlace::Regressed:
+        logDisorder(m_context, "stream", EventPlace::Regressed, BrokenOff, disorderFields(event));
+        m_disorder = RegressionReason;
+        return false;
+    case EventPlace::Gap:
+        break;
+    }
+    logDisorder(m_context, "stream", EventPlace::Gap, Passed, disorderFields(event));
+    m_sequence.passGap(*event.id);
+    return true;
+}
+
+auto StreamRequest::disorderFields(const RawEvent &event) const -> LogFields
+{
+    return {{"request", m_request.metadata.requestId},
+            {"service", m_decodeEngine.service},
+            {"engine", m_decodeEngine.id},
+            {"id", eventField(event.id)},
+            {"after_event", eventField(m_sequence.lastId())},
+            {"first_of_run", !m_begunAt.has_value()},
+            {"events", m_events},
+            {"sends", m_attempts.count()}};
+}
+
+auto StreamRequest::onFirstEvent() -> void
+{
+    const auto now = m_context.clock.now();
+    m_headSent = true;
+    m_version = softwareVersionKey(m_decodeEngine);
+    m_context.originHooks.announce(firstAttemptId(), m_decodeEngine.service, m_version);
+    if (m_context.draining) {
+        m_answerHeaders.push_back({"Connection", "close"});
+    }
+    m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
+    if (!m_heldFiller.empty()) {
+        m_request.exchange->write(std::exchange(m_heldFiller, {}));
+    }
+    m_timeToFirstEvent = now - m_request.arrivedAt;
+    m_context.latencies.record("first_event", m_timeToFirstEvent);
+    if (m_kvSource.empty()) {
+        const auto distance = m_context.settings.places.distance(m_context.settings.place, m_decodeEngine.place);
+        m_context.speedsOf(m_request.service).observeMixedPrefill(m_queuedPromptTokens, now - m_sentAt - 2 * roundTripTime(distance));
+    }
+    m_context.log.write("stream", "first_event",
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"software_version", m_decodeEngine.softwareVersion},
+                         {"read_there", m_kvSource.empty()},
+                         {"age_ms", toMilliseconds(now - m_request.arrivedAt)},
+                         {"expected_ms", toMilliseconds(m_expectedFirstEvent)}});
+}
+
+} // namespace currantstack
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -121,11 +121,8 @@
     auto onHead(int status, const Headers &headers) -> void;
     auto onData(std::string_view data) -> void;
     auto breakOff(std::string_view reason) -> void;
-    auto onEvent(const RawEvent &event) -> void;
-    auto logDisorder(EventPlace place, const RawEvent &event) const -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto incompleteReason() const -> std::string_view;
-    auto onFirstEvent() -> void;
     auto recordSurvival() -> void;
     auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
@@ -138,6 +135,12 @@
     auto redirect() -> bool;
     auto placeOrEnqueue() -> void;
 
+    // stream_events.cc
+    auto onEvent(const RawEvent &event) -> void;
+    auto isInOrder(const RawEvent &event) -> bool;
+    auto disorderFields(const RawEvent &event) const -> LogFields;
+    auto onFirstEvent() -> void;
+
     // stream_resumption.cc
     auto isVersionCertain() const -> bool;
     auto hasOtherEngine() const -> bool;
@@ -208,6 +211,7 @@
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     EventSequence m_sequence; // of the events of all runs that the caller has
+    std::string_view m_disorder; // why the current run is given up; empty: its events are in order
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -214,12 +214,16 @@
     FIRST_ID = 1  # of the events
     EVENT_INTERVAL_S = 0.015
     PREFILL_TOKENS_PER_MS = 60.0
+    FAULTY_EVENT = 6  # index of the event at which an order fault shows
     TRICKLE_S = 0.4  # between the bytes of an event that does not end
 
     def __init__(self, store, service, place, history, role, port=0):
         super().__init__(store, service, place, history, port)
         self.role, self.order_count, self.highest_fence = role, 0, 0
         self.handles, self.holds, self.used_tokens = {}, {}, 0
+        # Faults of the order of events, by the number of the request's run at all engines: "torn" breaks off, "gap" leaves an event out, "back"
+        # sends an earlier id in its place, "twice" repeats one, "skip" begins 2 events too late, "restart" with the first one, "no_ids" has none.
+        self.order_faults = {}
         self.is_full = False  # it has no room for further streams
         self.local_ids = itertools.count(1)
 
@@ -319,8 +323,27 @@
             self.record("foreign_handle", request, owner=owner)
         return owner is not None
 
+    def first_event(self, request, order_fault):
+        """Returns the id of the first event of a run."""
+        after = request.header("last-event-id")
+        if not after or order_fault == "restart":
+            return self.FIRST_ID
+        return int(after) + 1 + 2 * (order_fault == "skip")
+
+    def ordered(self, number, text, order_fault):
+        """Returns the bytes that are sent in place of one event."""
+        event = f"id: {number}\ndata: {text}\n\n".encode()
+        if order_fault == "no_ids":
+            return f"data: {text}\n\n".encode()
+        if number != self.FIRST_ID + self.FAULTY_EVENT:
+            return event
+        earlier = f"id: {number - 3}\ndata: {text}\n\n".encode()
+        return {"gap": b"", "back": earlier, "twice": event + event}.get(order_fault, event)
+
     async def stream(self, request, reader, writer, prompt):
         version = self.software_version  # the events show which version wrote them
+        run = 1 + sum(entry["event"] == "run" and entry["request"] == request.header("request-id") for entry in self.history)
+        order_fault = self.order_faults.get(run, "")
         self.record("run", request, after=int(request.header("last-event-id", "0")), version=version)
         # Faults "resume_error_..." answer a stream that goes on with an error whose body has a length or chunks, or ends with the connection.
         if self.fault.startswith("resume_error"):
@@ -341,10 +364,17 @@
                 return None
             if self.draw_fault("comments"):
                 writer.write(chunk(b": hello\n\n"))
-            for number in range(int(request.header("last-event-id", str(self.FIRST_ID - 1))) + 1, self.EVENTS + self.FIRST_ID):
+            for number in range(self.first_event(request, order_fault), self.EVENTS + self.FIRST_ID):
                 await asyncio.sleep(self.EVENT_INTERVAL_S)
                 await self.server.wait_while_silent()
-                event = f"id: {number}\ndata: {request.header('request-id')} {number} {version}\n\n".encode()
+                event = self.ordered(number, f"{request.header('request-id')} {number} {version}", order_fault)
+                if not event:
+                    continue
+                if order_fault == "torn" and number == self.FIRST_ID + self.FAULTY_EVENT:
+                    writer.write(chunk(event[:9]))
+                    await writer.drain()
+                    writer.transport.abort()
+                    return None
                 if self.draw_fault("unframed_empty") or (number == 6 and self.draw_fault("unframed_torn")):
                     writer.write(event[: len(event) // 2] if self.fault == "unframed_torn" else b"")
                     await writer.drain()
--- a/test/edge/order_tests.py
+++ b/test/edge/order_tests.py
@@ -4,10 +4,11 @@
 
 from relay_tests import DROPPED, configured, events_of
 from release_tests import CURRENT, MixedStrandedRig
-from rig import RELEASED
+from rig import RELEASED, Rig
 from stranded_tests import DETECTION_S, StrandedRig
 from version_tests import Stream
 
+EVENTS = list(range(1, 13))
 FIELDS = {"Model": "m", "Token-Count": "1000,100", "Prefix-Hash": "ab:1000"}
 
 
@@ -15,6 +16,11 @@
     return [int(line.split(" ")[2]) for line in body.decode().split("\n") if line.startswith("data: ")]
 
 
+def set_faults(engines, faults):
+    for engine in engines:
+        engine.order_faults = faults
+
+
 async def get(rig, kind, vm=None, **headers):
     """Returns the numbers of the stream's events and that of its runs; the numbers are None if it ends visibly broken."""
     request = rig.request_id()
@@ -27,6 +33,28 @@
     return received, len(rig.runs_of(request))
 
 
+def outcomes(rig, place):
+    return [line["outcome"] for line in events_of(rig.vms[0], "event_out_of_order") if line["place"] == place]
+
+
+async def repeated_events_are_dropped():
+    """Guards against an event that comes twice: in one run, in a run that begins anew, or in one without ids."""
+    for faults in ({1: "twice"}, {1: "torn", 2: "restart"}, {1: "torn", 2: "no_ids"}, {1: "no_ids"}):
+        async with Rig() as rig:
+            set_faults(rig.fleet.engines, faults)
+            assert await get(rig, "stream") == (EVENTS, len(faults)), faults
+
+
+async def runs_whose_ids_go_back_are_given_up():
+    """Guards against a stream that ends as complete without the event that an engine sent under an earlier id."""
+    async with Rig() as rig:
+        set_faults(rig.fleet.engines, {1: "back"})
+        assert await get(rig, "stream") == (EVENTS, 2)
+        assert await get(rig, "digest") == (None, 1), "a stream that must not be resumed"
+        await asyncio.sleep(0.2)
+        assert outcomes(rig, "regressed") == ["broken_off", "broken_off"]
+
+
 async def callers_that_return_after_event_0_get_it_once():
     """Guards against the event with id 0 that a returning caller gets again, at the VM that it left, at another one, or through a relay."""
     async with StrandedRig(vms=2) as rig:
@@ -74,5 +102,5 @@
             assert await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1), builds
 
 
-TESTS = [callers_that_return_after_event_0_get_it_once, streams_that_another_vm_takes_over_after_event_0_are_complete,
-         event_0_comes_once_through_a_vm_of_another_build]
+TESTS = [repeated_events_are_dropped, runs_whose_ids_go_back_are_given_up, callers_that_return_after_event_0_get_it_once,
+         streams_that_another_vm_takes_over_after_event_0_are_complete, event_0_comes_once_through_a_vm_of_another_build]
--- a/test/event_sequence-test.cc
+++ b/test/event_sequence-test.cc
@@ -2,6 +2,9 @@
 
 #include "check.h"
 
+#include <limits>
+#include <vector>
+
 using namespace currantstack;
 
 class EventSequenceTest : public CppUnit::TestFixture
@@ -13,6 +16,9 @@
     CPPUNIT_TEST(lowerIdInOneRunIsARegression);
     CPPUNIT_TEST(skippedIdIsAGap);
     CPPUNIT_TEST(zeroIsAnIdLikeOthers);
+    CPPUNIT_TEST(extremeIdsAreOrdered);
+    CPPUNIT_TEST(whatIsPassedOnIncreases);
+    CPPUNIT_TEST(soundRunsLeaveNoGap);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -25,7 +31,7 @@
         CPPUNIT_ASSERT(sequence.onEvent(std::nullopt) == EventPlace::Next);
         CPPUNIT_ASSERT(sequence.lastId() == 6);
         CPPUNIT_ASSERT(sequence.onEvent(7) == EventPlace::Next);
-        CPPUNIT_ASSERT_EQUAL(0, sequence.gaps() + sequence.regressed());
+        CPPUNIT_ASSERT_EQUAL(0, sequence.gaps());
     }
 
     auto firstIdIsArbitrary() -> void
@@ -45,7 +51,7 @@
         }
         CPPUNIT_ASSERT(sequence.onEvent(4) == EventPlace::Next);
         CPPUNIT_ASSERT(sequence.onEvent(4) == EventPlace::Repeated);
-        CPPUNIT_ASSERT_EQUAL(0, sequence.regressed());
+        CPPUNIT_ASSERT(sequence.lastId() == 4);
     }
 
     auto lowerIdInOneRunIsARegression() -> void
@@ -55,7 +61,7 @@
             sequence.onEvent(id);
         }
         CPPUNIT_ASSERT(sequence.onEvent(3) == EventPlace::Regressed);
-        CPPUNIT_ASSERT(sequence.lastId() == 6 && sequence.regressed() == 1);
+        CPPUNIT_ASSERT(sequence.lastId() == 6);
     }
 
     auto skippedIdIsAGap() -> void
@@ -63,7 +69,10 @@
         EventSequence sequence(5);
         sequence.beginRun();
         CPPUNIT_ASSERT(sequence.onEvent(8) == EventPlace::Gap);
+        CPPUNIT_ASSERT_MESSAGE("the run may be given up", sequence.lastId() == 5 && sequence.gaps() == 0);
+        sequence.passGap(8);
         CPPUNIT_ASSERT(sequence.lastId() == 8 && sequence.gaps() == 1);
+        CPPUNIT_ASSERT(sequence.onEvent(7) == EventPlace::Regressed);
     }
 
     auto zeroIsAnIdLikeOthers() -> void
@@ -74,6 +83,72 @@
         EventSequence none(std::nullopt);
         CPPUNIT_ASSERT(none.onEvent(0) == EventPlace::Next && none.onEvent(0) == EventPlace::Repeated);
     }
+
+    auto extremeIdsAreOrdered() -> void
+    {
+        constexpr auto Lowest = std::numeric_limits<std::int64_t>::min();
+        constexpr auto Highest = std::numeric_limits<std::int64_t>::max();
+        EventSequence sequence(std::nullopt);
+        CPPUNIT_ASSERT(sequence.onEvent(Lowest) == EventPlace::Next && sequence.onEvent(Highest) == EventPlace::Gap);
+        sequence.passGap(Highest);
+        CPPUNIT_ASSERT(sequence.onEvent(std::nullopt) == EventPlace::Next && sequence.lastId() == Highest);
+        CPPUNIT_ASSERT(sequence.onEvent(Lowest) == EventPlace::Regressed);
+    }
+
+    // A piece comes twice, or an earlier one follows a later one.
+    auto whatIsPassedOnIncreases() -> void
+    {
+        using Run = std::vector<std::pair<bool, std::int64_t>>; // whether the event has an id, and which
+        CHECK_PROPERTY("strictly increasing", [](const std::vector<Run> &runs, bool passesGaps) {
+            EventSequence sequence(std::nullopt);
+            std::optional<std::int64_t> last;
+            for (const auto &run : runs) {
+                sequence.beginRun();
+                for (const auto &[hasId, id] : run) {
+                    const auto place = sequence.onEvent(hasId ? std::make_optional(id) : std::nullopt);
+                    if (place == EventPlace::Regressed || (place == EventPlace::Gap && !passesGaps)) {
+                        RC_ASSERT(sequence.lastId() == last);
+                        break;
+                    }
+                    if (place == EventPlace::Gap) {
+                        sequence.passGap(id);
+                    }
+                    const bool isPassed = place == EventPlace::Next || place == EventPlace::Gap;
+                    RC_ASSERT((isPassed ? !last || *sequence.lastId() > *last : sequence.lastId() == last));
+                    RC_ASSERT((!isPassed || !hasId || sequence.lastId() == id));
+                    last = sequence.lastId();
+                }
+            }
+        });
+    }
+
+    // A piece is missing although each run sent all from the one that it was asked for.
+    auto soundRunsLeaveNoGap() -> void
+    {
+        CHECK_PROPERTY("consecutive", [](bool fromZero) {
+            const std::int64_t firstId = fromZero ? 0 : 1;
+            const auto runs =
+                *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 6)));
+            EventSequence sequence(std::nullopt);
+            std::vector<std::int64_t> passed;
+            for (const auto &[again, count] : runs) {
+                sequence.beginRun();
+                const auto next = sequence.lastId() ? *sequence.lastId() + 1 : firstId;
+                const auto begin = std::max(firstId, next - again);
+                for (auto id = begin; id < next + count; ++id) {
+                    const auto place = sequence.onEvent(id);
+                    RC_ASSERT(place == (id < next ? EventPlace::Received : EventPlace::Next));
+                    if (place == EventPlace::Next) {
+                        passed.push_back(id);
+                        RC_ASSERT(sequence.onEvent(id) == EventPlace::Repeated);
+                    }
+                }
+            }
+            for (std::size_t index = 0; index < passed.size(); ++index) {
+                RC_ASSERT(passed[index] == firstId + static_cast<std::int64_t>(index));
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSequenceTest);
