A gap in ids that are known to be consecutive breaks the run

Callers got a stream that ended as complete with pieces missing when an engine left out an event, or went on after a break at an event that was not the next one: any id above the last one was passed on.

The protocol has increasing ids, not consecutive ones, so a gap alone proves nothing, and breaking all streams of a service whose ids have gaps would be worse than the fault. `EventIdPattern` learns per service whether ids are consecutive: after 200 steps of 1 by at least two engines without a gap in memory, until a second engine has a gap, or one engine more than four, within the memory of at most 20,000 steps. Only then a gap within a run, or before the first event of a run that goes on, is treated as a run whose ids go back. A gap that two runs of one stream have at the same place proves for good that the ids are not consecutive, and passes.

event_out_of_order names the steps and gaps in memory, and whether the stream's previous run had the same gap.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -5,6 +5,7 @@
 #include "currantstack/decisions/cost_table.h"
 #include "currantstack/decisions/crash_detector.h"
 #include "currantstack/decisions/end_evidence.h"
+#include "currantstack/decisions/event_id_pattern.h"
 #include "currantstack/decisions/exclusion_list.h"
 #include "currantstack/decisions/fleet_rate_limiter.h"
 #include "currantstack/decisions/fleet_retry_budget.h"
@@ -101,6 +102,7 @@
     HealthTracker health = {};
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> requestMs = {}; // duration of a plain service's requests, by service
+    std::map<std::string, EventIdPattern, std::less<>> eventIds = {}; // by service
     ExclusionList exclusions = {};
     UpstreamNotices notices = {};
     Quarantine quarantine = Quarantine();
--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -95,7 +95,7 @@
     }
     if (place == EventPlace::Regressed || place == EventPlace::Gap) {
         m_isDisordered = place == EventPlace::Regressed;
-        logDisorder(m_context, "relay", place, m_isDisordered ? BrokenOff : Passed,
+        logDisorder(m_context, "relay", place, name(m_isDisordered ? GapVerdict::BreakOff : GapVerdict::Pass),
                     {{"request", m_request.metadata.requestId},
                      {"through", m_vm},
                      {"id", eventField(event.id)},
@@ -106,7 +106,7 @@
         return;
     }
     if (place == EventPlace::Gap) {
-        m_sequence.passGap(*event.id);
+        m_sequence.passGap(*event.id); // the other VM decides whether gaps of the service show a loss
     }
     m_fillerBytes = 0;
     beginStream();
--- a/src/edge/stream_events.cc
+++ b/src/edge/stream_events.cc
@@ -44,18 +44,38 @@
 {
     switch (m_sequence.onEvent(event.id)) {
     case EventPlace::Next:
+        if (event.id && m_begunAt) {
+            m_context.eventIds[m_decodeEngine.service].onStep(m_decodeEngine.id);
+        }
         return true;
     case EventPlace::Received:
     case EventPlace::Repeated:
         return false;
     case EventPlace::Regressed:
-        logDisorder(m_context, "stream", EventPlace::Regressed, BrokenOff, disorderFields(event));
+        logDisorder(m_context, "stream", EventPlace::Regressed, name(GapVerdict::BreakOff), disorderFields(event));
         m_disorder = RegressionReason;
         return false;
     case EventPlace::Gap:
         break;
     }
-    logDisorder(m_context, "stream", EventPlace::Gap, Passed, disorderFields(event));
+    return passesGap(event);
+}
+
+auto StreamRequest::passesGap(const RawEvent &event) -> bool
+{
+    auto &pattern = m_context.eventIds[m_decodeEngine.service];
+    const IdGap gap{*m_sequence.lastId(), *event.id};
+    const auto verdict = pattern.onGap(m_decodeEngine.id, gap, m_brokenGap);
+    auto fields = disorderFields(event);
+    fields["id_steps"] = pattern.steps();
+    fields["id_gaps"] = pattern.gaps();
+    fields["in_earlier_run"] = m_brokenGap == gap;
+    logDisorder(m_context, "stream", EventPlace::Gap, name(verdict), std::move(fields));
+    if (verdict == GapVerdict::BreakOff) {
+        m_brokenGap = gap;
+        m_disorder = GapReason;
+        return false;
+    }
     m_sequence.passGap(*event.id);
     return true;
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/decisions/admission.h"
+#include "currantstack/decisions/event_id_pattern.h"
 #include "currantstack/decisions/event_sequence.h"
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/decisions/stream_resumption.h"
@@ -138,6 +139,7 @@
     // stream_events.cc
     auto onEvent(const RawEvent &event) -> void;
     auto isInOrder(const RawEvent &event) -> bool;
+    auto passesGap(const RawEvent &event) -> bool;
     auto disorderFields(const RawEvent &event) const -> LogFields;
     auto onFirstEvent() -> void;
 
@@ -212,6 +214,7 @@
     bool m_headSent = false; // the caller has received the response head
     EventSequence m_sequence; // of the events of all runs that the caller has
     std::string_view m_disorder; // why the current run is given up; empty: its events are in order
+    std::optional<IdGap> m_brokenGap; // at which the last run was broken off
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
--- a/test/edge/order_tests.py
+++ b/test/edge/order_tests.py
@@ -9,6 +9,11 @@
 from version_tests import Stream
 
 EVENTS = list(range(1, 13))
+WARM_UP_STREAMS = 36  # in which a VM learns that the ids are consecutive
+FEW_STREAMS = 6
+MOST_STREAMS = 24
+HOLE = [number for number in EVENTS if number != 7]  # of the fault "gap"
+PATIENT = {**DROPPED, "name": "patient", "prefix": "/patient/", "attempts": 4, "gap_aim_ms": 50}
 FIELDS = {"Model": "m", "Token-Count": "1000,100", "Prefix-Hash": "ab:1000"}
 
 
@@ -33,6 +38,15 @@
     return received, len(rig.runs_of(request))
 
 
+def expect(actual, expected, case=""):
+    assert actual == expected, f"{case}: {actual} instead of {expected}"
+
+
+async def warm_up(rig, vm=None):
+    received = await asyncio.gather(*(get(rig, "stream", vm) for _ in range(WARM_UP_STREAMS)))
+    assert received == WARM_UP_STREAMS * [(EVENTS, 1)], received
+
+
 def outcomes(rig, place):
     return [line["outcome"] for line in events_of(rig.vms[0], "event_out_of_order") if line["place"] == place]
 
@@ -42,19 +56,72 @@
     for faults in ({1: "twice"}, {1: "torn", 2: "restart"}, {1: "torn", 2: "no_ids"}, {1: "no_ids"}):
         async with Rig() as rig:
             set_faults(rig.fleet.engines, faults)
-            assert await get(rig, "stream") == (EVENTS, len(faults)), faults
+            expect(await get(rig, "stream"), (EVENTS, len(faults)), faults)
 
 
 async def runs_whose_ids_go_back_are_given_up():
     """Guards against a stream that ends as complete without the event that an engine sent under an earlier id."""
     async with Rig() as rig:
         set_faults(rig.fleet.engines, {1: "back"})
-        assert await get(rig, "stream") == (EVENTS, 2)
-        assert await get(rig, "digest") == (None, 1), "a stream that must not be resumed"
+        expect(await get(rig, "stream"), (EVENTS, 2))
+        expect(await get(rig, "digest"), (None, 1), "a stream that must not be resumed")
         await asyncio.sleep(0.2)
         assert outcomes(rig, "regressed") == ["broken_off", "broken_off"]
 
 
+async def events_that_one_engine_leaves_out_come_from_another():
+    """Guards against a stream that ends as complete without an event that one engine left out."""
+    async with Rig() as rig:
+        await warm_up(rig)
+        set_faults(rig.fleet.engines[2:3], {1: "gap"})
+        received = []
+        while (EVENTS, 2) not in received and len(received) < MOST_STREAMS:  # until the engine has one of them
+            received.append(await get(rig, "stream"))
+        assert all(events == EVENTS for events, _ in received) and received[-1][1] == 2, received
+        await asyncio.sleep(0.2)
+        assert set(outcomes(rig, "gap")) == {"broken_off"}
+
+
+async def streams_that_must_not_be_resumed_break_at_a_gap():
+    """Guards against a stream that ends as complete without an event although it cannot be asked for."""
+    async with Rig(decode=2) as rig:
+        await warm_up(rig)
+        set_faults(rig.fleet.engines, {1: "gap"})
+        expect(await get(rig, "digest"), (None, 1))
+
+
+async def events_that_a_resumed_run_skips_come_from_another():
+    """Guards against a stream that goes on after a break at an event that is not the next one."""
+    async with Rig() as rig:
+        await configured(rig, PATIENT)
+        await warm_up(rig)
+        set_faults(rig.fleet.engines, {1: "torn", 2: "skip"})
+        expect(await get(rig, "patient"), (EVENTS, 3))
+
+
+async def services_whose_ids_have_gaps_keep_their_streams():
+    """Guards against streams that break because a service numbers its events with gaps."""
+    always = dict.fromkeys(range(1, 9), "gap")
+    async with Rig() as rig:
+        set_faults(rig.fleet.engines, always)
+        for kind in ("stream", "digest"):
+            received = await asyncio.gather(*(get(rig, kind) for _ in range(WARM_UP_STREAMS)))
+            assert received == WARM_UP_STREAMS * [(HOLE, 1)], (kind, received)
+
+
+async def gap_of_two_runs_passes():
+    """Guards against streams that never get beyond a gap which all engines show, after ids without gaps."""
+    async with Rig() as rig:
+        await configured(rig, PATIENT)
+        await warm_up(rig)
+        set_faults(rig.fleet.engines, dict.fromkeys(range(1, 9), "gap"))
+        expect(await get(rig, "patient"), (HOLE, 2))
+        received = [await get(rig, kind) for kind in ("patient", "digest") for _ in range(FEW_STREAMS)]
+        assert received == 2 * FEW_STREAMS * [(HOLE, 1)], received
+        await asyncio.sleep(0.2)
+        assert outcomes(rig, "gap")[:2] == ["broken_off", "passed"]
+
+
 async def callers_that_return_after_event_0_get_it_once():
     """Guards against the event with id 0 that a returning caller gets again, at the VM that it left, at another one, or through a relay."""
     async with StrandedRig(vms=2) as rig:
@@ -67,10 +134,10 @@
             assert await stream.come_back(vm) == 200
             await stream.read()
             assert stream.numbers == list(range(12)), (vm.name, stream.numbers)
-            assert await get(rig, "stream", vm, **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1)
+            expect(await get(rig, "stream", vm, **{"Last-Event-Id": 0}), (list(range(1, 12)), 1))
         rig.links.cut(rig.vms[0], "refuse")
         await asyncio.sleep(DETECTION_S)
-        assert await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1)
+        expect(await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}), (list(range(1, 12)), 1))
         assert events_of(rig.vms[0], "request_relayed"), "the request was not relayed"
 
 
@@ -99,8 +166,11 @@
             await rig.wait_until_in_touch()
             rig.links.cut(rig.vms[0], "refuse")
             await asyncio.sleep(DETECTION_S)
-            assert await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}) == (list(range(1, 12)), 1), builds
+            expect(await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}), (list(range(1, 12)), 1), builds)
 
 
-TESTS = [repeated_events_are_dropped, runs_whose_ids_go_back_are_given_up, callers_that_return_after_event_0_get_it_once,
-         streams_that_another_vm_takes_over_after_event_0_are_complete, event_0_comes_once_through_a_vm_of_another_build]
+TESTS = [repeated_events_are_dropped, runs_whose_ids_go_back_are_given_up, events_that_one_engine_leaves_out_come_from_another,
+         streams_that_must_not_be_resumed_break_at_a_gap, events_that_a_resumed_run_skips_come_from_another,
+         services_whose_ids_have_gaps_keep_their_streams, gap_of_two_runs_passes, callers_that_return_after_event_0_get_it_once,
+         streams_that_another_vm_takes_over_after_event_0_are_complete,
+         event_0_comes_once_through_a_vm_of_another_build]
