The unit test of gaps covers one missing event

A changed comparison that lets a single missing event pass survived the unit tests of EventSequence; it fails now.

--- a/test/event_sequence-test.cc
+++ b/test/event_sequence-test.cc
@@ -73,6 +73,7 @@
         sequence.passGap(8);
         CPPUNIT_ASSERT(sequence.lastId() == 8 && sequence.gaps() == 1);
         CPPUNIT_ASSERT(sequence.onEvent(7) == EventPlace::Regressed);
+        CPPUNIT_ASSERT_MESSAGE("one event is missing", sequence.onEvent(10) == EventPlace::Gap);
     }
 
     auto zeroIsAnIdLikeOthers() -> void
