--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -1,4 +1,5 @@
 // The answer that another VM sends for a relayed request.
+#include "event_order.h"
 #include "relayed_request.h"
 
 namespace currantstack
@@ -61,7 +62,10 @@
         m_answer.body.append(data);
         return;
     }
-    if (!m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); })) {
+    const bool isWithinLimit = m_splitter.feed(data, [this](const RawEvent &event) { onEvent(event); });
+    if (m_isDisordered) {
+        onBroken(AttemptOutcome::Unknown, RegressionReason);
+    } else if (!isWithinLimit) {
         onBroken(AttemptOutcome::Unknown, "an event exceeds the size limit");
     } else if (m_fillerBytes > EventSplitter::MaxEventBytes) {
         onBroken(AttemptOutcome::Unknown, "the stream has no events");
@@ -72,9 +76,8 @@
 
 auto RelayedRequest::onEvent(const RawEvent &event) -> void
 {
-    const bool hasEvents = m_headSent || m_lastEventId > 0;
-    if (m_done || m_call == 0 || (event.id && hasEvents && *event.id <= m_lastEventId)) {
-        return; // the caller already has the event
+    if (m_done || m_call == 0 || m_isDisordered) {
+        return;
     }
     if (event.isEmpty && !m_headSent) {
         m_heldFiller.append(event.bytes);
@@ -86,10 +89,28 @@
         m_request.exchange->write(event.bytes);
         return;
     }
+    const auto place = m_sequence.onEvent(event.id);
+    if (place == EventPlace::Received || place == EventPlace::Repeated) {
+        return;
+    }
+    if (place == EventPlace::Regressed || place == EventPlace::Gap) {
+        m_isDisordered = place == EventPlace::Regressed;
+        logDisorder(m_context, "relay", place, name(m_isDisordered ? GapVerdict::BreakOff : GapVerdict::Pass),
+                    {{"request", m_request.metadata.requestId},
+                     {"through", m_vm},
+                     {"id", eventField(event.id)},
+                     {"after_event", eventField(m_sequence.lastId())},
+                     {"events", m_events}});
+    }
+    if (m_isDisordered) {
+        return;
+    }
+    if (place == EventPlace::Gap) {
+        m_sequence.passGap(*event.id); // the other VM decides whether gaps of the service show a loss
+    }
     m_fillerBytes = 0;
     beginStream();
     m_request.exchange->write(event.bytes);
-    m_lastEventId = event.id.value_or(m_lastEventId + 1);
     ++m_events;
     restartEventTimer();
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/decisions/admission.h"
+#include "currantstack/decisions/event_id_pattern.h"
 #include "currantstack/decisions/event_sequence.h"
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/decisions/stream_resumption.h"
@@ -22,8 +23,7 @@
         : m_context(context)
         , m_request(std::move(request))
         , m_attempts(attemptsOf(m_request))
-        , m_lastEventId(m_request.metadata.lastEventId)
-        , m_sequence(m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt)
+        , m_sequence(m_request.metadata.lastEventId)
     { }
 
     auto start() -> void;
@@ -124,19 +124,12 @@
     auto onHead(int status, const Headers &headers) -> void;
     auto onData(std::string_view data) -> void;
     auto breakOff(std::string_view reason) -> void;
-    auto onEvent(const RawEvent &event) -> void;
-    auto logDisorder(EventPlace place, const RawEvent &event) const -> void;
-    auto lastHeldEvent() const -> std::optional<std::int64_t>
-    {
-        return m_headSent || m_lastEventId > 0 ? std::make_optional(m_lastEventId) : std::nullopt;
-    }
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto onDecodeFailed(const Error &error) -> void;
     auto confirmEnd() -> void;
     auto onEndJudged(bool isComplete) -> void;
     auto onDecodeEnd() -> void;
     auto incompleteReason() const -> std::string_view;
-    auto onFirstEvent() -> void;
     auto recordSurvival() -> void;
     auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
@@ -149,6 +142,13 @@
     auto redirect() -> bool;
     auto placeOrEnqueue() -> void;
 
+    // stream_events.cc
+    auto onEvent(const RawEvent &event) -> void;
+    auto isInOrder(const RawEvent &event) -> bool;
+    auto passesGap(const RawEvent &event) -> bool;
+    auto disorderFields(const RawEvent &event) const -> LogFields;
+    auto onFirstEvent() -> void;
+
     // stream_resumption.cc
     auto isVersionCertain() const -> bool;
     auto hasOtherEngine() const -> bool;
@@ -220,8 +220,9 @@
     bool m_mayHaveEnded = false; // the last run may have sent all events, so that the next one may have none left
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
-    std::int64_t m_lastEventId; // that the caller has; 0 before the head is sent: none
-    EventSequence m_sequence; // of the events of all runs
+    EventSequence m_sequence; // of the events of all runs that the caller has
+    std::string_view m_disorder; // why the current run is given up; empty: its events are in order
+    std::optional<IdGap> m_brokenGap; // at which the last run was broken off
     std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
     std::string m_heldFiller; // blank lines and comments before the first event, sent with it
