A begun stream is not aborted over a process that refused to run it

A stream that leaves its engine reserves at another one. If that one has ended, its successor at the address grants the reservation, although the call names the former process (Expect-Instance): the check is promised for requests only. It refuses the request that follows with 421, and that refusal took the second and last attempt of the route.

Status 421 after the first event is an outcome of its own, misdirected: the engine to which the request was addressed never got it, and nothing has run it. It does not count against the route's attempts, which bound the engines that run a request; it still takes a retry of the budget, as arrivals that engines reject do, and the engine is avoided as before. Refusals before the first event count as they did: such a request can be refused in turn.

--- a/include/currantstack/decisions/request_attempts.h
+++ b/include/currantstack/decisions/request_attempts.h
@@ -11,6 +11,7 @@
 {
     NotSent, // no byte of the request was sent
     NotRun, // the upstream promised that it did not and will not run the request
+    Misdirected, // like `NotRun`, and the upstream to which the request was addressed is no longer there
     Answered, // a complete response that belongs to this request
     Unknown, // the upstream may have run the request
 };
@@ -40,7 +41,8 @@
         ++m_pending;
     }
 
-    /// Records the outcome of what `onAttempt` recorded. What was not sent does not count against the limit.
+    /// Records the outcome of what `onAttempt` recorded. What was not sent, or reached another upstream than it was addressed to, does not
+    /// count against the limit.
     auto onOutcome(AttemptOutcome outcome, int attempts = 1) -> void;
 
     /// Returns how many attempts another VM may make. When that VM dies, nobody knows how many it has made; one is kept for a stream if
@@ -78,7 +80,7 @@
         return timedOut ? ErrorAnswer::TimedOut : ErrorAnswer::BadGateway;
     }
 
-    /// Returns the number of attempts, without those that were not sent.
+    /// Returns the number of attempts that count against the limit.
     auto count() const -> int
     {
         return m_count;
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -233,6 +233,8 @@
         return "not_sent";
     case AttemptOutcome::NotRun:
         return "not_run";
+    case AttemptOutcome::Misdirected:
+        return "misdirected";
     case AttemptOutcome::Answered:
         return "answered";
     case AttemptOutcome::Unknown:
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -78,7 +78,10 @@
     observeNotices(m_context, m_decodeEngine, status, head);
     if (outcome != AttemptOutcome::Answered) {
         m_context.client.cancel(std::exchange(m_decodeCall, 0));
-        onDecodeBroken(outcome, fmt::format("status {}", status), {status == MisdirectedRequest, false});
+        // A stream that has begun cannot be refused, so that it must not lose its last attempt to a process that has not run it.
+        const bool isMisdirected = m_headSent && outcome == AttemptOutcome::NotRun && status == MisdirectedRequest;
+        onDecodeBroken(isMisdirected ? AttemptOutcome::Misdirected : outcome, fmt::format("status {}", status),
+                       {status == MisdirectedRequest, false});
         return;
     }
     if (status != 200 && m_headSent) {
