Stand-in: an engine that has left does not register again

The history of a failed run: 0.42 s after the removal the engine gets an order to become a prefill engine, which was announced before and sent before the order holder knew of the removal. The stand-in's engine took it and wrote its entry again, so that the store named it ready, and VMs sent it prompts. On the platform the entry of an engine that has left stays away; only the next incarnation registers.

Upstream.leave removes the entry and keeps it away until a restart. The engine still serves, still takes orders and still records what reaches it, and the test's limits are as they were.

--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -36,6 +36,7 @@
         self.started_ms = int(time.time() * 1000)
         self.server = Server("127.0.0.1", port, self.serve)
         self.state, self.fault, self.fault_share = "ready", "", 0.0
+        self.has_left = False
         self.sequence, self.junk_senders = 0, 0
         self.software_version = "v1"
         self.leaving = []  # values of the fields in its responses that announce its leaving, as text
@@ -66,6 +67,11 @@
         self.register()
         self.history.append({"event": "draining", "upstream": self.id, "at": time.monotonic()})
 
+    def leave(self):
+        """Its entry is removed without a report. It serves on, and does not register again."""
+        self.has_left = True
+        self.store.delete(f"servers/{self.id}")
+
     def crash(self):
         self.server.stop()
         self.store.delete(f"servers/{self.id}")
@@ -75,7 +81,7 @@
         self.software_version = software_version or self.software_version
         self.server.stop()
         self.store.delete(f"servers/{self.id}")
-        self.id, self.started_ms, self.state = f"i-{next(self.ids)}", int(time.time() * 1000), "ready"
+        self.id, self.started_ms, self.state, self.has_left = f"i-{next(self.ids)}", int(time.time() * 1000), "ready", False
         await asyncio.sleep(0.2)
         await self.server.start()
         self.register()
@@ -103,7 +109,7 @@
         await asyncio.sleep(self.restart_s / 2)
         if self.server.is_listening:
             return  # it was restarted meanwhile
-        self.id, self.started_ms, self.state = f"i-{next(self.ids)}", int(time.time() * 1000), "ready"
+        self.id, self.started_ms, self.state, self.has_left = f"i-{next(self.ids)}", int(time.time() * 1000), "ready", False
         await self.server.start()
         self.register()
 
@@ -260,7 +266,8 @@
             return response(200)
         self.order_count += 1
         self.role = body["phase"]
-        self.register()
+        if not self.has_left:
+            self.register()
         return response(202)
 
     async def run(self, request, reader, writer):
--- a/test/edge/cut_watch_tests.py
+++ b/test/edge/cut_watch_tests.py
@@ -37,7 +37,7 @@
             leaving = next(engine for engine in rig.fleet.engines if engine.role == "decode" and f"servers/{engine.id}" in store.items)
             rig.fleet.services[0].register()  # a change, after which VMs poll again only after a pause
             await asyncio.sleep(0.02)
-            store.delete(f"servers/{leaving.id}")
+            leaving.leave()
             removed_at = time.monotonic()
             await serve(rig, ["stream", "digest"], 4)
             late = [round(entry["at"] - removed_at, 2) for entry in arrivals(rig, leaving, removed_at + APPLIED_S)]
@@ -70,7 +70,7 @@
         await serve(rig, ["stream"], 1)
         store.cut_watches_after_s = 0
         await asyncio.sleep(0.02)
-        store.delete(f"servers/{leaving.id}")
+        leaving.leave()
         store.compact()
         removed_at = time.monotonic()
         store.cut_watches_after_s = None
