No order goes to an engine that is known to have left

The order holder announces a change of role and sends the order a second later, by the entry of the announcement. It asked only for what engines say in responses, so that an engine whose entry had been removed, or said draining, got the report call and the order all the same, and was told to change its role on its way out.

Orders sent before the removal is known still arrive.

--- a/include/currantstack/edge/role_controller.h
+++ b/include/currantstack/edge/role_controller.h
@@ -36,6 +36,7 @@
     auto reconcileService(const ServiceSpec &service, std::int64_t fencingToken) -> void;
     auto announce(const RoleChange &change) -> void;
     auto sendAnnouncedOrders() -> void;
+    auto mayOrder(const Upstream &engine, EngineRole role) -> bool;
     auto fetchState(const Upstream &engine, EngineRole role) -> void;
     auto sendOrder(const Upstream &engine, EngineRole role, std::int64_t orderCount) -> void;
     auto onOrderAnswered(const Upstream &engine, EngineRole role, std::int64_t fencingToken, const Result<HttpResponse> &result) -> void;
--- a/src/edge/role_controller.cc
+++ b/src/edge/role_controller.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/role_controller.h"
 
 #include "currantstack/edge/notice_observer.h"
+#include "currantstack/edge/send_check.h"
 
 namespace currantstack
 {
@@ -84,12 +85,24 @@
 auto RoleController::sendAnnouncedOrders() -> void
 {
     for (const auto &[engine, role] : std::exchange(m_announced, {})) {
-        if (mayGetRequest(m_context, engine)) {
+        if (mayOrder(engine, role)) {
             fetchState(engine, role);
         }
     }
 }
 
+/// Returns whether the engine may still get the order that was announced for it. Logs and counts why not.
+auto RoleController::mayOrder(const Upstream &engine, EngineRole role) -> bool
+{
+    const auto block = sendBlockOf(m_context, engine);
+    if (block == SendBlock::None) {
+        return true;
+    }
+    m_context.counters.at(fmt::format("sends_prevented{{way=\"order\",reason=\"{}\"}}", name(block))).add();
+    m_context.log.write("orders", "order_prevented", {{"engine", engine.id}, {"role", name(role)}, {"reason", name(block)}});
+    return false;
+}
+
 auto RoleController::fetchState(const Upstream &engine, EngineRole role) -> void
 {
     auto call = m_context.protocol.reportCall(engine);
@@ -110,8 +123,8 @@
 auto RoleController::sendOrder(const Upstream &engine, EngineRole role, std::int64_t orderCount) -> void
 {
     const auto fencingToken = m_holder.fencingToken();
-    if (!fencingToken || !mayGetRequest(m_context, engine)) {
-        return; // the lease was lost, or the engine announced its leaving, while the report was in flight
+    if (!fencingToken || !mayOrder(engine, role)) {
+        return; // the lease was lost, or the engine has begun to leave, while the report was in flight
     }
     auto call = m_context.protocol.orderCall(engine, {role, m_context.settings.vm, *fencingToken, orderCount});
     call.totalTimeout = CallTimeout;
--- a/test/edge/outdated_plan_tests.py
+++ b/test/edge/outdated_plan_tests.py
@@ -1,15 +1,20 @@
 """Process tests of requests whose upstream leaves between its choice and the call."""
 
 import asyncio
+import json
 import time
 
 from leaving_tests import arrivals, load, reserved_engine
 from rig import Rig
 from stranded_tests import START_S
 
+from platform_upstreams import Engine  # noqa: E402
+
 HEARD_S = 1.0  # after a change of an entry, each VM knows of it
 PROMPT_TOKENS = 3000
 PREFILL_S = 2.0  # of a slow engine; a VM waits about 2.3 s for the prefill of a request that it may not repeat
+ORDER_S = 20.0  # until the order holder has seen enough streams to change roles; orders follow one second after their announcement
+SLOW_EVENT_INTERVAL_S = 0.06  # long streams need more than two decode engines of six
 SLOW_RESERVATION_S = 0.4  # a VM waits 0.5 s for it
 
 
@@ -72,6 +77,25 @@
             await asyncio.sleep(0.1)
 
 
+async def engine_that_leaves_before_its_order_gets_none():
+    """Guards against an order to change its role that an engine gets after the order holder knows that it has left."""
+    for change in (drain, Engine.leave):
+        async with Rig(prefill=4, decode=2, services=1) as rig:
+            for engine in rig.fleet.engines:
+                engine.EVENT_INTERVAL_S = SLOW_EVENT_INTERVAL_S
+            end = time.monotonic() + ORDER_S
+            while not (wanted := [json.loads(line) for line in rig.vms[0].log_text().splitlines() if '"event":"role_change_wanted"' in line]):
+                assert time.monotonic() < end, "no change of role"
+                await load(rig, ["stream"], 0.2, rate=20)
+            leaving = [engine for engine in rig.fleet.engines if engine.id in {line["engine"] for line in wanted}]
+            for engine in leaving:
+                change(engine)
+            await asyncio.sleep(ORDER_S / 8)
+            ordered = [entry["upstream"] for entry in rig.fleet.history if entry["event"] == "order"]
+            assert not {engine.id for engine in leaving} & set(ordered), ordered
+            assert '"event":"order_prevented"' in rig.vms[0].log_text()
+
+
 async def stream_is_refused_before_its_first_event_if_its_only_decode_engine_drains():
     async with PlanRig(prefill=1, decode=1, services=1) as rig:
         sent = time.monotonic()
@@ -150,7 +174,8 @@
         assert_prevented(rig, "decode", "draining")
 
 
-TESTS = [prefilled_prompt_goes_to_another_engine_if_the_entry_of_its_decode_engine_changes,
+TESTS = [engine_that_leaves_before_its_order_gets_none,
+         prefilled_prompt_goes_to_another_engine_if_the_entry_of_its_decode_engine_changes,
          stream_is_refused_before_its_first_event_if_its_only_decode_engine_drains,
          stream_goes_to_its_decode_engine_if_the_entry_lapsed_while_the_store_was_away,
          prompt_goes_to_another_engine_if_its_prefill_engine_drains_during_the_reservation,
