Test of relayed requests begins once the VMs know one another

relayed_plain_requests_outlive_a_silence_of_all_services failed now and then: the first 1 to 3 of about 250 requests were refused, long before the silence that it is about.

The log of each failure: the VM finds both services refusing its connections, as intended, and says "vms_that_reach_it":0; 2.57 to 2.6 s after its start the next request is relayed. The rig restarts all VMs at once to give them their links. A VM reads the list of VMs 2 s after its start (stale reads lag behind) and hears from an idle one within another 0.6 s, and the traffic began 2.55 s after the start.

--- a/test/edge/partial_cut_tests.py
+++ b/test/edge/partial_cut_tests.py
@@ -5,8 +5,7 @@
 import signal
 import time
 
-from rig import call
-from stranded_tests import DEADLINE_MS, DETECTION_S, StrandedRig, repeat
+from stranded_tests import DEADLINE_MS, DETECTION_S, StrandedRig, count_of, repeat
 
 IDLE_S = 2.5  # longer than an answer counts as recent
 SPREAD_S = 1.0  # from a cut until idle VMs must use the engines
@@ -43,11 +42,6 @@
         return [json.loads(line) for line in vm.log_text().splitlines() if f'"event":"{event}"' in line]
 
 
-async def count_of(vm, name):
-    _, _, body = await call(vm.ip, vm.port + 9, "GET", "/metrics", {"Host": "x"}, b"")
-    return next((int(line.split()[1]) for line in body.decode().splitlines() if line.startswith(f"currantstack_{name} ")), 0)
-
-
 async def cut_from_some_engines(mode, make_rig=PartialCutRig):
     """Cuts VM 0 from two engines that it uses, and expects that the other VMs use them."""
     async with make_rig() as rig:
--- a/test/edge/silent_upstream_tests.py
+++ b/test/edge/silent_upstream_tests.py
@@ -97,6 +97,7 @@
 
 async def relayed_plain_requests_outlive_a_silence_of_all_services():
     async with StrandedRig(vms=3) as rig:
+        await rig.wait_until_vms_report()
         rig.links.cut(rig.vms[0], "refuse")
         await asyncio.sleep(DETECTION_S / 2)
         traffic = Traffic(rig, rig.vms[:1], ("book", "check"), 6)
--- a/test/edge/stranded_tests.py
+++ b/test/edge/stranded_tests.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from rig import Rig
+from rig import Rig, call
 from version_tests import Stream
 
 KINDS = ("book", "check", "stream", "digest")
@@ -18,7 +18,9 @@
 HEALING_S = 3.0  # until the VM sends by itself again
 REFUSAL_S = 0.6
 STOP_S = 0.5  # from a caller's close until its run ends at the engine
-START_S = 1.5  # until VMs have heard from one another
+START_S = 1.5  # until VMs have heard from one another, unless all have just started
+LIST_S = 10.0  # in which VMs that have just started must read the list of VMs
+REPORT_S = 0.8  # in which a VM that knows others reports to them
 
 
 class StrandedRig(Rig):
@@ -30,6 +32,19 @@
         await asyncio.sleep(START_S)
         return self
 
+    async def wait_until_vms_report(self):
+        """Waits until each VM has heard from all others; one that has just started reads their list after two seconds."""
+        end = time.monotonic() + LIST_S
+        while not all([await count_of(vm, "vms_known") == len(self.vms) for vm in self.vms]):
+            assert time.monotonic() < end, "a VM does not know all others"
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(REPORT_S)
+
+
+async def count_of(vm, name):
+    _, _, body = await call(vm.ip, vm.port + 9, "GET", "/metrics", {"Host": "x"}, b"")
+    return next((int(line.split()[1]) for line in body.decode().splitlines() if line.startswith(f"currantstack_{name} ")), 0)
+
 
 async def repeat(rig, vm, kind, end, results):
     """Sends requests of one kind at a steady rate; results hold (begin, vm, kind, request, status)."""
