A connection that is reset while it opens is no silent engine

One VM's connections to the engine are reset. If the reset arrives before libcurl has seen the connection open, the call ends as "Couldn't connect to server" within milliseconds. That is neither a refusal nor a closed connection, so that it counted as a connection attempt left unanswered: upstream_silent, announced to all VMs, which avoid the engine until their own probe is answered.

Error::connectionReset tells this case (ECONNRESET while connecting). It counts as a failed link, as before, and not as silence. Connections that time out and hosts that are unreachable count as they did.

--- a/include/currantstack/error.h
+++ b/include/currantstack/error.h
@@ -40,6 +40,7 @@
     std::string peer;
     std::string message;
     bool connectionRefused = false; // the peer's host is up, but nothing listens on the port
+    bool connectionReset = false; // the peer's host is up, and reset the connection before anything was sent
     bool connectionClosed = false; // the peer closed or reset the connection before the response was complete
     bool turnedAway = false; // the peer answered that it serves this caller no calls now
 };
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -146,6 +146,7 @@
         curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &systemError);
         error.code = ErrorCode::Unreachable;
         error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+        error.connectionReset = code == CURLE_COULDNT_CONNECT && systemError == ECONNRESET;
     }
     error.connectionClosed =
         code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -139,7 +139,8 @@
         return;
     }
     updateLinks(context, upstream);
-    if (error.code == ErrorCode::Unreachable && !error.connectionRefused && !error.connectionClosed) {
+    const bool isAnswered = error.connectionRefused || error.connectionReset || error.connectionClosed;
+    if (error.code == ErrorCode::Unreachable && !isAnswered) {
         recordUnanswered(context, upstream, openedAt);
     }
 }
