--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -105,7 +105,7 @@
     if (!m_done) {
         return;
     }
-    if (result || result.error().connectionClosed) { // an upstream resets connections beyond its limit at once
+    if (result || result.error().connectionReset) { // an upstream resets connections beyond its limit at once
         m_evidence.connection = ConnectionTrial::Accepted;
     } else {
         m_evidence.connection = result.error().connectionRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
