currantd takes no cut answer of a service that ends for whole

What callers saw: half of a booking's confirmation with 201, which was recorded as the answer and sent again for each repetition with its key. Reads got half an answer as well.

Cause: ServiceRelay took each answer that its connection ended for complete. An answer with neither a length nor chunks ends with its connection, which the kernel closes in the same way (FIN) when the service's process ends.

Evidence: two tests in test/history/failures.py, whose service ends as the kernel ends a process, fail before the change: the caller of a booking, and that of a read, get 201 and {"booking":"vis. A third, in which the service goes on, passes before and after.

Change: the end is held for EndSettleTime, then up to MaxEndTrials connections are tried, no longer than to the request's deadline (judgeAnswerEnd). Only an accepted one makes the answer complete; otherwise the call has failed: a read is repeated, a booking gets outcome_unknown, which is recorded for its key. A hedge is no longer sent while no attempt is in flight; its timer would then have read an attempt that is gone (found by reading, not seen).

--- a/include/currantstack/service_relay.h
+++ b/include/currantstack/service_relay.h
@@ -1,6 +1,7 @@
 // Requests to plain services: idempotent ones are retried and hedged, others run at most once.
 #pragma once
 
+#include "currantstack/decisions/answer_end.h"
 #include "currantstack/relay.h"
 
 namespace currantstack
@@ -47,10 +48,24 @@
         TimePoint startedAt;
     };
 
+    /// An answer without a length or chunks, held until its upstream is known to have outlived it.
+    struct HeldAnswer
+    {
+        ServiceUpstream upstream;
+        HttpResponse response;
+        AnswerEndEvidence evidence = {};
+        HttpClient::CallId trial = 0;
+    };
+
     auto recordIntent() -> void;
     auto onIntent(const Result<JournalShard::IntentResult> &result) -> void;
     auto dispatch(bool isHedge) -> void;
-    auto onResponse(const std::string &upstream, const Result<HttpResponse> &response) -> void;
+    auto onResponse(const ServiceUpstream &upstream, Result<HttpResponse> response) -> void;
+    auto onAnswer(const HttpResponse &response) -> void;
+    auto holdAnswer(const ServiceUpstream &upstream, HttpResponse response) -> void;
+    auto findHeld(std::string_view upstream) -> std::vector<HeldAnswer>::iterator;
+    auto judgeEnd(const std::string &upstream) -> void;
+    auto tryConnection(HeldAnswer &held) -> void;
     auto onFailure(const std::string &upstream, const Error &error) -> void;
     auto startHedgeTimer() -> void;
     auto respond(HttpResponse response) -> void;
@@ -60,12 +75,14 @@
     auto usesJournal() const -> bool;
     auto scopedKey() const -> std::string;
     auto endAttempt(const std::string &upstream) -> void;
+    auto hasOpenAttempt() const -> bool;
     auto healthKey(std::string_view upstream) const -> std::string;
 
     RelayParts &m_parts;
     ServiceUpstreamStats &m_upstreamStats;
     CallerRequest m_request;
     std::vector<Attempt> m_openAttempts;
+    std::vector<HeldAnswer> m_heldAnswers;
     std::vector<std::string> m_attemptedUpstreams;
     std::unique_ptr<Timer> m_hedgeTimer;
     int m_attemptCount = 0;
--- a/src/services/service_relay.cc
+++ b/src/services/service_relay.cc
@@ -1,5 +1,7 @@
 #include "currantstack/service_relay.h"
 
+#include "currantstack/log.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <random>
@@ -10,6 +12,7 @@
 namespace
 {
 
+constexpr Log ServiceLog("services");
 constexpr int MaxAttempts = 3; // per request, including hedges
 constexpr Duration BackoffBase = milliseconds(5);
 constexpr Duration LongestBackoff = milliseconds(100);
@@ -144,7 +147,7 @@
     const auto *upstream = chooseUpstream(*m_request.service, m_upstreamStats, m_parts.slots.health(), m_attemptedUpstreams,
                                           context.settings.place, now, context.random);
     if (remaining < MinRemainingTime || upstream == nullptr) {
-        if (isHedge || !m_openAttempts.empty()) {
+        if (isHedge || hasOpenAttempt()) {
             return;
         }
         if (m_intentRecorded && !m_sent) {
@@ -173,8 +176,8 @@
     call.step = "service";
     call.peer = upstream->name;
     HttpHandlers handlers;
-    handlers.onDone = [self = shared_from_this(), name = upstream->name](const Result<HttpResponse> &response) {
-        self->onResponse(name, response);
+    handlers.onDone = [self = shared_from_this(), chosen = *upstream](Result<HttpResponse> response) {
+        self->onResponse(chosen, std::move(response));
     };
     ++m_attemptCount;
     ++m_upstreamStats.forUpstream(m_request.service->name, upstream->name).inFlight;
@@ -217,24 +220,104 @@
         entry.latencyMs.observe(toMilliseconds(m_parts.context.clock.now() - found->startedAt));
         m_openAttempts.erase(found);
     }
+    if (m_openAttempts.empty()) {
+        m_hedgeTimer.reset();
+    }
+}
+
+auto ServiceRelay::hasOpenAttempt() const -> bool
+{
+    return !m_openAttempts.empty() || !m_heldAnswers.empty();
 }
 
-auto ServiceRelay::onResponse(const std::string &upstream, const Result<HttpResponse> &response) -> void
+auto ServiceRelay::onResponse(const ServiceUpstream &upstream, Result<HttpResponse> response) -> void
 {
-    endAttempt(upstream);
+    endAttempt(upstream.name);
     if (m_finished) {
         return;
     }
     if (!response) {
-        return onFailure(upstream, response.error());
+        return onFailure(upstream.name, response.error());
+    }
+    if (framingOf(response->status, response->headers) == BodyFraming::Connection) {
+        return holdAnswer(upstream, std::move(*response));
+    }
+    onAnswer(*response);
+}
+
+auto ServiceRelay::holdAnswer(const ServiceUpstream &upstream, HttpResponse response) -> void
+{
+    m_heldAnswers.push_back({upstream, std::move(response)});
+    const auto remaining = std::max(Duration::zero(), m_request.deadline - m_parts.context.clock.now());
+    m_parts.context.loop.after(std::min<Duration>(EndSettleTime, remaining),
+                               [self = shared_from_this(), name = upstream.name]() { self->judgeEnd(name); });
+}
+
+auto ServiceRelay::findHeld(std::string_view upstream) -> std::vector<HeldAnswer>::iterator
+{
+    return std::find_if(m_heldAnswers.begin(), m_heldAnswers.end(),
+                        [upstream](const HeldAnswer &held) { return held.upstream.name == upstream; });
+}
+
+auto ServiceRelay::judgeEnd(const std::string &upstream) -> void
+{
+    const auto found = findHeld(upstream);
+    if (found == m_heldAnswers.end()) {
+        return; // another attempt has been answered, or the caller has disconnected
     }
+    const auto end = judgeAnswerEnd(found->evidence);
+    if (end == AnswerEnd::Undecided && m_request.deadline - m_parts.context.clock.now() >= MinRemainingTime) {
+        return tryConnection(*found);
+    }
+    const auto held = std::move(*found);
+    m_heldAnswers.erase(found);
+    m_parts.context.counters.at(fmt::format("answer_ends_judged{{end=\"{}\"}}", name(end))).add();
+    ServiceLog.info("Request {}: the end of the answer of {} is {} (connection: {}, trials: {})", m_request.id, healthKey(upstream),
+                    name(end), held.evidence.connection ? name(*held.evidence.connection) : "not_tried", held.evidence.trials);
+    if (end == AnswerEnd::Complete) {
+        return onAnswer(held.response);
+    }
+    if (end == AnswerEnd::Undecided) {
+        return onFailure(
+            upstream, {ErrorCode::DeadlineExceeded, "service", upstream, "the deadline passed before the end of the answer was confirmed"});
+    }
+    onFailure(upstream, {ErrorCode::Unavailable, "service", upstream, "the upstream may have ended before its answer"});
+}
+
+auto ServiceRelay::tryConnection(HeldAnswer &held) -> void
+{
+    ++held.evidence.trials;
+    HttpCall call;
+    call.url = urlOf(held.upstream.address, "/");
+    call.connectTimeout = std::min<Duration>(m_request.config->timeouts.connect, m_request.deadline - m_parts.context.clock.now());
+    call.totalTimeout = call.connectTimeout;
+    call.connectOnly = true;
+    call.useOwnConnection();
+    call.step = "confirm end";
+    call.peer = held.upstream.name;
+    HttpHandlers handlers;
+    handlers.onDone = [self = shared_from_this(), name = held.upstream.name](const Result<HttpResponse> &result) {
+        const auto found = self->findHeld(name);
+        if (found == self->m_heldAnswers.end()) {
+            return;
+        }
+        const bool isRefused = !result && result.error().connectionRefused;
+        found->trial = 0;
+        found->evidence.connection = result ? ConnectionTrial::Accepted : isRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
+        self->judgeEnd(name);
+    };
+    held.trial = m_parts.context.client.start(std::move(call), std::move(handlers));
+}
+
+auto ServiceRelay::onAnswer(const HttpResponse &response) -> void
+{
     m_parts.retryBudget.onSuccess();
     m_parts.context.counters.at("service_answers").add();
-    const auto contentType = std::string(findHeader(response->headers, "Content-Type"));
+    const auto contentType = std::string(findHeader(response.headers, "Content-Type"));
     if (m_intentRecorded) {
-        m_parts.journal.finish(scopedKey(), m_request.id, {response->status, contentType, response->body});
+        m_parts.journal.finish(scopedKey(), m_request.id, {response.status, contentType, response.body});
     }
-    HttpResponse forwarded{response->status, {}, response->body};
+    HttpResponse forwarded{response.status, {}, response.body};
     if (!contentType.empty()) {
         forwarded.headers.push_back({"Content-Type", contentType});
     }
@@ -247,7 +330,7 @@
     m_parts.slots.health().observeFailure(healthKey(upstream), now);
     m_parts.context.counters.at("service_failures").add();
     const bool nothingSent = error.code == ErrorCode::Unreachable;
-    if (!m_openAttempts.empty()) {
+    if (hasOpenAttempt()) {
         return; // another attempt is still in flight
     }
     if (!m_request.idempotent && nothingSent) {
@@ -314,6 +397,10 @@
         --m_upstreamStats.forUpstream(m_request.service->name, attempt.upstream).inFlight;
     }
     m_openAttempts.clear();
+    for (const auto &held : m_heldAnswers) {
+        m_parts.context.client.cancel(held.trial);
+    }
+    m_heldAnswers.clear();
     --m_parts.usage.forMember(m_request.member->name).inFlight;
     m_parts.onFinished(m_request.id);
 }
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -371,6 +371,87 @@
     service.listener.close()
 
 
+class UnframedService(threading.Thread):
+    """A service whose answers have neither a length nor chunks. It may end in its first answer as a killed process does, whose connections the
+    kernel closes (FIN) as it stops listening."""
+
+    BODY = b'{"booking":"visit-17","confirmed":true}'
+
+    def __init__(self, port, ends):
+        super().__init__(daemon=True)
+        self.ends = ends
+        self.runs = 0
+        self.listener = socket.create_server(("127.0.0.1", port))
+        self.start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection, connection.makefile("rb") as request:
+                length, line = 0, request.readline()
+                if not line:
+                    continue  # a connection that shows whether this process goes on
+                while (header := request.readline().strip().lower()):
+                    length = int(header[15:]) if header.startswith(b"content-length:") else length
+                request.read(length)  # a connection that is closed with unread data is reset
+                self.runs += 1
+                body = self.BODY[:15] if self.ends else self.BODY
+                connection.sendall(b"HTTP/1.1 201 Created\r\nContent-Type: application/json\r\n\r\n" + body)
+                if self.ends:
+                    self.listener.close()
+                    return
+
+
+def add_service(cluster, name, ports):
+    """Adds a service with an upstream at each port, the first one at the place of vm0, and waits until all VMs know it."""
+    document = call(cluster.peer_address("vm0"), "GET", "/operator/config", None, OPERATOR_TOKEN)[1]
+    upstreams = [{"name": f"{name}{i}", "address": f"127.0.0.1:{port}", "place": cluster.places[i]} for i, port in enumerate(ports)]
+    document["services"].append({"name": name, "target_ms": 300, "upstreams": upstreams, "calls": [{"method": "POST", "path_prefix": "/", "idempotent": False}]})
+    result = cluster.submit(document, document["revision"])
+    expect(result[1]["accepted"], f"the service was not accepted: {result}")
+    cluster.wait_for(lambda: all(call(cluster.caller_address(vm), "GET", "/readyz")[1]["revision"] >= result[1]["revision"] for vm in cluster.vm_names))
+
+
+def test_cut_answer_of_a_service_that_ends_is_no_answer(cluster):
+    """Guards against half of a confirmation that is passed on with 201 and recorded for its key."""
+    for index, key in enumerate(({"Idempotency-Key": "visit-17"}, {})):
+        name = f"ending-{index}"
+        service = UnframedService(cluster.base_port + 460 + index, ends=True)
+        add_service(cluster, name, [cluster.base_port + 460 + index])
+        answers = [call(cluster.caller_address("vm0"), "POST", f"/services/{name}/bookings", {"booking": "visit-17"}, TOKEN, headers=key)]
+        if key:
+            answers += [call(cluster.caller_address(f"vm{i}"), "POST", f"/services/{name}/bookings", {"booking": "visit-17"}, TOKEN, headers=key) for i in (0, 1)]
+        for status, answer in answers:
+            expect(status in (409, 502) and answer["ran"] == "unknown", f"a cut answer was reported as {status} {answer}")
+        expect(service.runs == 1, f"a booking whose answer was cut ran {service.runs} times")
+
+
+def test_reads_are_repeated_if_their_service_ends_in_its_answer(cluster):
+    ports = [cluster.base_port + 462, cluster.base_port + 463]
+    ending, other = (UnframedService(port, ends=port == ports[0]) for port in ports)
+    add_service(cluster, "reads", ports)
+    for _ in range(40):  # the upstream is chosen at random
+        status, answer = call(cluster.caller_address("vm0"), "GET", "/services/reads/first", None, TOKEN)
+        expect((status, answer) == (201, json.loads(other.BODY)), f"the caller of a read got {status} {answer}")
+        if ending.runs:
+            break
+    expect(ending.runs == 1, f"the service that ends got {ending.runs} reads")
+    other.listener.close()
+
+
+def test_whole_answers_without_a_length_are_passed_on_and_recorded(cluster):
+    service = UnframedService(cluster.base_port + 464, ends=False)
+    add_service(cluster, "unframed", [cluster.base_port + 464])
+    for vm in ("vm0", "vm0", "vm1"):
+        status, answer = call(cluster.caller_address(vm), "POST", "/services/unframed/bookings", {"booking": "visit-17"}, TOKEN, headers={"Idempotency-Key": "whole"})
+        expect((status, answer) == (201, json.loads(service.BODY)), f"the caller of a booking got {status} {answer}")
+    expect(service.runs == 1, f"the booking ran {service.runs} times")
+    service.listener.close()
+
+
 def test_drain_interrupts_no_answer(cluster):
     streams = [Stream(cluster.caller_address("vm2"), f"draining {i}", 150).read(2) for i in range(5)]
     cluster.processes["vm2"].send_signal(signal.SIGTERM)
