Stand-in engines that are processes of their own stream again

The faults of event order looked runs up in a history that only the test's process can read, so that each stream of the soak with processes failed.

--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -382,10 +382,15 @@
         earlier = f"id: {number - 3}\ndata: {text}\n\n".encode()
         return {"gap": b"", "back": earlier, "twice": event + event}.get(order_fault, event)
 
+    def order_fault(self, request):
+        """Returns the fault of this run of the request, by the runs that the history holds."""
+        if not self.order_faults:
+            return ""  # the history of a process of its own cannot be read
+        return self.order_faults.get(1 + sum(entry["event"] == "run" and entry["request"] == request.header("request-id") for entry in self.history), "")
+
     async def stream(self, request, reader, writer, prompt):
         version = self.software_version  # the events show which version wrote them
-        run = 1 + sum(entry["event"] == "run" and entry["request"] == request.header("request-id") for entry in self.history)
-        order_fault = self.order_faults.get(run, "")
+        order_fault = self.order_fault(request)
         self.record("run", request, after=int(request.header("last-event-id", "0")), version=version)
         # Faults "resume_error_..." answer a stream that goes on with an error whose body has a length or chunks, or ends with the connection.
         if self.fault.startswith("resume_error"):
