The test of stalled readers makes its body before its server starts

Cause: the handler of the test made its 24 MB body inside the event loop. The time limits of the server, and the 4.5 s that the test gives it, run from there, and the loop stands still meanwhile.

Change: the body is made once, before any server starts. All waits and checks of the test are as before.

--- a/test/response_end-test.cc
+++ b/test/response_end-test.cc
@@ -39,6 +39,13 @@
     }
 }
 
+/// Returns `LongBody` bytes. They are made before a server starts, because with sanitizers this takes longer than some of its time limits.
+auto longBody() -> std::string_view
+{
+    static const auto body = countedBytes(LongBody);
+    return body;
+}
+
 /// Reads everything until the connection ends, and returns it followed by "closed" or "reset".
 auto receiveAll(HttpFixture &fixture, int descriptor) -> std::string
 {
@@ -117,9 +124,10 @@
 
     auto abortedStreamsToSlowReadersAreReset() -> void
     {
-        HttpFixture fixture([&fixture](const ExchangePtr &exchange) {
+        const auto body = longBody();
+        HttpFixture fixture([&fixture, body](const ExchangePtr &exchange) {
             exchange->beginStream(200, {});
-            exchange->write(countedBytes(LongBody));
+            exchange->write(body);
             fixture.loop.after(milliseconds(50), [exchange]() { exchange->abort(); });
         });
         const int descriptor = connectRaw(fixture.server->port());
@@ -152,9 +160,10 @@
                 if (isEnded && size < LongBody) {
                     continue; // is complete before the server closes
                 }
-                HttpFixture fixture([size, isEnded](const ExchangePtr &exchange) {
+                const auto body = longBody().substr(0, size);
+                HttpFixture fixture([body, isEnded](const ExchangePtr &exchange) {
                     exchange->beginStream(200, {});
-                    exchange->write(countedBytes(size));
+                    exchange->write(body);
                     if (isEnded) {
                         exchange->end();
                     }
@@ -172,9 +181,10 @@
 
     auto stalledReadersAreResetWithoutChunks() -> void
     {
-        HttpFixture fixture([](const ExchangePtr &exchange) {
+        const auto body = longBody();
+        HttpFixture fixture([body](const ExchangePtr &exchange) {
             exchange->beginStream(200, {});
-            exchange->write(countedBytes(LongBody));
+            exchange->write(body);
             exchange->end();
         });
         const int descriptor = connectRaw(fixture.server->port());
