--- a/test/edge/held_end_tests.py
+++ b/test/edge/held_end_tests.py
@@ -252,7 +252,7 @@
     def put(self, *_): pass
 
 class Child(Engine):
-    def import_kv(self, source, request): return True
+    async def import_kv(self, source, request): return True
 
 async def main():
     engine = Child(Store(), "llm", sys.argv[3], [], "decode")
