A connection that is to confirm the end of an answer must stay open

Cause: an accepted connection was taken as a sign that the upstream's process lives. It only shows that something listens. currantd judged by the same rule, and the probe that follows a suspected crash took it for a sign of life.

Change: HttpCall::openTime observes a connection after it was opened, and connectOnlyCall() is one function for the three places that open a connection to find out whether a process lives. A connection that is closed within 0.1 s decides nothing: it is tried again after a pause, by when the relay refuses. A process at its limit of connections still closes the second one, and its answer is complete. currantd pauses between its trials as well.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/clock.h"
 #include "currantstack/decisions/upstream_silence.h"
+#include "currantstack/http.h"
 
 #include <optional>
 #include <string_view>
@@ -13,7 +14,8 @@
 /// What a connection showed that was opened after the end of an answer.
 enum class ConnectionTrial
 {
-    Accepted,
+    Open, // accepted, and left open
+    Closed, // accepted, and closed or reset at once: by a process at its limit of connections, or by a relay whose upstream has ended
     Refused, // nothing listens at the upstream's address
     NoAnswer,
 };
@@ -44,6 +46,9 @@
 /// Time in which the store's watch brings the entry of a new process. It is the pause between trials of an upstream without an entry.
 inline constexpr Duration NewEntryTime = milliseconds(1000);
 
+/// Returns what the result of a `connectOnlyCall` shows.
+auto trialOf(const Result<HttpResponse> &result) -> ConnectionTrial;
+
 /// Judges the end of an answer that only its connection marks. A doubtful answer must not look complete to its caller.
 auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd;
 
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -29,6 +29,7 @@
     bool freshConnection = false; // does not reuse a pooled connection
     bool forbidReuse = false; // does not return the connection to the pool
     bool connectOnly = false; // only opens a connection and closes it; the response has status 0
+    Duration openTime = Duration::zero(); // for which the peer must leave a `connectOnly` connection open; the call ends after it
     bool exactHeaders = false; // suppresses libcurl's default Accept, Content-Type and User-Agent
     std::size_t maxHead = 64U << 10; // bytes of all heads and trailers of the response; a longer one fails the call
     std::size_t maxBody = 8U << 20; // bytes of a buffered body; a longer one fails the call
@@ -90,6 +91,10 @@
     std::unique_ptr<Core> m_core;
 };
 
+/// Returns a call that only opens a connection of its own. It fails with `connectionClosed` if the peer accepts the connection but does not
+/// leave it open: then it is at its limit of connections, or only a relay still listens for it.
+auto connectOnlyCall(std::string_view address, Duration connectTimeout) -> HttpCall;
+
 /// Returns the http URL of an "address:port" and a path.
 auto urlOf(std::string_view address, std::string_view path) -> std::string;
 
--- a/include/currantstack/service_relay.h
+++ b/include/currantstack/service_relay.h
@@ -65,7 +65,7 @@
     auto holdAnswer(const ServiceUpstream &upstream, HttpResponse response) -> void;
     auto findHeld(std::string_view upstream) -> std::vector<HeldAnswer>::iterator;
     auto judgeEnd(const std::string &upstream) -> void;
-    auto tryConnection(HeldAnswer &held) -> void;
+    auto tryConnection(const std::string &upstream) -> void;
     auto onFailure(const std::string &upstream, const Error &error) -> void;
     auto startHedgeTimer() -> void;
     auto respond(HttpResponse response) -> void;
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -107,15 +107,42 @@
     }
     if (call->cancelled) {
         pendingRemovals.push_back(call->id);
-        return;
+    } else if (code == CURLE_OK && call->options.connectOnly && call->options.openTime > Duration::zero()) {
+        observeOpenConnection(*call);
+    } else {
+        complete(*call, code);
     }
-    auto callback = std::move(call->handlers.onDone);
-    if (call->bodyMemory.bytes() > 0) {
-        call->response.memory = std::make_shared<MemoryGrant>(std::move(call->bodyMemory));
+}
+
+/// Ends the call after its `openTime`, with an error if the peer has closed the connection by then.
+auto HttpClient::Core::observeOpenConnection(Call &call) -> void
+{
+    loop.after(call.options.openTime, [this, stillAlive = alive, id = call.id]() {
+        if (!*stillAlive) {
+            return;
+        }
+        const auto found = calls.find(id);
+        if (found == calls.end() || found->second->cancelled) {
+            return;
+        }
+        curl_socket_t socket = CURL_SOCKET_BAD;
+        curl_easy_getinfo(found->second->easy, CURLINFO_ACTIVESOCKET, &socket);
+        char byte = 0;
+        const auto received = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool isOpen = received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+        complete(*found->second, isOpen ? CURLE_OK : CURLE_RECV_ERROR);
+    });
+}
+
+auto HttpClient::Core::complete(Call &call, CURLcode code) -> void
+{
+    auto callback = std::move(call.handlers.onDone);
+    if (call.bodyMemory.bytes() > 0) {
+        call.response.memory = std::make_shared<MemoryGrant>(std::move(call.bodyMemory));
     }
     auto result =
-        code == CURLE_OK ? Result<HttpResponse>(std::move(call->response)) : Result<HttpResponse>(tl::unexpected(toError(*call, code)));
-    remove(call->id);
+        code == CURLE_OK ? Result<HttpResponse>(std::move(call.response)) : Result<HttpResponse>(tl::unexpected(toError(call, code)));
+    remove(call.id);
     if (callback) {
         callback(std::move(result));
     }
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -11,6 +11,8 @@
 namespace
 {
 
+constexpr Duration OpenTime = milliseconds(100); // in which a relay learns that its upstream has ended
+
 /// Returns whether the URL's host is an IPv4 address. libcurl would resolve a host name in a thread and block the loop while joining it.
 auto hasNumericHost(std::string_view url) -> bool
 {
@@ -116,6 +118,18 @@
     return m_core->bytesReceived;
 }
 
+auto connectOnlyCall(std::string_view address, Duration connectTimeout) -> HttpCall
+{
+    HttpCall call;
+    call.url = urlOf(address, "/");
+    call.connectTimeout = connectTimeout;
+    call.totalTimeout = connectTimeout;
+    call.connectOnly = true;
+    call.openTime = OpenTime;
+    call.freshConnection = true; // libcurl closes it with the call, and at once if its reuse were forbidden
+    return call;
+}
+
 auto urlOf(std::string_view address, std::string_view path) -> std::string
 {
     return fmt::format("http://{}{}", address, path);
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -65,6 +65,8 @@
     auto failIdleCalls() -> void;
     auto resumePaused() -> void;
     auto finish(CURL *easy, CURLcode code) -> void;
+    auto complete(Call &call, CURLcode code) -> void;
+    auto observeOpenConnection(Call &call) -> void;
     auto deliverHead(Call &call) -> void;
     auto rejectDeferred(CallId id, std::unique_ptr<Call> call) -> void;
     static auto isComplete(const Call &call) -> bool;
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -3,18 +3,34 @@
 namespace currantstack
 {
 
+auto trialOf(const Result<HttpResponse> &result) -> ConnectionTrial
+{
+    if (result) {
+        return ConnectionTrial::Open;
+    }
+    if (result.error().connectionReset || result.error().connectionClosed) {
+        return ConnectionTrial::Closed;
+    }
+    return result.error().connectionRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
+}
+
 auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd
 {
     if (evidence.entry == EntryState::Replaced || evidence.connection == ConnectionTrial::Refused) {
         return AnswerEnd::Doubtful;
     }
+    if (evidence.reachedSince) {
+        return AnswerEnd::Complete;
+    }
     const bool hasEntry = evidence.entry == EntryState::Present;
-    const bool isAccepted = evidence.connection == ConnectionTrial::Accepted;
-    // Without an entry, the address may be that of a new process, whose entry arrives before the last trial.
-    if (evidence.reachedSince || (isAccepted && (hasEntry || evidence.trials >= MaxEndTrials))) {
+    const bool isLastTrial = evidence.trials >= MaxEndTrials;
+    // Without an entry, the address may be that of a new process, whose entry arrives before the last trial. A relay has stopped
+    // listening for an ended upstream by then.
+    if ((evidence.connection == ConnectionTrial::Open && (hasEntry || isLastTrial))
+        || (evidence.connection == ConnectionTrial::Closed && hasEntry && isLastTrial)) {
         return AnswerEnd::Complete;
     }
-    return evidence.trials < MaxEndTrials ? AnswerEnd::Undecided : AnswerEnd::Doubtful;
+    return isLastTrial ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
 }
 
 auto name(AnswerEnd end) -> std::string_view
@@ -33,8 +49,10 @@
 auto name(ConnectionTrial trial) -> std::string_view
 {
     switch (trial) {
-    case ConnectionTrial::Accepted:
-        return "accepted";
+    case ConnectionTrial::Open:
+        return "open";
+    case ConnectionTrial::Closed:
+        return "closed";
     case ConnectionTrial::Refused:
         return "refused";
     case ConnectionTrial::NoAnswer:
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -84,12 +84,7 @@
 auto EndConfirmation::tryConnection() -> void
 {
     ++m_evidence.trials;
-    HttpCall call;
-    call.url = urlOf(m_upstream.address, "/");
-    call.connectTimeout = ConnectTimeout;
-    call.totalTimeout = ConnectTimeout;
-    call.connectOnly = true;
-    call.useOwnConnection();
+    auto call = connectOnlyCall(m_upstream.address, ConnectTimeout);
     call.step = "confirm end";
     call.peer = m_upstream.id;
     HttpHandlers handlers;
@@ -105,10 +100,8 @@
     if (!m_done) {
         return;
     }
-    if (result || result.error().connectionReset) { // an upstream resets connections beyond its limit at once
-        m_evidence.connection = ConnectionTrial::Accepted;
-    } else {
-        m_evidence.connection = result.error().connectionRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
+    m_evidence.connection = trialOf(result);
+    if (m_evidence.connection == ConnectionTrial::Refused || m_evidence.connection == ConnectionTrial::NoAnswer) {
         recordFailedLink(m_context, m_upstream, result.error(), openedAt);
     }
     judge();
--- a/src/edge/quarantine_controller.cc
+++ b/src/edge/quarantine_controller.cc
@@ -36,12 +36,7 @@
 /// Opens a connection to find out whether the upstream still runs.
 auto QuarantineController::probe(const Upstream &upstream) -> void
 {
-    HttpCall call;
-    call.url = urlOf(upstream.address, "/");
-    call.connectTimeout = ConnectTimeout;
-    call.totalTimeout = ConnectTimeout;
-    call.connectOnly = true;
-    call.useOwnConnection();
+    auto call = connectOnlyCall(upstream.address, ConnectTimeout);
     call.step = "probe";
     call.peer = upstream.id;
     HttpHandlers handlers;
--- a/src/services/service_relay.cc
+++ b/src/services/service_relay.cc
@@ -266,8 +266,10 @@
         return; // another attempt has been answered, or the caller has disconnected
     }
     const auto end = judgeAnswerEnd(found->evidence);
-    if (end == AnswerEnd::Undecided && m_request.deadline - m_parts.context.clock.now() >= MinRemainingTime) {
-        return tryConnection(*found);
+    const auto remaining = m_request.deadline - m_parts.context.clock.now();
+    if (end == AnswerEnd::Undecided && remaining >= MinRemainingTime) {
+        const auto pause = found->evidence.trials == 0 ? Duration::zero() : std::min<Duration>(EndTrialPause, remaining);
+        return m_parts.context.loop.after(pause, [self = shared_from_this(), upstream]() { self->tryConnection(upstream); });
     }
     const auto held = std::move(*found);
     m_heldAnswers.erase(found);
@@ -284,29 +286,29 @@
     onFailure(upstream, {ErrorCode::Unavailable, "service", upstream, "the upstream may have ended before its answer"});
 }
 
-auto ServiceRelay::tryConnection(HeldAnswer &held) -> void
+auto ServiceRelay::tryConnection(const std::string &upstream) -> void
 {
-    ++held.evidence.trials;
-    HttpCall call;
-    call.url = urlOf(held.upstream.address, "/");
-    call.connectTimeout = std::min<Duration>(m_request.config->timeouts.connect, m_request.deadline - m_parts.context.clock.now());
-    call.totalTimeout = call.connectTimeout;
-    call.connectOnly = true;
-    call.useOwnConnection();
+    const auto held = findHeld(upstream);
+    const auto remaining = m_request.deadline - m_parts.context.clock.now();
+    if (held == m_heldAnswers.end() || remaining < MinRemainingTime) {
+        return judgeEnd(upstream);
+    }
+    ++held->evidence.trials;
+    auto call = connectOnlyCall(held->upstream.address, std::min<Duration>(m_request.config->timeouts.connect, remaining));
+    call.openTime = std::min<Duration>(call.openTime, remaining);
     call.step = "confirm end";
-    call.peer = held.upstream.name;
+    call.peer = upstream;
     HttpHandlers handlers;
-    handlers.onDone = [self = shared_from_this(), name = held.upstream.name](const Result<HttpResponse> &result) {
-        const auto found = self->findHeld(name);
+    handlers.onDone = [self = shared_from_this(), upstream](const Result<HttpResponse> &result) {
+        const auto found = self->findHeld(upstream);
         if (found == self->m_heldAnswers.end()) {
             return;
         }
-        const bool isRefused = !result && result.error().connectionRefused;
         found->trial = 0;
-        found->evidence.connection = result ? ConnectionTrial::Accepted : isRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
-        self->judgeEnd(name);
+        found->evidence.connection = trialOf(result);
+        self->judgeEnd(upstream);
     };
-    held.trial = m_parts.context.client.start(std::move(call), std::move(handlers));
+    held->trial = m_parts.context.client.start(std::move(call), std::move(handlers));
 }
 
 auto ServiceRelay::onAnswer(const HttpResponse &response) -> void
--- a/test/answer_end-test.cc
+++ b/test/answer_end-test.cc
@@ -8,7 +8,9 @@
 {
     CPPUNIT_TEST_SUITE(AnswerEndTest);
     CPPUNIT_TEST(endIsNotTrustedBeforeTheUpstreamIsTried);
-    CPPUNIT_TEST(upstreamThatAcceptsConnectionsHasEndedItsAnswerItself);
+    CPPUNIT_TEST(upstreamThatLeavesConnectionsOpenHasEndedItsAnswerItself);
+    CPPUNIT_TEST(acceptedConnectionThatIsClosedIsTriedAgain);
+    CPPUNIT_TEST(callsShowWhetherTheConnectionStaysOpen);
     CPPUNIT_TEST(upstreamThatRefusesConnectionsHasEnded);
     CPPUNIT_TEST(unreachableUpstreamIsTriedAgainAndThenDoubtful);
     CPPUNIT_TEST(nothingOfAnotherProcessConfirmsTheEnd);
@@ -22,14 +24,36 @@
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, std::nullopt, 0}) == AnswerEnd::Undecided);
     }
 
-    auto upstreamThatAcceptsConnectionsHasEndedItsAnswerItself() -> void
+    auto upstreamThatLeavesConnectionsOpenHasEndedItsAnswerItself() -> void
     {
-        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Accepted, 1}) == AnswerEnd::Complete);
-        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Accepted, 1}) == AnswerEnd::Undecided);
-        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Accepted, MaxEndTrials}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Open, 1}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Open, 1}) == AnswerEnd::Undecided);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Open, MaxEndTrials}) == AnswerEnd::Complete);
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, true, std::nullopt, 0}) == AnswerEnd::Complete);
     }
 
+    auto acceptedConnectionThatIsClosedIsTriedAgain() -> void
+    {
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Closed, 1}) == AnswerEnd::Undecided);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Doubtful);
+    }
+
+    auto callsShowWhetherTheConnectionStaysOpen() -> void
+    {
+        Error error;
+        CPPUNIT_ASSERT(trialOf(HttpResponse{}) == ConnectionTrial::Open);
+        CPPUNIT_ASSERT(trialOf(tl::unexpected(error)) == ConnectionTrial::NoAnswer);
+        error.connectionClosed = true;
+        CPPUNIT_ASSERT(trialOf(tl::unexpected(error)) == ConnectionTrial::Closed);
+        error = {};
+        error.connectionReset = true;
+        CPPUNIT_ASSERT(trialOf(tl::unexpected(error)) == ConnectionTrial::Closed);
+        error = {};
+        error.connectionRefused = true;
+        CPPUNIT_ASSERT(trialOf(tl::unexpected(error)) == ConnectionTrial::Refused);
+    }
+
     auto upstreamThatRefusesConnectionsHasEnded() -> void
     {
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Refused, 1}) == AnswerEnd::Doubtful);
@@ -44,18 +68,20 @@
 
     auto nothingOfAnotherProcessConfirmsTheEnd() -> void
     {
-        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Replaced, true, ConnectionTrial::Accepted, 1}) == AnswerEnd::Doubtful);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Replaced, true, ConnectionTrial::Open, 1}) == AnswerEnd::Doubtful);
     }
 
     auto eachJudgementEndsAndNeedsEvidenceToBeComplete() -> void
     {
         CHECK_PROPERTY("a complete end has evidence", [](bool heard, int trials) {
             const auto entry = *rc::gen::element(EntryState::Present, EntryState::Removed, EntryState::Replaced);
-            const auto trial = *rc::gen::element(ConnectionTrial::Accepted, ConnectionTrial::Refused, ConnectionTrial::NoAnswer);
+            const auto trial =
+                *rc::gen::element(ConnectionTrial::Open, ConnectionTrial::Closed, ConnectionTrial::Refused, ConnectionTrial::NoAnswer);
             const AnswerEndEvidence evidence{entry, heard, trial, trials};
             const auto end = judgeAnswerEnd(evidence);
             RC_ASSERT(end != AnswerEnd::Undecided || trials < MaxEndTrials);
-            RC_ASSERT(end != AnswerEnd::Complete || heard || trial == ConnectionTrial::Accepted);
+            const bool isAccepted = trial == ConnectionTrial::Open || (trial == ConnectionTrial::Closed && trials >= MaxEndTrials);
+            RC_ASSERT(end != AnswerEnd::Complete || heard || isAccepted);
         });
     }
 };
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -441,13 +441,14 @@
 
 class UnframedService(threading.Thread):
     """A service whose answers have neither a length nor chunks. It may end in its first answer as a killed process does, whose connections the
-    kernel closes (FIN) as it stops listening."""
+    kernel closes (FIN) as it stops listening. A relay before it may accept connections for `relay_s` longer."""
 
     BODY = b'{"booking":"visit-17","confirmed":true}'
 
-    def __init__(self, port, ends):
+    def __init__(self, port, ends, relay_s=0):
         super().__init__(daemon=True)
         self.ends = ends
+        self.relay_s = relay_s
         self.runs = 0
         self.listener = socket.create_server(("127.0.0.1", port))
         self.start()
@@ -468,9 +469,19 @@
                 self.runs += 1
                 body = self.BODY[:15] if self.ends else self.BODY
                 connection.sendall(b"HTTP/1.1 201 Created\r\nContent-Type: application/json\r\n\r\n" + body)
-                if self.ends:
-                    self.listener.close()
-                    return
+            if self.ends:
+                self.close_connections(time.monotonic() + self.relay_s)
+                return
+
+    def close_connections(self, end_at):
+        """Accepts and closes connections until this time, as the relay does, and then stops listening."""
+        self.listener.settimeout(0.01)
+        while time.monotonic() < end_at:
+            try:
+                self.listener.accept()[0].close()
+            except TimeoutError:
+                pass
+        self.listener.close()
 
 
 def add_service(cluster, name, ports):
@@ -497,6 +508,14 @@
         expect(service.runs == 1, f"a booking whose answer was cut ran {service.runs} times")
 
 
+def test_relay_that_outlives_its_service_does_not_vouch_for_an_answer(cluster):
+    service = UnframedService(cluster.base_port + 465, ends=True, relay_s=0.08)
+    add_service(cluster, "relayed", [cluster.base_port + 465])
+    status, answer = call(cluster.caller_address("vm0"), "POST", "/services/relayed/bookings", {"booking": "visit-17"}, TOKEN)
+    expect(status in (409, 502) and answer["ran"] == "unknown", f"a cut answer was reported as {status} {answer}")
+    expect(service.runs == 1, f"a booking whose answer was cut ran {service.runs} times")
+
+
 def test_reads_are_repeated_if_their_service_ends_in_its_answer(cluster):
     ports = [cluster.base_port + 462, cluster.base_port + 463]
     ending, other = (UnframedService(port, ends=port == ports[0]) for port in ports)
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -48,9 +48,20 @@
     RawServer(const RawServer &) = delete;
     auto operator=(const RawServer &) -> RawServer & = delete;
 
+    auto address() const -> std::string
+    {
+        return fmt::format("127.0.0.1:{}", m_port);
+    }
+
     auto url() const -> std::string
     {
-        return fmt::format("http://127.0.0.1:{}/x", m_port);
+        return urlOf(address(), "/x");
+    }
+
+    /// Accepts a connection of a server without answers, and closes it.
+    auto closeNext() const -> void
+    {
+        close(accept(m_socket, nullptr, nullptr));
     }
 
 private:
@@ -81,8 +92,12 @@
     {
         HttpCall call;
         call.url = url;
-        call.freshConnection = true;
-        call.forbidReuse = true;
+        call.useOwnConnection();
+        return send(std::move(call));
+    }
+
+    auto send(HttpCall call) -> Result<HttpResponse>
+    {
         Result<HttpResponse> result = fail(ErrorCode::Internal, "", "", "");
         HttpHandlers handlers;
         handlers.onHead = [this](int /*status*/, const Headers & /*headers*/) { ++heads; };
@@ -111,6 +126,9 @@
     CPPUNIT_TEST(responsesThatEndInsideTheirBodyAreErrors);
     CPPUNIT_TEST(ambiguousBodyLengthsAreErrors);
     CPPUNIT_TEST(completeResponsesAreDelivered);
+    CPPUNIT_TEST(connectionsThatStayOpenAreReported);
+    CPPUNIT_TEST(acceptedConnectionsThatAreClosedOrResetAreErrors);
+    CPPUNIT_TEST(openConnectionsOfCancelledCallsAreNotReported);
     CPPUNIT_TEST_SUITE_END();
 
     static auto assertBroken(const std::string &answer, int headsAllowed) -> void
@@ -173,6 +191,49 @@
             CPPUNIT_ASSERT_MESSAGE(answer, result && result->body == body && fixture.heads == 1);
         }
     }
+
+    auto connectionsThatStayOpenAreReported() -> void
+    {
+        const RawServer server({});
+        ClientFixture fixture;
+        const auto call = connectOnlyCall(server.address(), TestTimeout);
+        const auto begunAt = SystemClock().now();
+        CPPUNIT_ASSERT(fixture.send(call));
+        CPPUNIT_ASSERT(SystemClock().now() - begunAt >= call.openTime);
+    }
+
+    auto acceptedConnectionsThatAreClosedOrResetAreErrors() -> void
+    {
+        for (const bool isReset : {false, true}) {
+            auto server = std::make_unique<RawServer>(std::vector<std::string>());
+            ClientFixture fixture;
+            fixture.loop.after(milliseconds(20), [&server, isReset]() {
+                if (isReset) {
+                    server.reset(); // so is each connection that it has not accepted
+                } else {
+                    server->closeNext();
+                }
+            });
+            const auto result = fixture.send(connectOnlyCall(server->address(), TestTimeout));
+            CPPUNIT_ASSERT(!result && result.error().connectionClosed && !result.error().connectionRefused);
+            CPPUNIT_ASSERT(result.error().code == ErrorCode::Unreachable);
+        }
+    }
+
+    auto openConnectionsOfCancelledCallsAreNotReported() -> void
+    {
+        const RawServer server({});
+        ClientFixture fixture;
+        auto call = connectOnlyCall(server.address(), TestTimeout);
+        bool isDone = false;
+        HttpHandlers handlers;
+        handlers.onDone = [&isDone](const Result<HttpResponse> & /*result*/) { isDone = true; };
+        const auto id = fixture.client.start(call, std::move(handlers));
+        fixture.loop.after(call.openTime / 2, [&]() { fixture.client.cancel(id); });
+        fixture.loop.after(call.openTime * 2, [&]() { fixture.loop.stop(); });
+        fixture.loop.run();
+        CPPUNIT_ASSERT(!isDone && fixture.client.active() == 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
