An answer that breaks off proves the link to its upstream

Cause: an answer that ended early counted as a lost link, as a connection that is closed without any answer does. After three of them, or as many as there are upstreams, the VM took itself for cut off from the service.

Evidence: answers_that_break_off_cut_no_vm_off, in which every answer breaks off in its body, failed before: a booking was refused with 503 and did not run.

Change: the error of a call says whether a part of the answer had arrived (Error::answerBegun); such a call counts as one that reached its upstream. The call itself is a failed one as before.

--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -19,7 +19,7 @@
 /// Returns what the directory says now about the process that `upstream` is a copy of.
 auto entryStateOf(const EdgeContext &context, const Upstream &upstream) -> EntryState;
 
-/// Records a call on a connection of its own that failed, if its error says something about the link.
+/// Records a call on a connection of its own that failed, if its error says something about the link. An answer that has begun proves it.
 auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
 
 /// Records a call of this VM's own, such as a probe, that failed for any reason.
--- a/include/currantstack/error.h
+++ b/include/currantstack/error.h
@@ -42,6 +42,7 @@
     bool connectionRefused = false; // the peer's host is up, but nothing listens on the port
     bool connectionReset = false; // the peer's host is up, and reset the connection before anything was sent
     bool connectionClosed = false; // the peer closed or reset the connection before the response was complete
+    bool answerBegun = false; // the peer had sent a part of the response
     bool turnedAway = false; // the peer answered that it serves this caller no calls now
 };
 
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -175,6 +175,7 @@
         error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         error.connectionReset = code == CURLE_COULDNT_CONNECT && systemError == ECONNRESET;
     }
+    error.answerBegun = call.headBytes > 0;
     error.connectionClosed =
         code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
     return error;
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -131,6 +131,10 @@
 
 auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void
 {
+    if (error.answerBegun) {
+        recordReached(context, upstream, openedAt);
+        return;
+    }
     if (error.connectionRefused) {
         context.reach.onRefused(upstream, openedAt);
     } else if (error.code == ErrorCode::Unreachable || error.connectionClosed) {
--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -134,6 +134,16 @@
                 assert "server-stamp" not in headers or headers["request-id"] == request
 
 
+async def answers_that_break_off_cut_no_vm_off():
+    """Guards against bookings that are refused because answers which had begun count as lost links."""
+    async with Rig() as rig:
+        for service in rig.fleet.services:
+            service.fault, service.fault_share = "torn", 1.0
+        for _ in range(8):
+            request, status, _, _ = await rig.send("book")
+            assert len(rig.runs_of(request)) == 1 and status == 502, (status, rig.runs_of(request))
+
+
 async def safe_requests_are_retried():
     async with Rig() as rig:
         rig.fleet.services[0].fault, rig.fleet.services[0].fault_share = "lost", 1.0
@@ -411,7 +421,7 @@
 
 
 TESTS = [each_request_kind_is_forwarded, broken_streams_are_resumed, truncated_stream_is_not_completed,
-         answers_may_end_with_their_connection, bookings_run_once,
+         answers_may_end_with_their_connection, bookings_run_once, answers_that_break_off_cut_no_vm_off,
          safe_requests_are_retried, refused_bookings_do_not_run, silent_upstreams_time_out, answers_without_end_are_cut_off,
          callers_that_do_not_read_are_disconnected, smuggled_requests_are_refused,
          disconnected_callers_stop_their_engines, draining_vm_completes_requests, drain_closes_idle_connections,
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -140,6 +140,7 @@
         CPPUNIT_ASSERT_MESSAGE(text, !result);
         CPPUNIT_ASSERT_MESSAGE(text, result.error().code == ErrorCode::Unavailable);
         CPPUNIT_ASSERT_MESSAGE(text, fixture.heads <= headsAllowed);
+        CPPUNIT_ASSERT_MESSAGE(text, result.error().answerBegun == (answer.find('\n') != std::string::npos));
     }
 
 public:
