Tests of trial connections move to a file of their own

The three tests of connections that are opened to confirm an end move to end_trial_tests.py unchanged.

--- /dev/null
+++ b/test/edge/end_trial_tests.py
@@ -0,0 +1,106 @@
+"""Process tests of the connections that are opened to find out whether an upstream has outlived its answer."""
+
+import asyncio
+import socket
+import struct
+import threading
+import time
+
+from answer_end_tests import PIECES, decode_engines, judged, set_fault
+from held_end_tests import begun_at, log_lines, read_to_end
+from rig import Rig
+
+RELAY_DELAY_S = 0.08  # after which a relay stops listening for an upstream that has ended
+
+
+class ClosingListener:
+    """Accepts connections to a port and closes them at once, until it is ended or for this time."""
+
+    def __init__(self, port, reset, time_s=30):
+        self.listener, self.reset, self.end_at = socket.create_server(("127.0.0.1", port)), reset, time.monotonic() + time_s
+        self.listener.settimeout(0.01)
+        self.thread = threading.Thread(target=self.accept)
+        self.thread.start()
+
+    def accept(self):
+        while time.monotonic() < self.end_at:
+            try:
+                connection, _ = self.listener.accept()
+            except TimeoutError:
+                continue
+            if self.reset:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()
+        self.listener.close()
+
+    async def end(self):
+        self.end_at = 0
+        await asyncio.to_thread(self.thread.join)
+
+
+async def streams_of_ended_engines_behind_relays_are_resumed():
+    """Guards against a relay that accepts connections for a moment after its engine has ended, and so vouches for a part of an answer."""
+    async with Rig(decode=2) as rig:
+        engine = decode_engines(rig)[0]
+        set_fault("unframed", decode_engines(rig))
+        for reset in (False, True):
+            stream, = await begun_at(rig, engine)
+            engine.server.end()
+            relay = ClosingListener(engine.server.port, reset, RELAY_DELAY_S)
+            is_complete = await read_to_end(stream)
+            await relay.end()
+            assert is_complete and stream.numbers == PIECES, (reset, stream.numbers, judged(rig))
+            engine.id, engine.started_ms = f"{engine.id}-new", int(time.time() * 1000)
+            await engine.server.start()
+            engine.register()
+            await asyncio.sleep(0.3)
+
+
+async def halves_of_answers_of_ended_services_behind_relays_are_refused():
+    """The same for a booking, whose service ends after half of its answer."""
+    async with Rig(services=1) as rig:
+        service = rig.fleet.services[0]
+        port, relays = service.server.port, []
+
+        async def run(request, reader, writer):
+            service.record("run", request)
+            head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
+            writer.write(head.encode() + b'{"ha')
+            await writer.drain()
+            service.server.end()
+            relays.append(ClosingListener(port, len(relays) % 2 == 1, RELAY_DELAY_S))
+        service.run = run
+        for _ in range(2):
+            _, status, _, _ = await rig.send("book")
+            await relays[-1].end()
+            assert status == 502, (status, judged(rig))
+            await service.server.start()
+            await asyncio.sleep(0.6)
+
+
+async def whole_answers_of_services_that_reset_further_connections_are_passed_on():
+    """Guards against a whole answer that counts as doubtful because its service resets connections beyond its limit at once."""
+    async with Rig(services=1) as rig:
+        service = rig.fleet.services[0]
+        plain_run, port = service.run, service.server.port
+        set_fault("unframed", [service])
+
+        async def run(request, reader, writer):
+            answer = await plain_run(request, reader, writer)
+            service.server.server.close()
+            listeners.append(ClosingListener(port, reset=True))
+            return answer
+        listeners, statuses = [], []
+        service.run = run
+        for _ in range(10):
+            statuses.append((await rig.send("book"))[1])
+            await listeners[-1].end()
+            await service.server.start()
+            await asyncio.sleep(0.6)
+        ends = [(line["connection"], line["end"], round(line["held_ms"])) for line in judged(rig)]
+        assert statuses == 10 * [200], (statuses, ends)
+
+
+TESTS = [streams_of_ended_engines_behind_relays_are_resumed,
+         halves_of_answers_of_ended_services_behind_relays_are_refused,
+         whole_answers_of_services_that_reset_further_connections_are_passed_on]
