An answer of another process at an address does not vouch for the former one

Callers: half of a booking's answer was passed on with 200, although another request had been told meanwhile (421) that a different process has the service's address.

Cause: any answer on a connection that was opened since the end counted as proof that the upstream lives, also a 421 and a health answer of another instance.

Evidence: known_end_of_a_service_makes_its_held_answer_doubtful failed before: status 200, body {"ha, reached_since true.

Change: UpstreamReach records that a different process has answered at the upstream's address; an end that is held since is doubtful, as with an entry that names another start. A 421 for another reason makes the end doubtful as well, which is the safe side.

Measured: the test passes, as do the other tests of held ends.

--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -82,6 +82,12 @@
     /// Returns whether the upstream has answered on a connection that was opened at or after this time.
     auto hasReached(std::string_view upstream, TimePoint since) const -> bool;
 
+    /// Records that a different process has answered at the upstream's address.
+    auto onOtherAnswered(const Upstream &upstream, TimePoint now) -> void;
+
+    /// Returns whether a different process has answered at the upstream's address at or after this time.
+    auto hasOtherAnswered(std::string_view upstream, TimePoint since) const -> bool;
+
     /// Returns the upstream of a group that is silent to probe: one that accepts connections and has not answered since, and was probed
     /// longest ago. A group counts as silent from when as many upstreams are late as would have to fail for a cut, until none is late.
     auto nextLate(std::span<const Upstream *const> group, TimePoint now) -> const Upstream *;
@@ -112,6 +118,7 @@
         TimePoint failedAt; // opening time of the last connection that failed
         TimePoint lateSince; // opening time of the first late connection after `reachedAt`
         TimePoint probedAt;
+        TimePoint otherAt; // when a different process last answered at its address
     };
 
     struct Refusal
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -178,6 +178,17 @@
     return found != m_outcomes.end() && found->second.reachedAt >= since;
 }
 
+auto UpstreamReach::onOtherAnswered(const Upstream &upstream, TimePoint now) -> void
+{
+    m_outcomes[upstream.id].otherAt = now;
+}
+
+auto UpstreamReach::hasOtherAnswered(std::string_view upstream, TimePoint since) const -> bool
+{
+    const auto found = m_outcomes.find(upstream);
+    return found != m_outcomes.end() && found->second.otherAt >= since;
+}
+
 /// Returns when the upstream was last tried, or probed during the present cut, whose probes count for longer than other outcomes.
 auto UpstreamReach::triedAt(const Upstream &upstream) const -> TimePoint
 {
@@ -242,7 +253,7 @@
 auto UpstreamReach::expire(TimePoint now) -> std::vector<GroupKey>
 {
     std::erase_if(m_outcomes, [now](const auto &entry) {
-        return now - std::max({entry.second.reachedAt, entry.second.failedAt, entry.second.lateSince}) > OutcomeLifetime;
+        return now - std::max({entry.second.reachedAt, entry.second.failedAt, entry.second.lateSince, entry.second.otherAt}) > OutcomeLifetime;
     });
     std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.openedAt > OutcomeLifetime; });
     std::vector<GroupKey> forgotten;
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -40,10 +40,10 @@
     }
 }
 
-/// Returns whether another process is registered at the upstream's address since.
+/// Returns whether another process is registered at the upstream's address, or has answered there since.
 auto EndConfirmation::isReplaced() const -> bool
 {
-    bool result = false;
+    bool result = m_context.reach.hasOtherAnswered(m_upstream.id, m_endedAt);
     m_context.directory.forEach([this, &result](const Upstream &other) {
         const bool isNewer = other.startedAtMs > m_upstream.startedAtMs || other.revision > m_upstream.revision;
         result = result
--- a/src/edge/notice_observer.cc
+++ b/src/edge/notice_observer.cc
@@ -57,6 +57,9 @@
 
 auto observeNotices(EdgeContext &context, const Upstream &upstream, int status, const AnswerHead &head) -> void
 {
+    if (status == MisdirectedRequest) {
+        context.reach.onOtherAnswered(upstream, context.clock.now());
+    }
     if (status == MisdirectedRequest || head.namesOtherRequest) {
         return;
     }
--- a/test/edge/end_trial_tests.py
+++ b/test/edge/end_trial_tests.py
@@ -101,6 +101,34 @@
         assert statuses == 10 * [200], (statuses, ends)
 
 
-TESTS = [streams_of_ended_engines_behind_relays_are_resumed,
+async def known_end_of_a_service_makes_its_held_answer_doubtful():
+    """Guards against half of an answer that is passed on as whole, although another request has been told meanwhile (421) that a different
+    process has the service's address."""
+    async with Rig(services=1) as rig:
+        service, plain_run, is_ended = rig.fleet.services[0], rig.fleet.services[0].run, asyncio.Event()
+
+        async def run(request, reader, writer):
+            if is_ended.is_set():
+                return await plain_run(request, reader, writer)
+            service.record("run", request)
+            head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
+            writer.write(head.encode() + b'{"ha')
+            await writer.drain()
+            is_ended.set()
+            service.server.end()
+
+        async def start_anew():
+            await is_ended.wait()
+            service.id, service.started_ms = f"{service.id}-new", int(time.time() * 1000)
+            await service.server.start()  # its entry follows later
+            await asyncio.sleep(0.05)
+            return await rig.send("book")
+        service.run = run
+        (_, status, _, body), other = await asyncio.gather(rig.send("book"), start_anew())
+        assert "421" in str(other), other
+        assert status == 502, (status, body, judged(rig))
+
+
+TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, streams_of_ended_engines_behind_relays_are_resumed,
          halves_of_answers_of_ended_services_behind_relays_are_refused,
          whole_answers_of_services_that_reset_further_connections_are_passed_on]
