An answer whose end is held back is not hedged

Callers of idempotent requests to services without a length: each request ran twice if its hedge became due while the end of the answer was held, which took the retry budget.

Cause: a call whose end is held still counted as the one that is waited for.

Change: no hedge while the only call in flight has been answered.

--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -334,7 +334,8 @@
 auto ServiceRequest::hedge() -> void
 {
     const auto now = m_context.clock.now();
-    if (m_done || m_pendingCalls.size() != 1 || !mayHedge() || checkQuarantine(m_context, m_request)
+    const bool isHeld = m_pendingCalls.size() == 1 && m_pendingCalls.front().endConfirmation != nullptr; // it has been answered
+    if (m_done || m_pendingCalls.size() != 1 || isHeld || !mayHedge() || checkQuarantine(m_context, m_request)
         || !m_context.retryBudget.tryAcquire(m_request.service, now)) {
         return;
     }
--- a/test/edge/end_trial_tests.py
+++ b/test/edge/end_trial_tests.py
@@ -101,6 +101,22 @@
         assert statuses == 10 * [200], (statuses, ends)
 
 
+async def held_answers_are_not_hedged():
+    """Guards against a second run of a request whose answer has arrived: its end is held while the time of the hedge passes."""
+    async with Rig(services=2) as rig:
+        set_fault("unframed", rig.fleet.services)
+        for service in rig.fleet.services:
+            service.WORK_S = 0.12  # the route's hedge is due after 0.2 s
+        requests = []
+        for _ in range(10):
+            request, status, _, _ = await rig.send("check")
+            requests.append((request, status))
+            await asyncio.sleep(0.05)
+        runs = [len(rig.runs_of(request)) for request, _ in requests]
+        assert all(status == 200 for _, status in requests), requests
+        assert runs == 10 * [1], (runs, [round(line["held_ms"]) for line in judged(rig)])
+
+
 async def known_end_of_a_service_makes_its_held_answer_doubtful():
     """Guards against half of an answer that is passed on as whole, although another request has been told meanwhile (421) that a different
     process has the service's address."""
@@ -129,6 +145,7 @@
         assert status == 502, (status, body, judged(rig))
 
 
-TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, streams_of_ended_engines_behind_relays_are_resumed,
+TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, held_answers_are_not_hedged,
+         streams_of_ended_engines_behind_relays_are_resumed,
          halves_of_answers_of_ended_services_behind_relays_are_refused,
          whole_answers_of_services_that_reset_further_connections_are_passed_on]
