A service at its limit of connections passes the probe of a crash again

Since connections have to stay open, the probe of a suspected crash no longer cleared a service that resets connections beyond its limit. If it left in an ordinary way soon after, the requests that were in flight counted as the cause of a crash.

Evidence: services_at_their_limit_that_leave_have_not_crashed failed before (crash_observed), and passed without the limit.

Change: a connection that is closed at once is tried again after a pause, and one that is closed twice is a sign of life, as in the judgement of ends.

Measured: the test passes.

--- a/include/currantstack/edge/quarantine_controller.h
+++ b/include/currantstack/edge/quarantine_controller.h
@@ -24,7 +24,7 @@
     auto start() -> void;
 
 private:
-    auto probe(const Upstream &upstream) -> void;
+    auto probe(const Upstream &upstream, int trial) -> void;
     auto onCrash(const std::string &incarnation, std::vector<Traits> requests, TimePoint at) -> void;
     auto onDatagram(std::string_view bytes) -> void;
     auto onStored(const QuarantineEntry &entry) -> void;
--- a/src/edge/quarantine_controller.cc
+++ b/src/edge/quarantine_controller.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/quarantine_controller.h"
 
+#include "currantstack/decisions/answer_end.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/quarantine_message.h"
 
@@ -23,7 +24,7 @@
         {[this](const std::string &incarnation, std::vector<Traits> requests, TimePoint at) {
              onCrash(incarnation, std::move(requests), at);
          },
-         [this](const Upstream &upstream) { m_context.loop.after(ProofDelay, [this, upstream]() { probe(upstream); }); }});
+         [this](const Upstream &upstream) { m_context.loop.after(ProofDelay, [this, upstream]() { probe(upstream, 1); }); }});
     exchange.setReportHandler([this](std::string_view bytes) { onDatagram(bytes); });
 }
 
@@ -33,27 +34,31 @@
     m_timer->startRepeating(CheckPeriod, CheckPeriod);
 }
 
-/// Opens a connection to find out whether the upstream still runs.
-auto QuarantineController::probe(const Upstream &upstream) -> void
+/// Opens a connection to find out whether the upstream still runs. One that is closed at once is tried again, as at the end of an answer.
+auto QuarantineController::probe(const Upstream &upstream, int trial) -> void
 {
     auto call = connectOnlyCall(upstream.address, ConnectTimeout);
     call.step = "probe";
     call.peer = upstream.id;
     HttpHandlers handlers;
-    handlers.onDone = [this, upstream, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
+    handlers.onDone = [this, upstream, trial, openedAt = m_context.clock.now()](const Result<HttpResponse> &result) {
         const auto incarnation = incarnationOf(upstream);
-        const bool refused = !result && result.error().connectionRefused;
+        const auto shown = trialOf(result);
+        const bool refused = shown == ConnectionTrial::Refused;
+        const bool alive = shown == ConnectionTrial::Open || (shown == ConnectionTrial::Closed && trial >= MaxEndTrials);
         m_context.counters.at("crash_probes").add();
         m_context.log.write("quarantine", "upstream_probed",
                             {{"upstream", upstream.id},
                              {"result",
-                              result        ? "alive"
+                              alive         ? "alive"
                                   : refused ? "refused"
                                             : describe(result.error())}});
-        if (result) {
+        if (alive) {
             m_context.crashDetector.onAlive(incarnation);
         } else if (refused) {
             m_context.reach.onRefused(upstream, openedAt); // proves a crash once this VM's links are known to work
+        } else if (shown == ConnectionTrial::Closed) {
+            m_context.loop.after(EndTrialPause, [this, upstream, trial]() { probe(upstream, trial + 1); });
         }
     };
     m_context.client.start(std::move(call), std::move(handlers));
--- a/test/edge/end_trial_tests.py
+++ b/test/edge/end_trial_tests.py
@@ -117,6 +117,27 @@
         assert runs == 10 * [1], (runs, [round(line["held_ms"]) for line in judged(rig)])
 
 
+async def services_at_their_limit_that_leave_have_not_crashed():
+    """Guards against requests that count as the cause of a crash, because a service that resets connections beyond its limit, and so is not
+    known to be alive, leaves within the time of the proof."""
+    for is_at_limit in (False, True):
+        async with Rig(services=2) as rig:
+            service, listener = rig.fleet.services[0], None
+            set_fault("lost", [service])
+            while not [entry for entry in rig.fleet.history if entry["event"] == "run" and entry["upstream"] == service.id]:
+                await rig.send("book")
+            if is_at_limit:
+                service.server.server.close()
+                listener = ClosingListener(service.server.port, reset=True)
+            await asyncio.sleep(1)
+            rig.fleet.store.delete(f"servers/{service.id}")
+            await asyncio.sleep(1)
+            if listener:
+                await listener.end()
+            probes = [line["result"] for line in log_lines(rig, "upstream_probed")]
+            assert probes and not log_lines(rig, "crash_observed"), (is_at_limit, probes)
+
+
 async def known_end_of_a_service_makes_its_held_answer_doubtful():
     """Guards against half of an answer that is passed on as whole, although another request has been told meanwhile (421) that a different
     process has the service's address."""
@@ -146,6 +167,6 @@
 
 
 TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, held_answers_are_not_hedged,
-         streams_of_ended_engines_behind_relays_are_resumed,
+         services_at_their_limit_that_leave_have_not_crashed, streams_of_ended_engines_behind_relays_are_resumed,
          halves_of_answers_of_ended_services_behind_relays_are_refused,
          whole_answers_of_services_that_reset_further_connections_are_passed_on]
