currantd observes a connection for its whole time before the deadline

Callers near their deadline: half of a booking's answer was passed on with 201, and recorded for its key.

Cause: the time for which the connection has to stay open was cut to the time left, and 30 ms of it counted as much as 100 ms.

Evidence: test_connection_that_is_observed_too_briefly_before_the_deadline_ does_not_vouch_for_an_answer failed before with 201.

Change: a connection is tried only if it can be observed for all of its time before the deadline; else the outcome is unknown.

--- a/include/currantstack/service_relay.h
+++ b/include/currantstack/service_relay.h
@@ -66,6 +66,7 @@
     auto findHeld(std::string_view upstream) -> std::vector<HeldAnswer>::iterator;
     auto judgeEnd(const std::string &upstream) -> void;
     auto tryConnection(const std::string &upstream) -> void;
+    auto endHold(std::vector<HeldAnswer>::iterator found, AnswerEnd end) -> void;
     auto onFailure(const std::string &upstream, const Error &error) -> void;
     auto startHedgeTimer() -> void;
     auto respond(HttpResponse response) -> void;
--- a/src/services/service_relay.cc
+++ b/src/services/service_relay.cc
@@ -271,7 +271,14 @@
         const auto pause = found->evidence.trials == 0 ? Duration::zero() : std::min<Duration>(EndTrialPause, remaining);
         return m_parts.context.loop.after(pause, [self = shared_from_this(), upstream]() { self->tryConnection(upstream); });
     }
+    endHold(found, end);
+}
+
+/// Uses the answer if its end is complete; otherwise the attempt has failed.
+auto ServiceRelay::endHold(std::vector<HeldAnswer>::iterator found, AnswerEnd end) -> void
+{
     const auto held = std::move(*found);
+    const auto &upstream = held.upstream.name;
     m_heldAnswers.erase(found);
     m_parts.context.counters.at(fmt::format("answer_ends_judged{{end=\"{}\"}}", name(end))).add();
     ServiceLog.info("Request {}: the end of the answer of {} is {} (connection: {}, trials: {})", m_request.id, healthKey(upstream),
@@ -289,13 +296,18 @@
 auto ServiceRelay::tryConnection(const std::string &upstream) -> void
 {
     const auto held = findHeld(upstream);
-    const auto remaining = m_request.deadline - m_parts.context.clock.now();
-    if (held == m_heldAnswers.end() || remaining < MinRemainingTime) {
-        return judgeEnd(upstream);
+    if (held == m_heldAnswers.end()) {
+        return;
+    }
+    auto call = connectOnlyCall(held->upstream.address, m_request.config->timeouts.connect);
+    // A connection that is observed for a shorter time shows nothing.
+    const auto remaining = m_request.deadline - m_parts.context.clock.now() - call.openTime;
+    if (remaining < MinRemainingTime) {
+        return endHold(held, AnswerEnd::Undecided);
     }
     ++held->evidence.trials;
-    auto call = connectOnlyCall(held->upstream.address, std::min<Duration>(m_request.config->timeouts.connect, remaining));
-    call.openTime = std::min<Duration>(call.openTime, remaining);
+    call.connectTimeout = std::min<Duration>(call.connectTimeout, remaining);
+    call.totalTimeout = call.connectTimeout;
     call.step = "confirm end";
     call.peer = upstream;
     HttpHandlers handlers;
--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -441,14 +441,15 @@
 
 class UnframedService(threading.Thread):
     """A service whose answers have neither a length nor chunks. It may end in its first answer as a killed process does, whose connections the
-    kernel closes (FIN) as it stops listening. A relay before it may accept connections for `relay_s` longer."""
+    kernel closes (FIN) as it stops listening. A relay before it may accept connections for `relay_s` longer, and
+    closes each after `open_s`."""
 
     BODY = b'{"booking":"visit-17","confirmed":true}'
 
-    def __init__(self, port, ends, relay_s=0):
+    def __init__(self, port, ends, relay_s=0, work_s=0, open_s=0):
         super().__init__(daemon=True)
         self.ends = ends
-        self.relay_s = relay_s
+        self.relay_s, self.work_s, self.open_s = relay_s, work_s, open_s
         self.runs = 0
         self.listener = socket.create_server(("127.0.0.1", port))
         self.start()
@@ -467,6 +468,7 @@
                     length = int(header[15:]) if header.startswith(b"content-length:") else length
                 request.read(length)  # a connection that is closed with unread data is reset
                 self.runs += 1
+                time.sleep(self.work_s)
                 body = self.BODY[:15] if self.ends else self.BODY
                 connection.sendall(b"HTTP/1.1 201 Created\r\nContent-Type: application/json\r\n\r\n" + body)
             if self.ends:
@@ -478,7 +480,9 @@
         self.listener.settimeout(0.01)
         while time.monotonic() < end_at:
             try:
-                self.listener.accept()[0].close()
+                connection = self.listener.accept()[0]
+                time.sleep(self.open_s)
+                connection.close()
             except TimeoutError:
                 pass
         self.listener.close()
@@ -516,6 +520,14 @@
     expect(service.runs == 1, f"a booking whose answer was cut ran {service.runs} times")
 
 
+def test_connection_that_is_observed_too_briefly_before_the_deadline_does_not_vouch_for_an_answer(cluster):
+    """Guards against an accepted connection that counts as open, although its time until the deadline is too short to tell."""
+    service = UnframedService(cluster.base_port + 466, ends=True, relay_s=0.5, work_s=0.33, open_s=0.06)
+    add_service(cluster, "late", [cluster.base_port + 466])
+    status, answer = call(cluster.caller_address("vm0"), "POST", "/services/late/bookings", {"booking": "visit-17"}, TOKEN, headers={"X-Deadline-Ms": "400"})
+    expect(status in (409, 502, 504) and answer["ran"] == "unknown", f"a cut answer was reported as {status} {answer}")
+
+
 def test_reads_are_repeated_if_their_service_ends_in_its_answer(cluster):
     ports = [cluster.base_port + 462, cluster.base_port + 463]
     ending, other = (UnframedService(port, ends=port == ports[0]) for port in ports)
