A connection that is closed behind bytes has not stayed open

Cause: a connection on which bytes had arrived counted as open without a look at its end. A relay that writes an error and closes would vouch for its upstream.

Evidence: HttpClientTest::connectionsThatAreClosedBehindBytesAreErrors failed before. Two more tests, of connections that are closed with their call and of a client that ends while it observes, passed before as well.

Change: poll() for POLLRDHUP tells whether the peer has closed.

--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -2,11 +2,11 @@
 #include "http_client_core.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace currantstack
@@ -127,9 +127,9 @@
         }
         curl_socket_t socket = CURL_SOCKET_BAD;
         curl_easy_getinfo(found->second->easy, CURLINFO_ACTIVESOCKET, &socket);
-        char byte = 0;
-        const auto received = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool isOpen = received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+        // The peer may have sent bytes before it closed the connection, so that a read does not show the close.
+        pollfd state{socket, POLLRDHUP, 0};
+        const bool isOpen = socket != CURL_SOCKET_BAD && ::poll(&state, 1, 0) == 0;
         complete(*found->second, isOpen ? CURLE_OK : CURLE_RECV_ERROR);
     });
 }
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -58,6 +58,12 @@
         return urlOf(address(), "/x");
     }
 
+    /// Accepts a connection of a server without answers.
+    auto acceptNext() const -> int
+    {
+        return accept(m_socket, nullptr, nullptr);
+    }
+
     /// Accepts a connection of a server without answers, and closes it.
     auto closeNext() const -> void
     {
@@ -129,6 +135,9 @@
     CPPUNIT_TEST(connectionsThatStayOpenAreReported);
     CPPUNIT_TEST(acceptedConnectionsThatAreClosedOrResetAreErrors);
     CPPUNIT_TEST(openConnectionsOfCancelledCallsAreNotReported);
+    CPPUNIT_TEST(connectionsThatAreClosedBehindBytesAreErrors);
+    CPPUNIT_TEST(observedConnectionsAreClosedWithTheirCall);
+    CPPUNIT_TEST(clientMayEndWhileItObservesAConnection);
     CPPUNIT_TEST_SUITE_END();
 
     static auto assertBroken(const std::string &answer, int headsAllowed) -> void
@@ -235,6 +244,46 @@
         fixture.loop.run();
         CPPUNIT_ASSERT(!isDone && fixture.client.active() == 0);
     }
+
+    auto connectionsThatAreClosedBehindBytesAreErrors() -> void
+    {
+        const RawServer server({});
+        ClientFixture fixture;
+        fixture.loop.after(milliseconds(20), [&server]() {
+            const int connection = server.acceptNext();
+            (void)!write(connection, "HTTP/1.1 503 X\r\n\r\n", 18);
+            close(connection);
+        });
+        const auto result = fixture.send(connectOnlyCall(server.address(), TestTimeout));
+        CPPUNIT_ASSERT(!result && result.error().connectionClosed);
+    }
+
+    auto observedConnectionsAreClosedWithTheirCall() -> void
+    {
+        const RawServer server({});
+        ClientFixture fixture;
+        int connection = -1;
+        fixture.loop.after(milliseconds(20), [&]() { connection = server.acceptNext(); });
+        CPPUNIT_ASSERT(fixture.send(connectOnlyCall(server.address(), TestTimeout)));
+        char byte = 0;
+        CPPUNIT_ASSERT_EQUAL(ssize_t{0}, recv(connection, &byte, 1, MSG_DONTWAIT));
+        close(connection);
+    }
+
+    auto clientMayEndWhileItObservesAConnection() -> void
+    {
+        const RawServer server({});
+        Loop loop;
+        auto client = std::make_unique<HttpClient>(loop);
+        bool isDone = false;
+        HttpHandlers handlers;
+        handlers.onDone = [&isDone](const Result<HttpResponse> & /*result*/) { isDone = true; };
+        client->start(connectOnlyCall(server.address(), TestTimeout), std::move(handlers));
+        loop.after(milliseconds(50), [&client]() { client.reset(); });
+        loop.after(milliseconds(200), [&loop]() { loop.stop(); });
+        loop.run();
+        CPPUNIT_ASSERT(!isDone);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
