--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -253,7 +253,8 @@
 auto UpstreamReach::expire(TimePoint now) -> std::vector<GroupKey>
 {
     std::erase_if(m_outcomes, [now](const auto &entry) {
-        return now - std::max({entry.second.reachedAt, entry.second.failedAt, entry.second.lateSince, entry.second.otherAt}) > OutcomeLifetime;
+        return now - std::max({entry.second.reachedAt, entry.second.failedAt, entry.second.lateSince, entry.second.otherAt})
+            > OutcomeLifetime;
     });
     std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.openedAt > OutcomeLifetime; });
     std::vector<GroupKey> forgotten;
