An answer whose end is held takes no room at its upstream

Callers: a stream got 503 instead of the room of one that had ended at the same engine (slots: 1), for as long as the end of that one was held, 0.13 s or more.

Cause: the load of the call was released when its end had been judged.

Evidence: held_streams_take_no_room failed before: the second stream was refused.

Change: the load is released when the hold begins. A doubtful end also says that its answer had begun, so that it no longer counts as a lost link.

--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -111,6 +111,7 @@
 {
     Error error{ErrorCode::Unavailable, "forward", upstream.id, "the upstream may have ended before its answer"};
     error.connectionClosed = true;
+    error.answerBegun = true;
     return error;
 }
 
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -223,6 +223,7 @@
         onAnswer(call, std::move(result));
         return;
     }
+    releaseLoad(*found);
     auto held = std::make_shared<Result<HttpResponse>>(std::move(result));
     found->endConfirmation = std::make_shared<EndConfirmation>(
         m_context, found->upstream, m_request.metadata.requestId,
@@ -387,7 +388,9 @@
 
 auto ServiceRequest::releaseLoad(const PendingCall &pending) -> void
 {
-    m_context.loads.remove(pending.upstream.id, {0, 0, 1});
+    if (!pending.endConfirmation) { // otherwise it was released when the end of the answer was held back
+        m_context.loads.remove(pending.upstream.id, {0, 0, 1});
+    }
 }
 
 auto ServiceRequest::finish() -> void
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -186,6 +186,7 @@
 {
     m_stallTimer->stop();
     cancelSuccessor();
+    release(m_decodeClaim); // the engine has ended the run, or has ended itself
     const auto done = [self = shared_from_this()](bool isComplete) { self->onEndJudged(isComplete); };
     m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, done);
     m_endConfirmation->start();
--- a/test/edge/end_trial_tests.py
+++ b/test/edge/end_trial_tests.py
@@ -1,6 +1,7 @@
 """Process tests of the connections that are opened to find out whether an upstream has outlived its answer."""
 
 import asyncio
+import json
 import socket
 import struct
 import threading
@@ -8,8 +9,11 @@
 
 from answer_end_tests import PIECES, decode_engines, judged, set_fault
 from held_end_tests import begun_at, log_lines, read_to_end
+from platform_fleet import configuration
 from rig import Rig
+from version_tests import Stream
 
+HELD_S = 0.13  # for which the end of an answer is held at least
 RELAY_DELAY_S = 0.08  # after which a relay stops listening for an upstream that has ended
 
 
@@ -117,6 +121,28 @@
         assert runs == 10 * [1], (runs, [round(line["held_ms"]) for line in judged(rig)])
 
 
+async def held_streams_take_no_room():
+    """Guards against a stream that waits for the room of one which has ended at its engine, and whose end is held."""
+    async with Rig(decode=1) as rig:
+        engine, = decode_engines(rig)
+        set_fault("unframed", [engine])
+        rig.fleet.version += 3
+        changed = configuration(rig.fleet.version)
+        changed["services"][0]["engine"]["slots"] = 1
+        rig.fleet.store.put("op/config", json.dumps(changed).encode())
+        await asyncio.sleep(1)
+        waits = []
+        for _ in range(4):
+            first, second = Stream(rig), Stream(rig)
+            assert await first.open(rig.vms[0]) == 200
+            await first.read(len(PIECES))
+            begin = time.monotonic()
+            assert await second.open(rig.vms[0]) == 200
+            waits.append(round(time.monotonic() - begin, 3))
+            assert await read_to_end(first) and await read_to_end(second)
+        assert min(waits) < HELD_S, (waits, [line["held_ms"] for line in judged(rig)])
+
+
 async def services_at_their_limit_that_leave_have_not_crashed():
     """Guards against requests that count as the cause of a crash, because a service that resets connections beyond its limit, and so is not
     known to be alive, leaves within the time of the proof."""
@@ -166,7 +192,7 @@
         assert status == 502, (status, body, judged(rig))
 
 
-TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, held_answers_are_not_hedged,
+TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, held_answers_are_not_hedged, held_streams_take_no_room,
          services_at_their_limit_that_leave_have_not_crashed, streams_of_ended_engines_behind_relays_are_resumed,
          halves_of_answers_of_ended_services_behind_relays_are_refused,
          whole_answers_of_services_that_reset_further_connections_are_passed_on]
