--- a/test/response_end-test.cc
+++ b/test/response_end-test.cc
@@ -42,8 +42,8 @@
 /// Returns `LongBody` bytes. They are made before a server starts, because with sanitizers this takes longer than some of its time limits.
 auto longBody() -> std::string_view
 {
-    static const auto body = countedBytes(LongBody);
-    return body;
+    static const auto Body = countedBytes(LongBody);
+    return Body;
 }
 
 /// Reads everything until the connection ends, and returns it followed by "closed" or "reset".
