Known red: documents that arrive slowly never come into force

Callers were handled by a version of the configuration that had been replaced up to 10 s before, on VMs with narrow links.

The relay of the tests can limit its bytes a second.

--- a/support/relay.py
+++ b/support/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that injects faults: delays, resets, dropped traffic in one or both directions, and connections that go silent."""
+"""A TCP relay that injects faults: delays, resets, dropped traffic in one or both directions, connections that go silent, narrow links."""
 
 import asyncio
 import socket
@@ -19,6 +19,9 @@
         self.cut = False  # holds back all data, on old and new connections
         self.cut_answers = False  # holds back the data that the target sends
         self.delay = 0.0  # seconds, in each direction
+        self.bytes_per_s = 0  # that the target sends on all connections together; 0: unlimited
+        self.link_free_at = 0.0  # on the loop's clock, if `bytes_per_s` is set
+        self.bytes_from_target = 0
         self.generation = 0  # data on connections of older generations is dropped
         self.writers = set()
         asyncio.run_coroutine_threadsafe(self._serve(listen), Relay._loop).result(5)
@@ -43,7 +46,11 @@
     async def _pump(self, reader, writer, generation, from_target):
         try:
             while True:
-                data = await reader.read(65536)
+                narrow = from_target and self.bytes_per_s
+                data = await reader.read(max(1, self.bytes_per_s // 50) if narrow else 65536)
+                self.bytes_from_target += len(data) if from_target else 0
+                if narrow:
+                    await self._pass_link(len(data))
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 while self.cut or (from_target and self.cut_answers):
@@ -59,6 +66,11 @@
         finally:
             writer.close()
 
+    async def _pass_link(self, size):
+        now = Relay._loop.time()
+        self.link_free_at = max(now, self.link_free_at) + size / self.bytes_per_s
+        await asyncio.sleep(self.link_free_at - now)
+
     def _reset(self, writer):
         connection = writer.get_extra_info("socket")
         if connection.fileno() >= 0:  # its other end may have closed it just now
--- /dev/null
+++ b/test/edge/long_document_tests.py
@@ -0,0 +1,81 @@
+"""Process tests of changes of the configuration whose document takes long to arrive: narrow links, and a store that answers slowly."""
+
+import asyncio
+import json
+import time
+
+from cut_watch_tests import lines
+from platform_fleet import route
+from rig import Rig
+
+APPLY_S = 4.0  # `config_apply_ms`: time in which a confirmed change must be in force
+MANY_ROUTES = 1400
+ANSWER_DELAY_S = 2.9  # of a slow store, to each call
+REPEATS = 3  # transmissions of a document to one VM that a change may cost
+
+
+def many_routes(count, name="late"):
+    """Returns routes of which only the last is called."""
+    idle = [route(f"idle{number}", f"/idle{number}/", "safe", "booking") for number in range(count)]
+    return [*idle, route(name, f"/{name}/", "safe", "booking")]
+
+
+async def seconds_until_in_force(rig, vm, name, limit):
+    begin = time.monotonic()
+    while (await rig.send(name, vm))[1] != 200:
+        assert time.monotonic() - begin < limit, f"{vm.name} does not serve /{name}/ after {limit} s"
+        await asyncio.sleep(0.05)
+    return time.monotonic() - begin
+
+
+def document_bytes(rig):
+    return len(rig.fleet.store.items["op/config"]["value"])
+
+
+async def documents_that_arrive_slowly_come_into_force():
+    """Guards against an answer that is asked for again while it arrives, because another VM already has the change."""
+    async with Rig(vms=3) as rig:
+        relay, = await rig.relay_store(rig.vms[2:])
+        rig.fleet.configure(many_routes(MANY_ROUTES, "first"))
+        await seconds_until_in_force(rig, rig.vms[2], "first", APPLY_S)
+        relay.bytes_per_s = document_bytes(rig) / 1.6
+        await asyncio.sleep(1.0)
+        rig.fleet.configure(many_routes(MANY_ROUTES))
+        begin = time.monotonic()
+        for vm in rig.vms:
+            await seconds_until_in_force(rig, vm, "late", APPLY_S)
+        assert time.monotonic() - begin < APPLY_S
+        rig.fleet.configure(many_routes(MANY_ROUTES, "next"))
+        await seconds_until_in_force(rig, rig.vms[2], "next", APPLY_S)
+        assert not [line for line in lines(rig, "store_lost") if line["vm"] == "vm2"]
+
+
+async def documents_of_a_store_that_answers_slowly_come_into_force():
+    """Guards against limits on a call's time within which a slow store never answers."""
+    async with Rig(vms=2) as rig:
+        store = rig.fleet.store
+        store.delay_s = ANSWER_DELAY_S
+        await asyncio.sleep(6.0)  # the polls that began before have ended
+        rig.fleet.configure(many_routes(MANY_ROUTES))
+        for vm in rig.vms:
+            await seconds_until_in_force(rig, vm, "late", 3 * ANSWER_DELAY_S)
+
+
+async def a_change_is_sent_to_a_vm_a_few_times_at_most():
+    """Guards against repeated calls that fill the link which delays their answers."""
+    async with Rig(vms=3) as rig:
+        relay, = await rig.relay_store(rig.vms[2:])
+        rig.fleet.configure(many_routes(MANY_ROUTES, "first"))
+        await seconds_until_in_force(rig, rig.vms[2], "first", APPLY_S)
+        await asyncio.sleep(1.0)
+        relay.bytes_per_s = document_bytes(rig) / 6  # more than any limit on the whole call allowed before
+        before, calls = relay.bytes_from_target, rig.fleet.store.calls
+        rig.fleet.configure(many_routes(MANY_ROUTES))
+        await seconds_until_in_force(rig, rig.vms[2], "late", 12)
+        sent = relay.bytes_from_target - before
+        assert sent < REPEATS * document_bytes(rig), f"{sent} bytes for a document of {document_bytes(rig)}"
+        assert (rig.fleet.store.calls - calls) / len(rig.vms) < 60
+
+
+TESTS = [documents_that_arrive_slowly_come_into_force, documents_of_a_store_that_answers_slowly_come_into_force,
+         a_change_is_sent_to_a_vm_a_few_times_at_most]
