Logs of a watch that is behind say what has arrived of its answer

`watch_behind` names the state of the answer, bytes received and expected, age and silence of the call, and restarts in a row; `routes_behind` and `routes_in_force` say for how long the VM has been behind which version.

The relay of the tests takes a rate that is no whole number; it had closed the connection before.

--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -73,6 +73,7 @@
     std::unique_ptr<Timer> m_expiryTimer;
     std::unique_ptr<Timer> m_rereadTimer;
     TimePoint m_startedAt;
+    std::optional<TimePoint> m_routesBehindSince; // when a peer first had a newer configuration than this VM
     MemoryGrant m_routesMemory; // of the table in force
     TimePoint m_reachableSince;
     bool m_mayHaveExpired = false; // the store was unreachable, so entries may have expired meanwhile
--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -69,10 +69,18 @@
     }
 
 private:
+    /// Returns whether another VM has observed a change that the watch has not delivered.
+    auto isBehind() const -> bool
+    {
+        return m_peerRevision > m_currentRevision;
+    }
+
     auto read() -> void;
     auto onRead(Result<StoreRange> range) -> void;
     auto watch() -> void;
+    auto cancelWatch() -> void;
     auto restartLaggingWatch() -> void;
+    auto writeLag(std::string_view event, const WatchProgress &progress) -> void;
     auto resume() -> void;
     auto onWatchEvents(std::span<const StoreEvent> events, std::int64_t revision) -> void;
     auto onWatchEnded(const Error &error) -> void;
@@ -93,7 +101,9 @@
     std::int64_t m_lastChangeRevision = 0;
     std::int64_t m_peerRevision = 0; // highest revision of a change that another VM has observed
     bool m_lagTimerRunning = false;
-    std::function<void()> m_cancelWatch;
+    TimePoint m_behindSince; // if another VM has observed a later change
+    int m_restarts = 0; // of the watch in a row, since it last was up to date
+    std::optional<WatchHandle> m_watch;
     TimePoint m_lastAnswerAt;
     TimePoint m_unreachableSince;
     TimePoint m_watchedSince; // begin of the watch, or of the one before the last cut
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace currantstack
 {
@@ -53,6 +54,16 @@
     }
 };
 
+/// What has arrived of the response to a call in flight.
+struct CallProgress
+{
+    bool begun = false; // a part of the response has arrived
+    std::size_t received = 0; // bytes of the body
+    std::size_t expected = 0; // declared bytes of the body; 0: unknown
+    Duration age = Duration::zero(); // since the call began
+    Duration silence = Duration::zero(); // since a part of the response arrived, or since the call began
+};
+
 /// Callbacks of one call. `onDone` runs exactly once unless the call is cancelled.
 struct HttpHandlers
 {
@@ -79,6 +90,9 @@
     /// Aborts the call and closes its connection; no callback runs afterwards. Unknown ids are ignored.
     auto cancel(CallId id) -> void;
 
+    /// Returns what has arrived of a call's response, or nothing if the call is not in flight.
+    auto progress(CallId id) const -> std::optional<CallProgress>;
+
     /// Returns the number of calls in flight.
     auto active() const -> std::size_t;
 
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/counters.h"
+#include "currantstack/decisions/watch_progress.h"
 #include "currantstack/http_client.h"
 #include "currantstack/json.h"
 
@@ -64,6 +65,13 @@
 /// Receives changes in order and the revision up to which the watch has reported all changes. `events` may be empty.
 using WatchHook = std::function<void(std::span<const StoreEvent> events, std::int64_t revision)>;
 
+/// Controls a watch that has begun.
+struct WatchHandle
+{
+    std::function<void()> cancel = nullptr; // ends the watch without running its `onEnd`
+    std::function<WatchProgress()> progress = nullptr;
+};
+
 /// Asynchronous access to the store. All revisions that it returns and takes rise over the store's whole life, also if it can return
 /// from an older copy and gives its own revisions out again. A compare with a revision of a former history never holds. After an
 /// `Unreachable` error a write has not taken effect; after other errors it may have.
@@ -102,9 +110,8 @@
 
     /// Watches the keys of a prefix from the revision on. `onEvents` receives changes in order; `onEnd` runs when the watch fails. A
     /// long-polling store runs `onEvents` at once also if nothing has changed, which shows that it answers.
-    /// Returns a function that cancels the watch without running `onEnd`.
     virtual auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
-        -> std::function<void()> = 0;
+        -> WatchHandle = 0;
 };
 
 /// Accesses an etcd v3 store through its JSON gateway.
@@ -119,7 +126,7 @@
     auto grantLease(seconds ttl, std::function<void(Result<std::int64_t>)> done) -> void override;
     auto renewLease(std::int64_t lease, std::function<void(Result<bool>)> done) -> void override;
     auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
-        -> std::function<void()> override;
+        -> WatchHandle override;
 
 private:
     auto call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done) -> void;
@@ -132,6 +139,9 @@
     Duration m_idleTimeout;
 };
 
+/// Returns the progress of a watch whose call has this progress; without a call it is paused.
+auto progressOf(const std::optional<CallProgress> &call) -> WatchProgress;
+
 namespace detail
 {
 /// Returns the first key after all keys that begin with the prefix.
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -197,10 +197,15 @@
     if (needed > options.maxBody) {
         return true; // it is not kept
     }
-    std::size_t declared = 0;
+    return bodyMemory.tryGrow(body, std::clamp(declaredLength(), needed, options.maxBody), options.maxBody);
+}
+
+auto HttpClient::Core::Call::declaredLength() const -> std::size_t
+{
+    std::size_t length = 0;
     const auto text = findHeader(response.headers, "Content-Length");
-    std::from_chars(text.data(), text.data() + text.size(), declared);
-    return bodyMemory.tryGrow(body, std::clamp(declared, needed, options.maxBody), options.maxBody);
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
 }
 
 auto HttpClient::Core::resumePaused() -> void
@@ -283,6 +288,7 @@
         return CURL_WRITEFUNC_PAUSE; // libcurl delivers the same data again
     }
     call->core->bytesReceived += size * count;
+    call->bodyBytes += size * count;
     if (!call->cancelled) {
         if (call->handlers.onData) {
             call->handlers.onData(std::string_view(data, size * count));
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -62,7 +62,8 @@
     entry->core = m_core.get();
     entry->options = std::move(call);
     entry->handlers = std::move(handlers);
-    entry->lastProgress = m_core->clock.now();
+    entry->startedAt = m_core->clock.now();
+    entry->lastProgress = entry->startedAt;
     entry->account();
     if (!hasNumericHost(entry->options.url)) {
         m_core->rejectDeferred(id, std::move(entry));
@@ -103,6 +104,17 @@
     });
 }
 
+auto HttpClient::progress(CallId id) const -> std::optional<CallProgress>
+{
+    const auto found = m_core->calls.find(id);
+    if (found == m_core->calls.end() || found->second->cancelled) {
+        return std::nullopt;
+    }
+    const auto &call = *found->second;
+    const auto now = m_core->clock.now();
+    return CallProgress{call.headBytes > 0, call.bodyBytes, call.declaredLength(), now - call.startedAt, now - call.lastProgress};
+}
+
 auto HttpClient::active() const -> std::size_t
 {
     return m_core->calls.size();
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -23,13 +23,15 @@
         HttpCall options;
         HttpHandlers handlers;
         HttpResponse response;
-        TimePoint lastProgress;
+        TimePoint startedAt;
+        TimePoint lastProgress; // when a part of the response arrived last; `startedAt` before
         bool headIsInterim = false; // the head that is being received has a status below 200
         bool headComplete = false; // the blank line that ends the final head was received
         bool headDelivered = false;
         bool cancelled = false;
         bool idleExpired = false;
         std::size_t headBytes = 0; // received, of heads and trailers
+        std::size_t bodyBytes = 0; // received
         std::string_view defect; // of a response that fails the call, although libcurl would accept it
         int tcpUserTimeout = 0; // milliseconds
         bool paused = false; // the response is not read, because there is no memory for its body
@@ -39,6 +41,9 @@
         /// Accounts the memory of a call that begins.
         auto account() -> void;
 
+        /// Returns the declared length of the response's body; 0: unknown.
+        auto declaredLength() const -> std::size_t;
+
         /// Makes room for a part of the response's body, or for all of it if its head declares the length.
         auto reserve(std::size_t size) -> bool;
 
--- a/src/config/config_service.cc
+++ b/src/config/config_service.cc
@@ -133,7 +133,7 @@
         // Other VMs of the place watch now. The platform counts each open watch as a call, so this one is ended.
         m_watching = false;
         m_context.counters.at("config_watching").set(0);
-        m_cancelWatch();
+        m_watch.cancel();
     }
 }
 
@@ -166,7 +166,7 @@
 {
     m_watching = true;
     m_context.counters.at("config_watching").set(1);
-    m_cancelWatch = m_context.store.watch(
+    m_watch = m_context.store.watch(
         CurrentKey, fromRevision,
         [this](std::span<const StoreEvent> events, std::int64_t /*revision*/) {
             m_watchFailures = 0;
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -66,7 +66,12 @@
     m_upstreams.observeRevision(revisions.upstreams);
     const auto own = m_context.routeTable ? m_context.routeTable->version : 0;
     if (revisions.routesVersion > std::max(own, m_context.peerRoutesVersion)) {
-        m_context.log.write("directory", "routes_behind", {{"version", own}, {"peer_version", revisions.routesVersion}});
+        const auto now = m_context.clock.now();
+        const auto since = m_routesBehindSince.value_or(now);
+        m_routesBehindSince = since;
+        m_context.counters.at("routes_version_of_peers").set(revisions.routesVersion);
+        m_context.log.write("directory", "routes_behind",
+                            {{"version", own}, {"peer_version", revisions.routesVersion}, {"behind_ms", toMilliseconds(now - since)}});
     }
     if (revisions.routesVersion >= m_context.peerRoutesVersion || !m_context.hasOutdatedRoutes()) {
         m_context.peerRoutesVersion = revisions.routesVersion;
@@ -159,9 +164,15 @@
     m_context.directory.forEach([this](const Upstream &upstream) { observeVersion(upstream); });
     m_onRoutesInForce(*m_context.routeTable);
     m_context.counters.at("routes_version").set(m_context.routeTable->version);
+    const auto behindSince = m_routesBehindSince.value_or(m_context.routesReadAt);
+    if (m_context.routeTable->version >= m_context.peerRoutesVersion) {
+        m_routesBehindSince.reset();
+    }
     m_context.log.write("directory", "routes_in_force",
                         {{"version", m_context.routeTable->version},
                          {"former", previousVersion},
+                         {"peer_version", m_context.peerRoutesVersion},
+                         {"behind_ms", toMilliseconds(m_context.routesReadAt - behindSince)},
                          {"revision", value.modRevision},
                          {"routes", m_context.routeTable->routes.size()},
                          {"services", m_context.routeTable->services.size()}});
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -33,9 +33,7 @@
     m_timer->stop();
     m_lagTimer->stop();
     m_resumeTimer->stop();
-    if (m_cancelWatch) {
-        std::exchange(m_cancelWatch, nullptr)();
-    }
+    cancelWatch();
 }
 
 auto StoreFollower::read() -> void
@@ -78,7 +76,7 @@
 
 auto StoreFollower::watch() -> void
 {
-    m_cancelWatch = m_store.watch(
+    m_watch = m_store.watch(
         m_prefix, m_currentRevision + 1,
         [this, alive = m_alive](std::span<const StoreEvent> events, std::int64_t revision) {
             if (*alive) {
@@ -87,7 +85,7 @@
         },
         [this, alive = m_alive](const Error &error) {
             if (*alive) {
-                m_cancelWatch = nullptr;
+                m_watch.reset();
                 onWatchEnded(error);
             }
         });
@@ -106,6 +104,9 @@
                      {"gap_ms", toMilliseconds(m_lastAnswerAt - *cutAt)}});
     }
     m_currentRevision = std::max(m_currentRevision, revision);
+    if (!isBehind()) {
+        m_restarts = 0;
+    }
     for (const auto &event : events) {
         m_lastChangeRevision = std::max(m_lastChangeRevision, event.value.modRevision);
     }
@@ -114,8 +115,11 @@
 
 auto StoreFollower::observeRevision(std::int64_t revision) -> void
 {
+    if (!isBehind()) {
+        m_behindSince = m_clock.now();
+    }
     m_peerRevision = std::max(m_peerRevision, revision);
-    if (m_peerRevision > m_currentRevision && !std::exchange(m_lagTimerRunning, true)) {
+    if (isBehind() && !std::exchange(m_lagTimerRunning, true)) {
         m_lagTimer->startOnce(LagTolerance);
     }
 }
@@ -123,23 +127,44 @@
 auto StoreFollower::restartLaggingWatch() -> void
 {
     m_lagTimerRunning = false;
-    if (m_peerRevision <= m_currentRevision || m_unreachable || !m_cancelWatch) {
+    if (!isBehind() || m_unreachable || !m_watch) {
         return;
     }
-    m_log.write("store", "watch_behind", {{"prefix", m_prefix}, {"current_to", m_currentRevision}, {"heard_of", m_peerRevision}});
-    std::exchange(m_cancelWatch, nullptr)();
+    ++m_restarts;
+    writeLag("watch_behind", m_watch->progress());
+    cancelWatch();
     watch();
 }
 
+auto StoreFollower::cancelWatch() -> void
+{
+    if (const auto watch = std::exchange(m_watch, std::nullopt)) {
+        watch->cancel();
+    }
+}
+
+auto StoreFollower::writeLag(std::string_view event, const WatchProgress &progress) -> void
+{
+    m_log.write("store", event,
+                {{"prefix", m_prefix},
+                 {"current_to", m_currentRevision},
+                 {"heard_of", m_peerRevision},
+                 {"behind_ms", toMilliseconds(m_clock.now() - m_behindSince)},
+                 {"answer", name(progress.state)},
+                 {"received", progress.received},
+                 {"expected", progress.expected},
+                 {"age_ms", toMilliseconds(progress.age)},
+                 {"silent_ms", toMilliseconds(progress.silence)},
+                 {"restarts", m_restarts}});
+}
+
 auto StoreFollower::readAgain() -> void
 {
-    const bool isReading = !m_cancelWatch && !m_cutAt;
+    const bool isReading = !m_watch && !m_cutAt;
     if (isReading) {
         return;
     }
-    if (m_cancelWatch) {
-        std::exchange(m_cancelWatch, nullptr)();
-    }
+    cancelWatch();
     m_resumeTimer->stop();
     m_cutAt.reset();
     read();
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -120,6 +120,15 @@
 
 } // namespace
 
+auto progressOf(const std::optional<CallProgress> &call) -> WatchProgress
+{
+    if (!call) {
+        return {WatchProgress::State::Paused};
+    }
+    const auto state = call->begun ? WatchProgress::State::Receiving : WatchProgress::State::Waiting;
+    return {state, call->age, call->silence, call->received, call->expected};
+}
+
 EtcdStore::EtcdStore(HttpClient &client, Counters &counters, std::vector<std::string> addresses, Duration timeout, Duration idleTimeout)
     : m_client(client)
     , m_counters(counters)
@@ -207,7 +216,7 @@
 }
 
 auto EtcdStore::watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
-    -> std::function<void()>
+    -> WatchHandle
 {
     m_counters.at("store_watches").add();
     auto create = rangeRequest(prefix, false);
@@ -248,7 +257,7 @@
         onEnd(response ? Error{ErrorCode::Unavailable, "store watch", address, "the store closed the watch"} : response.error());
     };
     const auto id = m_client.start(std::move(call), std::move(handlers));
-    return [this, id]() { m_client.cancel(id); };
+    return {[this, id]() { m_client.cancel(id); }, [this, id]() { return progressOf(m_client.progress(id)); }};
 }
 
 } // namespace currantstack
--- a/support/relay.py
+++ b/support/relay.py
@@ -47,7 +47,7 @@
         try:
             while True:
                 narrow = from_target and self.bytes_per_s
-                data = await reader.read(max(1, self.bytes_per_s // 50) if narrow else 65536)
+                data = await reader.read(max(1, int(self.bytes_per_s / 50)) if narrow else 65536)
                 self.bytes_from_target += len(data) if from_target else 0
                 if narrow:
                     await self._pass_link(len(data))
--- a/test/edge/long_document_tests.py
+++ b/test/edge/long_document_tests.py
@@ -38,7 +38,7 @@
         relay, = await rig.relay_store(rig.vms[2:])
         rig.fleet.configure(many_routes(MANY_ROUTES, "first"))
         await seconds_until_in_force(rig, rig.vms[2], "first", APPLY_S)
-        relay.bytes_per_s = document_bytes(rig) / 1.6
+        relay.bytes_per_s = document_bytes(rig) / 1.6  # a whole document takes this many seconds
         await asyncio.sleep(1.0)
         rig.fleet.configure(many_routes(MANY_ROUTES))
         begin = time.monotonic()
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -37,12 +37,12 @@
     }
 
     auto watch(std::string_view /*prefix*/, std::int64_t fromRevision, WatchHook events, std::function<void(Error)> end)
-        -> std::function<void()> override
+        -> WatchHandle override
     {
         watchedFrom.push_back(fromRevision);
         onEvents = std::move(events);
         onEnd = std::move(end);
-        return []() {};
+        return {[]() {}, [this]() { return progress; }};
     }
 
     /// Ends the watch in flight.
@@ -56,6 +56,7 @@
     std::int64_t failed = 0;
     std::optional<Error> readError;
     std::vector<std::int64_t> watchedFrom;
+    WatchProgress progress;
     WatchHook onEvents;
     std::function<void(Error)> onEnd;
 };
