A watch whose answer arrives is not begun anew

Cause: a watch that had not delivered a change 0.5 s after a peer announced it was ended and begun anew, also while its answer was arriving, so that the same bytes were sent for ever.

Change: the decision is code of its own, `WatchLag`. An answer of which a part has arrived is left alone; the limit on its silence ends it if it stalls. A poll that pauses begins by itself. A watch without any answer is begun anew after 0.5 s, and then after times that double up to 4 s, with jitter, so that VMs which ask a slow store do not add to what delays it.

--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -1,6 +1,7 @@
 // Follows the keys under a prefix of the store through outages, missed events and compacted history.
 #pragma once
 
+#include "currantstack/decisions/watch_lag.h"
 #include "currantstack/event_log.h"
 #include "currantstack/loop.h"
 #include "currantstack/placement.h"
@@ -36,16 +37,16 @@
 
     StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks);
 
-    static constexpr Duration LagTolerance = milliseconds(500); // a watch event in flight arrives within this time
     static constexpr Duration CalmWatchTime = seconds(5); // a watch that is cut later is resumed without back-off
+    static constexpr Duration FirstLagReport = seconds(1); // after which a watch that is behind is logged; doubled each time
 
     auto start() -> void;
 
     /// Reads all keys again, unless a read is under way.
     auto readAgain() -> void;
 
-    /// Records that another VM has observed a change under the prefix at the revision. The watch is restarted if it does not deliver
-    /// that change within `LagTolerance`, because its connection may be dead or its poll may have missed the change.
+    /// Records that another VM has observed a change under the prefix at the revision. A watch that does not deliver that change, and
+    /// receives nothing, is begun anew (`WatchLag`), because its connection may be dead or its poll may have missed the change.
     auto observeRevision(std::int64_t revision) -> void;
 
     /// Returns the revision of the last change under the prefix that this VM has observed.
@@ -69,17 +70,11 @@
     }
 
 private:
-    /// Returns whether another VM has observed a change that the watch has not delivered.
-    auto isBehind() const -> bool
-    {
-        return m_peerRevision > m_currentRevision;
-    }
-
     auto read() -> void;
     auto onRead(Result<StoreRange> range) -> void;
     auto watch() -> void;
     auto cancelWatch() -> void;
-    auto restartLaggingWatch() -> void;
+    auto judgeLaggingWatch() -> void;
     auto writeLag(std::string_view event, const WatchProgress &progress) -> void;
     auto resume() -> void;
     auto onWatchEvents(std::span<const StoreEvent> events, std::int64_t revision) -> void;
@@ -99,10 +94,9 @@
     std::unique_ptr<Timer> m_resumeTimer;
     std::int64_t m_currentRevision = 0; // all changes up to this revision have been observed
     std::int64_t m_lastChangeRevision = 0;
-    std::int64_t m_peerRevision = 0; // highest revision of a change that another VM has observed
+    WatchLag m_lag;
     bool m_lagTimerRunning = false;
-    TimePoint m_behindSince; // if another VM has observed a later change
-    int m_restarts = 0; // of the watch in a row, since it last was up to date
+    Duration m_nextLagReport = FirstLagReport; // after the watch fell behind
     std::optional<WatchHandle> m_watch;
     TimePoint m_lastAnswerAt;
     TimePoint m_unreachableSince;
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -16,7 +16,7 @@
     , m_prefix(std::move(prefix))
     , m_hooks(std::move(hooks))
     , m_timer(loop.timer([this]() { read(); }))
-    , m_lagTimer(loop.timer([this]() { restartLaggingWatch(); }))
+    , m_lagTimer(loop.timer([this]() { judgeLaggingWatch(); }))
     , m_resumeTimer(loop.timer([this]() { resume(); }))
     , m_lastAnswerAt(clock.now())
 { }
@@ -66,6 +66,7 @@
     }
     m_log.write("store", wasUnreachable ? "store_regained" : "store_read", std::move(fields));
     m_currentRevision = range->revision;
+    m_lag.onDelivered(m_currentRevision);
     for (const auto &value : range->values) {
         m_lastChangeRevision = std::max(m_lastChangeRevision, value.modRevision);
     }
@@ -104,9 +105,7 @@
                      {"gap_ms", toMilliseconds(m_lastAnswerAt - *cutAt)}});
     }
     m_currentRevision = std::max(m_currentRevision, revision);
-    if (!isBehind()) {
-        m_restarts = 0;
-    }
+    m_lag.onDelivered(m_currentRevision);
     for (const auto &event : events) {
         m_lastChangeRevision = std::max(m_lastChangeRevision, event.value.modRevision);
     }
@@ -115,25 +114,34 @@
 
 auto StoreFollower::observeRevision(std::int64_t revision) -> void
 {
-    if (!isBehind()) {
-        m_behindSince = m_clock.now();
+    if (!m_lag.isBehind()) {
+        m_nextLagReport = FirstLagReport;
     }
-    m_peerRevision = std::max(m_peerRevision, revision);
-    if (isBehind() && !std::exchange(m_lagTimerRunning, true)) {
-        m_lagTimer->startOnce(LagTolerance);
+    m_lag.onPeerRevision(revision, m_clock.now(), m_random);
+    if (m_lag.isBehind() && !std::exchange(m_lagTimerRunning, true)) {
+        m_lagTimer->startOnce(WatchLag::FirstTolerance);
     }
 }
 
-auto StoreFollower::restartLaggingWatch() -> void
+auto StoreFollower::judgeLaggingWatch() -> void
 {
-    m_lagTimerRunning = false;
-    if (!isBehind() || m_unreachable || !m_watch) {
+    m_lagTimerRunning = m_lag.isBehind() && !m_unreachable && m_watch;
+    if (!m_lagTimerRunning) {
         return;
     }
-    ++m_restarts;
-    writeLag("watch_behind", m_watch->progress());
-    cancelWatch();
-    watch();
+    const auto now = m_clock.now();
+    const auto progress = m_watch->progress();
+    const auto wait = m_lag.judge(progress, now);
+    m_lagTimer->startOnce(wait.value_or(WatchLag::FirstTolerance));
+    if (!wait) {
+        m_lag.onRestarted(m_random);
+        writeLag("watch_behind", progress);
+        cancelWatch();
+        watch();
+    } else if (m_lag.behindFor(now) >= m_nextLagReport) {
+        m_nextLagReport *= 2;
+        writeLag("watch_slow", progress);
+    }
 }
 
 auto StoreFollower::cancelWatch() -> void
@@ -148,14 +156,14 @@
     m_log.write("store", event,
                 {{"prefix", m_prefix},
                  {"current_to", m_currentRevision},
-                 {"heard_of", m_peerRevision},
-                 {"behind_ms", toMilliseconds(m_clock.now() - m_behindSince)},
+                 {"heard_of", m_lag.peerRevision()},
+                 {"behind_ms", toMilliseconds(m_lag.behindFor(m_clock.now()))},
                  {"answer", name(progress.state)},
                  {"received", progress.received},
                  {"expected", progress.expected},
                  {"age_ms", toMilliseconds(progress.age)},
                  {"silent_ms", toMilliseconds(progress.silence)},
-                 {"restarts", m_restarts}});
+                 {"restarts", m_lag.restarts()}});
 }
 
 auto StoreFollower::readAgain() -> void
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(aCutOfAnUnansweredWatchIsAnOutage);
     CPPUNIT_TEST(aCutAfterOtherCallsFailedIsAnOutage);
     CPPUNIT_TEST(aReadReplacesAResumptionThatIsPending);
+    CPPUNIT_TEST(anAnswerThatArrivesIsNotGivenUp);
+    CPPUNIT_TEST(aWatchWithoutAnAnswerIsBegunAnewLessAndLessOften);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration Patience = StoreFollower::LongestBackoff + StoreFollower::FirstBackoff + milliseconds(200);
@@ -222,6 +224,38 @@
         CPPUNIT_ASSERT(!runUntil([this]() { return m_store.watchedFrom.size() > 2; }));
         CPPUNIT_ASSERT(!m_snapshots.back().wasUnreachable);
     }
+
+    auto anAnswerThatArrivesIsNotGivenUp() -> void
+    {
+        m_store.progress = {WatchProgress::State::Receiving, seconds(1), milliseconds(20), 1000, 4000};
+        m_follower->observeRevision(11);
+        CPPUNIT_ASSERT(!runUntil([this]() { return m_store.watchedFrom.size() > 1; }));
+        m_follower->observeRevision(12);
+        CPPUNIT_ASSERT(!runUntil([this]() { return m_store.watchedFrom.size() > 1; }));
+        CPPUNIT_ASSERT(hasLine("\"watch_slow\"") && hasLine("\"received\":1000,\"expected\":4000"));
+        m_store.onEvents({}, 12);
+    }
+
+    auto aWatchWithoutAnAnswerIsBegunAnewLessAndLessOften() -> void
+    {
+        std::vector<TimePoint> begins;
+        m_follower->observeRevision(11);
+        const auto end = m_clock.now() + seconds(6);
+        auto begunAt = m_clock.now() - seconds(1);
+        while (m_clock.now() < end) {
+            const auto watches = m_store.watchedFrom.size();
+            m_store.progress.age = m_clock.now() - begunAt;
+            m_loop.after(milliseconds(5), [this]() { m_loop.stop(); });
+            m_loop.run();
+            if (m_store.watchedFrom.size() > watches) {
+                begunAt = m_clock.now();
+                begins.push_back(begunAt);
+            }
+        }
+        CPPUNIT_ASSERT(begins.size() >= 2 && begins.size() <= 4);
+        CPPUNIT_ASSERT(begins[1] - begins[0] >= 2 * WatchLag::FirstTolerance);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(11), m_store.watchedFrom.back());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
