A store that answers slowly is told from one that does not answer

Cause: a call that is not answered in a fixed time is given up and repeated, though a late answer would do.

--- a/include/currantstack/config_service.h
+++ b/include/currantstack/config_service.h
@@ -81,7 +81,7 @@
     Json m_document = Json::object();
     std::deque<RetainedDocument> m_retainedDocuments;
     std::unique_ptr<Timer> m_pollTimer;
-    WatchHandle m_watch;
+    StoreCallHandle m_watch;
     bool m_watching = false;
     bool m_pulling = false;
     int m_watchFailures = 0;
--- a/include/currantstack/decisions/watch_progress.h
+++ b/include/currantstack/decisions/answer_progress.h
@@ -1,4 +1,4 @@
-// What has arrived of the answer that a watch of the store awaits.
+// What has arrived of an answer of the store.
 #pragma once
 
 #include "currantstack/clock.h"
@@ -9,8 +9,8 @@
 namespace currantstack
 {
 
-/// The state of a watch at one moment.
-struct WatchProgress
+/// The state of a read or a watch at one moment.
+struct AnswerProgress
 {
     enum class State
     {
@@ -27,6 +27,6 @@
 };
 
 /// Returns the name in logs, such as "receiving".
-auto name(WatchProgress::State state) -> std::string_view;
+auto name(AnswerProgress::State state) -> std::string_view;
 
 } // namespace currantstack
--- a/include/currantstack/decisions/watch_lag.h
+++ b/include/currantstack/decisions/watch_lag.h
@@ -1,7 +1,7 @@
 // Decides when a watch of the store that is behind other VMs is begun anew.
 #pragma once
 
-#include "currantstack/decisions/watch_progress.h"
+#include "currantstack/decisions/answer_progress.h"
 #include "currantstack/placement.h"
 
 #include <cstdint>
@@ -18,6 +18,7 @@
 public:
     static constexpr Duration FirstTolerance = milliseconds(500); // in which an answer begins to arrive from a store that is not slow
     static constexpr Duration LongestTolerance = seconds(4);
+    static constexpr int Patience = 2; // how many times the store's answer time a watch may be without any answer
     static constexpr double Jitter = 0.5; // share of a tolerance that is added at random, so that VMs do not begin anew together
 
     /// Records that another VM has observed a change at the revision.
@@ -30,8 +31,8 @@
     auto onRestarted(Random &random) -> void;
 
     /// Returns how long the watch goes on before it is to be judged again, or nothing if it is to be begun anew. To be called while
-    /// the watch is behind.
-    auto judge(const WatchProgress &progress, TimePoint now) const -> std::optional<Duration>;
+    /// the watch is behind. `answerTime`: in which answers of the store have begun lately.
+    auto judge(const AnswerProgress &progress, Duration answerTime, TimePoint now) const -> std::optional<Duration>;
 
     /// Returns whether another VM has observed a change that the watch has not delivered.
     auto isBehind() const -> bool
@@ -58,7 +59,7 @@
 
 private:
     /// Returns how long the watch may be without any answer.
-    auto tolerance() const -> Duration;
+    auto tolerance(Duration answerTime) const -> Duration;
     auto drawJitter(Random &random) -> void;
 
     std::int64_t m_peerRevision = 0; // highest revision of a change that another VM has observed
--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -7,6 +7,7 @@
 #include "currantstack/placement.h"
 #include "currantstack/store.h"
 
+#include <map>
 #include <optional>
 
 namespace currantstack
@@ -37,6 +38,9 @@
 
     StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks);
 
+    static constexpr Duration ReadPatience = seconds(2); // until a read is repeated beside the one in flight
+    static constexpr std::size_t MostReads =
+        2; // in flight: one that has waited for long, for a slow store, and one for a store that returns
     static constexpr Duration CalmWatchTime = seconds(5); // a watch that is cut later is resumed without back-off
     static constexpr Duration FirstLagReport = seconds(1); // after which a watch that is behind is logged; doubled each time
 
@@ -71,11 +75,13 @@
 
 private:
     auto read() -> void;
+    auto cancelReads(std::size_t kept) -> void;
+    auto judgeRead() -> void;
     auto onRead(Result<StoreRange> range) -> void;
     auto watch() -> void;
     auto cancelWatch() -> void;
     auto judgeLaggingWatch() -> void;
-    auto writeLag(std::string_view event, const WatchProgress &progress) -> void;
+    auto writeLag(std::string_view event, const AnswerProgress &progress) -> void;
     auto resume() -> void;
     auto onWatchEvents(std::span<const StoreEvent> events, std::int64_t revision) -> void;
     auto onWatchEnded(const Error &error) -> void;
@@ -90,6 +96,7 @@
     std::string m_prefix;
     Hooks m_hooks;
     std::unique_ptr<Timer> m_timer;
+    std::unique_ptr<Timer> m_patienceTimer;
     std::unique_ptr<Timer> m_lagTimer;
     std::unique_ptr<Timer> m_resumeTimer;
     std::int64_t m_currentRevision = 0; // all changes up to this revision have been observed
@@ -97,7 +104,9 @@
     WatchLag m_lag;
     bool m_lagTimerRunning = false;
     Duration m_nextLagReport = FirstLagReport; // after the watch fell behind
-    std::optional<WatchHandle> m_watch;
+    std::optional<StoreCallHandle> m_watch;
+    std::map<std::int64_t, StoreCallHandle> m_reads; // in flight, the oldest first
+    std::int64_t m_lastReadId = 0;
     TimePoint m_lastAnswerAt;
     TimePoint m_unreachableSince;
     TimePoint m_watchedSince; // begin of the watch, or of the one before the last cut
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "currantstack/counters.h"
-#include "currantstack/decisions/watch_progress.h"
+#include "currantstack/decisions/answer_progress.h"
 #include "currantstack/http_client.h"
 #include "currantstack/json.h"
 
@@ -65,11 +65,11 @@
 /// Receives changes in order and the revision up to which the watch has reported all changes. `events` may be empty.
 using WatchHook = std::function<void(std::span<const StoreEvent> events, std::int64_t revision)>;
 
-/// Controls a watch that has begun.
-struct WatchHandle
+/// Controls a read or a watch that has begun.
+struct StoreCallHandle
 {
-    std::function<void()> cancel = nullptr; // ends the watch without running its `onEnd`
-    std::function<WatchProgress()> progress = nullptr;
+    std::function<void()> cancel = nullptr; // ends it; none of its hooks run afterwards
+    std::function<AnswerProgress()> progress = nullptr;
 };
 
 /// Asynchronous access to the store. All revisions that it returns and takes rise over the store's whole life, also if it can return
@@ -83,6 +83,16 @@
     /// Reads all keys that begin with `key`, or just that key if `exact`.
     virtual auto read(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> void = 0;
 
+    /// Reads all keys that begin with the prefix, and waits long for a slow store; the caller judges by the progress when to ask once
+    /// more.
+    virtual auto readPatiently(std::string_view prefix, std::function<void(Result<StoreRange>)> done) -> StoreCallHandle = 0;
+
+    /// Returns in which time answers of the store have begun lately.
+    virtual auto answerTime() const -> Duration
+    {
+        return Duration::zero();
+    }
+
     /// Reads all keys that begin with the prefix, at lower cost; the result may be seconds old.
     virtual auto readStale(std::string_view prefix, std::function<void(Result<StoreRange>)> done) -> void
     {
@@ -111,7 +121,7 @@
     /// Watches the keys of a prefix from the revision on. `onEvents` receives changes in order; `onEnd` runs when the watch fails. A
     /// long-polling store runs `onEvents` at once also if nothing has changed, which shows that it answers.
     virtual auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
-        -> WatchHandle = 0;
+        -> StoreCallHandle = 0;
 };
 
 /// Accesses an etcd v3 store through its JSON gateway.
@@ -122,14 +132,16 @@
     EtcdStore(HttpClient &client, Counters &counters, std::vector<std::string> addresses, Duration timeout, Duration idleTimeout);
 
     auto read(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> void override;
+    auto readPatiently(std::string_view prefix, std::function<void(Result<StoreRange>)> done) -> StoreCallHandle override;
     auto commit(StoreTransaction transaction, std::function<void(Result<StoreOutcome>)> done) -> void override;
     auto grantLease(seconds ttl, std::function<void(Result<std::int64_t>)> done) -> void override;
     auto renewLease(std::int64_t lease, std::function<void(Result<bool>)> done) -> void override;
     auto watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
-        -> WatchHandle override;
+        -> StoreCallHandle override;
 
 private:
-    auto call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done) -> void;
+    auto call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done) -> HttpClient::CallId;
+    auto startRead(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> HttpClient::CallId;
 
     HttpClient &m_client;
     Counters &m_counters;
@@ -140,7 +152,7 @@
 };
 
 /// Returns the progress of a watch whose call has this progress; without a call it is paused.
-auto progressOf(const std::optional<CallProgress> &call) -> WatchProgress;
+auto progressOf(const std::optional<CallProgress> &call) -> AnswerProgress;
 
 namespace detail
 {
--- a/src/decisions/watch_lag.cc
+++ b/src/decisions/watch_lag.cc
@@ -35,20 +35,22 @@
     m_jitter = std::uniform_real_distribution<double>(0, Jitter)(random);
 }
 
-auto WatchLag::tolerance() const -> Duration
+auto WatchLag::tolerance(Duration answerTime) const -> Duration
 {
     constexpr int MostDoublings = 10; // the longest tolerance is reached before
-    const auto base = std::min<Duration>(LongestTolerance, FirstTolerance * (1 << std::min(m_restarts, MostDoublings)));
+    const auto doubled = std::min<Duration>(LongestTolerance, FirstTolerance * (1 << std::min(m_restarts, MostDoublings)));
+    const auto base = std::max<Duration>(doubled, Patience * answerTime);
     return base + fromMilliseconds(m_jitter * toMilliseconds(base));
 }
 
-auto WatchLag::judge(const WatchProgress &progress, TimePoint now) const -> std::optional<Duration>
+auto WatchLag::judge(const AnswerProgress &progress, Duration answerTime, TimePoint now) const -> std::optional<Duration>
 {
-    if (progress.state != WatchProgress::State::Waiting) {
+    if (progress.state != AnswerProgress::State::Waiting) {
         return FirstTolerance;
     }
     const auto waited = std::min(progress.age, behindFor(now));
-    return waited < tolerance() ? std::optional(tolerance() - waited) : std::nullopt;
+    const auto limit = tolerance(answerTime);
+    return waited < limit ? std::optional(limit - waited) : std::nullopt;
 }
 
 } // namespace currantstack
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -16,6 +16,7 @@
     , m_prefix(std::move(prefix))
     , m_hooks(std::move(hooks))
     , m_timer(loop.timer([this]() { read(); }))
+    , m_patienceTimer(loop.timer([this]() { judgeRead(); }))
     , m_lagTimer(loop.timer([this]() { judgeLaggingWatch(); }))
     , m_resumeTimer(loop.timer([this]() { resume(); }))
     , m_lastAnswerAt(clock.now())
@@ -32,17 +33,56 @@
     *m_alive = false;
     m_timer->stop();
     m_lagTimer->stop();
+    m_patienceTimer->stop();
+    cancelReads(0);
     m_resumeTimer->stop();
     cancelWatch();
 }
 
 auto StoreFollower::read() -> void
 {
-    m_store.read(m_prefix, false, [this, alive = m_alive](Result<StoreRange> range) {
+    if (m_reads.size() == MostReads) {
+        cancelReads(1); // the oldest one is the first to be answered by a slow store
+    }
+    const auto id = ++m_lastReadId;
+    m_reads[id] = {};
+    auto handle = m_store.readPatiently(m_prefix, [this, alive = m_alive, id](Result<StoreRange> range) {
         if (*alive) {
-            onRead(std::move(range));
+            m_reads.erase(id);
+            const bool othersGoOn = id != m_lastReadId && !m_reads.empty();
+            if (range || !othersGoOn) {
+                onRead(std::move(range));
+            }
         }
     });
+    if (const auto found = m_reads.find(id); found != m_reads.end()) {
+        found->second = std::move(handle);
+        m_patienceTimer->startOnce(ReadPatience);
+    }
+}
+
+auto StoreFollower::cancelReads(std::size_t kept) -> void
+{
+    while (m_reads.size() > kept) {
+        std::prev(m_reads.end())->second.cancel();
+        m_reads.erase(std::prev(m_reads.end()));
+    }
+}
+
+/// Takes the store for unreachable if the last read has got no answer, and asks once more beside the reads that go on.
+auto StoreFollower::judgeRead() -> void
+{
+    if (m_reads.empty()) {
+        return;
+    }
+    const auto progress = m_reads.rbegin()->second.progress();
+    if (progress.state != AnswerProgress::State::Waiting) {
+        m_patienceTimer->startOnce(ReadPatience);
+    } else if (progress.age < ReadPatience) {
+        m_patienceTimer->startOnce(ReadPatience - progress.age);
+    } else {
+        retry({ErrorCode::DeadlineExceeded, "read", "", "no answer has begun in time"});
+    }
 }
 
 auto StoreFollower::onRead(Result<StoreRange> range) -> void
@@ -51,6 +91,9 @@
         retry(range.error());
         return;
     }
+    cancelReads(0);
+    m_timer->stop();
+    m_patienceTimer->stop();
     m_lastAnswerAt = m_clock.now();
     m_failures = 0;
     m_failedCalls = m_store.failedCalls();
@@ -131,7 +174,7 @@
     }
     const auto now = m_clock.now();
     const auto progress = m_watch->progress();
-    const auto wait = m_lag.judge(progress, now);
+    const auto wait = m_lag.judge(progress, m_store.answerTime(), now);
     m_lagTimer->startOnce(wait.value_or(WatchLag::FirstTolerance));
     if (!wait) {
         m_lag.onRestarted(m_random);
@@ -151,7 +194,7 @@
     }
 }
 
-auto StoreFollower::writeLag(std::string_view event, const WatchProgress &progress) -> void
+auto StoreFollower::writeLag(std::string_view event, const AnswerProgress &progress) -> void
 {
     m_log.write("store", event,
                 {{"prefix", m_prefix},
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -120,12 +120,12 @@
 
 } // namespace
 
-auto progressOf(const std::optional<CallProgress> &call) -> WatchProgress
+auto progressOf(const std::optional<CallProgress> &call) -> AnswerProgress
 {
     if (!call) {
-        return {WatchProgress::State::Paused};
+        return {AnswerProgress::State::Paused};
     }
-    const auto state = call->begun ? WatchProgress::State::Receiving : WatchProgress::State::Waiting;
+    const auto state = call->begun ? AnswerProgress::State::Receiving : AnswerProgress::State::Waiting;
     return {state, call->age, call->silence, call->received, call->expected};
 }
 
@@ -137,7 +137,8 @@
     , m_idleTimeout(idleTimeout)
 { }
 
-auto EtcdStore::call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done) -> void
+auto EtcdStore::call(std::string_view path, const Json &body, std::string_view step, std::function<void(Result<Json>)> done)
+    -> HttpClient::CallId
 {
     const auto &address = m_addresses[m_address];
     HttpCall call;
@@ -167,13 +168,24 @@
         }
         done(parseJson(response->body, step));
     };
-    m_client.start(std::move(call), std::move(handlers));
+    return m_client.start(std::move(call), std::move(handlers));
 }
 
 auto EtcdStore::read(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> void
+{
+    startRead(key, exact, std::move(done));
+}
+
+auto EtcdStore::readPatiently(std::string_view prefix, std::function<void(Result<StoreRange>)> done) -> StoreCallHandle
+{
+    const auto id = startRead(prefix, false, std::move(done));
+    return {[this, id]() { m_client.cancel(id); }, [this, id]() { return progressOf(m_client.progress(id)); }};
+}
+
+auto EtcdStore::startRead(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> HttpClient::CallId
 {
     m_counters.at("store_reads").add();
-    call("/v3/kv/range", rangeRequest(key, exact), "store read", [done = std::move(done)](const Result<Json> &reply) {
+    return call("/v3/kv/range", rangeRequest(key, exact), "store read", [done = std::move(done)](const Result<Json> &reply) {
         if (!reply) {
             return done(tl::unexpected(reply.error()));
         }
@@ -216,7 +228,7 @@
 }
 
 auto EtcdStore::watch(std::string_view prefix, std::int64_t fromRevision, WatchHook onEvents, std::function<void(Error)> onEnd)
-    -> WatchHandle
+    -> StoreCallHandle
 {
     m_counters.at("store_watches").add();
     auto create = rangeRequest(prefix, false);
--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -88,7 +88,8 @@
     Loop loop;
     HttpClient client(loop);
     Counters counters;
-    PlatformStore store(loop, client, counters, server.address());
+    const SystemClock clock;
+    PlatformStore store(loop, clock, client, counters, server.address());
     std::optional<bool> success;
     call(store, [&](bool isSuccess) {
         success = isSuccess;
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -12,14 +12,22 @@
 class ScriptedStore : public Store
 {
 public:
-    auto read(std::string_view /*key*/, bool /*exact*/, std::function<void(Result<StoreRange>)> done) -> void override
+    auto read(std::string_view /*key*/, bool /*exact*/, std::function<void(Result<StoreRange>)> /*done*/) -> void override
+    { }
+
+    auto readPatiently(std::string_view /*prefix*/, std::function<void(Result<StoreRange>)> done) -> StoreCallHandle override
     {
         ++reads;
+        if (isSilent) {
+            pendingReads.push_back(std::move(done));
+            return {[this]() { ++cancelledReads; }, [this]() { return progress; }};
+        }
         if (readError) {
             done(tl::unexpected(*readError));
         } else {
             done(StoreRange{revision, {}});
         }
+        return {[]() {}, []() { return AnswerProgress(); }};
     }
 
     auto commit(StoreTransaction /*transaction*/, std::function<void(Result<StoreOutcome>)> /*done*/) -> void override
@@ -37,7 +45,7 @@
     }
 
     auto watch(std::string_view /*prefix*/, std::int64_t fromRevision, WatchHook events, std::function<void(Error)> end)
-        -> WatchHandle override
+        -> StoreCallHandle override
     {
         watchedFrom.push_back(fromRevision);
         onEvents = std::move(events);
@@ -52,11 +60,14 @@
     }
 
     int reads = 0;
+    bool isSilent = false; // reads are answered later, by the test
+    std::vector<std::function<void(Result<StoreRange>)>> pendingReads;
+    int cancelledReads = 0;
     std::int64_t revision = 10;
     std::int64_t failed = 0;
     std::optional<Error> readError;
     std::vector<std::int64_t> watchedFrom;
-    WatchProgress progress;
+    AnswerProgress progress;
     WatchHook onEvents;
     std::function<void(Error)> onEnd;
 };
@@ -75,6 +86,8 @@
     CPPUNIT_TEST(aCutAfterOtherCallsFailedIsAnOutage);
     CPPUNIT_TEST(aReadReplacesAResumptionThatIsPending);
     CPPUNIT_TEST(anAnswerThatArrivesIsNotGivenUp);
+    CPPUNIT_TEST(aLateReadGoesOnBesideItsRepetition);
+    CPPUNIT_TEST(aReadThatArrivesIsNotRepeated);
     CPPUNIT_TEST(aWatchWithoutAnAnswerIsBegunAnewLessAndLessOften);
     CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +118,12 @@
         return condition();
     }
 
+    auto runFor(Duration time) -> void
+    {
+        m_loop.after(time, [this]() { m_loop.stop(); });
+        m_loop.run();
+    }
+
     auto runUntilWatches(std::size_t count) -> void
     {
         CPPUNIT_ASSERT(runUntil([this, count]() { return m_store.watchedFrom.size() >= count; }));
@@ -227,7 +246,7 @@
 
     auto anAnswerThatArrivesIsNotGivenUp() -> void
     {
-        m_store.progress = {WatchProgress::State::Receiving, seconds(1), milliseconds(20), 1000, 4000};
+        m_store.progress = {AnswerProgress::State::Receiving, seconds(1), milliseconds(20), 1000, 4000};
         m_follower->observeRevision(11);
         CPPUNIT_ASSERT(!runUntil([this]() { return m_store.watchedFrom.size() > 1; }));
         m_follower->observeRevision(12);
@@ -236,6 +255,38 @@
         m_store.onEvents({}, 12);
     }
 
+    auto aLateReadGoesOnBesideItsRepetition() -> void
+    {
+        m_store.isSilent = true;
+        m_store.progress = {AnswerProgress::State::Waiting, StoreFollower::ReadPatience, StoreFollower::ReadPatience};
+        m_store.end(watchError(ErrorCode::Conflict));
+        CPPUNIT_ASSERT_EQUAL(0, m_outages);
+        runFor(2 * StoreFollower::ReadPatience + Patience);
+        CPPUNIT_ASSERT_EQUAL(1, m_outages);
+        CPPUNIT_ASSERT(m_store.reads >= 3 && m_store.reads <= 4);
+        CPPUNIT_ASSERT_EQUAL(m_store.reads - 3, m_store.cancelledReads); // all but the first and the last
+        m_store.pendingReads.front()(StoreRange{20, {}});
+        CPPUNIT_ASSERT(m_snapshots.back().wasUnreachable && !m_follower->isUnreachable());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(21), m_store.watchedFrom.back());
+        CPPUNIT_ASSERT_EQUAL(m_store.reads - 2, m_store.cancelledReads);
+        const auto reads = m_store.reads;
+        m_store.onEvents({}, 20);
+        runFor(Patience);
+        CPPUNIT_ASSERT_EQUAL(reads, m_store.reads);
+    }
+
+    auto aReadThatArrivesIsNotRepeated() -> void
+    {
+        m_store.isSilent = true;
+        m_store.progress = {AnswerProgress::State::Receiving, seconds(5), milliseconds(10), 1000, 5000};
+        m_store.end(watchError(ErrorCode::Conflict));
+        runFor(StoreFollower::ReadPatience + Patience);
+        CPPUNIT_ASSERT_EQUAL(2, m_store.reads);
+        CPPUNIT_ASSERT_EQUAL(0, m_outages);
+        m_store.pendingReads.front()(StoreRange{20, {}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(21), m_store.watchedFrom.back());
+    }
+
     auto aWatchWithoutAnAnswerIsBegunAnewLessAndLessOften() -> void
     {
         std::vector<TimePoint> begins;
--- a/test/watch_lag-test.cc
+++ b/test/watch_lag-test.cc
@@ -11,16 +11,18 @@
     CPPUNIT_TEST(silentWatchesAreBegunAnewWithABackOff);
     CPPUNIT_TEST(theToleranceBeginsWithTheCall);
     CPPUNIT_TEST(aDeliveryEndsTheBackOff);
+    CPPUNIT_TEST(aSlowStoreGetsMoreTime);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr Duration AnswerAtOnce = milliseconds(4);
     static constexpr TimePoint Begin = TimePoint(seconds(100));
 
     Random m_random{1};
     WatchLag m_lag;
 
-    static auto waiting(Duration age) -> WatchProgress
+    static auto waiting(Duration age) -> AnswerProgress
     {
-        return {WatchProgress::State::Waiting, age, age};
+        return {AnswerProgress::State::Waiting, age, age};
     }
 
     /// Restarts a watch that never gets an answer for the time; returns how often.
@@ -29,7 +31,7 @@
         int restarts = 0;
         auto begunAt = Begin;
         for (auto now = Begin; now < Begin + time; now += milliseconds(10)) {
-            if (!m_lag.judge(waiting(now - begunAt), now)) {
+            if (!m_lag.judge(waiting(now - begunAt), AnswerAtOnce, now)) {
                 m_lag.onRestarted(m_random);
                 begunAt = now;
                 ++restarts;
@@ -49,7 +51,8 @@
                     lag.onRestarted(m_random);
                 }
                 const auto age = milliseconds(ageMs);
-                RC_ASSERT(lag.judge({WatchProgress::State::Receiving, age, milliseconds(1), received, 0}, Begin + age).has_value());
+                RC_ASSERT(lag.judge({AnswerProgress::State::Receiving, age, milliseconds(1), received, 0}, AnswerAtOnce, Begin + age)
+                              .has_value());
             });
     }
 
@@ -66,12 +69,12 @@
     {
         m_lag.onPeerRevision(5, Begin, m_random);
         const auto now = Begin + seconds(10);
-        const auto wait = m_lag.judge(waiting(milliseconds(100)), now);
+        const auto wait = m_lag.judge(waiting(milliseconds(100)), AnswerAtOnce, now);
         CPPUNIT_ASSERT(wait && *wait >= WatchLag::FirstTolerance - milliseconds(100));
-        CPPUNIT_ASSERT(m_lag.judge({WatchProgress::State::Paused}, now));
-        CPPUNIT_ASSERT(!m_lag.judge(waiting(2 * WatchLag::FirstTolerance), now));
-        CPPUNIT_ASSERT(
-            m_lag.judge(waiting(2 * WatchLag::FirstTolerance), Begin + milliseconds(10))); // the call had nothing to deliver before
+        CPPUNIT_ASSERT(m_lag.judge({AnswerProgress::State::Paused}, AnswerAtOnce, now));
+        CPPUNIT_ASSERT(!m_lag.judge(waiting(2 * WatchLag::FirstTolerance), AnswerAtOnce, now));
+        CPPUNIT_ASSERT(m_lag.judge(waiting(2 * WatchLag::FirstTolerance), AnswerAtOnce,
+                                   Begin + milliseconds(10))); // the call had nothing to deliver before
     }
 
     auto aDeliveryEndsTheBackOff() -> void
@@ -81,11 +84,18 @@
         m_lag.onDelivered(4);
         CPPUNIT_ASSERT(m_lag.isBehind());
         CPPUNIT_ASSERT_EQUAL(0, m_lag.restarts());
-        CPPUNIT_ASSERT(!m_lag.judge(waiting(2 * WatchLag::FirstTolerance), Begin + seconds(20)));
+        CPPUNIT_ASSERT(!m_lag.judge(waiting(2 * WatchLag::FirstTolerance), AnswerAtOnce, Begin + seconds(20)));
         m_lag.onDelivered(5);
         CPPUNIT_ASSERT(!m_lag.isBehind());
         CPPUNIT_ASSERT(m_lag.behindFor(Begin + seconds(20)) == Duration::zero());
     }
+
+    auto aSlowStoreGetsMoreTime() -> void
+    {
+        m_lag.onPeerRevision(5, Begin, m_random);
+        CPPUNIT_ASSERT(m_lag.judge(waiting(milliseconds(2500)), milliseconds(1500), Begin + seconds(5)));
+        CPPUNIT_ASSERT(!m_lag.judge(waiting(milliseconds(5000)), milliseconds(1500), Begin + seconds(5)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WatchLagTest);
