Reads of currantd's store and documents of its peers may arrive slowly

Change: `HttpCall::limitSilence` limits the time until an answer begins (the former limit) and between two parts of it; it serves both stores and `PeerClient::fetch`. Messages between VMs keep their limit on the whole time.

--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -45,6 +45,18 @@
         return sharedBody ? *sharedBody : body;
     }
 
+    static constexpr Duration StallTimeout = seconds(2); // between two parts of an answer, set by `limitSilence`
+    static constexpr Duration LongestAnswer = seconds(30); // from an answer's begin to its end, set by `limitSilence`
+
+    /// Limits the time until the answer begins and the time between two parts of it, instead of the whole time: an answer that arrives
+    /// steadily takes as long as its link needs, and would be sent once more from its first byte if the call were repeated.
+    auto limitSilence(Duration beginTimeout) -> void
+    {
+        firstByteTimeout = beginTimeout;
+        idleTimeout = StallTimeout;
+        totalTimeout = beginTimeout + LongestAnswer;
+    }
+
     /// Gives the call a connection of its own. A kept connection may be dead or deliver a late answer to an earlier request, and libcurl
     /// repeats a request on a dead one.
     auto useOwnConnection() -> void
--- a/include/currantstack/peers.h
+++ b/include/currantstack/peers.h
@@ -51,9 +51,16 @@
     /// Sends one message, without retries: the caller has the retry budget.
     auto call(std::string_view address, std::string_view path, const Json &body, Duration timeout, std::function<void(Result<Json>)> done)
         -> HttpClient::CallId;
+
+    /// The same for an answer that may be long: `beginTimeout` limits the time until it begins.
+    auto fetch(std::string_view address, std::string_view path, const Json &body, Duration beginTimeout,
+               std::function<void(Result<Json>)> done) -> HttpClient::CallId;
     auto cancel(HttpClient::CallId id) -> void;
 
 private:
+    auto prepare(std::string_view address, std::string_view path, const Json &body) -> HttpCall;
+    auto start(HttpCall call, std::function<void(Result<Json>)> done) -> HttpClient::CallId;
+
     HttpClient &m_client;
     PeerAuth &m_auth;
     Timeline &m_timeline;
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -128,7 +128,8 @@
 class EtcdStore : public Store
 {
 public:
-    /// `counters` counts reads, writes and errors. `timeout` bounds each call; a watch fails after `idleTimeout` without data.
+    /// `counters` counts reads, writes and errors. `timeout` bounds the time until an answer begins; a watch fails after `idleTimeout`
+    /// without data.
     EtcdStore(HttpClient &client, Counters &counters, std::vector<std::string> addresses, Duration timeout, Duration idleTimeout);
 
     auto read(std::string_view key, bool exact, std::function<void(Result<StoreRange>)> done) -> void override;
--- a/src/config/config_service.cc
+++ b/src/config/config_service.cc
@@ -194,7 +194,7 @@
     }
     m_pulling = true;
     const Json body = {{"have", m_context.config->revision}};
-    m_context.peers.call(address, "/peer/config", body, 2 * m_context.config->timeouts.peer, [this, vm](const Result<Json> &reply) {
+    m_context.peers.fetch(address, "/peer/config", body, 2 * m_context.config->timeouts.peer, [this, vm](const Result<Json> &reply) {
         m_pulling = false;
         if (reply) {
             applyPull(vm, *reply);
--- a/src/store/store.cc
+++ b/src/store/store.cc
@@ -146,7 +146,7 @@
     call.url = urlOf(address, path);
     call.headers = {{"Content-Type", "application/json"}};
     call.body = dumpJson(body);
-    call.totalTimeout = m_timeout;
+    call.limitSilence(m_timeout);
     call.step = step;
     call.peer = address;
     HttpHandlers handlers;
--- a/src/vms/peers.cc
+++ b/src/vms/peers.cc
@@ -111,6 +111,21 @@
 
 auto PeerClient::call(std::string_view address, std::string_view path, const Json &body, Duration timeout,
                       std::function<void(Result<Json>)> done) -> HttpClient::CallId
+{
+    auto call = prepare(address, path, body);
+    call.totalTimeout = timeout;
+    return start(std::move(call), std::move(done));
+}
+
+auto PeerClient::fetch(std::string_view address, std::string_view path, const Json &body, Duration beginTimeout,
+                       std::function<void(Result<Json>)> done) -> HttpClient::CallId
+{
+    auto call = prepare(address, path, body);
+    call.limitSilence(beginTimeout);
+    return start(std::move(call), std::move(done));
+}
+
+auto PeerClient::prepare(std::string_view address, std::string_view path, const Json &body) -> HttpCall
 {
     HttpCall call;
     call.method = "POST";
@@ -119,15 +134,18 @@
     call.headers = {{"Content-Type", "application/json"},
                     {std::string(PeerAuthHeader), m_auth.sign(path, call.body)},
                     {std::string(PeerTimeHeader), std::to_string(m_timeline.logical())}};
-    call.totalTimeout = timeout;
     call.step = path;
     call.peer = address;
+    return call;
+}
+
+auto PeerClient::start(HttpCall call, std::function<void(Result<Json>)> done) -> HttpClient::CallId
+{
     m_counters.at("peer_messages_sent").add();
     // The byte counters add 350 bytes for the headers of a request and 150 for those of a reply.
     m_counters.at("peer_bytes_sent").add(static_cast<std::int64_t>(call.body.size()) + 350);
     HttpHandlers handlers;
-    handlers.onDone = [this, path = std::string(path), address = std::string(address),
-                       done = std::move(done)](const Result<HttpResponse> &response) {
+    handlers.onDone = [this, path = call.step, address = call.peer, done = std::move(done)](const Result<HttpResponse> &response) {
         if (!response) {
             m_counters.at("peer_errors").add();
             return done(tl::unexpected(response.error()));
