VMs report a new version of the configuration at once

A VM that was behind learned of a newer version up to 0.6 s later than possible if the load of its peers did not change: reports were repeated at once for loads, exclusions and limits only.

--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -157,6 +157,7 @@
     std::unique_ptr<Timer> m_aggregateTimer;
     std::string m_lastLoads; // last report, encoded
     std::set<std::string, std::less<>> m_lastExcluded; // upstreams of the notices in the last report
+    std::int64_t m_routesVersionSent = 0;
     TimePoint m_sentAt;
     TimePoint m_versionsSentAt;
     TimePoint m_protocolSentAt;
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -227,9 +227,12 @@
     for (const auto &notice : notices) {
         excluded.insert(notice.upstream);
     }
-    if (bytes == m_lastLoads && excluded == m_lastExcluded && limits.empty() && now - m_sentAt < IdlePeriod) {
+    const auto routesVersion = m_directory.revisions().routesVersion; // of which VMs that are behind must learn soon
+    if (bytes == m_lastLoads && excluded == m_lastExcluded && limits.empty() && routesVersion == m_routesVersionSent
+        && now - m_sentAt < IdlePeriod) {
         return;
     }
+    m_routesVersionSent = routesVersion;
     std::vector<SoftwareVersionNotice> versions;
     if (now - m_versionsSentAt >= VersionsPeriod) {
         m_versionsSentAt = now;
