A VM that is behind reads the configuration instead of each version of it

If versions follow each other faster than a VM's link passes a document, the VM was up to date only after it had received each of them: 6.3 s behind for six versions 0.3 s apart, over a link that passes one in 1.2 s (1,862,010 bytes in one answer).

Cause: a poll answers with every change since its position, and each change of the configuration is the whole document; only the last one counts.

Change: a follower of which only the latest state counts, and whose value is long, reads it if it knows during the pause between two polls, or when a read ends, that other VMs have a later one; three times in a row at the most, so that a wrong revision of a peer does not replace the watch.

Test: edge/a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few failed before (not in force 4 s after the last version; as well) and passes. StoreFollowerTest::supersededValuesAreSkippedByARead, readsThatStayBehindEndInAWatch. The tests wait until the VMs know each other, without which none is behind.

--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -33,10 +33,21 @@
         std::function<void()> onUnreachable = []() {}; // runs when a call to the store first fails
     };
 
+    /// How a follower that is behind other VMs gets up to date.
+    enum class CatchUp
+    {
+        Events, // by the changes that it missed
+        Snapshot, // by a read: only the latest state counts, and a watch would send each superseded value as well
+    };
+
+    static constexpr std::size_t LongValue = 128U << 10; // bytes of a value from which `CatchUp::Snapshot` costs less than the events
+    static constexpr Duration CatchUpDelay = milliseconds(100); // before such a read, so that it covers several changes
+    static constexpr int MostCatchUpReads = 3; // in a row, if changes follow each other
     static constexpr Duration FirstBackoff = milliseconds(50); // before the first retry
     static constexpr Duration LongestBackoff = milliseconds(800); // so that a reachable store is noticed within a second
 
-    StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks);
+    StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks,
+                  CatchUp catchUp = CatchUp::Events);
 
     static constexpr Duration ReadPatience = seconds(2); // until a read is repeated beside the one in flight
     static constexpr std::size_t MostReads =
@@ -81,6 +92,10 @@
     auto watch() -> void;
     auto cancelWatch() -> void;
     auto judgeLaggingWatch() -> void;
+    auto readsWhenBehind() const -> bool;
+    auto catchUpDelay() -> Duration;
+    auto scheduleCatchUp() -> void;
+    auto readIfPaused() -> void;
     auto writeLag(std::string_view event, const AnswerProgress &progress) -> void;
     auto resume() -> void;
     auto onWatchEvents(std::span<const StoreEvent> events, std::int64_t revision) -> void;
@@ -95,14 +110,19 @@
     EventLog &m_log;
     std::string m_prefix;
     Hooks m_hooks;
+    CatchUp m_catchUp;
+    std::size_t m_valueBytes = 0; // of the value that was received last, the longest one of a read
+    int m_catchUpReads = 0; // in a row
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_patienceTimer;
     std::unique_ptr<Timer> m_lagTimer;
+    std::unique_ptr<Timer> m_catchUpTimer;
     std::unique_ptr<Timer> m_resumeTimer;
     std::int64_t m_currentRevision = 0; // all changes up to this revision have been observed
     std::int64_t m_lastChangeRevision = 0;
     WatchLag m_lag;
     bool m_lagTimerRunning = false;
+    bool m_catchUpPlanned = false;
     Duration m_nextLagReport = FirstLagReport; // after the watch fell behind
     std::optional<StoreCallHandle> m_watch;
     std::map<std::int64_t, StoreCallHandle> m_reads; // in flight, the oldest first
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -46,7 +46,8 @@
                             onRoutes({&event.value, 1});
                         }
                     }
-                }})
+                }},
+               StoreFollower::CatchUp::Snapshot)
     , m_upstreams(context.loop, context.clock, context.random, store, context.log, codec.upstreamsPrefix(),
                   {[this](const StoreRange &range, const auto &interruption) { onUpstreams(range, interruption); },
                    [this](std::span<const StoreEvent> events) { onUpstreamEvents(events); },
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -7,7 +7,8 @@
 namespace currantstack
 {
 
-StoreFollower::StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks)
+StoreFollower::StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks,
+                             CatchUp catchUp)
     : m_loop(loop)
     , m_clock(clock)
     , m_random(random)
@@ -15,9 +16,11 @@
     , m_log(log)
     , m_prefix(std::move(prefix))
     , m_hooks(std::move(hooks))
+    , m_catchUp(catchUp)
     , m_timer(loop.timer([this]() { read(); }))
     , m_patienceTimer(loop.timer([this]() { judgeRead(); }))
     , m_lagTimer(loop.timer([this]() { judgeLaggingWatch(); }))
+    , m_catchUpTimer(loop.timer([this]() { readIfPaused(); }))
     , m_resumeTimer(loop.timer([this]() { resume(); }))
     , m_lastAnswerAt(clock.now())
 { }
@@ -34,6 +37,7 @@
     m_timer->stop();
     m_lagTimer->stop();
     m_patienceTimer->stop();
+    m_catchUpTimer->stop();
     cancelReads(0);
     m_resumeTimer->stop();
     cancelWatch();
@@ -110,14 +114,48 @@
     m_log.write("store", wasUnreachable ? "store_regained" : "store_read", std::move(fields));
     m_currentRevision = range->revision;
     m_lag.onDelivered(m_currentRevision);
+    m_valueBytes = 0;
     for (const auto &value : range->values) {
+        m_valueBytes = std::max(m_valueBytes, value.value.size());
         m_lastChangeRevision = std::max(m_lastChangeRevision, value.modRevision);
     }
     m_hooks.onSnapshot(*range, {wasUnreachable, returnedFromCopy});
+    m_catchUpReads = readsWhenBehind() ? m_catchUpReads + 1 : 0;
+    if (m_catchUpReads > 0 && m_catchUpReads <= MostCatchUpReads) {
+        m_timer->startOnce(catchUpDelay());
+        return;
+    }
     m_watchedSince = m_lastAnswerAt;
     watch();
 }
 
+/// Returns whether a read is the shortest way to the changes that other VMs have observed.
+auto StoreFollower::readsWhenBehind() const -> bool
+{
+    return m_catchUp == CatchUp::Snapshot && m_valueBytes >= LongValue && m_lag.isBehind();
+}
+
+auto StoreFollower::catchUpDelay() -> Duration
+{
+    // Jitter keeps the VMs that are behind from reading together.
+    return CatchUpDelay + fromMilliseconds(std::uniform_real_distribution<double>(0, toMilliseconds(CatchUpDelay))(m_random));
+}
+
+auto StoreFollower::scheduleCatchUp() -> void
+{
+    if (readsWhenBehind() && m_watch && !std::exchange(m_catchUpPlanned, true)) {
+        m_catchUpTimer->startOnce(catchUpDelay());
+    }
+}
+
+auto StoreFollower::readIfPaused() -> void
+{
+    m_catchUpPlanned = false;
+    if (readsWhenBehind() && m_watch && m_watch->progress().state == AnswerProgress::State::Paused) {
+        readAgain();
+    }
+}
+
 auto StoreFollower::watch() -> void
 {
     m_watch = m_store.watch(
@@ -150,9 +188,11 @@
     m_currentRevision = std::max(m_currentRevision, revision);
     m_lag.onDelivered(m_currentRevision);
     for (const auto &event : events) {
+        m_valueBytes = event.value.value.size();
         m_lastChangeRevision = std::max(m_lastChangeRevision, event.value.modRevision);
     }
     m_hooks.onEvents(events);
+    scheduleCatchUp();
 }
 
 auto StoreFollower::observeRevision(std::int64_t revision) -> void
@@ -164,6 +204,7 @@
     if (m_lag.isBehind() && !std::exchange(m_lagTimerRunning, true)) {
         m_lagTimer->startOnce(WatchLag::FirstTolerance);
     }
+    scheduleCatchUp();
 }
 
 auto StoreFollower::judgeLaggingWatch() -> void
--- a/test/edge/long_document_tests.py
+++ b/test/edge/long_document_tests.py
@@ -1,16 +1,18 @@
 """Process tests of changes of the configuration whose document takes long to arrive: narrow links, and a store that answers slowly."""
 
 import asyncio
-import json
 import time
 
 from cut_watch_tests import lines
+from memory_tests import metrics
 from platform_fleet import route
 from rig import Rig
 
 APPLY_S = 4.0  # `config_apply_ms`: time in which a confirmed change must be in force
+PEERS_KNOWN_S = 10.0
 MANY_ROUTES = 1400
 ANSWER_DELAY_S = 2.9  # of a slow store, to each call
+SERIES = 6  # versions that follow each other
 REPEATS = 3  # transmissions of a document to one VM that a change may cost
 
 
@@ -28,6 +30,15 @@
     return time.monotonic() - begin
 
 
+async def until_vms_know_each_other(rig):
+    end = time.monotonic() + PEERS_KNOWN_S
+    for vm in rig.vms:
+        while (await metrics(vm)).get("currantstack_vms_known", 0) < len(rig.vms):
+            assert time.monotonic() < end, f"{vm.name} does not know the other VMs"
+            await asyncio.sleep(0.1)
+    await asyncio.sleep(1.0)  # the pauses after the first changes end
+
+
 def document_bytes(rig):
     return len(rig.fleet.store.items["op/config"]["value"])
 
@@ -38,8 +49,8 @@
         relay, = await rig.relay_store(rig.vms[2:])
         rig.fleet.configure(many_routes(MANY_ROUTES, "first"))
         await seconds_until_in_force(rig, rig.vms[2], "first", APPLY_S)
+        await until_vms_know_each_other(rig)
         relay.bytes_per_s = document_bytes(rig) / 1.6  # a whole document takes this many seconds
-        await asyncio.sleep(1.0)
         rig.fleet.configure(many_routes(MANY_ROUTES))
         begin = time.monotonic()
         for vm in rig.vms:
@@ -67,7 +78,7 @@
         relay, = await rig.relay_store(rig.vms[2:])
         rig.fleet.configure(many_routes(MANY_ROUTES, "first"))
         await seconds_until_in_force(rig, rig.vms[2], "first", APPLY_S)
-        await asyncio.sleep(1.0)
+        await until_vms_know_each_other(rig)
         relay.bytes_per_s = document_bytes(rig) / 6  # more than any limit on the whole call allowed before
         before, calls = relay.bytes_from_target, rig.fleet.store.calls
         rig.fleet.configure(many_routes(MANY_ROUTES))
@@ -77,5 +88,21 @@
         assert (rig.fleet.store.calls - calls) / len(rig.vms) < 60
 
 
+async def a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few():
+    """Guards against a watch that sends each of several versions whole to a VM that needs only the last."""
+    async with Rig(vms=3) as rig:
+        relay, = await rig.relay_store(rig.vms[2:])
+        rig.fleet.configure(many_routes(MANY_ROUTES, "first"))
+        await seconds_until_in_force(rig, rig.vms[2], "first", APPLY_S)
+        await until_vms_know_each_other(rig)
+        relay.bytes_per_s, before = document_bytes(rig) / 1.2, relay.bytes_from_target
+        for number in range(SERIES):
+            rig.fleet.configure(many_routes(MANY_ROUTES, f"late{number}"))
+            await asyncio.sleep(0.3)
+        await seconds_until_in_force(rig, rig.vms[2], f"late{SERIES - 1}", APPLY_S)
+        sent = relay.bytes_from_target - before
+        assert sent < (SERIES - 1) * document_bytes(rig), f"{sent} bytes for documents of {document_bytes(rig)}"
+
+
 TESTS = [documents_that_arrive_slowly_come_into_force, documents_of_a_store_that_answers_slowly_come_into_force,
-         a_change_is_sent_to_a_vm_a_few_times_at_most]
+         a_change_is_sent_to_a_vm_a_few_times_at_most, a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few]
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -25,7 +25,7 @@
         if (readError) {
             done(tl::unexpected(*readError));
         } else {
-            done(StoreRange{revision, {}});
+            done(StoreRange{revision, values});
         }
         return {[]() {}, []() { return AnswerProgress(); }};
     }
@@ -64,6 +64,7 @@
     std::vector<std::function<void(Result<StoreRange>)>> pendingReads;
     int cancelledReads = 0;
     std::int64_t revision = 10;
+    std::vector<StoreValue> values;
     std::int64_t failed = 0;
     std::optional<Error> readError;
     std::vector<std::int64_t> watchedFrom;
@@ -88,6 +89,8 @@
     CPPUNIT_TEST(anAnswerThatArrivesIsNotGivenUp);
     CPPUNIT_TEST(aLateReadGoesOnBesideItsRepetition);
     CPPUNIT_TEST(aReadThatArrivesIsNotRepeated);
+    CPPUNIT_TEST(supersededValuesAreSkippedByARead);
+    CPPUNIT_TEST(readsThatStayBehindEndInAWatch);
     CPPUNIT_TEST(aWatchWithoutAnAnswerIsBegunAnewLessAndLessOften);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,6 +127,18 @@
         m_loop.run();
     }
 
+    /// Follows a long value of which only the latest state counts. Its watch is paused.
+    auto followLatestState() -> void
+    {
+        m_follower->stop();
+        m_follower =
+            std::make_unique<StoreFollower>(m_loop, m_clock, m_random, m_store, m_log, "config",
+                                            StoreFollower::Hooks{[](auto &&...) {}, [](auto &&) {}}, StoreFollower::CatchUp::Snapshot);
+        m_store.progress.state = AnswerProgress::State::Paused;
+        m_store.values = {{"config", std::string(StoreFollower::LongValue, 'x'), 10}};
+        m_follower->start();
+    }
+
     auto runUntilWatches(std::size_t count) -> void
     {
         CPPUNIT_ASSERT(runUntil([this, count]() { return m_store.watchedFrom.size() >= count; }));
@@ -287,6 +302,34 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(21), m_store.watchedFrom.back());
     }
 
+    auto supersededValuesAreSkippedByARead() -> void
+    {
+        followLatestState();
+        const auto reads = m_store.reads;
+        m_follower->observeRevision(11);
+        m_follower->observeRevision(14);
+        m_store.revision = 12; // a change follows while the read is on its way
+        CPPUNIT_ASSERT(runUntil([&]() { return m_store.reads == reads + 1; }));
+        const auto watches = m_store.watchedFrom.size();
+        m_store.revision = 14;
+        CPPUNIT_ASSERT(runUntil([&]() { return m_store.reads == reads + 2; }));
+        CPPUNIT_ASSERT_EQUAL(watches + 1, m_store.watchedFrom.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(15), m_store.watchedFrom.back());
+        m_store.onEvents({}, 14);
+        CPPUNIT_ASSERT(!runUntil([&]() { return m_store.reads > reads + 2; }));
+    }
+
+    auto readsThatStayBehindEndInAWatch() -> void
+    {
+        followLatestState();
+        const auto reads = m_store.reads;
+        const auto watches = m_store.watchedFrom.size();
+        m_follower->observeRevision(100);
+        runFor((2 * StoreFollower::MostCatchUpReads + 4) * StoreFollower::CatchUpDelay);
+        CPPUNIT_ASSERT_EQUAL(reads + 1 + StoreFollower::MostCatchUpReads, m_store.reads);
+        CPPUNIT_ASSERT_EQUAL(watches + 1, m_store.watchedFrom.size());
+    }
+
     auto aWatchWithoutAnAnswerIsBegunAnewLessAndLessOften() -> void
     {
         std::vector<TimePoint> begins;
