--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -50,8 +50,7 @@
                   CatchUp catchUp = CatchUp::Events);
 
     static constexpr Duration ReadPatience = seconds(2); // until a read is repeated beside the one in flight
-    static constexpr std::size_t MostReads =
-        2; // in flight: one that has waited for long, for a slow store, and one for a store that returns
+    static constexpr std::size_t MostReads = 2; // in flight: the oldest one for a slow store, another one for a store that returns
     static constexpr Duration CalmWatchTime = seconds(5); // a watch that is cut later is resumed without back-off
     static constexpr Duration FirstLagReport = seconds(1); // after which a watch that is behind is logged; doubled each time
 
