--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -40,19 +40,18 @@
         Snapshot, // by a read: only the latest state counts, and a watch would send each superseded value as well
     };
 
-    static constexpr std::size_t LongValue = 128U << 10; // bytes of a value from which `CatchUp::Snapshot` costs less than the events
-    static constexpr Duration CatchUpDelay = milliseconds(100); // before such a read, so that it covers several changes
-    static constexpr int MostCatchUpReads = 3; // in a row, if changes follow each other
     static constexpr Duration FirstBackoff = milliseconds(50); // before the first retry
     static constexpr Duration LongestBackoff = milliseconds(800); // so that a reachable store is noticed within a second
-
-    StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks,
-                  CatchUp catchUp = CatchUp::Events);
-
     static constexpr Duration ReadPatience = seconds(2); // until a read is repeated beside the one in flight
     static constexpr std::size_t MostReads = 2; // in flight: the oldest one for a slow store, another one for a store that returns
     static constexpr Duration CalmWatchTime = seconds(5); // a watch that is cut later is resumed without back-off
     static constexpr Duration FirstLagReport = seconds(1); // after which a watch that is behind is logged; doubled each time
+    static constexpr std::size_t LongValue = 128U << 10; // bytes of a value from which `CatchUp::Snapshot` costs less than the events
+    static constexpr Duration CatchUpDelay = milliseconds(100); // before such a read, so that it covers several changes
+    static constexpr int MostCatchUpReads = 3; // in a row, if changes follow each other
+
+    StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks,
+                  CatchUp catchUp = CatchUp::Events);
 
     auto start() -> void;
 
@@ -91,7 +90,7 @@
     auto watch() -> void;
     auto cancelWatch() -> void;
     auto judgeLaggingWatch() -> void;
-    auto readsWhenBehind() const -> bool;
+    auto prefersRead() const -> bool;
     auto catchUpDelay() -> Duration;
     auto scheduleCatchUp() -> void;
     auto readIfPaused() -> void;
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -120,7 +120,7 @@
         m_lastChangeRevision = std::max(m_lastChangeRevision, value.modRevision);
     }
     m_hooks.onSnapshot(*range, {wasUnreachable, returnedFromCopy});
-    m_catchUpReads = readsWhenBehind() ? m_catchUpReads + 1 : 0;
+    m_catchUpReads = prefersRead() ? m_catchUpReads + 1 : 0;
     if (m_catchUpReads > 0 && m_catchUpReads <= MostCatchUpReads) {
         m_timer->startOnce(catchUpDelay());
         return;
@@ -130,7 +130,7 @@
 }
 
 /// Returns whether a read is the shortest way to the changes that other VMs have observed.
-auto StoreFollower::readsWhenBehind() const -> bool
+auto StoreFollower::prefersRead() const -> bool
 {
     return m_catchUp == CatchUp::Snapshot && m_valueBytes >= LongValue && m_lag.isBehind();
 }
@@ -143,7 +143,7 @@
 
 auto StoreFollower::scheduleCatchUp() -> void
 {
-    if (readsWhenBehind() && m_watch && !std::exchange(m_catchUpPlanned, true)) {
+    if (prefersRead() && m_watch && !std::exchange(m_catchUpPlanned, true)) {
         m_catchUpTimer->startOnce(catchUpDelay());
     }
 }
@@ -151,7 +151,7 @@
 auto StoreFollower::readIfPaused() -> void
 {
     m_catchUpPlanned = false;
-    if (readsWhenBehind() && m_watch && m_watch->progress().state == AnswerProgress::State::Paused) {
+    if (prefersRead() && m_watch && m_watch->progress().state == AnswerProgress::State::Paused) {
         readAgain();
     }
 }
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -23,6 +23,8 @@
 import time
 
 from limit_tests import CONTACT_S, excess
+from long_document_tests import MANY_ROUTES, many_routes
+from memory_tests import metrics
 from restore_tests import restore
 from rig import PROGRAM, RELEASED, Rig
 from soak_callers import (CALLER_LIMIT_S, DEADLINE_S, SOFTWARE_VERSIONS, Impairments, call_on_kept_connections, is_whole, reaches_deadline,
@@ -34,7 +36,7 @@
 DRAIN_LIMIT_S = 2.5  # a draining upstream gets no new requests after this time
 RECOVERY_LIMIT_S = 12.0  # from the last fault until all VMs serve every kind of request
 FAULTS = ("kill", "freeze", "store", "relay", "restart_engine", "crash", "engines", "services", "compact", "limit", "return", "stranded",
-          "silent", "series")
+          "silent", "series", "narrow")
 PROCESS_FAULTS = ("kill_engine", "stop_engine")  # of engines and services that are processes of their own
 KINDS = ("book", "check", "stream", "digest")
 AT_MOST_ONCE = ("book", "digest")
@@ -47,6 +49,7 @@
 SERIES_ROUNDS = 3
 START_S = 0.2  # of a process, until it handles signals
 RETURN_SHARE = 0.3  # of the streams whose callers close the connection and come back
+LONG_DOCUMENT_BYTES, DOCUMENT_S = 370_000, (0.5, 3.0)  # of a configuration with many routes; in which a narrow link passes it
 DELIVERY_S = 0.5  # from the end of a cut until what was sent before has arrived
 MAX_ATTEMPTS = 4  # of one returning caller
 ATTEMPT_LIMIT_S = 9.0
@@ -256,6 +259,8 @@
                 upstream.fall_silent(self.random.uniform(*SILENCE_S))
         elif fault == "series":
             await self.make_series(SERIES_ROUNDS)
+        elif fault == "narrow":
+            await self.send_documents_over_narrow_link(self.relay_of[vm.name], duration_s)
         else:
             await self.inject_upstream_faults(self.fleet.services if fault == "services" else self.fleet.engines, duration_s)
 
@@ -315,6 +320,15 @@
         await asyncio.sleep(duration_s)
         setattr(relay, fault, 0.0 if fault == "delay" else False)
 
+    async def send_documents_over_narrow_link(self, relay, duration_s):
+        self.store_faults = True
+        relay.bytes_per_s = LONG_DOCUMENT_BYTES / self.random.uniform(*DOCUMENT_S)
+        for _ in range(self.random.randint(1, 4)):
+            self.fleet.configure(many_routes(MANY_ROUTES))
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+        await asyncio.sleep(duration_s)
+        relay.bytes_per_s = 0
+
     async def inject_upstream_faults(self, upstreams, duration_s):
         fault = self.random.choice(("torn", "stall", "shed", "hang", "lost", "half_head", "error", "foreign", "surplus"))
         chosen = self.random.sample(upstreams, 1 + len(upstreams) // 3)
@@ -404,14 +418,15 @@
             yield from unexcused(self)
 
     async def recover(self):
-        """Returns whether all VMs serve every kind of request within the limit."""
+        """Returns whether all VMs serve every kind of request, by the last configuration, within the limit."""
         end = time.monotonic() + RECOVERY_LIMIT_S
         for vm in self.vms:
             vm.signal(signal.SIGCONT)
         while time.monotonic() < end:
             try:
                 statuses = [(await self.send(kind, vm, limit=3))[1] for vm in self.vms for kind in KINDS]
-                if all(status == 200 for status in statuses):
+                versions = [(await metrics(vm)).get("currantstack_routes_version") for vm in self.vms]
+                if all(status == 200 for status in statuses) and set(versions) == {self.fleet.version}:
                     return True
             except (EOFError, OSError, asyncio.TimeoutError):
                 pass
@@ -426,7 +441,7 @@
         await soak.run_changes_and_faults(seconds)
         soak.stopping = True
         await asyncio.gather(*callers)
-        violations = [] if await soak.recover() else [f"not every VM serves requests {RECOVERY_LIMIT_S} s after the last fault"]
+        violations = [] if await soak.recover() else [f"not every VM serves requests by the last configuration {RECOVERY_LIMIT_S} s after the last fault"]
         violations += soak.check()
         served = sum(status == 200 for _, _, status, *_ in soak.responses)
         print(f"seed {seed}: {len(soak.responses)} responses, {served} served, {len(soak.cut)} without an answer, "
