The test of requests at the end of the idle time aims at the check that closes

Cause: the server sees at its check each second that a connection is idle, and counts the idle time from that check. The test counted it from the last answer, which is the same check only if connecting and answering 400 connections ends in the first half of a second between two checks. Measured here: connections close 2.62 to 2.68 s after the last answer, the test sent its requests 1 s before.

Change: the test counts from the check after the last answer. What it asserts is as before: some requests, and not all, come before their connection is closed.

--- a/test/edge/loss_tests.py
+++ b/test/edge/loss_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import signal
@@ -277,7 +278,8 @@
                 closed_at = time.monotonic()
                 await asyncio.gather(*closings)
             else:
-                closes_at = closed_at + CHECK_S * -(-(idle_since + IDLE_S - closed_at) // CHECK_S)
+                seen_idle_at = closed_at + CHECK_S * math.ceil((idle_since - closed_at) / CHECK_S)  # the idle time begins at a check
+                closes_at = seen_idle_at + CHECK_S * math.ceil(IDLE_S / CHECK_S)
 
                 async def send(connection):
                     await asyncio.sleep(closes_at - time.monotonic() + random.uniform(-SPREAD_S, SPREAD_S))
