Soak: a planned replacement ends no upstream that returned from a crash

Cause: the replacement restarted whatever process ran after its drain time, also the next incarnation, which had not been drained. No impairment was noted for it, so the soak took the requests that it broke off for lost by the VM.

Change: an upstream that no longer drains is left running. The check stays as it is.

--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -165,10 +165,7 @@
         versions = [engine.software_version for engine in decode]
         replaceable = [engine for engine in decode if versions.count(engine.software_version) > 1]
         if replaceable:
-            engine = self.random.choice(replaceable)
-            engine.drain()
-            await asyncio.sleep(DRAIN_LIMIT_S + 1.5)
-            await engine.restart(self.random.choice(SOFTWARE_VERSIONS))
+            await self.replace(self.random.choice(replaceable), self.random.choice(SOFTWARE_VERSIONS))
 
     async def restart_vm(self, vm):
         if sum(getattr(each, "draining", 0) for each in self.vms) >= max(1, len(self.vms) // 4):
@@ -212,10 +209,15 @@
                 upstream.crash_and_restart()
 
     async def replace_service(self, service):
-        service.drain()
         self.drains[service.id] = (time.monotonic(), self.store_faults)
+        await self.replace(service)
+
+    async def replace(self, upstream, software_version=None):
+        """Drains an upstream and restarts it, unless it has crashed meanwhile and its next incarnation takes requests."""
+        upstream.drain()
         await asyncio.sleep(DRAIN_LIMIT_S + 1.5)
-        await service.restart()
+        if upstream.state == "draining":
+            await upstream.restart(software_version)
 
     async def inject_fault(self):
         fault = self.random.choice(self.faults)
