Soak: the check of drained upstreams ends with their incarnation

An upstream that crashes while it drains may return under the same id and take requests. The check counted them as late requests to the drained one.

The stand-ins record the return, and the check ends there; without a return it is as strict as before.

--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -123,6 +123,7 @@
             self.id = f"i-{next(self.ids)}"
         self.started_ms, self.state = int(time.time() * 1000), "ready"
         self.has_left = False
+        self.history.append({"event": "returned", "upstream": self.id, "at": time.monotonic()})
         await self.server.start()
         self.register()
 
