When a VM reads instead of watching is a decision of its own

The choice between a read of the latest state and each change of a watch stood in StoreFollower, between its timers, and was tested only through them. It moves to decisions/catch_up; the follower keeps the calls, the delay and the jitter.

--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -1,6 +1,7 @@
 // Follows the keys under a prefix of the store through outages, missed events and compacted history.
 #pragma once
 
+#include "currantstack/decisions/catch_up.h"
 #include "currantstack/decisions/watch_lag.h"
 #include "currantstack/event_log.h"
 #include "currantstack/loop.h"
@@ -33,25 +34,16 @@
         std::function<void()> onUnreachable = []() {}; // runs when a call to the store first fails
     };
 
-    /// How a follower that is behind other VMs gets up to date.
-    enum class CatchUp
-    {
-        Events, // by the changes that it missed
-        Snapshot, // by a read: only the latest state counts, and a watch would send each superseded value as well
-    };
-
     static constexpr Duration FirstBackoff = milliseconds(50); // before the first retry
     static constexpr Duration LongestBackoff = milliseconds(800); // so that a reachable store is noticed within a second
     static constexpr Duration ReadPatience = seconds(2); // until a read is repeated beside the one in flight
     static constexpr std::size_t MostReads = 2; // in flight: the oldest one for a slow store, another one for a store that returns
     static constexpr Duration CalmWatchTime = seconds(5); // a watch that is cut later is resumed without back-off
     static constexpr Duration FirstLagReport = seconds(1); // after which a watch that is behind is logged; doubled each time
-    static constexpr std::size_t LongValue = 128U << 10; // bytes of a value from which `CatchUp::Snapshot` costs less than the events
-    static constexpr Duration CatchUpDelay = milliseconds(100); // before such a read, so that it covers several changes
-    static constexpr int MostCatchUpReads = 3; // in a row, if changes follow each other
+    static constexpr Duration CatchUpDelay = milliseconds(100); // before a read to catch up, so that it covers several changes
 
     StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks,
-                  CatchUp catchUp = CatchUp::Events);
+                  CatchUp::Needs needs = CatchUp::Needs::EachChange);
 
     auto start() -> void;
 
@@ -109,8 +101,6 @@
     std::string m_prefix;
     Hooks m_hooks;
     CatchUp m_catchUp;
-    std::size_t m_valueBytes = 0; // of the value that was received last, the longest one of a read
-    int m_catchUpReads = 0; // in a row
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_patienceTimer;
     std::unique_ptr<Timer> m_lagTimer;
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -47,7 +47,7 @@
                         }
                     }
                 }},
-               StoreFollower::CatchUp::Snapshot)
+               CatchUp::Needs::LatestState)
     , m_upstreams(context.loop, context.clock, context.random, store, context.log, codec.upstreamsPrefix(),
                   {[this](const StoreRange &range, const auto &interruption) { onUpstreams(range, interruption); },
                    [this](std::span<const StoreEvent> events) { onUpstreamEvents(events); },
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -8,7 +8,7 @@
 {
 
 StoreFollower::StoreFollower(Loop &loop, const Clock &clock, Random &random, Store &store, EventLog &log, std::string prefix, Hooks hooks,
-                             CatchUp catchUp)
+                             CatchUp::Needs needs)
     : m_loop(loop)
     , m_clock(clock)
     , m_random(random)
@@ -16,7 +16,7 @@
     , m_log(log)
     , m_prefix(std::move(prefix))
     , m_hooks(std::move(hooks))
-    , m_catchUp(catchUp)
+    , m_catchUp(needs)
     , m_timer(loop.timer([this]() { read(); }))
     , m_patienceTimer(loop.timer([this]() { judgeRead(); }))
     , m_lagTimer(loop.timer([this]() { judgeLaggingWatch(); }))
@@ -114,14 +114,14 @@
     m_log.write("store", wasUnreachable ? "store_regained" : "store_read", std::move(fields));
     m_currentRevision = range->revision;
     m_lag.onDelivered(m_currentRevision);
-    m_valueBytes = 0;
+    std::size_t longestValue = 0;
     for (const auto &value : range->values) {
-        m_valueBytes = std::max(m_valueBytes, value.value.size());
+        longestValue = std::max(longestValue, value.value.size());
         m_lastChangeRevision = std::max(m_lastChangeRevision, value.modRevision);
     }
+    m_catchUp.onValue(longestValue);
     m_hooks.onSnapshot(*range, {wasUnreachable, returnedFromCopy});
-    m_catchUpReads = prefersRead() ? m_catchUpReads + 1 : 0;
-    if (m_catchUpReads > 0 && m_catchUpReads <= MostCatchUpReads) {
+    if (m_catchUp.onRead(m_lag.isBehind())) {
         m_timer->startOnce(catchUpDelay());
         return;
     }
@@ -129,10 +129,9 @@
     watch();
 }
 
-/// Returns whether a read is the shortest way to the changes that other VMs have observed.
 auto StoreFollower::prefersRead() const -> bool
 {
-    return m_catchUp == CatchUp::Snapshot && m_valueBytes >= LongValue && m_lag.isBehind();
+    return m_catchUp.prefersRead(m_lag.isBehind());
 }
 
 auto StoreFollower::catchUpDelay() -> Duration
@@ -188,7 +187,7 @@
     m_currentRevision = std::max(m_currentRevision, revision);
     m_lag.onDelivered(m_currentRevision);
     for (const auto &event : events) {
-        m_valueBytes = event.value.value.size();
+        m_catchUp.onValue(event.value.value.size());
         m_lastChangeRevision = std::max(m_lastChangeRevision, event.value.modRevision);
     }
     m_hooks.onEvents(events);
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -131,11 +131,10 @@
     auto followLatestState() -> void
     {
         m_follower->stop();
-        m_follower =
-            std::make_unique<StoreFollower>(m_loop, m_clock, m_random, m_store, m_log, "config",
-                                            StoreFollower::Hooks{[](auto &&...) {}, [](auto &&) {}}, StoreFollower::CatchUp::Snapshot);
+        m_follower = std::make_unique<StoreFollower>(m_loop, m_clock, m_random, m_store, m_log, "config",
+                                                     StoreFollower::Hooks{[](auto &&...) {}, [](auto &&) {}}, CatchUp::Needs::LatestState);
         m_store.progress.state = AnswerProgress::State::Paused;
-        m_store.values = {{"config", std::string(StoreFollower::LongValue, 'x'), 10}};
+        m_store.values = {{"config", std::string(CatchUp::LongValue, 'x'), 10}};
         m_follower->start();
     }
 
@@ -325,8 +324,8 @@
         const auto reads = m_store.reads;
         const auto watches = m_store.watchedFrom.size();
         m_follower->observeRevision(100);
-        runFor((2 * StoreFollower::MostCatchUpReads + 4) * StoreFollower::CatchUpDelay);
-        CPPUNIT_ASSERT_EQUAL(reads + 1 + StoreFollower::MostCatchUpReads, m_store.reads);
+        runFor((2 * CatchUp::MostReads + 4) * StoreFollower::CatchUpDelay);
+        CPPUNIT_ASSERT_EQUAL(reads + 1 + CatchUp::MostReads, m_store.reads);
         CPPUNIT_ASSERT_EQUAL(watches + 1, m_store.watchedFrom.size());
     }
 
