--- a/test/edge/long_document_tests.py
+++ b/test/edge/long_document_tests.py
@@ -13,6 +13,7 @@
 MANY_ROUTES = 1400
 ANSWER_DELAY_S = 2.9  # of a slow store, to each call
 SERIES = 6  # versions that follow each other
+REPORTS, IDLE_REPORT_S = 6, 0.6  # versions that are reported; the period of reports while nothing changes
 REPEATS = 3  # transmissions of a document to one VM that a change may cost
 
 
@@ -104,5 +105,23 @@
         assert sent < (SERIES - 1) * document_bytes(rig), f"{sent} bytes for documents of {document_bytes(rig)}"
 
 
+async def new_versions_are_reported_at_once():
+    """Guards against VMs that are behind and learn of it only with the next periodic report of an idle VM."""
+    async with Rig(vms=2) as rig:
+        relay, = await rig.relay_store(rig.vms[1:])
+        await until_vms_know_each_other(rig)
+        delays = []
+        for _ in range(REPORTS):
+            relay.cut = True
+            rig.fleet.configure()
+            await asyncio.sleep(2 * IDLE_REPORT_S)
+            relay.cut = False
+            at = {line["vm"]: line["time_ms"] for event in ("routes_in_force", "routes_behind") for line in lines(rig, event)
+                  if rig.fleet.version in (line.get("version"), line.get("peer_version"))}
+            delays.append(at["vm1"] - at["vm0"])
+            await asyncio.sleep(2 * IDLE_REPORT_S)
+        assert max(delays) < 1000 * IDLE_REPORT_S / 2, f"a VM learned of versions {delays} ms after they were in force elsewhere"
+
+
 TESTS = [documents_that_arrive_slowly_come_into_force, documents_of_a_store_that_answers_slowly_come_into_force,
-         a_change_is_sent_to_a_vm_a_few_times_at_most, a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few]
+         a_change_is_sent_to_a_vm_a_few_times_at_most, a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few, new_versions_are_reported_at_once]
