A page of a read that fails is asked for again alone

A read of the store in pages began again at its first page whenever a page failed or was turned away. The more pages, the less likely a read ever ended, and the calls in vain fell on the store that had too many.

A read whose first page fails is left to its caller, as before.

--- a/include/currantstack/edge/edge_node.h
+++ b/include/currantstack/edge/edge_node.h
@@ -13,7 +13,7 @@
 {
     std::unique_ptr<EdgeProtocol> protocol;
     std::unique_ptr<StoreCodec> codec;
-    std::function<std::unique_ptr<Store>(Loop &loop, const Clock &clock, HttpClient &client, Counters &counters)> openStore;
+    std::function<std::unique_ptr<Store>(Loop &loop, const Clock &clock, HttpClient &client, Counters &counters, Random &random)> openStore;
     std::function<Result<EdgeSettings>()> reload; // reads the settings again; may be empty
 };
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -57,7 +57,7 @@
         , memory(MemoryBudget::budgetOf(settings.memory))
         , log(clock, settings.vm, std::move(sink))
         , client(loop, &memory)
-        , store(adapter.openStore(loop, clock, client, counters))
+        , store(adapter.openStore(loop, clock, client, counters, random))
         , context{loop,
                   clock,
                   random,
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -28,6 +28,7 @@
         self.random = random.Random(seed)
         # Modes besides "up": "silent" never answers, "busy" answers 503, "many" answers 429, and "reset" resets connections.
         self.mode, self.delay_s, self.lost_reply_share = "up", 0.002, 0.0
+        self.refused_share = 0.0  # of all calls, which are answered with 429
         self.cut_watches_after_s = None  # if set, the connection of each watch that waits is closed after this time
         self.blocked_ips = set()  # callers that never get an answer
         self.hidden_prefix = ""  # if set, reads and watches leave out the keys that begin with it, as a store that has lost them does
@@ -100,7 +101,7 @@
         await asyncio.sleep(self.delay_s)
         if self.mode == "busy":
             return response(503)
-        if self.mode == "many":
+        if self.mode == "many" or self.random.random() < self.refused_share:
             return response(429)
         if self.mode == "reset":
             writer.transport.abort()
--- a/test/edge/long_document_tests.py
+++ b/test/edge/long_document_tests.py
@@ -1,6 +1,8 @@
-"""Process tests of changes of the configuration whose document takes long to arrive: narrow links, and a store that answers slowly."""
+"""Process tests of reads that take long: documents over narrow links, a store that answers slowly, and reads of many pages."""
 
 import asyncio
+import json
+import signal
 import time
 
 from cut_watch_tests import lines
@@ -13,6 +15,7 @@
 MANY_ROUTES = 1400
 ANSWER_DELAY_S = 2.9  # of a slow store, to each call
 SERIES = 6  # versions that follow each other
+ENTRIES = 600  # of upstreams, which are read in 12 pages or more
 REPORTS, IDLE_REPORT_S = 6, 0.6  # versions that are reported; the period of reports while nothing changes
 REPEATS = 3  # transmissions of a document to one VM that a change may cost
 
@@ -123,5 +126,19 @@
         assert max(delays) < 1000 * IDLE_REPORT_S / 2, f"a VM learned of versions {delays} ms after they were in force elsewhere"
 
 
+async def vms_start_while_the_store_turns_half_of_the_calls_away():
+    """Guards against a read of many pages that begins at the first one whenever a page is turned away."""
+    async with Rig(vms=1) as rig:
+        vm, store = rig.vms[0], rig.fleet.store
+        for number in range(ENTRIES):
+            store.put(f"servers/other-{number}", json.dumps({**rig.fleet.services[0].entry(), "address": f"127.0.0.1:{1 + number}"}).encode())
+        vm.signal(signal.SIGKILL)
+        await vm.process.wait()
+        store.refused_share = 0.5
+        await vm.start()
+        await vm.wait_until_ready(2 * APPLY_S)
+
+
 TESTS = [documents_that_arrive_slowly_come_into_force, documents_of_a_store_that_answers_slowly_come_into_force,
-         a_change_is_sent_to_a_vm_a_few_times_at_most, a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few, new_versions_are_reported_at_once]
+         a_change_is_sent_to_a_vm_a_few_times_at_most, a_series_of_documents_costs_a_vm_on_a_narrow_link_a_few, new_versions_are_reported_at_once,
+         vms_start_while_the_store_turns_half_of_the_calls_away]
--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -1,6 +1,7 @@
 #include "store.h"
 
 #include "../check.h"
+#include "../http_fixture.h"
 #include "../unframed_server.h"
 
 using namespace currantstack;
@@ -18,7 +19,8 @@
     HttpClient client(loop);
     Counters counters;
     const SystemClock clock;
-    PlatformStore store(loop, clock, client, counters, server.address());
+    Random random{1};
+    PlatformStore store(loop, clock, client, counters, random, server.address());
     std::optional<bool> success;
     call(store, [&](bool isSuccess) {
         success = isSuccess;
@@ -71,8 +73,55 @@
     CPPUNIT_TEST(truncatedWatchesEnd);
     CPPUNIT_TEST(answersThatArriveSlowlyAreRead);
     CPPUNIT_TEST(answersThatStallFail);
+    CPPUNIT_TEST(aPageThatIsTurnedAwayIsReadAgainAlone);
+    CPPUNIT_TEST(aPageThatIsAlwaysTurnedAwayEndsTheRead);
+    CPPUNIT_TEST(aReadIsNotRepeatedBeforeItsFirstPage);
+    CPPUNIT_TEST(aCancelledReadAsksForNoFurtherPage);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr int Pages = 4;
+    static constexpr Duration LongestRead = (PlatformStore::MostPageRepeats + 1) * PlatformStore::LongestPageDelay;
+
+    /// A store of one item a page, which turns reads of page `busyPage` away until it has done so `refusals` times.
+    struct PagedStore
+    {
+        int busyPage = 0;
+        int refusals = 0;
+        std::vector<int> reads = std::vector<int>(Pages); // of each page
+        HttpFixture http{[this](const ExchangePtr &exchange) { answer(*exchange); }};
+        SystemClock clock;
+        Random random{1};
+        Counters counters;
+        PlatformStore store{http.loop, clock, http.client, counters, random, http.address()};
+
+        auto answer(Exchange &exchange) -> void
+        {
+            const auto after = exchange.request().argument("after");
+            const int page = after.empty() ? 0 : after.front() - 'a' + 1;
+            ++reads.at(page);
+            if (page == busyPage && refusals > 0) {
+                --refusals;
+                exchange.respond({429, {}, {}});
+                return;
+            }
+            const Json item = {{"key", std::string(1, static_cast<char>('a' + page))}, {"revision", 7}, {"value", "YQ=="}};
+            const Json body = {{"as_of", 12}, {"has_more", page + 1 < Pages}, {"items", Json::array({item})}};
+            exchange.respond({200, {}, dumpJson(body)});
+        }
+
+        /// Returns how many items a read finds; nothing if it fails.
+        auto read() -> std::optional<std::size_t>
+        {
+            std::optional<std::size_t> found;
+            store.readPatiently("", [&](const Result<StoreRange> &range) {
+                found = range ? std::optional(range->values.size()) : std::nullopt;
+                http.loop.stop();
+            });
+            http.run();
+            return found;
+        }
+    };
+
 public:
     auto truncatedReadsFail() -> void
     {
@@ -124,6 +173,39 @@
             CPPUNIT_ASSERT(clock.now() - begin < HttpCall::StallTimeout + seconds(2));
         }
     }
+
+    auto aPageThatIsTurnedAwayIsReadAgainAlone() -> void
+    {
+        PagedStore pages{Pages - 1, PlatformStore::MostPageRepeats};
+        CPPUNIT_ASSERT(pages.read() == Pages);
+        CPPUNIT_ASSERT(pages.reads == (std::vector<int>{1, 1, 1, 1 + PlatformStore::MostPageRepeats}));
+    }
+
+    auto aPageThatIsAlwaysTurnedAwayEndsTheRead() -> void
+    {
+        PagedStore pages{1, std::numeric_limits<int>::max()};
+        CPPUNIT_ASSERT(!pages.read());
+        CPPUNIT_ASSERT(pages.reads == (std::vector<int>{1, 1 + PlatformStore::MostPageRepeats, 0, 0}));
+    }
+
+    auto aReadIsNotRepeatedBeforeItsFirstPage() -> void
+    {
+        PagedStore pages{0, 1};
+        CPPUNIT_ASSERT(!pages.read());
+        CPPUNIT_ASSERT_EQUAL(1, pages.reads.front());
+    }
+
+    auto aCancelledReadAsksForNoFurtherPage() -> void
+    {
+        PagedStore pages{1, std::numeric_limits<int>::max()};
+        const auto read = pages.store.readPatiently("", [](const auto &) { CPPUNIT_FAIL("a cancelled read has ended"); });
+        while (pages.reads[1] == 0) {
+            pages.http.runFor(milliseconds(1));
+        }
+        read.cancel();
+        pages.http.runFor(LongestRead);
+        CPPUNIT_ASSERT_EQUAL(1, pages.reads[1]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
