--- a/test/edge/end_trial_tests.py
+++ b/test/edge/end_trial_tests.py
@@ -32,11 +32,14 @@
                 connection, _ = self.listener.accept()
             except TimeoutError:
                 continue
-            if self.reset:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            connection.close()
+            self.serve(connection)
         self.listener.close()
 
+    def serve(self, connection):
+        if self.reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+
     async def end(self):
         self.end_at = 0
         await asyncio.to_thread(self.thread.join)
--- /dev/null
+++ b/test/edge/listener_tests.py
@@ -0,0 +1,106 @@
+"""Process tests of upstreams that die, or break an answer off, behind a listener that goes on accepting connections."""
+
+import asyncio
+import time
+
+from answer_end_tests import PIECES, decode_engines, judged, set_fault
+from end_trial_tests import ClosingListener
+from held_end_tests import begun_at, read_to_end
+from rig import Rig
+
+SHORT_S = 1.2  # in which a caller gets the end of its answer
+
+
+class FrontListener(ClosingListener):
+    """Stands for a front process whose engine has died: holds connections, or answers each with 503."""
+
+    def __init__(self, port, answers):
+        self.answers, self.held = answers, []
+        super().__init__(port, reset=False)
+
+    def serve(self, connection):
+        self.held.append(connection)  # closed with this object
+        if self.answers:
+            connection.settimeout(1)
+            connection.recv(4096)
+            connection.sendall(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+
+
+LISTENERS = {"holds": lambda port: FrontListener(port, False), "answers 503": lambda port: FrontListener(port, True),
+             "closes": lambda port: ClosingListener(port, False), "resets": lambda port: ClosingListener(port, True)}
+
+
+async def die_behind_listener(upstream, kind):
+    upstream.server.end()
+    return LISTENERS[kind](upstream.server.port)
+
+
+async def streams_of_engines_that_die_behind_a_listener_go_on_elsewhere():
+    """Guards against a part of a stream that looks complete because something accepts connections at the dead engine's address."""
+    async with Rig(decode=5) as rig:
+        set_fault("unframed", decode_engines(rig))
+        for engine, kind in zip(decode_engines(rig), LISTENERS):
+            stream, = await begun_at(rig, engine)
+            listener = await die_behind_listener(engine, kind)
+            is_complete = await read_to_end(stream)
+            rig.fleet.store.delete(f"servers/{engine.id}")
+            await listener.end()
+            assert is_complete and stream.numbers == PIECES, (kind, stream.numbers, judged(rig)[-1:])
+
+
+async def streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener():
+    async with Rig(decode=2) as rig:
+        set_fault("unframed", decode_engines(rig))
+        for engine, kind in zip(decode_engines(rig), ("holds", "resets")):
+            for other in decode_engines(rig):
+                other.is_full = other is not engine
+            asyncio.get_running_loop().call_later(0.15, engine.server.end)
+            begin, listener = time.monotonic(), None
+            sending = asyncio.create_task(rig.send("digest"))
+            while engine.server.is_listening:
+                await asyncio.sleep(0)
+            listener = LISTENERS[kind](engine.server.port)
+            try:
+                _, status, _, body = await sending
+                assert status != 200, (kind, body, judged(rig))
+            except EOFError:
+                assert time.monotonic() - begin < 0.15 + SHORT_S
+            rig.fleet.store.delete(f"servers/{engine.id}")
+            await listener.end()
+
+
+async def parts_of_streams_of_engines_that_live_are_continued():
+    """Guards against a part of a stream that looks complete because its engine lives, although it broke the answer off."""
+    async with Rig(decode=3) as rig:
+        set_fault("unframed", decode_engines(rig))
+        for engine in decode_engines(rig):
+            stream, = await begun_at(rig, engine)
+            for writer in list(engine.server.writers):
+                writer.close()
+            assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
+async def halves_of_answers_of_services_that_die_behind_a_listener_are_refused():
+    """The same for a booking, whose service dies after half of its answer behind a front process."""
+    async with Rig(services=1) as rig:
+        service, listeners = rig.fleet.services[0], []
+
+        async def run(request, reader, writer):
+            service.record("run", request)
+            head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
+            writer.write(head.encode() + b'{"ha')
+            await writer.drain()
+            listeners.append(await die_behind_listener(service, kinds[len(listeners)]))
+        service.run, kinds = run, ("holds", "answers 503")
+        for _ in kinds:
+            _, status, _, _ = await rig.send("book")
+            await listeners[-1].end()
+            assert status == 502, (status, judged(rig))
+            await service.server.start()
+            await asyncio.sleep(0.6)
+
+
+TESTS = [streams_of_engines_that_die_behind_a_listener_go_on_elsewhere,
+         streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
+         parts_of_streams_of_engines_that_live_are_continued,
+         halves_of_answers_of_services_that_die_behind_a_listener_are_refused]
