The end of an answer is confirmed by its upstream, not by a listener

Callers got parts of streams, or half of a booking's answer, that looked whole.

Cause: an answer without length or chunks ends with its connection, and its end counted as complete once a new connection to the upstream's address was accepted, or twice accepted and closed. The system, a front process or a relay accepts connections as well while the upstream is dead: a listener was taken for a process. The same held for any response on a connection opened since, such as a 503 of a front process.

Change: the upstream itself must answer a probe (the engine's report, the service's health path, with its id or start where they are named), or have been at work for another request since: an answer that was forwarded as its own, or events that arrive later than what was in flight. Connections that are closed at once, as at a limit of connections, still confirm plain answers, but no streams: an engine with many connections has other streams by which it shows that it lives. currantd, whose services have no probe, is unchanged.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -14,7 +14,9 @@
 /// What a connection showed that was opened after the end of an answer.
 enum class ConnectionTrial
 {
-    Open, // accepted, and left open
+    Answered, // a probe, by the upstream itself
+    Unidentified, // a probe was answered, but not by what is known to be the upstream
+    Open, // accepted, and left open; no probe was sent
     Closed, // accepted, and closed or reset at once: by a process at its limit of connections, or by a relay whose upstream has ended
     Refused, // nothing listens at the upstream's address
     NoAnswer,
@@ -24,9 +26,10 @@
 struct AnswerEndEvidence
 {
     EntryState entry = EntryState::Present; // of the process that answered
-    bool reachedSince = false; // it has answered on a connection that was opened since
+    bool servedSince = false; // it has answered another request that was sent since, or sent more of an answer later than in flight
     std::optional<ConnectionTrial> connection; // of the last trial
     int trials = 0;
+    bool isStream = false;
 };
 
 enum class AnswerEnd
@@ -39,6 +42,9 @@
 /// A process that ends closes its connections and stops listening at almost the same time. What it shows later than this is certain.
 inline constexpr Duration EndSettleTime = milliseconds(30);
 
+/// Bytes of another answer prove that the upstream lives if they arrive this long after the end. Sooner ones may have been sent before.
+inline constexpr Duration LateByteTime = milliseconds(100);
+
 /// Connections that are tried before the end counts as doubtful, and the pause between them.
 inline constexpr int MaxEndTrials = 2;
 inline constexpr Duration EndTrialPause = milliseconds(200);
@@ -46,10 +52,11 @@
 /// Time in which the store's watch brings the entry of a new process. It is the pause between trials of an upstream without an entry.
 inline constexpr Duration NewEntryTime = milliseconds(1000);
 
-/// Returns what the result of a `connectOnlyCall` shows.
+/// Returns what the result of a `connectOnlyCall` shows, or the error of a probe.
 auto trialOf(const Result<HttpResponse> &result) -> ConnectionTrial;
 
-/// Judges the end of an answer that only its connection marks. A doubtful answer must not look complete to its caller.
+/// Judges the end of an answer that only its connection marks. A doubtful answer must not look complete to its caller. A connection that
+/// is merely accepted proves nothing once a probe was sent: a front process, a relay or the system accepts it as well.
 auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd;
 
 /// Return the names in logs.
--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -82,6 +82,13 @@
     /// Returns whether the upstream has answered on a connection that was opened at or after this time.
     auto hasReached(std::string_view upstream, TimePoint since) const -> bool;
 
+    /// Records that the upstream itself was at work at `at`: it has answered a request that was sent then, or sent more of an answer. Other
+    /// responses may be those of a front process or a relay.
+    auto onServed(const Upstream &upstream, TimePoint at) -> void;
+
+    /// Returns whether the upstream itself was at work at or after this time.
+    auto hasServed(std::string_view upstream, TimePoint since) const -> bool;
+
     /// Records that a different process has answered at the upstream's address.
     auto onOtherAnswered(const Upstream &upstream, TimePoint now) -> void;
 
@@ -115,6 +122,7 @@
     struct Outcome
     {
         TimePoint reachedAt; // opening time of the last connection on which the upstream answered
+        TimePoint servedAt; // when the upstream itself was last at work
         TimePoint failedAt; // opening time of the last connection that failed
         TimePoint lateSince; // opening time of the first late connection after `reachedAt`
         TimePoint probedAt;
--- a/include/currantstack/edge/end_confirmation.h
+++ b/include/currantstack/edge/end_confirmation.h
@@ -14,13 +14,15 @@
     /// `isComplete`: the upstream has outlived its answer. Runs once after `start` has returned, unless it is cancelled.
     using Done = std::function<void(bool isComplete)>;
 
-    EndConfirmation(EdgeContext &context, Upstream upstream, std::string requestId, Done done)
+    EndConfirmation(EdgeContext &context, Upstream upstream, std::string requestId, bool isStream, Done done)
         : m_context(context)
         , m_upstream(std::move(upstream))
         , m_requestId(std::move(requestId))
         , m_done(std::move(done))
         , m_endedAt(context.clock.now())
-    { }
+    {
+        m_evidence.isStream = isStream;
+    }
 
     auto start() -> void;
     auto cancel() -> void;
@@ -30,8 +32,10 @@
     auto onTimer() -> void;
     auto isReplaced() const -> bool;
     auto judge() -> void;
+    auto trialCall() const -> HttpCall;
     auto tryConnection() -> void;
     auto onTried(const Result<HttpResponse> &result, TimePoint openedAt) -> void;
+    auto onProbed(const HttpResponse &response, TimePoint openedAt) -> ConnectionTrial;
 
     EdgeContext &m_context;
     Upstream m_upstream;
@@ -41,6 +45,7 @@
     TimePoint m_dueAt; // of the timer
     AnswerEndEvidence m_evidence;
     HttpClient::CallId m_call = 0;
+    bool m_sendsProbe = false; // with the trial in flight
     std::unique_ptr<Timer> m_timer;
 };
 
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -87,6 +87,7 @@
     EngineRole role = EngineRole::None;
     bool busyWithOrder = false;
     std::int64_t orderCount = 0; // orders accepted since the engine's start
+    std::int64_t startedAtMs = 0; // since 1970; 0: not reported
 };
 
 /// An order to an engine to change its role.
@@ -98,6 +99,14 @@
     std::int64_t orderCount = 0; // from the engine's last report; the engine refuses the order if it has accepted another since
 };
 
+/// The process from which the response to a probe comes.
+enum class Responder
+{
+    Upstream, // the process that was asked
+    Other, // a different one, which runs at the address now
+    Unknown, // such as a front process or a relay
+};
+
 /// The HTTP dialect of callers and upstreams.
 class EdgeProtocol
 {
@@ -136,6 +145,9 @@
     /// Returns whether the response to a probe proves that another upstream now runs at the address.
     virtual auto isOtherUpstream(const HttpResponse &response, const Upstream &upstream) const -> bool = 0;
 
+    /// Returns which process the response to a probe comes from. One that anything at the address could have sent proves nothing.
+    virtual auto responderOf(const HttpResponse &response, const Upstream &upstream) const -> Responder = 0;
+
     /// Returns the call that fetches the engine's state.
     virtual auto reportCall(const Upstream &engine) const -> HttpCall = 0;
     virtual auto parseReport(const HttpResponse &response) const -> Result<EngineState> = 0;
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -19,15 +19,17 @@
     if (evidence.entry == EntryState::Replaced || evidence.connection == ConnectionTrial::Refused) {
         return AnswerEnd::Doubtful;
     }
-    if (evidence.reachedSince) {
+    if (evidence.servedSince) {
         return AnswerEnd::Complete;
     }
     const bool hasEntry = evidence.entry == EntryState::Present;
     const bool isLastTrial = evidence.trials >= MaxEndTrials;
     // Without an entry, the address may be that of a new process, whose entry arrives before the last trial. A relay has stopped
-    // listening for an ended upstream by then.
-    if ((evidence.connection == ConnectionTrial::Open && (hasEntry || isLastTrial))
-        || (evidence.connection == ConnectionTrial::Closed && hasEntry && isLastTrial)) {
+    // listening for an ended upstream by then. An engine with many connections shows by its other streams that it lives; a plain upstream
+    // answers too rarely for that.
+    const bool isAlive = evidence.connection == ConnectionTrial::Answered || evidence.connection == ConnectionTrial::Open;
+    const bool mayBeAtLimit = evidence.connection == ConnectionTrial::Closed && !evidence.isStream;
+    if ((isAlive && (hasEntry || isLastTrial)) || (mayBeAtLimit && hasEntry && isLastTrial)) {
         return AnswerEnd::Complete;
     }
     return isLastTrial ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
@@ -49,6 +51,10 @@
 auto name(ConnectionTrial trial) -> std::string_view
 {
     switch (trial) {
+    case ConnectionTrial::Answered:
+        return "answered";
+    case ConnectionTrial::Unidentified:
+        return "unidentified";
     case ConnectionTrial::Open:
         return "open";
     case ConnectionTrial::Closed:
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -178,6 +178,18 @@
     return found != m_outcomes.end() && found->second.reachedAt >= since;
 }
 
+auto UpstreamReach::onServed(const Upstream &upstream, TimePoint at) -> void
+{
+    auto &outcome = m_outcomes[upstream.id];
+    outcome.servedAt = std::max(outcome.servedAt, at);
+}
+
+auto UpstreamReach::hasServed(std::string_view upstream, TimePoint since) const -> bool
+{
+    const auto found = m_outcomes.find(upstream);
+    return found != m_outcomes.end() && found->second.servedAt >= since;
+}
+
 auto UpstreamReach::onOtherAnswered(const Upstream &upstream, TimePoint now) -> void
 {
     m_outcomes[upstream.id].otherAt = now;
@@ -253,7 +265,8 @@
 auto UpstreamReach::expire(TimePoint now) -> std::vector<GroupKey>
 {
     std::erase_if(m_outcomes, [now](const auto &entry) {
-        return now - std::max({entry.second.reachedAt, entry.second.failedAt, entry.second.lateSince, entry.second.otherAt})
+        const auto &outcome = entry.second;
+        return now - std::max({outcome.reachedAt, outcome.servedAt, outcome.failedAt, outcome.lateSince, outcome.otherAt})
             > OutcomeLifetime;
     });
     std::erase_if(m_refusals, [now](const auto &entry) { return now - entry.second.openedAt > OutcomeLifetime; });
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -6,6 +6,13 @@
 namespace currantstack
 {
 
+namespace
+{
+
+constexpr Duration EndProbeTimeout = milliseconds(400); // of the whole probe; a plain upstream may answer only when a slot is free
+
+} // namespace
+
 auto EndConfirmation::start() -> void
 {
     m_timer = m_context.loop.timer([self = shared_from_this()]() { self->onTimer(); });
@@ -56,7 +63,7 @@
 {
     const auto now = m_context.clock.now();
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
-    m_evidence.reachedSince = m_context.reach.hasReached(m_upstream.id, m_endedAt + EndSettleTime);
+    m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + EndSettleTime);
     const auto end = judgeAnswerEnd(m_evidence);
     if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
         wait(m_evidence.entry == EntryState::Removed ? NewEntryTime : EndTrialPause);
@@ -71,7 +78,7 @@
                         {{"request", m_requestId},
                          {"upstream", m_upstream.id},
                          {"entry", name(m_evidence.entry)},
-                         {"reached_since", m_evidence.reachedSince},
+                         {"served_since", m_evidence.servedSince},
                          {"connection", m_evidence.connection ? name(*m_evidence.connection) : "not_tried"},
                          {"trials", m_evidence.trials},
                          {"held_ms", toMilliseconds(now - m_endedAt)},
@@ -81,10 +88,25 @@
     done(end == AnswerEnd::Complete);
 }
 
+/// Returns a probe of the upstream, or a call that only opens a connection if it has nothing to be probed with.
+auto EndConfirmation::trialCall() const -> HttpCall
+{
+    const auto *service = m_context.routeTable ? m_context.routeTable->service(m_upstream.service) : nullptr;
+    const std::string_view healthPath = service == nullptr ? "" : std::string_view(service->healthPath);
+    if (m_upstream.role == EngineRole::None && healthPath.empty()) {
+        return connectOnlyCall(m_upstream.address, ConnectTimeout);
+    }
+    auto call = m_context.protocol.probeCall(m_upstream, healthPath);
+    call.connectTimeout = ConnectTimeout;
+    call.totalTimeout = EndProbeTimeout;
+    return call;
+}
+
 auto EndConfirmation::tryConnection() -> void
 {
     ++m_evidence.trials;
-    auto call = connectOnlyCall(m_upstream.address, ConnectTimeout);
+    auto call = trialCall();
+    m_sendsProbe = !call.connectOnly;
     call.step = "confirm end";
     call.peer = m_upstream.id;
     HttpHandlers handlers;
@@ -100,13 +122,29 @@
     if (!m_done) {
         return;
     }
-    m_evidence.connection = trialOf(result);
+    m_evidence.connection = result && m_sendsProbe ? onProbed(*result, openedAt) : trialOf(result);
     if (m_evidence.connection == ConnectionTrial::Refused || m_evidence.connection == ConnectionTrial::NoAnswer) {
         recordFailedLink(m_context, m_upstream, result.error(), openedAt);
     }
     judge();
 }
 
+auto EndConfirmation::onProbed(const HttpResponse &response, TimePoint openedAt) -> ConnectionTrial
+{
+    recordReached(m_context, m_upstream, openedAt);
+    switch (m_context.protocol.responderOf(response, m_upstream)) {
+    case Responder::Upstream:
+        return ConnectionTrial::Answered;
+    case Responder::Other:
+        m_context.reach.onOtherAnswered(m_upstream, m_context.clock.now());
+        recordEnd(m_context, m_upstream);
+        break;
+    case Responder::Unknown:
+        break;
+    }
+    return ConnectionTrial::Unidentified;
+}
+
 auto doubtfulEndError(const Upstream &upstream) -> Error
 {
     Error error{ErrorCode::Unavailable, "forward", upstream.id, "the upstream may have ended before its answer"};
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -226,7 +226,7 @@
     releaseLoad(*found);
     auto held = std::make_shared<Result<HttpResponse>>(std::move(result));
     found->endConfirmation = std::make_shared<EndConfirmation>(
-        m_context, found->upstream, m_request.metadata.requestId,
+        m_context, found->upstream, m_request.metadata.requestId, false,
         [self = shared_from_this(), call, held, upstream = found->upstream](bool isComplete) {
             self->onAnswer(call, isComplete ? std::move(*held) : tl::unexpected(doubtfulEndError(upstream)));
         });
@@ -263,6 +263,7 @@
     if (!result) {
         observeFailedCall(m_context, m_request, pending.upstream, result.error(), pending.sentAt);
     } else if (outcome == AttemptOutcome::Answered) {
+        m_context.reach.onServed(pending.upstream, pending.sentAt);
         m_context.quarantine.recordSuccess(m_request.traits, now);
     }
     const bool upstreamFailed = outcome == AttemptOutcome::Answered && result->status >= 500;
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -93,6 +93,7 @@
         onDecodeBroken(AttemptOutcome::Unknown, fmt::format("status {}", status), {});
         return;
     }
+    m_context.reach.onServed(m_decodeEngine, m_sentAt);
     m_handle.clear(); // the decode engine has fetched the KV cache
     m_framing = framingOf(status, headers);
     if (status != 200) {
@@ -120,6 +121,7 @@
         return;
     }
     recordHeard(m_context, m_decodeEngine);
+    m_context.reach.onServed(m_decodeEngine, m_context.clock.now() - LateByteTime + EndSettleTime);
     const bool isWithinLimit = m_splitter.feed(data, [this](const RawEvent &event) {
         m_partialSince.reset();
         onEvent(event);
@@ -188,7 +190,7 @@
     cancelSuccessor();
     release(m_decodeClaim); // the engine has ended the run, or has ended itself
     const auto done = [self = shared_from_this()](bool isComplete) { self->onEndJudged(isComplete); };
-    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, done);
+    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, true, done);
     m_endConfirmation->start();
 }
 
--- a/test/answer_end-test.cc
+++ b/test/answer_end-test.cc
@@ -10,6 +10,8 @@
     CPPUNIT_TEST(endIsNotTrustedBeforeTheUpstreamIsTried);
     CPPUNIT_TEST(upstreamThatLeavesConnectionsOpenHasEndedItsAnswerItself);
     CPPUNIT_TEST(acceptedConnectionThatIsClosedIsTriedAgain);
+    CPPUNIT_TEST(onlyAnAnswerOfTheUpstreamItselfConfirmsTheEndOfAStream);
+    CPPUNIT_TEST(answeredProbeWithoutAnEntryMayBeThatOfANewProcess);
     CPPUNIT_TEST(callsShowWhetherTheConnectionStaysOpen);
     CPPUNIT_TEST(upstreamThatRefusesConnectionsHasEnded);
     CPPUNIT_TEST(unreachableUpstreamIsTriedAgainAndThenDoubtful);
@@ -39,6 +41,22 @@
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Doubtful);
     }
 
+    auto onlyAnAnswerOfTheUpstreamItselfConfirmsTheEndOfAStream() -> void
+    {
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Answered, 1, true}) == AnswerEnd::Complete);
+        for (const auto trial : {ConnectionTrial::Unidentified, ConnectionTrial::Closed, ConnectionTrial::NoAnswer}) {
+            CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, trial, 1, true}) == AnswerEnd::Undecided);
+            CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, trial, MaxEndTrials, true}) == AnswerEnd::Doubtful);
+            CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, true, trial, MaxEndTrials, true}) == AnswerEnd::Complete);
+        }
+    }
+
+    auto answeredProbeWithoutAnEntryMayBeThatOfANewProcess() -> void
+    {
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Answered, 1, true}) == AnswerEnd::Undecided);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Replaced, false, ConnectionTrial::Answered, 2, true}) == AnswerEnd::Doubtful);
+    }
+
     auto callsShowWhetherTheConnectionStaysOpen() -> void
     {
         Error error;
@@ -73,15 +91,16 @@
 
     auto eachJudgementEndsAndNeedsEvidenceToBeComplete() -> void
     {
-        CHECK_PROPERTY("a complete end has evidence", [](bool heard, int trials) {
+        CHECK_PROPERTY("a complete end has evidence", [](bool served, bool isStream, int trials) {
             const auto entry = *rc::gen::element(EntryState::Present, EntryState::Removed, EntryState::Replaced);
-            const auto trial =
-                *rc::gen::element(ConnectionTrial::Open, ConnectionTrial::Closed, ConnectionTrial::Refused, ConnectionTrial::NoAnswer);
-            const AnswerEndEvidence evidence{entry, heard, trial, trials};
+            const auto trial = *rc::gen::element(ConnectionTrial::Answered, ConnectionTrial::Unidentified, ConnectionTrial::Open,
+                                                 ConnectionTrial::Closed, ConnectionTrial::Refused, ConnectionTrial::NoAnswer);
+            const AnswerEndEvidence evidence{entry, served, trial, trials, isStream};
             const auto end = judgeAnswerEnd(evidence);
             RC_ASSERT(end != AnswerEnd::Undecided || trials < MaxEndTrials);
-            const bool isAccepted = trial == ConnectionTrial::Open || (trial == ConnectionTrial::Closed && trials >= MaxEndTrials);
-            RC_ASSERT(end != AnswerEnd::Complete || heard || isAccepted);
+            const bool isAtLimit = trial == ConnectionTrial::Closed && trials >= MaxEndTrials && !isStream;
+            const bool isAlive = trial == ConnectionTrial::Answered || trial == ConnectionTrial::Open || isAtLimit;
+            RC_ASSERT(end != AnswerEnd::Complete || served || isAlive);
         });
     }
 };
--- a/test/edge/held_end_tests.py
+++ b/test/edge/held_end_tests.py
@@ -257,7 +257,7 @@
             rig.fleet.store.delete(f"servers/{name}")
         ends = {}
         for line in judged(rig):
-            key = (line["end"], line["connection"], line["reached_since"])
+            key = (line["end"], line["connection"], line["served_since"])
             ends[str(key)] = ends.get(str(key), 0) + 1
         print(outcomes, ends)
         assert not wrong, (wrong, judged(rig))
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(pausesOfRefusalsAreReadAndMalformedOnesHaveNoValue);
     CPPUNIT_TEST(ordersCarryFencingTokenAndExpectedCount);
     CPPUNIT_TEST(truncatedAnswersOfEnginesAreErrors);
+    CPPUNIT_TEST(onlyNamedResponsesAndReportsAreThoseOfTheUpstream);
     CPPUNIT_TEST_SUITE_END();
 
     PlatformProtocol m_protocol;
@@ -230,6 +231,22 @@
             return m_protocol.parseReport({200, {}, body}).has_value();
         });
     }
+
+    auto onlyNamedResponsesAndReportsAreThoseOfTheUpstream() -> void
+    {
+        Upstream engine;
+        engine.id = "i-1";
+        engine.startedAtMs = 5000;
+        const auto responder = [&](HttpResponse response) { return m_protocol.responderOf(response, engine); };
+        CPPUNIT_ASSERT(responder({503, {{"Instance-Id", "i-1"}}, ""}) == Responder::Upstream);
+        CPPUNIT_ASSERT(responder({503, {{"Not-Run", "1"}}, ""}) == Responder::Upstream);
+        CPPUNIT_ASSERT(responder({200, {}, R"({"phase":"decode","busy":false,"seq":3})"}) == Responder::Upstream);
+        CPPUNIT_ASSERT(responder({200, {}, R"({"phase":"decode","busy":false,"seq":3,"born":7000})"}) == Responder::Other);
+        CPPUNIT_ASSERT(responder({421, {}, ""}) == Responder::Other);
+        CPPUNIT_ASSERT(responder({200, {{"Instance-Id", "i-2"}}, ""}) == Responder::Other);
+        CPPUNIT_ASSERT(responder({503, {}, ""}) == Responder::Unknown);
+        CPPUNIT_ASSERT(responder({200, {}, "<html>"}) == Responder::Unknown);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -68,6 +68,7 @@
         m_reach.onReached(m_upstreams[0], later());
         CPPUNIT_ASSERT(!m_reach.isUnreached("a", m_clock.now()));
         CPPUNIT_ASSERT(m_reach.hasReached("a", m_clock.now()));
+        CPPUNIT_ASSERT(!m_reach.hasServed("a", m_clock.now())); // a front process may have answered
     }
 
     auto answersOnOldConnectionsProveNothing() -> void
