Streams that end with their connection are checked for what follows

Callers got a part of a stream that looked complete: its engine lived, but had closed the connection of an answer without length or chunks in the middle.

Cause: the life of the engine was taken for the completion of its answer. Nothing but the events that follow, or their absence, tells the two apart.

Evidence: parts_of_streams_of_engines_that_live_are_continued failed on and on (connection answered, end complete, 3 of 12 events).

Change: another engine of the stream's software version is asked for what follows the last event, if it has capacity and the attempts and the retry budget allow it (EndChecks, stream_end.cc). Events that come are passed on; none, a refusal or 0.8 s end the stream as complete. New: stream_ends_checked, answers_cut_by_live_engines, end_was_cut, end_unchecked.

Routes whose streams may not be resumed cannot be checked.

--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -4,6 +4,7 @@
 #include "currantstack/counters.h"
 #include "currantstack/decisions/cost_table.h"
 #include "currantstack/decisions/crash_detector.h"
+#include "currantstack/decisions/end_checks.h"
 #include "currantstack/decisions/end_evidence.h"
 #include "currantstack/decisions/event_id_pattern.h"
 #include "currantstack/decisions/exclusion_list.h"
@@ -103,6 +104,7 @@
     std::map<std::string, EngineSpeeds, std::less<>> speeds = {}; // by service
     std::map<std::string, MovingAverage, std::less<>> requestMs = {}; // duration of a plain service's requests, by service
     std::map<std::string, EventIdPattern, std::less<>> eventIds = {}; // by service
+    std::map<std::string, EndChecks, std::less<>> endChecks = {}; // by service
     ExclusionList exclusions = {};
     UpstreamNotices notices = {};
     Quarantine quarantine = Quarantine();
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -23,6 +23,7 @@
 // Share of a KV handle's lifetime in which it may be sent to another decode engine. The rest is left for the reservation and the
 // transfer.
 constexpr double UsableHandleLifetimeShare = 0.8;
+constexpr Duration EndCheckTime = milliseconds(800); // in which a run that is asked for what follows a whole stream ends
 
 } // namespace
 
@@ -67,6 +68,9 @@
     handlers.onDone = [self = shared_from_this()](const Result<HttpResponse> &result) { self->onDecodeDone(result); };
     m_decodeCall = m_context.client.start(upstreamCall(m_context, m_request, m_decodeEngine, spec), std::move(handlers));
     restartStallTimer();
+    if (m_endIsTrusted) {
+        m_stallTimer->startOnce(EndCheckTime);
+    }
 }
 
 auto StreamRequest::onHead(int status, const Headers &headers) -> void
@@ -183,32 +187,6 @@
     onDecodeBroken(classifyError(error), describe(error), evidenceOf(error));
 }
 
-/// Holds the end back until the engine is known to have outlived its answer.
-auto StreamRequest::confirmEnd() -> void
-{
-    m_stallTimer->stop();
-    cancelSuccessor();
-    release(m_decodeClaim); // the engine has ended the run, or has ended itself
-    const auto done = [self = shared_from_this()](bool isComplete) { self->onEndJudged(isComplete); };
-    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, true, done);
-    m_endConfirmation->start();
-}
-
-auto StreamRequest::onEndJudged(bool isComplete) -> void
-{
-    m_endConfirmation.reset();
-    if (isComplete) {
-        onDecodeEnd();
-        return;
-    }
-    const auto error = doubtfulEndError(m_decodeEngine);
-    m_collectingError = false;
-    observeFailedCall(m_context, m_request, m_decodeEngine, error, m_sentAt);
-    auto evidence = evidenceOf(error);
-    evidence.endDoubtful = true;
-    onDecodeBroken(AttemptOutcome::Unknown, describe(error), evidence);
-}
-
 auto StreamRequest::onDecodeEnd() -> void
 {
     if (m_collectingError) {
@@ -227,19 +205,10 @@
         return;
     }
     m_attempts.onOutcome(AttemptOutcome::Answered);
-    complete();
-}
-
-/// Returns why a stream that ended without an error is incomplete, or an empty text if it is complete.
-auto StreamRequest::incompleteReason() const -> std::string_view
-{
-    if (m_splitter.hasPartial()) {
-        return "the stream ends inside an event";
+    if (m_endIsTrusted) {
+        m_context.endChecks[m_request.service].onChecked(false);
     }
-    if (m_framing == BodyFraming::Connection && !m_begunAt && !m_collectingError && !m_mayHaveEnded) {
-        return "the connection was closed before the first event";
-    }
-    return "";
+    complete();
 }
 
 auto StreamRequest::restartStallTimer() -> void
--- /dev/null
+++ b/src/edge/stream_end.cc
@@ -0,0 +1,99 @@
+// The end of a stream that neither a length nor chunks mark: confirmed by its engine, and checked by asking for what follows.
+#include "event_order.h"
+#include "stream_request.h"
+
+namespace currantstack
+{
+
+/// Holds the end back until the engine is known to have outlived its answer.
+auto StreamRequest::confirmEnd() -> void
+{
+    m_stallTimer->stop();
+    cancelSuccessor();
+    release(m_decodeClaim); // the engine has ended the run, or has ended itself
+    const auto done = [self = shared_from_this()](bool isComplete) { self->onEndJudged(isComplete); };
+    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, true, done);
+    m_endConfirmation->start();
+}
+
+auto StreamRequest::onEndJudged(bool isComplete) -> void
+{
+    m_endConfirmation.reset();
+    if (isComplete) {
+        if (!checkEnd()) {
+            onDecodeEnd();
+        }
+        return;
+    }
+    const auto error = doubtfulEndError(m_decodeEngine);
+    m_collectingError = false;
+    observeFailedCall(m_context, m_request, m_decodeEngine, error, m_sentAt);
+    auto evidence = evidenceOf(error);
+    evidence.endDoubtful = true;
+    onDecodeBroken(AttemptOutcome::Unknown, describe(error), evidence);
+}
+
+/// Returns why a stream that ended without an error is incomplete, or an empty text if it is complete.
+auto StreamRequest::incompleteReason() const -> std::string_view
+{
+    if (m_splitter.hasPartial()) {
+        return "the stream ends inside an event";
+    }
+    if (m_framing == BodyFraming::Connection && !m_begunAt && !m_collectingError && !m_mayHaveEnded) {
+        return "the connection was closed before the first event";
+    }
+    return "";
+}
+
+/// Asks another engine for what follows the last event, although the engine lives: it may have broken the answer off. Returns false if
+/// the end is not checked.
+auto StreamRequest::checkEnd() -> bool
+{
+    if (m_endIsTrusted) {
+        return false; // this is the end of the check
+    }
+    auto &checks = m_context.endChecks[m_request.service];
+    const auto next = m_headSent && !m_collectingError && !m_context.draining ? planResumption() : std::nullopt;
+    if (!next || !checks.isDue() || nextStep(resumptionState(true)) != ResumptionStep::Reserve) {
+        checks.onUnchecked();
+        return false;
+    }
+    m_attempts.onOutcome(AttemptOutcome::Answered);
+    m_brokenOutcome = AttemptOutcome::Answered;
+    m_breakReason = "the end of the stream is checked";
+    m_endIsTrusted = true;
+    m_mayHaveEnded = true;
+    m_context.counters.at("stream_ends_checked").add();
+    reserveSuccessor(*next);
+    return true;
+}
+
+/// Ends a stream whose end could not be checked, and returns true. Returns false if no check is under way.
+auto StreamRequest::endUnchecked(std::string_view reason) -> bool
+{
+    if (!m_endIsTrusted) {
+        return false;
+    }
+    m_context.endChecks[m_request.service].onUnchecked();
+    m_context.log.write("stream", "end_unchecked",
+                        {{"request", m_request.metadata.requestId}, {"engine", m_decodeEngine.id}, {"reason", reason}});
+    complete();
+    return true;
+}
+
+/// Records that events follow the end of a stream that its engine has confirmed.
+auto StreamRequest::recordCutEnd() -> void
+{
+    if (!std::exchange(m_endIsTrusted, false)) {
+        return;
+    }
+    m_context.endChecks[m_request.service].onChecked(true);
+    m_context.counters.at("answers_cut_by_live_engines").add();
+    m_context.log.write("stream", "end_was_cut",
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"after_event", eventField(m_sequence.lastId())},
+                         {"events", m_events}});
+}
+
+} // namespace currantstack
--- a/src/edge/stream_events.cc
+++ b/src/edge/stream_events.cc
@@ -22,6 +22,7 @@
     if (!isInOrder(event)) {
         return;
     }
+    recordCutEnd();
     m_fillerBytes = 0;
     const auto now = m_context.clock.now();
     if (!m_headSent) {
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -62,8 +62,8 @@
     }
     m_request.exchange->end();
     m_context.speedsOf(m_request.service)
-        .observeStream((m_framing == BodyFraming::Connection ? m_lastEventAt : now) - m_decodeStartedAt, m_request.metadata.shape,
-                       static_cast<double>(m_events * tokensPerEvent()));
+        .observeStream((m_framing == BodyFraming::Connection || m_endIsTrusted ? m_lastEventAt : now) - m_decodeStartedAt,
+                       m_request.metadata.shape, static_cast<double>(m_events * tokensPerEvent()));
     m_context.quarantine.recordSuccess(m_request.traits, now);
     m_context.counters.at("requests_answered").add();
     m_context.latencies.record("stream", now - m_request.arrivedAt);
@@ -107,6 +107,9 @@
     if (m_done) {
         return;
     }
+    if (endUnchecked(reason)) {
+        return;
+    }
     if (m_headSent) {
         abort(reason);
         return;
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -126,10 +126,7 @@
     auto breakOff(std::string_view reason) -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto onDecodeFailed(const Error &error) -> void;
-    auto confirmEnd() -> void;
-    auto onEndJudged(bool isComplete) -> void;
     auto onDecodeEnd() -> void;
-    auto incompleteReason() const -> std::string_view;
     auto recordSurvival() -> void;
     auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
@@ -142,6 +139,14 @@
     auto redirect() -> bool;
     auto placeOrEnqueue() -> void;
 
+    // stream_end.cc
+    auto confirmEnd() -> void;
+    auto onEndJudged(bool isComplete) -> void;
+    auto incompleteReason() const -> std::string_view;
+    auto checkEnd() -> bool;
+    auto endUnchecked(std::string_view reason) -> bool;
+    auto recordCutEnd() -> void;
+
     // stream_events.cc
     auto onEvent(const RawEvent &event) -> void;
     auto isInOrder(const RawEvent &event) -> bool;
@@ -217,6 +222,7 @@
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
+    bool m_endIsTrusted = false; // the engine has confirmed the end, and another one is asked for what follows
     bool m_mayHaveEnded = false; // the last run may have sent all events, so that the next one may have none left
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -74,6 +74,9 @@
     if (m_done) {
         return;
     }
+    if (endUnchecked(StallReason)) {
+        return;
+    }
     if (m_reserveCall != 0) {
         m_stallTimer->startOnce(StallTimeout);
         return;
@@ -97,6 +100,9 @@
 /// Looks for another engine or VM for a stream whose engine is silent or whose call has broken.
 auto StreamRequest::resume(std::string_view reason) -> void
 {
+    if (endUnchecked(reason)) {
+        return;
+    }
     m_breakReason = reason;
     const auto next = planResumption();
     const auto state = resumptionState(next.has_value());
@@ -150,6 +156,9 @@
 /// Waits until the retry budget allows another send, or for the silent engine.
 auto StreamRequest::waitForRetry(const ResumptionState &state) -> void
 {
+    if (endUnchecked(BudgetReason)) {
+        return;
+    }
     if (state.hasCall) {
         waitOutStall(BudgetReason);
         return;
@@ -294,7 +303,9 @@
     m_waitsToResume = false;
     release(m_decodeClaim);
     m_decodeClaim = std::exchange(m_successorClaim, {});
-    m_context.counters.at("streams_continued").add();
+    if (!m_endIsTrusted) {
+        m_context.counters.at("streams_continued").add();
+    }
     m_context.log.write("stream", "stream_goes_on",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
