An engine that refuses to continue a whole stream has not failed

An engine may answer a check of a stream end with an error or 204, as nothing is left. That counted as a failure of the engine.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -94,6 +94,9 @@
     if (status != 200 && m_headSent) {
         // The caller cannot get the error in the middle of its stream, but another engine may go on with it.
         m_context.client.cancel(std::exchange(m_decodeCall, 0));
+        if (endUnchecked("the engine refuses to continue a stream that may be complete")) {
+            return;
+        }
         onDecodeBroken(AttemptOutcome::Unknown, fmt::format("status {}", status), {});
         return;
     }
