--- a/standin/engine_process.py
+++ b/standin/engine_process.py
@@ -14,6 +14,7 @@
 import sys
 import time
 
+from http_peer import reset, response
 from platform_upstreams import Engine, Service
 
 START_LIMIT_S = 20  # of a process, on a busy machine
@@ -21,6 +22,7 @@
 RETRY_S = 0.05
 LINE_BYTES = 1 << 20
 PR_SET_PDEATHSIG = 1
+SUCCESSORS = ("holds", "closes", "resets", "answers")  # what a listener that outlives its engine does with connections
 
 
 class Output:
@@ -87,6 +89,7 @@
     def __init__(self, upstream):
         self.upstream, self.port, self.process, self.on_listening = upstream, 0, None, []
         self.is_listening, self.is_closed, self.followers, self.starting = False, False, [], asyncio.Lock()
+        self.successor, self.listener = "", None  # one of SUCCESSORS, if something listens after the next kill
 
     async def start(self):
         async with self.starting:
@@ -135,10 +138,30 @@
             self.process.send_signal(number)
 
     def stop(self):
-        """Kills the process, so that the kernel closes its connections."""
+        """Kills the process, so that the kernel closes its connections; its successor, if one is set, listens until the next start."""
         self.signal(signal.SIGKILL)
-        self.process = None
-        self.set_listening(False)
+        if self.listener:
+            self.listener.close()
+        if self.successor and self.process and not self.is_closed:
+            self.is_listening = False  # links to it go on accepting connections
+            self.followers.append(asyncio.create_task(self.succeed(self.process, self.successor)))
+        else:
+            self.set_listening(False)
+        self.process, self.successor, self.listener = None, "", None
+
+    async def succeed(self, process, kind):
+        """Listens at the port of a process that has been killed."""
+        async def serve(reader, writer):
+            if kind == "resets":
+                reset(writer)
+            elif kind != "closes":
+                await reader.read(LINE_BYTES)
+                writer.write(response(503) if kind == "answers" else b"")
+                await reader.read()
+            writer.close()
+        await process.wait()
+        if self.process is None and not self.is_closed:
+            self.listener = await asyncio.start_server(serve, "127.0.0.1", self.port)
 
     def fall_silent(self, seconds):
         self.send({"silence_s": seconds})
--- a/standin/http_peer.py
+++ b/standin/http_peer.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 
 class Request:
@@ -51,6 +53,12 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+def reset(writer):
+    """Ends the connection with a reset; `abort` alone closes it in the ordinary way if all input was read."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Server:
     """Calls `handler(request, reader, writer)` for each request. The handler returns the bytes to send, or None to close the connection."""
 
