Test: streams cut when their engine is replaced behind a listener, a case that fails

Callers got a part of a stream that looked complete.

Cause: a report of an engine names neither its id nor, by the platform's pages, its start. When a listener stays at the address of a dead engine, the first probe of the end is closed and the second one, 0.2 s later, may reach the next process there. Until its entry arrives, that process is taken for the one that broke off. It makes no difference whether it keeps the id.

A refusal, a reset or a close in the first trial makes the answer of a second one doubtful, unless the store's watch has had the time to bring a new entry.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -8,6 +8,7 @@
 from held_end_tests import begun_at, read_to_end
 from rig import Rig
 
+RESTART_S = 0.15  # from the end of an engine's process until the next one listens
 SHORT_S = 1.2  # in which a caller gets the end of its answer
 
 
@@ -100,7 +101,30 @@
             await asyncio.sleep(0.6)
 
 
+async def streams_whose_engine_is_replaced_behind_a_listener_break_off():
+    """Guards against a part of a stream that looks complete because the engine's next process answers the probe before its entry arrives."""
+    for keeps_id in (True, False):
+        async with Rig(decode=1) as rig:
+            engine, = decode_engines(rig)
+            set_fault("unframed", [engine])
+            sending = asyncio.create_task(rig.send("digest"))
+            while not any(entry["event"] == "run" for entry in rig.fleet.history):
+                await asyncio.sleep(0)
+            await asyncio.sleep(3.5 * engine.EVENT_INTERVAL_S)
+            listener = await die_behind_listener(engine, "closes")
+            await asyncio.sleep(RESTART_S)
+            await listener.end()
+            engine.id = engine.id if keeps_id else "i-next"
+            await engine.server.start()
+            try:
+                _, status, _, body = await sending
+                assert status != 200, (keeps_id, body, judged(rig))
+            except EOFError:
+                pass
+
+
 TESTS = [streams_of_engines_that_die_behind_a_listener_go_on_elsewhere,
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
-         halves_of_answers_of_services_that_die_behind_a_listener_are_refused]
+         halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
+         streams_whose_engine_is_replaced_behind_a_listener_break_off]
