Test: whole streams broken off because their engine falls silent, a case that fails

Callers got all events of a stream and then a broken connection.

Cause: since the end of an answer without length or chunks counts as doubtful if two probes get no answer within 0.4 s each. A suspended engine whose answer was whole gives none for longer; the stream is aborted although its time is not over. Before, the kernel accepted a connection for it, which counted.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -3,12 +3,13 @@
 import asyncio
 import time
 
-from answer_end_tests import PIECES, decode_engines, judged, set_fault
+from answer_end_tests import PIECES, decode_engines, judged, numbers, set_fault
 from end_trial_tests import ClosingListener
 from held_end_tests import begun_at, read_to_end
 from rig import Rig
 
 RESTART_S = 0.15  # from the end of an engine's process until the next one listens
+SILENCE_S = 1.6
 SHORT_S = 1.2  # in which a caller gets the end of its answer
 
 
@@ -123,8 +124,27 @@
                 pass
 
 
+async def whole_streams_of_engines_that_fall_silent_after_them_are_complete():
+    """Guards against a stream that is broken off after its last event, because its engine answers no probe for a while."""
+    async with Rig(decode=1) as rig:
+        engine, = decode_engines(rig)
+        set_fault("unframed", [engine])
+        run = engine.run
+
+        async def run_and_fall_silent(request, reader, writer):
+            data = await run(request, reader, writer)
+            if request.header("stage") != "prefill":
+                writer.close()
+                engine.fall_silent(SILENCE_S)
+            return data
+        engine.run = run_and_fall_silent
+        _, status, _, body = await rig.send("digest")
+        assert status == 200 and numbers(body) == PIECES, (status, body, judged(rig))
+
+
 TESTS = [streams_of_engines_that_die_behind_a_listener_go_on_elsewhere,
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
-         streams_whose_engine_is_replaced_behind_a_listener_break_off]
+         streams_whose_engine_is_replaced_behind_a_listener_break_off,
+         whole_streams_of_engines_that_fall_silent_after_them_are_complete]
