Test: streams of a draining VM cut by engines that live, a case that fails

Callers got a part of a stream that looked complete, while their VM was drained.

Cause: an engine that lives closes the connection of an answer without length or chunks in the middle. The check of such an end is left out while the VM drains, which each scale-in, roll and release brings about for up to the grace period.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -1,6 +1,7 @@
 """Process tests of upstreams that die, or break an answer off, behind a listener that goes on accepting connections."""
 
 import asyncio
+import signal
 import time
 
 from answer_end_tests import PIECES, decode_engines, judged, numbers, set_fault
@@ -10,6 +11,7 @@
 
 RESTART_S = 0.15  # from the end of an engine's process until the next one listens
 SILENCE_S = 1.6
+DRAIN_S = 0.1  # from the signal that a VM stops until an engine breaks its stream off
 SHORT_S = 1.2  # in which a caller gets the end of its answer
 
 
@@ -82,6 +84,21 @@
             assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains():
+    """Guards against a part of a stream that looks complete because a VM that drains does not ask for what follows."""
+    async with Rig(decode=3) as rig:
+        set_fault("unframed", decode_engines(rig))
+        for engine in decode_engines(rig):
+            engine.EVENT_INTERVAL_S = DRAIN_S / 2
+        engine = decode_engines(rig)[0]
+        stream, = await begun_at(rig, engine)
+        rig.vms[0].signal(signal.SIGTERM)
+        await asyncio.sleep(DRAIN_S)
+        for writer in list(engine.server.writers):
+            writer.close()
+        assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
 async def halves_of_answers_of_services_that_die_behind_a_listener_are_refused():
     """The same for a booking, whose service dies after half of its answer behind a front process."""
     async with Rig(services=1) as rig:
@@ -145,6 +162,7 @@
 TESTS = [streams_of_engines_that_die_behind_a_listener_go_on_elsewhere,
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
+         parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
          streams_whose_engine_is_replaced_behind_a_listener_break_off,
          whole_streams_of_engines_that_fall_silent_after_them_are_complete]
