Ends of streams are checked while their VM drains as well

Callers got a part of a stream that looked complete while their VM was drained: the check of ends was left out then, to save time.

--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -53,7 +53,7 @@
         return false; // this is the end of the check
     }
     auto &checks = m_context.endChecks[m_request.service];
-    const auto next = m_headSent && !m_collectingError && !m_context.draining ? planResumption() : std::nullopt;
+    const auto next = m_headSent && !m_collectingError ? planResumption() : std::nullopt;
     if (!next || !checks.isDue() || nextStep(resumptionState(true)) != ResumptionStep::Reserve) {
         checks.onUnchecked();
         return false;
