A silent engine's whole stream is awaited; a process behind a closed trial proves nothing

Two faults of the confirmation of ends, both found by the soak with processes, in the same table of decisions (judgeAnswerEnd):

- Callers got all events of a stream and then a broken connection: a suspended engine answered no probe for a second, and its whole answer counted as doubtful, although it could not be repeated.
Such an end now stays undecided for 2.5 s; callers leave later, and sound engines are silent for up to 2 s.
Answers that can be repeated are given up after two probes, as before.
- Callers got a part of a stream that looked complete: the first probe was closed by a listener at the dead engine's address, and the second was answered by the next process there, before its entry arrived.
An answer after a closed trial no longer confirms a stream, and one without an entry counts from 1 s after the end on.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -30,6 +30,9 @@
     std::optional<ConnectionTrial> connection; // of the last trial
     int trials = 0;
     bool isStream = false;
+    bool mayRepeat = true; // elsewhere; otherwise the caller loses a whole answer if its upstream only stands still
+    bool wasClosed = false; // in an earlier trial, so that a process which answers now may be a new one
+    Duration sinceEnd = Duration::zero();
 };
 
 enum class AnswerEnd
@@ -49,7 +52,11 @@
 inline constexpr int MaxEndTrials = 2;
 inline constexpr Duration EndTrialPause = milliseconds(200);
 
-/// Time in which the store's watch brings the entry of a new process. It is the pause between trials of an upstream without an entry.
+/// Time in which an answer that cannot be repeated stays undecided while its upstream answers no probe. Sound upstreams are silent for up
+/// to two seconds, and callers leave later than this.
+inline constexpr Duration SilentEndTime = milliseconds(2500);
+
+/// Time in which the store's watch brings the entry of a new process. Until then, such a process may have answered a probe.
 inline constexpr Duration NewEntryTime = milliseconds(1000);
 
 /// Returns what the result of a `connectOnlyCall` shows, or the error of a probe.
--- a/include/currantstack/edge/end_confirmation.h
+++ b/include/currantstack/edge/end_confirmation.h
@@ -14,14 +14,16 @@
     /// `isComplete`: the upstream has outlived its answer. Runs once after `start` has returned, unless it is cancelled.
     using Done = std::function<void(bool isComplete)>;
 
-    EndConfirmation(EdgeContext &context, Upstream upstream, std::string requestId, bool isStream, Done done)
+    /// The answer of the upstream has just ended. `mayRepeat`: another upstream may take over if the end is doubtful.
+    EndConfirmation(EdgeContext &context, Upstream upstream, std::string requestId, bool mayRepeat, Done done)
         : m_context(context)
         , m_upstream(std::move(upstream))
         , m_requestId(std::move(requestId))
         , m_done(std::move(done))
         , m_endedAt(context.clock.now())
     {
-        m_evidence.isStream = isStream;
+        m_evidence.isStream = m_upstream.role != EngineRole::None;
+        m_evidence.mayRepeat = mayRepeat;
     }
 
     auto start() -> void;
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -25,14 +25,18 @@
     const bool hasEntry = evidence.entry == EntryState::Present;
     const bool isLastTrial = evidence.trials >= MaxEndTrials;
     // Without an entry, the address may be that of a new process, whose entry arrives before the last trial. A relay has stopped
-    // listening for an ended upstream by then. An engine with many connections shows by its other streams that it lives; a plain upstream
-    // answers too rarely for that.
-    const bool isAlive = evidence.connection == ConnectionTrial::Answered || evidence.connection == ConnectionTrial::Open;
+    // listening for an ended upstream by then. Further connections than its limit allows are closed by an upstream that lives; an engine
+    // shows that by its other streams, but a plain upstream answers too rarely.
     const bool mayBeAtLimit = evidence.connection == ConnectionTrial::Closed && !evidence.isStream;
-    if ((isAlive && (hasEntry || isLastTrial)) || (mayBeAtLimit && hasEntry && isLastTrial)) {
+    if ((evidence.connection == ConnectionTrial::Open && (hasEntry || isLastTrial)) || (mayBeAtLimit && hasEntry && isLastTrial)) {
         return AnswerEnd::Complete;
     }
-    return isLastTrial ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
+    const bool isFirstSign = !evidence.wasClosed || !evidence.isStream;
+    if (evidence.connection == ConnectionTrial::Answered && isFirstSign) {
+        return hasEntry || evidence.sinceEnd >= NewEntryTime ? AnswerEnd::Complete : AnswerEnd::Undecided;
+    }
+    const bool mayBeSilent = evidence.connection == ConnectionTrial::NoAnswer && !evidence.mayRepeat && evidence.sinceEnd < SilentEndTime;
+    return isLastTrial && !mayBeSilent ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
 }
 
 auto name(AnswerEnd end) -> std::string_view
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -64,9 +64,11 @@
     const auto now = m_context.clock.now();
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
     m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + EndSettleTime);
+    m_evidence.sinceEnd = now - m_endedAt;
     const auto end = judgeAnswerEnd(m_evidence);
     if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
-        wait(m_evidence.entry == EntryState::Removed ? NewEntryTime : EndTrialPause);
+        const bool awaitsEntry = m_evidence.entry == EntryState::Removed || m_evidence.connection == ConnectionTrial::Answered;
+        wait(awaitsEntry ? NewEntryTime : EndTrialPause);
         return;
     }
     if (end == AnswerEnd::Undecided) {
@@ -122,6 +124,7 @@
     if (!m_done) {
         return;
     }
+    m_evidence.wasClosed = m_evidence.wasClosed || m_evidence.connection == ConnectionTrial::Closed;
     m_evidence.connection = result && m_sendsProbe ? onProbed(*result, openedAt) : trialOf(result);
     if (m_evidence.connection == ConnectionTrial::Refused || m_evidence.connection == ConnectionTrial::NoAnswer) {
         recordFailedLink(m_context, m_upstream, result.error(), openedAt);
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -226,7 +226,7 @@
     releaseLoad(*found);
     auto held = std::make_shared<Result<HttpResponse>>(std::move(result));
     found->endConfirmation = std::make_shared<EndConfirmation>(
-        m_context, found->upstream, m_request.metadata.requestId, false,
+        m_context, found->upstream, m_request.metadata.requestId, m_attempts.isSafeToRetry(),
         [self = shared_from_this(), call, held, upstream = found->upstream](bool isComplete) {
             self->onAnswer(call, isComplete ? std::move(*held) : tl::unexpected(doubtfulEndError(upstream)));
         });
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -12,7 +12,8 @@
     cancelSuccessor();
     release(m_decodeClaim); // the engine has ended the run, or has ended itself
     const auto done = [self = shared_from_this()](bool isComplete) { self->onEndJudged(isComplete); };
-    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, true, done);
+    const bool mayRepeat = m_request.route->resumable && m_attempts.mayRetry();
+    m_endConfirmation = std::make_shared<EndConfirmation>(m_context, m_decodeEngine, m_request.metadata.requestId, mayRepeat, done);
     m_endConfirmation->start();
 }
 
