Test rig: the ports of a VM that is down stay its own

orders_pass_between_builds and others failed now and then beside other runs: a connection ended before the answer, or broke off in it.

Cause: a rig looks for ports by binding them, and keeps none. While one of its VMs is down, between its kill and its next start, a rig of another process may take them; then the new VM can't listen, its rig finds the other one's VM ready, and callers lose their connections when that rig ends.

--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -40,7 +40,7 @@
 import stop_tests
 import stranded_tests
 import version_tests
-from rig import ROOT, Rig, Skipped, call, read_response
+from rig import ROOT, Rig, Skipped, call, read_response, reserve_port
 from platform_upstreams import JUNK
 
 
@@ -346,6 +346,17 @@
         assert (await rig.send("stream", vm))[1] == 200
 
 
+async def ports_of_a_killed_vm_are_not_given_to_another_rig():
+    """Guards against callers whose VM restarts while another process's rig has taken its ports."""
+    async with Rig() as rig:
+        vm = rig.vms[0]
+        vm.signal(signal.SIGKILL)
+        await vm.process.wait()
+        port, reservation = reserve_port(vm.ip)
+        reservation.close()
+        assert port != vm.port, port
+
+
 async def restarted_upstreams_serve_requests():
     async with Rig(decode=2) as rig:
         await rig.fleet.engines[2].restart()
@@ -430,7 +441,7 @@
          callers_that_do_not_read_are_disconnected, smuggled_requests_are_refused,
          disconnected_callers_stop_their_engines, draining_vm_completes_requests, drain_closes_idle_connections,
          draining_upstreams_get_no_requests, configuration_comes_into_force, compacted_history_is_reloaded,
-         requests_are_served_while_the_store_is_unreachable, killed_vms_restart, restarted_upstreams_serve_requests,
+         requests_are_served_while_the_store_is_unreachable, killed_vms_restart, ports_of_a_killed_vm_are_not_given_to_another_rig, restarted_upstreams_serve_requests,
          prefilled_prompts_go_to_another_decode_engine, orders_have_one_holder,
          long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS,
          *version_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *silent_stream_tests.TESTS, *silent_upstream_tests.TESTS, *resumption_tests.TESTS, *stranded_tests.TESTS, *partial_cut_tests.TESTS, *relay_tests.TESTS,
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -24,19 +24,22 @@
 
 
 FIRST_PORT, PORT_BLOCKS, BLOCK_PORTS = 21000, 115, 100
+RESERVATIONS = "127.0.1."  # where nothing listens; the ports of a VM are free while it restarts
 
 
-def free_port(ip):
-    """Returns a port that is free together with the nine ports after it."""
+def reserve_port(ip):
+    """Returns a port that is free together with the nine ports after it, and a socket that keeps rigs from it until it is closed."""
     # Below the ports of outgoing connections, and apart from those of rigs of other processes.
     for base in range(FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS, 60000, 10):
+        reservation = socket.socket()
         try:
+            reservation.bind((ip.replace("127.0.0.", RESERVATIONS), base))
             for port in range(base, base + 10):
                 with socket.socket() as probe:
                     probe.bind((ip, port))
-            return base
+            return base, reservation
         except OSError:
-            continue
+            reservation.close()
     raise RuntimeError("no free ports")
 
 
@@ -49,7 +52,7 @@
 
     def __init__(self, number, store, place, folder, program_of, **bounds):
         self.name, self.ip = f"vm{number}", f"127.0.0.{10 + number}"
-        self.port = free_port(self.ip)
+        self.port, self.reservation = reserve_port(self.ip)
         self.path = os.path.join(folder, f"{self.name}.yaml")
         self.log_path = os.path.join(folder, f"{self.name}.log")
         with open(self.path, "w", encoding="utf-8") as file:
@@ -177,6 +180,7 @@
         for vm in self.vms:
             if vm.process:
                 await vm.process.wait()
+            vm.reservation.close()
         for relay in self.relays:
             relay.reset()
             relay.close()
