A prompt whose KV cache may have expired is prefilled again

Callers got 503 for streams that idle engines could have served, with most of their time left, after their VM had stood still for more than half a second.

Cause: the age of a KV cache counts from the time when the VM read the response to the prefill. A VM that is suspended, or gets no processor time, reads it late: the cache has expired at the engine (kv_hold_s), the decode engine refuses the request, and the VM sends it with the same handle once more, since the handle looks some milliseconds old. Then the two attempts of the route are used up.

Change: after a refusal, the age counts from the time when the response was expected if that is earlier; a cache that may be gone is not asked for again, and the prompt is prefilled anew. A prefill that merely took long and is refused for another reason is repeated as well, which costs a prefill.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -335,7 +335,9 @@
         m_stallTimer->stop();
     }
     release(m_decodeClaim);
-    if (redirect()) {
+    // If the response to the prefill was read late, the refusal may mean that the KV cache has expired.
+    const bool mayBeGone = !m_handle.empty() && outcome == AttemptOutcome::NotRun && !isRetained(std::min(m_prefilledAt, m_prefillDueAt));
+    if (!mayBeGone && redirect()) {
         return true;
     }
     freeHandle();
@@ -343,13 +345,19 @@
     return true;
 }
 
+/// Returns whether the KV cache of a prefill that ended at this time is retained for long enough to be fetched.
+auto StreamRequest::isRetained(TimePoint prefilledAt) const -> bool
+{
+    const auto *service = m_request.routeTable->service(m_request.service);
+    const auto lifetime = toMilliseconds(service->engine->handleLifetime);
+    return m_context.clock.now() - prefilledAt <= fromMilliseconds(UsableHandleLifetimeShare * lifetime);
+}
+
 /// Chooses another decode engine for a prefilled prompt. Returns false if the KV handle expires too soon or no decode engine has
 /// capacity.
 auto StreamRequest::redirect() -> bool
 {
-    const auto *service = m_request.routeTable->service(m_request.service);
-    const auto handleAge = m_context.clock.now() - m_prefilledAt;
-    if (m_handle.empty() || handleAge > fromMilliseconds(UsableHandleLifetimeShare * toMilliseconds(service->engine->handleLifetime))) {
+    if (m_handle.empty() || !isRetained(m_prefilledAt)) {
         return false;
     }
     const auto next = plan([this](const PlacementInputs &inputs) { return planTransfer(inputs, m_prefillEngine, m_context.random); });
@@ -363,7 +371,7 @@
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
                          {"prefill", m_prefillEngine.id},
-                         {"kept_ms", toMilliseconds(handleAge)},
+                         {"kept_ms", toMilliseconds(m_context.clock.now() - m_prefilledAt)},
                          {"sends", m_attempts.count()}});
     claimDecode(false);
     reserve(*next);
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -87,6 +87,7 @@
     }
     m_handle = prefilled->handle;
     m_prefilledAt = m_context.clock.now();
+    m_prefillDueAt = m_sentAt + m_expectedPrefill;
     m_kvSource = m_prefillEngine.address + "/" + prefilled->handle;
     return true;
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -136,6 +136,7 @@
     auto onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void;
     auto logBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) const -> void;
     auto restart(AttemptOutcome outcome) -> bool;
+    auto isRetained(TimePoint prefilledAt) const -> bool;
     auto redirect() -> bool;
     auto placeOrEnqueue() -> void;
 
@@ -211,6 +212,7 @@
     HttpClient::CallId m_prefillCall = 0;
     HttpClient::CallId m_decodeCall = 0;
     TimePoint m_prefilledAt; // when `m_handle` was received
+    TimePoint m_prefillDueAt; // when it was expected
     TimePoint m_sentAt; // of the call in flight
     TimePoint m_plannedAt; // when the decode engine was chosen
     TimePoint m_decodeStartedAt; // of the first decode call
--- a/test/edge/silence_tests.py
+++ b/test/edge/silence_tests.py
@@ -1,6 +1,7 @@
 """Process tests of sound upstreams that neither read nor send for about a second and then go on."""
 
 import asyncio
+import signal
 import time
 
 from rig import Rig
@@ -12,6 +13,8 @@
 REQUEST_GAP_S = 0.12  # between streams of steady traffic
 TRAFFIC_S = 4.0
 SERVED_SHARE = 0.8
+PREFILL_TOKENS, PREFILL_MS = 2000, 100
+SUSPENSION_S = 0.8  # of a VM; engines keep a KV cache for 0.5 s
 
 
 async def complete(rig, vm, upstreams, count=6, publishes=0):
@@ -83,6 +86,25 @@
         assert statuses.count(200) >= SERVED_SHARE * len(statuses), f"{served}: engines are avoided after they answer again"
 
 
+async def streams_of_a_vm_that_was_suspended_during_their_prefill_are_served():
+    """Guards against a KV cache that has expired before the VM read its handle, and that is asked for until no attempt is left."""
+    async with SilenceRig() as rig:
+        vm = rig.vms[0]
+        assert (await rig.send("stream"))[1] == 200
+        for engine in rig.fleet.engines:
+            engine.PREFILL_TOKENS_PER_MS = PREFILL_TOKENS / PREFILL_MS
+        for _ in range(3):
+            request = rig.request_id()
+            task = asyncio.create_task(rig.send("stream", request_id=request, headers={"Token-Count": f"{PREFILL_TOKENS},100"}))
+            while not any(entry["event"] == "arrived" and entry["request"] == request for entry in rig.fleet.history):
+                await asyncio.sleep(0.005)
+            vm.signal(signal.SIGSTOP)
+            await asyncio.sleep(SUSPENSION_S)
+            vm.signal(signal.SIGCONT)
+            _, status, _, body = await task
+            assert status == 200, (status, body)
+
+
 TESTS = [streams_outlive_a_silent_second_of_all_engines, streams_outlive_a_silent_second_with_an_empty_retry_budget,
          streams_outlive_a_silent_second_while_the_configuration_changes, silent_services_answer_late,
-         silent_engines_are_no_lost_links]
+         silent_engines_are_no_lost_links, streams_of_a_vm_that_was_suspended_during_their_prefill_are_served]
