Test rig: VMs end with the process of their rig

A test failed with "vm0 is not ready": the VM had heard of version 6 of the configuration while its store had version 3, and waited for it.

Cause: VMs outlive a test process that is ended, by a limit on its time for example, or whose rig fails while it starts. They report to the VMs they knew, for as long as they run, and a later rig gives those addresses to its own VMs.

Evidence: run 7 of 9 of cut_vm_asks_released_and_current_vms_alike at a load of 18: peer_heard of a vm5 at 127.0.0.15, 31 ms after the start of vm0, in a rig of three VMs; routes_behind with peer_version 6, not ready for 10 s. Nine such VMs of ended processes ran on the machine, two of them a vm5.

Change: a VM is started with a parent-death signal. vms_end_with_the_process_of_ their_rig fails with the former rig in 3 of 3 runs and passes in 3 of 3 now. That other rigs that run at the same time use other addresses is not ensured for IPs that only one of them uses.

--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -51,6 +51,15 @@
     return [int(number) for _, _, number, _ in found]
 
 
+def program_of(pid):
+    """Returns the command line of a process, empty if it has ended."""
+    try:
+        with open(f"/proc/{pid}/cmdline", "rb") as file:
+            return file.read()
+    except OSError:
+        return b""
+
+
 async def each_request_kind_is_forwarded():
     async with Rig() as rig:
         for kind in ("book", "check"):
@@ -357,6 +366,26 @@
         assert port != vm.port, port
 
 
+async def vms_end_with_the_process_of_their_rig():
+    """Guards against VMs of a run that was ended, which report to those of later rigs at the same addresses."""
+    code = ("import asyncio, os, rig\n"
+            "async def main():\n"
+            "    async with rig.Rig() as found:\n"
+            "        print(found.vms[0].process.pid, flush=True)\n"
+            "        os._exit(1)\n"
+            "asyncio.run(main())\n")
+    process = await asyncio.create_subprocess_exec(sys.executable, "-c", code, cwd=os.path.dirname(os.path.abspath(__file__)),
+                                                   stdout=asyncio.subprocess.PIPE)
+    vm = int(await process.stdout.readline())
+    await process.wait()
+    end = time.monotonic() + 2
+    while program_of(vm):
+        if time.monotonic() > end:
+            os.kill(vm, signal.SIGKILL)
+            raise AssertionError("the VM goes on after its rig's process")
+        await asyncio.sleep(0.05)
+
+
 async def restarted_upstreams_serve_requests():
     async with Rig(decode=2) as rig:
         await rig.fleet.engines[2].restart()
@@ -441,7 +470,7 @@
          callers_that_do_not_read_are_disconnected, smuggled_requests_are_refused,
          disconnected_callers_stop_their_engines, draining_vm_completes_requests, drain_closes_idle_connections,
          draining_upstreams_get_no_requests, configuration_comes_into_force, compacted_history_is_reloaded,
-         requests_are_served_while_the_store_is_unreachable, killed_vms_restart, ports_of_a_killed_vm_are_not_given_to_another_rig, restarted_upstreams_serve_requests,
+         requests_are_served_while_the_store_is_unreachable, killed_vms_restart, ports_of_a_killed_vm_are_not_given_to_another_rig, vms_end_with_the_process_of_their_rig, restarted_upstreams_serve_requests,
          prefilled_prompts_go_to_another_decode_engine, orders_have_one_holder,
          long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS,
          *version_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *silent_stream_tests.TESTS, *silent_upstream_tests.TESTS, *resumption_tests.TESTS, *stranded_tests.TESTS, *partial_cut_tests.TESTS, *relay_tests.TESTS,
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -23,6 +23,7 @@
 RELEASED = os.environ.get("CURRANT_EDGE_RELEASED", os.path.join(ROOT, "build-production", "currant-edge"))
 
 
+ENDS_WITH_PARENT = ("setpriv", "--pdeathsig", "KILL")
 FIRST_PORT, PORT_BLOCKS, BLOCK_PORTS = 21000, 115, 100
 RESERVATIONS = "127.0.1."  # where nothing listens; the ports of a VM are free while it restarts
 
@@ -63,7 +64,8 @@
     async def start(self):
         self.started_at = time.monotonic()
         with open(self.log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(self.program_of(self), "--settings", self.path, stdout=log, stderr=log)
+            self.process = await asyncio.create_subprocess_exec(*ENDS_WITH_PARENT, self.program_of(self), "--settings", self.path,
+                                                                stdout=log, stderr=log)
 
     async def move_store(self, address):
         """Restarts the VM with another address of the store."""
