Test rig: rigs that run side by side use different ports

A rig's ports were its own at the addresses of its VMs only, so that a rig with more VMs could use the same ones at further addresses. Its VMs may send datagrams to the other rig's, which they take for a peer that is ahead (routes_behind).

Change: one rig has one port for all its VMs, and a reservation for all addresses.

--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -356,14 +356,15 @@
 
 
 async def ports_of_a_killed_vm_are_not_given_to_another_rig():
-    """Guards against callers whose VM restarts while another process's rig has taken its ports."""
+    """Guards against callers whose VM restarts while another process's rig has taken its ports, and datagrams between VMs of two rigs."""
     async with Rig() as rig:
         vm = rig.vms[0]
         vm.signal(signal.SIGKILL)
         await vm.process.wait()
-        port, reservation = reserve_port(vm.ip)
-        reservation.close()
-        assert port != vm.port, port
+        for ip in (vm.ip, "127.0.0.99"):
+            port, reservation = reserve_port([ip])
+            reservation.close()
+            assert port != vm.port, (ip, port)
 
 
 async def vms_end_with_the_process_of_their_rig():
--- a/test/edge/rig.py
+++ b/test/edge/rig.py
@@ -25,25 +25,30 @@
 
 ENDS_WITH_PARENT = ("setpriv", "--pdeathsig", "KILL")
 FIRST_PORT, PORT_BLOCKS, BLOCK_PORTS = 21000, 115, 100
-RESERVATIONS = "127.0.1."  # where nothing listens; the ports of a VM are free while it restarts
+RESERVATIONS = "127.0.1.1"  # where nothing listens; the ports of a VM are free while it restarts
 
 
-def reserve_port(ip):
-    """Returns a port that is free together with the nine ports after it, and a socket that keeps rigs from it until it is closed."""
+def reserve_port(ips):
+    """Returns a port that is free at these addresses together with the nine after it, and a socket that keeps other rigs from it."""
     # Below the ports of outgoing connections, and apart from those of rigs of other processes.
     for base in range(FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS, 60000, 10):
         reservation = socket.socket()
         try:
-            reservation.bind((ip.replace("127.0.0.", RESERVATIONS), base))
-            for port in range(base, base + 10):
-                with socket.socket() as probe:
-                    probe.bind((ip, port))
+            reservation.bind((RESERVATIONS, base))
+            for ip in ips:
+                for port in range(base, base + 10):
+                    with socket.socket() as probe:
+                        probe.bind((ip, port))
             return base, reservation
         except OSError:
             reservation.close()
     raise RuntimeError("no free ports")
 
 
+def vm_ip(number):
+    return f"127.0.0.{10 + number}"
+
+
 class Skipped(Exception):
     """Raised by a test that cannot run here; its text says what is missing."""
 
@@ -51,9 +56,8 @@
 class Vm:
     """One currant-edge process, which logs to a file."""
 
-    def __init__(self, number, store, place, folder, program_of, **bounds):
-        self.name, self.ip = f"vm{number}", f"127.0.0.{10 + number}"
-        self.port, self.reservation = reserve_port(self.ip)
+    def __init__(self, number, port, store, place, folder, program_of, **bounds):
+        self.name, self.ip, self.port = f"vm{number}", vm_ip(number), port
         self.path = os.path.join(folder, f"{self.name}.yaml")
         self.log_path = os.path.join(folder, f"{self.name}.log")
         with open(self.path, "w", encoding="utf-8") as file:
@@ -160,6 +164,7 @@
         self.fleet.store.hidden_prefix = hidden_prefix
         self.vm_count, self.bounds = vms, {"grace": grace, **(bounds or {})}
         self.vms, self.request_count = [], 0
+        self.reservation = None  # keeps other rigs from the ports of the VMs
         self.relays = []  # between VMs and the store
         self.links = None  # between VMs and upstreams, if they can be cut
         self.writers = []  # of streams that are read event by event
@@ -167,8 +172,9 @@
 
     async def __aenter__(self):
         await self.fleet.start()
+        port, self.reservation = reserve_port([vm_ip(number) for number in range(self.vm_count)])
         for number in range(self.vm_count):
-            self.vms.append(Vm(number, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, self.program_of, **self.bounds))
+            self.vms.append(Vm(number, port, self.fleet.store.address, ("z1", "z2")[number % 2], self.folder, self.program_of, **self.bounds))
         await asyncio.gather(*(vm.start() for vm in self.vms))
         await asyncio.gather(*(vm.wait_until_ready() for vm in self.vms))
         return self
@@ -182,7 +188,7 @@
         for vm in self.vms:
             if vm.process:
                 await vm.process.wait()
-            vm.reservation.close()
+        self.reservation.close()
         for relay in self.relays:
             relay.reset()
             relay.close()
