Blocks of a stream without data and id are no events

What callers saw: a stream that ends as complete without the event that follows a reconnection time ("retry: 3000"), a named block without data, or a "weight-versions" line in a block of its own: [1..5, 7..12] of 12, and an empty stream if each event has such a block before it. No line of the log tells of it; `gaps` is 0.

Cause: each block that is not only comments took the next id, so that the event with this id counted as its repetition and was dropped.

Change: a block dispatches no event without data (HTML, 9.2.6). It is passed on like a comment, unless it has an id.

--- a/include/currantstack/edge/event_splitter.h
+++ b/include/currantstack/edge/event_splitter.h
@@ -15,7 +15,7 @@
 {
     std::string_view bytes; // valid during the callback
     std::optional<std::int64_t> id; // of the last "id" field that is an integer
-    bool isEmpty = false; // has only blank lines and comments
+    bool isEmpty = false; // has neither data nor an id, as a reconnection time or a comment
 };
 
 /// Buffers incomplete events, so that only complete ones are forwarded.
--- a/src/edge/event_splitter.cc
+++ b/src/edge/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "currantstack/edge/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace currantstack
@@ -13,36 +14,40 @@
     return !line.empty() && line.back() == '\r' ? line.substr(0, line.size() - 1) : line;
 }
 
-auto isEmptyEvent(std::string_view event) -> bool
+/// Calls `onField` with the name of each field and with its value, without the spaces before it.
+auto forEachField(std::string_view event, const std::function<void(std::string_view name, std::string_view value)> &onField) -> void
 {
-    for (auto atLineStart = true; const char byte : event) {
-        if (atLineStart && byte != ':' && byte != '\n' && byte != '\r') {
-            return false;
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        const auto line = withoutCarriageReturn(event.substr(0, end));
+        const auto colon = std::min(line.find(':'), line.size());
+        if (colon > 0) {
+            auto value = line.substr(std::min(colon + 1, line.size()));
+            value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+            onField(line.substr(0, colon), value);
         }
-        atLineStart = byte == '\n';
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
     }
-    return true;
+}
+
+auto isEmptyEvent(std::string_view event) -> bool
+{
+    bool isEmpty = true;
+    forEachField(event,
+                 [&isEmpty](std::string_view name, std::string_view /*value*/) { isEmpty = isEmpty && name != "data" && name != "id"; });
+    return isEmpty;
 }
 
 auto parseId(std::string_view event) -> std::optional<std::int64_t>
 {
     std::optional<std::int64_t> id;
-    while (!event.empty()) {
-        const auto end = event.find('\n');
-        auto line = withoutCarriageReturn(event.substr(0, end));
-        if (line.starts_with("id:")) {
-            line.remove_prefix(3);
-            while (!line.empty() && line.front() == ' ') {
-                line.remove_prefix(1);
-            }
-            std::int64_t number = 0;
-            const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), number);
-            if (error == std::errc() && rest == line.data() + line.size()) {
-                id = number;
-            }
+    forEachField(event, [&id](std::string_view name, std::string_view value) {
+        std::int64_t number = 0;
+        const auto [rest, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+        if (name == "id" && error == std::errc() && rest == value.data() + value.size()) {
+            id = number;
         }
-        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-    }
+    });
     return id;
 }
 
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -89,8 +89,8 @@
     bool m_headRead = false;
     EventSplitter m_splitter;
     bool m_isDisordered = false; // the current run has sent an event with a lower id than the one before it
-    std::string m_heldFiller; // blank lines and comments before the first event, sent with it
-    std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
+    std::string m_heldFiller; // fields without data and comments before the first event, sent with it
+    std::size_t m_fillerBytes = 0; // of fields without data and comments since the last event
     int m_events = 0;
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_eventTimer;
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -231,9 +231,9 @@
     EventSequence m_sequence; // of the events of all runs that the caller has
     std::string_view m_disorder; // why the current run is given up; empty: its events are in order
     std::optional<IdGap> m_brokenGap; // at which the last run was broken off
-    std::size_t m_fillerBytes = 0; // of blank lines and comments since the last event
+    std::size_t m_fillerBytes = 0; // of fields without data and comments since the last event
     std::optional<TimePoint> m_partialSince; // first byte of an event that is not complete
-    std::string m_heldFiller; // blank lines and comments before the first event, sent with it
+    std::string m_heldFiller; // fields without data and comments before the first event, sent with it
     int m_events = 0;
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
     bool m_survivalRecorded = false; // the quarantine knows that the current decode engine survived the begin of this stream
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -262,7 +262,8 @@
         self.role, self.order_count, self.highest_fence = role, 0, 0
         self.handles, self.holds, self.used_tokens = {}, {}, 0
         # Faults of the order of events, by the number of the request's run at all engines: "torn" breaks off, "gap" leaves an event out, "back"
-        # sends an earlier id in its place, "twice" repeats one, "skip" begins 2 events too late, "restart" with the first one, "no_ids" has none.
+        # sends an earlier id in its place, "twice" repeats one, "skip" begins 2 events too late, "restart" with the first one, "no_ids" has none,
+        # "retry" puts fields without data before an event.
         self.order_faults = {}
         self.is_full = False  # it has no room for further streams
         self.local_ids = itertools.count(1)
@@ -395,6 +396,8 @@
             return f"data: {text}\n\n".encode()
         if number != self.FIRST_ID + self.FAULTY_EVENT:
             return event
+        if order_fault == "retry":
+            return b"retry: 3000\n\nweight-versions: 1\n\n" + event
         earlier = f"id: {number - 3}\ndata: {text}\n\n".encode()
         return {"gap": b"", "back": earlier, "twice": event + event}.get(order_fault, event)
 
--- a/test/edge/order_tests.py
+++ b/test/edge/order_tests.py
@@ -59,6 +59,14 @@
             expect(await get(rig, "stream"), (EVENTS, len(faults)), faults)
 
 
+async def fields_without_data_cost_no_event():
+    """Guards against an event that is dropped as a repetition because a reconnection time before it was counted as an event."""
+    async with Rig() as rig:
+        for faults in ({1: "retry"}, {1: "torn", 2: "retry"}):
+            set_faults(rig.fleet.engines, faults)
+            expect(await get(rig, "stream"), (EVENTS, len(faults)), faults)
+
+
 async def runs_whose_ids_go_back_are_given_up():
     """Guards against a stream that ends as complete without the event that an engine sent under an earlier id."""
     async with Rig() as rig:
@@ -169,7 +177,7 @@
             expect(await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}), (list(range(1, 12)), 1), builds)
 
 
-TESTS = [repeated_events_are_dropped, runs_whose_ids_go_back_are_given_up, events_that_one_engine_leaves_out_come_from_another,
+TESTS = [repeated_events_are_dropped, fields_without_data_cost_no_event, runs_whose_ids_go_back_are_given_up, events_that_one_engine_leaves_out_come_from_another,
          streams_that_must_not_be_resumed_break_at_a_gap, events_that_a_resumed_run_skips_come_from_another,
          services_whose_ids_have_gaps_keep_their_streams, gap_of_two_runs_passes, callers_that_return_after_event_0_get_it_once,
          streams_that_another_vm_takes_over_after_event_0_are_complete,
--- a/test/event_splitter-test.cc
+++ b/test/event_splitter-test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(idsAreParsed);
     CPPUNIT_TEST(oversizedEventsAreRejected);
     CPPUNIT_TEST(blankLinesAndCommentsAreEmptyEvents);
+    CPPUNIT_TEST(fieldsWithoutDataAndIdTakeNoPlaceAmongTheEvents);
     CPPUNIT_TEST_SUITE_END();
 
     struct FeedResult
@@ -46,6 +47,16 @@
         CPPUNIT_ASSERT(empty == (std::vector<bool>{true, true, true, false, false}));
     }
 
+    // The event after a reconnection time or a change of the weights' version is dropped as a repetition.
+    auto fieldsWithoutDataAndIdTakeNoPlaceAmongTheEvents() -> void
+    {
+        std::vector<bool> empty;
+        EventSplitter splitter;
+        splitter.feed("retry: 3000\n\nevent: ping\r\n\r\nweight-versions: 2\n\ndataset: x\n\nid: 1\n\nevent: x\ndata\n\n: x\ndata:\n\n",
+                      [&empty](const RawEvent &event) { empty.push_back(event.isEmpty); });
+        CPPUNIT_ASSERT(empty == (std::vector<bool>{true, true, true, true, false, false, false}));
+    }
+
     auto eventsDoNotDependOnChunking() -> void
     {
         CHECK_PROPERTY("events do not depend on the chunks in which their bytes arrive", [] {
