Events without an id take no id of another event

What callers saw: a stream that ends as complete without the event that follows one without an id ([1..6, 8..12] of 12), or, when its engine broke off behind an event without an id, without the first event that another engine was to send.

Cause: an event without an id took the id after the last one. The engine's own event with this id was dropped as a repetition, or not asked for. Neither is logged; `gaps` is 0.

Evidence: process test events_without_ids_cost_no_event, which fails before this commit: 11 of 12 events, as complete.

Change: such events take no id. An id after them may leave out as many as came without one. While the last event has none, neither another engine nor another VM can be asked for what follows it, so that a broken stream breaks off visibly. In a run that repeats earlier events, those without an id among them are dropped as well.

--- a/include/currantstack/decisions/event_sequence.h
+++ b/include/currantstack/decisions/event_sequence.h
@@ -11,11 +11,11 @@
 /// Where an event stands among those that the caller has.
 enum class EventPlace
 {
-    Next, // the following one, or one without an id
+    Next, // the following one, or one without an id that the caller does not have
     Received, // the caller has it from an earlier run
     Repeated, // the run that is going on has sent it before
     Regressed, // its id is below that of the previous event of the same run
-    Gap, // its id is more than 1 above that of the last event that the caller has
+    Gap, // more ids are left out than events without an id came
 };
 
 /// Follows the ids of the events that one caller gets.
@@ -30,7 +30,8 @@
     /// Begins a run that is to go on after the last event that the caller has.
     auto beginRun() -> void
     {
-        m_runHasEvents = false;
+        m_runHasIds = false;
+        m_isBehind = false;
     }
 
     /// Returns the place of the run's next event, and records it if it is the following one. An event after a gap is recorded by `passGap`.
@@ -39,11 +40,18 @@
     /// Records an event after a gap, because the caller gets it.
     auto passGap(std::int64_t id) -> void;
 
+    /// Returns the last id that the caller has.
     auto lastId() const -> std::optional<std::int64_t>
     {
         return m_lastId;
     }
 
+    /// Returns false if the caller has events after the one of `lastId`, so that a run which goes on after that may repeat them.
+    auto isPositionKnown() const -> bool
+    {
+        return m_unnumbered == 0;
+    }
+
     /// Returns the number of gaps that the caller got.
     auto gaps() const -> int
     {
@@ -51,8 +59,12 @@
     }
 
 private:
+    auto record(std::int64_t id) -> void;
+
     std::optional<std::int64_t> m_lastId;
-    bool m_runHasEvents = false; // that the caller did not have before
+    std::uint64_t m_unnumbered = 0; // events since the last id
+    bool m_runHasIds = false; // that the caller did not have before
+    bool m_isBehind = false; // the run's last event precedes that of `m_lastId`
     int m_gaps = 0;
 };
 
--- a/include/currantstack/decisions/stream_resumption.h
+++ b/include/currantstack/decisions/stream_resumption.h
@@ -18,6 +18,7 @@
     bool isInTime = false; // neither the deadline nor the end of this VM comes first
     bool isQuarantined = false;
     bool isVersionCertain = true; // false: the engine's process was replaced, and either may have sent the events
+    bool isPositionKnown = true; // false: the last event had no id, so that no run can be asked for what follows it
     bool isCutOff = false; // this VM, from the engines
     bool hasOtherVm = false; // that may forward the request
     bool hasOtherEngine = false; // that may go on with the stream once it has capacity
--- a/src/decisions/event_sequence.cc
+++ b/src/decisions/event_sequence.cc
@@ -1,38 +1,46 @@
 #include "currantstack/decisions/event_sequence.h"
 
-#include <limits>
-
 namespace currantstack
 {
 
 auto EventSequence::onEvent(std::optional<std::int64_t> id) -> EventPlace
 {
     if (!id) {
-        m_lastId = m_lastId.value_or(0) + (m_lastId == std::numeric_limits<std::int64_t>::max() ? 0 : 1);
-        m_runHasEvents = true;
+        if (m_isBehind) {
+            return EventPlace::Received;
+        }
+        ++m_unnumbered;
         return EventPlace::Next;
     }
-    if (m_lastId && *id < *m_lastId) {
-        return m_runHasEvents ? EventPlace::Regressed : EventPlace::Received;
-    }
-    if (m_lastId && *id == *m_lastId) {
-        return m_runHasEvents ? EventPlace::Repeated : EventPlace::Received;
+    if (m_lastId && *id <= *m_lastId) {
+        if (m_runHasIds) {
+            return *id < *m_lastId ? EventPlace::Regressed : EventPlace::Repeated;
+        }
+        m_isBehind = *id < *m_lastId;
+        return EventPlace::Received;
     }
-    if (m_lastId && *id - 1 != *m_lastId) {
+    // Whether events without an id are counted is not known. The difference of the ids may exceed a signed number.
+    if (m_lastId && static_cast<std::uint64_t>(*id) - static_cast<std::uint64_t>(*m_lastId) - 1 > m_unnumbered) {
         return EventPlace::Gap;
     }
-    m_lastId = id;
-    m_runHasEvents = true;
+    record(*id);
     return EventPlace::Next;
 }
 
 auto EventSequence::passGap(std::int64_t id) -> void
 {
-    m_lastId = id;
-    m_runHasEvents = true;
+    record(id);
     ++m_gaps;
 }
 
+auto EventSequence::record(std::int64_t id) -> void
+{
+    m_lastId = id;
+    m_unnumbered = 0;
+    m_runHasIds = true;
+    m_isBehind = false;
+}
+
 auto name(EventPlace place) -> std::string_view
 {
     switch (place) {
--- a/src/decisions/stream_resumption.cc
+++ b/src/decisions/stream_resumption.cc
@@ -17,7 +17,7 @@
 auto nextStep(const ResumptionState &state) -> ResumptionStep
 {
     const auto otherwise = state.hasCall ? ResumptionStep::KeepCall : ResumptionStep::GiveUp;
-    if (!state.mayRetry || !state.isInTime || state.isQuarantined || !state.isVersionCertain) {
+    if (!state.mayRetry || !state.isInTime || state.isQuarantined || !state.isVersionCertain || !state.isPositionKnown) {
         return otherwise;
     }
     const bool waits = state.hasBegun && !state.hasCall;
@@ -50,6 +50,9 @@
     if (!state.isVersionCertain) {
         return "the software version of its events is uncertain";
     }
+    if (!state.isPositionKnown) {
+        return "its last event has no id";
+    }
     if (!state.hasRetryBudget) {
         return "the retry budget is empty";
     }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -158,7 +158,7 @@
         return;
     }
     const auto candidates = m_context.relayHooks.candidates(m_request.service);
-    const bool mayMove = m_attempts.mayRetry() && now < m_request.deadline() && (m_headSent || !outlastsThisVm()) && m_sends < MaxSends
+    const bool mayMove = maySendAgain() && now < m_request.deadline() && (m_headSent || !outlastsThisVm()) && m_sends < MaxSends
         && m_tried.size() < MaxVms && chooseRelay(candidates, m_tried, m_context.random) != nullptr;
     m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
     if (m_retryAcquired) {
@@ -199,7 +199,7 @@
 auto RelayedRequest::waitToAskAgain() -> bool
 {
     const auto timeLeft = m_request.deadline() - m_context.clock.now();
-    if (!m_headSent || !m_attempts.mayRetry() || m_sends >= MaxSends || timeLeft <= LongestAskAgainPause) {
+    if (!m_headSent || !maySendAgain() || m_sends >= MaxSends || timeLeft <= LongestAskAgainPause) {
         return false;
     }
     m_context.counters.at("resumptions_delayed").add();
@@ -215,10 +215,16 @@
     return true;
 }
 
+/// Returns whether an attempt is left, and another VM can be asked for what follows the last event.
+auto RelayedRequest::maySendAgain() const -> bool
+{
+    return m_attempts.mayRetry() && m_sequence.isPositionKnown();
+}
+
 auto RelayedRequest::mayAskAnother(AttemptOutcome outcome) -> bool
 {
     const auto now = m_context.clock.now();
-    return m_attempts.mayRetry() && now < m_request.deadline() && (m_headSent || !outlastsThisVm())
+    return maySendAgain() && now < m_request.deadline() && (m_headSent || !outlastsThisVm())
         && (outcome == AttemptOutcome::NotSent || std::exchange(m_retryAcquired, false)
             || m_context.retryBudget.tryAcquire(m_request.service, now));
 }
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -55,6 +55,7 @@
     auto onAnswer(HttpResponse response) -> void;
     auto classify(int status, const Headers &headers) const -> AttemptOutcome;
     auto onBroken(AttemptOutcome outcome, std::string_view reason) -> void;
+    auto maySendAgain() const -> bool;
     auto mayAskAnother(AttemptOutcome outcome) -> bool;
     auto askAnother() -> void;
     auto waitToAskAgain() -> bool;
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -62,6 +62,7 @@
         && (m_headSent || !outlastsThisVm(m_context, m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape)));
     state.isQuarantined = m_context.quarantine.find(m_request.traits, now).has_value();
     state.isVersionCertain = isVersionCertain();
+    state.isPositionKnown = m_sequence.isPositionKnown();
     state.isCutOff = m_context.reach.isCutOff(m_request.service);
     state.hasOtherVm = mayRelay(m_context, m_request);
     state.hasOtherEngine = hasOtherEngine();
