A body length that cannot be read is an error

What callers saw: an answer that ends as complete although it was cut. With a Content-Length above 63 bits, libcurl reads to the end of the connection, whereas framingOf tells `length`, so that the end is not confirmed; with "0x3" the body is empty, with "3,4" or "3x" it has 3 bytes.

Cause: framingError checked how often a message tells its length, not whether it can be read; libcurl reads the digits at its begin.

Change: a Content-Length must be one number that fits in 63 bits; otherwise the call fails, and a request is refused.

No engine that sends such a length is known.

--- a/src/base/http.cc
+++ b/src/base/http.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cstdint>
 #include <fmt/format.h>
 #include <strings.h>
 
@@ -24,12 +26,28 @@
                       [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
+namespace
+{
+
+/// Returns whether the value of a Content-Length header is one number that fits in 63 bits (RFC 9110, 8.6).
+auto isBodyLength(std::string_view value) -> bool
+{
+    const auto begin = std::min(value.find_first_not_of(" \t"), value.size());
+    value = value.substr(begin, value.find_last_not_of(" \t") + 1 - begin);
+    std::int64_t length = 0;
+    const auto [rest, error] = std::from_chars(value.data(), value.data() + value.size(), length);
+    return error == std::errc() && rest == value.data() + value.size() && value.front() != '-';
+}
+
+} // namespace
+
 auto framingError(const Headers &headers) -> std::string_view
 {
     constexpr std::string_view TokenPunctuation = "!#$%&'*+-.^_`|~"; // RFC 9110, 5.6.2
     int lengths = 0;
     int encodings = 0;
     bool chunked = true;
+    bool readable = true;
     for (const auto &header : headers) {
         for (const unsigned char letter : header.name) {
             if (std::isalnum(letter) == 0 && TokenPunctuation.find(static_cast<char>(letter)) == std::string_view::npos) {
@@ -38,6 +56,7 @@
         }
         if (equalIgnoringCase(header.name, "Content-Length")) {
             ++lengths;
+            readable = readable && isBodyLength(header.value);
         } else if (equalIgnoringCase(header.name, "Transfer-Encoding")) {
             ++encodings;
             chunked = chunked && equalIgnoringCase(header.value, "chunked");
@@ -46,6 +65,9 @@
     if (lengths + encodings > 1) {
         return "more than one body length";
     }
+    if (!readable) {
+        return "malformed body length";
+    }
     return chunked ? "" : "unknown transfer encoding";
 }
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -31,6 +31,7 @@
     {
         CPPUNIT_ASSERT(!hasFramingError({}));
         CPPUNIT_ASSERT(!hasFramingError({{"Content-Length", "5"}, {"X", "y"}}));
+        CPPUNIT_ASSERT(!hasFramingError({{"Content-Length", "\t9223372036854775807 "}}));
         CPPUNIT_ASSERT(!hasFramingError({{"Transfer-Encoding", "Chunked"}}));
     }
 
@@ -38,6 +39,9 @@
     {
         CPPUNIT_ASSERT(hasFramingError({{"Content-Length", "5"}, {"content-length", "6"}}));
         CPPUNIT_ASSERT(hasFramingError({{"Content-Length", "5"}, {"Transfer-Encoding", "chunked"}}));
+        for (const auto *length : {"", " ", "+5", "-5", "5,5", "0x5", "5 5", "9223372036854775808"}) {
+            CPPUNIT_ASSERT_MESSAGE(length, hasFramingError({{"Content-Length", length}}));
+        }
         CPPUNIT_ASSERT(hasFramingError({{"Transfer-Encoding", "xchunked"}}));
         CPPUNIT_ASSERT(hasFramingError({{"Transfer-Encoding", "identity"}}));
         CPPUNIT_ASSERT(hasFramingError({{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}}));
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -131,6 +131,7 @@
     CPPUNIT_TEST(responsesThatEndInsideTheirHeadAreErrors);
     CPPUNIT_TEST(responsesThatEndInsideTheirBodyAreErrors);
     CPPUNIT_TEST(ambiguousBodyLengthsAreErrors);
+    CPPUNIT_TEST(unreadableBodyLengthsAreErrors);
     CPPUNIT_TEST(completeResponsesAreDelivered);
     CPPUNIT_TEST(connectionsThatStayOpenAreReported);
     CPPUNIT_TEST(acceptedConnectionsThatAreClosedOrResetAreErrors);
@@ -184,6 +185,14 @@
         assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 0);
     }
 
+    // A part of an answer counts as the whole because its length cannot be read.
+    auto unreadableBodyLengthsAreErrors() -> void
+    {
+        for (const auto *length : {"99999999999999999999", "0x3", "3x", "3,4", "3, 3", "+3", "-3", "", "x"}) {
+            assertBroken(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\nabc", length), 0);
+        }
+    }
+
     auto completeResponsesAreDelivered() -> void
     {
         const std::vector<std::pair<std::string, std::string>> answers = {
