Streams without events keep their comments

What callers saw: an empty body where the engine's whole answer had comments, or other blocks without data, but no event.

Cause: blocks before the first event are held until it comes, and were dropped when the answer ended without one. Relayed streams passed them on.

Evidence: process test comments_of_streams_without_events_are_passed_on, which fails before this commit.

Change: they are written when the answer ends.

--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -59,6 +59,7 @@
     const auto now = m_context.clock.now();
     if (!m_headSent) {
         m_request.exchange->beginStream(m_answerStatus, m_answerHeaders);
+        m_request.exchange->write(m_heldFiller);
     }
     m_request.exchange->end();
     m_context.speedsOf(m_request.service)
--- a/test/edge/order_tests.py
+++ b/test/edge/order_tests.py
@@ -67,6 +67,15 @@
             expect(await get(rig, "stream"), (EVENTS, len(faults)), faults)
 
 
+async def comments_of_streams_without_events_are_passed_on():
+    """Guards against a whole answer whose bytes are missing because none of them belongs to an event."""
+    async with Rig() as rig:
+        for engine in rig.fleet.engines:
+            engine.EVENTS, engine.fault, engine.fault_share = 0, "comments", 1.0
+        _, status, _, body = await rig.send("stream", headers=FIELDS)
+        expect((status, body), (200, b": hello\n\n"))
+
+
 async def events_without_ids_cost_no_event():
     """Guards against an event that is dropped, or not asked for at another engine, because one without an id before it was given its id."""
     async with Rig() as rig:
@@ -187,7 +196,8 @@
             expect(await get(rig, "stream", rig.vms[0], **{"Last-Event-Id": 0}), (list(range(1, 12)), 1), builds)
 
 
-TESTS = [repeated_events_are_dropped, fields_without_data_cost_no_event, events_without_ids_cost_no_event, runs_whose_ids_go_back_are_given_up, events_that_one_engine_leaves_out_come_from_another,
+TESTS = [repeated_events_are_dropped, fields_without_data_cost_no_event, comments_of_streams_without_events_are_passed_on,
+         events_without_ids_cost_no_event, runs_whose_ids_go_back_are_given_up, events_that_one_engine_leaves_out_come_from_another,
          streams_that_must_not_be_resumed_break_at_a_gap, events_that_a_resumed_run_skips_come_from_another,
          services_whose_ids_have_gaps_keep_their_streams, gap_of_two_runs_passes, callers_that_return_after_event_0_get_it_once,
          streams_that_another_vm_takes_over_after_event_0_are_complete,
