Logs tell how many events of a stream were dropped

An event that counted as a repetition left no trace: a stream that ended as complete without one of its events had `gaps` 0 and no event_out_of_order. `dropped` in request_answered and stream_aborted counts those that the caller did not get; relayed streams also tell their last event.

--- a/include/currantstack/decisions/event_sequence.h
+++ b/include/currantstack/decisions/event_sequence.h
@@ -58,7 +58,14 @@
         return m_gaps;
     }
 
+    /// Returns the number of events that were received or repeated, so that the caller did not get them.
+    auto dropped() const -> int
+    {
+        return m_dropped;
+    }
+
 private:
+    auto placeOf(std::optional<std::int64_t> id) -> EventPlace;
     auto record(std::int64_t id) -> void;
 
     std::optional<std::int64_t> m_lastId;
@@ -66,6 +73,7 @@
     bool m_runHasIds = false; // that the caller did not have before
     bool m_isBehind = false; // the run's last event precedes that of `m_lastId`
     int m_gaps = 0;
+    int m_dropped = 0;
 };
 
 /// Returns the name in logs.
--- a/src/decisions/event_sequence.cc
+++ b/src/decisions/event_sequence.cc
@@ -4,6 +4,13 @@
 {
 
 auto EventSequence::onEvent(std::optional<std::int64_t> id) -> EventPlace
+{
+    const auto place = placeOf(id);
+    m_dropped += place == EventPlace::Received || place == EventPlace::Repeated ? 1 : 0;
+    return place;
+}
+
+auto EventSequence::placeOf(std::optional<std::int64_t> id) -> EventPlace
 {
     if (!id) {
         if (m_isBehind) {
--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -188,6 +188,8 @@
                          {"through", m_vm},
                          {"status", status},
                          {"events", m_events},
+                         {"last_event", eventField(m_sequence.lastId())},
+                         {"dropped", m_sequence.dropped()},
                          {"vms_asked", m_tried.size()},
                          {"age_ms", toMilliseconds(age)}});
 }
--- a/test/edge/order_tests.py
+++ b/test/edge/order_tests.py
@@ -53,10 +53,12 @@
 
 async def repeated_events_are_dropped():
     """Guards against an event that comes twice: in one run, in a run that begins anew, or in one without ids."""
-    for faults in ({1: "twice"}, {1: "torn", 2: "restart"}, {1: "torn", 2: "no_ids"}, {1: "no_ids"}):
+    for faults, dropped in (({1: "twice"}, 1), ({1: "torn", 2: "restart"}, 6), ({1: "torn", 2: "no_ids"}, 0), ({1: "no_ids"}, 0)):
         async with Rig() as rig:
             set_faults(rig.fleet.engines, faults)
             expect(await get(rig, "stream"), (EVENTS, len(faults)), faults)
+            await asyncio.sleep(0.2)
+            expect([line["dropped"] for line in events_of(rig.vms[0], "request_answered")], [dropped], faults)
 
 
 async def fields_without_data_cost_no_event():
--- a/test/event_sequence-test.cc
+++ b/test/event_sequence-test.cc
@@ -90,7 +90,7 @@
         }
         CPPUNIT_ASSERT(sequence.onEvent(4) == EventPlace::Next);
         CPPUNIT_ASSERT(sequence.onEvent(4) == EventPlace::Repeated);
-        CPPUNIT_ASSERT(sequence.lastId() == 4);
+        CPPUNIT_ASSERT(sequence.lastId() == 4 && sequence.dropped() == 4);
     }
 
     auto lowerIdInOneRunIsARegression() -> void
