A stream that its engine ends when its time is over is not complete

Callers saw a part of a stream that ended with its last chunk. An engine stops its work at the Deadline-Ms that it got, and may end its stream in the ordinary way then. Two cases reached callers:

- A VM that has got SIGTERM gives engines the time until its own end, and breaks off the streams that are open then up to 0.1 s later.
The engine ended first, so that each stream that was sent, or sent again to another engine, after SIGTERM and lasted until the end of the grace looked whole.
- At the caller's deadline, the VM aborts 10 ms before the engine stops.
A VM that gets no processor time for longer in the middle of an iteration of its loop reads the last chunk before its timer runs.

An end of chunks or of the connection that is read later than 10 ms before the time that the engine was given now breaks the stream off. At the caller's deadline the timer breaks it off from the same moment on, so that no stream is lost that was complete before.

Evidence: `request_answered` with `framing` chunks 2601 ms after `drain_started` with a grace of 3 s, 40 of 100 events; the engine had got 2489 ms, 112 ms after `drain_started`.

--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -15,6 +15,9 @@
 /// The final answer is sent this long before the caller's deadline, so that it arrives in time.
 inline constexpr Duration AnswerMargin = milliseconds(10);
 
+/// Returns when an upstream that gets the request now has to stop its work on it.
+auto workEndsAt(const EdgeContext &context, const IncomingRequest &request) -> TimePoint;
+
 /// Returns the HTTP call that forwards the request to the upstream.
 auto upstreamCall(const EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, ForwardSpec spec) -> HttpCall;
 
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -46,11 +46,16 @@
 
 } // namespace
 
+auto workEndsAt(const EdgeContext &context, const IncomingRequest &request) -> TimePoint
+{
+    return std::min(request.deadline(), context.stopsAt());
+}
+
 auto upstreamCall(const EdgeContext &context, const IncomingRequest &request, const Upstream &upstream, ForwardSpec spec) -> HttpCall
 {
     const auto &incoming = request.exchange->request();
     spec.instance = upstream.id;
-    spec.timeLeft = std::min(request.deadline(), context.stopsAt()) - context.clock.now();
+    spec.timeLeft = workEndsAt(context, request) - context.clock.now();
     HttpCall call;
     call.method = incoming.method;
     call.url = urlOf(upstream.address, "/");
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -39,6 +39,7 @@
     const auto now = m_context.clock.now();
     m_decoding = true;
     m_sentAt = now;
+    m_workEndsAt = workEndsAt(m_context, m_request);
     if (m_events == 0) {
         m_decodeStartedAt = now;
         m_lastEventAt = now;
@@ -177,6 +178,10 @@
         onDecodeFailed(result.error());
         return;
     }
+    if (mayBeStopped()) {
+        fail(true, "the engine's time is over", Duration::zero());
+        return;
+    }
     if (m_framing == BodyFraming::Connection && incompleteReason().empty()) {
         confirmEnd();
         return;
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -34,6 +34,13 @@
     onDecodeBroken(AttemptOutcome::Unknown, describe(error), evidence);
 }
 
+/// Returns whether the engine may have ended the stream in the ordinary way because its time was over.
+auto StreamRequest::mayBeStopped() const -> bool
+{
+    const bool isWhole = m_collectingError || m_framing == BodyFraming::Length;
+    return !isWhole && m_context.clock.now() >= m_workEndsAt - AnswerMargin;
+}
+
 /// Returns why a stream that ended without an error is incomplete, or an empty text if it is complete.
 auto StreamRequest::incompleteReason() const -> std::string_view
 {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -143,6 +143,7 @@
     // stream_end.cc
     auto confirmEnd() -> void;
     auto onEndJudged(bool isComplete) -> void;
+    auto mayBeStopped() const -> bool;
     auto incompleteReason() const -> std::string_view;
     auto checkEnd() -> bool;
     auto endUnchecked(std::string_view reason) -> bool;
@@ -214,6 +215,7 @@
     TimePoint m_prefilledAt; // when `m_handle` was received
     TimePoint m_prefillDueAt; // when it was expected
     TimePoint m_sentAt; // of the call in flight
+    TimePoint m_workEndsAt; // when the engine of the call in flight has to stop
     TimePoint m_plannedAt; // when the decode engine was chosen
     TimePoint m_decodeStartedAt; // of the first decode call
 
--- a/standin/http_peer.py
+++ b/standin/http_peer.py
@@ -4,12 +4,14 @@
 import json
 import socket
 import struct
+import time
 
 
 class Request:
     def __init__(self, method, target, headers, body):
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.path, _, query = target.partition("?")
+        self.arrived_at = time.monotonic()
         self.query = dict(part.partition("=")[::2] for part in query.split("&") if part)
 
     def header(self, name, default=""):
--- a/test/edge/stop_tests.py
+++ b/test/edge/stop_tests.py
@@ -66,6 +66,26 @@
         assert not rig.runs_of((await task)[0])
 
 
+async def streams_that_engines_end_when_their_vm_stops_are_not_complete():
+    """Guards against a part of a stream that looks complete because its engine ended it at the deadline that a stopping VM gave it."""
+    for unframed_share in (0.0, 1.0):
+        async with Rig(grace=3) as rig:
+            await configured(rig)
+            for engine in rig.fleet.engines:
+                engine.unframed_share, engine.ends_at_deadline = unframed_share, True
+            for _ in range(3):
+                await send_stream(rig, rig.vms[0])
+            for engine in rig.fleet.engines:
+                engine.EVENT_INTERVAL_S = 0.3  # a stream takes 3.6 s
+            rig.vms[0].signal(signal.SIGTERM)
+            while '"event":"drain_started"' not in rig.vms[0].log_text():
+                await asyncio.sleep(0.02)
+            answers = await asyncio.gather(*(send_stream(rig, rig.vms[0]) for _ in range(6)), return_exceptions=True)
+            parts = [answer[3].count(b"data: ") for answer in answers if isinstance(answer, tuple)]
+            assert not parts, f"{len(parts)} answers end as complete after {parts} events"
+            assert all(isinstance(answer, EOFError) for answer in answers), answers
+
+
 async def streams_that_would_outlast_a_stop_are_refused():
     """Guards against a stream that is passed on late in the grace and cut at its end."""
     async with Rig(grace=4) as rig:
@@ -172,7 +192,7 @@
         assert told[0] > 15000 and told[1] < 3000, told
 
 
-TESTS = [requests_open_at_the_end_of_a_stop_are_answered, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
+TESTS = [requests_open_at_the_end_of_a_stop_are_answered, streams_that_engines_end_when_their_vm_stops_are_not_complete, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
          streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
          late_requests_on_open_connections_are_refused, a_grace_that_is_shortened_during_a_stop_cuts_no_request,
          upstreams_are_told_when_a_stopping_vm_ends]
