Test: streams joined at an engine whose entry is older than its process

Callers see events of two software versions in one stream. Both engines of a service restart under their ids with another version, and their entries come 0.6 s later. A stream that breaks off at one of them goes on at the other, whose entry still names the old version. Expect-Instance holds, as the id is the same, and no field of an engine's answer names its version.

It is not mended: the VM knows that the connections of both engines were closed, but still sends to them, as the processes answer under the same id.

--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -295,10 +295,26 @@
         assert set(await returns) <= {200, 503}
 
 
+async def streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes():
+    """Guards against joined versions when an engine restarts under its id with another one and its entry comes later."""
+    async with MixedRig(versions=("v1",), decode=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 6)
+        engines = [engine for engine in rig.fleet.engines if engine.role == "decode"]
+        for engine in engines:
+            engine.server.stop()
+            engine.software_version, engine.started_ms = "v2", int(time.time() * 1000)
+            await engine.server.start()
+        asyncio.get_running_loop().call_later(0.6, lambda: [engine.register() for engine in engines])
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+
+
 TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
          streams_of_three_software_versions_go_on_at_their_own, callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
          streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
          a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared, a_vm_that_is_cut_off_does_not_guess,
          a_vm_that_is_left_alone_relies_on_the_store, streams_of_one_software_version_go_on_after_all_vms_have_restarted,
-         streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned]
+         streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned,
+         streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes]
