Test: streams that have moved, cut by engines that live, a case that fails

Callers got a part of a stream that looked complete.

Cause: a stream whose first engine failed goes on at a second one, which lives but closes the connection of its answer without length or chunks in the middle. The check of the end needs another attempt; the route allows two engines, so the end counts as complete without a check.

To ask the same engine again sends the request to no further engine.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -99,6 +99,20 @@
         assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def parts_of_streams_that_have_moved_do_not_look_complete():
+    """Guards against a part of a stream that looks complete because no attempt is left to ask another engine for what follows."""
+    async with Rig(decode=3) as rig:
+        set_fault("unframed", decode_engines(rig))
+        first = decode_engines(rig)[0]
+        stream, = await begun_at(rig, first)
+        first.crash()
+        await stream.read(6)
+        for engine in decode_engines(rig)[1:]:
+            for writer in list(engine.server.writers):
+                writer.close()
+        assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
 async def halves_of_answers_of_services_that_die_behind_a_listener_are_refused():
     """The same for a booking, whose service dies after half of its answer behind a front process."""
     async with Rig(services=1) as rig:
@@ -163,6 +177,7 @@
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
          parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains,
+         parts_of_streams_that_have_moved_do_not_look_complete,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
          streams_whose_engine_is_replaced_behind_a_listener_break_off,
          whole_streams_of_engines_that_fall_silent_after_them_are_complete]
