Test: streams cut while the retry budget is empty, a case that fails

Callers got a part of a stream that looked complete.

Cause: the check of an end that an engine confirmed takes from the retry budget, which all VMs share. With many VMs a few checks of true ends use up a VM's share; later ends count as complete without a check.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -113,6 +113,17 @@
         assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def parts_of_streams_do_not_look_complete_without_a_retry_budget():
+    """Guards against a part of a stream that looks complete because the retry budget is empty, so that no engine is asked for what follows."""
+    async with Rig(decode=3, bounds={"retry_budget": 0.0, "budget_slack": 4}) as rig:
+        set_fault("unframed", decode_engines(rig))
+        for engine in 2 * decode_engines(rig):
+            stream, = await begun_at(rig, engine)
+            for writer in list(engine.server.writers):
+                writer.close()
+            assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
 async def halves_of_answers_of_services_that_die_behind_a_listener_are_refused():
     """The same for a booking, whose service dies after half of its answer behind a front process."""
     async with Rig(services=1) as rig:
@@ -178,6 +189,7 @@
          parts_of_streams_of_engines_that_live_are_continued,
          parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains,
          parts_of_streams_that_have_moved_do_not_look_complete,
+         parts_of_streams_do_not_look_complete_without_a_retry_budget,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
          streams_whose_engine_is_replaced_behind_a_listener_break_off,
          whole_streams_of_engines_that_fall_silent_after_them_are_complete]
