A run that its engine still reports has not ended its answer

Callers got a part of a stream that looked complete: its engine lived and worked on, but the connection of an answer without length or chunks had been closed, as where an answer is lost on its way. Routes whose streams may not be resumed were hit as well.

Cause: the life of an engine was taken for the end of its run, although its report tells which runs go on.

Change: the report that confirms the life of an engine must not list the run. Reports are old, so that a listed run is asked for again until 0.8 s after the end. Each stream that ends with its connection is probed, also where other answers have come.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -31,6 +31,7 @@
     int trials = 0;
     bool isStream = false;
     bool mayRepeat = true; // elsewhere; otherwise the caller loses a whole answer if its upstream only stands still
+    bool runsStill = false; // by the last report of its engine
     bool wasClosed = false; // in an earlier trial, so that a process which answers now may be a new one
     Duration sinceEnd = Duration::zero();
 };
@@ -52,6 +53,10 @@
 inline constexpr int MaxEndTrials = 2;
 inline constexpr Duration EndTrialPause = milliseconds(200);
 
+/// A run that has ended may be in its engine's report for this time, because reports are some hundred milliseconds old.
+inline constexpr Duration ReportAge = milliseconds(800);
+inline constexpr Duration ReportPause = milliseconds(400); // between two reports
+
 /// Time in which an answer that cannot be repeated stays undecided while its upstream answers no probe. Sound upstreams are silent for up
 /// to two seconds, and callers leave later than this.
 inline constexpr Duration SilentEndTime = milliseconds(2500);
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -148,6 +148,9 @@
     /// Returns which process the response to a probe comes from. One that anything at the address could have sent proves nothing.
     virtual auto responderOf(const HttpResponse &response, const Upstream &upstream) const -> Responder = 0;
 
+    /// Returns whether an engine's report lists the request among its runs.
+    virtual auto listsRun(const HttpResponse &report, std::string_view requestId) const -> bool = 0;
+
     /// Returns the call that fetches the engine's state.
     virtual auto reportCall(const Upstream &engine) const -> HttpCall = 0;
     virtual auto parseReport(const HttpResponse &response) const -> Result<EngineState> = 0;
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -19,7 +19,11 @@
     if (evidence.entry == EntryState::Replaced || evidence.connection == ConnectionTrial::Refused) {
         return AnswerEnd::Doubtful;
     }
-    if (evidence.servedSince) {
+    if (evidence.runsStill) {
+        return evidence.sinceEnd < ReportAge ? AnswerEnd::Undecided : AnswerEnd::Doubtful;
+    }
+    // An engine that lives is asked whether it has ended the run.
+    if (evidence.servedSince && (!evidence.isStream || evidence.trials > 0)) {
         return AnswerEnd::Complete;
     }
     const bool hasEntry = evidence.entry == EntryState::Present;
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -68,7 +68,7 @@
     const auto end = judgeAnswerEnd(m_evidence);
     if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
         const bool awaitsEntry = m_evidence.entry == EntryState::Removed || m_evidence.connection == ConnectionTrial::Answered;
-        wait(awaitsEntry ? NewEntryTime : EndTrialPause);
+        wait(m_evidence.runsStill ? ReportPause : awaitsEntry ? NewEntryTime : EndTrialPause);
         return;
     }
     if (end == AnswerEnd::Undecided) {
@@ -83,6 +83,7 @@
                          {"served_since", m_evidence.servedSince},
                          {"connection", m_evidence.connection ? name(*m_evidence.connection) : "not_tried"},
                          {"trials", m_evidence.trials},
+                         {"runs_still", m_evidence.runsStill},
                          {"held_ms", toMilliseconds(now - m_endedAt)},
                          {"end", name(end)}});
     const auto done = std::move(m_done);
@@ -137,6 +138,7 @@
     recordReached(m_context, m_upstream, openedAt);
     switch (m_context.protocol.responderOf(response, m_upstream)) {
     case Responder::Upstream:
+        m_evidence.runsStill = m_evidence.isStream && m_context.protocol.listsRun(response, m_requestId);
         return ConnectionTrial::Answered;
     case Responder::Other:
         m_context.reach.onOtherAnswered(m_upstream, m_context.clock.now());
--- a/test/answer_end-test.cc
+++ b/test/answer_end-test.cc
@@ -58,7 +58,8 @@
         CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Undecided);
         evidence.sinceEnd = NewEntryTime;
         CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Complete);
-        evidence = {EntryState::Present, false, ConnectionTrial::Answered, MaxEndTrials, true, true, true};
+        evidence = {EntryState::Present, false, ConnectionTrial::Answered, MaxEndTrials, true};
+        evidence.wasClosed = true;
         CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Doubtful);
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Replaced, false, ConnectionTrial::Answered, 2, true}) == AnswerEnd::Doubtful);
     }
@@ -112,12 +113,13 @@
             AnswerEndEvidence evidence{entry, served, trial, trials, isStream};
             evidence.mayRepeat = *rc::gen::arbitrary<bool>();
             evidence.wasClosed = *rc::gen::arbitrary<bool>();
+            evidence.runsStill = *rc::gen::arbitrary<bool>();
             evidence.sinceEnd = milliseconds(*rc::gen::inRange(0, 5000));
             const auto end = judgeAnswerEnd(evidence);
             RC_ASSERT(end != AnswerEnd::Undecided || trials < MaxEndTrials || evidence.sinceEnd < SilentEndTime);
             const bool isAtLimit = trial == ConnectionTrial::Closed && trials >= MaxEndTrials && !isStream;
             const bool isAlive = trial == ConnectionTrial::Answered || trial == ConnectionTrial::Open || isAtLimit;
-            RC_ASSERT(end != AnswerEnd::Complete || served || isAlive);
+            RC_ASSERT(end != AnswerEnd::Complete || ((served || isAlive) && !evidence.runsStill));
         });
     }
 };
--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -7,8 +7,10 @@
 from answer_end_tests import PIECES, decode_engines, judged, numbers, set_fault
 from end_trial_tests import ClosingListener
 from held_end_tests import begun_at, read_to_end
+from http_peer import response
 from rig import Rig
 
+REPORT_AGE_S = 0.3  # for which a report lists a run that has ended
 RESTART_S = 0.15  # from the end of an engine's process until the next one listens
 SILENCE_S = 1.6
 DRAIN_S = 0.1  # from the signal that a VM stops until an engine breaks its stream off
@@ -99,6 +101,37 @@
         assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def streams_whose_run_goes_on_without_their_connection_break_off():
+    """Guards against a part of a stream that looks complete although its engine's report still lists the run; reports may be old."""
+    for listed_s in (60, REPORT_AGE_S):
+        async with Rig(decode=1) as rig:
+            engine, = decode_engines(rig)
+            set_fault("unframed", [engine])
+            ended_at, plain_handle, plain_stream = [], engine.handle, engine.stream
+
+            async def handle(request, reader, writer):
+                if request.path != "/report":
+                    return await plain_handle(request, reader, writer)
+                is_listed = ended_at and time.monotonic() - ended_at[0] < listed_s
+                runs = [[f"req-{rig.request_count}", 100, 5, 5]] if is_listed else []
+                return response(200, body={"phase": "decode", "busy": False, "seq": 0, "waiting": 0, "running": len(runs), "runs": runs})
+
+            async def stream(request, reader, writer, prompt):
+                try:
+                    return await plain_stream(request, reader, writer, prompt)
+                finally:
+                    ended_at.append(time.monotonic())
+            engine.handle, engine.stream = handle, stream
+            is_cut = listed_s > REPORT_AGE_S
+            if is_cut:
+                asyncio.get_running_loop().call_later(0.15, lambda: [writer.close() for writer in list(engine.server.writers)])
+            try:
+                _, status, _, body = await rig.send("digest")
+                assert not is_cut and status == 200 and numbers(body) == PIECES, (status, body, judged(rig)[-1:])
+            except EOFError:
+                assert is_cut, judged(rig)[-1:]
+
+
 async def parts_of_streams_that_have_moved_do_not_look_complete():
     """Guards against a part of a stream that looks complete because no attempt is left to ask another engine for what follows."""
     async with Rig(decode=3) as rig:
@@ -188,6 +221,7 @@
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
          parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains,
+         streams_whose_run_goes_on_without_their_connection_break_off,
          parts_of_streams_that_have_moved_do_not_look_complete,
          parts_of_streams_do_not_look_complete_without_a_retry_budget,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -246,6 +246,10 @@
         CPPUNIT_ASSERT(responder({200, {{"Instance-Id", "i-2"}}, ""}) == Responder::Other);
         CPPUNIT_ASSERT(responder({503, {}, ""}) == Responder::Unknown);
         CPPUNIT_ASSERT(responder({200, {}, "<html>"}) == Responder::Unknown);
+        CPPUNIT_ASSERT(m_protocol.listsRun({200, {}, R"({"runs":[["r-1",10,2,5],["r-2",10,2,5]]})"}, "r-2"));
+        for (const auto *body : {R"({"runs":[["r-2",10,2,5]]})", R"({"runs":"r-1"})", R"({"runs":[[],7]})", "[]", "{"}) {
+            CPPUNIT_ASSERT(!m_protocol.listsRun({200, {}, body}, "r-1"));
+        }
     }
 };
 
