Engines get a little more time than their VM breaks the request off after

Callers got a part of a stream that ended with its last chunk: at their deadline, an engine ended the stream in the ordinary way shortly before the time that it was given.

Cause: the VM gave the engine the time until the deadline, and broke the stream off 10 ms before it. An engine that keeps a margin of its own ends first, and nothing tells its last chunk from that of a whole stream.

Change: Deadline-Ms is 0.25 s longer than the time after which the VM breaks the request off; the platform allows 0.5 s. The VM's own end of the request tells the engine to stop.

--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -15,7 +15,11 @@
 /// The final answer is sent this long before the caller's deadline, so that it arrives in time.
 inline constexpr Duration AnswerMargin = milliseconds(10);
 
-/// Returns when an upstream that gets the request now has to stop its work on it.
+/// Upstreams get this much more time than the request has left, so that one which stops a little sooner, and ends a part of its answer in
+/// the ordinary way, does so after this VM has broken the request off.
+inline constexpr Duration StopMargin = milliseconds(250);
+
+/// Returns when this VM breaks the request off at the latest.
 auto workEndsAt(const EdgeContext &context, const IncomingRequest &request) -> TimePoint;
 
 /// Returns the HTTP call that forwards the request to the upstream.
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -55,7 +55,7 @@
 {
     const auto &incoming = request.exchange->request();
     spec.instance = upstream.id;
-    spec.timeLeft = workEndsAt(context, request) - context.clock.now();
+    spec.timeLeft = workEndsAt(context, request) - context.clock.now() + StopMargin;
     HttpCall call;
     call.method = incoming.method;
     call.url = urlOf(upstream.address, "/");
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -215,7 +215,7 @@
     TimePoint m_prefilledAt; // when `m_handle` was received
     TimePoint m_prefillDueAt; // when it was expected
     TimePoint m_sentAt; // of the call in flight
-    TimePoint m_workEndsAt; // when the engine of the call in flight has to stop
+    TimePoint m_workEndsAt; // when this VM breaks the call in flight off at the latest
     TimePoint m_plannedAt; // when the decode engine was chosen
     TimePoint m_decodeStartedAt; // of the first decode call
 
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -267,7 +267,8 @@
         # "retry" puts fields without data before an event, "unnumbered" an event without an id, after which "unnumbered_torn" breaks off.
         self.order_faults = {}
         self.is_full = False  # it has no room for further streams
-        self.ends_at_deadline = False  # it ends its streams in the ordinary way when the time that it was given is over
+        self.ends_at_deadline = False  # it ends its streams in the ordinary way when the time that it was given is over, or a little sooner
+        self.deadline_margin_s = 0.0
         self.local_ids = itertools.count(1)
 
     def entry(self):
@@ -435,7 +436,8 @@
                 return None
             if self.draw_fault("comments"):
                 writer.write(chunk(b": hello\n\n"))
-            ends_at = request.arrived_at + int(request.header("deadline-ms")) / 1000 if self.ends_at_deadline else math.inf
+            time_s = int(request.header("deadline-ms")) / 1000 - self.deadline_margin_s
+            ends_at = request.arrived_at + time_s if self.ends_at_deadline else math.inf
             for number in range(self.first_event(request, order_fault), last + self.FIRST_ID):
                 await asyncio.sleep(max(0, min(interval_s, ends_at - time.monotonic())))
                 await self.server.wait_while_silent()
--- a/test/edge/stop_tests.py
+++ b/test/edge/stop_tests.py
@@ -86,6 +86,17 @@
             assert all(isinstance(answer, EOFError) for answer in answers), answers
 
 
+async def streams_that_engines_end_before_the_deadline_are_not_complete():
+    """Guards against a part of a stream that looks complete because its engine keeps a margin to the deadline that it was given."""
+    for unframed_share in (0.0, 1.0):
+        async with Rig() as rig:
+            for engine in rig.fleet.engines:
+                engine.unframed_share, engine.ends_at_deadline, engine.deadline_margin_s = unframed_share, True, 0.1
+                engine.EVENT_INTERVAL_S = 0.3  # a stream takes 3.6 s
+            answers = await asyncio.gather(*(rig.send("stream", deadline=1200) for _ in range(4)), return_exceptions=True)
+            assert all(isinstance(answer, EOFError) for answer in answers), answers
+
+
 async def streams_that_would_outlast_a_stop_are_refused():
     """Guards against a stream that is passed on late in the grace and cut at its end."""
     async with Rig(grace=4) as rig:
@@ -192,7 +203,8 @@
         assert told[0] > 15000 and told[1] < 3000, told
 
 
-TESTS = [requests_open_at_the_end_of_a_stop_are_answered, streams_that_engines_end_when_their_vm_stops_are_not_complete, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
+TESTS = [requests_open_at_the_end_of_a_stop_are_answered, streams_that_engines_end_when_their_vm_stops_are_not_complete,
+         streams_that_engines_end_before_the_deadline_are_not_complete, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
          streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
          late_requests_on_open_connections_are_refused, a_grace_that_is_shortened_during_a_stop_cuts_no_request,
          upstreams_are_told_when_a_stopping_vm_ends]
