Test: ends of streams and answers that are judged wrongly, five cases that fail

Callers got parts of streams, or half of a booking, that looked whole, and a whole stream that broke off at a hand-over.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -9,11 +9,15 @@
 from held_end_tests import begun_at, read_to_end
 from http_peer import response
 from rig import Rig
+from stranded_tests import StrandedRig
+from version_tests import Stream
 
 REPORT_AGE_S = 0.3  # for which a report lists a run that has ended
 RESTART_S = 0.15  # from the end of an engine's process until the next one listens
 SILENCE_S = 1.6
 DRAIN_S = 0.1  # from the signal that a VM stops until an engine breaks its stream off
+CHECK_S = 0.015  # from the end of an answer; another engine is asked for what follows after 0.03 s
+LEARNED = 30  # streams after which the ids of a service are known to be consecutive
 PATIENCE_S = 3.6  # of a caller between two events of a stream
 
 
@@ -217,6 +221,83 @@
         assert status == 200 and numbers(body) == PIECES, (status, body, judged(rig))
 
 
+async def cut_stream(rig):
+    """Returns a stream whose living engine has just broken it off."""
+    engine = decode_engines(rig)[0]
+    stream, = await begun_at(rig, engine)
+    for writer in list(engine.server.writers):
+        writer.close()
+    await asyncio.sleep(CHECK_S)
+    return stream
+
+
+async def parts_of_streams_do_not_look_complete_if_their_check_loses_events():
+    """Guards against a part of a stream that looks complete although the check of its end has brought a later event."""
+    async with Rig(decode=3) as rig:
+        for _ in range(LEARNED):
+            assert numbers((await rig.send("stream"))[3]) == PIECES
+        set_fault("unframed", decode_engines(rig))
+        stream = await cut_stream(rig)
+        for engine in decode_engines(rig):
+            engine.order_faults = {2: "skip"}
+        assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
+async def parts_of_streams_do_not_look_complete_if_their_check_breaks_off_inside_an_event():
+    """Guards against a part of a stream that looks complete although the check of its end has brought the begin of an event."""
+    async with Rig(decode=3) as rig:
+        set_fault("unframed", decode_engines(rig))
+        stream = await cut_stream(rig)
+        set_fault("torn", decode_engines(rig))
+        assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
+async def ends_of_streams_are_checked_by_another_engine():
+    """Guards against a check of an end by the engine that may have broken the stream off."""
+    async with Rig(decode=3) as rig:
+        set_fault("unframed", decode_engines(rig))
+        for _ in range(6):
+            request, _, _, _ = await rig.send("stream")
+            runs = [run["upstream"] for run in rig.runs_of(request)]
+            assert len(runs) == 2 and runs[0] != runs[1], runs
+
+
+async def halves_of_answers_of_services_that_restart_under_their_id_are_refused():
+    """Guards against half of an answer that looks complete because the service's next process, under the same id, answers the probe."""
+    async with Rig(services=1) as rig:
+        service, listeners = rig.fleet.services[0], []
+        whole_run = service.run
+
+        async def run(request, reader, writer):
+            service.record("run", request)
+            head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
+            writer.write(head.encode() + b'{"ha')
+            await writer.drain()
+            listeners.append(await die_behind_listener(service, "holds"))
+        service.run = run
+        sending = asyncio.create_task(rig.send("book"))
+        while not listeners:
+            await asyncio.sleep(0)
+        await asyncio.sleep(RESTART_S)
+        await listeners[0].end()
+        service.run, service.started_ms = whole_run, int(time.time() * 1000)
+        await service.server.start()
+        _, status, _, body = await sending
+        assert status == 502, (status, body, judged(rig))
+
+
+async def whole_streams_that_are_handed_over_at_their_end_are_complete():
+    """Guards against a whole stream that breaks off because the VM that takes it over takes an empty continuation for a failure."""
+    async with StrandedRig(vms=2, decode=3) as rig:
+        await rig.wait_until_vms_report()
+        set_fault("unframed", decode_engines(rig))
+        stream = Stream(rig)
+        assert await stream.open(rig.vms[0]) == 200
+        await stream.read(PIECES[-1])
+        rig.links.cut(rig.vms[0], "refuse", rig.fleet.upstreams)
+        assert await read_to_end(stream), judged(rig)
+
+
 TESTS = [streams_of_engines_that_die_behind_a_listener_go_on_elsewhere,
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
@@ -226,4 +307,9 @@
          parts_of_streams_do_not_look_complete_without_a_retry_budget,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
          streams_whose_engine_is_replaced_behind_a_listener_break_off,
-         whole_streams_of_engines_that_fall_silent_after_them_are_complete]
+         whole_streams_of_engines_that_fall_silent_after_them_are_complete,
+         parts_of_streams_do_not_look_complete_if_their_check_loses_events,
+         parts_of_streams_do_not_look_complete_if_their_check_breaks_off_inside_an_event,
+         ends_of_streams_are_checked_by_another_engine,
+         halves_of_answers_of_services_that_restart_under_their_id_are_refused,
+         whole_streams_that_are_handed_over_at_their_end_are_complete]
