Checks of ends ask another engine, try several, and see parts of events

- The engine to leave out was named by a view of a temporary (a conditional of a literal and a std::string), so that the check, or a stream that moves, could go to the engine that had just broken off.
- One refused reservation ended the check, and the stream looked complete although other engines had room.
Up to three engines are asked now, and a check waits up to 0.8 s for capacity; the reason of each end that is not checked is logged.
- An event with a gap, or a part of an event, in the run that was asked did not count as what follows, and the stream ended as complete.
- Events that follow an end that was taken for true no longer leave a mark by which the next empty run would end the stream.
- A probe that is answered after one that was not may come from a new process: it counts when it is answered again 1 s later, with the same entry.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -32,8 +32,10 @@
     bool isStream = false;
     bool mayRepeat = true; // elsewhere; otherwise the caller loses a whole answer if its upstream only stands still
     bool runsStill = false; // by the last report of its engine
-    bool wasClosed = false; // in an earlier trial, so that a process which answers now may be a new one
+    bool wasClosed = false; // in an earlier trial
+    bool hadNoAnswer = false; // in an earlier trial, so that a process which answers now may be a new one
     Duration sinceEnd = Duration::zero();
+    Duration sinceAnswer = Duration::zero(); // since the first probe that was answered after the last one that was not
 };
 
 enum class AnswerEnd
--- a/include/currantstack/edge/end_confirmation.h
+++ b/include/currantstack/edge/end_confirmation.h
@@ -46,6 +46,7 @@
     TimePoint m_endedAt;
     TimePoint m_dueAt; // of the timer
     AnswerEndEvidence m_evidence;
+    std::optional<TimePoint> m_answeredAt; // first answer of a probe after the last that had none
     HttpClient::CallId m_call = 0;
     bool m_sendsProbe = false; // with the trial in flight
     std::unique_ptr<Timer> m_timer;
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -37,7 +37,8 @@
     }
     const bool isFirstSign = !evidence.wasClosed || !evidence.isStream;
     if (evidence.connection == ConnectionTrial::Answered && isFirstSign) {
-        return hasEntry || evidence.sinceEnd >= NewEntryTime ? AnswerEnd::Complete : AnswerEnd::Undecided;
+        const bool mayBeNewProcess = !hasEntry || evidence.wasClosed || evidence.hadNoAnswer;
+        return mayBeNewProcess && evidence.sinceAnswer < NewEntryTime ? AnswerEnd::Undecided : AnswerEnd::Complete;
     }
     const bool mayBeSilent = evidence.connection == ConnectionTrial::NoAnswer && !evidence.mayRepeat && evidence.sinceEnd < SilentEndTime;
     return isLastTrial && !mayBeSilent ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -65,6 +65,7 @@
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
     m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + EndSettleTime);
     m_evidence.sinceEnd = now - m_endedAt;
+    m_evidence.sinceAnswer = m_answeredAt ? now - *m_answeredAt : Duration::zero();
     const auto end = judgeAnswerEnd(m_evidence);
     if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
         const bool awaitsEntry = m_evidence.entry == EntryState::Removed || m_evidence.connection == ConnectionTrial::Answered;
@@ -126,7 +127,13 @@
         return;
     }
     m_evidence.wasClosed = m_evidence.wasClosed || m_evidence.connection == ConnectionTrial::Closed;
+    m_evidence.hadNoAnswer = m_evidence.hadNoAnswer || m_evidence.connection == ConnectionTrial::NoAnswer;
     m_evidence.connection = result && m_sendsProbe ? onProbed(*result, openedAt) : trialOf(result);
+    if (m_evidence.connection != ConnectionTrial::Answered) {
+        m_answeredAt.reset();
+    } else if (!m_answeredAt) {
+        m_answeredAt = m_context.clock.now();
+    }
     if (m_evidence.connection == ConnectionTrial::Refused || m_evidence.connection == ConnectionTrial::NoAnswer) {
         recordFailedLink(m_context, m_upstream, result.error(), openedAt);
     }
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -23,7 +23,6 @@
 // Share of a KV handle's lifetime in which it may be sent to another decode engine. The rest is left for the reservation and the
 // transfer.
 constexpr double UsableHandleLifetimeShare = 0.8;
-constexpr Duration EndCheckTime = milliseconds(800); // in which a run that is asked for what follows a whole stream ends
 
 } // namespace
 
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -60,9 +60,16 @@
     if (m_endIsTrusted) {
         return false; // this is the end of the check
     }
+    if (!m_headSent || m_collectingError || !m_request.route->resumable) {
+        return false;
+    }
     auto &checks = m_context.endChecks[m_request.service];
-    const auto next = m_headSent && !m_collectingError ? planResumption() : std::nullopt;
-    if (!next || !checks.isDue() || nextStep(resumptionState(true)) != ResumptionStep::Reserve) {
+    const auto next = planResumption();
+    const auto state = resumptionState(next.has_value());
+    const auto step = nextStep(state);
+    const bool mayCheck = step == ResumptionStep::Reserve || (step == ResumptionStep::Wait && state.hasRetryBudget);
+    if (!checks.isDue() || !mayCheck) {
+        logUnchecked(checks.isDue() ? giveUpReason(state) : "the ends of the service are trusted");
         checks.onUnchecked();
         return false;
     }
@@ -71,20 +78,30 @@
     m_breakReason = "the end of the stream is checked";
     m_endIsTrusted = true;
     m_mayHaveEnded = true;
+    m_reservationsTried = 0;
     m_context.counters.at("stream_ends_checked").add();
-    reserveSuccessor(*next);
+    takeStep(step, state, next);
     return true;
 }
 
-/// Ends a stream whose end could not be checked, and returns true. Returns false if no check is under way.
+auto StreamRequest::logUnchecked(std::string_view reason) const -> void
+{
+    m_context.log.write("stream", "end_unchecked",
+                        {{"request", m_request.metadata.requestId}, {"engine", m_decodeEngine.id}, {"reason", reason}});
+}
+
+/// Ends a stream whose end could not be checked, and returns true. Returns false if no check is under way, or if it has found a cut.
 auto StreamRequest::endUnchecked(std::string_view reason) -> bool
 {
     if (!m_endIsTrusted) {
         return false;
     }
+    if (m_splitter.hasPartial()) {
+        recordCutEnd(); // the run that was asked has begun a further event
+        return false;
+    }
     m_context.endChecks[m_request.service].onUnchecked();
-    m_context.log.write("stream", "end_unchecked",
-                        {{"request", m_request.metadata.requestId}, {"engine", m_decodeEngine.id}, {"reason", reason}});
+    logUnchecked(reason);
     complete();
     return true;
 }
--- a/src/edge/stream_events.cc
+++ b/src/edge/stream_events.cc
@@ -19,10 +19,13 @@
         }
         return;
     }
+    if (!event.id || !m_sequence.lastId() || *event.id > *m_sequence.lastId()) {
+        recordCutEnd();
+    }
     if (!isInOrder(event)) {
         return;
     }
-    recordCutEnd();
+    m_mayHaveEnded = false;
     m_fillerBytes = 0;
     const auto now = m_context.clock.now();
     if (!m_headSent) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -32,6 +32,9 @@
     /// Period in which a stream that may not be moved checks whether its engine is gone.
     static constexpr Duration SilenceCheckPeriod = milliseconds(300);
 
+    /// Time in which an engine takes the check of an end, and in which its run then ends.
+    static constexpr Duration EndCheckTime = milliseconds(800);
+
     /// Receives the id of a reservation, or why there is none.
     using ReservationDone = std::function<void(const Result<std::string> &reserved)>;
 
@@ -146,6 +149,7 @@
     auto mayBeStopped() const -> bool;
     auto incompleteReason() const -> std::string_view;
     auto checkEnd() -> bool;
+    auto logUnchecked(std::string_view reason) const -> void;
     auto endUnchecked(std::string_view reason) -> bool;
     auto recordCutEnd() -> void;
 
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -36,7 +36,8 @@
     if (!isVersionCertain()) {
         return std::nullopt;
     }
-    const std::string_view excluded = entryStateOf(m_context, m_decodeEngine) == EntryState::Replaced ? "" : m_decodeEngine.id;
+    const bool isReplaced = entryStateOf(m_context, m_decodeEngine) == EntryState::Replaced;
+    const auto excluded = isReplaced ? std::string_view() : std::string_view(m_decodeEngine.id);
     return plan([this, excluded](const PlacementInputs &inputs) { return planResume(inputs, excluded, m_context.random); });
 }
 
@@ -112,6 +113,10 @@
 
 auto StreamRequest::takeStep(ResumptionStep step, const ResumptionState &state, const std::optional<StreamPlan> &next) -> void
 {
+    const bool mayCheck = step == ResumptionStep::Reserve || (step == ResumptionStep::Wait && state.hasRetryBudget);
+    if (!mayCheck && endUnchecked(giveUpReason(state))) {
+        return;
+    }
     switch (step) {
     case ResumptionStep::KeepCall:
         waitOutStall(giveUpReason(state));
@@ -187,6 +192,9 @@
                              {"time_left_ms", toMilliseconds(m_request.deadline() - m_context.clock.now())}});
     }
     release(m_decodeClaim);
+    if (m_endIsTrusted) {
+        m_stallTimer->startOnce(EndCheckTime);
+    }
     m_queued = true;
     m_context.loads.add(m_request.service, workOf(0, 0));
     // Not in the queue of new streams, which can be placed at engines at which this one may not go on.
@@ -233,6 +241,12 @@
     if (!reserved) {
         release(m_successorClaim);
         recordRefusedReservation(m_successor, reserved.error());
+        if (m_endIsTrusted && m_reservationsTried < MaxReservations) {
+            const auto next = planResumption();
+            const auto state = resumptionState(next.has_value());
+            takeStep(nextStep(state), state, next);
+            return;
+        }
         if (m_decodeCall != 0 && m_events != m_eventsAtStall) {
             return;
         }
