A VM that takes a stream over knows that it may have ended

Callers saw a stream break off after its last event. Its answer had neither a length nor chunks, its VM lost the links to the engines at the end, so that the end was doubtful, and handed the stream over. The engine that the second VM asked had nothing left to send, which that VM took for a failure, since it did not know that the end was only doubtful.

The header between VMs carries this (`may_have_ended`; builds that do not know the field ignore it), and an attempt that fails before its first event does not make a stream certain again that may have ended.

--- a/include/currantstack/edge/relay_message.h
+++ b/include/currantstack/edge/relay_message.h
@@ -27,6 +27,7 @@
     std::string firstAttemptId; // of the stream that goes on
     std::string service = {}; // that the first VM has drawn among the route's; empty: its build does not say
     std::optional<Duration> timeLeft = {}; // until the first VM must have the answer; none: its build does not say
+    bool mayHaveEnded = false; // the caller may have all events of the stream, so that none may follow
 };
 
 /// Returns the header's value.
--- a/src/edge/relay_message.cc
+++ b/src/edge/relay_message.cc
@@ -30,6 +30,9 @@
         {"has_events", info.lastEventId.has_value()},
         {"first", info.firstAttemptId},
         {"service", info.service}};
+    if (info.mayHaveEnded) {
+        document["may_have_ended"] = true;
+    }
     if (info.timeLeft) {
         document["left_ms"] = std::chrono::duration_cast<milliseconds>(*info.timeLeft).count();
     }
@@ -57,6 +60,7 @@
     }
     info.firstAttemptId = reader.text("first");
     info.service = reader.text("service", "");
+    info.mayHaveEnded = reader.boolean("may_have_ended", false);
     if (const auto left = reader.integer("left_ms", 0, MaxAgeMs, Unknown); left != Unknown) {
         info.timeLeft = milliseconds(left);
     }
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -129,6 +129,7 @@
     if (m_resumes || m_events > 0) {
         info.lastEventId = m_sequence.lastId();
         info.firstAttemptId = m_firstAttemptId;
+        info.mayHaveEnded = m_mayHaveEnded && m_events == 0;
     }
     return info;
 }
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -18,6 +18,7 @@
     std::optional<std::int64_t> lastEventId; // none: it has no event
     std::string firstAttemptId; // of a stream that goes on
     std::string_view reason;
+    bool mayHaveEnded = false; // the caller may have all events of the stream, so that none may follow
 };
 
 /// Asks other VMs to forward the request, one after the other, and relays the answer. A stream that has begun waits until one takes it.
@@ -32,6 +33,7 @@
         , m_headSent(start.headSent)
         , m_sequence(start.lastEventId)
         , m_firstAttemptId(std::move(start.firstAttemptId))
+        , m_mayHaveEnded(start.mayHaveEnded)
         , m_resumes(start.headSent)
         , m_isStream(m_request.route->kind == RouteKind::Stream)
     {
@@ -74,6 +76,7 @@
     bool m_headSent;
     EventSequence m_sequence; // of the events of all runs that the caller has
     std::string m_firstAttemptId;
+    bool m_mayHaveEnded; // when this VM handed the stream over
     bool m_resumes; // the caller already has events of the stream
     bool m_isStream;
     std::vector<std::string> m_tried; // VMs
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -301,7 +301,7 @@
         return;
     }
     m_brokenOutcome = outcome;
-    m_mayHaveEnded = evidence.endDoubtful;
+    m_mayHaveEnded = evidence.endDoubtful || (m_mayHaveEnded && !m_splitter.hasPartial());
     m_stallTimer->stop();
     release(m_decodeClaim);
     if (m_successorClaim.engine.empty()) { // otherwise a reservation is under way already
--- a/src/edge/stream_handover.cc
+++ b/src/edge/stream_handover.cc
@@ -15,7 +15,7 @@
     }
     m_handedOver = true;
     const auto firstAttempt = m_headSent ? firstAttemptId() : std::string();
-    relayRequest(m_context, {m_request, m_attempts, true, m_headSent, m_sequence.lastId(), firstAttempt, reason});
+    relayRequest(m_context, {m_request, m_attempts, true, m_headSent, m_sequence.lastId(), firstAttempt, reason, m_mayHaveEnded});
     finish();
     return true;
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -24,6 +24,7 @@
         , m_request(std::move(request))
         , m_attempts(attemptsOf(m_request))
         , m_sequence(m_request.metadata.lastEventId)
+        , m_mayHaveEnded(m_request.relay && m_request.relay->mayHaveEnded)
     { }
 
     auto start() -> void;
@@ -231,10 +232,10 @@
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
     bool m_endIsTrusted = false; // the engine has confirmed the end, and another one is asked for what follows
-    bool m_mayHaveEnded = false; // the last run may have sent all events, so that the next one may have none left
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     EventSequence m_sequence; // of the events of all runs that the caller has
+    bool m_mayHaveEnded = false; // the last run may have sent all events, so that the next one may have none left
     std::string_view m_disorder; // why the current run is given up; empty: its events are in order
     std::optional<IdGap> m_brokenGap; // at which the last run was broken off
     std::size_t m_fillerBytes = 0; // of fields without data and comments since the last event
--- a/test/relay_choice-test.cc
+++ b/test/relay_choice-test.cc
@@ -159,7 +159,7 @@
 
     auto relayStateRoundTrips() -> void
     {
-        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt", "llm", milliseconds(800)};
+        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt", "llm", milliseconds(800), true};
         const auto text = encodeRelay(info);
         CPPUNIT_ASSERT(text.find_first_of("\r\n") == std::string::npos);
         const auto decoded = decodeRelay(text);
@@ -173,6 +173,7 @@
         CPPUNIT_ASSERT_EQUAL(info.firstAttemptId, decoded->firstAttemptId);
         CPPUNIT_ASSERT_EQUAL(info.service, decoded->service);
         CPPUNIT_ASSERT(decoded->timeLeft == info.timeLeft);
+        CPPUNIT_ASSERT(decoded->mayHaveEnded && !decodeRelay(encodeRelay({"vm0"}))->mayHaveEnded);
         CPPUNIT_ASSERT_MESSAGE("a build that does not say it", !decodeRelay(encodeRelay({"vm0"}))->timeLeft);
     }
 
