The end of a stream is checked by its own engine if no other one may be asked

A living engine had closed an answer without length or chunks in the middle. The end was not checked, because the route's attempts were used, or because the engine that had closed the answer was left out of the search for another one.

The attempts of a route limit the engines to which a request may be sent. An engine that has run it may therefore be asked again, and it sends what follows if only its answer was cut. Such a send counts for no attempt; it takes from the retry budget like every other. `end_unchecked` tells the last event and the sends.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -53,7 +53,8 @@
     m_survivalRecorded = false;
     m_collectingError = false;
     m_framing = BodyFraming::None;
-    m_attempts.onAttempt();
+    m_attemptsOfCall = m_asksSameEngine ? 0 : 1; // the route limits the engines that run a request, not its sends
+    m_attempts.onAttempt(m_attemptsOfCall);
     if (m_kvSource.empty()) {
         m_queuedPromptTokens = queuedPromptTokens(m_decodeEngine);
     }
@@ -68,7 +69,7 @@
     handlers.onDone = [self = shared_from_this()](const Result<HttpResponse> &result) { self->onDecodeDone(result); };
     m_decodeCall = m_context.client.start(upstreamCall(m_context, m_request, m_decodeEngine, spec), std::move(handlers));
     restartStallTimer();
-    if (m_endIsTrusted) {
+    if (m_checksEnd) {
         m_stallTimer->startOnce(EndCheckTime);
     }
 }
@@ -197,7 +198,7 @@
 auto StreamRequest::onDecodeEnd() -> void
 {
     if (m_collectingError) {
-        m_attempts.onOutcome(AttemptOutcome::Answered);
+        m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
         m_context.log.write("stream", "engine_failed",
                             {{"request", m_request.metadata.requestId}, {"engine", m_decodeEngine.id}, {"status", m_errorAnswer.status}});
         m_request.exchange->respond(std::move(m_errorAnswer));
@@ -211,8 +212,8 @@
         onDecodeBroken(AttemptOutcome::Unknown, reason, evidenceOf(error));
         return;
     }
-    m_attempts.onOutcome(AttemptOutcome::Answered);
-    if (m_endIsTrusted) {
+    m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
+    if (m_checksEnd) {
         m_context.endChecks[m_request.service].onChecked(false);
     }
     complete();
@@ -282,7 +283,7 @@
 
 auto StreamRequest::onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
-    m_attempts.onOutcome(outcome);
+    m_attempts.onOutcome(outcome, m_attemptsOfCall);
     const bool handleLost = outcome == AttemptOutcome::NotRun && !m_kvSource.empty() && !evidence.entryOutdated;
     if (!handleLost) {
         recordFailure(m_decodeEngine, evidence);
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -53,47 +53,48 @@
     return "";
 }
 
-/// Asks another engine for what follows the last event, although the engine lives: it may have broken the answer off. Returns false if
-/// the end is not checked.
+/// Asks an engine for what follows the last event, although the engine lives: it may have broken the answer off. Returns false if the end
+/// is not checked.
 auto StreamRequest::checkEnd() -> bool
 {
-    if (m_endIsTrusted) {
+    if (m_checksEnd) {
         return false; // this is the end of the check
     }
     if (!m_headSent || m_collectingError || !m_request.route->resumable) {
         return false;
     }
-    auto &checks = m_context.endChecks[m_request.service];
-    const auto next = planResumption();
-    const auto state = resumptionState(next.has_value());
-    const auto step = nextStep(state);
-    const bool mayCheck = step == ResumptionStep::Reserve || (step == ResumptionStep::Wait && state.hasRetryBudget);
-    if (!checks.isDue() || !mayCheck) {
-        logUnchecked(checks.isDue() ? giveUpReason(state) : "the ends of the service are trusted");
+    if (auto &checks = m_context.endChecks[m_request.service]; !checks.isDue()) {
+        logUnchecked("the ends of the service are trusted");
         checks.onUnchecked();
         return false;
     }
-    m_attempts.onOutcome(AttemptOutcome::Answered);
+    m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
     m_brokenOutcome = AttemptOutcome::Answered;
     m_breakReason = "the end of the stream is checked";
-    m_endIsTrusted = true;
+    m_checksEnd = true;
+    m_asksSameEngine = !m_attempts.mayRetry() || !hasOtherEngine();
     m_mayHaveEnded = true;
     m_reservationsTried = 0;
-    m_context.counters.at("stream_ends_checked").add();
-    takeStep(step, state, next);
+    const auto next = planResumption();
+    const auto state = resumptionState(next.has_value());
+    takeStep(nextStep(state), state, next);
     return true;
 }
 
 auto StreamRequest::logUnchecked(std::string_view reason) const -> void
 {
     m_context.log.write("stream", "end_unchecked",
-                        {{"request", m_request.metadata.requestId}, {"engine", m_decodeEngine.id}, {"reason", reason}});
+                        {{"request", m_request.metadata.requestId},
+                         {"engine", m_decodeEngine.id},
+                         {"last_event", eventField(m_sequence.lastId())},
+                         {"reason", reason},
+                         {"sends", m_attempts.count()}});
 }
 
 /// Ends a stream whose end could not be checked, and returns true. Returns false if no check is under way, or if it has found a cut.
 auto StreamRequest::endUnchecked(std::string_view reason) -> bool
 {
-    if (!m_endIsTrusted) {
+    if (!m_checksEnd) {
         return false;
     }
     if (m_splitter.hasPartial()) {
@@ -109,9 +110,10 @@
 /// Records that events follow the end of a stream that its engine has confirmed.
 auto StreamRequest::recordCutEnd() -> void
 {
-    if (!std::exchange(m_endIsTrusted, false)) {
+    if (!std::exchange(m_checksEnd, false)) {
         return;
     }
+    m_asksSameEngine = false;
     m_context.endChecks[m_request.service].onChecked(true);
     m_context.counters.at("answers_cut_by_live_engines").add();
     m_context.log.write("stream", "end_was_cut",
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -165,6 +165,7 @@
     auto isVersionCertain() const -> bool;
     auto hasOtherEngine() const -> bool;
     auto planResumption() const -> std::optional<StreamPlan>;
+    auto planSameEngine() const -> std::optional<StreamPlan>;
     auto resumptionState(bool hasCapacity) const -> ResumptionState;
     auto onStall() -> void;
     auto resume(std::string_view reason) -> void;
@@ -231,7 +232,9 @@
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
-    bool m_endIsTrusted = false; // the engine has confirmed the end, and another one is asked for what follows
+    bool m_checksEnd = false; // the engine has confirmed the end, and one is asked for what follows
+    bool m_asksSameEngine = false; // for that, because no other one is left, or no attempt for it
+    int m_attemptsOfCall = 1; // that the call in flight counts for
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     EventSequence m_sequence; // of the events of all runs that the caller has
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -36,11 +36,24 @@
     if (!isVersionCertain()) {
         return std::nullopt;
     }
+    if (m_asksSameEngine) {
+        return planSameEngine();
+    }
     const bool isReplaced = entryStateOf(m_context, m_decodeEngine) == EntryState::Replaced;
     const auto excluded = isReplaced ? std::string_view() : std::string_view(m_decodeEngine.id);
     return plan([this, excluded](const PlacementInputs &inputs) { return planResume(inputs, excluded, m_context.random); });
 }
 
+/// Plans to ask the engine that ran the stream last, while its process is there.
+auto StreamRequest::planSameEngine() const -> std::optional<StreamPlan>
+{
+    const auto *entry = m_context.directory.find(m_decodeEngine.id);
+    if (entry == nullptr || entryStateOf(m_context, m_decodeEngine) != EntryState::Present || !mayGetRequest(m_context, *entry)) {
+        return std::nullopt;
+    }
+    return StreamPlan{nullptr, entry, m_expectedFirstEvent, m_expectedFirstEvent};
+}
+
 /// Returns whether an engine is left that may go on with the stream once it has capacity.
 auto StreamRequest::hasOtherEngine() const -> bool
 {
@@ -57,7 +70,7 @@
     ResumptionState state;
     state.hasBegun = m_headSent || hasBegunElsewhere();
     state.hasCall = m_decodeCall != 0;
-    state.mayRetry = m_attempts.mayRetry();
+    state.mayRetry = m_attempts.mayRetry() || m_asksSameEngine;
     state.hasRetryBudget = needsNoRetryBudget() || m_context.retryBudget.mayAcquire(m_request.service, now);
     state.isInTime = now < m_request.deadline()
         && (m_headSent || !outlastsThisVm(m_context, m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape)));
@@ -192,7 +205,7 @@
                              {"time_left_ms", toMilliseconds(m_request.deadline() - m_context.clock.now())}});
     }
     release(m_decodeClaim);
-    if (m_endIsTrusted) {
+    if (m_checksEnd) {
         m_stallTimer->startOnce(EndCheckTime);
     }
     m_queued = true;
@@ -241,7 +254,7 @@
     if (!reserved) {
         release(m_successorClaim);
         recordRefusedReservation(m_successor, reserved.error());
-        if (m_endIsTrusted && m_reservationsTried < MaxReservations) {
+        if (m_checksEnd && m_reservationsTried < MaxReservations) {
             const auto next = planResumption();
             const auto state = resumptionState(next.has_value());
             takeStep(nextStep(state), state, next);
@@ -303,7 +316,7 @@
         return;
     }
     m_context.client.cancel(std::exchange(m_decodeCall, 0));
-    m_attempts.onOutcome(AttemptOutcome::Unknown);
+    m_attempts.onOutcome(AttemptOutcome::Unknown, m_attemptsOfCall);
     recordFailure(m_decodeEngine, {});
     logBroken(AttemptOutcome::Unknown, StallReason, {});
 }
@@ -318,9 +331,7 @@
     m_waitsToResume = false;
     release(m_decodeClaim);
     m_decodeClaim = std::exchange(m_successorClaim, {});
-    if (!m_endIsTrusted) {
-        m_context.counters.at("streams_continued").add();
-    }
+    m_context.counters.at(m_checksEnd ? "stream_ends_checked" : "streams_continued").add();
     m_context.log.write("stream", "stream_goes_on",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -90,6 +90,16 @@
             assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def parts_of_streams_of_the_only_engine_are_continued():
+    """Guards against a part of a stream that looks complete because no other engine can be asked for what follows."""
+    async with Rig(decode=1) as rig:
+        set_fault("unframed", decode_engines(rig))
+        stream, = await begun_at(rig, decode_engines(rig)[0])
+        for writer in list(decode_engines(rig)[0].server.writers):
+            writer.close()
+        assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+
+
 async def parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains():
     """Guards against a part of a stream that looks complete because a VM that drains does not ask for what follows."""
     async with Rig(decode=3) as rig:
@@ -301,6 +311,7 @@
 TESTS = [streams_of_engines_that_die_behind_a_listener_go_on_elsewhere,
          streams_that_may_not_be_resumed_break_off_with_an_engine_behind_a_listener,
          parts_of_streams_of_engines_that_live_are_continued,
+         parts_of_streams_of_the_only_engine_are_continued,
          parts_of_streams_of_engines_that_live_are_continued_while_their_vm_drains,
          streams_whose_run_goes_on_without_their_connection_break_off,
          parts_of_streams_that_have_moved_do_not_look_complete,
