Streams of services whose engines cut answers do not end unchecked

Callers saw 3 of 12 events as a whole stream (ORDER). The VM had found that engines of the service cut answers without length or chunks, but had no retry budget left to check a further end, and took it for complete like those of services whose ends had all been true.

Meanwhile a stream that may be resumed and whose end cannot be checked goes on like one whose call has broken: elsewhere if that becomes possible, else it breaks off, and its caller comes back for the rest. `end_unchecked` has `cuts_found`.

--- a/include/currantstack/decisions/end_checks.h
+++ b/include/currantstack/decisions/end_checks.h
@@ -5,7 +5,8 @@
 {
 
 /// The ends of one service's streams that neither a length nor chunks mark. That an engine lives does not prove that it has completed its
-/// answer; a continuation without events does. Each check costs a second run, so that a service whose ends were all true is trusted.
+/// answer; a continuation without events does. Each check costs a second run, so that a service whose ends were all true is trusted. After
+/// a cut, an end that cannot be checked is as likely another cut as not, until the service is trusted again.
 class EndChecks
 {
 public:
@@ -18,6 +19,12 @@
         return m_wholeInRow < TrustedAfter || m_endsSinceCheck + 1 >= TrustedPeriod;
     }
 
+    /// Returns whether an end that cannot be checked counts as incomplete.
+    auto isSuspect() const -> bool
+    {
+        return m_isSuspect;
+    }
+
     /// Records an end that was not checked.
     auto onUnchecked() -> void
     {
@@ -28,12 +35,14 @@
     auto onChecked(bool wasCut) -> void
     {
         m_wholeInRow = wasCut ? 0 : m_wholeInRow + 1;
+        m_isSuspect = wasCut || (m_isSuspect && m_wholeInRow < TrustedAfter);
         m_endsSinceCheck = 0;
     }
 
 private:
     int m_wholeInRow = 0;
     int m_endsSinceCheck = 0;
+    bool m_isSuspect = false; // a cut was found since the service was last trusted
 };
 
 } // namespace currantstack
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -64,7 +64,7 @@
         return false;
     }
     if (auto &checks = m_context.endChecks[m_request.service]; !checks.isDue()) {
-        logUnchecked("the ends of the service are trusted");
+        logUnchecked("the ends of the service are trusted", false);
         checks.onUnchecked();
         return false;
     }
@@ -81,17 +81,19 @@
     return true;
 }
 
-auto StreamRequest::logUnchecked(std::string_view reason) const -> void
+auto StreamRequest::logUnchecked(std::string_view reason, bool isSuspect) const -> void
 {
     m_context.log.write("stream", "end_unchecked",
                         {{"request", m_request.metadata.requestId},
                          {"engine", m_decodeEngine.id},
                          {"last_event", eventField(m_sequence.lastId())},
                          {"reason", reason},
+                         {"cuts_found", isSuspect},
                          {"sends", m_attempts.count()}});
 }
 
-/// Ends a stream whose end could not be checked, and returns true. Returns false if no check is under way, or if it has found a cut.
+/// Ends a stream whose end could not be checked, and returns true. Returns false if no check is under way, if it has found a cut, or if
+/// the service's engines have lately cut other streams: then the stream goes on like one whose call has broken.
 auto StreamRequest::endUnchecked(std::string_view reason) -> bool
 {
     if (!m_checksEnd) {
@@ -101,8 +103,15 @@
         recordCutEnd(); // the run that was asked has begun a further event
         return false;
     }
-    m_context.endChecks[m_request.service].onUnchecked();
-    logUnchecked(reason);
+    auto &checks = m_context.endChecks[m_request.service];
+    checks.onUnchecked();
+    logUnchecked(reason, checks.isSuspect());
+    if (checks.isSuspect()) {
+        m_checksEnd = false;
+        m_asksSameEngine = false;
+        leaveQueue();
+        return false;
+    }
     complete();
     return true;
 }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -150,7 +150,7 @@
     auto mayBeStopped() const -> bool;
     auto incompleteReason() const -> std::string_view;
     auto checkEnd() -> bool;
-    auto logUnchecked(std::string_view reason) const -> void;
+    auto logUnchecked(std::string_view reason, bool isSuspect) const -> void;
     auto endUnchecked(std::string_view reason) -> bool;
     auto recordCutEnd() -> void;
 
--- a/test/end_checks-test.cc
+++ b/test/end_checks-test.cc
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(EndChecksTest);
     CPPUNIT_TEST(trustedServicesAreCheckedRarely);
     CPPUNIT_TEST(aCutAnswerEndsTheTrust);
+    CPPUNIT_TEST(servicesThatCutAnswersAreSuspectUntilTheyAreTrusted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,6 +39,19 @@
         checks.onUnchecked();
         CPPUNIT_ASSERT(checks.isDue());
     }
+
+    auto servicesThatCutAnswersAreSuspectUntilTheyAreTrusted() -> void
+    {
+        EndChecks checks;
+        CPPUNIT_ASSERT(!checks.isSuspect());
+        checks.onChecked(true);
+        for (int end = 0; end < EndChecks::TrustedAfter; ++end) {
+            CPPUNIT_ASSERT(checks.isSuspect());
+            checks.onUnchecked();
+            checks.onChecked(false);
+        }
+        CPPUNIT_ASSERT(!checks.isSuspect());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndChecksTest);
