Streams that an engine ends when it exits go on elsewhere

Callers saw a part of a stream as a whole one (ORDER only, as plain answers are short): 5 of 12 events, with the last chunk. The engine had drained, or its entry was gone, and it exited with streams open: its handlers returned, which ends a body in chunks in the ordinary way. Every stream that is open at a planned exit is a case, at each release and each scale-in.

HTTP calls such an answer complete, but the platform tells more: the engine has announced that it leaves, and it does not outlive the answer. The end of a stream that may be resumed is now held back at an engine that leaves, until a probe 300 ms later shows that the engine lives on. If it does not, another engine is asked for what follows; without a result, the end counts as complete, as before. `answer_end_judged` tells such ends by `leaves`.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -51,6 +51,9 @@
 /// Bytes of another answer prove that the upstream lives if they arrive this long after the end. Sooner ones may have been sent before.
 inline constexpr Duration LateByteTime = milliseconds(100);
 
+/// An upstream that leaves may end its answers in the ordinary way before it exits. It has stopped listening this long after them.
+inline constexpr Duration ExitTime = milliseconds(300);
+
 /// Connections that are tried before the end counts as doubtful, and the pause between them.
 inline constexpr int MaxEndTrials = 2;
 inline constexpr Duration EndTrialPause = milliseconds(200);
--- a/include/currantstack/decisions/send_gate.h
+++ b/include/currantstack/decisions/send_gate.h
@@ -33,6 +33,9 @@
 /// Returns why the upstream may not get a request. `chosen` is its entry as of the choice, which may be seconds old.
 auto findSendBlock(const Upstream &chosen, const UpstreamStanding &standing) -> SendBlock;
 
+/// Returns whether the process ends soon, or has ended.
+auto isLeaving(SendBlock block) -> bool;
+
 /// Returns the name in logs and metrics, such as "peer_announced_leaving".
 auto name(SendBlock block) -> std::string_view;
 
--- a/include/currantstack/edge/end_confirmation.h
+++ b/include/currantstack/edge/end_confirmation.h
@@ -7,7 +7,7 @@
 namespace currantstack
 {
 
-/// Confirms the end of one answer that neither a length nor chunks mark.
+/// Confirms the end of one answer that neither a length nor chunks mark, or of a stream whose engine leaves.
 class EndConfirmation : public std::enable_shared_from_this<EndConfirmation>
 {
 public:
@@ -44,6 +44,7 @@
     std::string m_requestId;
     Done m_done;
     TimePoint m_endedAt;
+    Duration m_settleTime = EndSettleTime; // after which an upstream that still answers has outlived its answer
     TimePoint m_dueAt; // of the timer
     AnswerEndEvidence m_evidence;
     std::optional<TimePoint> m_answeredAt; // first answer of a probe after the last that had none
--- a/src/decisions/send_gate.cc
+++ b/src/decisions/send_gate.cc
@@ -37,6 +37,23 @@
     return standing.paused ? SendBlock::Paused : SendBlock::None;
 }
 
+auto isLeaving(SendBlock block) -> bool
+{
+    switch (block) {
+    case SendBlock::Draining:
+    case SendBlock::Removed:
+    case SendBlock::Replaced:
+    case SendBlock::PeerAnnouncedLeaving:
+    case SendBlock::AnnouncedLeaving:
+        return true;
+    case SendBlock::None:
+    case SendBlock::RoleChanged:
+    case SendBlock::Paused:
+        break;
+    }
+    return false;
+}
+
 auto name(SendBlock block) -> std::string_view
 {
     switch (block) {
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/end_confirmation.h"
 
 #include "currantstack/edge/forwarding.h"
+#include "currantstack/edge/send_check.h"
 #include "currantstack/edge/upstream_links.h"
 
 namespace currantstack
@@ -16,7 +17,8 @@
 auto EndConfirmation::start() -> void
 {
     m_timer = m_context.loop.timer([self = shared_from_this()]() { self->onTimer(); });
-    wait(EndSettleTime);
+    m_settleTime = isLeaving(sendBlockOf(m_context, m_upstream)) ? ExitTime : EndSettleTime;
+    wait(m_settleTime);
 }
 
 auto EndConfirmation::wait(Duration time) -> void
@@ -63,7 +65,7 @@
 {
     const auto now = m_context.clock.now();
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
-    m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + EndSettleTime);
+    m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + m_settleTime);
     m_evidence.sinceEnd = now - m_endedAt;
     m_evidence.sinceAnswer = m_answeredAt ? now - *m_answeredAt : Duration::zero();
     const auto end = judgeAnswerEnd(m_evidence);
@@ -85,6 +87,7 @@
                          {"connection", m_evidence.connection ? name(*m_evidence.connection) : "not_tried"},
                          {"trials", m_evidence.trials},
                          {"runs_still", m_evidence.runsStill},
+                         {"leaves", m_settleTime == ExitTime},
                          {"held_ms", toMilliseconds(now - m_endedAt)},
                          {"end", name(end)}});
     const auto done = std::move(m_done);
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -186,6 +186,11 @@
         confirmEnd();
         return;
     }
+    if (mayBeCutByExit()) {
+        m_checksEnd = true;
+        confirmEnd();
+        return;
+    }
     onDecodeEnd();
 }
 
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -1,4 +1,5 @@
 // The end of a stream that neither a length nor chunks mark: confirmed by its engine, and checked by asking for what follows.
+#include "currantstack/edge/send_check.h"
 #include "event_order.h"
 #include "stream_request.h"
 
@@ -20,6 +21,10 @@
 auto StreamRequest::onEndJudged(bool isComplete) -> void
 {
     m_endConfirmation.reset();
+    if (m_framing == BodyFraming::Chunks) {
+        onExitJudged(isComplete);
+        return;
+    }
     if (isComplete) {
         if (!checkEnd()) {
             onDecodeEnd();
@@ -34,6 +39,24 @@
     onDecodeBroken(AttemptOutcome::Unknown, describe(error), evidence);
 }
 
+/// Returns whether a stream with a last chunk is held back all the same: an engine that exits may end its streams in the ordinary way.
+auto StreamRequest::mayBeCutByExit() const -> bool
+{
+    return m_framing == BodyFraming::Chunks && m_headSent && !m_collectingError && !m_checksEnd && m_request.route->resumable
+        && incompleteReason().empty() && isLeaving(sendBlockOf(m_context, m_decodeEngine));
+}
+
+/// Ends a stream whose engine has not exited with it. Otherwise asks another one for what follows.
+auto StreamRequest::onExitJudged(bool isComplete) -> void
+{
+    if (!isComplete) {
+        askForRest();
+        return;
+    }
+    m_checksEnd = false;
+    onDecodeEnd();
+}
+
 /// Returns whether the engine may have ended the stream in the ordinary way because its time was over.
 auto StreamRequest::mayBeStopped() const -> bool
 {
@@ -68,6 +91,13 @@
         checks.onUnchecked();
         return false;
     }
+    askForRest();
+    return true;
+}
+
+/// Looks for an engine that can tell whether events follow the last one.
+auto StreamRequest::askForRest() -> void
+{
     m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
     m_brokenOutcome = AttemptOutcome::Answered;
     m_breakReason = "the end of the stream is checked";
@@ -78,7 +108,6 @@
     const auto next = planResumption();
     const auto state = resumptionState(next.has_value());
     takeStep(nextStep(state), state, next);
-    return true;
 }
 
 auto StreamRequest::logUnchecked(std::string_view reason, bool isSuspect) const -> void
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -149,7 +149,10 @@
     auto onEndJudged(bool isComplete) -> void;
     auto mayBeStopped() const -> bool;
     auto incompleteReason() const -> std::string_view;
+    auto mayBeCutByExit() const -> bool;
+    auto onExitJudged(bool isComplete) -> void;
     auto checkEnd() -> bool;
+    auto askForRest() -> void;
     auto logUnchecked(std::string_view reason, bool isSuspect) const -> void;
     auto endUnchecked(std::string_view reason) -> bool;
     auto recordCutEnd() -> void;
@@ -232,7 +235,7 @@
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
-    bool m_checksEnd = false; // the engine has confirmed the end, and one is asked for what follows
+    bool m_checksEnd = false; // an end that looks complete is being checked; without a result, it counts as complete
     bool m_asksSameEngine = false; // for that, because no other one is left, or no attempt for it
     int m_attemptsOfCall = 1; // that the call in flight counts for
     bool m_decoding = false;
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -269,6 +269,7 @@
         self.is_full = False  # it has no room for further streams
         self.ends_at_deadline = False  # it ends its streams in the ordinary way when the time that it was given is over, or a little sooner
         self.deadline_margin_s = 0.0
+        self.is_exiting = False  # it ends its streams in the ordinary way, and then itself
         self.local_ids = itertools.count(1)
 
     def entry(self):
@@ -441,7 +442,7 @@
             for number in range(self.first_event(request, order_fault), last + self.FIRST_ID):
                 await asyncio.sleep(max(0, min(interval_s, ends_at - time.monotonic())))
                 await self.server.wait_while_silent()
-                if time.monotonic() >= ends_at:
+                if time.monotonic() >= ends_at or self.is_exiting:
                     break
                 if number == 6 and self.draw_fault("unframed_ended"):
                     await self.end_process(request)
--- a/test/edge/stop_tests.py
+++ b/test/edge/stop_tests.py
@@ -1,11 +1,16 @@
 """Process tests of a planned stop: requests that are open at its end, late requests on open connections, and changes of the grace."""
 
 import asyncio
+import itertools
 import signal
 import time
 
+from answer_end_tests import PIECES, decode_engines
+from held_end_tests import begun_at, read_to_end
+from platform_upstreams import Engine
 from rig import Rig, read_response
 
+DRAIN_S, EXIT_S = 0.3, 0.15  # from the report that an engine drains until it exits; from the end of its streams until it stops listening
 ACCEPT_S = 2.7  # from SIGTERM until a VM refuses requests
 SLOW = {"name": "slow", "host": "app.example", "prefix": "/slow/", "type": "unsafe", "service": "booking", "timeout_ms": 20000, "attempts": 1}
 SLOW_SAFE = {**SLOW, "name": "slowsafe", "prefix": "/slowsafe/", "type": "safe"}
@@ -97,6 +102,23 @@
             assert all(isinstance(answer, EOFError) for answer in answers), answers
 
 
+async def streams_that_engines_end_when_they_exit_go_on_elsewhere():
+    """Guards against a part of a stream that looks complete because its engine, which has drained, ends it with a last chunk and exits."""
+    for leave, unframed_share in itertools.product((Engine.drain, Engine.leave), (0.0, 1.0)):
+        async with Rig(decode=2) as rig:
+            engine = decode_engines(rig)[0]
+            for each in decode_engines(rig):
+                each.unframed_share, each.EVENT_INTERVAL_S = unframed_share, 0.1
+            streams = await begun_at(rig, engine, 3)
+            leave(engine)
+            await asyncio.sleep(DRAIN_S)
+            engine.is_exiting = True
+            await asyncio.sleep(EXIT_S)
+            engine.server.end()
+            for stream in streams:
+                assert await read_to_end(stream) and stream.numbers == PIECES, (leave, unframed_share, stream.numbers)
+
+
 async def streams_that_would_outlast_a_stop_are_refused():
     """Guards against a stream that is passed on late in the grace and cut at its end."""
     async with Rig(grace=4) as rig:
@@ -206,5 +228,6 @@
 TESTS = [requests_open_at_the_end_of_a_stop_are_answered, streams_that_engines_end_when_their_vm_stops_are_not_complete,
          streams_that_engines_end_before_the_deadline_are_not_complete, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
          streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
+         streams_that_engines_end_when_they_exit_go_on_elsewhere,
          late_requests_on_open_connections_are_refused, a_grace_that_is_shortened_during_a_stop_cuts_no_request,
          upstreams_are_told_when_a_stopping_vm_ends]
--- a/test/send_gate-test.cc
+++ b/test/send_gate-test.cc
@@ -103,11 +103,11 @@
     {
         UpstreamStanding standing;
         standing.paused = true;
-        CPPUNIT_ASSERT(check(standing) == SendBlock::Paused);
+        CPPUNIT_ASSERT(check(standing) == SendBlock::Paused && !isLeaving(check(standing)));
         standing.peerAnnouncedLeaving = true;
         CPPUNIT_ASSERT(check(standing) == SendBlock::PeerAnnouncedLeaving);
         standing.announcedLeaving = true;
-        CPPUNIT_ASSERT(check(standing) == SendBlock::AnnouncedLeaving);
+        CPPUNIT_ASSERT(check(standing) == SendBlock::AnnouncedLeaving && isLeaving(check(standing)));
     }
 
     auto theEntryIsNamedBeforeNotices() -> void
