Another process that answers at its address proves the crash of a plain upstream

The VM's log: four services crashed within 0.4 s, all refused the probe, two crashes were proved by links to another service, the other two by nothing: no entry is removed while the store is silent, and no VM had been refused as well. Their next processes answered later requests with 421 for over a minute, which was not taken for a proof.

An answer by another process than the one it was addressed to now counts as the end of the former one, as it does for probes and at the ends of answers.

--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -247,6 +247,9 @@
     auto outcome = result ? AttemptOutcome::Unknown : classifyError(result.error());
     if (result) {
         recordReached(m_context, pending.upstream, pending.sentAt);
+        if (m_context.protocol.isOtherUpstream(*result, pending.upstream)) {
+            recordEnd(m_context, pending.upstream);
+        }
         const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
         observeLimit(m_context, pending.upstream, result->status, head, pending.sentAt);
         observeNotices(m_context, pending.upstream, result->status, head);
--- a/test/edge/quarantine_tests.py
+++ b/test/edge/quarantine_tests.py
@@ -114,6 +114,21 @@
         await assert_stopped(rig, rig.vms, directory_is_current=False)  # the restarted upstreams are not known
 
 
+async def next_processes_at_the_addresses_prove_crashes():
+    """Guards against crashes of a whole service that nothing proves while the store is silent, so that their request is not quarantined."""
+    async with Rig(vms=3, services=4) as rig:
+        await wait_until_peers_are_known(rig)
+        rig.fleet.store.mode = "silent"
+        for service in rig.fleet.services:
+            service.crashes_on, service.restart_s = is_poison, 0.4
+        await asyncio.gather(*(rig.send("check", path="poison", deadline=2000) for _ in range(8)))
+        assert len(crashes_of(rig)) >= 3
+        await asyncio.sleep(1.0)
+        for _ in range(4):
+            await rig.send("check", path="poison", deadline=2000)
+        assert quarantine_lines(rig), [entry["event"] for entry in rig.fleet.history]
+
+
 async def quarantine_reaches_vms_without_datagrams():
     """VMs that cannot reach one another, as across a cut between places, learn the quarantine from the store."""
     async with Rig(vms=2, services=4, hidden_prefix="currantstack/vms/") as rig:
@@ -233,6 +248,6 @@
 
 
 TESTS = [repeated_request_that_crashes_upstreams_is_stopped, quarantine_outlives_all_vms, quarantine_spreads_while_the_store_is_silent,
-         quarantine_reaches_vms_without_datagrams, restarted_vm_learns_the_quarantine_from_its_peers, failing_upstreams_cause_no_quarantine,
+         next_processes_at_the_addresses_prove_crashes, quarantine_reaches_vms_without_datagrams, restarted_vm_learns_the_quarantine_from_its_peers, failing_upstreams_cause_no_quarantine,
          rolled_vms_cause_no_quarantine, prompt_part_that_crashes_engines_is_stopped,
          sound_prompts_are_served_after_poison_prompts_with_the_same_first_part]
