Test: all services of the poison request crash in one volley

With eight requests, fewer than three of the four services had crashed in some runs, so that the test failed for its own precondition.

--- a/test/edge/quarantine_tests.py
+++ b/test/edge/quarantine_tests.py
@@ -121,7 +121,7 @@
         rig.fleet.store.mode = "silent"
         for service in rig.fleet.services:
             service.crashes_on, service.restart_s = is_poison, 0.4
-        await asyncio.gather(*(rig.send("check", path="poison", deadline=2000) for _ in range(8)))
+        await asyncio.gather(*(rig.send("check", path="poison", deadline=2000) for _ in range(24)))
         assert len(crashes_of(rig)) >= 3
         await asyncio.sleep(1.0)
         for _ in range(4):
