A draining engine is not asked to reserve capacity for the check of an end

Found by reading: the engine that ran a stream was asked for a reservation although its entry drains; the request itself was not sent to it. The same gate that stands before each send now stands before the plan.

--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -44,14 +44,13 @@
     return plan([this, excluded](const PlacementInputs &inputs) { return planResume(inputs, excluded, m_context.random); });
 }
 
-/// Plans to ask the engine that ran the stream last, while its process is there.
+/// Plans to ask the engine that ran the stream last, while its process is there and takes requests.
 auto StreamRequest::planSameEngine() const -> std::optional<StreamPlan>
 {
-    const auto *entry = m_context.directory.find(m_decodeEngine.id);
-    if (entry == nullptr || entryStateOf(m_context, m_decodeEngine) != EntryState::Present || !mayGetRequest(m_context, *entry)) {
+    if (sendBlockOf(m_context, m_decodeEngine) != SendBlock::None) {
         return std::nullopt;
     }
-    return StreamPlan{nullptr, entry, m_expectedFirstEvent, m_expectedFirstEvent};
+    return StreamPlan{nullptr, m_context.directory.find(m_decodeEngine.id), m_expectedFirstEvent, m_expectedFirstEvent};
 }
 
 /// Returns whether an engine is left that may go on with the stream once it has capacity.
