A continuation without events is the check of an end that could not be checked before

Callers saw a whole stream break off after its last event (135 of 135 in a soak), 3 s before its deadline. A living engine had ended it without length or chunks, the retry budget was empty, and the service was suspect since another of its answers had been cut. The stream went on at a second engine, which had nothing left to send. That end was to be checked once more, for which there was no retry budget either, and then no attempt.

The second run is itself the check, as it was asked for what follows the last event. An event of it, or the begin of one, shows a cut as before.

Test: whole_streams_whose_end_is_checked_late_are_complete failed 2 of 2 on and passes; the 15 other tests of listeners that are not known failures pass (arm64).

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -213,7 +213,7 @@
         return;
     }
     m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
-    if (m_checksEnd) {
+    if (isEndCheck()) {
         m_context.endChecks[m_request.service].onChecked(false);
     }
     complete();
@@ -302,6 +302,9 @@
         return;
     }
     m_brokenOutcome = outcome;
+    if (m_splitter.hasPartial()) {
+        recordCutEnd();
+    }
     m_mayHaveEnded = evidence.endDoubtful || (m_mayHaveEnded && !m_splitter.hasPartial());
     m_stallTimer->stop();
     release(m_decodeClaim);
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -53,12 +53,18 @@
     return "";
 }
 
+/// Returns whether the current run has been asked for what follows an end that its engine had confirmed, and has sent no event so far.
+auto StreamRequest::isEndCheck() const -> bool
+{
+    return m_checksEnd || m_endConfirmed;
+}
+
 /// Asks an engine for what follows the last event, although the engine lives: it may have broken the answer off. Returns false if the end
 /// is not checked.
 auto StreamRequest::checkEnd() -> bool
 {
-    if (m_checksEnd) {
-        return false; // this is the end of the check
+    if (isEndCheck()) {
+        return false;
     }
     if (!m_headSent || m_collectingError || !m_request.route->resumable) {
         return false;
@@ -108,6 +114,7 @@
     logUnchecked(reason, checks.isSuspect());
     if (checks.isSuspect()) {
         m_checksEnd = false;
+        m_endConfirmed = true;
         m_asksSameEngine = false;
         leaveQueue();
         return false;
@@ -119,9 +126,11 @@
 /// Records that events follow the end of a stream that its engine has confirmed.
 auto StreamRequest::recordCutEnd() -> void
 {
-    if (!std::exchange(m_checksEnd, false)) {
+    if (!isEndCheck()) {
         return;
     }
+    m_checksEnd = false;
+    m_endConfirmed = false;
     m_asksSameEngine = false;
     m_context.endChecks[m_request.service].onChecked(true);
     m_context.counters.at("answers_cut_by_live_engines").add();
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -63,7 +63,7 @@
     }
     m_request.exchange->end();
     m_context.speedsOf(m_request.service)
-        .observeStream((m_framing == BodyFraming::Connection || m_checksEnd ? m_lastEventAt : now) - m_decodeStartedAt,
+        .observeStream((m_framing == BodyFraming::Connection || isEndCheck() ? m_lastEventAt : now) - m_decodeStartedAt,
                        m_request.metadata.shape, static_cast<double>(m_events * tokensPerEvent()));
     m_context.quarantine.recordSuccess(m_request.traits, now);
     m_context.counters.at("requests_answered").add();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -149,6 +149,7 @@
     auto onEndJudged(bool isComplete) -> void;
     auto mayBeStopped() const -> bool;
     auto incompleteReason() const -> std::string_view;
+    auto isEndCheck() const -> bool;
     auto checkEnd() -> bool;
     auto logUnchecked(std::string_view reason, bool isSuspect) const -> void;
     auto endUnchecked(std::string_view reason) -> bool;
@@ -238,6 +239,7 @@
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
     EventSequence m_sequence; // of the events of all runs that the caller has
+    bool m_endConfirmed = false; // by the engine of the last events, but the check had no result, so that the stream goes on
     bool m_mayHaveEnded = false; // the last run may have sent all events, so that the next one may have none left
     std::string_view m_disorder; // why the current run is given up; empty: its events are in order
     std::optional<IdGap> m_brokenGap; // at which the last run was broken off
--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -6,7 +6,7 @@
 
 from answer_end_tests import PIECES, decode_engines, judged, numbers, set_fault
 from end_trial_tests import ClosingListener
-from held_end_tests import begun_at, read_to_end
+from held_end_tests import begun_at, log_lines, read_to_end
 from http_peer import response
 from rig import Rig
 from stranded_tests import StrandedRig
@@ -171,6 +171,22 @@
             assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def whole_streams_whose_end_is_checked_late_are_complete():
+    """Guards against a whole stream that breaks off because a continuation without events is not taken as the check of its end."""
+    async with Rig(decode=3, bounds={"retry_budget": 0.0, "budget_slack": 5}) as rig:
+        set_fault("unframed", decode_engines(rig))
+        stream = await cut_stream(rig)
+        assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
+        stream, = await begun_at(rig, decode_engines(rig)[0])
+        for engine in decode_engines(rig)[1:]:
+            engine.is_full = True
+        while not log_lines(rig, "end_unchecked"):
+            await asyncio.sleep(0.05)
+        for engine in decode_engines(rig)[1:]:
+            engine.is_full = False
+        assert await read_to_end(stream) and stream.numbers == PIECES, (stream.numbers, log_lines(rig, "stream_aborted"))
+
+
 async def halves_of_answers_of_services_that_die_behind_a_listener_are_refused():
     """The same for a booking, whose service dies after half of its answer behind a front process."""
     async with Rig(services=1) as rig:
@@ -316,6 +332,7 @@
          streams_whose_run_goes_on_without_their_connection_break_off,
          parts_of_streams_that_have_moved_do_not_look_complete,
          parts_of_streams_do_not_look_complete_without_a_retry_budget,
+         whole_streams_whose_end_is_checked_late_are_complete,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
          streams_whose_engine_is_replaced_behind_a_listener_break_off,
          whole_streams_of_engines_that_fall_silent_after_them_are_complete,
