VMs tell successes to a VM that knows only the quarantine entry

Callers could get 503 for a sound request for ten minutes at a VM that had started after it was quarantined by mistake, while other VMs served it. The VM had read the entry from the store or from a peer. The others know successes of the request and ignore the entry, but they told of a success only to a VM that reports records of crashes; these are with the VM that wrote the entry, and end after two minutes.

Successes with the traits of a reported entry are now told as those with the traits of a reported crash are. That takes nothing from the bound on requests that crash upstreams: such a request has no success.

Test: QuarantineTest::successIsReportedToVmsThatKnowOnlyTheEntry failed before the change and passes.

--- a/include/currantstack/decisions/quarantine.h
+++ b/include/currantstack/decisions/quarantine.h
@@ -120,6 +120,7 @@
 
     auto addRequests(CrashRecord &record, std::span<const Traits> requests) const -> bool;
     auto withoutSuccessful(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits;
+    auto reportSuccesses(std::span<const Fingerprint> traits, TimePoint crashedAt) -> void;
     auto renewEntries(const CrashRecord &record, TimePoint now) -> void;
     auto evaluate(TimePoint now) -> void;
     auto addEntry(Entry entry) -> bool;
--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -270,6 +270,16 @@
     return wasSuspect;
 }
 
+/// Reports the successes with these traits, of which the VM that suspects them has not heard.
+auto Quarantine::reportSuccesses(std::span<const Fingerprint> traits, TimePoint crashedAt) -> void
+{
+    for (const auto trait : traits) {
+        if (const auto success = m_successes.lastSuccess(trait); success && *success + SuccessHistory::Lifetime >= crashedAt) {
+            m_suspectSuccesses.try_emplace(trait, *success);
+        }
+    }
+}
+
 auto Quarantine::merge(const QuarantineReport &report, TimePoint now) -> bool
 {
     bool isNew = false;
@@ -278,17 +288,13 @@
     }
     for (const auto &crash : report.crashes) {
         for (const auto &request : crash.requests) {
-            for (const auto trait : request) {
-                // The reporting VM has not seen this success.
-                if (const auto success = m_successes.lastSuccess(trait); success && *success + SuccessHistory::Lifetime >= crash.at) {
-                    m_suspectSuccesses.try_emplace(trait, *success);
-                }
-            }
+            reportSuccesses(request, crash.at);
         }
         isNew = recordCrash(crash, now) || isNew;
     }
     for (const auto &entry : report.entries) {
         const auto lastCrash = now - entry.age;
+        reportSuccesses(entry.traits, lastCrash);
         auto traits = withoutSuccessful(entry.traits, lastCrash);
         isNew = addEntry({std::move(traits), now + std::min(entry.remaining, m_limits.length), entry.upstreams, entry.observer, lastCrash})
             || isNew;
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(simultaneousCrashesHaveACommonCause);
     CPPUNIT_TEST(repeatsInParallelCountOneByOne);
     CPPUNIT_TEST(successLiftsTheQuarantineOnAllVms);
+    CPPUNIT_TEST(successIsReportedToVmsThatKnowOnlyTheEntry);
     CPPUNIT_TEST(oneMoreCrashAfterTheQuarantineRenewsIt);
     CPPUNIT_TEST(memoryIsBoundedAndEntriesAreNotEvicted);
     CPPUNIT_TEST(poisonRequestIsFoundInAnyOrderOfRecords);
@@ -199,6 +200,22 @@
         CPPUNIT_ASSERT(!isQuarantined(first, {Sound}, now));
     }
 
+    /// A VM that has just started reads the entry from the store; the records of the crashes are gone with the VM that wrote it.
+    auto successIsReportedToVmsThatKnowOnlyTheEntry() -> void
+    {
+        Quarantine started;
+        Quarantine peer;
+        QuarantineReport stored;
+        stored.entries = {{{Sound}, Length, {"e0", "e1", "e2"}, "vm0", seconds(1)}};
+        started.merge(stored, Start);
+        CPPUNIT_ASSERT(isQuarantined(started, {Sound}));
+        peer.recordSuccess(Traits{Sound}, Start);
+        peer.merge(started.report(Start), Start);
+        CPPUNIT_ASSERT(!isQuarantined(peer, {Sound}));
+        CPPUNIT_ASSERT(started.merge(peer.report(Start), Start));
+        CPPUNIT_ASSERT(!isQuarantined(started, {Sound}));
+    }
+
     auto oneMoreCrashAfterTheQuarantineRenewsIt() -> void
     {
         Quarantine quarantine;
