--- a/include/currantstack/decisions/quarantine.h
+++ b/include/currantstack/decisions/quarantine.h
@@ -101,9 +101,10 @@
 
     auto report(TimePoint now) const -> QuarantineReport;
 
+    /// Returns whether there is nothing to report.
     auto isEmpty() const -> bool
     {
-        return m_records.empty() && m_entries.empty();
+        return m_records.empty() && m_entries.empty() && m_suspectSuccesses.empty();
     }
 
     auto expire(TimePoint now) -> void;
@@ -120,6 +121,7 @@
 
     auto addRequests(CrashRecord &record, std::span<const Traits> requests) const -> bool;
     auto withoutSuccessful(std::span<const Fingerprint> traits, TimePoint crashedAt) const -> Traits;
+    auto reportSuccesses(std::span<const Fingerprint> traits, TimePoint crashedAt) -> void;
     auto renewEntries(const CrashRecord &record, TimePoint now) -> void;
     auto evaluate(TimePoint now) -> void;
     auto addEntry(Entry entry) -> bool;
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -42,7 +42,7 @@
 /// Returns whether a stream with a last chunk is held back all the same: an engine that exits may end its streams in the ordinary way.
 auto StreamRequest::mayBeCutByExit() const -> bool
 {
-    return m_framing == BodyFraming::Chunks && m_headSent && !m_collectingError && !m_checksEnd && m_request.route->resumable
+    return m_framing == BodyFraming::Chunks && m_headSent && !m_collectingError && !isEndCheck() && m_request.route->resumable
         && incompleteReason().empty() && isLeaving(sendBlockOf(m_context, m_decodeEngine));
 }
 
@@ -76,12 +76,18 @@
     return "";
 }
 
+/// Returns whether the current run has been asked for what follows an end that its engine had confirmed, and has sent no event so far.
+auto StreamRequest::isEndCheck() const -> bool
+{
+    return m_checksEnd || m_endConfirmed;
+}
+
 /// Asks an engine for what follows the last event, although the engine lives: it may have broken the answer off. Returns false if the end
 /// is not checked.
 auto StreamRequest::checkEnd() -> bool
 {
-    if (m_checksEnd) {
-        return false; // this is the end of the check
+    if (isEndCheck()) {
+        return false;
     }
     if (!m_headSent || m_collectingError || !m_request.route->resumable) {
         return false;
@@ -137,6 +143,7 @@
     logUnchecked(reason, checks.isSuspect());
     if (checks.isSuspect()) {
         m_checksEnd = false;
+        m_endConfirmed = true;
         m_asksSameEngine = false;
         leaveQueue();
         return false;
@@ -148,9 +155,11 @@
 /// Records that events follow the end of a stream that its engine has confirmed.
 auto StreamRequest::recordCutEnd() -> void
 {
-    if (!std::exchange(m_checksEnd, false)) {
+    if (!isEndCheck()) {
         return;
     }
+    m_checksEnd = false;
+    m_endConfirmed = false;
     m_asksSameEngine = false;
     m_context.endChecks[m_request.service].onChecked(true);
     m_context.counters.at("answers_cut_by_live_engines").add();
