Streams go on only at the process that the entry of their engine names

Callers saw events of two software versions in one stream (ORDER): 1 to 3 of v1 and 4 to 12 of v2. An engine had restarted under its id with another version and had not registered yet. `Expect-Instance` names the id alone, so that the new process ran what the former one was to run.

Cause: the id was taken for the process, and the version in an entry for that of whatever answers at the entry's address. A check before the request would not be enough: the next process may also come between the reservation, or a separate prefill, and the request.

A run that goes on with a stream is held back until a report of its engine, asked for after the answer has begun, names the start of the entry. The entry was read before the request was sent, and processes follow one another, so the same process has run the request. This is done where every run begins, and thus for streams that this VM moves, that it takes over from another VM, and that a caller continues. If another process reports, or none in two tries, the run is given up. Cost: one probe for each run that goes on with a stream, and one round trip more until its first event; none for streams that begin, or where the entry names no start.

A stream stays resumable if the entry of an engine changes whose run was given up before its first event, or was verified.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -44,6 +44,9 @@
         m_lastEventAt = now;
     }
     m_splitter = {};
+    m_heldData.clear();
+    m_heldEnd.reset();
+    m_isRunVerified = false;
     m_sequence.beginRun();
     m_disorder = {};
     m_fillerBytes = 0;
@@ -85,7 +88,7 @@
     observeLimit(m_context, m_decodeEngine, status, head, m_sentAt);
     observeNotices(m_context, m_decodeEngine, status, head);
     if (outcome != AttemptOutcome::Answered) {
-        m_context.client.cancel(std::exchange(m_decodeCall, 0));
+        cancelDecodeCall();
         // A stream that has begun cannot be refused, so that it must not lose its last attempt to a process that has not run it.
         const bool isMisdirected = m_headSent && outcome == AttemptOutcome::NotRun && status == MisdirectedRequest;
         onDecodeBroken(isMisdirected ? AttemptOutcome::Misdirected : outcome, fmt::format("status {}", status),
@@ -94,7 +97,7 @@
     }
     if (status != 200 && m_headSent) {
         // The caller cannot get the error in the middle of its stream, but another engine may go on with it.
-        m_context.client.cancel(std::exchange(m_decodeCall, 0));
+        cancelDecodeCall();
         if (endUnchecked("the engine refuses to continue a stream that may be complete")) {
             return;
         }
@@ -113,6 +116,55 @@
         m_answerStatus = status;
         m_answerHeaders = m_context.protocol.answerHeaders(headers);
     }
+    if (continuesEvents()) {
+        verifyRun();
+    }
+}
+
+/// Returns whether the caller has events of an earlier run, so that those of this run must be of the same software version.
+auto StreamRequest::continuesEvents() const -> bool
+{
+    return m_headSent || m_sequence.lastId() || hasBegunElsewhere();
+}
+
+/// Holds the run back until it is known to be that of the process which the engine's entry names: the id stays the same when an engine
+/// restarts with another software version.
+auto StreamRequest::verifyRun() -> void
+{
+    if (m_decodeEngine.startedAtMs == 0) {
+        return; // no report can tell its process from the next one
+    }
+    m_runVerification =
+        std::make_shared<RunVerification>(m_context, m_decodeEngine, m_request.metadata.requestId,
+                                          [self = shared_from_this()](RunOwner owner) { self->onRunVerified(owner); });
+    m_runVerification->start();
+}
+
+auto StreamRequest::onRunVerified(RunOwner owner) -> void
+{
+    m_runVerification.reset();
+    if (m_done || m_decodeCall == 0) {
+        return;
+    }
+    if (owner != RunOwner::Expected) {
+        breakOff(owner == RunOwner::Other ? "another process than that of the engine's entry runs the request"
+                                          : "the process that runs the request is not known");
+        return;
+    }
+    m_isRunVerified = true;
+    passOn(std::exchange(m_heldData, {}));
+    if (m_heldEnd && !m_done && m_decodeCall != 0) {
+        onDecodeDone(*std::exchange(m_heldEnd, std::nullopt));
+    }
+}
+
+/// Gives the call in flight up. What is held back of its run is not passed on.
+auto StreamRequest::cancelDecodeCall() -> void
+{
+    m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    if (m_runVerification) {
+        std::exchange(m_runVerification, nullptr)->cancel();
+    }
 }
 
 auto StreamRequest::onData(std::string_view data) -> void
@@ -130,6 +182,17 @@
     }
     recordHeard(m_context, m_decodeEngine);
     m_context.reach.onServed(m_decodeEngine, m_context.clock.now() - LateByteTime + EndSettleTime);
+    if (!m_runVerification) {
+        passOn(data);
+    } else if (m_heldData.size() + data.size() > MaxCallerBacklog) {
+        breakOff("the run sends too much before it is verified");
+    } else {
+        m_heldData.append(data);
+    }
+}
+
+auto StreamRequest::passOn(std::string_view data) -> void
+{
     const bool isWithinLimit = m_splitter.feed(data, [this](const RawEvent &event) {
         m_partialSince.reset();
         onEvent(event);
@@ -153,7 +216,7 @@
     if (m_done || m_decodeCall == 0) {
         return; // ended by an event of the same data
     }
-    m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    cancelDecodeCall();
     m_collectingError = false;
     onDecodeBroken(AttemptOutcome::Unknown, reason, {});
 }
@@ -173,7 +236,11 @@
     if (m_done || m_decodeCall == 0) {
         return;
     }
-    m_decodeCall = 0;
+    if (m_runVerification && result) {
+        m_heldEnd = result;
+        return;
+    }
+    cancelDecodeCall();
     if (!result) {
         onDecodeFailed(result.error());
         return;
@@ -302,7 +369,7 @@
         return;
     }
     m_brokenOutcome = outcome;
-    m_mayHaveEnded = evidence.endDoubtful || (m_mayHaveEnded && !m_splitter.hasPartial());
+    m_mayHaveEnded = evidence.endDoubtful || (m_mayHaveEnded && !m_splitter.hasPartial() && m_heldData.empty());
     m_stallTimer->stop();
     release(m_decodeClaim);
     if (m_successorClaim.engine.empty()) { // otherwise a reservation is under way already
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -99,7 +99,7 @@
     if (!m_checksEnd) {
         return false;
     }
-    if (m_splitter.hasPartial()) {
+    if (m_splitter.hasPartial() || !m_heldData.empty()) {
         recordCutEnd(); // the run that was asked has begun a further event
         return false;
     }
--- a/src/edge/stream_events.cc
+++ b/src/edge/stream_events.cc
@@ -34,6 +34,10 @@
         m_context.latencies.record("event_gap", now - m_lastEventAt);
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
     }
+    if (!m_begunAt) {
+        m_lastWriter = m_decodeEngine;
+        m_isWriterVerified = m_isRunVerified;
+    }
     recordSurvival();
     releasePromptTokens();
     m_lastEventAt = now;
--- a/src/edge/stream_request.cc
+++ b/src/edge/stream_request.cc
@@ -146,7 +146,7 @@
     m_context.openRequests.remove(m_openId);
     m_context.client.cancel(std::exchange(m_reserveCall, 0));
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
-    m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    cancelDecodeCall();
     if (m_endConfirmation) {
         std::exchange(m_endConfirmation, nullptr)->cancel();
     }
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -10,6 +10,7 @@
 #include "currantstack/edge/event_splitter.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/notice_observer.h"
+#include "currantstack/edge/run_verification.h"
 
 namespace currantstack
 {
@@ -127,6 +128,11 @@
     auto startDecode() -> void;
     auto onHead(int status, const Headers &headers) -> void;
     auto onData(std::string_view data) -> void;
+    auto passOn(std::string_view data) -> void;
+    auto continuesEvents() const -> bool;
+    auto verifyRun() -> void;
+    auto onRunVerified(RunOwner owner) -> void;
+    auto cancelDecodeCall() -> void;
     auto breakOff(std::string_view reason) -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
     auto onDecodeFailed(const Error &error) -> void;
@@ -231,6 +237,10 @@
     HttpResponse m_errorAnswer; // an engine's own error response, while its body arrives
     bool m_collectingError = false; // the decode call returns `m_errorAnswer` instead of events
     BodyFraming m_framing = BodyFraming::Chunks; // of the answer that is being read
+    std::shared_ptr<RunVerification> m_runVerification; // while the bytes of the run in flight are held back
+    std::string m_heldData; // of a run that is not verified
+    std::optional<Result<HttpResponse>> m_heldEnd; // of the same run
+    bool m_isRunVerified = false; // the call in flight is answered by the process that the engine's entry names
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
     bool m_checksEnd = false; // the engine has confirmed the end, and one is asked for what follows
     bool m_asksSameEngine = false; // for that, because no other one is left, or no attempt for it
@@ -246,6 +256,8 @@
     std::string m_heldFiller; // fields without data and comments before the first event, sent with it
     int m_events = 0;
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
+    Upstream m_lastWriter; // engine of the last event
+    bool m_isWriterVerified = false; // the run of that event was
     bool m_survivalRecorded = false; // the quarantine knows that the current decode engine survived the begin of this stream
     TimePoint m_lastEventAt;
     Duration m_timeToFirstEvent = Duration::zero();
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -24,11 +24,12 @@
 
 } // namespace
 
-/// Returns false if the engine has restarted under its id with another software version, so that either may have written the events.
+/// Returns false if the engine of the last event has restarted under its id with another software version, and either process may have
+/// written the event.
 auto StreamRequest::isVersionCertain() const -> bool
 {
-    const auto *entry = m_context.directory.find(m_decodeEngine.id);
-    return !m_headSent || entry == nullptr || entry->softwareVersion == m_decodeEngine.softwareVersion;
+    const auto *entry = m_context.directory.find(m_lastWriter.id);
+    return !m_headSent || m_isWriterVerified || entry == nullptr || entry->softwareVersion == m_lastWriter.softwareVersion;
 }
 
 auto StreamRequest::planResumption() const -> std::optional<StreamPlan>
@@ -315,7 +316,7 @@
     if (m_decodeCall == 0) {
         return;
     }
-    m_context.client.cancel(std::exchange(m_decodeCall, 0));
+    cancelDecodeCall();
     m_attempts.onOutcome(AttemptOutcome::Unknown, m_attemptsOfCall);
     recordFailure(m_decodeEngine, {});
     logBroken(AttemptOutcome::Unknown, StallReason, {});
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -277,7 +277,7 @@
     async def handle(self, request, reader, writer):
         parts = request.path.strip("/").split("/")
         if parts[0] == "report":
-            return response(200, body={"phase": self.role, "busy": False, "seq": self.order_count, "waiting": 0, "running": 0})
+            return response(200, body={"phase": self.role, "busy": False, "seq": self.order_count, "waiting": 0, "running": 0, "born": self.started_ms})
         if parts[0] == "order":
             return self.order(request)
         if parts[0] == "hold-take":
--- a/test/edge/relay_tests.py
+++ b/test/edge/relay_tests.py
@@ -6,7 +6,7 @@
 import time
 
 from stranded_tests import DETECTION_S, StrandedRig
-from version_tests import Stream
+from version_tests import Stream, restart_in_place
 
 REQUESTS = 40
 SPLIT = {"name": "split", "host": "app.example", "prefix": "/split/", "type": "safe", "timeout_ms": 3000, "attempts": 2, "latency_goal_ms": 400,
@@ -127,5 +127,23 @@
         assert events == 4 * [Stream.EVENTS], f"the streams ended after {events} events"
 
 
-TESTS = [streams_whose_route_was_dropped_go_on_at_another_vm, relayed_streams_keep_the_deadline_of_the_first_vm, relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
+async def streams_that_are_handed_over_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes():
+    """Guards against joined versions when the VM that takes a stream over has read no entry of a restarted engine."""
+    async with StrandedRig(vms=2, decode=2) as rig:
+        engines = [engine for engine in rig.fleet.engines if engine.role == "decode"]
+        for engine in engines:
+            engine.EVENT_INTERVAL_S = SLOW_EVENT_S
+        streams = [Stream(rig) for _ in range(4)]
+        assert await asyncio.gather(*(stream.open(rig.vms[0]) for stream in streams)) == 4 * [200]
+        await asyncio.gather(*(stream.read(2) for stream in streams))
+        rig.links.cut(rig.vms[0], "hang")
+        await restart_in_place(engines, entries_after_s=6)
+        await asyncio.gather(*(stream.read() for stream in streams))
+        assert events_of(rig.vms[0], "request_relayed"), "no stream was handed over"
+        assert any(rig.runs_of(stream.id)[-1]["version"] == "v2" for stream in streams), "no stream was sent to a later process"
+        for stream in streams:
+            stream.assert_sound()
+
+
+TESTS = [streams_that_are_handed_over_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes, streams_whose_route_was_dropped_go_on_at_another_vm, relayed_streams_keep_the_deadline_of_the_first_vm, relayed_requests_go_to_the_service_that_the_first_vm_drew, attempts_of_a_route_hold_over_all_vms,
          relayed_requests_that_would_outlast_a_stop_are_refused]
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -109,6 +109,27 @@
     return statuses
 
 
+async def restart_in_place(engines, version="v2", entries_after_s=0.6):
+    """Starts the next process of each engine under its id and address; the entries come later."""
+    for engine in engines:
+        engine.server.stop()
+        engine.software_version, engine.started_ms = version, int(time.time() * 1000)
+        await engine.server.start()
+    asyncio.get_running_loop().call_later(entries_after_s, lambda: [engine.register() for engine in engines])
+
+
+def restart_after_reservations(engine):
+    """Lets the engine's next process, of version v2, take its place whenever this one has granted a reservation; no entry follows."""
+    handle = engine.handle
+
+    async def handle_and_restart(request, reader, writer):
+        answer = await handle(request, reader, writer)
+        if request.path == "/hold-take":
+            engine.software_version, engine.started_ms = "v2", int(time.time() * 1000)
+        return answer
+    engine.handle = handle_and_restart
+
+
 async def broken_streams_go_on_at_their_software_version():
     async with MixedRig() as rig:
         for engine in rig.fleet.engines:
@@ -299,15 +320,47 @@
     """Guards against joined versions when an engine restarts under its id with another one and its entry comes later."""
     async with MixedRig(versions=("v1",), decode=2) as rig:
         streams = await begin_streams(rig, rig.vms[0], 6)
-        engines = [engine for engine in rig.fleet.engines if engine.role == "decode"]
-        for engine in engines:
+        await restart_in_place(rig.decode_engines("v1"))
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+
+
+async def callers_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes():
+    """Guards against joined versions when a caller comes back to another VM before the entries of restarted engines change."""
+    async with MixedRig(vms=2, versions=("v1",), decode=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 6)
+        await rig.kill(rig.vms[0])
+        await restart_in_place(rig.decode_engines("v1"), entries_after_s=1.5)
+        assert 200 not in await take_up(streams, rig.vms[1:])
+
+
+async def streams_do_not_go_on_at_the_process_after_the_one_that_granted_a_reservation():
+    """Guards against joined versions when an engine restarts under its id between the reservation and the request."""
+    async with MixedRig(versions=("v1",), decode=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 6)
+        for engine in rig.decode_engines("v1"):
+            restart_after_reservations(engine)
             engine.server.stop()
-            engine.software_version, engine.started_ms = "v2", int(time.time() * 1000)
             await engine.server.start()
-        asyncio.get_running_loop().call_later(0.6, lambda: [engine.register() for engine in engines])
         for stream in streams:
             await stream.read()
             stream.assert_sound()
+        assert {engine.software_version for engine in rig.fleet.engines} == {"v1", "v2"}, "no engine was asked for a reservation"
+
+
+async def streams_go_on_at_engines_that_restarted_before_they_were_chosen():
+    """Guards against a verification that takes the current process for a later one."""
+    async with MixedRig(versions=("v1",), decode=3) as rig:
+        engines = rig.decode_engines("v1")
+        await restart_in_place(engines, "v1", entries_after_s=0)
+        await asyncio.sleep(1)
+        streams = await begin_streams(rig, rig.vms[0], 9)
+        engines[0].crash()
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+            assert stream.is_complete or len(stream.numbers) == Stream.EVENTS, stream.numbers
 
 
 TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
@@ -317,4 +370,7 @@
          a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared, a_vm_that_is_cut_off_does_not_guess,
          a_vm_that_is_left_alone_relies_on_the_store, streams_of_one_software_version_go_on_after_all_vms_have_restarted,
          streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned,
-         streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes]
+         streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes,
+         callers_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes,
+         streams_do_not_go_on_at_the_process_after_the_one_that_granted_a_reservation,
+         streams_go_on_at_engines_that_restarted_before_they_were_chosen]
