A probed engine whose report names another start is another process

Callers' streams began at an engine that had restarted under its id with another software version, although another VM had found that out and had told: the VMs that verify such a notice looked at the id alone, which the next process kept, and used the engine again.

`responderOf` compared the start only if the response had no `Instance-Id`, and probes of other VMs' notices and of links did not compare it.

Test: all_vms_avoid_engines_that_one_finds_restarted_under_their_ids failed 3 of 3 with the former check of probes, and passes.

--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -142,9 +142,6 @@
     /// Returns a call to which an upstream at the path responds, whatever its state.
     virtual auto probeCall(const Upstream &upstream, std::string_view healthPath) const -> HttpCall = 0;
 
-    /// Returns whether the response to a probe proves that another upstream now runs at the address.
-    virtual auto isOtherUpstream(const HttpResponse &response, const Upstream &upstream) const -> bool = 0;
-
     /// Returns which process the response to a probe comes from. One that anything at the address could have sent proves nothing.
     virtual auto responderOf(const HttpResponse &response, const Upstream &upstream) const -> Responder = 0;
 
--- a/src/edge/reach_controller.cc
+++ b/src/edge/reach_controller.cc
@@ -205,7 +205,7 @@
         }
         m_context.exclusions.onAccepted(upstream.id);
         recordReached(m_context, upstream, openedAt);
-        if (m_context.protocol.isOtherUpstream(*result, upstream)) {
+        if (m_context.protocol.responderOf(*result, upstream) == Responder::Other) {
             m_context.reach.onOtherAnswered(upstream, m_context.clock.now());
             recordEnd(m_context, upstream);
         } else {
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -1,6 +1,7 @@
 """Process tests of engines with two software versions: no stream holds events of both, and streams go on at their own."""
 
 import asyncio
+import json
 import signal
 import time
 
@@ -130,6 +131,10 @@
     engine.handle = handle_and_restart
 
 
+def run_verifications(vm):
+    return [json.loads(line) for line in vm.log_text().splitlines() if '"event":"run_verified"' in line]
+
+
 async def broken_streams_go_on_at_their_software_version():
     async with MixedRig() as rig:
         for engine in rig.fleet.engines:
@@ -349,6 +354,24 @@
         assert {engine.software_version for engine in rig.fleet.engines} == {"v1", "v2"}, "no engine was asked for a reservation"
 
 
+async def all_vms_avoid_engines_that_one_finds_restarted_under_their_ids():
+    """Guards against streams that begin at a process with an older entry, although another VM has found it and has told."""
+    async with MixedRig(vms=2, versions=("v1",), decode=4) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 12, events=1)
+        crashing, *restarting, _ = rig.decode_engines("v1")
+        await restart_in_place(restarting, entries_after_s=4)
+        await asyncio.sleep(0.25)  # until their back-off is over
+        crashing.crash()
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+        found = {line["engine"] for line in run_verifications(rig.vms[0]) if line["owner"] == "other"}
+        assert found, "no stream was sent to a later process"
+        await asyncio.sleep(1)
+        for stream in await begin_streams(rig, rig.vms[1], 8, events=1):
+            assert rig.runs_of(stream.id)[-1]["upstream"] not in found
+
+
 async def streams_go_on_at_engines_that_restarted_before_they_were_chosen():
     """Guards against a verification that takes the current process for a later one."""
     async with MixedRig(versions=("v1",), decode=3) as rig:
@@ -373,4 +396,5 @@
          streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes,
          callers_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes,
          streams_do_not_go_on_at_the_process_after_the_one_that_granted_a_reservation,
+         all_vms_avoid_engines_that_one_finds_restarted_under_their_ids,
          streams_go_on_at_engines_that_restarted_before_they_were_chosen]
