Tests of callers that come back while another VM still holds their streams

Hypothesis 4 of the incident: callers that name event 0, no event or no attempt; streams that two VMs hold, one of them suspended; callers that come back to a VM which was suspended while its engines restarted under their ids with another version.

--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -386,7 +386,66 @@
             assert stream.is_complete or len(stream.numbers) == Stream.EVENTS, stream.numbers
 
 
-TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
+async def a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes():
+    """Guards against joined versions when callers come back to their first VM, whose entries are from before its suspension."""
+    async with MixedRig(vms=2, versions=("v1",)) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 8)
+        rig.vms[0].signal(signal.SIGSTOP)
+        for stream in streams:
+            assert await stream.come_back(rig.vms[1]) == 200
+        await asyncio.gather(*(stream.read(5) for stream in streams))
+        await restart_in_place(rig.decode_engines("v1"), entries_after_s=0)
+        await asyncio.sleep(0.5)
+        returns = asyncio.create_task(take_up(streams, rig.vms[:1]))
+        await asyncio.sleep(0.2)
+        rig.vms[0].signal(signal.SIGCONT)
+        assert 200 not in await returns
+
+
+async def streams_that_two_vms_hold_are_whole_at_both():
+    """The first VM's connection stays open while the caller goes on at the second one, also while the first is suspended."""
+    async with MixedRig(vms=2) as rig:
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = 0.1
+        for is_suspended in (False, True):
+            streams = await begin_streams(rig, rig.vms[0], 6)
+            if is_suspended:
+                rig.vms[0].signal(signal.SIGSTOP)
+            others = []
+            for stream in streams:
+                other = Stream(rig)
+                other.numbers, other.versions, other.first_attempt = list(stream.numbers), list(stream.versions), stream.first_attempt
+                assert await other.open(rig.vms[1], **{"Last-Event-Id": other.numbers[-1], "Resumes": other.first_attempt}) == 200
+                others.append(other)
+            await asyncio.gather(*(other.read(Stream.EVENTS + 1) for other in others))
+            rig.vms[0].signal(signal.SIGCONT)
+            await asyncio.gather(*(stream.read(Stream.EVENTS + 1) for stream in streams))
+            for stream in others + streams * (not is_suspended):
+                assert stream.is_complete, stream.numbers
+            for stream in others + streams:
+                stream.assert_sound()
+
+
+async def callers_get_what_follows_the_event_that_they_name():
+    """Guards against a first event that is lost or comes twice when a caller names 0, or names an attempt but no event."""
+    async with MixedRig(vms=2) as rig:
+        for first_id in (1, 0):
+            for engine in rig.fleet.engines:
+                engine.FIRST_ID = first_id
+            first = (await begin_streams(rig, rig.vms[0], 1))[0].first_attempt
+            for fields, expected in (({"Last-Event-Id": 0}, 1), ({"Last-Event-Id": 0, "Resumes": first}, 1), ({"Resumes": first}, first_id),
+                                     ({"Last-Event-Id": 2, "Resumes": first}, 3)):
+                stream = Stream(rig)
+                status = await stream.open(rig.vms[1], **fields)
+                if "Resumes" not in fields:
+                    assert status == 503, "the version that began the stream was guessed"
+                    continue
+                await stream.read(Stream.EVENTS + 1)
+                assert status == 200 and stream.numbers == list(range(expected, Stream.EVENTS + first_id)), (first_id, fields, stream.numbers)
+
+
+TESTS = [a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes, streams_that_two_vms_hold_are_whole_at_both,
+         callers_get_what_follows_the_event_that_they_name, broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
          streams_of_three_software_versions_go_on_at_their_own, callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
          streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
