--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -444,7 +444,21 @@
                 assert status == 200 and stream.numbers == list(range(expected, Stream.EVENTS + first_id)), (first_id, fields, stream.numbers)
 
 
-TESTS = [a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes, streams_that_two_vms_hold_are_whole_at_both,
+async def streams_that_begin_before_the_entry_of_a_restarted_engine_do_not_go_on_at_the_former_version():
+    """Guards against a version that is taken from the entry of a former process of the engine that began the stream."""
+    async with MixedRig(versions=("v1",), decode=2) as rig:
+        restarted, _ = rig.decode_engines("v1")
+        await restart_in_place([restarted], entries_after_s=2)
+        streams = [stream for stream in await begin_streams(rig, rig.vms[0], 12) if stream.versions[0] == "v2"]
+        assert streams, "no stream began at the restarted engine"
+        restarted.server.stop()
+        await restarted.server.start()
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+
+
+TESTS = [streams_that_begin_before_the_entry_of_a_restarted_engine_do_not_go_on_at_the_former_version, a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes, streams_that_two_vms_hold_are_whole_at_both,
          callers_get_what_follows_the_event_that_they_name, broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
          streams_of_three_software_versions_go_on_at_their_own, callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
