--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -134,9 +134,8 @@
     if (m_decodeEngine.startedAtMs == 0) {
         return; // no report can tell its process from the next one
     }
-    m_runVerification =
-        std::make_shared<RunVerification>(m_context, m_decodeEngine, m_request.metadata.requestId,
-                                          [self = shared_from_this()](RunOwner owner) { self->onRunVerified(owner); });
+    m_runVerification = std::make_shared<RunVerification>(m_context, m_decodeEngine, m_request.metadata.requestId,
+                                                          [self = shared_from_this()](RunOwner owner) { self->onRunVerified(owner); });
     m_runVerification->start();
 }
 
--- a/test/platform/protocol-test.cc
+++ b/test/platform/protocol-test.cc
@@ -242,7 +242,8 @@
         CPPUNIT_ASSERT(responder({503, {{"Not-Run", "1"}}, ""}) == Responder::Upstream);
         CPPUNIT_ASSERT(responder({200, {}, R"({"phase":"decode","busy":false,"seq":3})"}) == Responder::Upstream);
         CPPUNIT_ASSERT(responder({200, {}, R"({"phase":"decode","busy":false,"seq":3,"born":7000})"}) == Responder::Other);
-        CPPUNIT_ASSERT(responder({200, {{"Instance-Id", "i-1"}}, R"({"phase":"decode","busy":false,"seq":3,"born":7000})"}) == Responder::Other);
+        CPPUNIT_ASSERT(responder({200, {{"Instance-Id", "i-1"}}, R"({"phase":"decode","busy":false,"seq":3,"born":7000})"})
+                       == Responder::Other);
         CPPUNIT_ASSERT(responder({421, {}, ""}) == Responder::Other);
         CPPUNIT_ASSERT(responder({200, {{"Instance-Id", "i-2"}}, ""}) == Responder::Other);
         CPPUNIT_ASSERT(responder({503, {}, ""}) == Responder::Unknown);
