--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -1,6 +1,7 @@
 """Process tests of engines with two software versions: no stream holds events of both, and streams go on at their own."""
 
 import asyncio
+import json
 import signal
 import time
 
@@ -109,6 +110,31 @@
     return statuses
 
 
+async def restart_in_place(engines, version="v2", entries_after_s=0.6):
+    """Starts the next process of each engine under its id and address; the entries come later."""
+    for engine in engines:
+        engine.server.stop()
+        engine.software_version, engine.started_ms = version, int(time.time() * 1000)
+        await engine.server.start()
+    asyncio.get_running_loop().call_later(entries_after_s, lambda: [engine.register() for engine in engines])
+
+
+def restart_after_reservations(engine):
+    """Lets the engine's next process, of version v2, take its place whenever this one has granted a reservation; no entry follows."""
+    handle = engine.handle
+
+    async def handle_and_restart(request, reader, writer):
+        answer = await handle(request, reader, writer)
+        if request.path == "/hold-take":
+            engine.software_version, engine.started_ms = "v2", int(time.time() * 1000)
+        return answer
+    engine.handle = handle_and_restart
+
+
+def run_verifications(vm):
+    return [json.loads(line) for line in vm.log_text().splitlines() if '"event":"run_verified"' in line]
+
+
 async def broken_streams_go_on_at_their_software_version():
     async with MixedRig() as rig:
         for engine in rig.fleet.engines:
@@ -299,22 +325,149 @@
     """Guards against joined versions when an engine restarts under its id with another one and its entry comes later."""
     async with MixedRig(versions=("v1",), decode=2) as rig:
         streams = await begin_streams(rig, rig.vms[0], 6)
-        engines = [engine for engine in rig.fleet.engines if engine.role == "decode"]
-        for engine in engines:
+        await restart_in_place(rig.decode_engines("v1"))
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+
+
+async def callers_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes():
+    """Guards against joined versions when a caller comes back to another VM before the entries of restarted engines change."""
+    async with MixedRig(vms=2, versions=("v1",), decode=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 6)
+        await rig.kill(rig.vms[0])
+        await restart_in_place(rig.decode_engines("v1"), entries_after_s=1.5)
+        assert 200 not in await take_up(streams, rig.vms[1:])
+
+
+async def streams_do_not_go_on_at_the_process_after_the_one_that_granted_a_reservation():
+    """Guards against joined versions when an engine restarts under its id between the reservation and the request."""
+    async with MixedRig(versions=("v1",), decode=2) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 6)
+        for engine in rig.decode_engines("v1"):
+            restart_after_reservations(engine)
             engine.server.stop()
-            engine.software_version, engine.started_ms = "v2", int(time.time() * 1000)
             await engine.server.start()
-        asyncio.get_running_loop().call_later(0.6, lambda: [engine.register() for engine in engines])
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+        assert {engine.software_version for engine in rig.fleet.engines} == {"v1", "v2"}, "no engine was asked for a reservation"
+
+
+async def all_vms_avoid_engines_that_one_finds_restarted_under_their_ids():
+    """Guards against streams that begin at a process with an older entry, although another VM has found it and has told."""
+    async with MixedRig(vms=2, versions=("v1",), decode=4) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 12, events=1)
+        crashing, *restarting, _ = rig.decode_engines("v1")
+        await restart_in_place(restarting, entries_after_s=4)
+        await asyncio.sleep(0.25)  # until their back-off is over
+        crashing.crash()
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+        found = {line["engine"] for line in run_verifications(rig.vms[0]) if line["owner"] == "other"}
+        assert found, "no stream was sent to a later process"
+        await asyncio.sleep(1)
+        for stream in await begin_streams(rig, rig.vms[1], 8, events=1):
+            assert rig.runs_of(stream.id)[-1]["upstream"] not in found
+
+
+async def streams_go_on_at_engines_that_restarted_before_they_were_chosen():
+    """Guards against a verification that takes the current process for a later one."""
+    async with MixedRig(versions=("v1",), decode=3) as rig:
+        engines = rig.decode_engines("v1")
+        await restart_in_place(engines, "v1", entries_after_s=0)
+        await asyncio.sleep(1)
+        streams = await begin_streams(rig, rig.vms[0], 9)
+        engines[0].crash()
+        for stream in streams:
+            await stream.read()
+            stream.assert_sound()
+            assert stream.is_complete or len(stream.numbers) == Stream.EVENTS, stream.numbers
+
+
+async def a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes():
+    """Guards against joined versions when callers come back to their first VM, whose entries are from before its suspension."""
+    async with MixedRig(vms=2, versions=("v1",)) as rig:
+        streams = await begin_streams(rig, rig.vms[0], 8)
+        rig.vms[0].signal(signal.SIGSTOP)
+        for stream in streams:
+            assert await stream.come_back(rig.vms[1]) == 200
+        await asyncio.gather(*(stream.read(5) for stream in streams))
+        await restart_in_place(rig.decode_engines("v1"), entries_after_s=0)
+        await asyncio.sleep(0.5)
+        returns = asyncio.create_task(take_up(streams, rig.vms[:1]))
+        await asyncio.sleep(0.2)
+        rig.vms[0].signal(signal.SIGCONT)
+        assert 200 not in await returns
+
+
+async def streams_that_two_vms_hold_are_whole_at_both():
+    """The first VM's connection stays open while the caller goes on at the second one, also while the first is suspended."""
+    async with MixedRig(vms=2) as rig:
+        for engine in rig.fleet.engines:
+            engine.EVENT_INTERVAL_S = 0.1
+        for is_suspended in (False, True):
+            streams = await begin_streams(rig, rig.vms[0], 6)
+            if is_suspended:
+                rig.vms[0].signal(signal.SIGSTOP)
+            others = []
+            for stream in streams:
+                other = Stream(rig)
+                other.numbers, other.versions, other.first_attempt = list(stream.numbers), list(stream.versions), stream.first_attempt
+                assert await other.open(rig.vms[1], **{"Last-Event-Id": other.numbers[-1], "Resumes": other.first_attempt}) == 200
+                others.append(other)
+            await asyncio.gather(*(other.read(Stream.EVENTS + 1) for other in others))
+            rig.vms[0].signal(signal.SIGCONT)
+            await asyncio.gather(*(stream.read(Stream.EVENTS + 1) for stream in streams))
+            for stream in others + streams * (not is_suspended):
+                assert stream.is_complete, stream.numbers
+            for stream in others + streams:
+                stream.assert_sound()
+
+
+async def callers_get_what_follows_the_event_that_they_name():
+    """Guards against a first event that is lost or comes twice when a caller names 0, or names an attempt but no event."""
+    async with MixedRig(vms=2) as rig:
+        for first_id in (1, 0):
+            for engine in rig.fleet.engines:
+                engine.FIRST_ID = first_id
+            first = (await begin_streams(rig, rig.vms[0], 1))[0].first_attempt
+            for fields, expected in (({"Last-Event-Id": 0}, 1), ({"Last-Event-Id": 0, "Resumes": first}, 1), ({"Resumes": first}, first_id),
+                                     ({"Last-Event-Id": 2, "Resumes": first}, 3)):
+                stream = Stream(rig)
+                status = await stream.open(rig.vms[1], **fields)
+                if "Resumes" not in fields:
+                    assert status == 503, "the version that began the stream was guessed"
+                    continue
+                await stream.read(Stream.EVENTS + 1)
+                assert status == 200 and stream.numbers == list(range(expected, Stream.EVENTS + first_id)), (first_id, fields, stream.numbers)
+
+
+async def streams_that_begin_before_the_entry_of_a_restarted_engine_do_not_go_on_at_the_former_version():
+    """Guards against a version that is taken from the entry of a former process of the engine that began the stream."""
+    async with MixedRig(versions=("v1",), decode=2) as rig:
+        restarted, _ = rig.decode_engines("v1")
+        await restart_in_place([restarted], entries_after_s=2)
+        streams = [stream for stream in await begin_streams(rig, rig.vms[0], 12) if stream.versions[0] == "v2"]
+        assert streams, "no stream began at the restarted engine"
+        restarted.server.stop()
+        await restarted.server.start()
         for stream in streams:
             await stream.read()
             stream.assert_sound()
 
 
-TESTS = [broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
+TESTS = [streams_that_begin_before_the_entry_of_a_restarted_engine_do_not_go_on_at_the_former_version, a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes, streams_that_two_vms_hold_are_whole_at_both,
+         callers_get_what_follows_the_event_that_they_name, broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
          streams_of_three_software_versions_go_on_at_their_own, callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
          streams_of_a_dead_vm_go_on_while_a_version_appears, a_restarted_vm_does_not_guess_at_a_version_that_left,
          a_vm_that_was_suspended_does_not_guess_at_a_version_that_appeared, a_vm_that_is_cut_off_does_not_guess,
          a_vm_that_is_left_alone_relies_on_the_store, streams_of_one_software_version_go_on_after_all_vms_have_restarted,
          streams_that_wait_go_on_at_the_version_that_was_there_when_their_callers_returned,
-         streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes]
+         streams_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes,
+         callers_do_not_go_on_at_engines_whose_entries_are_older_than_their_processes,
+         streams_do_not_go_on_at_the_process_after_the_one_that_granted_a_reservation,
+         all_vms_avoid_engines_that_one_finds_restarted_under_their_ids,
+         streams_go_on_at_engines_that_restarted_before_they_were_chosen]
