All calls beyond the first of a request take from the retry budget

The retry budget was asked per failure, not per call. Two kinds of calls took nothing from it: - a prompt that is prefilled again after an engine has accepted an earlier prefill, because its KV cache has expired, its decode engine has refused it, or the plan is outdated. Only the first accepted prefill is free; the failure paid for the run that followed, not for it. - what another VM sent: a VM that is cut off asks the next one after a refusal as if nothing had been sent, and the next one prefills the prompt as if for the first time.

CountedCalls counts like the bound: all calls that may have reached an upstream but the first one and the first accepted prefill. Retries are acquired for what is missing before each call of a stream, and stay acquired for the request if the call is not made. The count goes to the next VM in Currant-Relay and comes back in Currant-Relay-Calls of an error response; a VM that does not tell is taken to have made one call and to have used the free prefill. A refused connection of a plain service still takes a retry, which bounds how often it is tried.

retries_acquired and retry_budget_empty (log) and retries_acquired, retries_denied (counters) tell how many a request needed.

--- a/include/currantstack/decisions/fleet_retry_budget.h
+++ b/include/currantstack/decisions/fleet_retry_budget.h
@@ -43,11 +43,11 @@
 
     auto onRequest(std::string_view service, TimePoint now) -> void;
 
-    /// Returns whether one more retry is allowed, without counting it.
-    auto mayAcquire(std::string_view service, TimePoint now) -> bool;
+    /// Returns whether `count` more retries are allowed, without counting them.
+    auto mayAcquire(std::string_view service, TimePoint now, int count = 1) -> bool;
 
-    /// Returns whether one more retry is allowed, and counts it if so.
-    auto tryAcquire(std::string_view service, TimePoint now) -> bool;
+    /// Returns whether `count` more retries are allowed, and counts them if so.
+    auto tryAcquire(std::string_view service, TimePoint now, int count = 1) -> bool;
 
 private:
     struct Window
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/counters.h"
 #include "currantstack/decisions/cost_table.h"
+#include "currantstack/decisions/counted_calls.h"
 #include "currantstack/decisions/crash_detector.h"
 #include "currantstack/decisions/end_checks.h"
 #include "currantstack/decisions/end_evidence.h"
@@ -193,6 +194,7 @@
     std::string service;
     TimePoint arrivedAt;
     std::optional<RelayInfo> relay; // set if another VM took the request from its caller
+    CountedCalls calls = {}; // at all VMs
 
     std::optional<TimePoint> firstVmDeadline; // of the VM that took the request, whose routes may be of another version
 
--- a/include/currantstack/edge/forwarding.h
+++ b/include/currantstack/edge/forwarding.h
@@ -51,6 +51,10 @@
 /// Counts the request in the retry budget and the rate limits, unless the VM that took it has done so.
 auto countRequest(EdgeContext &context, const IncomingRequest &request) -> void;
 
+/// Acquires the retries that the request still needs to be run, and to be prefilled before that if `withPrefill`, after `calls`. Returns
+/// false if the budget of the service does not allow them.
+auto acquireRetries(EdgeContext &context, IncomingRequest &request, const CountedCalls &calls, bool withPrefill = false) -> bool;
+
 /// Records the limit that the upstream's response names, or that it names none, and logs what changed.
 auto observeLimit(EdgeContext &context, const Upstream &upstream, int status, const AnswerHead &head, TimePoint sentAt) -> void;
 
--- a/include/currantstack/edge/relay_message.h
+++ b/include/currantstack/edge/relay_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/clock.h"
+#include "currantstack/decisions/counted_calls.h"
 #include "currantstack/error.h"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 
 inline constexpr std::string_view RelayHeader = "Currant-Relay"; // of requests between VMs
 inline constexpr std::string_view RelayRefusedHeader = "Currant-Relay-Refused"; // of a response: another VM may take the request
+inline constexpr std::string_view RelayCallsHeader = "Currant-Relay-Calls"; // of an error response: the calls of the request so far
 
 /// State of a request at the VM that took it from its caller.
 struct RelayInfo
@@ -28,6 +30,7 @@
     std::string service = {}; // that the first VM has drawn among the route's; empty: its build does not say
     std::optional<Duration> timeLeft = {}; // until the first VM must have the answer; none: its build does not say
     bool mayHaveEnded = false; // the caller may have all events of the stream, so that none may follow
+    CountedCalls calls = {}; // of the request so far
 };
 
 /// Returns the header's value.
@@ -36,4 +39,10 @@
 /// Returns the error if the value is malformed.
 auto decodeRelay(std::string_view value) -> Result<RelayInfo>;
 
+/// Returns the value of `RelayCallsHeader`.
+auto encodeRelayCalls(const CountedCalls &calls) -> std::string;
+
+/// Returns the error if the value is malformed.
+auto decodeRelayCalls(std::string_view value) -> Result<CountedCalls>;
+
 } // namespace currantstack
--- a/src/decisions/fleet_retry_budget.cc
+++ b/src/decisions/fleet_retry_budget.cc
@@ -20,20 +20,24 @@
     trim(window, now);
 }
 
-auto FleetRetryBudget::mayAcquire(std::string_view service, TimePoint now) -> bool
+auto FleetRetryBudget::mayAcquire(std::string_view service, TimePoint now, int count) -> bool
 {
     auto &window = m_windows[std::string(service)];
+    if (count == 0) {
+        return true;
+    }
     trim(window, now);
     const auto share = m_bound.slack / static_cast<double>(m_vms);
     const auto allowed = UsedShare * (m_bound.ratio * static_cast<double>(window.requests.size()) + share);
-    return static_cast<double>(window.retries.size()) + 1 <= allowed;
+    return static_cast<double>(window.retries.size()) + count <= allowed;
 }
 
-auto FleetRetryBudget::tryAcquire(std::string_view service, TimePoint now) -> bool
+auto FleetRetryBudget::tryAcquire(std::string_view service, TimePoint now, int count) -> bool
 {
-    const bool isAllowed = mayAcquire(service, now);
+    const bool isAllowed = mayAcquire(service, now, count);
     if (isAllowed) {
-        m_windows[std::string(service)].retries.push_back(now);
+        auto &retries = m_windows[std::string(service)].retries;
+        retries.insert(retries.end(), static_cast<std::size_t>(count), now);
     }
     return isAllowed;
 }
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -119,6 +119,26 @@
     }
 }
 
+auto acquireRetries(EdgeContext &context, IncomingRequest &request, const CountedCalls &calls, bool withPrefill) -> bool
+{
+    const int missing = calls.missingRetries(withPrefill);
+    if (missing == 0) {
+        return true;
+    }
+    const bool acquired = context.retryBudget.tryAcquire(request.service, context.clock.now(), missing);
+    context.counters.at(fmt::format("retries_{}{{service=\"{}\"}}", acquired ? "acquired" : "denied", request.service)).add(missing);
+    context.log.write("forward", acquired ? "retries_acquired" : "retry_budget_empty",
+                      {{"request", request.metadata.requestId},
+                       {"service", request.service},
+                       {"retries", missing},
+                       {"calls", calls.sent},
+                       {"prefilled", calls.prefilled}});
+    if (acquired) {
+        request.calls.acquired += missing;
+    }
+    return acquired;
+}
+
 auto observeLimit(EdgeContext &context, const Upstream &upstream, int status, const AnswerHead &head, TimePoint sentAt) -> void
 {
     if (status == MisdirectedRequest) {
@@ -228,6 +248,9 @@
                        {"retry_after_ms", answer == ErrorAnswer::Refused ? toMilliseconds(retryAfter) : 0.0},
                        {"age_ms", toMilliseconds(context.clock.now() - request.arrivedAt)},
                        {"routes_version", request.routeTable->version}});
+    if (request.relay) {
+        response.headers.push_back({std::string(RelayCallsHeader), encodeRelayCalls(request.calls)});
+    }
     request.exchange->respond(std::move(response));
 }
 
--- a/src/edge/relay_message.cc
+++ b/src/edge/relay_message.cc
@@ -16,6 +16,23 @@
 constexpr std::int64_t Unknown = -1;
 constexpr std::string_view Step = "decode relay header";
 
+auto writeCalls(const CountedCalls &calls, Json &document) -> void
+{
+    document["calls"] = calls.sent;
+    document["retries"] = calls.acquired;
+    document["prefilled"] = calls.prefilled;
+}
+
+/// Builds that do not tell the calls count none.
+auto readCalls(ObjectReader &reader) -> CountedCalls
+{
+    CountedCalls calls;
+    calls.sent = static_cast<int>(reader.integer("calls", 0, MaxSends, 0));
+    calls.acquired = static_cast<int>(reader.integer("retries", 0, MaxSends, 0));
+    calls.prefilled = reader.boolean("prefilled", false);
+    return calls;
+}
+
 } // namespace
 
 auto encodeRelay(const RelayInfo &info) -> std::string
@@ -33,6 +50,9 @@
     if (info.mayHaveEnded) {
         document["may_have_ended"] = true;
     }
+    if (info.calls != CountedCalls()) {
+        writeCalls(info.calls, document);
+    }
     if (info.timeLeft) {
         document["left_ms"] = std::chrono::duration_cast<milliseconds>(*info.timeLeft).count();
     }
@@ -61,6 +81,7 @@
     info.firstAttemptId = reader.text("first");
     info.service = reader.text("service", "");
     info.mayHaveEnded = reader.boolean("may_have_ended", false);
+    info.calls = readCalls(reader);
     if (const auto left = reader.integer("left_ms", 0, MaxAgeMs, Unknown); left != Unknown) {
         info.timeLeft = milliseconds(left);
     }
@@ -70,4 +91,26 @@
     return info;
 }
 
+auto encodeRelayCalls(const CountedCalls &calls) -> std::string
+{
+    Json document;
+    writeCalls(calls, document);
+    return dumpJson(document);
+}
+
+auto decodeRelayCalls(std::string_view value) -> Result<CountedCalls>
+{
+    const auto document = parseJson(std::string(value), Step);
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    ValidationErrors errors;
+    ObjectReader reader(*document, "", errors);
+    const auto calls = readCalls(reader);
+    if (!errors.empty()) {
+        return fail(ErrorCode::BadInput, Step, "", describe(errors));
+    }
+    return calls;
+}
+
 } // namespace currantstack
--- a/src/edge/relayed_answer.cc
+++ b/src/edge/relayed_answer.cc
@@ -25,9 +25,26 @@
     return isGivenUp || (isSuccess && !mayForward(status, head)) ? AttemptOutcome::Unknown : AttemptOutcome::Answered;
 }
 
+/// Takes over what the other VM tells of the calls that it has made.
+auto RelayedRequest::readCalls(const Headers &headers) -> void
+{
+    const auto value = findHeader(headers, RelayCallsHeader);
+    if (value.empty()) {
+        return;
+    }
+    const auto calls = decodeRelayCalls(value);
+    if (!calls) {
+        m_context.log.write("relay", "calls_unreadable", {{"request", m_request.metadata.requestId}, {"error", describe(calls.error())}});
+        return;
+    }
+    m_callsReported = true;
+    m_request.calls.onReported(*calls);
+}
+
 auto RelayedRequest::answerHeaders(const Headers &headers) const -> Headers
 {
     auto result = m_context.protocol.answerHeaders(headers);
+    std::erase_if(result, [](const auto &header) { return header.name == RelayCallsHeader; });
     if (m_context.draining) {
         result.push_back({"Connection", "close"});
     }
@@ -39,6 +56,7 @@
     if (m_done || m_call == 0) {
         return;
     }
+    readCalls(headers);
     const auto outcome = classify(status, headers);
     if (outcome != AttemptOutcome::Answered || (status != 200 && m_headSent)) {
         const bool isNotRun = outcome == AttemptOutcome::NotSent || status == 503;
@@ -155,6 +173,9 @@
         finish();
         return;
     }
+    if (!m_isStream) {
+        readCalls(result->headers);
+    }
     const auto outcome = m_isStream ? AttemptOutcome::Answered : classify(result->status, result->headers);
     if (outcome != AttemptOutcome::Answered) {
         onBroken(outcome, fmt::format("status {}", result->status));
--- a/src/edge/relayed_request.cc
+++ b/src/edge/relayed_request.cc
@@ -98,6 +98,7 @@
     call.step = "relay";
     call.peer = m_vm;
     m_attempts.onAttempt(m_delegated);
+    m_callsReported = false;
     m_headRead = false;
     m_answer = {};
     m_splitter = {};
@@ -119,6 +120,7 @@
 auto RelayedRequest::relayInfo() const -> RelayInfo
 {
     RelayInfo info;
+    info.calls = m_request.calls;
     info.vm = m_context.settings.vm;
     info.age = m_context.clock.now() - m_request.arrivedAt + RelayAllowance;
     info.sends = m_request.route->attempts - m_delegated;
@@ -161,8 +163,9 @@
     const auto candidates = m_context.relayHooks.candidates(m_request.service);
     const bool mayMove = maySendAgain() && now < m_request.deadline() && (m_headSent || !outlastsThisVm()) && m_sends < MaxSends
         && m_tried.size() < MaxVms && chooseRelay(candidates, m_tried, m_context.random) != nullptr;
-    m_retryAcquired = mayMove && m_context.retryBudget.tryAcquire(m_request.service, now);
-    if (m_retryAcquired) {
+    auto calls = m_request.calls;
+    calls.onForwarded();
+    if (mayMove && acquireRetries(m_context, m_request, calls)) {
         onBroken(AttemptOutcome::Unknown, "no answer in time");
         return;
     }
@@ -176,6 +179,9 @@
 {
     endCall();
     m_attempts.onOutcome(outcome, m_delegated);
+    if (outcome != AttemptOutcome::NotSent && !m_callsReported) {
+        m_request.calls.onForwarded();
+    }
     m_sends -= outcome == AttemptOutcome::NotSent ? 1 : 0;
     m_context.counters.at("relays_failed").add();
     m_context.log.write("relay", "relay_failed",
@@ -184,14 +190,13 @@
                          {"outcome", name(outcome)},
                          {"reason", reason},
                          {"events", m_events}});
-    m_brokenOutcome = outcome;
     m_breakReason = reason;
     askAnother();
 }
 
 auto RelayedRequest::askAnother() -> void
 {
-    if ((!mayAskAnother(m_brokenOutcome) || !send(m_breakReason)) && !waitToAskAgain()) {
+    if ((!mayAskAnother() || !send(m_breakReason)) && !waitToAskAgain()) {
         fail(false, m_breakReason);
     }
 }
@@ -222,12 +227,11 @@
     return m_attempts.mayRetry() && m_sequence.isPositionKnown();
 }
 
-auto RelayedRequest::mayAskAnother(AttemptOutcome outcome) -> bool
+auto RelayedRequest::mayAskAnother() -> bool
 {
     const auto now = m_context.clock.now();
     return maySendAgain() && now < m_request.deadline() && (m_headSent || !outlastsThisVm())
-        && (outcome == AttemptOutcome::NotSent || std::exchange(m_retryAcquired, false)
-            || m_context.retryBudget.tryAcquire(m_request.service, now));
+        && acquireRetries(m_context, m_request, m_request.calls);
 }
 
 auto RelayedRequest::fail(bool timedOut, std::string_view reason) -> void
--- a/src/edge/relayed_request.h
+++ b/src/edge/relayed_request.h
@@ -55,10 +55,11 @@
     auto beginStream() -> void;
     auto onDone(const Result<HttpResponse> &result) -> void;
     auto onAnswer(HttpResponse response) -> void;
+    auto readCalls(const Headers &headers) -> void;
     auto classify(int status, const Headers &headers) const -> AttemptOutcome;
     auto onBroken(AttemptOutcome outcome, std::string_view reason) -> void;
     auto maySendAgain() const -> bool;
-    auto mayAskAnother(AttemptOutcome outcome) -> bool;
+    auto mayAskAnother() -> bool;
     auto askAnother() -> void;
     auto waitToAskAgain() -> bool;
     auto restartEventTimer() -> void;
@@ -84,8 +85,7 @@
     std::size_t m_sends = 0; // to other VMs, without those that were not sent or refused at once
     Duration m_askAgainPause = Duration::zero();
     std::string m_breakReason; // of the last call
-    AttemptOutcome m_brokenOutcome = AttemptOutcome::NotSent;
-    bool m_retryAcquired = false; // the retry budget has already counted the next send
+    bool m_callsReported = false; // by the VM that forwards the request now
     std::string m_vm; // that forwards the request now
     OpenRequests::Id m_openId = 0;
     HttpClient::CallId m_call = 0;
--- a/src/edge/request_chain.cc
+++ b/src/edge/request_chain.cc
@@ -129,6 +129,7 @@
     request.arrivedAt = m_context.clock.now();
     request.relay = std::move(relay);
     if (request.relay) {
+        request.calls = request.relay->calls;
         if (request.relay->timeLeft) {
             request.firstVmDeadline = request.arrivedAt + *request.relay->timeLeft;
         }
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -183,6 +183,7 @@
     }
     const auto target = *chosen;
     m_attempts.onAttempt();
+    m_request.calls.onSent();
     m_context.rateLimiter.onSent(chosen->id, now);
     m_context.loads.add(chosen->id, {0, 0, 1});
     m_context.log.write("forward", "service_chosen",
@@ -299,7 +300,7 @@
         return;
     }
     if (maySend && !isCutOff && m_attempts.mayRetry() && !outlastsThisVm() && m_request.deadline() > now
-        && m_context.retryBudget.tryAcquire(m_request.service, now)) {
+        && acquireRetries(m_context, m_request, m_request.calls)) {
         m_context.counters.at("sends_repeated").add();
         if (send(failed.upstream.id) || send("")) {
             return;
@@ -324,7 +325,13 @@
     const auto now = m_context.clock.now();
     const bool maySend = m_pendingCalls.empty() && m_attempts.mayRetry() && !outlastsThisVm() && m_request.deadline() > now
         && mayRelay(m_context, m_request);
-    if (!maySend || (outcome != AttemptOutcome::NotSent && !m_context.retryBudget.tryAcquire(m_request.service, now))) {
+    if (!maySend) {
+        return false;
+    }
+    if (outcome == AttemptOutcome::NotSent) {
+        m_request.calls.onNotSent(); // it counts only for further calls of this VM, so that the budget bounds those that do not connect
+    }
+    if (!acquireRetries(m_context, m_request, m_request.calls)) {
         return false;
     }
     m_handedOver = true;
@@ -338,7 +345,7 @@
     const auto now = m_context.clock.now();
     const bool isHeld = m_pendingCalls.size() == 1 && m_pendingCalls.front().endConfirmation != nullptr; // it has been answered
     if (m_done || m_pendingCalls.size() != 1 || isHeld || !mayHedge() || checkQuarantine(m_context, m_request)
-        || !m_context.retryBudget.tryAcquire(m_request.service, now)) {
+        || !acquireRetries(m_context, m_request, m_request.calls)) {
         return;
     }
     m_context.counters.at("sends_hedged").add();
--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -55,6 +55,7 @@
     m_framing = BodyFraming::None;
     m_attemptsOfCall = m_asksSameEngine ? 0 : 1; // the route limits the engines that run a request, not its sends
     m_attempts.onAttempt(m_attemptsOfCall);
+    m_request.calls.onSent();
     if (m_kvSource.empty()) {
         m_queuedPromptTokens = queuedPromptTokens(m_decodeEngine);
     }
@@ -268,22 +269,12 @@
     return true;
 }
 
-/// Returns whether the retry budget allows another send after this outcome.
-auto StreamRequest::acquireRetry(AttemptOutcome outcome) -> bool
-{
-    if (outcome == AttemptOutcome::NotSent || std::exchange(m_retryAcquired, false)) {
-        return true;
-    }
-    const bool acquired = m_context.retryBudget.tryAcquire(m_request.service, m_context.clock.now());
-    if (!acquired) {
-        m_context.log.write("stream", "retry_budget_empty", {{"request", m_request.metadata.requestId}, {"service", m_request.service}});
-    }
-    return acquired;
-}
-
 auto StreamRequest::onDecodeBroken(AttemptOutcome outcome, std::string_view reason, FailureEvidence evidence) -> void
 {
     m_attempts.onOutcome(outcome, m_attemptsOfCall);
+    if (outcome == AttemptOutcome::NotSent) {
+        m_request.calls.onNotSent();
+    }
     const bool handleLost = outcome == AttemptOutcome::NotRun && !m_kvSource.empty() && !evidence.entryOutdated;
     if (!handleLost) {
         recordFailure(m_decodeEngine, evidence);
@@ -301,7 +292,6 @@
         }
         return;
     }
-    m_brokenOutcome = outcome;
     m_mayHaveEnded = evidence.endDoubtful || (m_mayHaveEnded && !m_splitter.hasPartial());
     m_stallTimer->stop();
     release(m_decodeClaim);
@@ -333,16 +323,18 @@
     if (!m_attempts.mayRetry() || now >= m_request.deadline()) {
         return false;
     }
-    if (!acquireRetry(outcome)) {
+    // If the response to the prefill was read late, the refusal may mean that the KV cache has expired.
+    const bool mayBeGone = !m_handle.empty() && outcome == AttemptOutcome::NotRun && !isRetained(std::min(m_prefilledAt, m_prefillDueAt));
+    const bool mayRedirect = !m_handle.empty() && !mayBeGone && isRetained(m_prefilledAt);
+    const bool prefillsAgain = !m_kvSource.empty() && !mayRedirect;
+    if (!acquireRetries(m_context, m_request, m_request.calls, prefillsAgain)) {
         return false;
     }
     if (m_stallTimer) {
         m_stallTimer->stop();
     }
     release(m_decodeClaim);
-    // If the response to the prefill was read late, the refusal may mean that the KV cache has expired.
-    const bool mayBeGone = !m_handle.empty() && outcome == AttemptOutcome::NotRun && !isRetained(std::min(m_prefilledAt, m_prefillDueAt));
-    if (!mayBeGone && redirect()) {
+    if (mayRedirect && redirect()) {
         return true;
     }
     freeHandle();
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -69,7 +69,6 @@
         return false;
     }
     m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
-    m_brokenOutcome = AttemptOutcome::Answered;
     m_breakReason = "the end of the stream is checked";
     m_checksEnd = true;
     m_asksSameEngine = !m_attempts.mayRetry() || !hasOtherEngine();
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -20,6 +20,8 @@
 constexpr double LateFirstEventShare = 0.75;
 // Typical time from placement to the first event at an engine without queued prompts.
 constexpr Duration UnqueuedFirstEvent = milliseconds(250);
+// Retry-After of a refusal that is not caused by load.
+constexpr Duration ShortRetryAfter = milliseconds(30);
 
 } // namespace
 
@@ -204,6 +206,8 @@
     const bool startsPrefill = separatePrefill && m_kvSource.empty();
     if (!maySendTo(m_decodeEngine, "decode") || (startsPrefill && !maySendTo(m_prefillEngine, "prefill"))) {
         placeAgain();
+    } else if (!acquireRetries(m_context, m_request, m_request.calls, startsPrefill)) {
+        fail(false, "the retry budget is empty", ShortRetryAfter);
     } else if (startsPrefill) {
         startPrefill();
     } else {
--- a/src/edge/stream_prefill.cc
+++ b/src/edge/stream_prefill.cc
@@ -26,6 +26,7 @@
     m_decoding = false;
     m_queuedPromptTokens = queuedPromptTokens(m_prefillEngine);
     m_sentAt = m_context.clock.now();
+    m_request.calls.onPrefillSent();
     ForwardSpec spec;
     spec.prefillOnly = true;
     spec.rank = m_request.route->priority;
@@ -58,6 +59,7 @@
         m_context.speedsOf(m_request.service).observePrefill(m_queuedPromptTokens, took - 2 * roundTripTime(distance));
         m_context.health.observe(m_prefillEngine.id, toMilliseconds(took) / std::max(1.0, toMilliseconds(m_expectedPrefill)), now);
         m_context.exclusions.onAccepted(m_prefillEngine.id);
+        m_request.calls.onPrefillDone(AttemptOutcome::Answered);
         m_prefillTimer->stop();
         release(m_prefillClaim);
         execute(false);
@@ -99,8 +101,10 @@
     if (m_done || m_decoding || m_prefillCall == 0) {
         return;
     }
-    m_retryAcquired = m_attempts.mayRetryAfterThis() && m_context.retryBudget.tryAcquire(m_request.service, now);
-    if (!m_retryAcquired && !std::exchange(m_prefillWaited, true)) {
+    auto calls = m_request.calls;
+    calls.onPrefillDone(AttemptOutcome::Unknown);
+    const bool mayRetry = m_attempts.mayRetryAfterThis() && acquireRetries(m_context, m_request, calls, true);
+    if (!mayRetry && !std::exchange(m_prefillWaited, true)) {
         m_context.counters.at("stalls_waited_out").add();
         m_context.log.write("stream", "stall_waited_out",
                             {{"request", m_request.metadata.requestId},
@@ -122,6 +126,7 @@
     }
     const auto now = m_context.clock.now();
     m_prefillTimer->stop();
+    m_request.calls.onPrefillDone(outcome);
     m_context.client.cancel(std::exchange(m_prefillCall, 0));
     recordFailure(m_prefillEngine, evidence);
     m_context.counters.at("prefills_left").add();
@@ -146,7 +151,7 @@
         m_attempts.onAttempt();
         m_attempts.onOutcome(AttemptOutcome::NotRun);
     }
-    if (!m_attempts.mayRetry() || (isAttempt && !acquireRetry(outcome))) {
+    if (!m_attempts.mayRetry() || !acquireRetries(m_context, m_request, m_request.calls, true)) {
         fail(false, "the prefill failed", ShortRetryAfter);
     } else {
         placeOrEnqueue();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -132,7 +132,6 @@
     auto onDecodeFailed(const Error &error) -> void;
     auto onDecodeEnd() -> void;
     auto recordSurvival() -> void;
-    auto acquireRetry(AttemptOutcome outcome) -> bool;
     auto restartStallTimer() -> void;
     auto awaitedSince() const -> TimePoint;
     auto endsInVain() -> bool;
@@ -180,7 +179,6 @@
     auto cancelSuccessor() -> void;
     auto endStalledCall() -> void;
     auto moveToSuccessor(const std::string &reservation) -> void;
-    auto needsNoRetryBudget() const -> bool;
     auto acquireResumption() -> bool;
     auto giveUp(const ResumptionState &state) -> void;
 
@@ -253,14 +251,12 @@
 
     // Search for another engine.
     std::string m_breakReason;
-    AttemptOutcome m_brokenOutcome = AttemptOutcome::Unknown; // of the last call
     Duration m_successorFirstEvent = Duration::zero(); // expected
     TimePoint m_successorChosenAt;
     int m_eventsAtStall = 0;
     int m_reservationsTried = 0; // since the last stall
     bool m_waitsToResume = false;
 
-    bool m_retryAcquired = false; // the retry budget has already counted the next send
     OpenRequests::Id m_openId = 0;
     bool m_queued = false; // counted in the load table as a pending request of the service
 
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -71,7 +71,7 @@
     state.hasBegun = m_headSent || hasBegunElsewhere();
     state.hasCall = m_decodeCall != 0;
     state.mayRetry = m_attempts.mayRetry() || m_asksSameEngine;
-    state.hasRetryBudget = needsNoRetryBudget() || m_context.retryBudget.mayAcquire(m_request.service, now);
+    state.hasRetryBudget = m_context.retryBudget.mayAcquire(m_request.service, now, m_request.calls.missingRetries(false));
     state.isInTime = now < m_request.deadline()
         && (m_headSent || !outlastsThisVm(m_context, m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape)));
     state.isQuarantined = m_context.quarantine.find(m_request.traits, now).has_value();
@@ -182,7 +182,6 @@
         waitOutStall(BudgetReason);
         return;
     }
-    m_context.log.write("stream", "retry_budget_empty", {{"request", m_request.metadata.requestId}, {"service", m_request.service}});
     if (!state.hasBegun) {
         fail(false, m_breakReason, ShortRetryAfter);
         return;
@@ -343,16 +342,10 @@
     startDecode();
 }
 
-/// Returns whether the last send counts for the next one, because no byte of it was sent.
-auto StreamRequest::needsNoRetryBudget() const -> bool
-{
-    return m_decodeCall == 0 && m_brokenOutcome == AttemptOutcome::NotSent;
-}
-
 /// Returns whether the retry budget allows to send the stream to another engine or VM.
 auto StreamRequest::acquireResumption() -> bool
 {
-    return needsNoRetryBudget() || m_context.retryBudget.tryAcquire(m_request.service, m_context.clock.now());
+    return acquireRetries(m_context, m_request, m_request.calls);
 }
 
 auto StreamRequest::giveUp(const ResumptionState &state) -> void
--- a/test/relay_choice-test.cc
+++ b/test/relay_choice-test.cc
@@ -159,7 +159,7 @@
 
     auto relayStateRoundTrips() -> void
     {
-        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt", "llm", milliseconds(800), true};
+        const RelayInfo info{"vm0", milliseconds(250), 2, true, 17, 9, "first\r\nattempt", "llm", milliseconds(800), true, {3, 1, true}};
         const auto text = encodeRelay(info);
         CPPUNIT_ASSERT(text.find_first_of("\r\n") == std::string::npos);
         const auto decoded = decodeRelay(text);
@@ -175,6 +175,9 @@
         CPPUNIT_ASSERT(decoded->timeLeft == info.timeLeft);
         CPPUNIT_ASSERT(decoded->mayHaveEnded && !decodeRelay(encodeRelay({"vm0"}))->mayHaveEnded);
         CPPUNIT_ASSERT_MESSAGE("a build that does not say it", !decodeRelay(encodeRelay({"vm0"}))->timeLeft);
+        CPPUNIT_ASSERT(decoded->calls == info.calls && decodeRelay(encodeRelay({"vm0"}))->calls == CountedCalls());
+        CPPUNIT_ASSERT(decodeRelayCalls(encodeRelayCalls(info.calls)) == info.calls);
+        CPPUNIT_ASSERT(!decodeRelayCalls("1") && !decodeRelayCalls(R"({"calls":-1})"));
     }
 
     // A caller that has event 0 gets it twice.
