--- a/test/fleet_retry_budget-test.cc
+++ b/test/fleet_retry_budget-test.cc
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(theFleetStaysBelowTheBoundInEveryWindow);
     CPPUNIT_TEST(servicesHaveSeparateBudgets);
     CPPUNIT_TEST(questionsDoNotCount);
+    CPPUNIT_TEST(severalRetriesAreAcquiredTogetherOrNotAtAll);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -22,6 +23,16 @@
         CPPUNIT_ASSERT(!budget.mayAcquire("s", clock.now()) && !budget.tryAcquire("s", clock.now()));
     }
 
+    auto severalRetriesAreAcquiredTogetherOrNotAtAll() -> void
+    {
+        ManualClock clock;
+        FleetRetryBudget budget({0, 5, seconds(10)}); // of which 3 are used
+        CPPUNIT_ASSERT(budget.tryAcquire("s", clock.now(), 2));
+        CPPUNIT_ASSERT(!budget.mayAcquire("s", clock.now(), 2) && !budget.tryAcquire("s", clock.now(), 2));
+        CPPUNIT_ASSERT(budget.tryAcquire("s", clock.now(), 1) && !budget.tryAcquire("s", clock.now(), 1));
+        CPPUNIT_ASSERT(budget.tryAcquire("s", clock.now(), 0));
+    }
+
     auto theFleetStaysBelowTheBoundInEveryWindow() -> void
     {
         CHECK_PROPERTY("retries of all VMs stay below ratio x requests + slack in any window", [] {
