--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -105,7 +105,6 @@
 auto StreamRequest::askForRest() -> void
 {
     m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
-    m_brokenOutcome = AttemptOutcome::Answered;
     m_breakReason = "the end of the stream is checked";
     m_checksEnd = true;
     m_asksSameEngine = !m_attempts.mayRetry() || !hasOtherEngine();
