Test of a first event that an engine leaves out fails

Callers saw events 2 to 12 of 12 as a whole stream (ORDER). Nothing knows the id with which the runs of a service begin, so that a run whose first event is missing looks like any other.

--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -263,8 +263,8 @@
         self.role, self.order_count, self.highest_fence = role, 0, 0
         self.handles, self.holds, self.used_tokens = {}, {}, 0
         # Faults of the order of events, by the number of the request's run at all engines: "torn" breaks off, "gap" leaves an event out, "back"
-        # sends an earlier id in its place, "twice" repeats one, "skip" begins 2 events too late, "restart" with the first one, "no_ids" has none,
-        # "retry" puts fields without data before an event, "unnumbered" an event without an id, after which "unnumbered_torn" breaks off.
+        # sends an earlier id in its place, "twice" repeats one, "skip" begins 2 events too late, "late" with the second one, "restart" with the first one,
+        # "no_ids" has none, "retry" puts fields without data before an event, "unnumbered" an event without an id, after which "unnumbered_torn" breaks off.
         self.order_faults = {}
         self.is_full = False  # it has no room for further streams
         self.ends_at_deadline = False  # it ends its streams in the ordinary way when the time that it was given is over, or a little sooner
@@ -389,7 +389,7 @@
         """Returns the id of the first event of a run."""
         after = request.header("last-event-id")
         if not after or order_fault == "restart":
-            return self.FIRST_ID
+            return self.FIRST_ID + (order_fault == "late")
         return int(after) + 1 + 2 * (order_fault == "skip")
 
     def ordered(self, number, text, order_fault):
--- a/test/edge/order_tests.py
+++ b/test/edge/order_tests.py
@@ -98,19 +98,31 @@
         assert outcomes(rig, "regressed") == ["broken_off", "broken_off"]
 
 
+async def expect_other_engine(rig, fault):
+    """Expects that the streams are complete, and that another engine goes on with the first one that meets the engine with this fault."""
+    set_faults(rig.fleet.engines[2:3], {1: fault})
+    received = []
+    while (EVENTS, 2) not in received and len(received) < MOST_STREAMS:
+        received.append(await get(rig, "stream"))
+    assert all(events == EVENTS for events, _ in received) and received[-1][1] == 2, received
+
+
 async def events_that_one_engine_leaves_out_come_from_another():
     """Guards against a stream that ends as complete without an event that one engine left out."""
     async with Rig() as rig:
         await warm_up(rig)
-        set_faults(rig.fleet.engines[2:3], {1: "gap"})
-        received = []
-        while (EVENTS, 2) not in received and len(received) < MOST_STREAMS:  # until the engine has one of them
-            received.append(await get(rig, "stream"))
-        assert all(events == EVENTS for events, _ in received) and received[-1][1] == 2, received
+        await expect_other_engine(rig, "gap")
         await asyncio.sleep(0.2)
         assert set(outcomes(rig, "gap")) == {"broken_off"}
 
 
+async def first_events_that_one_engine_leaves_out_come_from_another():
+    """Guards against a stream that ends as complete without its first event."""
+    async with Rig() as rig:
+        await warm_up(rig)
+        await expect_other_engine(rig, "late")
+
+
 async def streams_that_must_not_be_resumed_break_at_a_gap():
     """Guards against a stream that ends as complete without an event although it cannot be asked for."""
     async with Rig(decode=2) as rig:
@@ -200,7 +212,7 @@
 
 TESTS = [repeated_events_are_dropped, fields_without_data_cost_no_event, comments_of_streams_without_events_are_passed_on,
          events_without_ids_cost_no_event, runs_whose_ids_go_back_are_given_up, events_that_one_engine_leaves_out_come_from_another,
-         streams_that_must_not_be_resumed_break_at_a_gap, events_that_a_resumed_run_skips_come_from_another,
+         first_events_that_one_engine_leaves_out_come_from_another, streams_that_must_not_be_resumed_break_at_a_gap, events_that_a_resumed_run_skips_come_from_another,
          services_whose_ids_have_gaps_keep_their_streams, gap_of_two_runs_passes, callers_that_return_after_event_0_get_it_once,
          streams_that_another_vm_takes_over_after_event_0_are_complete,
          event_0_comes_once_through_a_vm_of_another_build]
