A first event that an engine leaves out is asked for elsewhere

Callers saw events 2 to 12 of 12 as a whole stream (ORDER), if an engine left the first event out. Gaps are found by the distance to the last event that the caller has, and a caller that has none has no such event.

A VM learns with which id the runs of a service begin: after 20 in a row with the same one, at two engines or more, a run that begins above it has a gap, which is judged like any other. So it breaks a run off only while the service's ids are known to be consecutive and one engine alone has gaps. The caller has no event yet, so that the whole stream is asked for at another engine; one that may not be resumed gets 502.

--- a/include/currantstack/decisions/event_id_pattern.h
+++ b/include/currantstack/decisions/event_id_pattern.h
@@ -13,7 +13,7 @@
 /// Two ids of a stream's events that follow one another without being consecutive.
 struct IdGap
 {
-    std::int64_t after = 0; // id of the last event before the gap
+    std::int64_t after = 0; // id of the last event before the gap, or the one before the first id of a stream
     std::int64_t next = 0; // id of the first event after it
 
     auto operator==(const IdGap &other) const -> bool = default;
@@ -30,11 +30,13 @@
 /// - runs on `MinEngines` engines have made `MinSteps` consecutive steps before any gap;
 /// - of the gaps in memory, at most `MaxGaps`, all are of one engine;
 /// - no stream has shown the same gap in two runs, which proves for good that the service's ids have gaps.
+/// A first event is missing if a run begins above the id with which the last `MinFirsts` runs or more have all begun.
 class EventIdPattern
 {
 public:
     static constexpr std::size_t MinEngines = 2;
     static constexpr std::int64_t MinSteps = 200;
+    static constexpr int MinFirsts = 20; // of runs on `MinEngines` engines
     static constexpr std::int64_t MaxGaps = 4;
     static constexpr std::int64_t MemorySteps = 20'000; // after which half of the steps and gaps are forgotten
 
@@ -45,6 +47,12 @@
     /// whether it shows a loss. `earlier` is the gap at which the stream's previous run was broken off.
     auto onGap(std::string_view engine, const IdGap &gap, const std::optional<IdGap> &earlier) -> GapVerdict;
 
+    /// Records the first id of a run that sends a stream from its begin.
+    auto onFirst(std::string_view engine, std::int64_t id) -> void;
+
+    /// Returns the gap before an event with which a run begins a stream, if events are known to be missing there.
+    auto gapBeforeFirst(std::int64_t id) const -> std::optional<IdGap>;
+
     auto isConsecutive() const -> bool
     {
         return m_isConsecutive;
@@ -68,6 +76,9 @@
     std::int64_t m_gaps = 0;
     std::vector<std::string> m_stepEngines; // with steps, at most `MinEngines`
     std::vector<std::string> m_gapEngines; // with gaps in memory, at most 2
+    std::int64_t m_firstId = 0; // of the last run that began a stream
+    int m_firsts = 0; // runs in a row that began with it, at most `MinFirsts`
+    std::vector<std::string> m_firstEngines; // of these runs, at most `MinEngines`
 };
 
 /// Returns the name in logs and counters.
--- a/src/decisions/event_id_pattern.cc
+++ b/src/decisions/event_id_pattern.cc
@@ -43,6 +43,26 @@
     return m_isConsecutive ? GapVerdict::BreakOff : GapVerdict::Pass;
 }
 
+auto EventIdPattern::onFirst(std::string_view engine, std::int64_t id) -> void
+{
+    if (id != m_firstId) {
+        m_firstId = id;
+        m_firsts = 0;
+        m_firstEngines.clear();
+    }
+    m_firsts = std::min(m_firsts + 1, MinFirsts);
+    addEngine(m_firstEngines, engine, MinEngines);
+}
+
+auto EventIdPattern::gapBeforeFirst(std::int64_t id) const -> std::optional<IdGap>
+{
+    const bool isLearned = m_isConsecutive && m_firsts >= MinFirsts && m_firstEngines.size() >= MinEngines;
+    if (!isLearned || m_firstId < 0 || id <= m_firstId) {
+        return std::nullopt;
+    }
+    return IdGap{m_firstId - 1, id};
+}
+
 auto name(GapVerdict verdict) -> std::string_view
 {
     return verdict == GapVerdict::Pass ? "passed" : "broken_off";
--- a/src/edge/stream_events.cc
+++ b/src/edge/stream_events.cc
@@ -46,6 +46,13 @@
 /// Returns whether the event is the next one for the caller. Marks the run as broken if it has lost events.
 auto StreamRequest::isInOrder(const RawEvent &event) -> bool
 {
+    if (event.id && m_events == 0 && !m_sequence.lastId()) {
+        auto &pattern = m_context.eventIds[m_decodeEngine.service];
+        if (const auto gap = pattern.gapBeforeFirst(*event.id); gap && !passesGap(event, *gap)) {
+            return false;
+        }
+        pattern.onFirst(m_decodeEngine.id, *event.id);
+    }
     switch (m_sequence.onEvent(event.id)) {
     case EventPlace::Next:
         if (event.id && m_begunAt) {
@@ -62,13 +69,17 @@
     case EventPlace::Gap:
         break;
     }
-    return passesGap(event);
+    if (!passesGap(event, {*m_sequence.lastId(), *event.id})) {
+        return false;
+    }
+    m_sequence.passGap(*event.id);
+    return true;
 }
 
-auto StreamRequest::passesGap(const RawEvent &event) -> bool
+/// Returns whether the caller gets the event after the gap. Marks the run as broken if it has lost events.
+auto StreamRequest::passesGap(const RawEvent &event, const IdGap &gap) -> bool
 {
     auto &pattern = m_context.eventIds[m_decodeEngine.service];
-    const IdGap gap{*m_sequence.lastId(), *event.id};
     const auto verdict = pattern.onGap(m_decodeEngine.id, gap, m_brokenGap);
     auto fields = disorderFields(event);
     fields["id_steps"] = pattern.steps();
@@ -78,10 +89,8 @@
     if (verdict == GapVerdict::BreakOff) {
         m_brokenGap = gap;
         m_disorder = GapReason;
-        return false;
     }
-    m_sequence.passGap(*event.id);
-    return true;
+    return verdict == GapVerdict::Pass;
 }
 
 auto StreamRequest::disorderFields(const RawEvent &event) const -> LogFields
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -157,7 +157,7 @@
     // stream_events.cc
     auto onEvent(const RawEvent &event) -> void;
     auto isInOrder(const RawEvent &event) -> bool;
-    auto passesGap(const RawEvent &event) -> bool;
+    auto passesGap(const RawEvent &event, const IdGap &gap) -> bool;
     auto disorderFields(const RawEvent &event) const -> LogFields;
     auto onFirstEvent() -> void;
 
--- a/test/event_id_pattern-test.cc
+++ b/test/event_id_pattern-test.cc
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(frequentGapsOfOneEnginePass);
     CPPUNIT_TEST(gapsAreForgotten);
     CPPUNIT_TEST(servicesWithGapsBreakFewRunsOff);
+    CPPUNIT_TEST(runsThatBeginLateHaveAGap);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,18 @@
         });
     }
 
+    auto runsThatBeginLateHaveAGap() -> void
+    {
+        auto pattern = consecutive();
+        for (int runs = 0; runs < EventIdPattern::MinFirsts; ++runs) {
+            CPPUNIT_ASSERT(!pattern.gapBeforeFirst(3));
+            pattern.onFirst(runs % 2 == 0 ? "a" : "b", 1);
+        }
+        CPPUNIT_ASSERT(pattern.gapBeforeFirst(3) == IdGap(0, 3) && !pattern.gapBeforeFirst(1) && !pattern.gapBeforeFirst(0));
+        pattern.onFirst("a", 0);
+        CPPUNIT_ASSERT_MESSAGE("streams begin with several ids", !pattern.gapBeforeFirst(3));
+    }
+
 private:
     static auto step(EventIdPattern &pattern, std::int64_t count) -> void
     {
