Test of callers that return after the last event fails

A caller that had all events of a stream, and had lost only its end, came back with the last event's id and got 502 ("the connection was closed before the first event"), if the engines' answers have neither a length nor chunks: two engines answered with nothing, and each answer was taken for a failed call. With chunks the caller gets the end.

The stream is not taken for more than it is, so that ORDER holds. To complete it, an answer without events from two engines that live would have to count as the end; an engine that closes connections before its first event looks the same.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -262,6 +262,14 @@
         assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def callers_that_return_after_the_last_event_get_its_end():
+    """Guards against a caller that never gets the end of a stream, because engines answer with nothing to what follows the last event."""
+    async with Rig(decode=3) as rig:
+        set_fault("unframed", decode_engines(rig))
+        _, status, _, body = await rig.send("stream", headers={"Last-Event-Id": PIECES[-1]})
+        assert (status, body) == (200, b""), (status, body)
+
+
 async def ends_of_streams_are_checked_by_another_engine():
     """Guards against a check of an end by the engine that may have broken the stream off."""
     async with Rig(decode=3) as rig:
@@ -321,6 +329,7 @@
          whole_streams_of_engines_that_fall_silent_after_them_are_complete,
          parts_of_streams_do_not_look_complete_if_their_check_loses_events,
          parts_of_streams_do_not_look_complete_if_their_check_breaks_off_inside_an_event,
+         callers_that_return_after_the_last_event_get_its_end,
          ends_of_streams_are_checked_by_another_engine,
          halves_of_answers_of_services_that_restart_under_their_id_are_refused,
          whole_streams_that_are_handed_over_at_their_end_are_complete]
