An outdated entry does not vouch for a plain upstream that has ended

Cause: whatever answered at the address counted as the former process as long as the entry looked present. The entry of a process that has ended stays for some seconds, and this VM may read a new one later still; the health path names no start.

Once a probe has failed, only a write of the entry counts that names the same start and was made after the end. An entry was written after a time if its revision is above that of a poll which was begun at that time, however late the store answers (`StoreFollower::eventsWrittenAfter`). Without one in time the end is doubtful: the request is repeated, or gets 502. `answer_end_judged` tells `may_have_restarted`, `has_written` and `store_unreachable`.

`currantd` knows no entries and judges by connections as before.

A whole answer of a service that resets further connections is held until the next heartbeat.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -25,7 +25,7 @@
 /// What is known of an upstream once it has closed the connection of its answer.
 struct AnswerEndEvidence
 {
-    EntryState entry = EntryState::Present; // of the process that answered
+    std::optional<EntryState> entry = EntryState::Present; // of the process that answered; without one, only connections are known
     bool servedSince = false; // it has answered another request that was sent since, or sent more of an answer later than in flight
     std::optional<ConnectionTrial> connection; // of the last trial
     int trials = 0;
@@ -34,6 +34,8 @@
     bool runsStill = false; // by the last report of its engine
     bool wasClosed = false; // in an earlier trial
     bool hadNoAnswer = false; // in an earlier trial, so that a process which answers now may be a new one
+    bool wasUnidentified = false; // in an earlier trial
+    bool hasWritten = false; // the process that answered has written its entry since
     Duration sinceEnd = Duration::zero();
     Duration sinceAnswer = Duration::zero(); // since the first probe that was answered after the last one that was not
 };
@@ -63,12 +65,23 @@
 /// to two seconds, and callers leave later than this.
 inline constexpr Duration SilentEndTime = milliseconds(2500);
 
+/// A write that a process has sent before its end may take effect for this long. What it writes later than this is certain.
+inline constexpr Duration EntrySettleTime = milliseconds(300);
+
+/// Time in which a plain upstream that may have restarted, and has not, writes its entry again: its heartbeat, at once after a silence.
+inline constexpr Duration HeartbeatPatience = SilentEndTime;
+inline constexpr Duration RepeatPatience = milliseconds(1500); // if the request may be repeated, and no probe is answered
+
 /// Time in which the store's watch brings the entry of a new process. Until then, such a process may have answered a probe.
 inline constexpr Duration NewEntryTime = milliseconds(1000);
 
 /// Returns what the result of a `connectOnlyCall` shows, or the error of a probe.
 auto trialOf(const Result<HttpResponse> &result) -> ConnectionTrial;
 
+/// Returns whether a trial has failed, so that what is shown later may be shown by a new process under the upstream's id. The health path
+/// of a plain upstream names no start; only an entry does that was written since.
+auto mayHaveRestarted(const AnswerEndEvidence &evidence) -> bool;
+
 /// Judges the end of an answer that only its connection marks. A doubtful answer must not look complete to its caller. A connection that
 /// is merely accepted proves nothing once a probe was sent: a front process, a relay or the system accepts it as well.
 auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd;
--- a/include/currantstack/decisions/upstream_directory.h
+++ b/include/currantstack/decisions/upstream_directory.h
@@ -70,8 +70,8 @@
     /// Sets which entries name an upstream of the configuration in force; without it, all do.
     auto setRecognizer(Recognizer recognizes) -> void;
 
-    /// Adds or updates an entry.
-    auto apply(Upstream upstream) -> UpstreamChange;
+    /// Adds or updates an entry, which was not written before `writtenAfter`; without it, that is not known.
+    auto apply(Upstream upstream, TimePoint writtenAfter = {}) -> UpstreamChange;
 
     /// Adds or updates an entry of a store that has returned from an older copy. An upstream of the same start that is known to drain or
     /// to be removed stays so, because the entry may be from before.
@@ -100,6 +100,9 @@
 
     auto find(std::string_view id) const -> const Upstream *;
 
+    /// Returns whether the upstream's process has written its entry at or after this time. No other process names its start.
+    auto hasWritten(const Upstream &upstream, TimePoint since) const -> bool;
+
     /// Returns whether the entry names an upstream of the configuration in force, and not something of another writer.
     auto isRecognized(const Upstream &upstream) const -> bool
     {
@@ -122,6 +125,7 @@
         bool isRecognized = true;
         bool expired = false;
         TimePoint expiredAt;
+        TimePoint writtenAfter; // a time before the last known write by the process
     };
 
     struct Removed
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -54,7 +54,7 @@
     auto onUpstreams(const StoreRange &range, const StoreFollower::Interruption &interruption) -> void;
     auto onUpstreamEvents(std::span<const StoreEvent> events) -> void;
     auto applyRoutes(const StoreValue &value) -> void;
-    auto applyUpstream(const StoreValue &value, bool isFromCopy) -> void;
+    auto applyUpstream(const StoreValue &value, bool isFromCopy, TimePoint writtenAfter) -> void;
     auto observeVersion(const Upstream &upstream) -> void;
     auto ignoreUpstream(const StoreValue &value, const Error &error) -> void;
     auto onDeleted(const std::string &id) -> void;
--- a/include/currantstack/edge/end_confirmation.h
+++ b/include/currantstack/edge/end_confirmation.h
@@ -33,6 +33,7 @@
     auto wait(Duration time) -> void;
     auto onTimer() -> void;
     auto isReplaced() const -> bool;
+    auto awaitsEntry() const -> bool;
     auto judge() -> void;
     auto trialCall() const -> HttpCall;
     auto tryConnection() -> void;
--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -60,6 +60,12 @@
         return m_lastChangeRevision;
     }
 
+    /// Returns a time before which none of the events that `onEvents` receives now was written. Holds for long-polling stores.
+    auto eventsWrittenAfter() const -> TimePoint
+    {
+        return m_eventsWrittenAfter;
+    }
+
     auto stop() -> void;
 
     /// Returns when the store last answered.
@@ -116,6 +122,9 @@
     std::map<std::int64_t, StoreCallHandle> m_reads; // in flight, the oldest first
     std::int64_t m_lastReadId = 0;
     TimePoint m_lastAnswerAt;
+    TimePoint m_requestedAt; // when the read or poll in flight was begun, at the earliest
+    TimePoint m_currentSince; // when the one that brought `m_currentRevision` was begun: later changes have later revisions
+    TimePoint m_eventsWrittenAfter;
     TimePoint m_unreachableSince;
     TimePoint m_watchedSince; // begin of the watch, or of the one before the last cut
     std::optional<TimePoint> m_cutAt; // set until the resumed watch is answered
--- a/include/currantstack/service_relay.h
+++ b/include/currantstack/service_relay.h
@@ -53,7 +53,7 @@
     {
         ServiceUpstream upstream;
         HttpResponse response;
-        AnswerEndEvidence evidence = {};
+        AnswerEndEvidence evidence = {.entry = std::nullopt};
         HttpClient::CallId trial = 0;
     };
 
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -14,36 +14,91 @@
     return result.error().connectionRefused ? ConnectionTrial::Refused : ConnectionTrial::NoAnswer;
 }
 
-auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd
+auto mayHaveRestarted(const AnswerEndEvidence &evidence) -> bool
 {
-    if (evidence.entry == EntryState::Replaced || evidence.connection == ConnectionTrial::Refused) {
-        return AnswerEnd::Doubtful;
+    const bool isUnanswered =
+        evidence.connection && evidence.connection != ConnectionTrial::Answered && evidence.connection != ConnectionTrial::Open;
+    return isUnanswered || evidence.wasClosed || evidence.hadNoAnswer || evidence.wasUnidentified;
+}
+
+namespace
+{
+
+auto judgeByConnections(const AnswerEndEvidence &evidence) -> AnswerEnd
+{
+    const bool isLastTrial = evidence.trials >= MaxEndTrials;
+    // An upstream that lives closes further connections than its limit allows. A relay has stopped listening for an ended one by then.
+    if (evidence.connection == ConnectionTrial::Open || (evidence.connection == ConnectionTrial::Closed && isLastTrial)) {
+        return AnswerEnd::Complete;
     }
-    if (evidence.runsStill) {
-        return evidence.sinceEnd < ReportAge ? AnswerEnd::Undecided : AnswerEnd::Doubtful;
+    return isLastTrial ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
+}
+
+auto judgePlainEnd(const AnswerEndEvidence &evidence) -> AnswerEnd
+{
+    if (evidence.hasWritten) {
+        return AnswerEnd::Complete;
+    }
+    const bool hasEntry = evidence.entry == EntryState::Present;
+    const bool isLastTrial = evidence.trials >= MaxEndTrials;
+    if (!mayHaveRestarted(evidence)) {
+        // Without an entry, the address may be that of a new process, whose entry arrives before the last trial.
+        const bool isConfirmed = evidence.connection == ConnectionTrial::Open ? isLastTrial : evidence.sinceAnswer >= NewEntryTime;
+        const bool lives = hasEntry ? evidence.servedSince || evidence.connection : evidence.connection && isConfirmed;
+        return lives ? AnswerEnd::Complete : AnswerEnd::Undecided;
+    }
+    if (!isLastTrial) {
+        return AnswerEnd::Undecided;
+    }
+    const bool isAnswered = evidence.connection == ConnectionTrial::Answered || evidence.connection == ConnectionTrial::Open;
+    // An upstream that lives closes further connections than its limit allows.
+    const bool mayLive = isAnswered || (evidence.connection == ConnectionTrial::Closed && hasEntry);
+    if (evidence.mayRepeat) {
+        return mayLive && evidence.sinceEnd < (isAnswered ? HeartbeatPatience : RepeatPatience) ? AnswerEnd::Undecided
+                                                                                                : AnswerEnd::Doubtful;
     }
+    // What is not the upstream answers for it twice.
+    const bool isReplaced = evidence.connection == ConnectionTrial::Unidentified && !evidence.servedSince;
+    return !isReplaced && evidence.sinceEnd < HeartbeatPatience ? AnswerEnd::Undecided : AnswerEnd::Doubtful;
+}
+
+auto judgeStreamEnd(const AnswerEndEvidence &evidence) -> AnswerEnd
+{
     // An engine that lives is asked whether it has ended the run.
-    if (evidence.servedSince && (!evidence.isStream || evidence.trials > 0)) {
+    if (evidence.servedSince && evidence.trials > 0) {
         return AnswerEnd::Complete;
     }
     const bool hasEntry = evidence.entry == EntryState::Present;
     const bool isLastTrial = evidence.trials >= MaxEndTrials;
     // Without an entry, the address may be that of a new process, whose entry arrives before the last trial. A relay has stopped
-    // listening for an ended upstream by then. Further connections than its limit allows are closed by an upstream that lives; an engine
-    // shows that by its other streams, but a plain upstream answers too rarely.
-    const bool mayBeAtLimit = evidence.connection == ConnectionTrial::Closed && !evidence.isStream;
-    if ((evidence.connection == ConnectionTrial::Open && (hasEntry || isLastTrial)) || (mayBeAtLimit && hasEntry && isLastTrial)) {
+    // listening for an ended upstream by then.
+    if (evidence.connection == ConnectionTrial::Open && (hasEntry || isLastTrial)) {
         return AnswerEnd::Complete;
     }
-    const bool isFirstSign = !evidence.wasClosed || !evidence.isStream;
-    if (evidence.connection == ConnectionTrial::Answered && isFirstSign) {
-        const bool mayBeNewProcess = !hasEntry || evidence.wasClosed || evidence.hadNoAnswer;
+    if (evidence.connection == ConnectionTrial::Answered && !evidence.wasClosed) {
+        const bool mayBeNewProcess = !hasEntry || evidence.hadNoAnswer;
         return mayBeNewProcess && evidence.sinceAnswer < NewEntryTime ? AnswerEnd::Undecided : AnswerEnd::Complete;
     }
     const bool mayBeSilent = evidence.connection == ConnectionTrial::NoAnswer && !evidence.mayRepeat && evidence.sinceEnd < SilentEndTime;
     return isLastTrial && !mayBeSilent ? AnswerEnd::Doubtful : AnswerEnd::Undecided;
 }
 
+} // namespace
+
+auto judgeAnswerEnd(const AnswerEndEvidence &evidence) -> AnswerEnd
+{
+    if (evidence.entry == EntryState::Replaced || evidence.connection == ConnectionTrial::Refused) {
+        return AnswerEnd::Doubtful;
+    }
+    if (evidence.runsStill) {
+        return evidence.sinceEnd < ReportAge ? AnswerEnd::Undecided : AnswerEnd::Doubtful;
+    }
+    if (!evidence.entry) {
+        return judgeByConnections(evidence);
+    }
+    return evidence.isStream ? judgeStreamEnd(evidence) : judgePlainEnd(evidence);
+}
+
 auto name(AnswerEnd end) -> std::string_view
 {
     switch (end) {
--- a/src/decisions/upstream_directory.cc
+++ b/src/decisions/upstream_directory.cc
@@ -1,5 +1,6 @@
 #include "currantstack/decisions/upstream_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace currantstack
@@ -26,12 +27,15 @@
     }
 }
 
-auto UpstreamDirectory::apply(Upstream upstream) -> UpstreamChange
+auto UpstreamDirectory::apply(Upstream upstream, TimePoint writtenAfter) -> UpstreamChange
 {
     const bool recognized = isRecognized(upstream);
     const auto [found, isNew] = m_entries.try_emplace(upstream.id);
     auto &entry = found->second;
-    const auto previous = std::exchange(entry, Entry{std::move(upstream), recognized, false, {}});
+    const auto previous = std::exchange(entry, Entry{std::move(upstream), recognized, false, {}, writtenAfter});
+    if (!isNew && previous.upstream.startedAtMs == entry.upstream.startedAtMs) {
+        entry.writtenAfter = std::max(previous.writtenAfter, writtenAfter);
+    }
     if (entry.upstream.draining) {
         return !isNew && previous.upstream.draining ? UpstreamChange::None : UpstreamChange::Draining;
     }
@@ -122,6 +126,13 @@
     return found == m_entries.end() ? nullptr : &found->second.upstream;
 }
 
+auto UpstreamDirectory::hasWritten(const Upstream &upstream, TimePoint since) const -> bool
+{
+    const auto found = m_entries.find(upstream.id);
+    return found != m_entries.end() && upstream.startedAtMs != 0 && found->second.upstream.startedAtMs == upstream.startedAtMs
+        && found->second.writtenAfter >= since;
+}
+
 auto UpstreamDirectory::usable(std::string_view service) const -> std::vector<const Upstream *>
 {
     std::map<std::string_view, const Upstream *> newest; // by address
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -111,7 +111,7 @@
         m_rereadTimer->startOnce(RewriteTime);
     }
     for (const auto &value : range.values) {
-        applyUpstream(value, interruption.returnedFromCopy);
+        applyUpstream(value, interruption.returnedFromCopy, {});
         seen.insert(m_codec.idOf(value.key));
     }
     for (const auto &id : m_context.directory.ids()) {
@@ -132,7 +132,7 @@
             m_unreadableUpstreams.remove(event.value.key);
             onDeleted(m_codec.idOf(event.value.key));
         } else {
-            applyUpstream(event.value, false);
+            applyUpstream(event.value, false, m_upstreams.eventsWrittenAfter());
         }
     }
 }
@@ -179,7 +179,7 @@
                          {"services", m_context.routeTable->services.size()}});
 }
 
-auto DirectoryController::applyUpstream(const StoreValue &value, bool isFromCopy) -> void
+auto DirectoryController::applyUpstream(const StoreValue &value, bool isFromCopy, TimePoint writtenAfter) -> void
 {
     auto upstream = m_codec.decodeUpstream(value);
     if (!upstream) {
@@ -192,7 +192,7 @@
     const auto *previous = m_context.directory.find(entry.id);
     const auto previousIncarnation = previous == nullptr ? std::string() : incarnationOf(*previous);
     const auto change = isFromCopy ? m_context.directory.applyFromCopy(std::move(*upstream), m_context.clock.now())
-                                   : m_context.directory.apply(std::move(*upstream));
+                                   : m_context.directory.apply(std::move(*upstream), writtenAfter);
     if (change == UpstreamChange::Restarted) {
         m_context.crashDetector.onRemoved(previousIncarnation, m_context.clock.now());
         removeLimit(entry);
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -10,6 +10,7 @@
 {
 
 constexpr Duration EndProbeTimeout = milliseconds(400); // of the whole probe; a plain upstream may answer only when a slot is free
+constexpr Duration EntryCheckPeriod = milliseconds(100); // while the entry of an upstream that answers is awaited
 
 } // namespace
 
@@ -40,7 +41,7 @@
     }
     if (m_context.clock.now() - m_dueAt > EndSettleTime) {
         wait(EndSettleTime); // this VM was suspended: what happened meanwhile may still lie unread
-    } else if (m_evidence.trials == 0) {
+    } else if (m_evidence.trials == 0 || awaitsEntry()) {
         judge();
     } else {
         tryConnection();
@@ -59,17 +60,26 @@
     return result;
 }
 
+/// Returns whether further trials would show nothing new: something accepts connections, and only the entry tells whose process it is.
+auto EndConfirmation::awaitsEntry() const -> bool
+{
+    const auto &trial = m_evidence.connection;
+    const bool isAccepted = trial == ConnectionTrial::Answered || trial == ConnectionTrial::Open || trial == ConnectionTrial::Closed;
+    return !m_evidence.isStream && m_evidence.trials >= MaxEndTrials && isAccepted && mayHaveRestarted(m_evidence);
+}
+
 auto EndConfirmation::judge() -> void
 {
     const auto now = m_context.clock.now();
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
     m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + EndSettleTime);
+    m_evidence.hasWritten = m_context.directory.hasWritten(m_upstream, m_endedAt + EntrySettleTime);
     m_evidence.sinceEnd = now - m_endedAt;
     m_evidence.sinceAnswer = m_answeredAt ? now - *m_answeredAt : Duration::zero();
     const auto end = judgeAnswerEnd(m_evidence);
     if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
-        const bool awaitsEntry = m_evidence.entry == EntryState::Removed || m_evidence.connection == ConnectionTrial::Answered;
-        wait(m_evidence.runsStill ? ReportPause : awaitsEntry ? NewEntryTime : EndTrialPause);
+        const bool mayBeNewProcess = m_evidence.entry == EntryState::Removed || m_evidence.connection == ConnectionTrial::Answered;
+        wait(m_evidence.runsStill ? ReportPause : awaitsEntry() ? EntryCheckPeriod : mayBeNewProcess ? NewEntryTime : EndTrialPause);
         return;
     }
     if (end == AnswerEnd::Undecided) {
@@ -80,9 +90,12 @@
     m_context.log.write("forward", "answer_end_judged",
                         {{"request", m_requestId},
                          {"upstream", m_upstream.id},
-                         {"entry", name(m_evidence.entry)},
+                         {"entry", name(*m_evidence.entry)},
                          {"served_since", m_evidence.servedSince},
                          {"connection", m_evidence.connection ? name(*m_evidence.connection) : "not_tried"},
+                         {"may_have_restarted", mayHaveRestarted(m_evidence)},
+                         {"has_written", m_evidence.hasWritten},
+                         {"store_unreachable", m_context.storeUnreachable},
                          {"trials", m_evidence.trials},
                          {"runs_still", m_evidence.runsStill},
                          {"held_ms", toMilliseconds(now - m_endedAt)},
@@ -127,6 +140,7 @@
         return;
     }
     m_evidence.wasClosed = m_evidence.wasClosed || m_evidence.connection == ConnectionTrial::Closed;
+    m_evidence.wasUnidentified = m_evidence.wasUnidentified || m_evidence.connection == ConnectionTrial::Unidentified;
     m_evidence.hadNoAnswer = m_evidence.hadNoAnswer || m_evidence.connection == ConnectionTrial::NoAnswer;
     m_evidence.connection = result && m_sendsProbe ? onProbed(*result, openedAt) : trialOf(result);
     if (m_evidence.connection != ConnectionTrial::Answered) {
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -48,6 +48,9 @@
     if (m_reads.size() == MostReads) {
         cancelReads(1); // the oldest one is the first to be answered by a slow store
     }
+    if (m_reads.empty()) {
+        m_requestedAt = m_clock.now();
+    }
     const auto id = ++m_lastReadId;
     m_reads[id] = {};
     auto handle = m_store.readPatiently(m_prefix, [this, alive = m_alive, id](Result<StoreRange> range) {
@@ -113,6 +116,7 @@
     }
     m_log.write("store", wasUnreachable ? "store_regained" : "store_read", std::move(fields));
     m_currentRevision = range->revision;
+    m_currentSince = m_requestedAt;
     m_lag.onDelivered(m_currentRevision);
     std::size_t longestValue = 0;
     for (const auto &value : range->values) {
@@ -157,6 +161,7 @@
 
 auto StoreFollower::watch() -> void
 {
+    m_requestedAt = m_clock.now();
     m_watch = m_store.watch(
         m_prefix, m_currentRevision + 1,
         [this, alive = m_alive](std::span<const StoreEvent> events, std::int64_t revision) {
@@ -184,6 +189,8 @@
                      {"missed", events.size()},
                      {"gap_ms", toMilliseconds(m_lastAnswerAt - *cutAt)}});
     }
+    m_eventsWrittenAfter = m_currentSince;
+    m_currentSince = std::exchange(m_requestedAt, m_lastAnswerAt); // the next poll is begun after this answer
     m_currentRevision = std::max(m_currentRevision, revision);
     m_lag.onDelivered(m_currentRevision);
     for (const auto &event : events) {
--- a/test/answer_end-test.cc
+++ b/test/answer_end-test.cc
@@ -10,6 +10,9 @@
     CPPUNIT_TEST(endIsNotTrustedBeforeTheUpstreamIsTried);
     CPPUNIT_TEST(upstreamThatLeavesConnectionsOpenHasEndedItsAnswerItself);
     CPPUNIT_TEST(acceptedConnectionThatIsClosedIsTriedAgain);
+    CPPUNIT_TEST(connectionsDecideWhereNoEntriesAreKnown);
+    CPPUNIT_TEST(plainUpstreamThatMayHaveRestartedIsConfirmedByItsEntryAlone);
+    CPPUNIT_TEST(plainUpstreamWithoutAnEntryLivesIfItAnswersLater);
     CPPUNIT_TEST(onlyAnAnswerOfTheUpstreamItselfConfirmsTheEndOfAStream);
     CPPUNIT_TEST(answeredProbeWithoutAnEntryMayBeThatOfANewProcess);
     CPPUNIT_TEST(silentUpstreamIsAwaitedIfItsAnswerCannotBeRepeated);
@@ -38,10 +41,49 @@
     auto acceptedConnectionThatIsClosedIsTriedAgain() -> void
     {
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Closed, 1}) == AnswerEnd::Undecided);
-        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Undecided);
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Removed, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Doubtful);
     }
 
+    auto connectionsDecideWhereNoEntriesAreKnown() -> void
+    {
+        CPPUNIT_ASSERT(judgeAnswerEnd({std::nullopt, false, ConnectionTrial::Open, 1}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({std::nullopt, false, ConnectionTrial::Closed, 1}) == AnswerEnd::Undecided);
+        CPPUNIT_ASSERT(judgeAnswerEnd({std::nullopt, false, ConnectionTrial::Closed, MaxEndTrials}) == AnswerEnd::Complete);
+        CPPUNIT_ASSERT(judgeAnswerEnd({std::nullopt, false, ConnectionTrial::NoAnswer, MaxEndTrials}) == AnswerEnd::Doubtful);
+        CPPUNIT_ASSERT(judgeAnswerEnd({std::nullopt, false, ConnectionTrial::Refused, 1}) == AnswerEnd::Doubtful);
+    }
+
+    auto plainUpstreamThatMayHaveRestartedIsConfirmedByItsEntryAlone() -> void
+    {
+        for (const auto failed : {ConnectionTrial::Unidentified, ConnectionTrial::Closed, ConnectionTrial::NoAnswer}) {
+            for (const bool mayRepeat : {true, false}) {
+                AnswerEndEvidence evidence{EntryState::Present, true, ConnectionTrial::Answered, MaxEndTrials, false, mayRepeat};
+                evidence.wasClosed = failed == ConnectionTrial::Closed;
+                evidence.hadNoAnswer = failed == ConnectionTrial::NoAnswer;
+                evidence.wasUnidentified = failed == ConnectionTrial::Unidentified;
+                evidence.sinceAnswer = NewEntryTime;
+                CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Undecided);
+                evidence.sinceEnd = HeartbeatPatience;
+                CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Doubtful);
+                evidence.hasWritten = true;
+                CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Complete);
+                evidence.connection = failed;
+                CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Complete);
+                evidence.entry = EntryState::Replaced;
+                CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Doubtful);
+            }
+        }
+    }
+
+    auto plainUpstreamWithoutAnEntryLivesIfItAnswersLater() -> void
+    {
+        AnswerEndEvidence evidence{EntryState::Removed, true, ConnectionTrial::Answered, 1};
+        CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Undecided);
+        evidence.sinceAnswer = NewEntryTime;
+        CPPUNIT_ASSERT(judgeAnswerEnd(evidence) == AnswerEnd::Complete);
+    }
+
     auto onlyAnAnswerOfTheUpstreamItselfConfirmsTheEndOfAStream() -> void
     {
         CPPUNIT_ASSERT(judgeAnswerEnd({EntryState::Present, false, ConnectionTrial::Answered, 1, true}) == AnswerEnd::Complete);
@@ -115,14 +157,16 @@
             evidence.wasClosed = *rc::gen::arbitrary<bool>();
             evidence.runsStill = *rc::gen::arbitrary<bool>();
             evidence.hadNoAnswer = *rc::gen::arbitrary<bool>();
+            evidence.wasUnidentified = *rc::gen::arbitrary<bool>();
+            evidence.hasWritten = *rc::gen::arbitrary<bool>();
             evidence.sinceEnd = milliseconds(*rc::gen::inRange(0, 5000));
             evidence.sinceAnswer = milliseconds(*rc::gen::inRange(0, 5000));
             const auto end = judgeAnswerEnd(evidence);
-            RC_ASSERT(end != AnswerEnd::Undecided || trials < MaxEndTrials || evidence.sinceEnd < SilentEndTime
+            RC_ASSERT(end != AnswerEnd::Undecided || trials < MaxEndTrials || evidence.sinceEnd < HeartbeatPatience
                       || (trial == ConnectionTrial::Answered && evidence.sinceAnswer < NewEntryTime));
-            const bool isAtLimit = trial == ConnectionTrial::Closed && trials >= MaxEndTrials && !isStream;
-            const bool isAlive = trial == ConnectionTrial::Answered || trial == ConnectionTrial::Open || isAtLimit;
-            RC_ASSERT(end != AnswerEnd::Complete || ((served || isAlive) && !evidence.runsStill));
+            const bool isAlive = trial == ConnectionTrial::Answered || trial == ConnectionTrial::Open;
+            RC_ASSERT(end != AnswerEnd::Complete || ((served || isAlive || evidence.hasWritten) && !evidence.runsStill));
+            RC_ASSERT(end != AnswerEnd::Complete || isStream || evidence.hasWritten || !mayHaveRestarted(evidence));
         });
     }
 };
--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -15,6 +15,7 @@
 REPORT_AGE_S = 0.3  # for which a report lists a run that has ended
 RESTART_S = 0.15  # from the end of an engine's process until the next one listens
 SILENCE_S = 1.6
+LONGEST_SILENCE_S = 2.0  # of a sound upstream
 DRAIN_S = 0.1  # from the signal that a VM stops until an engine breaks its stream off
 CHECK_S = 0.015  # from the end of an answer; another engine is asked for what follows after 0.03 s
 LEARNED = 30  # streams after which the ids of a service are known to be consecutive
@@ -171,26 +172,55 @@
             assert not await read_to_end(stream) or stream.numbers == PIECES, (stream.numbers, judged(rig)[-1:])
 
 
+async def write_half(service, request, writer):
+    """Sends the first half of an answer without length or chunks."""
+    service.record("run", request)
+    head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
+    writer.write(head.encode() + b'{"ha')
+    await writer.drain()
+
+
 async def halves_of_answers_of_services_that_die_behind_a_listener_are_refused():
     """The same for a booking, whose service dies after half of its answer behind a front process."""
     async with Rig(services=1) as rig:
         service, listeners = rig.fleet.services[0], []
 
         async def run(request, reader, writer):
-            service.record("run", request)
-            head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
-            writer.write(head.encode() + b'{"ha')
-            await writer.drain()
+            await write_half(service, request, writer)
             listeners.append(await die_behind_listener(service, kinds[len(listeners)]))
-        service.run, kinds = run, ("holds", "answers 503")
-        for _ in kinds:
+        service.run, kinds = run, list(LISTENERS)
+        for kind in kinds:
             _, status, _, _ = await rig.send("book")
             await listeners[-1].end()
-            assert status == 502, (status, judged(rig))
+            assert status == 502, (kind, status, judged(rig))
             await service.server.start()
             await asyncio.sleep(0.6)
 
 
+async def halves_of_answers_of_services_that_die_behind_a_listener_are_repeated():
+    """The same for a request that may be repeated."""
+    async with Rig(services=2) as rig:
+        services, listeners = rig.fleet.services, []
+
+        async def run(request, reader, writer):
+            service = next(service for service in services if writer in service.server.writers)
+            if len(listeners) == len(done):  # the first run of this request
+                await write_half(service, request, writer)
+                listeners.append(await die_behind_listener(service, kinds[len(listeners)]))
+                return None
+            return await plain_run[service](request, reader, writer)
+        plain_run, kinds, done = {service: service.run for service in services}, list(LISTENERS), []
+        for service in services:
+            service.run = run
+        for kind in kinds:
+            request, status, _, body = await rig.send("check")
+            await listeners[-1].end()
+            assert status == 200 and request.encode() in body, (kind, status, body, judged(rig))
+            done.append(request)
+            await asyncio.gather(*(service.server.start() for service in services if not service.server.is_listening))
+            await asyncio.sleep(0.6)
+
+
 async def streams_whose_engine_is_replaced_behind_a_listener_break_off():
     """Guards against a part of a stream that looks complete because the engine's next process answers the probe before its entry arrives."""
     for keeps_id in (True, False):
@@ -272,30 +302,88 @@
             assert len(runs) == 2 and runs[0] != runs[1], runs
 
 
+async def cut_by_restart(rig, kind, is_registered=False):
+    """Sends a booking whose service dies after half of its answer and starts again under its id; returns the answer."""
+    service, listeners = rig.fleet.services[0], []
+    plain_run = service.run
+
+    async def run(request, reader, writer):
+        await write_half(service, request, writer)
+        listeners.append(await die_behind_listener(service, kind))
+    service.run = run
+    sending = asyncio.create_task(rig.send("book"))
+    while not listeners:
+        await asyncio.sleep(0)
+    await asyncio.sleep(RESTART_S)
+    await listeners[0].end()
+    service.run, service.started_ms = plain_run, int(time.time() * 1000)
+    await service.server.start()
+    if is_registered:
+        service.register()
+    return await sending
+
+
 async def halves_of_answers_of_services_that_restart_under_their_id_are_refused():
     """Guards against half of an answer that looks complete because the service's next process, under the same id, answers the probe."""
     async with Rig(services=1) as rig:
-        service, listeners = rig.fleet.services[0], []
-        whole_run = service.run
+        _, status, _, body = await cut_by_restart(rig, "holds")
+        assert status == 502, (status, body, judged(rig))
 
-        async def run(request, reader, writer):
-            service.record("run", request)
-            head = "HTTP/1.1 200 X\r\n" + "".join(f"{name}: {value}\r\n" for name, value in service.headers(request)) + "\r\n"
-            writer.write(head.encode() + b'{"ha')
-            await writer.drain()
-            listeners.append(await die_behind_listener(service, "holds"))
-        service.run = run
-        sending = asyncio.create_task(rig.send("book"))
-        while not listeners:
-            await asyncio.sleep(0)
-        await asyncio.sleep(RESTART_S)
-        await listeners[0].end()
-        service.run, service.started_ms = whole_run, int(time.time() * 1000)
-        await service.server.start()
-        _, status, _, body = await sending
+
+async def halves_of_answers_are_refused_while_the_next_process_serves_others():
+    """The same while another booking, which the next process answers, shows that something serves under the id."""
+    for kind in LISTENERS:
+        async with Rig(services=1) as rig:
+            sending = asyncio.create_task(cut_by_restart(rig, kind))
+            while not sending.done():
+                await asyncio.sleep(0.05)
+                if rig.fleet.history and rig.fleet.services[0].server.is_listening:
+                    await rig.send("book")
+            _, status, _, body = await sending
+            assert status == 502, (kind, status, body, judged(rig))
+
+
+async def halves_of_answers_are_refused_while_the_store_is_away():
+    """The same while the VM cannot read the entry of the next process."""
+    async with Rig(services=1) as rig:
+        rig.fleet.store.mode = "silent"
+        _, status, _, body = await cut_by_restart(rig, "closes", is_registered=True)
         assert status == 502, (status, body, judged(rig))
 
 
+async def whole_answers_of_services_that_fall_silent_after_them_are_passed_on():
+    """Guards against a whole booking that is refused, because its service answers no probe for a while."""
+    async with Rig(services=1) as rig:
+        service, = rig.fleet.services
+        set_fault("unframed", [service])
+        run = service.run
+
+        async def run_and_fall_silent(request, reader, writer):
+            data = await run(request, reader, writer)
+            writer.close()
+            service.fall_silent(LONGEST_SILENCE_S)
+            return data
+        service.run = run_and_fall_silent
+        _, status, _, body = await rig.send("book")
+        assert status == 200, (status, body, judged(rig))
+
+
+async def whole_answers_of_services_that_have_left_are_passed_on():
+    """Guards against a whole booking that is refused, because its service has left without a report and serves on."""
+    async with Rig(services=1) as rig:
+        service, = rig.fleet.services
+        set_fault("unframed", [service])
+        run = service.run
+
+        async def leave_and_run(request, reader, writer):
+            service.leave()
+            await asyncio.sleep(0.2)
+            return await run(request, reader, writer)
+        service.run = leave_and_run
+        _, status, _, body = await rig.send("book")
+        assert status == 200, (status, body, judged(rig))
+
+
 async def whole_streams_that_are_handed_over_at_their_end_are_complete():
     """Guards against a whole stream that breaks off because the VM that takes it over takes an empty continuation for a failure."""
     async with StrandedRig(vms=2, decode=3) as rig:
@@ -317,10 +405,15 @@
          parts_of_streams_that_have_moved_do_not_look_complete,
          parts_of_streams_do_not_look_complete_without_a_retry_budget,
          halves_of_answers_of_services_that_die_behind_a_listener_are_refused,
+         halves_of_answers_of_services_that_die_behind_a_listener_are_repeated,
          streams_whose_engine_is_replaced_behind_a_listener_break_off,
          whole_streams_of_engines_that_fall_silent_after_them_are_complete,
          parts_of_streams_do_not_look_complete_if_their_check_loses_events,
          parts_of_streams_do_not_look_complete_if_their_check_breaks_off_inside_an_event,
          ends_of_streams_are_checked_by_another_engine,
          halves_of_answers_of_services_that_restart_under_their_id_are_refused,
+         halves_of_answers_are_refused_while_the_next_process_serves_others,
+         halves_of_answers_are_refused_while_the_store_is_away,
+         whole_answers_of_services_that_fall_silent_after_them_are_passed_on,
+         whole_answers_of_services_that_have_left_are_passed_on,
          whole_streams_that_are_handed_over_at_their_end_are_complete]
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -79,6 +79,7 @@
 {
     CPPUNIT_TEST_SUITE(StoreFollowerTest);
     CPPUNIT_TEST(aCutWatchIsResumedFromItsPosition);
+    CPPUNIT_TEST(eventsAreWrittenAfterTheLastButOnePollWasBegun);
     CPPUNIT_TEST(aSeriesOfCutsBacksOff);
     CPPUNIT_TEST(lostHistoryIsReadAgainWithoutAnOutage);
     CPPUNIT_TEST(aStoreThatIsAwayIsReadWhenItReturns);
@@ -108,6 +109,7 @@
     std::vector<StoreFollower::Interruption> m_snapshots;
     int m_outages = 0;
     std::size_t m_events = 0;
+    TimePoint m_writtenAfter;
     std::unique_ptr<StoreFollower> m_follower;
 
     /// Runs the loop until the condition holds, or for `Patience`.
@@ -155,7 +157,10 @@
     {
         StoreFollower::Hooks hooks;
         hooks.onSnapshot = [this](const StoreRange & /*range*/, const auto &interruption) { m_snapshots.push_back(interruption); };
-        hooks.onEvents = [this](std::span<const StoreEvent> events) { m_events += events.size(); };
+        hooks.onEvents = [this](std::span<const StoreEvent> events) {
+            m_events += events.size();
+            m_writtenAfter = m_follower->eventsWrittenAfter();
+        };
         hooks.onUnreachable = [this]() { ++m_outages; };
         m_follower = std::make_unique<StoreFollower>(m_loop, m_clock, m_random, m_store, m_log, "servers/", std::move(hooks));
         m_follower->start();
@@ -182,6 +187,24 @@
         CPPUNIT_ASSERT(hasLine("\"watch_resumed\"") && !hasLine("\"store_lost\""));
     }
 
+    auto eventsAreWrittenAfterTheLastButOnePollWasBegun() -> void
+    {
+        runFor(milliseconds(5));
+        const auto first = m_clock.now();
+        m_store.onEvents({}, 11);
+        CPPUNIT_ASSERT(m_writtenAfter < first);
+        runFor(milliseconds(5));
+        const auto second = m_clock.now();
+        m_store.onEvents({}, 12); // of the poll that was begun after the answer before
+        CPPUNIT_ASSERT(m_writtenAfter < first);
+        m_store.onEvents({}, 13);
+        CPPUNIT_ASSERT(m_writtenAfter >= first && m_writtenAfter < second);
+        m_store.end(cutWatch());
+        runUntilWatches(2);
+        m_store.onEvents({}, 14);
+        CPPUNIT_ASSERT(m_writtenAfter >= second);
+    }
+
     auto aSeriesOfCutsBacksOff() -> void
     {
         const auto begin = m_clock.now();
--- a/test/upstream_directory-test.cc
+++ b/test/upstream_directory-test.cc
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(UpstreamDirectoryTest);
     CPPUNIT_TEST(drainingUpstreamsGetNoNewWork);
     CPPUNIT_TEST(restartsUnderTheSameIdAreDetected);
+    CPPUNIT_TEST(onlyWritesOfTheSameStartCountForAProcess);
     CPPUNIT_TEST(expiredEntriesStayUsableForTheGracePeriod);
     CPPUNIT_TEST(expiredDrainingEntriesAreRemovedAtOnce);
     CPPUNIT_TEST(newestEntryOfAnAddressIsUsed);
@@ -55,6 +56,29 @@
         CPPUNIT_ASSERT(directory.apply(entry) == UpstreamChange::Restarted);
     }
 
+    auto onlyWritesOfTheSameStartCountForAProcess() -> void
+    {
+        ManualClock clock;
+        UpstreamDirectory directory;
+        auto entry = upstream("u", "10.0.0.1:1");
+        const auto former = entry;
+        clock.advance(milliseconds(1000));
+        directory.apply(entry, clock.now() - milliseconds(200));
+        directory.apply(entry); // a snapshot does not tell when its entries were written
+        CPPUNIT_ASSERT(directory.hasWritten(former, clock.now() - milliseconds(200)));
+        CPPUNIT_ASSERT(!directory.hasWritten(former, clock.now()));
+        CPPUNIT_ASSERT(!directory.hasWritten(upstream("v", "10.0.0.1:1"), {}));
+        entry.startedAtMs = 101;
+        directory.apply(entry);
+        CPPUNIT_ASSERT(!directory.hasWritten(former, {}));
+        CPPUNIT_ASSERT(!directory.hasWritten(entry, clock.now() - milliseconds(200)));
+        directory.apply(entry, clock.now());
+        CPPUNIT_ASSERT(directory.hasWritten(entry, clock.now()) && !directory.hasWritten(former, {}));
+        entry.startedAtMs = 0;
+        directory.apply(entry, clock.now());
+        CPPUNIT_ASSERT(!directory.hasWritten(entry, {})); // it names no start
+    }
+
     auto expiredEntriesStayUsableForTheGracePeriod() -> void
     {
         ManualClock clock;
