--- a/test/counted_calls-test.cc
+++ b/test/counted_calls-test.cc
@@ -2,6 +2,8 @@
 
 #include "check.h"
 
+#include <utility>
+
 using namespace currantstack;
 
 class CountedCallsTest : public CppUnit::TestFixture
