The test of first events compiles with clang

IdGap has no constructor, and parentheses in its place need C++20 support that the linter's compiler lacks. clang-tidy is clean for the file.

--- a/test/event_id_pattern-test.cc
+++ b/test/event_id_pattern-test.cc
@@ -114,7 +114,7 @@
             CPPUNIT_ASSERT(!pattern.gapBeforeFirst(3));
             pattern.onFirst(runs % 2 == 0 ? "a" : "b", 1);
         }
-        CPPUNIT_ASSERT(pattern.gapBeforeFirst(3) == IdGap(0, 3) && !pattern.gapBeforeFirst(1) && !pattern.gapBeforeFirst(0));
+        CPPUNIT_ASSERT(pattern.gapBeforeFirst(3) == (IdGap{0, 3}) && !pattern.gapBeforeFirst(1) && !pattern.gapBeforeFirst(0));
         pattern.onFirst("a", 0);
         CPPUNIT_ASSERT_MESSAGE("streams begin with several ids", !pattern.gapBeforeFirst(3));
     }
