Only refused requests are examined for another process's answer

Found by an independent review, by reading: each answer of a plain service was parsed as an engine's report on the loop's thread, and a body that looks like a report with another start would have ended its service. Only status 421 is examined now.

--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -248,7 +248,7 @@
     auto outcome = result ? AttemptOutcome::Unknown : classifyError(result.error());
     if (result) {
         recordReached(m_context, pending.upstream, pending.sentAt);
-        if (m_context.protocol.responderOf(*result, pending.upstream) == Responder::Other) {
+        if (result->status == MisdirectedRequest && m_context.protocol.responderOf(*result, pending.upstream) == Responder::Other) {
             recordEnd(m_context, pending.upstream);
         }
         const auto head = m_context.protocol.parseHead(result->status, result->headers, m_request.metadata);
