A check of an end asks another engine if a call fails

Found by an independent review, by reading: a check ended with the first call that failed (421, 503, a reset, a gate that closed after the reservation, a run that was not verified), and the stream as complete, although other engines had room. Only refused reservations were followed by another engine. A check lasts 1 s, longer than the verification of its run.

--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -35,7 +35,7 @@
     static constexpr Duration SilenceCheckPeriod = milliseconds(300);
 
     /// Time in which an engine takes the check of an end, and in which its run then ends.
-    static constexpr Duration EndCheckTime = milliseconds(800);
+    static constexpr Duration EndCheckTime = milliseconds(1000);
 
     /// Receives the id of a reservation, or why there is none.
     using ReservationDone = std::function<void(const Result<std::string> &reserved)>;
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -115,7 +115,8 @@
 /// Looks for another engine or VM for a stream whose engine is silent or whose call has broken.
 auto StreamRequest::resume(std::string_view reason) -> void
 {
-    if (endUnchecked(reason)) {
+    const bool mayAskAnother = m_checksEnd && m_reservationsTried < MaxReservations && !m_splitter.hasPartial();
+    if (!mayAskAnother && endUnchecked(reason)) {
         return;
     }
     m_breakReason = reason;
