A suspect stream that waits for capacity is queued once

Found by an independent review, by reading: the check of an end waited in the queue; after its time the stream was queued again, while the first entry stayed, and both were granted. One run was then cancelled for the other.

--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -144,7 +144,6 @@
         m_checksEnd = false;
         m_endConfirmed = true;
         m_asksSameEngine = false;
-        leaveQueue();
         return false;
     }
     complete();
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -89,7 +89,7 @@
     if (m_done) {
         return;
     }
-    if (endUnchecked(StallReason)) {
+    if (endUnchecked(StallReason) || m_queued) {
         return;
     }
     if (m_reserveCall != 0) {
