Bytes of a process that is not the expected one prove no cut

Found by an independent review, by reading: what an engine's next process sent in a check, and was not passed on, counted as events that follow the end, so that a whole stream could be broken off.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -147,6 +147,7 @@
         return;
     }
     if (owner != RunOwner::Expected) {
+        m_heldData.clear(); // it tells nothing about the stream
         breakOff(owner == RunOwner::Other ? "another process than that of the engine's entry runs the request"
                                           : "the process that runs the request is not known");
         return;
