Checks at engines that exit use no attempt, and do not make a service suspect

Found by an independent review: a stream that had moved once, and whose second engine ended it with a last chunk and exited, ended as complete, because the route's attempts were used and the engine itself was gone. Attempts limit engines that have not ended, so that another one may be asked. A cut by an exit made the service suspect for as long as its streams have chunks, so that whole streams of engines that exit after their last stream could be broken off; exits have no say in that any more.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -56,7 +56,8 @@
     m_survivalRecorded = false;
     m_collectingError = false;
     m_framing = BodyFraming::None;
-    m_attemptsOfCall = m_asksSameEngine ? 0 : 1; // the route limits the engines that run a request, not its sends
+    // The route limits the engines that run a request, not its sends; engines that have ended do not count.
+    m_attemptsOfCall = m_asksSameEngine || m_checksExit ? 0 : 1;
     m_attempts.onAttempt(m_attemptsOfCall);
     m_request.calls.onSent();
     if (m_kvSource.empty()) {
@@ -255,7 +256,7 @@
         return;
     }
     if (mayBeCutByExit()) {
-        m_checksEnd = true;
+        m_checksEnd = m_checksExit = true;
         confirmEnd();
         return;
     }
@@ -286,7 +287,7 @@
         return;
     }
     m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
-    if (isEndCheck()) {
+    if (isEndCheck() && !m_checksExit) {
         m_context.endChecks[m_request.service].onChecked(false);
     }
     complete();
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -53,7 +53,7 @@
         askForRest();
         return;
     }
-    m_checksEnd = false;
+    m_checksEnd = m_checksExit = false;
     onDecodeEnd();
 }
 
@@ -107,7 +107,7 @@
     m_attempts.onOutcome(AttemptOutcome::Answered, m_attemptsOfCall);
     m_breakReason = "the end of the stream is checked";
     m_checksEnd = true;
-    m_asksSameEngine = !m_attempts.mayRetry() || !hasOtherEngine();
+    m_asksSameEngine = !m_checksExit && (!m_attempts.mayRetry() || !hasOtherEngine());
     m_mayHaveEnded = true;
     m_reservationsTried = 0;
     const auto next = planResumption();
@@ -140,7 +140,7 @@
     auto &checks = m_context.endChecks[m_request.service];
     checks.onUnchecked();
     logUnchecked(reason, checks.isSuspect());
-    if (checks.isSuspect()) {
+    if (checks.isSuspect() && !m_checksExit) {
         m_checksEnd = false;
         m_endConfirmed = true;
         m_asksSameEngine = false;
@@ -159,7 +159,9 @@
     m_checksEnd = false;
     m_endConfirmed = false;
     m_asksSameEngine = false;
-    m_context.endChecks[m_request.service].onChecked(true);
+    if (!std::exchange(m_checksExit, false)) {
+        m_context.endChecks[m_request.service].onChecked(true);
+    }
     m_context.counters.at("answers_cut_by_live_engines").add();
     m_context.log.write("stream", "end_was_cut",
                         {{"request", m_request.metadata.requestId},
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -246,6 +246,7 @@
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
     bool m_checksEnd = false; // an end that looks complete is being checked; without a result, it counts as complete
     bool m_asksSameEngine = false; // for that, because no other one is left, or no attempt for it
+    bool m_checksExit = false; // the end that is checked came in chunks, from an engine that has exited
     int m_attemptsOfCall = 1; // that the call in flight counts for
     bool m_decoding = false;
     bool m_headSent = false; // the caller has received the response head
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -70,7 +70,7 @@
     ResumptionState state;
     state.hasBegun = m_headSent || hasBegunElsewhere();
     state.hasCall = m_decodeCall != 0;
-    state.mayRetry = m_attempts.mayRetry() || m_asksSameEngine;
+    state.mayRetry = m_attempts.mayRetry() || m_asksSameEngine || m_checksExit;
     state.hasRetryBudget = m_context.retryBudget.mayAcquire(m_request.service, now, m_request.calls.missingRetries(false));
     state.isInTime = now < m_request.deadline()
         && (m_headSent || !outlastsThisVm(m_context, m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape)));
--- a/test/edge/stop_tests.py
+++ b/test/edge/stop_tests.py
@@ -10,7 +10,7 @@
 from platform_upstreams import Engine
 from rig import Rig, read_response
 
-DRAIN_S, EXIT_S = 0.3, 0.15  # from the report that an engine drains until it exits; from the end of its streams until it stops listening
+DRAIN_S, EXIT_S = 0.7, 0.25  # from the report that an engine drains until it exits; from the end of its streams until it stops listening
 ACCEPT_S = 2.7  # from SIGTERM until a VM refuses requests
 SLOW = {"name": "slow", "host": "app.example", "prefix": "/slow/", "type": "unsafe", "service": "booking", "timeout_ms": 20000, "attempts": 1}
 SLOW_SAFE = {**SLOW, "name": "slowsafe", "prefix": "/slowsafe/", "type": "safe"}
@@ -108,7 +108,7 @@
         async with Rig(decode=2) as rig:
             engine = decode_engines(rig)[0]
             for each in decode_engines(rig):
-                each.unframed_share, each.EVENT_INTERVAL_S = unframed_share, 0.1
+                each.unframed_share, each.EVENT_INTERVAL_S = unframed_share, 0.2
             streams = await begun_at(rig, engine, 3)
             leave(engine)
             await asyncio.sleep(DRAIN_S)
@@ -119,6 +119,24 @@
                 assert await read_to_end(stream) and stream.numbers == PIECES, (leave, unframed_share, stream.numbers)
 
 
+async def streams_that_have_moved_go_on_when_their_engine_exits():
+    """Guards against the same for a stream whose attempts are used: engines that have ended do not count among them."""
+    async with Rig(decode=3) as rig:
+        for engine in decode_engines(rig):
+            engine.EVENT_INTERVAL_S = 0.2
+        first = decode_engines(rig)[0]
+        stream, = await begun_at(rig, first)
+        first.crash()
+        await stream.read(5)
+        second = next(engine for engine in rig.fleet.engines if engine.id == rig.runs_of(stream.id)[-1]["upstream"])
+        second.drain()
+        await asyncio.sleep(DRAIN_S)
+        second.is_exiting = True
+        await asyncio.sleep(EXIT_S)
+        second.server.end()
+        assert await read_to_end(stream) and stream.numbers == PIECES, stream.numbers
+
+
 async def streams_that_would_outlast_a_stop_are_refused():
     """Guards against a stream that is passed on late in the grace and cut at its end."""
     async with Rig(grace=4) as rig:
@@ -228,6 +246,6 @@
 TESTS = [requests_open_at_the_end_of_a_stop_are_answered, streams_that_engines_end_when_their_vm_stops_are_not_complete,
          streams_that_engines_end_before_the_deadline_are_not_complete, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
          streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
-         streams_that_engines_end_when_they_exit_go_on_elsewhere,
+         streams_that_engines_end_when_they_exit_go_on_elsewhere, streams_that_have_moved_go_on_when_their_engine_exits,
          late_requests_on_open_connections_are_refused, a_grace_that_is_shortened_during_a_stop_cuts_no_request,
          upstreams_are_told_when_a_stopping_vm_ends]
