--- a/standin/engine_process.py
+++ b/standin/engine_process.py
@@ -34,9 +34,6 @@
     def put(self, _, entry):
         self.append({"event": "entry", **json.loads(entry)})
 
-    def has(self, _):
-        return True
-
     def append(self, record):
         os.write(sys.stdout.fileno(), json.dumps(record).encode() + b"\n")  # nothing is left in a buffer when the process is killed
 
@@ -191,15 +188,10 @@
         return {"kind": self.KIND, **{name: value for name, value in vars(self).items()
                                       if isinstance(value, (str, int, float, list)) and name != "history"}}
 
-    def start_heartbeats(self):
-        """The process writes them itself."""
-
     def take_over(self, entry):
-        """Writes the entry to the store after the process has written it: as a heartbeat, or because it has changed its role."""
-        if "phase" in entry:
-            vars(self)["role"] = entry["phase"]
-        if not self.has_left and self.store.has(f"servers/{self.id}"):
-            self.register()
+        """Writes the entry to the store after the process has changed its role."""
+        vars(self)["role"] = entry["phase"]
+        self.register()
 
     async def suspend(self, seconds):
         """Stops the process for this time; the kernel goes on accepting connections and bytes for it."""
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -51,9 +51,6 @@
                            "lease": lease}
         self.record_change(dict(self.items[key]))
 
-    def has(self, key):
-        return key in self.items
-
     def delete(self, key):
         if self.items.pop(key, None):
             self.revision += 1
--- a/standin/platform_upstreams.py
+++ b/standin/platform_upstreams.py
@@ -4,7 +4,6 @@
 import itertools
 import json
 import math
-import random
 import time
 
 from http_peer import Server, chunk, reset, response
@@ -27,7 +26,6 @@
 }
 
 
-HEARTBEAT_S = 1.2  # between two writes of an entry by its upstream
 BREAKS = ("break_close", "break_reset", "break_silence")  # faults of living engines, drawn before each event
 EARLY_END = "break_end"  # the last chunk comes too early
 
@@ -45,8 +43,6 @@
         self.state, self.fault, self.fault_share = "ready", "", 0.0
         self.has_left = False
         self.sequence, self.junk_senders = 0, 0
-        self.registered_ms = 0  # the start that its entry names
-        self.heartbeats = None
         self.software_version = "v1"
         self.leaving = []  # values of the fields in its responses that announce its leaving, as text
         self.retry_after = []  # values of the Retry-After fields with which it refuses all requests, as text; empty: it refuses none
@@ -70,21 +66,7 @@
         self.register()
         return self
 
-    def start_heartbeats(self):
-        if self.heartbeats is None:
-            self.heartbeats = asyncio.get_running_loop().create_task(self.write_heartbeats())
-
-    async def write_heartbeats(self):
-        """Writes the entry again and again while the process that registered lives, does not stand still and has not left."""
-        while True:
-            await asyncio.sleep(HEARTBEAT_S * random.uniform(0.8, 1.2))
-            await self.server.wait_while_silent()
-            if self.server.is_listening and self.registered_ms == self.started_ms and not self.has_left and self.store.has(f"servers/{self.id}"):
-                self.register()
-
     def register(self):
-        self.registered_ms = self.started_ms
-        self.start_heartbeats()
         self.sequence += 1
         self.store.put(f"servers/{self.id}", json.dumps(self.entry()).encode())
 
--- a/test/edge/held_end_tests.py
+++ b/test/edge/held_end_tests.py
@@ -211,7 +211,6 @@
 class Store:
     random, engines = random.Random(1), {}
     def put(self, *_): pass
-    def has(self, _): return False
 
 class Child(Engine):
     async def import_kv(self, source, request): return True
--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -32,7 +32,7 @@
 
 from engine_process import SUCCESSORS  # noqa: E402
 from links import MODES  # noqa: E402
-from platform_upstreams import BREAKS, EARLY_END, HEARTBEAT_S  # noqa: E402
+from platform_upstreams import BREAKS, EARLY_END  # noqa: E402
 
 DRAIN_LIMIT_S = 2.5  # a draining upstream gets no new requests after this time
 RECOVERY_LIMIT_S = 12.0  # from the last fault until all VMs serve every kind of request
@@ -47,6 +47,7 @@
 POISON_SHARE = 0.01  # of the requests
 SILENCE_S = (0.8, 2.0)  # of sound upstreams
 SUSPENSION_S = (0.5, 2.0)  # of processes
+HEARTBEAT_S = 1.0  # an entry is removed up to three heartbeats after the last one
 RESTART_S = (0.2, 3.0)  # from the kill of a process until its next incarnation starts
 UNFRAMED_SHARE, PROCESS_PAUSE_S = 0.5, 0.04  # of the answers of processes; between their events, and in the middle of a plain answer
 SERIES_ROUNDS = 3
@@ -190,7 +191,6 @@
     def kill_upstreams(self, count, successors=("",)):
         for upstream in self.random.sample(self.fleet.upstreams, count):
             upstream.keeps_id = self.random.random() < 0.5
-            # An entry is removed up to three heartbeats after the last one.
             upstream.expiry_s, upstream.restart_s = self.random.uniform(0.1, 3 * HEARTBEAT_S), self.random.uniform(*RESTART_S)
             if upstream.server.is_listening:
                 upstream.server.successor = self.random.choice(successors)
