A plain upstream that answers again has outlived its answer if no other entry comes

The judgement of plain ends took only a written entry for a sign of life once a probe had failed.

A new process registers when it starts. So a service that answers again counts if it has an entry, this VM reads the store, and no other entry has come for 1 s; while the store is away, the end stays doubtful.

--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -50,6 +50,10 @@
     if (!isLastTrial) {
         return AnswerEnd::Undecided;
     }
+    // A new process registers when it starts.
+    if (evidence.connection == ConnectionTrial::Answered && hasEntry && evidence.readsEntries) {
+        return evidence.sinceAnswer >= NewEntryTime ? AnswerEnd::Complete : AnswerEnd::Undecided;
+    }
     const bool isAnswered = evidence.connection == ConnectionTrial::Answered || evidence.connection == ConnectionTrial::Open;
     // An upstream that lives closes further connections than its limit allows.
     const bool mayLive = isAnswered || (evidence.connection == ConnectionTrial::Closed && hasEntry);
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -76,6 +76,7 @@
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
     m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + m_settleTime);
     m_evidence.hasWritten = m_context.directory.hasWritten(m_upstream, m_endedAt + EntrySettleTime);
+    m_evidence.readsEntries = !m_context.storeUnreachable;
     m_evidence.sinceEnd = now - m_endedAt;
     m_evidence.sinceAnswer = m_answeredAt ? now - *m_answeredAt : Duration::zero();
     const auto end = judgeAnswerEnd(m_evidence);
