A run without events at an engine that leaves does not end a stream that goes on

Callers that came back with Last-Event-Id, or whose stream another VM had taken over, saw a complete stream without what follows (ORDER): the engine drained, ended the run with a last chunk before its first event, and exited. The check of exits applied only to streams of which the VM itself had sent events; found by an independent review, by reading.

Such a run is broken, and another engine is asked, unless the stream may have ended. If a second engine, which stays, has nothing to send, the stream is complete.

--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -73,6 +73,10 @@
     if (m_framing == BodyFraming::Connection && !m_begunAt && !m_collectingError && !m_mayHaveEnded) {
         return "the connection was closed before the first event";
     }
+    const bool isEmptyRest = continuesEvents() && !m_headSent && !m_begunAt && !m_collectingError && !m_mayHaveEnded;
+    if (isEmptyRest && m_framing == BodyFraming::Chunks && isLeaving(sendBlockOf(m_context, m_decodeEngine))) {
+        return "the engine leaves, and has sent no event";
+    }
     return "";
 }
 
--- a/test/edge/stop_tests.py
+++ b/test/edge/stop_tests.py
@@ -5,12 +5,13 @@
 import signal
 import time
 
-from answer_end_tests import PIECES, decode_engines
+from answer_end_tests import PIECES, decode_engines, numbers
 from held_end_tests import begun_at, read_to_end
 from platform_upstreams import Engine
 from rig import Rig, read_response
 
 DRAIN_S, EXIT_S = 0.7, 0.25  # from the report that an engine drains until it exits; from the end of its streams until it stops listening
+FIRST_EVENT_S = 0.65  # a VM looks for another engine after 0.8 s
 ACCEPT_S = 2.7  # from SIGTERM until a VM refuses requests
 SLOW = {"name": "slow", "host": "app.example", "prefix": "/slow/", "type": "unsafe", "service": "booking", "timeout_ms": 20000, "attempts": 1}
 SLOW_SAFE = {**SLOW, "name": "slowsafe", "prefix": "/slowsafe/", "type": "safe"}
@@ -137,6 +138,23 @@
         assert await read_to_end(stream) and stream.numbers == PIECES, stream.numbers
 
 
+async def streams_that_callers_continue_go_on_when_their_engine_exits():
+    """Guards against the same for an engine that ends its run before the first event, at a VM that has sent the caller none itself."""
+    async with Rig(decode=2) as rig:
+        for engine in decode_engines(rig):
+            engine.EVENT_INTERVAL_S = FIRST_EVENT_S
+        sending = asyncio.create_task(rig.send("stream", headers={"Last-Event-Id": PIECES[-3]}, deadline=8000))
+        while not any(entry["event"] == "run" for entry in rig.fleet.history):
+            await asyncio.sleep(0.01)
+        first = next(engine for engine in rig.fleet.engines if engine.id == rig.fleet.history[-1]["upstream"])
+        first.drain()
+        while '"change":"leaving"' not in rig.vms[0].log_text():
+            await asyncio.sleep(0.02)
+        first.is_exiting = True
+        request, status, _, body = await sending
+        assert status == 200 and numbers(body) == PIECES[-2:], (status, body, rig.runs_of(request))
+
+
 async def streams_that_would_outlast_a_stop_are_refused():
     """Guards against a stream that is passed on late in the grace and cut at its end."""
     async with Rig(grace=4) as rig:
@@ -247,5 +265,6 @@
          streams_that_engines_end_before_the_deadline_are_not_complete, prompts_that_are_read_at_the_end_of_a_stop_are_refused,
          streams_that_would_outlast_a_stop_are_refused, streams_under_way_are_aborted_only_at_the_end_of_a_stop,
          streams_that_engines_end_when_they_exit_go_on_elsewhere, streams_that_have_moved_go_on_when_their_engine_exits,
+         streams_that_callers_continue_go_on_when_their_engine_exits,
          late_requests_on_open_connections_are_refused, a_grace_that_is_shortened_during_a_stop_cuts_no_request,
          upstreams_are_told_when_a_stopping_vm_ends]
