Test: one function makes the whole bookings of services that fall silent or leave

Two tests differed only in what the service does around its run. Both check what they did: the booking is passed on whole.

--- a/test/edge/listener_tests.py
+++ b/test/edge/listener_tests.py
@@ -375,37 +375,37 @@
         assert status == 502, (status, body, judged(rig))
 
 
-async def whole_answers_of_services_that_fall_silent_after_them_are_passed_on():
-    """Guards against a whole booking that is refused, because its service answers no probe for a while."""
+async def check_whole_booking(around):
+    """Checks that a booking is passed on whose service runs it within `around`, and answers without length or chunks."""
     async with Rig(services=1) as rig:
         service, = rig.fleet.services
         set_fault("unframed", [service])
         run = service.run
 
-        async def run_and_fall_silent(request, reader, writer):
-            data = await run(request, reader, writer)
-            writer.close()
-            service.fall_silent(LONGEST_SILENCE_S)
-            return data
-        service.run = run_and_fall_silent
+        async def run_within(request, reader, writer):
+            return await around(service, run(request, reader, writer), writer)
+        service.run = run_within
         _, status, _, body = await rig.send("book")
         assert status == 200, (status, body, judged(rig))
 
 
+async def whole_answers_of_services_that_fall_silent_after_them_are_passed_on():
+    """Guards against a whole booking that is refused, because its service answers no probe for a while."""
+    async def fall_silent_after(service, running, writer):
+        data = await running
+        writer.close()
+        service.fall_silent(LONGEST_SILENCE_S)
+        return data
+    await check_whole_booking(fall_silent_after)
+
+
 async def whole_answers_of_services_that_have_left_are_passed_on():
     """Guards against a whole booking that is refused, because its service has left without a report and serves on."""
-    async with Rig(services=1) as rig:
-        service, = rig.fleet.services
-        set_fault("unframed", [service])
-        run = service.run
-
-        async def leave_and_run(request, reader, writer):
-            service.leave()
-            await asyncio.sleep(0.2)
-            return await run(request, reader, writer)
-        service.run = leave_and_run
-        _, status, _, body = await rig.send("book")
-        assert status == 200, (status, body, judged(rig))
+    async def leave_before(service, running, _):
+        service.leave()
+        await asyncio.sleep(0.2)
+        return await running
+    await check_whole_booking(leave_before)
 
 
 async def whole_streams_that_are_handed_over_at_their_end_are_complete():
