The end of a run is judged by when it came

Found by an independent review, by reading: the end of a run that is held back until it is verified was judged when it was released, up to 0.85 s later. A whole stream that ended just before its time was over was then broken off as one whose engine had been stopped, and a stall timer could replace a run whose end was there already.

Tests: no test showed it; 542 unit tests and the process tests of stops and versions pass.

--- a/src/edge/stream_decode.cc
+++ b/src/edge/stream_decode.cc
@@ -156,7 +156,7 @@
     m_isRunVerified = true;
     passOn(std::exchange(m_heldData, {}));
     if (m_heldEnd && !m_done && m_decodeCall != 0) {
-        onDecodeDone(*std::exchange(m_heldEnd, std::nullopt));
+        onRunEnded(*std::exchange(m_heldEnd, std::nullopt));
     }
 }
 
@@ -238,10 +238,16 @@
     if (m_done || m_decodeCall == 0) {
         return;
     }
+    m_endedAt = m_context.clock.now();
     if (m_runVerification && result) {
         m_heldEnd = result;
         return;
     }
+    onRunEnded(result);
+}
+
+auto StreamRequest::onRunEnded(const Result<HttpResponse> &result) -> void
+{
     cancelDecodeCall();
     if (!result) {
         onDecodeFailed(result.error());
--- a/src/edge/stream_end.cc
+++ b/src/edge/stream_end.cc
@@ -61,7 +61,7 @@
 auto StreamRequest::mayBeStopped() const -> bool
 {
     const bool isWhole = m_collectingError || m_framing == BodyFraming::Length;
-    return !isWhole && m_context.clock.now() >= m_workEndsAt - AnswerMargin;
+    return !isWhole && m_endedAt >= m_workEndsAt - AnswerMargin;
 }
 
 /// Returns why a stream that ended without an error is incomplete, or an empty text if it is complete.
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -135,6 +135,7 @@
     auto cancelDecodeCall() -> void;
     auto breakOff(std::string_view reason) -> void;
     auto onDecodeDone(const Result<HttpResponse> &result) -> void;
+    auto onRunEnded(const Result<HttpResponse> &result) -> void;
     auto onDecodeFailed(const Error &error) -> void;
     auto onDecodeEnd() -> void;
     auto recordSurvival() -> void;
@@ -242,6 +243,7 @@
     std::shared_ptr<RunVerification> m_runVerification; // while the bytes of the run in flight are held back
     std::string m_heldData; // of a run that is not verified
     std::optional<Result<HttpResponse>> m_heldEnd; // of the same run
+    TimePoint m_endedAt; // when the engine ended its answer
     bool m_isRunVerified = false; // the call in flight is answered by the process that the engine's entry names
     std::shared_ptr<EndConfirmation> m_endConfirmation; // while the end of the answer is held back
     bool m_checksEnd = false; // an end that looks complete is being checked; without a result, it counts as complete
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -92,7 +92,7 @@
     if (endUnchecked(StallReason) || m_queued) {
         return;
     }
-    if (m_reserveCall != 0) {
+    if (m_reserveCall != 0 || m_heldEnd) {
         m_stallTimer->startOnce(StallTimeout);
         return;
     }
