Responses whose status is outside 100 to 599 are errors

What callers saw: an upstream in trouble answered "HTTP/1.1 600" or 999, and the caller got that as an answer, with the upstream's stamp; "HTTP/1.1 200X" was taken for 200.

Cause: the status line was left to libcurl, whose checks depend on its version. RFC 9112, 4 defines three digits, RFC 9110, 15 the range. A malformed head that libcurl does not deliver now also counts as an answer that has begun, so that it proves no lost link.

--- a/include/currantstack/http.h
+++ b/include/currantstack/http.h
@@ -60,6 +60,10 @@
 /// the body is complete.
 auto framingError(const Headers &headers) -> std::string_view;
 
+/// Returns why the first line of a response is malformed, or an empty text if it is not: its status is outside 100 to 599, or not three
+/// digits (RFC 9112, 4).
+auto statusLineError(std::string_view line) -> std::string_view;
+
 /// What marks the end of a response's body.
 enum class BodyFraming
 {
--- a/src/base/http.cc
+++ b/src/base/http.cc
@@ -71,6 +71,22 @@
     return chunked ? "" : "unknown transfer encoding";
 }
 
+auto statusLineError(std::string_view line) -> std::string_view
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    constexpr std::string_view Digits = "0123456789";
+    constexpr std::size_t StatusBegin = Version.size() + 2; // after the minor version and a space
+    constexpr std::size_t StatusLength = 3;
+    const auto status = line.substr(std::min(StatusBegin, line.size()), StatusLength);
+    const auto rest = line.substr(std::min(StatusBegin + StatusLength, line.size()));
+    const bool isComplete = status.size() == StatusLength && status.find_first_not_of(Digits) == std::string_view::npos
+        && (rest.empty() || std::string_view(" \r\n").find(rest.front()) != std::string_view::npos);
+    if (!isComplete || !line.starts_with(Version) || line[StatusBegin - 1] != ' ') {
+        return "malformed status line";
+    }
+    return status.front() >= '1' && status.front() <= '5' ? "" : "status outside 100 to 599";
+}
+
 auto framingOf(int status, const Headers &headers) -> BodyFraming
 {
     constexpr int NoContent = 204;
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -175,7 +175,8 @@
         error.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         error.connectionReset = code == CURLE_COULDNT_CONNECT && systemError == ECONNRESET;
     }
-    error.answerBegun = call.headBytes > 0;
+    const bool isNoHttp = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY; // libcurl does not deliver such a head
+    error.answerBegun = call.headBytes > 0 || isNoHttp;
     error.connectionClosed =
         code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
     return error;
@@ -258,6 +259,8 @@
         call->headIsInterim = space != std::string_view::npos && line.substr(space + 1).starts_with('1');
         call->headComplete = false;
         call->response.headers.clear();
+        call->defect = statusLineError(line);
+        return call->defect.empty() ? size * count : 0;
     } else if (line == "\r\n" || line == "\n") {
         call->headComplete = !call->headIsInterim;
         call->defect = call->headComplete ? framingError(call->response.headers) : std::string_view();
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -8,6 +8,7 @@
 {
     CPPUNIT_TEST_SUITE(HttpTest);
     CPPUNIT_TEST(headerNamesIgnoreCase);
+    CPPUNIT_TEST(statusLinesNameAStatus);
     CPPUNIT_TEST(acceptsSingleBodyLength);
     CPPUNIT_TEST(rejectsAmbiguousBodyLength);
     CPPUNIT_TEST(tellsHowABodyEnds);
@@ -27,6 +28,18 @@
         CPPUNIT_ASSERT(!equalIgnoringCase("Request-Id", "Request-I"));
     }
 
+    auto statusLinesNameAStatus() -> void
+    {
+        for (const auto *line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 503 \r\n", "HTTP/1.1 100\r\n", "HTTP/1.1 599\n", "HTTP/1.1 404"}) {
+            CPPUNIT_ASSERT_MESSAGE(line, statusLineError(line).empty());
+        }
+        for (const auto *line :
+             {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999", "HTTP/1.1 200X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X",
+              "HTTP/1.1 -20 X", "HTTP/1.1  200", "HTTP/1.1 ", "HTTP/1.1", "HTTP/9.9 200 X", "HTTP/2 200 X", "HTTP/1.1\t200 X", "HTTP/"}) {
+            CPPUNIT_ASSERT_MESSAGE(line, !statusLineError(line).empty());
+        }
+    }
+
     auto acceptsSingleBodyLength() -> void
     {
         CPPUNIT_ASSERT(!hasFramingError({}));
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -132,6 +132,7 @@
     CPPUNIT_TEST(responsesThatEndInsideTheirBodyAreErrors);
     CPPUNIT_TEST(ambiguousBodyLengthsAreErrors);
     CPPUNIT_TEST(unreadableBodyLengthsAreErrors);
+    CPPUNIT_TEST(statusesThatAreNoneAreErrors);
     CPPUNIT_TEST(completeResponsesAreDelivered);
     CPPUNIT_TEST(connectionsThatStayOpenAreReported);
     CPPUNIT_TEST(acceptedConnectionsThatAreClosedOrResetAreErrors);
@@ -193,6 +194,13 @@
         }
     }
 
+    auto statusesThatAreNoneAreErrors() -> void
+    {
+        for (const auto *line : {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999", "HTTP/1.1 200X"}) {
+            assertBroken(fmt::format("{}\r\nContent-Length: 3\r\n\r\nabc", line), 0);
+        }
+    }
+
     auto completeResponsesAreDelivered() -> void
     {
         const std::vector<std::pair<std::string, std::string>> answers = {
