An answer whose connection is closed before the request was received is not whole

What callers saw: a service answered a long upload at once with a 200 without a length, sent half of its body and closed the connection while the upload was still being written. Streams broke off or went on, as their ends are checked.

Cause: libcurl stops sending when the peer closes a connection without a length, and reports a success. Whoever judges the end later sees a service that lives and answers its probe.

Why this works: a process that has read a request has acknowledged it with each later segment, so bytes that are unsent or unacknowledged when the FIN is read prove that the answer was not made of the request. The socket is examined when libcurl closes it. An error status stays as it was: a server need not read what it rejects.

--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -1,6 +1,8 @@
 // Configures the libcurl handle of a call and processes its response.
 #include "http_client_core.h"
 
+#include "currantstack/tcp_progress.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -8,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace currantstack
 {
@@ -17,6 +20,7 @@
 
 constexpr std::size_t CallBytes = 24U << 10; // of libcurl's state and receive buffer
 constexpr std::size_t UploadBufferBytes = 64U << 10; // of libcurl
+constexpr int FirstErrorStatus = 300; // of those that do not report a success
 constexpr long MaxConnectionIdleTime = 60; // seconds until an idle connection is not reused
 
 } // namespace
@@ -65,6 +69,8 @@
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Core::onSocketCreated);
         curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &call);
     }
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Core::onSocketClosing);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this); // also of the later calls that use the connection
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, MaxConnectionIdleTime);
     if (!options.sourceIp.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + options.sourceIp).c_str());
@@ -87,6 +93,20 @@
     return CURL_SOCKOPT_OK;
 }
 
+auto HttpClient::Core::onSocketClosing(void *context, curl_socket_t socket) -> int
+{
+    auto *self = static_cast<Core *>(context);
+    const auto user = self->socketUsers.extract(socket);
+    const auto found = user.empty() ? self->calls.end() : self->calls.find(user.mapped());
+    if (found != self->calls.end() && found->second->endsWithClose) {
+        int error = 0;
+        socklen_t length = sizeof error;
+        getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length);
+        found->second->closedEarly = error != 0 || detail::tcpProgress(socket).unacknowledged > 0;
+    }
+    return ::close(socket);
+}
+
 auto HttpClient::Core::finish(CURL *easy, CURLcode code) -> void
 {
     Call *call = nullptr;
@@ -98,9 +118,9 @@
     long sent = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
     bytesSent += static_cast<std::uint64_t>(sent) + call->options.payload().size();
-    if (code == CURLE_OK && !isComplete(*call)) {
-        call->defect = "the response ends inside its head";
-        code = CURLE_PARTIAL_FILE;
+    if (code == CURLE_OK) {
+        call->defect = incompleteReason(*call);
+        code = call->defect.empty() ? CURLE_OK : CURLE_PARTIAL_FILE;
     }
     if (code == CURLE_OK) {
         deliverHead(*call);
@@ -148,10 +168,23 @@
     }
 }
 
-/// Returns false for a response that ends inside its head, which libcurl reports as a success.
-auto HttpClient::Core::isComplete(const Call &call) -> bool
+/// Returns why a response that libcurl reports as a success is not complete, or an empty text.
+auto HttpClient::Core::incompleteReason(const Call &call) -> std::string_view
 {
-    return call.headComplete || call.options.connectOnly;
+    if (call.options.connectOnly) {
+        return "";
+    }
+    if (!call.headComplete) {
+        return "the response ends inside its head";
+    }
+    curl_off_t sent = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    const bool isSent = static_cast<std::size_t>(sent) >= call.options.payload().size();
+    // A server that rejects a request need not read it.
+    if (call.endsWithClose && call.status() < FirstErrorStatus && (call.closedEarly || !isSent)) {
+        return "the connection was closed before the request was received";
+    }
+    return "";
 }
 
 auto HttpClient::Core::toError(const Call &call, CURLcode code) -> Error
@@ -182,6 +215,13 @@
     return error;
 }
 
+auto HttpClient::Core::Call::status() const -> int
+{
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+}
+
 auto HttpClient::Core::Call::account() -> void
 {
     if (core->memory != nullptr) {
@@ -228,9 +268,7 @@
         return;
     }
     call.headDelivered = true;
-    long status = 0;
-    curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
-    call.response.status = static_cast<int>(status);
+    call.response.status = call.status();
     if (call.handlers.onHead) {
         call.handlers.onHead(call.response.status, call.response.headers);
     }
@@ -264,6 +302,7 @@
     } else if (line == "\r\n" || line == "\n") {
         call->headComplete = !call->headIsInterim;
         call->defect = call->headComplete ? framingError(call->response.headers) : std::string_view();
+        call->endsWithClose = call->headComplete && framingOf(call->status(), call->response.headers) == BodyFraming::Connection;
         return call->defect.empty() ? size * count : 0;
     } else if (colon != std::string_view::npos) {
         auto value = line.substr(colon + 1);
--- a/src/base/http_client_core.cc
+++ b/src/base/http_client_core.cc
@@ -105,7 +105,7 @@
     processCompleted();
 }
 
-auto HttpClient::Core::onSocket(CURL * /*easy*/, curl_socket_t socket, int what, void *context, void *data) -> int
+auto HttpClient::Core::onSocket(CURL *easy, curl_socket_t socket, int what, void *context, void *data) -> int
 {
     auto *self = static_cast<Core *>(context);
     auto *entry = static_cast<Socket *>(data);
@@ -117,6 +117,9 @@
         }
         return 0;
     }
+    Call *user = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
+    self->socketUsers[socket] = user->id;
     const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
     if (entry == nullptr) {
         entry = new Socket;
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -30,6 +30,8 @@
         bool headDelivered = false;
         bool cancelled = false;
         bool idleExpired = false;
+        bool endsWithClose = false; // the response has neither a length nor chunks
+        bool closedEarly = false; // the peer ended such a response before it had received the request, or with a reset
         std::size_t headBytes = 0; // received, of heads and trailers
         std::size_t bodyBytes = 0; // received
         std::string_view defect; // of a response that fails the call, although libcurl would accept it
@@ -44,6 +46,9 @@
         /// Returns the declared length of the response's body; 0: unknown.
         auto declaredLength() const -> std::size_t;
 
+        /// Returns the status of the last head.
+        auto status() const -> int;
+
         /// Makes room for a part of the response's body, or for all of it if its head declares the length.
         auto reserve(std::size_t size) -> bool;
 
@@ -74,11 +79,12 @@
     auto observeOpenConnection(Call &call) -> void;
     auto deliverHead(Call &call) -> void;
     auto rejectDeferred(CallId id, std::unique_ptr<Call> call) -> void;
-    static auto isComplete(const Call &call) -> bool;
+    static auto incompleteReason(const Call &call) -> std::string_view;
     static auto toError(const Call &call, CURLcode code) -> Error;
 
     static auto onSocket(CURL *easy, curl_socket_t socket, int what, void *context, void *data) -> int;
     static auto onSocketCreated(void *context, curl_socket_t socket, curlsocktype purpose) -> int;
+    static auto onSocketClosing(void *context, curl_socket_t socket) -> int;
     static auto onTimer(CURLM *multi, long timeout, void *context) -> int;
     static auto onIo(struct ev_loop *loop, ev_io *watcher, int events) -> void;
     static auto onHeader(char *data, size_t size, size_t count, void *context) -> size_t;
@@ -91,6 +97,7 @@
     std::unique_ptr<Timer> timer;
     std::unique_ptr<Timer> idleTimer;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
+    std::unordered_map<curl_socket_t, CallId> socketUsers; // the call that uses the socket, or used it last
     std::vector<CallId> pendingRemovals;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     CallId nextId = 1;
--- a/src/base/tcp_progress.cc
+++ b/src/base/tcp_progress.cc
@@ -23,6 +23,10 @@
     if (ioctl(descriptor, SIOCINQ, &unread) == 0) {
         progress.unread = static_cast<std::uint64_t>(std::max(0, unread));
     }
+    int unacknowledged = 0;
+    if (ioctl(descriptor, SIOCOUTQ, &unacknowledged) == 0) {
+        progress.unacknowledged = static_cast<std::uint64_t>(std::max(0, unacknowledged));
+    }
     return progress;
 }
 
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -64,6 +64,13 @@
         return accept(m_socket, nullptr, nullptr);
     }
 
+    /// Has accepted connections hold little of what is sent to them.
+    auto limitReceiveBuffer() const -> void
+    {
+        constexpr int Bytes = 2048;
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes);
+    }
+
     /// Accepts a connection of a server without answers, and closes it.
     auto closeNext() const -> void
     {
@@ -134,6 +141,7 @@
     CPPUNIT_TEST(unreadableBodyLengthsAreErrors);
     CPPUNIT_TEST(statusesThatAreNoneAreErrors);
     CPPUNIT_TEST(completeResponsesAreDelivered);
+    CPPUNIT_TEST(closeBeforeTheRequestIsReceivedEndsNoResponse);
     CPPUNIT_TEST(connectionsThatStayOpenAreReported);
     CPPUNIT_TEST(acceptedConnectionsThatAreClosedOrResetAreErrors);
     CPPUNIT_TEST(openConnectionsOfCancelledCallsAreNotReported);
@@ -201,6 +209,34 @@
         }
     }
 
+    // A part of a response counts as the whole because its end is read before the reset which says that the request was not received.
+    auto closeBeforeTheRequestIsReceivedEndsNoResponse() -> void
+    {
+        constexpr std::size_t Longer = 8U << 20; // than the buffers of the system
+        constexpr std::size_t Short = 8U << 10; // which the client's buffer holds
+        for (const auto size : {Longer, Short}) {
+            for (const auto &[head, isWhole] : {std::pair("HTTP/1.1 200 OK\r\n\r\n", false), {"HTTP/1.1 413 X\r\n\r\n", true}}) {
+                const RawServer server({});
+                server.limitReceiveBuffer();
+                ClientFixture fixture;
+                int connection = -1;
+                fixture.loop.after(milliseconds(20), [&, text = std::string(head) + "abc"]() {
+                    connection = server.acceptNext();
+                    (void)!write(connection, text.data(), text.size());
+                    shutdown(connection, SHUT_WR);
+                });
+                HttpCall call;
+                call.method = "POST";
+                call.url = server.url();
+                call.body = std::string(size, 'u');
+                const auto result = fixture.send(std::move(call));
+                close(connection);
+                CPPUNIT_ASSERT_MESSAGE(head, result.has_value() == isWhole);
+                CPPUNIT_ASSERT_MESSAGE(head, isWhole || (result.error().connectionClosed && result.error().answerBegun));
+            }
+        }
+    }
+
     auto completeResponsesAreDelivered() -> void
     {
         const std::vector<std::pair<std::string, std::string>> answers = {
