Polls end before the store drops its history

Callers saw nothing so far; for the configuration, it is a whole document for each VM, in the same half second, over the links on which changes arrive.

Cause: a poll waits 250 ms for each VM of the fleet, so 22.5 and 23.8 s, and the store of these sites keeps changes for 20 s (`history_s`). A poll that outlasts this ends with 410. The fleet of 72 VMs polls for 18 s, and never lost its history. As one change, or a start, ends the polls of all VMs, the next ones ended together as well, so that polls were not staggered as they were meant to be.

Why this works: a poll waits for half of `history_s` at most, and each wait is drawn within 20% of that, so that polls spread again.

--- a/include/currantstack/edge/settings.h
+++ b/include/currantstack/edge/settings.h
@@ -23,6 +23,7 @@
     SocketAddress readinessAddress; // listens for the balancer's readiness checks
     SocketAddress peerAddress; // bound for datagrams of other VMs
     SocketAddress storeAddress; // of the platform's key-value store
+    Duration storeHistory = Duration::zero(); // for which the store keeps changes for watches, at most; zero: not named
     SocketAddress metricsAddress; // listens for metrics collectors
     Duration drainLimit = seconds(8); // from SIGTERM to SIGKILL
     RetryBound retryBound;
--- a/include/currantstack/store.h
+++ b/include/currantstack/store.h
@@ -105,7 +105,7 @@
         return 0;
     }
 
-    /// Sets how long one poll of a long-polling watch waits for a change. No effect on stores with streaming watches.
+    /// Sets how long one poll of a long-polling watch waits for a change on average. No effect on stores with streaming watches.
     virtual auto setPollWait(Duration /*wait*/) -> void
     { }
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -1,6 +1,7 @@
 #include "currantstack/edge/edge_node.h"
 
 #include "currantstack/build_info.h"
+#include "currantstack/decisions/poll_wait.h"
 #include "currantstack/edge/descriptor_budget.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/forwarding.h"
@@ -25,11 +26,6 @@
 constexpr Duration DrainCheckPeriod = milliseconds(100); // also the period in which the log is flushed
 constexpr Duration AbortTime = milliseconds(50); // in which aborted streams are closed before the process ends
 constexpr Duration SettingsCheckPeriod = seconds(2);
-// Average interval between the store polls of all VMs together. It puts a configuration change in force within 2.5 s, with half of that
-// time as margin.
-constexpr Duration PollSpacing = milliseconds(250);
-constexpr Duration ShortestPollWait = seconds(2);
-constexpr Duration LongestPollWait = seconds(25); // the store allows 30 s
 constexpr std::size_t MaxBodyBytes = 8U << 20; // bound on request bodies, independent of the configured limit
 
 /// Returns how many descriptors this process may have.
@@ -136,9 +132,7 @@
 
 auto EdgeNode::Parts::updatePollWait() -> void
 {
-    // A change that one VM's watch misses is found by the next poll of another VM, which announces the revision to its peers.
-    const auto wait = PollSpacing * static_cast<int>(exchange.reportingVms());
-    store->setPollWait(std::clamp<Duration>(wait, ShortestPollWait, LongestPollWait));
+    store->setPollWait(PollWait::average(exchange.reportingVms(), settings.storeHistory));
 }
 
 auto EdgeNode::Parts::isReady() const -> bool
@@ -331,6 +325,7 @@
     if (auto opened = parts.exchange.start(); !opened) {
         return opened;
     }
+    parts.updatePollWait();
     parts.directory.start();
     parts.quarantine.start();
     parts.reach.start();
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -69,7 +69,7 @@
         return self.engines + self.services
 
 
-def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100, memory_mb=110):
+def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100, memory_mb=110, history_s=20):
     """Returns the settings file of one VM, as the platform writes it."""
     return f"""node_name: "{name}"
 zone: "{place}"
@@ -97,6 +97,7 @@
   lease_ms: 3000
 provider:
   address: "{store}"
+  history_s: {history_s}
 """
 
 
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -20,6 +20,8 @@
         self.server = Server(ip, port, self.handle)
         self.items, self.changes, self.leases = {}, [], {}
         self.revision = 1
+        self.history_s = None  # if set, changes are retained for this time
+        self.recorded_at = {}  # time of each change, by its revision
         self.compacted_revision = 0  # the history holds no changes up to this revision
         self.era = 1  # rises each time the store returns from a copy
         self.calls = 0
@@ -58,6 +60,7 @@
 
     def record_change(self, change):
         self.changes.append(change)
+        self.recorded_at[change["revision"]] = asyncio.get_running_loop().time()
         if len(self.changes) > self.MAX_HISTORY:
             self.compacted_revision = self.changes.pop(0)["revision"]
         self.change_event.set()
@@ -67,6 +70,11 @@
         """Drops all history; watches that need it are answered with 410."""
         self.changes, self.compacted_revision = [], self.revision
 
+    def drop_old_changes(self):
+        now = asyncio.get_running_loop().time()
+        while self.history_s and self.changes and now - self.recorded_at[self.changes[0]["revision"]] > self.history_s:
+            self.compacted_revision = self.changes.pop(0)["revision"]
+
     def copy(self):
         """Returns a copy from which `restore` continues."""
         return copy.deepcopy((self.items, self.changes, self.leases, self.revision, self.compacted_revision))
@@ -157,12 +165,14 @@
         prefix, after = unquote(request.query["prefix"]), int(request.query["after"])
         begin = asyncio.get_running_loop().time()
         end = begin + int(request.query["wait_ms"]) / 1000
+        self.drop_old_changes()
         if after < self.compacted_revision or after > self.revision:
             return response(410)
         while True:  # a poll that is already waiting reports only at its end that the history was compacted
             events = [change for change in self.changes
                       if change["revision"] > after and change["key"].startswith(prefix) and not self.is_hidden(change["key"])]
             left = end - asyncio.get_running_loop().time()
+            self.drop_old_changes()
             if left <= 0 and after < self.compacted_revision:
                 return response(410)
             if events or left <= 0 or self.mode != "up":
--- a/test/edge/cut_watch_tests.py
+++ b/test/edge/cut_watch_tests.py
@@ -12,6 +12,7 @@
 APPLIED_S = 1.9  # after a change of an entry, each VM knows of it; the rest of the drain time is left for requests under way
 SERIES_S = 1.0
 RATE = 25  # streams a second
+HISTORY_S = 1.0  # of a store that keeps changes for a short time
 CALLS_PER_S = 20  # at most, of one VM to a store that cuts all watches
 
 
@@ -132,6 +133,16 @@
         assert lines(rig, "upstream_lapsed") and "turned_away" in {line["cause"] for line in lines(rig, "store_lost")}
 
 
-TESTS = [engine_that_leaves_after_cut_watches_gets_no_streams, changes_are_in_force_in_time_while_all_watches_are_cut,
+async def watches_of_keys_that_do_not_change_outlive_the_stores_history():
+    """Guards against polls that wait longer than the store keeps its history, after which VMs read everything anew, at the same time."""
+    async with Rig(vms=2, bounds={"history_s": HISTORY_S}) as rig:
+        rig.fleet.store.history_s = HISTORY_S
+        for number in range(50):
+            rig.fleet.store.put("elsewhere", str(number).encode())
+            await asyncio.sleep(0.1)
+        assert not lines(rig, "history_lost"), lines(rig, "history_lost")
+
+
+TESTS = [watches_of_keys_that_do_not_change_outlive_the_stores_history, engine_that_leaves_after_cut_watches_gets_no_streams, changes_are_in_force_in_time_while_all_watches_are_cut,
          engine_that_leaves_when_the_history_is_lost_gets_no_streams, upstreams_whose_entries_lapse_while_the_store_restarts_stay_in_use,
          upstreams_stay_in_use_if_the_store_cuts_watches_after_a_silence, upstreams_stay_in_use_if_the_store_turns_the_vm_away]
