A service that goes on to answer a request in flight has outlived its answer

What callers saw: 502 for each whole answer without a length whose service resets further connections because it is at its limit (whole_answers_of_services_that_reset_further_connections_are_passed_on, listed). Such a service looks like a relay whose service has ended.

Cause: only new connections and the entry counted as evidence, and a service at its limit has neither for the VM. It has other requests, though, which is why it is at its limit.

Why this works: the connections of a process end with it. An answer that begins 0.1 s after the end, or later, to a request that was sent before it comes from a process that has outlived the end. Its begin counts, not its end: the system sends on what an ended process has written. A connection that is established only after the end, because its first packet was lost, is not told apart.

Tests: whole_answers_of_services_that_serve_others_at_their_limit_are_passed_on failed on (502) and passes; the listed test, in which the service has no other request, still fails (10 of 10). UpstreamReachTest, AnswerEndTest; 548 unit tests pass.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -36,6 +36,7 @@
     bool hadNoAnswer = false; // in an earlier trial, so that a process which answers now may be a new one
     bool wasUnidentified = false; // in an earlier trial
     bool hasWritten = false; // the process that answered has written its entry since
+    bool hasOutlived = false; // it has begun later to answer a request that was in flight at the end
     bool readsEntries = false; // this VM reads the store, so that the entry of a new process would arrive in time
     Duration sinceEnd = Duration::zero();
     Duration sinceAnswer = Duration::zero(); // since the first probe that was answered after the last one that was not
--- a/include/currantstack/decisions/upstream_reach.h
+++ b/include/currantstack/decisions/upstream_reach.h
@@ -4,6 +4,7 @@
 #include "currantstack/clock.h"
 #include "currantstack/decisions/upstream_directory.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,6 +32,7 @@
     static constexpr Duration SilenceUntilFailed = milliseconds(2200);
     /// Time for which an outcome counts.
     static constexpr Duration OutcomeLifetime = seconds(8);
+    static constexpr std::size_t MaxAnsweredCalls = 8; // that are remembered for each upstream
 
     /// The usable upstreams of one service that have the same role.
     struct GroupKey
@@ -89,6 +91,13 @@
     /// Returns whether the upstream itself was at work at or after this time.
     auto hasServed(std::string_view upstream, TimePoint since) const -> bool;
 
+    /// Records that the upstream began at `begunAt` to answer a request that was sent at `sentAt`.
+    auto onAnswered(const Upstream &upstream, TimePoint sentAt, TimePoint begunAt) -> void;
+
+    /// Returns whether the answer to a request that was in flight at this time began `margin` after it or later: sooner bytes may have been
+    /// sent before. A former process has ended its connections by then, and a later one does not get the request.
+    auto hasOutlived(std::string_view upstream, TimePoint time, Duration margin) const -> bool;
+
     /// Records that a different process has answered at the upstream's address.
     auto onOtherAnswered(const Upstream &upstream, TimePoint now) -> void;
 
@@ -119,6 +128,12 @@
     auto expire(TimePoint now) -> std::vector<GroupKey>;
 
 private:
+    struct AnsweredCall
+    {
+        TimePoint sentAt;
+        TimePoint begunAt; // of the answer
+    };
+
     struct Outcome
     {
         TimePoint reachedAt; // opening time of the last connection on which the upstream answered
@@ -127,6 +142,7 @@
         TimePoint lateSince; // opening time of the first late connection after `reachedAt`
         TimePoint probedAt;
         TimePoint otherAt; // when a different process last answered at its address
+        std::deque<AnsweredCall> answered; // the last ones, up to `MaxAnsweredCalls`
     };
 
     struct Refusal
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -36,7 +36,7 @@
 
 auto judgePlainEnd(const AnswerEndEvidence &evidence) -> AnswerEnd
 {
-    if (evidence.hasWritten) {
+    if (evidence.hasWritten || evidence.hasOutlived) {
         return AnswerEnd::Complete;
     }
     const bool hasEntry = evidence.entry == EntryState::Present;
--- a/src/decisions/upstream_reach.cc
+++ b/src/decisions/upstream_reach.cc
@@ -190,6 +190,23 @@
     return found != m_outcomes.end() && found->second.servedAt >= since;
 }
 
+auto UpstreamReach::onAnswered(const Upstream &upstream, TimePoint sentAt, TimePoint begunAt) -> void
+{
+    auto &answered = m_outcomes[upstream.id].answered;
+    answered.push_back({sentAt, begunAt});
+    if (answered.size() > MaxAnsweredCalls) {
+        answered.pop_front();
+    }
+}
+
+auto UpstreamReach::hasOutlived(std::string_view upstream, TimePoint time, Duration margin) const -> bool
+{
+    const auto found = m_outcomes.find(upstream);
+    return found != m_outcomes.end()
+        && std::any_of(found->second.answered.begin(), found->second.answered.end(),
+                       [time, margin](const auto &call) { return call.sentAt <= time && call.begunAt >= time + margin; });
+}
+
 auto UpstreamReach::onOtherAnswered(const Upstream &upstream, TimePoint now) -> void
 {
     m_outcomes[upstream.id].otherAt = now;
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -76,6 +76,7 @@
     m_evidence.entry = isReplaced() ? EntryState::Replaced : entryStateOf(m_context, m_upstream);
     m_evidence.servedSince = m_context.reach.hasServed(m_upstream.id, m_endedAt + m_settleTime);
     m_evidence.hasWritten = m_context.directory.hasWritten(m_upstream, m_endedAt + EntrySettleTime);
+    m_evidence.hasOutlived = m_context.reach.hasOutlived(m_upstream.id, m_endedAt, LateByteTime);
     m_evidence.readsEntries = !m_context.storeUnreachable;
     m_evidence.sinceEnd = now - m_endedAt;
     m_evidence.sinceAnswer = m_answeredAt ? now - *m_answeredAt : Duration::zero();
@@ -98,6 +99,7 @@
                          {"connection", m_evidence.connection ? name(*m_evidence.connection) : "not_tried"},
                          {"may_have_restarted", mayHaveRestarted(m_evidence)},
                          {"has_written", m_evidence.hasWritten},
+                         {"has_outlived", m_evidence.hasOutlived},
                          {"store_unreachable", m_context.storeUnreachable},
                          {"trials", m_evidence.trials},
                          {"runs_still", m_evidence.runsStill},
--- a/src/edge/service_forwarder.cc
+++ b/src/edge/service_forwarder.cc
@@ -39,6 +39,7 @@
         HttpClient::CallId call = 0;
         Upstream upstream; // a copy, because the directory may drop the entry during the call
         TimePoint sentAt;
+        TimePoint headAt = {}; // arrival of the head of the answer
         std::shared_ptr<EndConfirmation> endConfirmation = {}; // while the end of the answer is held back
         std::optional<TimePoint> endedAt = {}; // of the answer whose end is held back
     };
@@ -47,6 +48,8 @@
     auto views(bool withLimited) -> std::vector<ServiceView>;
     auto refuseForPause() -> bool;
     auto refuseForLimits() -> bool;
+    auto findPending(HttpClient::CallId call) -> std::vector<PendingCall>::iterator;
+    auto onHead(HttpClient::CallId call) -> void;
     auto onCallDone(HttpClient::CallId call, Result<HttpResponse> result) -> void;
     auto isEndDoubtful(const Result<HttpResponse> &result) const -> bool;
     auto onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void;
@@ -200,6 +203,7 @@
     auto call = upstreamCall(m_context, m_request, *chosen, {});
     auto callId = std::make_shared<HttpClient::CallId>(0);
     HttpHandlers handlers;
+    handlers.onHead = [self = shared_from_this(), callId](int /*status*/, const Headers & /*headers*/) { self->onHead(*callId); };
     handlers.onDone = [self = shared_from_this(), callId](Result<HttpResponse> result) { self->onCallDone(*callId, std::move(result)); };
     *callId = m_context.client.start(std::move(call), std::move(handlers));
     m_pendingCalls.push_back({*callId, target, now});
@@ -216,10 +220,21 @@
     return classifyHead(result->status, head) == AttemptOutcome::Answered;
 }
 
+auto ServiceRequest::findPending(HttpClient::CallId call) -> std::vector<PendingCall>::iterator
+{
+    return std::find_if(m_pendingCalls.begin(), m_pendingCalls.end(), [call](const PendingCall &pending) { return pending.call == call; });
+}
+
+auto ServiceRequest::onHead(HttpClient::CallId call) -> void
+{
+    if (const auto found = findPending(call); found != m_pendingCalls.end()) {
+        found->headAt = m_context.clock.now();
+    }
+}
+
 auto ServiceRequest::onCallDone(HttpClient::CallId call, Result<HttpResponse> result) -> void
 {
-    const auto found =
-        std::find_if(m_pendingCalls.begin(), m_pendingCalls.end(), [call](const PendingCall &pending) { return pending.call == call; });
+    const auto found = findPending(call);
     if (m_done || found == m_pendingCalls.end() || !isEndDoubtful(result)) {
         onAnswer(call, std::move(result));
         return;
@@ -237,8 +252,7 @@
 
 auto ServiceRequest::onAnswer(HttpClient::CallId call, Result<HttpResponse> result) -> void
 {
-    const auto found =
-        std::find_if(m_pendingCalls.begin(), m_pendingCalls.end(), [call](const PendingCall &pending) { return pending.call == call; });
+    const auto found = findPending(call);
     if (m_done || found == m_pendingCalls.end()) {
         return;
     }
@@ -268,6 +282,7 @@
         observeFailedCall(m_context, m_request, pending.upstream, result.error(), pending.sentAt);
     } else if (outcome == AttemptOutcome::Answered) {
         m_context.reach.onServed(pending.upstream, pending.sentAt);
+        m_context.reach.onAnswered(pending.upstream, pending.sentAt, pending.headAt);
         m_context.quarantine.recordSuccess(m_request.traits, now);
     }
     const bool upstreamFailed = outcome == AttemptOutcome::Answered && result->status >= 500;
--- a/test/edge/end_trial_tests.py
+++ b/test/edge/end_trial_tests.py
@@ -14,6 +14,7 @@
 from version_tests import Stream
 
 HELD_S = 0.13  # for which the end of an answer is held at least
+SLOW_S = 0.8  # of a run that goes on while another one ends
 RELAY_DELAY_S = 0.08  # after which a relay stops listening for an upstream that has ended
 
 
@@ -85,6 +86,33 @@
             await asyncio.sleep(0.6)
 
 
+async def whole_answers_of_services_that_serve_others_at_their_limit_are_passed_on():
+    """Guards against a whole answer that counts as doubtful because its service resets further connections, and answers those it has."""
+    async with Rig(services=1) as rig:
+        service, = rig.fleet.services
+        plain_run, port, listeners = service.run, service.server.port, []
+
+        async def run(request, reader, writer):
+            if request.path.endswith("slow"):
+                await asyncio.sleep(SLOW_S)
+                return await plain_run(request, reader, writer)
+            set_fault("unframed", [service])
+            answer = await plain_run(request, reader, writer)
+            set_fault("", [service])
+            service.server.server.close()
+            listeners.append(ClosingListener(port, reset=True))
+            return answer
+        service.run = run
+        for _ in range(3):
+            slow = asyncio.create_task(rig.send("book", path="slow"))
+            await asyncio.sleep(SLOW_S / 4)
+            _, status, _, body = await rig.send("book")
+            assert (status, (await slow)[1]) == (200, 200), (status, body, judged(rig))
+            await listeners[-1].end()
+            await service.server.start()
+            await asyncio.sleep(0.6)
+
+
 async def whole_answers_of_services_that_reset_further_connections_are_passed_on():
     """Guards against a whole answer that counts as doubtful because its service resets connections beyond its limit at once."""
     async with Rig(services=1) as rig:
@@ -198,4 +226,5 @@
 TESTS = [known_end_of_a_service_makes_its_held_answer_doubtful, held_answers_are_not_hedged, held_streams_take_no_room,
          services_at_their_limit_that_leave_have_not_crashed, streams_of_ended_engines_behind_relays_are_resumed,
          halves_of_answers_of_ended_services_behind_relays_are_refused,
+         whole_answers_of_services_that_serve_others_at_their_limit_are_passed_on,
          whole_answers_of_services_that_reset_further_connections_are_passed_on]
--- a/test/upstream_reach-test.cc
+++ b/test/upstream_reach-test.cc
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(UpstreamReachTest);
     CPPUNIT_TEST(failuresAtSeveralUpstreamsAreACut);
     CPPUNIT_TEST(aSilentUpstreamIsNoCut);
+    CPPUNIT_TEST(anUpstreamOutlivesWhatItAnswersLater);
     CPPUNIT_TEST(answersOnOldConnectionsProveNothing);
     CPPUNIT_TEST(aPartOfTheUpstreamsIsNoCut);
     CPPUNIT_TEST(oneFailureSufficesDuringAnotherCut);
@@ -71,6 +72,17 @@
         CPPUNIT_ASSERT(!m_reach.hasServed("a", m_clock.now())); // a front process may have answered
     }
 
+    auto anUpstreamOutlivesWhatItAnswersLater() -> void
+    {
+        const auto end = m_clock.now();
+        const auto margin = milliseconds(100);
+        m_reach.onAnswered(m_upstreams[0], end + milliseconds(1), end + seconds(1)); // by the next process, perhaps
+        m_reach.onAnswered(m_upstreams[0], end - seconds(1), end + milliseconds(99)); // sent before the end, perhaps
+        CPPUNIT_ASSERT(!m_reach.hasOutlived("a", end, margin));
+        m_reach.onAnswered(m_upstreams[0], end - seconds(1), end + margin);
+        CPPUNIT_ASSERT(m_reach.hasOutlived("a", end, margin) && !m_reach.hasOutlived("b", end, margin));
+    }
+
     auto answersOnOldConnectionsProveNothing() -> void
     {
         const auto openedBefore = later();
