The engine that began a broken stream is asked who it is

The engine that began it had restarted under its id with v2, its entry came 2 s later, and the stream broke between.

Cause: a stream's software version is that of the entry of the engine that began it, and only runs that go on with a stream are verified, since a report for each stream would double the calls to engines.

Why this works: the version matters only once a stream has to go on elsewhere. Then its first engine is asked for a report, beside the search for another one, so that nothing waits. If another process answers than the entry names, the stream waits for that process's entry, 2.5 s at most; a version that stays uncertain breaks the stream off. An engine that does not answer is judged by its entry, as before.

--- a/include/currantstack/decisions/stream_resumption.h
+++ b/include/currantstack/decisions/stream_resumption.h
@@ -18,6 +18,7 @@
     bool isInTime = false; // neither the deadline nor the end of this VM comes first
     bool isQuarantined = false;
     bool isVersionCertain = true; // false: the engine's process was replaced, and either may have sent the events
+    bool awaitsEntry = false; // which tells whether the events are those of the replaced process
     bool isPositionKnown = true; // false: the last event had no id, so that no run can be asked for what follows it
     bool isCutOff = false; // this VM, from the engines
     bool hasOtherVm = false; // that may forward the request
@@ -30,7 +31,7 @@
     KeepCall, // the engine may go on
     Reserve, // capacity at another engine, which takes over if it grants that
     HandOver, // to another VM
-    Wait, // for capacity, or for the end of the cut
+    Wait, // for capacity, for the end of the cut, or for an entry
     GiveUp,
 };
 
@@ -45,6 +46,9 @@
 /// longer than the gaps between events of an engine that is merely busy.
 inline constexpr Duration StallTimeout = milliseconds(900);
 
+/// Time in which the entry of a process arrives that has restarted under its id. A process registers when it starts.
+inline constexpr Duration NewEntryPatience = milliseconds(2500);
+
 /// Returns how long a stream waits for its next event before it looks for another engine. `hasEvents`: of the engine that runs it now,
 /// which otherwise reads the prompt first.
 auto eventTimeout(bool hasEvents, bool hasBegun, Duration expectedFirstEvent) -> Duration;
--- a/include/currantstack/edge/upstream_links.h
+++ b/include/currantstack/edge/upstream_links.h
@@ -19,6 +19,9 @@
 /// Returns what the directory says now about the process that `upstream` is a copy of.
 auto entryStateOf(const EdgeContext &context, const Upstream &upstream) -> EntryState;
 
+/// Returns whether an upstream with another id has registered at the address since.
+auto isAddressReused(const EdgeContext &context, const Upstream &upstream) -> bool;
+
 /// Records a call on a connection of its own that failed, if its error says something about the link. An answer that has begun proves it.
 auto recordFailedLink(EdgeContext &context, const Upstream &upstream, const Error &error, TimePoint openedAt) -> void;
 
--- a/src/decisions/stream_resumption.cc
+++ b/src/decisions/stream_resumption.cc
@@ -17,10 +17,13 @@
 auto nextStep(const ResumptionState &state) -> ResumptionStep
 {
     const auto otherwise = state.hasCall ? ResumptionStep::KeepCall : ResumptionStep::GiveUp;
-    if (!state.mayRetry || !state.isInTime || state.isQuarantined || !state.isVersionCertain || !state.isPositionKnown) {
+    if (!state.mayRetry || !state.isInTime || state.isQuarantined || !state.isPositionKnown) {
         return otherwise;
     }
     const bool waits = state.hasBegun && !state.hasCall;
+    if (!state.isVersionCertain) {
+        return waits && state.awaitsEntry ? ResumptionStep::Wait : otherwise;
+    }
     if (!state.hasRetryBudget) {
         return waits && state.hasOtherEngine ? ResumptionStep::Wait : otherwise;
     }
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -53,13 +53,7 @@
 /// Returns whether another process is registered at the upstream's address, or has answered there since.
 auto EndConfirmation::isReplaced() const -> bool
 {
-    bool result = m_context.reach.hasOtherAnswered(m_upstream.id, m_endedAt);
-    m_context.directory.forEach([this, &result](const Upstream &other) {
-        const bool isNewer = other.startedAtMs > m_upstream.startedAtMs || other.revision > m_upstream.revision;
-        result = result
-            || (other.address == m_upstream.address && other.id != m_upstream.id && isNewer && m_context.directory.isRecognized(other));
-    });
-    return result;
+    return m_context.reach.hasOtherAnswered(m_upstream.id, m_endedAt) || isAddressReused(m_context, m_upstream);
 }
 
 /// Returns whether further trials would show nothing new: something accepts connections, and only the entry tells whose process it is.
--- a/src/edge/stream_events.cc
+++ b/src/edge/stream_events.cc
@@ -37,6 +37,8 @@
     if (!m_begunAt) {
         m_lastWriter = m_decodeEngine;
         m_isWriterVerified = m_isRunVerified;
+        m_isWriterAsked = false;
+        m_otherWriterAt.reset();
     }
     recordSurvival();
     releasePromptTokens();
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -173,6 +173,9 @@
 
     // stream_resumption.cc
     auto isVersionCertain() const -> bool;
+    auto isEntryOutdated() const -> bool;
+    auto verifyWriter() -> void;
+    auto onWriterVerified(std::string_view writer, RunOwner owner) -> void;
     auto hasOtherEngine() const -> bool;
     auto planResumption() const -> std::optional<StreamPlan>;
     auto planSameEngine() const -> std::optional<StreamPlan>;
@@ -264,6 +267,8 @@
     std::optional<TimePoint> m_begunAt; // first event of the current decode engine
     Upstream m_lastWriter; // engine of the last event
     bool m_isWriterVerified = false; // the run of that event was
+    bool m_isWriterAsked = false; // who it is, since the event
+    std::optional<TimePoint> m_otherWriterAt; // when another process answered for that engine
     bool m_survivalRecorded = false; // the quarantine knows that the current decode engine survived the begin of this stream
     TimePoint m_lastEventAt;
     Duration m_timeToFirstEvent = Duration::zero();
--- a/src/edge/stream_resumption.cc
+++ b/src/edge/stream_resumption.cc
@@ -29,7 +29,44 @@
 auto StreamRequest::isVersionCertain() const -> bool
 {
     const auto *entry = m_context.directory.find(m_lastWriter.id);
-    return !m_headSent || m_isWriterVerified || entry == nullptr || entry->softwareVersion == m_lastWriter.softwareVersion;
+    const bool isCertain = !m_headSent || m_isWriterVerified || entry == nullptr;
+    return isCertain || (!isEntryOutdated() && entry->softwareVersion == m_lastWriter.softwareVersion);
+}
+
+/// Returns whether another process than the one that the entry names answers for the engine of the last event. It has the same id unless an
+/// entry under another one shows up.
+auto StreamRequest::isEntryOutdated() const -> bool
+{
+    return m_otherWriterAt && entryStateOf(m_context, m_lastWriter) == EntryState::Present && !isAddressReused(m_context, m_lastWriter);
+}
+
+/// Asks the engine of the last event who it is, before its process may end. What it answers is known before another engine's run is
+/// verified; without an answer, its entry counts.
+auto StreamRequest::verifyWriter() -> void
+{
+    const bool mayGoOn = m_headSent && m_request.route->resumable && m_attempts.mayRetry();
+    if (!mayGoOn || m_isWriterVerified || m_lastWriter.startedAtMs == 0 || std::exchange(m_isWriterAsked, true)) {
+        return;
+    }
+    const auto verification = std::make_shared<RunVerification>(
+        m_context, m_lastWriter, m_request.metadata.requestId,
+        [self = shared_from_this(), writer = m_lastWriter.id](RunOwner owner) { self->onWriterVerified(writer, owner); });
+    verification->start();
+}
+
+auto StreamRequest::onWriterVerified(std::string_view writer, RunOwner owner) -> void
+{
+    if (m_done || writer != m_lastWriter.id || m_isWriterVerified) {
+        return;
+    }
+    m_isWriterVerified = owner == RunOwner::Expected;
+    if (owner == RunOwner::Other) {
+        m_otherWriterAt = m_context.clock.now();
+        if (m_headSent && !m_begunAt) {
+            m_heldData.clear();
+            breakOff("another process than that of the entry may have begun the stream");
+        }
+    }
 }
 
 auto StreamRequest::planResumption() const -> std::optional<StreamPlan>
@@ -76,6 +113,7 @@
         && (m_headSent || !outlastsThisVm(m_context, m_context.speedsOf(m_request.service).expectedDuration(m_request.metadata.shape)));
     state.isQuarantined = m_context.quarantine.find(m_request.traits, now).has_value();
     state.isVersionCertain = isVersionCertain();
+    state.awaitsEntry = isEntryOutdated() && !m_context.storeUnreachable && now - *m_otherWriterAt < NewEntryPatience;
     state.isPositionKnown = m_sequence.isPositionKnown();
     state.isCutOff = m_context.reach.isCutOff(m_request.service);
     state.hasOtherVm = mayRelay(m_context, m_request);
@@ -120,6 +158,7 @@
         return;
     }
     m_breakReason = reason;
+    verifyWriter();
     const auto next = planResumption();
     const auto state = resumptionState(next.has_value());
     takeStep(nextStep(state), state, next);
@@ -146,7 +185,7 @@
         }
         return;
     case ResumptionStep::Wait:
-        if (state.isCutOff || !state.hasRetryBudget) {
+        if (state.isCutOff || !state.hasRetryBudget || state.awaitsEntry) {
             m_stallTimer->startOnce(RetryPeriod);
         } else {
             waitForCapacity();
@@ -224,7 +263,7 @@
     const auto next = planResumption();
     const auto state = resumptionState(next.has_value());
     const auto step = nextStep(state);
-    if (step == ResumptionStep::Wait && !state.isCutOff && state.hasRetryBudget) {
+    if (step == ResumptionStep::Wait && !state.isCutOff && state.hasRetryBudget && !state.awaitsEntry) {
         return false;
     }
     leaveQueue();
--- a/src/edge/upstream_links.cc
+++ b/src/edge/upstream_links.cc
@@ -107,6 +107,17 @@
     return entry->startedAtMs == upstream.startedAtMs ? EntryState::Present : EntryState::Replaced;
 }
 
+auto isAddressReused(const EdgeContext &context, const Upstream &upstream) -> bool
+{
+    bool result = false;
+    context.directory.forEach([&](const Upstream &other) {
+        const bool isNewer = other.startedAtMs > upstream.startedAtMs || other.revision > upstream.revision;
+        const bool isOther = other.address == upstream.address && other.id != upstream.id;
+        result = result || (isOther && isNewer && context.directory.isRecognized(other));
+    });
+    return result;
+}
+
 auto recordReached(EdgeContext &context, const Upstream &upstream, TimePoint openedAt) -> void
 {
     recordHeard(context, upstream);
--- a/test/stream_resumption-test.cc
+++ b/test/stream_resumption-test.cc
@@ -36,8 +36,8 @@
     {
         ResumptionState state;
         for (auto *field : {&state.hasBegun, &state.hasCall, &state.mayRetry, &state.hasRetryBudget, &state.isInTime, &state.isQuarantined,
-                            &state.isVersionCertain, &state.isPositionKnown, &state.isCutOff, &state.hasOtherVm, &state.hasOtherEngine,
-                            &state.hasCapacity}) {
+                            &state.isVersionCertain, &state.awaitsEntry, &state.isPositionKnown, &state.isCutOff, &state.hasOtherVm,
+                            &state.hasOtherEngine, &state.hasCapacity}) {
             *field = *rc::gen::arbitrary<bool>();
         }
         return state;
@@ -79,6 +79,10 @@
         state = broken();
         state.isVersionCertain = false;
         CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::GiveUp);
+        state.awaitsEntry = true;
+        CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::Wait);
+        state.hasCall = true;
+        CPPUNIT_ASSERT(nextStep(state) == ResumptionStep::KeepCall);
     }
 
     // A run is asked for what follows an assumed id, and the stream lacks an event.
