caller_continues says what the knowledge of software versions rests on

A VM that takes up a stream while it is out of step logged only that its versions were not outdated. The line now has the time since which most VMs have been heard and that since the upstreams were read. PeerTable::mostHeardAt judges by most of the fleet, as two VMs that are cut off together hear each other.

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -105,6 +105,10 @@
     /// Returns whether this VM has peers, and none of them has sent a datagram or become known lately.
     auto hearsNoPeer(TimePoint now) const -> bool;
 
+    /// Returns the time since which most VMs of the fleet, this one included, have sent a datagram or become known. In a large fleet,
+    /// these are most VMs of this place, and aggregates of most places.
+    auto mostHeardAt(TimePoint now) const -> TimePoint;
+
     /// Returns whether the VM's notice confirms the end of an upstream that this VM does not reach. VMs of one place may have lost the
     /// same links, so only those of other places count if any reports to this VM. VMs of builds before `VerifyingProtocol` repeat
     /// notices of others as their own.
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -57,6 +57,13 @@
 /// Receives the origin of a stream, or nothing if no VM knows it.
 using OriginFound = std::function<void(const std::optional<StreamOrigin> &origin)>;
 
+/// What a VM's knowledge of the software versions rests on.
+struct VersionEvidence
+{
+    TimePoint mostHeardAt; // since when most VMs have been heard
+    TimePoint upstreamsReadAt; // completely, from the store
+};
+
 /// Access to the origins of streams that other VMs relayed.
 struct OriginHooks
 {
@@ -65,6 +72,7 @@
     std::function<void(std::string_view firstAttemptId, OriginFound callback)> find;
     /// Returns whether a version may have appeared of which this VM cannot know.
     std::function<bool()> mayMissVersions;
+    std::function<VersionEvidence()> versionEvidence; // for logs
 };
 
 /// Access to the VMs that forward requests for this one.
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -97,6 +97,12 @@
         return m_peers.hearsNoPeer(m_context.clock.now());
     }
 
+    /// Returns the time since which most VMs have been heard.
+    auto mostHeardAt() const -> TimePoint
+    {
+        return m_peers.mostHeardAt(m_context.clock.now());
+    }
+
     /// Sends the datagram to the VMs that receive this VM's loads, and to one VM of each other place in a large fleet.
     auto sendToAll(std::string_view bytes) -> void;
 
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -12,6 +12,18 @@
 namespace
 {
 
+/// Returns the time since which a VM and the others that were heard at these times are a majority.
+auto majoritySince(std::vector<TimePoint> heardAt, TimePoint now) -> TimePoint
+{
+    const auto needed = (heardAt.size() + 1) / 2;
+    if (needed == 0) {
+        return now;
+    }
+    const auto last = heardAt.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+    std::nth_element(heardAt.begin(), last, heardAt.end(), std::greater<>());
+    return *last;
+}
+
 auto contains(std::span<const std::string> services, std::string_view service) -> bool
 {
     return std::find(services.begin(), services.end(), service) != services.end();
@@ -241,6 +253,25 @@
     return !m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), isHeard);
 }
 
+auto PeerTable::mostHeardAt(TimePoint now) const -> TimePoint
+{
+    std::vector<TimePoint> vms;
+    std::map<std::string_view, TimePoint> places;
+    for (const auto &[vm, peer] : m_peers) {
+        if (isSmall() || peer.place == m_place) {
+            vms.push_back(std::max(peer.receivedAt, peer.knownSince));
+        } else {
+            const auto report = m_placeReports.find(peer.place);
+            const auto reportedAt = report == m_placeReports.end() ? TimePoint() : report->second.at;
+            auto &heardAt = places.try_emplace(peer.place, TimePoint()).first->second;
+            heardAt = std::max({heardAt, reportedAt, peer.knownSince});
+        }
+    }
+    std::vector<TimePoint> ofPlaces;
+    std::transform(places.begin(), places.end(), std::back_inserter(ofPlaces), [](const auto &place) { return place.second; });
+    return std::min(majoritySince(std::move(vms), now), majoritySince(std::move(ofPlaces), now));
+}
+
 auto PeerTable::isWitness(std::string_view vm, TimePoint now) const -> bool
 {
     const auto found = m_peers.find(vm);
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -27,6 +27,7 @@
         },
         [this](std::string_view firstAttemptId, OriginFound callback) { find(firstAttemptId, std::move(callback)); },
         [this]() { return mayMissVersions(); },
+        [this]() -> VersionEvidence { return {m_exchange.mostHeardAt(), m_context.upstreamsReadAt}; },
     };
     exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
 }
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -88,6 +88,7 @@
     const bool isPossible =
         continuation == Continuation::AtAnyEngine || (continuation == Continuation::AtItsVersion && enginesOfVersion() > 0);
     m_context.counters.at(fmt::format("streams_continued_by_callers{{outcome=\"{}\"}}", isPossible ? name(continuation) : "nowhere")).add();
+    const auto evidence = m_context.originHooks.versionEvidence();
     m_context.log.write("stream", "caller_continues",
                         {{"request", m_request.metadata.requestId},
                          {"first_attempt", m_request.metadata.firstAttemptId},
@@ -102,7 +103,9 @@
                                               : "peer"},
                          {"known_for_ms", origin ? toMilliseconds(now - origin->at) : 0.0},
                          {"several_versions", knowledge.isMixed},
-                         {"versions_may_be_outdated", knowledge.mayBeOutdated}});
+                         {"versions_may_be_outdated", knowledge.mayBeOutdated},
+                         {"most_vms_heard_ms_ago", toMilliseconds(now - evidence.mostHeardAt)},
+                         {"upstreams_read_ms_ago", toMilliseconds(now - evidence.upstreamsReadAt)}});
     if (continuation == Continuation::Nowhere) {
         fail(false, "the software version that began the stream is not known", Duration::zero());
     } else if (isPossible) {
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(largeFleetsReportToTheirPlace);
     CPPUNIT_TEST(messagesDoNotGrowWithTheSquareOfTheFleet);
     CPPUNIT_TEST(peersAreSilentOnceTheyHaveHadTimeToReport);
+    CPPUNIT_TEST(oneVmThatIsHeardIsNotMostOfTheFleet);
+    CPPUNIT_TEST(aPlaceThatIsCutOffDoesNotHearMostOfTheFleet);
     CPPUNIT_TEST(eachPlaceHasOneAggregator);
     CPPUNIT_TEST(holdersAreFoundByVmsWithOtherPeers);
     CPPUNIT_TEST(reportingVmsExpire);
@@ -110,6 +112,35 @@
         CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
     }
 
+    auto oneVmThatIsHeardIsNotMostOfTheFleet() -> void
+    {
+        ManualClock clock;
+        auto table = fleet(7, 1, clock.now());
+        const auto begin = clock.now();
+        clock.advance(seconds(3));
+        for (int vm = 1; vm <= 3; ++vm) {
+            CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == begin);
+            table.merge(vmName(vm), placeOf(vm, 1), {"10.0.0.1", 1}, clock.now());
+        }
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
+        PeerTable alone("vm0", "p");
+        CPPUNIT_ASSERT(alone.mostHeardAt(clock.now()) == clock.now());
+    }
+
+    auto aPlaceThatIsCutOffDoesNotHearMostOfTheFleet() -> void
+    {
+        ManualClock clock;
+        auto table = fleet(90, 3, clock.now());
+        const auto begin = clock.now();
+        clock.advance(seconds(3));
+        for (int vm = 0; vm < 90; vm += 3) {
+            table.merge(vmName(vm), placeOf(vm, 3), {"10.0.0.1", 1}, clock.now());
+        }
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == begin);
+        table.setPlaceCutOff(placeOf(1, 3), {}, clock.now());
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
+    }
+
     auto eachPlaceHasOneAggregator() -> void
     {
         ManualClock clock;
