--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -208,10 +208,13 @@
 
 
 class StoreView:
-    """The store as one VM sees it, on a port of its own: upstreams have the addresses that `address_of` returns for theirs."""
+    """The store as one VM sees it, on a port of its own: upstreams have the addresses that `address_of` returns for theirs, and VMs those
+    that `vm_address_of` returns for their names, IP addresses and ports."""
 
-    def __init__(self, store, address_of):
-        self.store, self.address_of = store, address_of
+    VM_PREFIX = "currantstack/vms/"
+
+    def __init__(self, store, address_of, vm_address_of=None):
+        self.store, self.address_of, self.vm_address_of = store, address_of, vm_address_of
         self.server = Server(store.server.ip, 0, self.handle)
 
     async def start(self):
@@ -229,8 +232,13 @@
             return answer
         body = json.loads(body)
         for item in body.get("items", body.get("events", [body])):
-            if item.get("key", "").startswith("servers/") and "value" in item:
+            key = item.get("key", "")
+            if key.startswith("servers/") and "value" in item:
                 item["value"] = base64.b64encode(await self.translate(base64.b64decode(item["value"]))).decode()
+            if key.startswith(self.VM_PREFIX) and "value" in item and self.vm_address_of:
+                entry = json.loads(base64.b64decode(item["value"]))
+                entry["ip"], entry["port"] = await self.vm_address_of(key.removeprefix(self.VM_PREFIX), (entry["ip"], entry["port"]))
+                item["value"] = base64.b64encode(json.dumps(entry).encode()).decode()
         data = json.dumps(body).encode()
         return re.sub(rb"Content-Length: \d+", b"Content-Length: %d" % len(data), head) + b"\r\n\r\n" + data
 
