Streams do not begin at a version that has just appeared because no other engine has room

What callers saw: streams that began at a new software version and broke went on at the former one, at VMs that did not know the new version yet. Cause: a new version gets no streams for a second, in which all VMs learn of it, but a VM whose other engines were full, excluded or gone used it at once. Change: such streams wait like others for room; those that go on at the version itself are not held up. Where no engine of another version is left, callers wait or are refused until the version has settled.

--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -30,7 +30,6 @@
     const auto now = m_context.clock.now();
     const auto &exclusions = m_context.exclusions;
     std::vector<EngineView> result;
-    std::vector<EngineView> unsettled; // used only if there are no others
     for (const auto *upstream : m_context.directory.usable(m_request.service)) {
         if (upstream->role != role || upstream->busyWithOrder || exclusions.contains(upstream->id, role, m_context.storeUnreachable, now)) {
             continue;
@@ -45,14 +44,15 @@
         if (exclusions.isFull(upstream->id, work.requests, now) || !m_context.rateLimiter.mayAdmit(upstream->id, now)) {
             continue;
         }
+        const bool beginsThere = role == EngineRole::Decode && m_version == AnySoftwareVersion;
+        if (beginsThere && !m_context.versions.isSettled(upstream->service, upstream->softwareVersion, now)) {
+            continue;
+        }
         const auto distance = m_context.settings.places.distance(m_context.settings.place, upstream->place);
         const bool isAggregate = m_context.remoteLoadsAreAggregates && distance != Distance::SamePlace;
-        const bool isSettled =
-            role != EngineRole::Decode || m_context.versions.isSettled(upstream->service, upstream->softwareVersion, now);
-        auto &views = isSettled ? result : unsettled;
-        views.push_back({upstream, work, m_context.health.weight(upstream->id, now), distance, isAggregate});
+        result.push_back({upstream, work, m_context.health.weight(upstream->id, now), distance, isAggregate});
     }
-    return result.empty() ? unsettled : result;
+    return result;
 }
 
 /// Returns whether streams that can go on only at the engine's software version wait for capacity, and this one can go elsewhere.
--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -458,7 +458,21 @@
             stream.assert_sound()
 
 
-TESTS = [streams_that_begin_before_the_entry_of_a_restarted_engine_do_not_go_on_at_the_former_version, a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes, streams_that_two_vms_hold_are_whole_at_both,
+async def streams_do_not_begin_at_a_version_that_other_vms_may_not_know_yet():
+    """Guards against streams that begin at a new version at once because no other engine has room."""
+    async with MixedRig(versions=("v1",), decode=2) as rig:
+        ending, replaced = rig.decode_engines("v1")
+        ending.crash()
+        await asyncio.gather(rig.fleet.engines[0].restart("v2"), replaced.restart("v2"))
+        registered = time.monotonic()
+        await until_known(rig.vms, "v2")
+        while await Stream(rig).open(rig.vms[0]) != 200:
+            assert time.monotonic() - registered < 3, "no stream begins at the new version"
+            await asyncio.sleep(0.05)
+        assert time.monotonic() - registered > 1, "a stream began at once"
+
+
+TESTS = [streams_do_not_begin_at_a_version_that_other_vms_may_not_know_yet, streams_that_begin_before_the_entry_of_a_restarted_engine_do_not_go_on_at_the_former_version, a_vm_that_was_suspended_does_not_join_its_streams_with_later_processes, streams_that_two_vms_hold_are_whole_at_both,
          callers_get_what_follows_the_event_that_they_name, broken_streams_go_on_at_their_software_version, streams_of_a_killed_vm_go_on_at_their_software_version,
          streams_of_three_software_versions_go_on_at_their_own, callers_that_return_twice_stay_at_their_software_version, streams_whose_software_version_left_are_refused_at_once,
          unknown_streams_are_not_resumed_at_a_guess, unknown_streams_go_on_if_there_is_one_software_version,
