VMs know as of when they know all software versions

What callers saw: during a release, streams that had begun at a new software version broke, were taken up by a VM that had been cut off or had stood still for a few seconds, and went on at another version.

Cause: what a VM had not heard was taken for what did not exist, whatever its knowledge rested on. Peers counted as silent after 1.5 s, but streams begin at a new version after 1 s; one peer that was heard vouched for all, so that VMs that are cut off together never doubted; the first report after a silence ended the doubt, although reports name versions twice a second only; one read of the store counted until a call failed, which a silent poll does after seconds; a version counted as new from when the VM learned of it.

Change: VersionCurrency keeps the time as of which all versions are known: by contact with most of the fleet, by answers of peers that are current, by reads of the store from when they were begun. A VM that is not current asks, then reads the store, then refuses. A version that is learned of late counts as a possible origin at once. Versions are reported as soon as they appear, an idle VM reports every 0.3 s, and a new version gets no streams for 1.5 s, so that the longest unnoticed silence and suspension are shorter. Answers to questions of before a suspension close no gap.

--- a/include/currantstack/decisions/knowledge_gap.h
+++ b/include/currantstack/decisions/knowledge_gap.h
@@ -14,7 +14,7 @@
 {
 public:
     /// A VM whose timers did not run for this time was suspended.
-    static constexpr Duration SuspensionTime = seconds(1);
+    static constexpr Duration SuspensionTime = milliseconds(500);
     /// A VM that reaches no peer relies on the store after this time.
     static constexpr Duration Lifetime = seconds(2);
 
@@ -35,10 +35,10 @@
         m_tickedAt = now;
     }
 
-    /// Records that a peer has told what it knows. What arrives first after a suspension may have been sent before its end.
-    auto close(TimePoint now) -> void
+    /// Records that a peer has told what it knows, asked at the time. An answer to a question of before a suspension closes no gap.
+    auto close(TimePoint askedAt, TimePoint now) -> void
     {
-        if (!wasSuspended(now)) {
+        if (!wasSuspended(now) && (!m_openedAt || askedAt >= *m_openedAt)) {
             m_openedAt.reset();
         }
     }
--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -102,9 +102,6 @@
     /// Returns whether rendezvous hashing assigns the key to this VM as one of `count`, among itself and the VMs that report to it.
     auto isHolder(std::uint64_t key, std::size_t count, TimePoint now) const -> bool;
 
-    /// Returns whether this VM has peers, and none of them has sent a datagram or become known lately.
-    auto hearsNoPeer(TimePoint now) const -> bool;
-
     /// Returns the time since which most VMs of the fleet, this one included, have sent a datagram or become known. In a large fleet,
     /// these are most VMs of this place, and aggregates of most places.
     auto mostHeardAt(TimePoint now) const -> TimePoint;
--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -3,7 +3,9 @@
 
 #include "currantstack/clock.h"
 #include "currantstack/decisions/software_version.h"
+#include "currantstack/decisions/version_currency.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,8 +29,11 @@
 public:
     /// Longer than a caller keeps trying to complete one stream.
     static constexpr Duration Lifetime = seconds(60);
-    /// Another version gets no streams for this time after a VM first knows it, so that all VMs know it when the first stream begins.
-    static constexpr Duration SettlingTime = seconds(1);
+    /// Another version gets no streams for this time after a VM first knows it, so that all VMs know it when the first stream begins, or
+    /// know that they may have missed it (`VersionCurrency`).
+    static constexpr Duration SettlingTime = milliseconds(1500);
+    /// Streams may begin this long after a VM first knows their version: at VMs of earlier builds.
+    static constexpr Duration EarliestUse = seconds(1);
 
     /// Records that an upstream with this version is registered, or was until `lastSeen`.
     auto observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void;
@@ -47,8 +52,25 @@
     /// Returns whether streams may begin at upstreams of this version.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
-    /// Returns the versions at which streams of the service can have begun.
-    auto settledVersions(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>;
+    /// Returns the versions at which streams of the service can have begun at any VM. A version that this VM learns of may have appeared
+    /// at any time since its knowledge was current.
+    auto possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>;
+
+    auto currency() -> VersionCurrency &
+    {
+        return m_currency;
+    }
+
+    auto currency() const -> const VersionCurrency &
+    {
+        return m_currency;
+    }
+
+    /// Returns a number that rises with each version that becomes known.
+    auto generation() const -> std::uint64_t
+    {
+        return m_generation;
+    }
 
     /// Returns whether the service has or had the version.
     auto has(std::string_view service, SoftwareVersionKey version) const -> bool
@@ -71,6 +93,7 @@
         TimePoint firstSeen;
         TimePoint lastSeen;
         TimePoint settledAt;
+        TimePoint usedAt; // by streams of any VM, at the earliest
     };
 
     using Versions = std::map<std::string, Version, std::less<>>;
@@ -78,6 +101,8 @@
     auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> Version &;
 
     std::map<std::string, Versions, std::less<>> m_services;
+    VersionCurrency m_currency;
+    std::uint64_t m_generation = 0;
 };
 
 } // namespace currantstack
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -130,6 +130,8 @@
     bool takesRelays = false; // this VM has opened its port for requests of other VMs
     bool storeUnreachable = false; // so the directory may be outdated
     TimePoint upstreamsReadAt = {}; // completely, from the store
+    TimePoint upstreamsCurrentAt = {}; // all changes of before are in the directory
+    std::function<void()> readUpstreams = []() {}; // from the store, unless that is under way
     bool draining = false;
     TimePoint drainingSince = {};
     OpenRequests openRequests = {};
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -34,15 +34,15 @@
         m_upstreams.start();
     }
 
-    /// Records which store revisions another VM has observed.
-    auto observeRevisions(const StoreRevisions &revisions) -> void;
-
-    /// Reads all upstreams from the store, unless that is under way.
-    auto readUpstreamsAgain() -> void
+    /// Sets a function that runs after each complete read of the upstreams.
+    auto setUpstreamsReadHandler(std::function<void()> handler) -> void
     {
-        m_upstreams.readAgain();
+        m_onUpstreamsRead = std::move(handler);
     }
 
+    /// Records which store revisions another VM has observed.
+    auto observeRevisions(const StoreRevisions &revisions) -> void;
+
     auto revisions() const -> StoreRevisions;
 
     /// Returns whether routes and upstreams have both been read at least once. A VM that has just started is not complete while a peer
@@ -52,6 +52,7 @@
 private:
     auto onRoutes(std::span<const StoreValue> values) -> void;
     auto onUpstreams(const StoreRange &range, const StoreFollower::Interruption &interruption) -> void;
+    auto confirmUpstreams() -> void;
     auto onUpstreamEvents(std::span<const StoreEvent> events) -> void;
     auto applyRoutes(const StoreValue &value) -> void;
     auto applyUpstream(const StoreValue &value, bool isFromCopy, TimePoint writtenAfter) -> void;
@@ -65,6 +66,7 @@
     EdgeContext &m_context;
     const StoreCodec &m_codec;
     RoutesHook m_onRoutesInForce;
+    std::function<void()> m_onUpstreamsRead = []() {};
     StoreFollower m_routes;
     StoreFollower m_upstreams;
     UnreadableEntries m_unreadableRoutes;
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -22,9 +22,10 @@
 {
 public:
     static constexpr Duration Period = milliseconds(60); // between reports while the load changes; well under the duration of a prefill
-    static constexpr Duration IdlePeriod = milliseconds(600); // while nothing changes; under half of the lifetime of a report
+    static constexpr Duration IdlePeriod = milliseconds(300); // while nothing changes; under half of `VersionCurrency::MaxAge`
     static constexpr Duration AggregatePeriod = milliseconds(300); // between aggregates to other places; that traffic is expensive
-    static constexpr Duration VersionsPeriod = milliseconds(500); // between reports of software versions, while a service has several
+    /// Between reports of software versions, while a service has several and none has appeared.
+    static constexpr Duration VersionsPeriod = milliseconds(500);
     static constexpr Duration ProtocolPeriod = milliseconds(500); // between reports of this VM's protocol; a quarter of its lifetime
     static constexpr std::size_t RowsPerDatagram = 36; // of about 35 bytes each, so that a datagram fits the usual path MTU
 
@@ -91,12 +92,6 @@
         sendBytes(bytes, {&target, 1});
     }
 
-    /// Returns whether there are other VMs and none of them has sent a datagram lately.
-    auto hearsNoPeer() const -> bool
-    {
-        return m_peers.hearsNoPeer(m_context.clock.now());
-    }
-
     /// Returns the time since which most VMs have been heard.
     auto mostHeardAt() const -> TimePoint
     {
@@ -166,6 +161,7 @@
     std::int64_t m_routesVersionSent = 0;
     TimePoint m_sentAt;
     TimePoint m_versionsSentAt;
+    std::uint64_t m_versionsSent = 0; // generation of the versions in the last report of them
     TimePoint m_protocolSentAt;
     PeerProtocol m_protocolSent;
     std::uint64_t m_sequence;
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -6,6 +6,7 @@
 #include "currantstack/edge/load_exchange.h"
 #include "currantstack/edge/origin_message.h"
 
+#include <span>
 #include <unordered_map>
 
 namespace currantstack
@@ -22,10 +23,12 @@
     static constexpr std::size_t AskedVms = 5;
     static constexpr Duration AskPeriod = milliseconds(100); // over twice the way between regions
     static constexpr int MaxAsks = 3;
+    /// While this VM may have missed versions, it waits for longer for peers and for the store.
+    static constexpr int MaxAsksIfOutdated = 8;
     /// A VM that has just started reads the list of VMs before it asks them.
     static constexpr Duration ListWaitPeriod = milliseconds(20);
     static constexpr int MaxListWaits = 20;
-    static constexpr Duration CheckPeriod = milliseconds(250);
+    static constexpr Duration CheckPeriod = milliseconds(100); // well under `KnowledgeGap::SuspensionTime`
     static constexpr Duration RefreshPeriod = seconds(1);
     /// Streams that began earlier have ended when a second version appears.
     static constexpr Duration ToldAge = seconds(20);
@@ -42,10 +45,17 @@
         std::vector<OriginFound> callbacks;
         std::unique_ptr<Timer> timer;
         TimePoint begunAt;
+        TimePoint bootBegunAt; // on the boot clock
         int listWaits = 0;
         int asks = 0;
         std::size_t asked = 0; // VMs
         std::set<std::string> unaware; // VMs that do not know the stream
+
+        /// Returns whether no VM that can be asked knows the stream.
+        auto isUnknown() const -> bool
+        {
+            return asks > 0 && unaware.size() >= asked;
+        }
     };
 
     auto announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void;
@@ -54,11 +64,15 @@
     auto resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void;
     auto onDatagram(std::string_view bytes, const SocketAddress &from) -> void;
     auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
-    auto onReport(const VersionReport &report) -> void;
-    auto mayMissVersions() const -> bool;
+    auto onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered) -> void;
+    auto endSettledInquiries() -> void;
+    auto observeContact() -> void;
+    auto mayMissVersions() -> bool;
+    auto readStoreIfOutdated() -> void;
+    auto closeGap() -> void;
     auto answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void;
     auto check() -> void;
-    auto checkPeers(TimePoint now) -> void;
+    auto logCurrency(TimePoint now) -> void;
     auto refreshVersions(TimePoint now) -> void;
     auto tellRelayedStreams(TimePoint now) -> void;
 
@@ -68,7 +82,7 @@
     const Clock &m_bootClock;
     std::function<void()> m_readVms;
     KnowledgeGap m_gap;
-    std::optional<TimePoint> m_peersSilentSince; // all of them
+    std::optional<TimePoint> m_outdatedSince; // as last logged
     std::unique_ptr<Timer> m_timer;
     TimePoint m_refreshedAt;
     std::vector<std::string> m_mixedServices; // at the last check
--- a/include/currantstack/edge/origin_message.h
+++ b/include/currantstack/edge/origin_message.h
@@ -24,8 +24,9 @@
 /// The versions that an answering VM knows.
 struct VersionReport
 {
-    bool isComplete = false; // the sender can have missed none
+    bool isComplete = false; // the sender can have missed none, but for `age`
     std::vector<SoftwareVersionNotice> versions; // of the services that have several
+    Duration age = Duration::zero(); // of what the sender knows; zero: its build does not say
 };
 
 /// Tells origins, or asks for them.
--- a/include/currantstack/edge/software_version_codec.h
+++ b/include/currantstack/edge/software_version_codec.h
@@ -10,6 +10,15 @@
 namespace currantstack
 {
 
+/// Returns whether the value is a duration in ms.
+auto isDuration(const nlohmann::json &value) -> bool;
+
+/// Returns the duration in whole ms.
+auto encodeDuration(Duration duration) -> std::int64_t;
+
+/// Returns the duration, limited to `SoftwareVersions::Lifetime`.
+auto decodeDuration(const nlohmann::json &value) -> Duration;
+
 /// Returns one row [service, version, age in ms, known for ms] for each notice.
 auto encodeVersions(std::span<const SoftwareVersionNotice> notices) -> nlohmann::json;
 
--- a/include/currantstack/edge/store_follower.h
+++ b/include/currantstack/edge/store_follower.h
@@ -66,6 +66,12 @@
         return m_eventsWrittenAfter;
     }
 
+    /// Returns a time before which no change was written that has not been observed.
+    auto currentSince() const -> TimePoint
+    {
+        return m_currentSince;
+    }
+
     auto stop() -> void;
 
     /// Returns when the store last answered.
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -245,14 +245,6 @@
     return static_cast<std::size_t>(before) < count;
 }
 
-auto PeerTable::hearsNoPeer(TimePoint now) const -> bool
-{
-    const auto isHeard = [now](const auto &entry) {
-        return now - std::max(entry.second.receivedAt, entry.second.knownSince) < ReportLifetime;
-    };
-    return !m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), isHeard);
-}
-
 auto PeerTable::mostHeardAt(TimePoint now) const -> TimePoint
 {
     std::vector<TimePoint> vms;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -22,7 +22,10 @@
         std::all_of(versions.begin(), versions.end(), [now](const auto &entry) { return now - entry.second.firstSeen < SnapshotSpread; });
     const auto [found, isNew] = versions.try_emplace(std::string(version));
     if (isNew) {
-        found->second = {softwareVersionKey(service, version), now, TimePoint::min(), isFirst ? now : now + SettlingTime};
+        const auto knownSince = std::min(m_currency.currentAt(), now);
+        found->second = {softwareVersionKey(service, version), now, TimePoint::min(), isFirst ? now : now + SettlingTime,
+                         isFirst ? now : knownSince + EarliestUse};
+        ++m_generation;
     }
     return found->second;
 }
@@ -39,6 +42,7 @@
         observe(notice.service, notice.version, now - notice.age, now);
         auto &entry = versionOf(notice.service, notice.version, now);
         entry.settledAt = std::min(entry.settledAt, now - notice.knownFor + SettlingTime);
+        entry.usedAt = std::min(entry.usedAt, now - notice.knownFor + EarliestUse);
     }
 }
 
@@ -72,12 +76,12 @@
     return entry == found->second.end() || now >= entry->second.settledAt;
 }
 
-auto SoftwareVersions::settledVersions(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
+auto SoftwareVersions::possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
 {
     std::vector<SoftwareVersionKey> result;
     if (const auto found = m_services.find(service); found != m_services.end()) {
         for (const auto &[name, entry] : found->second) {
-            if (now >= entry.settledAt) {
+            if (now >= entry.usedAt) {
                 result.push_back(entry.key);
             }
         }
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -58,6 +58,7 @@
     , m_startedAt(context.clock.now())
     , m_routesMemory(context.memory.grant(MemoryUse::Tables))
 {
+    m_context.readUpstreams = [this]() { m_upstreams.readAgain(); };
     m_context.directory.setRecognizer([](const Upstream & /*upstream*/) { return false; }); // until a configuration names the services
 }
 
@@ -123,6 +124,10 @@
     m_upstreamsRead = true;
     m_context.upstreamsReadAt = m_context.clock.now();
     m_context.storeUnreachable = false;
+    if (!interruption.returnedFromCopy) { // otherwise entries of live upstreams may be missing
+        confirmUpstreams();
+    }
+    m_onUpstreamsRead();
 }
 
 auto DirectoryController::onUpstreamEvents(std::span<const StoreEvent> events) -> void
@@ -135,6 +140,13 @@
             applyUpstream(event.value, false, m_upstreams.eventsWrittenAfter());
         }
     }
+    confirmUpstreams();
+}
+
+auto DirectoryController::confirmUpstreams() -> void
+{
+    m_context.upstreamsCurrentAt = m_upstreams.currentSince();
+    m_context.versions.currency().confirm(m_context.upstreamsCurrentAt);
 }
 
 auto DirectoryController::applyRoutes(const StoreValue &value) -> void
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -228,14 +228,16 @@
         excluded.insert(notice.upstream);
     }
     const auto routesVersion = m_directory.revisions().routesVersion; // of which VMs that are behind must learn soon
-    if (bytes == m_lastLoads && excluded == m_lastExcluded && limits.empty() && routesVersion == m_routesVersionSent
+    const bool hasNewVersion = m_context.versions.generation() != m_versionsSent;
+    if (bytes == m_lastLoads && excluded == m_lastExcluded && limits.empty() && routesVersion == m_routesVersionSent && !hasNewVersion
         && now - m_sentAt < IdlePeriod) {
         return;
     }
     m_routesVersionSent = routesVersion;
     std::vector<SoftwareVersionNotice> versions;
-    if (now - m_versionsSentAt >= VersionsPeriod) {
+    if (hasNewVersion || now - m_versionsSentAt >= VersionsPeriod) {
         m_versionsSentAt = now;
+        m_versionsSent = m_context.versions.generation();
         versions = m_context.versions.notices(now);
     }
     m_lastLoads = std::move(bytes);
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -27,9 +27,12 @@
         },
         [this](std::string_view firstAttemptId, OriginFound callback) { find(firstAttemptId, std::move(callback)); },
         [this]() { return mayMissVersions(); },
-        [this]() -> VersionEvidence { return {m_exchange.mostHeardAt(), m_context.upstreamsReadAt}; },
+        [this]() -> VersionEvidence {
+            return {m_exchange.mostHeardAt(), m_context.upstreamsReadAt};
+        },
     };
     exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
+    directory.setUpstreamsReadHandler([this]() { endSettledInquiries(); });
 }
 
 auto OriginController::start() -> void
@@ -37,30 +40,47 @@
     m_timer->startRepeating(CheckPeriod, CheckPeriod);
 }
 
-auto OriginController::mayMissVersions() const -> bool
+auto OriginController::observeContact() -> void
 {
-    if (m_gap.isOpen(m_bootClock.now())) {
-        return true;
+    if (m_exchange.knowsPeers()) {
+        m_context.versions.currency().onMostHeard(m_exchange.mostHeardAt(), m_context.clock.now());
     }
-    // A VM whose peers are all silent may be cut off; a call to the store shows it only when its wait is over.
-    const bool storeWasRead = m_peersSilentSince && m_context.upstreamsReadAt >= *m_peersSilentSince && !m_context.storeUnreachable;
-    return m_exchange.hearsNoPeer() && !storeWasRead;
 }
 
-auto OriginController::checkPeers(TimePoint now) -> void
+auto OriginController::mayMissVersions() -> bool
 {
-    const bool areSilent = m_exchange.hearsNoPeer();
-    if (areSilent == m_peersSilentSince.has_value()) {
-        return;
+    observeContact();
+    return m_gap.isOpen(m_bootClock.now()) || !m_context.versions.currency().isCurrent(m_context.clock.now());
+}
+
+auto OriginController::readStoreIfOutdated() -> void
+{
+    if (!m_context.versions.currency().isCurrent(m_context.clock.now())) {
+        m_context.readUpstreams();
     }
-    m_context.log.write("origins", areSilent ? "peers_silent" : "peers_heard",
-                        {{"silent_ms", m_peersSilentSince ? toMilliseconds(now - *m_peersSilentSince) : 0.0}});
-    if (areSilent) {
-        m_peersSilentSince = now;
-        m_directory.readUpstreamsAgain();
-    } else {
-        m_peersSilentSince.reset();
+}
+
+/// Ends the gap, because nobody who can be reached knows more.
+auto OriginController::closeGap() -> void
+{
+    m_gap.close(m_bootClock.now(), m_bootClock.now());
+}
+
+auto OriginController::logCurrency(TimePoint now) -> void
+{
+    const bool isOutdated = mayMissVersions();
+    if (isOutdated == m_outdatedSince.has_value()) {
+        return;
     }
+    m_context.log.write("origins", isOutdated ? "versions_outdated" : "versions_current",
+                        {{"outdated_ms", m_outdatedSince ? toMilliseconds(now - *m_outdatedSince) : 0.0},
+                         {"known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
+                         {"most_vms_heard_ms_ago", toMilliseconds(now - m_exchange.mostHeardAt())},
+                         {"upstreams_read_ms_ago", toMilliseconds(now - m_context.upstreamsReadAt)},
+                         {"started_or_suspended", m_gap.isOpen(m_bootClock.now())},
+                         {"store_unreachable", m_context.storeUnreachable}});
+    m_context.counters.at("versions_outdated").set(isOutdated ? 1 : 0);
+    m_outdatedSince = isOutdated ? std::optional(now) : std::nullopt;
 }
 
 auto OriginController::announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void
@@ -88,6 +108,7 @@
         return; // asked already, for an earlier return of the caller
     }
     inquiry.begunAt = now;
+    inquiry.bootBegunAt = m_bootClock.now();
     inquiry.timer = m_context.loop.timer([this, stream]() { ask(stream); });
     ask(stream);
 }
@@ -103,17 +124,39 @@
         inquiry.timer->startOnce(ListWaitPeriod);
         return;
     }
+    if (inquiry.asks > 0) {
+        readStoreIfOutdated(); // no peer has told what it knows within a period
+    }
+    const bool isCurrent = m_context.versions.currency().isCurrent(m_context.clock.now());
     const bool isAlone = inquiry.asks > 0 && inquiry.asked == 0;
-    if (isAlone || inquiry.asks++ == MaxAsks) {
+    if ((isAlone && isCurrent) || inquiry.asks++ >= (isCurrent ? MaxAsks : MaxAsksIfOutdated)) {
         if (isAlone || !inquiry.unaware.empty()) {
-            m_gap.close(m_bootClock.now()); // nobody who can be reached knows more
+            closeGap();
         }
         resolve(stream, std::nullopt);
         return;
     }
     m_context.counters.at("stream_origins_asked").add();
     inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}}), stream, AskedVms);
-    inquiry.timer->startOnce(inquiry.asked == 0 ? Duration::zero() : AskPeriod);
+    inquiry.timer->startOnce(inquiry.asked == 0 && !isAlone ? Duration::zero() : AskPeriod);
+}
+
+/// Ends the inquiries for which it no longer matters who answers.
+auto OriginController::endSettledInquiries() -> void
+{
+    const bool isCurrent = m_context.versions.currency().isCurrent(m_context.clock.now());
+    std::vector<Fingerprint> settled;
+    for (const auto &[stream, inquiry] : m_inquiries) {
+        if (isCurrent && inquiry.isUnknown()) {
+            closeGap();
+        }
+        if (isCurrent && (inquiry.isUnknown() || (m_context.versions.mixedServices().empty() && !mayMissVersions()))) {
+            settled.push_back(stream);
+        }
+    }
+    for (const auto stream : settled) {
+        resolve(stream, std::nullopt);
+    }
 }
 
 auto OriginController::resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void
@@ -148,7 +191,7 @@
         return;
     }
     if (message->report) {
-        onReport(*message->report);
+        onReport(*message->report, message->told);
     }
     for (const auto &row : message->told) {
         onTold(row, from);
@@ -158,13 +201,18 @@
     }
 }
 
-auto OriginController::onReport(const VersionReport &report) -> void
+auto OriginController::onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered) -> void
 {
     for (const auto &notice : report.versions) {
         m_context.versions.merge(notice, m_context.clock.now());
     }
-    if (report.isComplete) {
-        m_gap.close(m_bootClock.now());
+    for (const auto &row : answered) {
+        for (const auto stream : row.streams) {
+            if (const auto inquiry = m_inquiries.find(stream); report.isComplete && inquiry != m_inquiries.end()) {
+                m_gap.close(inquiry->second.bootBegunAt, m_bootClock.now());
+                m_context.versions.currency().confirm(inquiry->second.begunAt - report.age);
+            }
+        }
     }
 }
 
@@ -182,21 +230,20 @@
             continue;
         }
         inquiry->second.unaware.insert(from.text());
-        if (inquiry->second.unaware.size() >= inquiry->second.asked) {
-            m_gap.close(m_bootClock.now()); // nobody knows more
-            resolve(stream, std::nullopt);
-        } else if (m_context.versions.mixedServices().empty() && !mayMissVersions()) {
-            resolve(stream, std::nullopt); // the origin no longer matters
+        if (inquiry->second.isUnknown()) {
+            readStoreIfOutdated();
         }
     }
+    endSettledInquiries();
 }
 
 auto OriginController::answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void
 {
     OriginMessage message;
-    message.report = {!mayMissVersions(), m_context.versions.notices(m_context.clock.now())};
+    const auto now = m_context.clock.now();
+    message.report = {!mayMissVersions(), m_context.versions.notices(now), now - m_context.versions.currency().currentAt()};
     for (const auto stream : streams) {
-        const auto origin = m_context.origins.find(stream, m_context.clock.now());
+        const auto origin = m_context.origins.find(stream, now);
         message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
     }
     m_exchange.sendTo(encodeOrigins(message), from);
@@ -208,7 +255,7 @@
     if (m_context.directory.size() > 0) {
         m_gap.tick(m_bootClock.now()); // it opens when the store has been read
     }
-    checkPeers(now);
+    logCurrency(now);
     if (now - m_refreshedAt >= RefreshPeriod) {
         refreshVersions(now);
     }
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr std::string_view AgeField = "age"; // of what the sender knows, in ms
+
 auto isStreams(const nlohmann::json &value) -> bool
 {
     return value.is_array() && std::all_of(value.begin(), value.end(), [](const auto &stream) { return stream.is_number_unsigned(); });
@@ -48,13 +50,17 @@
 
 auto encodeOrigins(const OriginMessage &message) -> std::string
 {
-    // An array [report, asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes. Later
-    // builds may append a name instead of a version, and a value.
+    // An array [report, asked, version, streams, version, streams, ...] keeps the datagram of a single stream at about 20 bytes. A name
+    // may follow instead of a version, and a value.
     auto document = nlohmann::json::array({encodeReport(message.report), message.asked});
     for (const auto &row : message.told) {
         document.push_back(row.version);
         document.push_back(row.streams);
     }
+    if (message.report && message.report->age > Duration::zero()) {
+        document.push_back(AgeField);
+        document.push_back(encodeDuration(message.report->age));
+    }
     std::string bytes(OriginMagic);
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -76,8 +82,11 @@
     }
     message.asked = document[1].get<std::vector<Fingerprint>>();
     for (std::size_t index = 2; index < document.size(); index += 2) {
-        if (document[index].is_string()) {
-            continue; // a field that this build does not know
+        if (document[index].is_string()) { // a field that this build may not know
+            if (document[index] == AgeField && message.report && isDuration(document[index + 1])) {
+                message.report->age = decodeDuration(document[index + 1]);
+            }
+            continue;
         }
         if (!isVersion(document[index]) || !isStreams(document[index + 1])) {
             return malformed;
--- a/src/edge/software_version_codec.cc
+++ b/src/edge/software_version_codec.cc
@@ -10,14 +10,16 @@
 namespace
 {
 
-auto isDuration(const nlohmann::json &value) -> bool
+auto isVersionRow(const nlohmann::json &row) -> bool
 {
-    return value.is_number_integer() && value.get<std::int64_t>() >= 0;
+    return isRow(row, 4) && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
 }
 
-auto isVersionRow(const nlohmann::json &row) -> bool
+} // namespace
+
+auto isDuration(const nlohmann::json &value) -> bool
 {
-    return isRow(row, 4) && row[0].is_string() && row[1].is_string() && isDuration(row[2]) && isDuration(row[3]);
+    return value.is_number_integer() && value.get<std::int64_t>() >= 0;
 }
 
 auto encodeDuration(Duration duration) -> std::int64_t
@@ -30,8 +32,6 @@
     return milliseconds(std::min<std::int64_t>(value.get<std::int64_t>(), encodeDuration(SoftwareVersions::Lifetime)));
 }
 
-} // namespace
-
 auto encodeVersions(std::span<const SoftwareVersionNotice> notices) -> nlohmann::json
 {
     auto rows = nlohmann::json::array();
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -37,14 +37,14 @@
 {
     const auto &versions = m_context.versions;
     VersionKnowledge knowledge{false, m_context.originHooks.mayMissVersions(), versions.onlyVersion(m_request.service)};
-    std::set<SoftwareVersionKey> settled;
+    std::set<SoftwareVersionKey> origins;
     for (const auto &target : m_request.route->targets) {
         knowledge.isMixed = knowledge.isMixed || versions.isMixed(target.service);
-        const auto ofService = versions.settledVersions(target.service, m_context.clock.now());
-        settled.insert(ofService.begin(), ofService.end());
+        const auto ofService = versions.possibleOrigins(target.service, m_context.clock.now());
+        origins.insert(ofService.begin(), ofService.end());
     }
     if (knowledge.isMixed) {
-        knowledge.onlyVersion = settled.size() == 1 ? *settled.begin() : AnySoftwareVersion;
+        knowledge.onlyVersion = origins.size() == 1 ? *origins.begin() : AnySoftwareVersion;
     }
     return knowledge;
 }
--- a/test/knowledge_gap-test.cc
+++ b/test/knowledge_gap-test.cc
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(aStartOpensAGapUntilAPeerHasTold);
     CPPUNIT_TEST(aSuspensionOpensAGap);
     CPPUNIT_TEST(whatWaitedDuringASuspensionClosesNoGap);
+    CPPUNIT_TEST(answersToEarlierQuestionsCloseNoGap);
     CPPUNIT_TEST(aGapEndsWithoutPeers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -28,11 +29,11 @@
     auto aStartOpensAGapUntilAPeerHasTold() -> void
     {
         CPPUNIT_ASSERT(m_gap.isOpen(m_now));
-        m_gap.close(m_now);
+        m_gap.close(m_now, m_now);
         CPPUNIT_ASSERT_MESSAGE("closed before the start", m_gap.isOpen(m_now));
         m_gap.begin(m_now);
         CPPUNIT_ASSERT(m_gap.isOpen(m_now));
-        m_gap.close(m_now);
+        m_gap.close(m_now, m_now);
         CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
         run(seconds(10));
         CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
@@ -45,7 +46,7 @@
         CPPUNIT_ASSERT_MESSAGE("before the first timer after it", m_gap.isOpen(m_now));
         run(TickPeriod);
         CPPUNIT_ASSERT(m_gap.isOpen(m_now));
-        m_gap.close(m_now);
+        m_gap.close(m_now, m_now);
         CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
     }
 
@@ -53,10 +54,22 @@
     {
         run(seconds(10));
         m_now += seconds(3);
-        m_gap.close(m_now);
+        m_gap.close(m_now, m_now);
         CPPUNIT_ASSERT(m_gap.isOpen(m_now));
     }
 
+    auto answersToEarlierQuestionsCloseNoGap() -> void
+    {
+        run(seconds(10));
+        const auto askedAt = m_now;
+        m_now += KnowledgeGap::SuspensionTime + milliseconds(100);
+        run(TickPeriod);
+        m_gap.close(askedAt, m_now);
+        CPPUNIT_ASSERT(m_gap.isOpen(m_now));
+        m_gap.close(m_now, m_now);
+        CPPUNIT_ASSERT(!m_gap.isOpen(m_now));
+    }
+
     auto aGapEndsWithoutPeers() -> void
     {
         run(KnowledgeGap::Lifetime - milliseconds(500));
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -94,22 +94,22 @@
         for (const auto &[holder, count] : told) {
             CPPUNIT_ASSERT_MESSAGE(holder, count > 100 && count < 220); // 154 on average
         }
-        CPPUNIT_ASSERT(!teller.hearsNoPeer(clock.now()));
-        CPPUNIT_ASSERT(teller.hearsNoPeer(clock.now() + PeerTable::ReportLifetime));
+        CPPUNIT_ASSERT(teller.mostHeardAt(clock.now() + PeerTable::ReportLifetime) == clock.now());
     }
 
     auto peersAreSilentOnceTheyHaveHadTimeToReport() -> void
     {
         ManualClock clock;
         PeerTable table("vm0", "p");
-        CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
         table.mergeListed("vm1", "p", {"10.0.0.1", 1}, clock.now());
-        CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
+        const auto listedAt = clock.now();
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == listedAt);
         clock.advance(PeerTable::ReportLifetime);
         table.mergeListed("vm1", "p", {"10.0.0.1", 1}, clock.now());
-        CPPUNIT_ASSERT(table.hearsNoPeer(clock.now()));
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == listedAt);
         table.merge("vm1", "p", {"10.0.0.1", 1}, clock.now());
-        CPPUNIT_ASSERT(!table.hearsNoPeer(clock.now()));
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
     }
 
     auto oneVmThatIsHeardIsNotMostOfTheFleet() -> void
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -1,3 +1,4 @@
+#include "currantstack/decisions/knowledge_gap.h"
 #include "currantstack/decisions/software_versions.h"
 
 #include "check.h"
@@ -10,6 +11,8 @@
     CPPUNIT_TEST(keysDifferByServiceAndVersion);
     CPPUNIT_TEST(aServiceStaysMixedForLongerThanItsStreamsLive);
     CPPUNIT_TEST(onlyAFurtherVersionSettles);
+    CPPUNIT_TEST(aVersionThatIsLearnedOfLateMayHaveStreams);
+    CPPUNIT_TEST(noStreamBeginsBeforeOtherVmsKnowThatTheyAreOutdated);
     CPPUNIT_TEST(aVersionIsSettledOnceItIsSettledAtAnyVm);
     CPPUNIT_TEST(noticesCarryAVersionToAVmThatHasNotSeenIt);
     CPPUNIT_TEST_SUITE_END();
@@ -19,6 +22,7 @@
 
     auto see(std::string_view service, std::string_view version) -> void
     {
+        m_versions.currency().confirm(m_now);
         m_versions.observe(service, version, m_now, m_now);
     }
 
@@ -64,9 +68,24 @@
         m_now += seconds(5);
         see("llm", "v3");
         CPPUNIT_ASSERT(!m_versions.isSettled("llm", "v3", m_now));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.settledVersions("llm", m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.possibleOrigins("llm", m_now).size());
         CPPUNIT_ASSERT(m_versions.isSettled("llm", "v3", m_now + SoftwareVersions::SettlingTime));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_versions.settledVersions("llm", m_now + SoftwareVersions::SettlingTime).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_versions.possibleOrigins("llm", m_now + SoftwareVersions::EarliestUse).size());
+    }
+
+    auto aVersionThatIsLearnedOfLateMayHaveStreams() -> void
+    {
+        see("llm", "v1");
+        m_now += seconds(3);
+        m_versions.observe("llm", "v2", m_now, m_now);
+        CPPUNIT_ASSERT(!m_versions.isSettled("llm", "v2", m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.possibleOrigins("llm", m_now).size());
+    }
+
+    auto noStreamBeginsBeforeOtherVmsKnowThatTheyAreOutdated() -> void
+    {
+        CPPUNIT_ASSERT(VersionCurrency::MaxAge + KnowledgeGap::SuspensionTime < SoftwareVersions::SettlingTime);
+        CPPUNIT_ASSERT(SoftwareVersions::EarliestUse <= SoftwareVersions::SettlingTime);
     }
 
     auto aVersionIsSettledOnceItIsSettledAtAnyVm() -> void
--- a/test/stream_origins-test.cc
+++ b/test/stream_origins-test.cc
@@ -65,12 +65,13 @@
 
     auto messagesRoundTrip() -> void
     {
-        const VersionReport report{true, {{"llm", "v1", seconds(2), seconds(3)}}};
+        const VersionReport report{true, {{"llm", "v1", seconds(2), seconds(3)}}, milliseconds(350)};
         CHECK_PROPERTY("an origin message is read as it was written",
                        [&report](std::uint32_t version, const std::vector<Fingerprint> &streams, const std::vector<Fingerprint> &asked) {
                            const auto read = decodeOrigins(encodeOrigins({{{version, streams}}, asked, report}));
                            RC_ASSERT(read && read->report && read->report->isComplete && read->report->versions.size() == 1U);
                            RC_ASSERT(read->report->versions[0].version == "v1" && read->report->versions[0].age == seconds(2));
+                           RC_ASSERT(read->report->age == milliseconds(350));
                            RC_ASSERT(read->asked == asked && read->told.size() == 1U);
                            RC_ASSERT(read->told[0].version == version && read->told[0].streams == streams);
                        });
