Half of an answer is not whole because a poll of the store is silent

What callers saw: 200 with half of a booking, if the service's next process, under the same id, answered a probe while nothing from the store reached the VM. Change: such an end is complete only after a read of the entries that was begun when the entry of a new process was due; the VM begins it then, and waits 0.5 s for it.

--- a/include/currantstack/decisions/answer_end.h
+++ b/include/currantstack/decisions/answer_end.h
@@ -37,7 +37,8 @@
     bool wasUnidentified = false; // in an earlier trial
     bool hasWritten = false; // the process that answered has written its entry since
     bool hasOutlived = false; // it has begun later to answer a request that was in flight at the end
-    bool readsEntries = false; // this VM reads the store, so that the entry of a new process would arrive in time
+    bool readsEntries = false; // this VM has not found the store unreachable
+    bool hasReadEntries = false; // all entries, in a read that was begun when that of a new process was due
     Duration sinceEnd = Duration::zero();
     Duration sinceAnswer = Duration::zero(); // since the first probe that was answered after the last one that was not
 };
@@ -80,6 +81,9 @@
 /// Time in which the store's watch brings the entry of a new process. Until then, such a process may have answered a probe.
 inline constexpr Duration NewEntryTime = milliseconds(1000);
 
+/// Time after it in which a store that can be reached has answered a read.
+inline constexpr Duration EntryReadPatience = milliseconds(500);
+
 /// Returns what the result of a `connectOnlyCall` shows, or the error of a probe.
 auto trialOf(const Result<HttpResponse> &result) -> ConnectionTrial;
 
--- a/src/decisions/answer_end.cc
+++ b/src/decisions/answer_end.cc
@@ -52,7 +52,12 @@
     }
     // A new process registers when it starts.
     if (evidence.connection == ConnectionTrial::Answered && hasEntry && evidence.readsEntries) {
-        return evidence.sinceAnswer >= NewEntryTime ? AnswerEnd::Complete : AnswerEnd::Undecided;
+        if (evidence.sinceAnswer >= NewEntryTime && evidence.hasReadEntries) {
+            return AnswerEnd::Complete;
+        }
+        if (evidence.sinceAnswer < NewEntryTime + EntryReadPatience) {
+            return AnswerEnd::Undecided;
+        }
     }
     const bool isAnswered = evidence.connection == ConnectionTrial::Answered || evidence.connection == ConnectionTrial::Open;
     // An upstream that lives closes further connections than its limit allows.
--- a/src/edge/end_confirmation.cc
+++ b/src/edge/end_confirmation.cc
@@ -72,10 +72,14 @@
     m_evidence.hasWritten = m_context.directory.hasWritten(m_upstream, m_endedAt + EntrySettleTime);
     m_evidence.hasOutlived = m_context.reach.hasOutlived(m_upstream.id, m_endedAt, LateByteTime);
     m_evidence.readsEntries = !m_context.storeUnreachable;
+    m_evidence.hasReadEntries = m_answeredAt && m_context.upstreamsCurrentAt >= *m_answeredAt + NewEntryTime;
     m_evidence.sinceEnd = now - m_endedAt;
     m_evidence.sinceAnswer = m_answeredAt ? now - *m_answeredAt : Duration::zero();
     const auto end = judgeAnswerEnd(m_evidence);
     if (end == AnswerEnd::Undecided && m_evidence.trials > 0) {
+        if (m_answeredAt && awaitsEntry() && now - *m_answeredAt >= NewEntryTime) {
+            m_context.readUpstreams(); // a poll that brings nothing does not show that the store can be reached
+        }
         const bool mayBeNewProcess = m_evidence.entry == EntryState::Removed || m_evidence.connection == ConnectionTrial::Answered;
         wait(m_evidence.runsStill ? ReportPause : awaitsEntry() ? EntryCheckPeriod : mayBeNewProcess ? NewEntryTime : EndTrialPause);
         return;
@@ -95,6 +99,7 @@
                          {"has_written", m_evidence.hasWritten},
                          {"has_outlived", m_evidence.hasOutlived},
                          {"store_unreachable", m_context.storeUnreachable},
+                         {"has_read_entries", m_evidence.hasReadEntries},
                          {"trials", m_evidence.trials},
                          {"runs_still", m_evidence.runsStill},
                          {"leaves", m_settleTime == ExitTime},
