--- a/test/edge/version_tests.py
+++ b/test/edge/version_tests.py
@@ -92,10 +92,6 @@
     def decode_engines(self, version):
         return [engine for engine in self.fleet.engines if engine.software_version == version and engine.role == "decode"]
 
-    async def kill(self, vm):
-        vm.signal(signal.SIGKILL)
-        await vm.process.wait()
-
 
 async def take_up(streams, vms):
     """Lets all streams come back at once and reads them to their ends; returns the statuses."""
