--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -78,7 +78,6 @@
 
     EdgeContext &m_context;
     LoadExchange &m_exchange;
-    DirectoryController &m_directory;
     const Clock &m_bootClock;
     std::function<void()> m_readVms;
     KnowledgeGap m_gap;
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -16,7 +16,6 @@
                                    std::function<void()> readVms)
     : m_context(context)
     , m_exchange(exchange)
-    , m_directory(directory)
     , m_bootClock(bootClock)
     , m_readVms(std::move(readVms))
     , m_timer(context.loop.timer([this]() { check(); }))
@@ -141,16 +140,19 @@
     inquiry.timer->startOnce(inquiry.asked == 0 && !isAlone ? Duration::zero() : AskPeriod);
 }
 
-/// Ends the inquiries for which it no longer matters who answers.
+/// Ends the inquiries that no VM can answer, and all of them if the origin of a stream no longer matters.
 auto OriginController::endSettledInquiries() -> void
 {
-    const bool isCurrent = m_context.versions.currency().isCurrent(m_context.clock.now());
+    if (!m_context.versions.currency().isCurrent(m_context.clock.now())) {
+        return;
+    }
+    if (std::any_of(m_inquiries.begin(), m_inquiries.end(), [](const auto &entry) { return entry.second.isUnknown(); })) {
+        closeGap();
+    }
+    const bool matters = !m_context.versions.mixedServices().empty() || mayMissVersions();
     std::vector<Fingerprint> settled;
     for (const auto &[stream, inquiry] : m_inquiries) {
-        if (isCurrent && inquiry.isUnknown()) {
-            closeGap();
-        }
-        if (isCurrent && (inquiry.isUnknown() || (m_context.versions.mixedServices().empty() && !mayMissVersions()))) {
+        if (!matters || inquiry.isUnknown()) {
             settled.push_back(stream);
         }
     }
