--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -77,6 +77,7 @@
         self.shape_draw, self.shapes, self.ambiguous = random.Random(seed), {}, []  # the shapes of streams by request id
         self.starting = asyncio.Lock()
         self.store_faults, self.stopping = False, False
+        self.partition = None  # links of the last VM to the others, if they may be cut; they pass datagrams, no forwarded requests
         self.delayed = []  # times in which requests that were sent earlier may arrive at an upstream: its id, begin, end
         self.poison = set()  # ids of the requests that crash the services that run them
         self.http_draw, self.http_versions = random.Random(seed), {}  # of the callers with new connections, by request id
@@ -93,11 +94,13 @@
         if self.processes:
             for upstream in self.fleet.upstreams:
                 upstream.unframed_share, upstream.EVENT_INTERVAL_S, upstream.BODY_PAUSE_S = UNFRAMED_SHARE, PROCESS_PAUSE_S, PROCESS_PAUSE_S
-        await asyncio.gather(*(self.kill(vm) for vm in self.vms))  # so that none knows an address that is no link
-        self.partition = PeerLinks(self, self.vms[-1:])
+        if PARTITION in self.faults:
+            self.partition = PeerLinks(self, self.vms[-1:])
+            await asyncio.gather(*(self.kill(vm) for vm in self.vms))  # so that none knows an address that is no link
         await self.relay_upstreams(self.vms, self.partition)
         self.relay_of = dict(zip((vm.name for vm in self.vms), await self.relay_store(self.vms)))
-        self.partition.store_relays.append(self.relay_of[self.vms[-1].name])
+        if self.partition:
+            self.partition.store_relays.append(self.relay_of[self.vms[-1].name])
         return self
 
     def program_of(self, vm):
@@ -467,7 +470,8 @@
               flush=True)
         for line in violations[:10]:
             print(f"  {line}")
-        soak.partition.close()
+        if soak.partition:
+            soak.partition.close()
         if violations:
             print(f"  logs: {soak.folder}")
         else:
