Quotas: after a restart, VMs look for each other at once

Callers of a tenant that sends several times its quota got more than the quota's bound after a restart of all VMs: each VM read the list of VMs 2 s after its start and admitted the quota alone until then. The former entries of the VMs are still listed for 9 s, so a VM that is not part of the first start now reads the list as soon as it knows that there are quotas. Deployments without quotas read it as before.

--- a/include/currantstack/decisions/tenant_directory.h
+++ b/include/currantstack/decisions/tenant_directory.h
@@ -105,6 +105,9 @@
         return m_tenants.empty();
     }
 
+    /// Returns whether a tenant has a quota.
+    auto hasQuotas() const -> bool;
+
     auto keyCount() const -> std::size_t
     {
         return m_keys.size();
--- a/src/decisions/tenant_directory.cc
+++ b/src/decisions/tenant_directory.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/codec.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -52,6 +53,11 @@
     return found != m_keys.end() && equalConstantTime(found->first, hash) ? find(found->second) : nullptr;
 }
 
+auto TenantDirectory::hasQuotas() const -> bool
+{
+    return std::any_of(m_tenants.begin(), m_tenants.end(), [](const auto &entry) { return !entry.second.limit.isUnlimited(); });
+}
+
 auto TenantDirectory::find(std::string_view name) const -> const Tenant *
 {
     const auto found = m_tenants.find(name);
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -127,6 +127,8 @@
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> metricsServer;
     std::unique_ptr<Timer> drainTimer;
+    bool vmsListed = false; // the other VMs were read from the store
+    bool peersRequested = false; // ahead of the usual time
     std::optional<TimePoint> answeredAt; // when the open requests got their answers because of the stop
     std::unique_ptr<Timer> settingsTimer;
     std::unique_ptr<Timer> flushTimer;
@@ -210,6 +212,7 @@
 
 auto EdgeNode::Parts::onVms(const VmRecords &records) -> void
 {
+    vmsListed = true;
     context.retryBudget.setVms(records.size());
     exchange.setPeers(records);
     updatePollWait();
@@ -221,6 +224,11 @@
     const auto &limits = routeTable.limits;
     callerServer->setLimits({limits.maxHead, limits.headTimeout, limits.idleTimeout});
     context.tenantQuotas.setTenants(routeTable.tenants, settings.bootstrap, clock.now());
+    // After a restart of all VMs, each would admit the quota of a tenant until they hear each other. Their former entries are still listed.
+    const bool mustFindPeers = !settings.bootstrap && !vmsListed && routeTable.tenants.hasQuotas();
+    if (mustFindPeers && !std::exchange(peersRequested, true)) {
+        registry.readNow();
+    }
 }
 
 auto EdgeNode::Parts::drain() -> void
--- a/standin/platform_fleet.py
+++ b/standin/platform_fleet.py
@@ -71,7 +71,8 @@
         return self.engines + self.services
 
 
-def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100, memory_mb=110, history_s=20, strict_revoke=False):
+def vm_settings(name, ip, port, store, place="z1", grace=8, retry_budget=0.2, budget_slack=54, max_fds=4100, memory_mb=110, history_s=20, strict_revoke=False,
+                bootstrap=True):
     """Returns the settings file of one VM, as the platform writes it."""
     return f"""node_name: "{name}"
 zone: "{place}"
@@ -86,7 +87,7 @@
 port_range:
   - {port + 2}
   - {port + 9}
-bootstrap: true
+bootstrap: {str(bootstrap).lower()}
 metrics_port: {port + 9}
 limits:
   max_fds: {max_fds}
--- a/test/edge/tenant_tests.py
+++ b/test/edge/tenant_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import os
 import time
@@ -143,6 +144,35 @@
         assert 'tenant_refused{tenant="a"}' in await metrics(rig.vms[0])
 
 
+async def quotas_hold_when_all_vms_restart():
+    """Guards against VMs that each admit a tenant's quota after a restart of all, because they do not know each other yet."""
+    async with Rig(vms=3, services=3, bounds={"bootstrap": False}) as rig:
+        await configure(rig, tenant("a", rate_per_s=RATE, burst=RATE))
+        await asyncio.sleep(FLEET_FORMS_S)
+        for service in rig.fleet.services:
+            service.WORK_S = 0.01
+        runs, stopped = [], asyncio.Event()
+
+        async def flood(vm):
+            while not stopped.is_set():
+                with contextlib.suppress(OSError, EOFError, asyncio.TimeoutError):
+                    if (await rig.send("check", vm, headers=bearer("a"), limit=2))[1] == 200:
+                        runs.append(time.monotonic())
+                await asyncio.sleep(3 / FLOOD_RATE)
+
+        floods = [asyncio.create_task(flood(vm)) for vm in rig.vms]
+        await asyncio.sleep(FLOOD_S)
+        await asyncio.gather(*(rig.kill(vm) for vm in rig.vms))
+        await asyncio.gather(*(vm.start() for vm in rig.vms))
+        await asyncio.sleep(FLOOD_S)
+        stopped.set()
+        await asyncio.gather(*floods)
+        most = max(sum(begin <= at < begin + WINDOW_S for at in runs) for begin in runs)
+        bound = (RATE * WINDOW_S + RATE) * (1 + OVERAGE) + SLACK
+        assert most <= bound, (most, bound)
+        assert len(runs) > RATE * FLOOD_S, len(runs)
+
+
 async def relayed_requests_carry_the_tenant_and_are_charged_once():
     """Guards against a key that is sent to another VM, and against a second charge there."""
     async with StrandedRig(vms=2) as rig:
@@ -200,6 +230,6 @@
 
 
 TESTS = [upstreams_get_the_tenant_and_no_key, requests_without_a_known_key_are_refused, unknown_keys_are_refused_before_the_body,
-         revoked_keys_are_refused, vms_that_cannot_confirm_keys_refuse_them_only_if_revocation_is_strict, quotas_hold_over_all_vms,
+         revoked_keys_are_refused, vms_that_cannot_confirm_keys_refuse_them_only_if_revocation_is_strict, quotas_hold_over_all_vms, quotas_hold_when_all_vms_restart,
          relayed_requests_carry_the_tenant_and_are_charged_once, requests_that_were_not_run_give_their_charge_back,
          operators_see_tenants_without_keys, vms_without_tenants_pass_on_what_callers_send]
--- a/test/tenant_quotas-test.cc
+++ b/test/tenant_quotas-test.cc
@@ -33,6 +33,7 @@
     Duration cutFrom = Duration::max(); // one place hears no other and is not heard
     Duration cutLength = seconds(12);
     Duration restartAt = Duration::max(); // of all VMs
+    Duration outage = Duration::zero(); // in which no VM runs, before the restart
     Duration formation = milliseconds(300); // after a restart of all, until they hear each other; the store still lists them
     Duration lowerAt = Duration::max(); // of the limit to a tenth
 };
@@ -82,7 +83,10 @@
                 m_boundFrom = m_now + Tolerance.window;
             }
             deliver();
-            offer(elapsed);
+            const bool isDown = elapsed < m_scenario.restartAt && m_scenario.restartAt - elapsed <= m_scenario.outage;
+            if (!isDown) {
+                offer(elapsed);
+            }
             for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
                 report(vm, tick);
             }
@@ -238,6 +242,7 @@
     CPPUNIT_TEST(loadAtOneVmStaysWithinTheBound);
     CPPUNIT_TEST(aPlaceThatIsCutOffKeepsToItsShare);
     CPPUNIT_TEST(aRestartOfAllVmsStaysWithinTheBound);
+    CPPUNIT_TEST(aRestartAfterAnOutageStaysWithinTheBound);
     CPPUNIT_TEST(aLimitThatIsLoweredToATenthBinds);
     CPPUNIT_TEST(aLimitThatIsRaisedIsUsableAtOnce);
     CPPUNIT_TEST(refundsAreUsableAgain);
@@ -354,6 +359,21 @@
         checkBound(scenario, 0.9);
     }
 
+    // The VMs' entries in the store have expired during the outage, so that each VM must register before the others hear it.
+    auto aRestartAfterAnOutageStaysWithinTheBound() -> void
+    {
+        Scenario scenario;
+        scenario.factor = 6;
+        scenario.length = seconds(48);
+        scenario.restartAt = seconds(24);
+        scenario.outage = seconds(9);
+        scenario.formation = seconds(2);
+        for (const auto rate : {36'000.0, 147'000.0, 416'000.0}) {
+            scenario.rate = rate;
+            checkBound(scenario, 0.5);
+        }
+    }
+
     auto aLimitThatIsLoweredToATenthBinds() -> void
     {
         Scenario scenario;
