currantd bounds the memory that it holds for its callers

Callers with bodies that stop short of their end made currantd hold all of them: nothing bounded its memory or the number of its connections. Its servers and its client now share a memory budget, from the new setting memory_mb (1000 by default), and it takes as many connections as the process's descriptors allow. Requests that do not fit get 503 with Retry-After.

--- a/include/currantstack/context.h
+++ b/include/currantstack/context.h
@@ -3,6 +3,7 @@
 
 #include "currantstack/config.h"
 #include "currantstack/counters.h"
+#include "currantstack/decisions/memory_budget.h"
 #include "currantstack/http_client.h"
 #include "currantstack/membership.h"
 #include "currantstack/peers.h"
@@ -27,6 +28,7 @@
     Random &random;
     const Settings &settings;
     HttpClient &client;
+    MemoryBudget &memory; // of the whole process
     PeerClient &peers;
     PeerRouter &router;
     Store &store;
--- a/include/currantstack/gateway.h
+++ b/include/currantstack/gateway.h
@@ -38,6 +38,7 @@
     auto applyConfig() -> void;
 
 private:
+    auto refuseForMemory(const MemoryShortage &shortage) -> HttpResponse;
     auto handle(const ExchangePtr &exchange) -> void;
     auto handleAdmin(const ExchangePtr &exchange) -> bool;
     auto startRelay(CallerRequest request) -> void;
--- a/include/currantstack/settings.h
+++ b/include/currantstack/settings.h
@@ -49,6 +49,7 @@
     std::size_t maxBody = 8U << 20; // bytes
     std::size_t maxHead = 64U << 10; // bytes
     unsigned idleTimeout = 60; // seconds
+    std::size_t memory = 1'000'000'000; // bytes that the process may use
     std::size_t timelineEvents = 20000; // capacity of the timeline
     LogLevel logLevel = LogLevel::Info;
     Duration announcePeriod = milliseconds(400); // of the announcements to other VMs
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -1,5 +1,7 @@
 #include "currantstack/settings.h"
 
+#include "currantstack/decisions/memory_budget.h"
+
 #include <fmt/format.h>
 #include <fstream>
 #include <set>
@@ -83,6 +85,17 @@
     std::string m_errors;
 };
 
+auto readMemory(SettingsReader &reader, Settings &settings) -> void
+{
+    constexpr std::size_t Megabyte = 1'000'000;
+    auto megabytes = settings.memory / Megabyte;
+    reader.read("memory_mb", megabytes);
+    settings.memory = megabytes * Megabyte;
+    if (settings.memory < MemoryBudget::MinMemory || settings.memory > MemoryBudget::MaxMemory) {
+        reader.addError("memory_mb", "must be from 42 to 1099511");
+    }
+}
+
 auto readSettings(SettingsReader &reader, Settings &settings) -> void
 {
     reader.read("name", settings.name, true);
@@ -100,6 +113,7 @@
     reader.read("max_body_bytes", settings.maxBody);
     reader.read("max_head_bytes", settings.maxHead);
     reader.read("idle_timeout_s", settings.idleTimeout);
+    readMemory(reader, settings);
     reader.read("timeline_events", settings.timelineEvents);
     reader.readMilliseconds("announce_period_ms", settings.announcePeriod);
     reader.readMilliseconds("suspect_after_ms", settings.suspectAfter);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "currantstack/gateway.h"
 
+#include "currantstack/descriptor_budget.h"
 #include "currantstack/log.h"
 #include "currantstack/rendezvous.h"
 
@@ -15,6 +16,7 @@
 constexpr Log GatewayLog("gateway");
 constexpr Duration LoadPollPeriod = milliseconds(500);
 constexpr Duration CacheEventPollPeriod = seconds(2);
+constexpr Duration MemoryRetryAfter = seconds(1); // requests with large bodies end within about this time
 // A suspect runs only on engines without other suspects, so the second crash identifies it.
 constexpr std::size_t CrashesUntilQuarantine = 2;
 constexpr std::size_t MaxAnnouncedEntries = 32; // of the quarantine, per announcement
@@ -93,11 +95,17 @@
     options.maxBody = m_context.settings.maxBody;
     options.maxHead = m_context.settings.maxHead;
     options.idleTimeout = m_context.settings.idleTimeout;
+    options.maxConnections = callerConnections(availableDescriptors());
+    options.memory = &m_context.memory;
+    options.onMemoryShortage = [this](const HttpRequest & /*request*/, const MemoryShortage &shortage) {
+        return refuseForMemory(shortage);
+    };
     auto server = HttpServer::open(m_context.loop, options, [this](const ExchangePtr &exchange) { handle(exchange); });
     if (!server) {
         return tl::unexpected(server.error());
     }
     m_server = std::move(*server);
+    m_context.client.onMemoryShortage([this](std::size_t bytes) { m_server->freeMemory(bytes); });
     if (m_context.settings.policy != PolicyKind::Ledger) {
         m_loadTimer->startRepeating(LoadPollPeriod, LoadPollPeriod);
     }
@@ -106,6 +114,14 @@
     return {};
 }
 
+auto Gateway::refuseForMemory(const MemoryShortage &shortage) -> HttpResponse
+{
+    m_context.counters.at("requests_refused").add();
+    m_context.counters.at(fmt::format("requests_refused_for_memory{{use=\"{}\"}}", name(shortage.use))).add();
+    return problemResponse({ErrorCode::Overloaded, "admit", "", "this VM has no memory for the request"}, Executed::No, MemoryRetryAfter,
+                           "");
+}
+
 auto Gateway::drain() -> void
 {
     m_draining = true;
--- a/src/gateway/node.cc
+++ b/src/gateway/node.cc
@@ -36,6 +36,7 @@
     explicit Parts(Settings initialSettings);
 
     Settings settings;
+    MemoryBudget memory; // outlives all that holds grants
     SystemClock clock;
     Loop loop;
     Random random{std::random_device{}()};
@@ -67,14 +68,15 @@
 
 Node::Parts::Parts(Settings initialSettings)
     : settings(std::move(initialSettings))
+    , memory(MemoryBudget::budgetOf(settings.memory))
     , timeline(clock, settings.name, settings.timelineEvents)
-    , client(loop)
+    , client(loop, &memory)
     , membership(makeSelf(settings, clock), settings.suspectAfter, settings.deadAfter)
     , auth(settings.peerSecret, settings.name, clock)
     , peers(client, auth, timeline, counters)
     , router(auth, timeline, counters)
     , store(client, counters, settings.storeAddresses, StoreTimeout, WatchIdleTimeout)
-    , context{loop, clock, random, settings, client, peers, router, store, counters, timeline, membership}
+    , context{loop, clock, random, settings, client, memory, peers, router, store, counters, timeline, membership}
     , announcer(context)
     , canceller(context)
     , slots(context, announcer, canceller)
@@ -134,6 +136,7 @@
     ServerOptions options;
     std::tie(options.address, options.port) = splitAddress(m_parts->settings.peerListenAddress);
     options.maxBody = m_parts->settings.maxBody;
+    options.memory = &m_parts->memory;
     auto server = HttpServer::open(m_parts->loop, options, [this](const ExchangePtr &exchange) {
         if (!m_parts->router.dispatch(exchange) && !m_parts->operators.dispatch(exchange)) {
             exchange->respond(jsonResponse(404, R"({"title":"no such path","status":404})"));
--- a/test/descriptor_budget-test.cc
+++ b/test/descriptor_budget-test.cc
@@ -1,4 +1,4 @@
-#include "currantstack/edge/descriptor_budget.h"
+#include "currantstack/descriptor_budget.h"
 
 #include "check.h"
 
