Connections and unread responses give way when memory runs short

Callers beside many connections, each of which had sent a request or a part of one, were served by a VM that exceeded its memory: a connection counted as 8 KiB and held a buffer of 64 KiB from its first request on, because libmicrohttpd overwrites the whole buffer between requests. Callers beside clients that read nothing of large responses got 503: waiting responses filled the memory to the last byte, and nothing ended the unread ones while they waited.

- A connection counts with its buffer, now 48 KiB, once a request begins on it.
All may take 0.6 of the budget; beyond it, idle connections, parts of heads and stalled requests give way, and then the newcomer gets 503 and its connection is closed.
- Large responses leave a fifth of the budget to others.
One always goes on.
While one waits, responses that nobody reads are ended.
- A head or body whose next bytes do not fit into the buffer counts as stalled.
A connection that is closed for reading is shut down 1 s later if libmicrohttpd has missed the end of input, which it does if that arrives together with the last bytes.

--- a/include/currantstack/connection_watch.h
+++ b/include/currantstack/connection_watch.h
@@ -5,6 +5,7 @@
 #include "currantstack/tcp_progress.h"
 
 #include <optional>
+#include <utility>
 
 namespace currantstack::detail
 {
@@ -76,14 +77,42 @@
     }
 
     /// Records that this end has shut the connection down for reading. Bytes that have arrived are still read.
-    auto closeForReading() -> void
+    auto closeForReading(TimePoint now) -> void
     {
-        m_isClosedForReading = true;
+        m_closedForReadingAt = m_closedForReadingAt.value_or(now);
     }
 
     auto isClosedForReading() const -> bool
     {
-        return m_isClosedForReading;
+        return m_closedForReadingAt.has_value();
+    }
+
+    auto closedForReadingAt() const -> TimePoint
+    {
+        return m_closedForReadingAt.value_or(TimePoint::max());
+    }
+
+    /// Returns whether bytes have waited to be read between the last two checks and still do: they do not fit into the connection's buffer.
+    auto isBlocked(const TcpProgress &progress) const -> bool
+    {
+        return m_isBlocked && progress.unread == m_progress.unread;
+    }
+
+    /// Records that the connection's buffer is in use. Returns whether it was not before.
+    auto holdBuffer() -> bool
+    {
+        return !std::exchange(m_holdsBuffer, true);
+    }
+
+    /// Records that the buffer is given back. Returns whether it was in use.
+    auto releaseBuffer() -> bool
+    {
+        return std::exchange(m_holdsBuffer, false);
+    }
+
+    auto holdsBuffer() const -> bool
+    {
+        return m_holdsBuffer;
     }
 
     /// Returns what to do with the connection now.
@@ -96,7 +125,9 @@
     TcpProgress m_progress; // at the last check
     TimePoint m_changedAt; // when the progress was last seen to change
     std::optional<TimePoint> m_headBegunAt; // when a head was first seen incomplete
-    bool m_isClosedForReading = false;
+    std::optional<TimePoint> m_closedForReadingAt;
+    bool m_holdsBuffer = false;
+    bool m_isBlocked = false;
 };
 
 } // namespace currantstack::detail
--- a/include/currantstack/decisions/memory_budget.h
+++ b/include/currantstack/decisions/memory_budget.h
@@ -50,7 +50,11 @@
     static constexpr double BacklogShare = 0.25;
     static constexpr std::size_t MinBacklog = 16U << 10; // bytes that a backlog may always take, as a part of `RequestBytes`
     static constexpr std::size_t RequestBytes = 48U << 10; // of one request in flight, without its body
-    static constexpr std::size_t ConnectionBytes = 8U << 10; // of one connection, on average
+    static constexpr std::size_t ConnectionBytes = 8U << 10; // of one connection, without its buffer
+    static constexpr std::size_t ConnectionBufferBytes = 48U << 10; // holds a head of 16 KiB with 500 fields
+    static constexpr double ConnectionsShare = 0.6; // that connections may fill
+    /// Share of the budget up to which large answers may fill it beside others, so that requests with small bodies are still accepted.
+    static constexpr double LargeAnswersShare = 0.8;
 
     /// Returns the budget of a process that may use `memory` bytes.
     static auto budgetOf(std::size_t memory) -> std::size_t
--- a/include/currantstack/http_client.h
+++ b/include/currantstack/http_client.h
@@ -102,6 +102,9 @@
     /// Aborts the call and closes its connection; no callback runs afterwards. Unknown ids are ignored.
     auto cancel(CallId id) -> void;
 
+    /// Sets the callback that runs from time to time while a response waits for memory, with the bytes that it needs next.
+    auto onMemoryShortage(std::function<void(std::size_t bytes)> callback) -> void;
+
     /// Returns what has arrived of a call's response, or nothing if the call is not in flight.
     auto progress(CallId id) const -> std::optional<CallProgress>;
 
--- a/include/currantstack/http_server.h
+++ b/include/currantstack/http_server.h
@@ -120,6 +120,7 @@
     TimePoint m_bodyProgressAt; // when the body was last seen to make progress
     std::size_t m_newBodyBytes = 0; // that have arrived since
     bool m_bodyTooLarge = false;
+    bool m_lacksBuffer = false; // there is no memory for the connection's buffer, so the connection is closed
     bool m_headRead = false;
     bool m_acceptsChunks = false;
     bool m_dispatched = false;
@@ -188,6 +189,9 @@
     /// Closes each connection after its next response, which tells the caller.
     auto closeAfterResponses() -> void;
 
+    /// Ends requests that stand still and responses that nobody reads, until the memory has room for this many bytes of an answer.
+    auto freeMemory(std::size_t bytes) -> void;
+
     /// Sets the limits. Open connections get longer timeouts at once and shorter ones from their next request.
     auto setLimits(const ServerLimits &limits) -> void;
 
--- a/src/base/connection_watch.cc
+++ b/src/base/connection_watch.cc
@@ -40,6 +40,7 @@
     -> ConnectionVerdict
 {
     const bool hasChanged = progress.received != m_progress.received || progress.acknowledged != m_progress.acknowledged;
+    m_isBlocked = !hasChanged && progress.unread > 0 && progress.unread == m_progress.unread;
     m_progress = progress;
     if (hasChanged || phase == ConnectionPhase::Waiting) {
         m_changedAt = now;
--- a/src/base/http_call.cc
+++ b/src/base/http_call.cc
@@ -249,17 +249,36 @@
     return length;
 }
 
+/// Resumes the calls that have memory again, those that began first before others.
 auto HttpClient::Core::resumePaused() -> void
 {
-    for (auto &[id, call] : calls) {
-        if (call->paused && !call->cancelled && call->reserve(1)) {
-            call->paused = false;
+    std::vector<CallId> paused;
+    for (const auto &[id, call] : calls) {
+        if (call->paused && !call->cancelled) {
+            paused.push_back(id);
+        }
+    }
+    std::sort(paused.begin(), paused.end());
+    std::size_t missing = 0; // bytes
+    for (const auto id : paused) {
+        const auto found = calls.find(id);
+        if (found == calls.end() || found->second->cancelled) {
+            continue; // ended by a callback of a call that was resumed
+        }
+        auto &call = *found->second;
+        if (call.reserve(1)) {
+            call.paused = false;
             ++curlDepth;
-            curl_easy_pause(call->easy, CURLPAUSE_CONT);
+            curl_easy_pause(call.easy, CURLPAUSE_CONT);
             --curlDepth;
+        } else if (missing == 0) {
+            missing = std::max<std::size_t>(1, call.declaredLength());
         }
     }
     processCompleted();
+    if (missing > 0 && onMemoryShortage) {
+        onMemoryShortage(missing);
+    }
 }
 
 auto HttpClient::Core::deliverHead(Call &call) -> void
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -104,6 +104,11 @@
     });
 }
 
+auto HttpClient::onMemoryShortage(std::function<void(std::size_t bytes)> callback) -> void
+{
+    m_core->onMemoryShortage = std::move(callback);
+}
+
 auto HttpClient::progress(CallId id) const -> std::optional<CallProgress>
 {
     const auto found = m_core->calls.find(id);
--- a/src/base/http_client_core.h
+++ b/src/base/http_client_core.h
@@ -92,6 +92,7 @@
 
     Loop &loop;
     MemoryBudget *memory; // null: unlimited
+    std::function<void(std::size_t bytes)> onMemoryShortage;
     SystemClock clock;
     CURLM *multi;
     std::unique_ptr<Timer> timer;
--- a/src/base/http_server.cc
+++ b/src/base/http_server.cc
@@ -48,6 +48,11 @@
     m_core->closeAfterResponses();
 }
 
+auto HttpServer::freeMemory(std::size_t bytes) -> void
+{
+    m_core->freeMemory(bytes);
+}
+
 auto HttpServer::setLimits(const ServerLimits &limits) -> void
 {
     m_core->setLimits(limits);
--- a/src/base/http_server_core.cc
+++ b/src/base/http_server_core.cc
@@ -15,18 +15,8 @@
 namespace
 {
 
-constexpr Duration CheckPeriod = seconds(1); // of the connections' limits
-constexpr Duration RoomPeriod = milliseconds(10); // between two times at which idle connections are closed to make room
-constexpr Duration FullPeriod = milliseconds(100); // the same while none is idle
-constexpr std::size_t ReservedShare = 16; // idle connections are closed when fewer than this part of all connections are left
-constexpr std::size_t FreedShare = 8; // until this part is left
 constexpr int MaxAcceptRounds = 200; // of the daemon, each of which accepts several connections
 
-auto descriptorOf(MHD_Connection *connection) -> int
-{
-    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-}
-
 auto openListenSocket(const ServerOptions &options) -> Result<int>
 {
     sockaddr_in address{};
@@ -55,6 +45,11 @@
 
 } // namespace
 
+auto descriptorOf(MHD_Connection *connection) -> int
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 auto encodeResponse(const HttpResponse &response) -> std::string
 {
     auto text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)));
@@ -93,6 +88,7 @@
     m_checkTimer = m_loop.timer([this]() { closeOverdue(); });
     m_checkTimer->startRepeating(CheckPeriod, CheckPeriod);
     m_roomTimer = m_loop.timer([this]() { makeRoom(); });
+    m_arrivalTimer = m_loop.timer([this]() { findArrivals(); });
     return {};
 }
 
@@ -105,7 +101,8 @@
     m_timer.reset();
     m_checkTimer.reset();
     m_roomTimer.reset();
-    m_roomScheduled = true; // connections may still be accepted below
+    m_arrivalTimer.reset();
+    m_roomScheduled = m_searchesArrivals = true; // connections may still be accepted below
     // libmicrohttpd requires that all suspended connections are resumed before the daemon is stopped.
     for (auto *exchange : m_active) {
         exchange->m_aborted = true;
@@ -168,92 +165,6 @@
     static_cast<ServerCore *>(watcher->data)->run();
 }
 
-auto ServerCore::onConnection(void *context, MHD_Connection *connection, void ** /*state*/, MHD_ConnectionNotificationCode code) -> void
-{
-    auto *self = static_cast<ServerCore *>(context);
-    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        self->m_connections.insert_or_assign(connection, ConnectionWatch(self->m_limits, self->m_clock.now()));
-        if (self->m_connections.size() > self->mostConnections() && !std::exchange(self->m_roomScheduled, true)) {
-            self->m_roomTimer->startOnce(RoomPeriod);
-        }
-    } else {
-        const bool wasFull = self->m_connections.size() >= self->m_maxConnections;
-        self->m_connections.erase(connection);
-        if (wasFull) {
-            self->scheduleRun(); // libmicrohttpd accepts connections again with its next run
-        }
-    }
-    self->accountConnections();
-}
-
-auto ServerCore::exchangesByConnection() const -> std::unordered_map<MHD_Connection *, Exchange *>
-{
-    std::unordered_map<MHD_Connection *, Exchange *> result;
-    for (auto *exchange : m_active) {
-        result.emplace(exchange->m_connection, exchange);
-    }
-    return result;
-}
-
-auto ServerCore::closeIdle() -> void
-{
-    run();
-    const auto exchanges = exchangesByConnection();
-    const auto now = m_clock.now();
-    for (auto &[connection, watch] : m_connections) {
-        if (!exchanges.contains(connection) && watch.isQuiet(tcpProgress(descriptorOf(connection)), now)) {
-            closeForReading(connection, watch);
-        }
-    }
-    run();
-}
-
-/// Returns up to how many connections none is closed for others.
-auto ServerCore::mostConnections() const -> std::size_t
-{
-    return m_maxConnections - m_maxConnections / ReservedShare;
-}
-
-/// Closes the connections that have been idle for the longest, and if these are too few, those with requests that stand still, so that
-/// others can be accepted.
-auto ServerCore::makeRoom() -> void
-{
-    const auto exchanges = exchangesByConnection();
-    const auto now = m_clock.now();
-    const auto target = m_maxConnections - m_maxConnections / FreedShare;
-    std::size_t open = 0;
-    std::vector<std::pair<TimePoint, MHD_Connection *>> waiting;
-    for (const auto &[connection, watch] : m_connections) {
-        open += watch.isClosedForReading() ? 0 : 1;
-        const bool mayBeQuiet = now - watch.changedAt() >= ConnectionWatch::QuietTime && !exchanges.contains(connection);
-        if (mayBeQuiet && !watch.isClosedForReading()) {
-            waiting.emplace_back(watch.changedAt(), connection);
-        }
-    }
-    m_roomScheduled = open > mostConnections();
-    if (!m_roomScheduled) {
-        return;
-    }
-    std::sort(waiting.begin(), waiting.end());
-    std::size_t closed = 0;
-    for (const auto &[changedAt, connection] : waiting) {
-        auto &watch = m_connections.at(connection);
-        if (open - closed > target && watch.isQuiet(tcpProgress(descriptorOf(connection)), now)) {
-            closeForReading(connection, watch);
-            ++closed;
-        }
-    }
-    std::size_t evicted = 0;
-    if (open - closed > target) {
-        evictStalled(nullptr, [&evicted, open, closed, target]() { return open - closed - ++evicted <= target; });
-    }
-    m_roomTimer->startOnce(closed + evicted > 0 ? RoomPeriod : FullPeriod);
-    if (closed > 0 && m_onIdleClosed) {
-        m_onIdleClosed(closed, open);
-    }
-    scheduleRun();
-}
-
 auto ServerCore::refuseUnread(const HttpResponse &response) -> std::size_t
 {
     run();
@@ -267,20 +178,6 @@
     return refused;
 }
 
-/// libmicrohttpd closes the connection when it reads the end of input, after all bytes that arrive before. A request that these bytes
-/// complete gets status 408.
-auto ServerCore::closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void
-{
-    watch.closeForReading();
-    ::shutdown(descriptorOf(connection), SHUT_RD);
-}
-
-auto ServerCore::isClosedForReading(MHD_Connection *connection) const -> bool
-{
-    const auto found = m_connections.find(connection);
-    return found != m_connections.end() && found->second.isClosedForReading();
-}
-
 auto ServerCore::setLimits(const ServerLimits &limits) -> void
 {
     m_maxHead = limits.maxHead;
@@ -291,41 +188,17 @@
     }
 }
 
-auto ServerCore::closeOverdue() -> void
-{
-    const auto exchanges = exchangesByConnection();
-    const auto now = m_clock.now();
-    for (auto &[connection, watch] : m_connections) {
-        auto phase = ConnectionPhase::BetweenRequests;
-        Exchange *exchange = nullptr;
-        if (const auto found = exchanges.find(connection); found != exchanges.end()) {
-            exchange = found->second;
-            phase = exchange->m_suspended && !exchange->m_ended ? ConnectionPhase::Waiting
-                : exchange->m_headRead                          ? ConnectionPhase::Transfer
-                                                                : ConnectionPhase::Head;
-        }
-        const int descriptor = descriptorOf(connection);
-        const auto verdict = watch.check(m_limits, phase, tcpProgress(descriptor), now);
-        const bool isRead = exchange == nullptr || !exchange->m_responseQueued; // by the server; otherwise the response is written
-        if (verdict != ConnectionVerdict::Keep && isRead) {
-            closeForReading(connection, watch);
-        } else if (verdict != ConnectionVerdict::Keep) {
-            exchange->resetUnlessFramed();
-            ::shutdown(descriptor, SHUT_RDWR);
-        }
-    }
-    scheduleRun();
-}
-
 auto ServerCore::onTarget(void *context, const char *target, MHD_Connection *connection) -> void *
 {
     auto *self = static_cast<ServerCore *>(context);
     auto exchange = std::make_shared<Exchange>(self->weak_from_this(), connection);
     exchange->m_request.target = target;
     self->m_active.insert(exchange.get());
+    exchange->m_bodyProgressAt = self->m_clock.now();
     if (const auto found = self->m_connections.find(connection); found != self->m_connections.end()) {
         found->second.onRequest(self->m_limits);
     }
+    exchange->m_lacksBuffer = !self->holdBuffer(connection);
     return new ExchangePtr(std::move(exchange));
 }
 
@@ -371,6 +244,9 @@
                 return self->refuseBeforeBody(exchange, std::move(*refusal));
             }
         }
+        if (exchange.m_lacksBuffer) {
+            return self->refuseForMemory(exchange, {MemoryUse::Connections, self->m_bufferBytes});
+        }
         const auto shortage = self->reserveForRequest(exchange);
         return shortage ? self->refuseForMemory(exchange, *shortage) : MHD_YES;
     }
--- a/src/base/http_server_core.h
+++ b/src/base/http_server_core.h
@@ -11,6 +11,11 @@
 namespace currantstack::detail
 {
 
+constexpr Duration CheckPeriod = seconds(1); // of the connections' limits
+
+/// Returns the descriptor of the connection's socket.
+auto descriptorOf(MHD_Connection *connection) -> int;
+
 /// Returns the response as it is sent on a connection that ends after it.
 auto encodeResponse(const HttpResponse &response) -> std::string;
 
@@ -29,6 +34,7 @@
         , m_memory(options.memory)
         , m_checkHead(options.checkHead)
         , m_onMemoryShortage(options.onMemoryShortage)
+        , m_bufferBytes(options.maxHead)
         , m_limits{Duration::zero(), seconds(options.idleTimeout), seconds(options.idleTimeout)}
     { }
 
@@ -57,6 +63,8 @@
     auto closeIdle() -> void;
     auto refuseUnread(const HttpResponse &response) -> std::size_t;
 
+    auto freeMemory(std::size_t bytes) -> void;
+
     auto closeAfterResponses() -> void
     {
         m_closesConnections = true;
@@ -91,12 +99,19 @@
     auto evictStalled(const Exchange *newcomer, const std::function<bool()> &isEnough) -> void;
     auto obtain(const Exchange &exchange, const std::function<bool()> &reserve) -> bool;
     auto accountConnections() -> void;
+    auto connectionMemory() const -> std::size_t;
+    auto holdBuffer(MHD_Connection *connection) -> bool;
+    auto releaseBuffer(ConnectionWatch &watch) -> void;
+    auto closeForBuffers(MHD_Connection *newcomer) -> void;
+    auto mayBuffersExceedMemory() const -> bool;
+    auto findArrivals() -> void;
     auto closeOverdue() -> void;
     auto mostConnections() const -> std::size_t;
     auto makeRoom() -> void;
     auto isClosedForReading(MHD_Connection *connection) const -> bool;
-    static auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
+    auto closeForReading(MHD_Connection *connection, ConnectionWatch &watch) -> void;
     auto exchangesByConnection() const -> std::unordered_map<MHD_Connection *, Exchange *>;
+    auto unusedConnections() const -> std::vector<std::pair<TimePoint, MHD_Connection *>>;
     auto queueResponse(Exchange &exchange) -> MHD_Result;
     auto run() -> void;
 
@@ -111,6 +126,9 @@
     std::function<std::optional<HttpResponse>(const HttpRequest &request)> m_checkHead;
     std::function<HttpResponse(const HttpRequest &request, const MemoryShortage &shortage)> m_onMemoryShortage;
     MemoryGrant m_connectionMemory;
+    std::size_t m_bufferBytes; // of one connection
+    std::size_t m_buffers = 0; // connections that hold their buffer
+    TimePoint m_nextBufferSearch; // for connections that can give way
     ConnectionLimits m_limits;
     std::size_t m_maxHead = 0; // bytes; 0: unlimited
     std::unordered_map<MHD_Connection *, ConnectionWatch> m_connections; // open connections
@@ -120,9 +138,11 @@
     std::unique_ptr<Timer> m_timer;
     std::unique_ptr<Timer> m_checkTimer;
     std::unique_ptr<Timer> m_roomTimer;
+    std::unique_ptr<Timer> m_arrivalTimer;
     std::uint16_t m_port = 0;
     bool m_runScheduled = false;
     bool m_roomScheduled = false;
+    bool m_searchesArrivals = false;
     bool m_quiesced = false;
     bool m_closesConnections = false;
 };
--- a/src/base/http_server_memory.cc
+++ b/src/base/http_server_memory.cc
@@ -86,6 +86,9 @@
     exchange.m_bodyMemory.set(0);
     const bool isChunked = !exchange.m_request.header("Transfer-Encoding").empty();
     const bool isShort = !isChunked && declaredLength(exchange.m_request) <= MaxDiscardedBody;
+    if (exchange.m_lacksBuffer) {
+        response.headers.push_back({"Connection", "close"});
+    }
     if (isShort) {
         exchange.respond(std::move(response));
     } else {
@@ -101,22 +104,22 @@
     exchange.m_refusedUnread = true;
     exchange.abort();
     const auto text = encodeResponse(response);
-    const int descriptor = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    const int descriptor = descriptorOf(exchange.m_connection);
     const auto sent = ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     ::shutdown(descriptor, SHUT_WR);
     return sent == static_cast<ssize_t>(text.size());
 }
 
-/// Returns whether the request's body stands still, or its response was sent while the body was arriving and has been in the caller's hands
-/// long enough. Bytes that wait to be read are progress: this process may have stood still.
+/// Returns whether the request's head or body stands still, or its response was sent while the body was arriving and has been in the
+/// caller's hands long enough. Bytes that wait to be read are progress, as this process may have stood still, unless they do not fit.
 auto ServerCore::isStalled(const Exchange &exchange, TimePoint now) const -> bool
 {
-    const bool isArriving = exchange.m_headRead && !exchange.m_responseQueued && (!exchange.m_dispatched || exchange.m_refusedUnread);
+    const bool isArriving = !exchange.m_responseQueued && (!exchange.m_dispatched || exchange.m_refusedUnread);
     if (!isArriving || now - exchange.m_bodyProgressAt < EvictionStall || isClosedForReading(exchange.m_connection)) {
         return false;
     }
-    const int descriptor = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-    return exchange.m_refusedUnread || tcpProgress(descriptor).unread == 0;
+    const auto progress = tcpProgress(descriptorOf(exchange.m_connection));
+    return exchange.m_refusedUnread || progress.unread == 0 || m_connections.at(exchange.m_connection).isBlocked(progress);
 }
 
 /// Ends the connections whose callers have read nothing of their responses for the longest. Returns their number.
@@ -134,7 +137,7 @@
     std::sort(unread.begin(), unread.end());
     std::size_t evicted = 0;
     for (const auto &[changedAt, exchange] : unread) {
-        const int descriptor = MHD_get_connection_info(exchange->m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        const int descriptor = descriptorOf(exchange->m_connection);
         if (evicted == MaxUnreadEvicted) {
             break;
         }
@@ -163,13 +166,16 @@
     std::size_t evicted = 0;
     for (auto *exchange : stalled) {
         if (!exchange->m_refusedUnread) {
-            respondUnread(*exchange,
-                          {408, {{"Content-Type", "application/problem+json"}}, R"({"title":"the body stalled","status":408,"ran":"no"})"});
+            respondUnread(
+                *exchange,
+                {408, {{"Content-Type", "application/problem+json"}}, R"({"title":"the request stalled","status":408,"ran":"no"})"});
             std::string().swap(exchange->m_request.body);
             exchange->m_bodyMemory.set(0);
         }
         exchange->m_requestMemory.set(0); // the exchange ends when libmicrohttpd reads the end of input, within its next run
-        closeForReading(exchange->m_connection, m_connections.at(exchange->m_connection));
+        auto &watch = m_connections.at(exchange->m_connection);
+        closeForReading(exchange->m_connection, watch);
+        releaseBuffer(watch);
         ++evicted;
         if (isEnough()) {
             break;
@@ -184,6 +190,13 @@
     }
 }
 
+auto ServerCore::freeMemory(std::size_t bytes) -> void
+{
+    if (m_memory != nullptr) {
+        evictStalled(nullptr, [this, bytes]() { return m_memory->hasRoom(MemoryUse::Answers, bytes, 0); });
+    }
+}
+
 /// Reserves memory for the exchange, if need be in place of requests that stand still. Returns whether it has got it.
 auto ServerCore::obtain(const Exchange &exchange, const std::function<bool()> &reserve) -> bool
 {
@@ -194,12 +207,4 @@
     return isReserved;
 }
 
-auto ServerCore::accountConnections() -> void
-{
-    if (m_memory != nullptr && m_connectionMemory.bytes() == 0) {
-        m_connectionMemory = m_memory->grant(MemoryUse::Connections);
-    }
-    m_connectionMemory.set(m_connections.size() * MemoryBudget::ConnectionBytes);
-}
-
 } // namespace currantstack::detail
--- a/src/decisions/memory_budget.cc
+++ b/src/decisions/memory_budget.cc
@@ -8,17 +8,19 @@
 namespace
 {
 
-/// Returns the share of the budget up to which a holder of this use and size may fill it.
-auto shareOf(MemoryUse use, std::size_t total) -> double
+/// Returns the share of the budget up to which a holder of this use and size may fill it. `isAlone`: no other holds memory for the use.
+auto shareOf(MemoryUse use, std::size_t total, bool isAlone) -> double
 {
     switch (use) {
     case MemoryUse::Bodies:
         return total <= MemoryBudget::SmallBodyBytes ? MemoryBudget::RequestsShare : MemoryBudget::BodiesShare;
     case MemoryUse::Requests:
-        return MemoryBudget::RequestsShare;
     case MemoryUse::Connections:
-    case MemoryUse::Calls:
+        return MemoryBudget::RequestsShare;
     case MemoryUse::Answers:
+        // One large answer can always go on, so that requests whose bodies fill the memory do not wait for each other.
+        return total <= MemoryBudget::SmallBodyBytes || isAlone ? 1 : MemoryBudget::LargeAnswersShare;
+    case MemoryUse::Calls:
     case MemoryUse::Backlogs:
     case MemoryUse::Tables:
         break;
@@ -62,7 +64,11 @@
 
 auto MemoryBudget::hasRoom(MemoryUse use, std::size_t bytes, std::size_t held) const -> bool
 {
-    const auto ceiling = static_cast<std::size_t>(shareOf(use, held + bytes) * static_cast<double>(m_bytes));
+    const auto ofBudget = [this](double share) { return static_cast<std::size_t>(share * static_cast<double>(m_bytes)); };
+    if (use == MemoryUse::Connections && inUse(use) + bytes > ofBudget(ConnectionsShare)) {
+        return false;
+    }
+    const auto ceiling = ofBudget(shareOf(use, held + bytes, inUse(use) <= held));
     return m_inUse <= ceiling && bytes <= ceiling - m_inUse;
 }
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -2,7 +2,7 @@
 
 #include "currantstack/build_info.h"
 #include "currantstack/decisions/poll_wait.h"
-#include "currantstack/edge/descriptor_budget.h"
+#include "currantstack/descriptor_budget.h"
 #include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/forwarding.h"
 #include "currantstack/edge/memory_refusal.h"
@@ -16,7 +16,6 @@
 
 #include <algorithm>
 #include <random>
-#include <sys/resource.h>
 
 namespace currantstack
 {
@@ -29,14 +28,6 @@
 constexpr Duration SettingsCheckPeriod = seconds(2);
 constexpr std::size_t MaxBodyBytes = 8U << 20; // bound on request bodies, independent of the configured limit
 
-/// Returns how many descriptors this process may have.
-auto descriptorLimit(const EdgeSettings &settings) -> std::uint64_t
-{
-    rlimit limit{};
-    const auto ofProcess = getrlimit(RLIMIT_NOFILE, &limit) == 0 ? std::uint64_t(limit.rlim_cur) : RLIM_INFINITY;
-    return settings.maxDescriptors == 0 ? ofProcess : std::min(ofProcess, settings.maxDescriptors);
-}
-
 auto randomSeed() -> std::uint64_t
 {
     std::random_device device;
@@ -152,7 +143,8 @@
     options.address = settings.callerAddress.ip;
     options.port = settings.callerAddress.port;
     options.maxBody = MaxBodyBytes;
-    options.maxConnections = callerConnections(descriptorLimit(settings));
+    options.maxHead = MemoryBudget::ConnectionBufferBytes;
+    options.maxConnections = callerConnections(availableDescriptors(settings.maxDescriptors));
     options.onIdleClosed = [this](std::size_t closed, std::size_t open) {
         counters.at("idle_connections_closed").add(static_cast<std::int64_t>(closed));
         log.write("edge", "idle_connections_closed", {{"closed", closed}, {"open", open}});
@@ -174,6 +166,7 @@
         return tl::unexpected(opened.error());
     }
     callerServer = std::move(*opened);
+    client.onMemoryShortage([this](std::size_t bytes) { callerServer->freeMemory(bytes); });
     if (auto openedRelay = relayEntrance.start(MaxBodyBytes); !openedRelay) {
         // Other VMs find another one to forward their requests.
         log.write("relay", "relay_unavailable", {{"error", describe(openedRelay.error())}});
@@ -343,8 +336,8 @@
                      {"readiness", parts.settings.readinessAddress.text()},
                      {"peers", parts.settings.peerAddress.text()},
                      {"store", parts.settings.storeAddress.text()},
-                     {"descriptors", descriptorLimit(parts.settings)},
-                     {"caller_connections", callerConnections(descriptorLimit(parts.settings))},
+                     {"descriptors", availableDescriptors(parts.settings.maxDescriptors)},
+                     {"caller_connections", callerConnections(availableDescriptors(parts.settings.maxDescriptors))},
                      {"memory", parts.settings.memory},
                      {"memory_budget", parts.memory.bytes()},
                      {"bootstrap", parts.settings.bootstrap}});
--- a/test/http_fixture.h
+++ b/test/http_fixture.h
@@ -24,10 +24,13 @@
     std::unique_ptr<HttpServer> server;
     bool timedOut = false;
 
-    explicit HttpFixture(HttpServer::Handler handler, std::size_t maxBody = 1000)
+    explicit HttpFixture(HttpServer::Handler handler, std::size_t maxBody = 1000, MemoryBudget *memory = nullptr,
+                         std::size_t maxHead = ServerOptions().maxHead)
     {
         ServerOptions options;
         options.maxBody = maxBody;
+        options.maxHead = maxHead;
+        options.memory = memory;
         options.idleTimeout = 2;
         server = *HttpServer::open(loop, options, std::move(handler));
     }
--- a/test/memory_budget-test.cc
+++ b/test/memory_budget-test.cc
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(aBudgetLeavesRoomForTheProcessAndItsHeap);
     CPPUNIT_TEST(grantsEndWithTheirHolders);
     CPPUNIT_TEST(newRequestsLeaveRoomForAcceptedOnes);
+    CPPUNIT_TEST(connectionsLeaveRoomForRequests);
+    CPPUNIT_TEST(largeAnswersLeaveRoomForSmallRequests);
     CPPUNIT_TEST(aGrowingTextIsAccountedWithItsCopy);
     CPPUNIT_TEST(textsWithoutABudgetAreUnlimited);
     CPPUNIT_TEST(noSequenceExceedsTheBudgetOrLeaks);
@@ -80,6 +82,35 @@
         CPPUNIT_ASSERT_EQUAL(MemoryBudget::MinBacklog, budget.backlogLimit());
     }
 
+    auto connectionsLeaveRoomForRequests() -> void
+    {
+        MemoryBudget budget(100 * Megabyte);
+        auto connections = budget.grant(MemoryUse::Connections);
+        CPPUNIT_ASSERT(connections.tryResize(59 * Megabyte) && !connections.tryResize(61 * Megabyte));
+        auto requests = budget.grant(MemoryUse::Requests);
+        CPPUNIT_ASSERT(requests.tryResize(30 * Megabyte));
+        CPPUNIT_ASSERT_MESSAGE("what requests hold counts as well", !connections.tryResize(62 * Megabyte));
+    }
+
+    // Load: callers that read nothing of large answers. If these fill the budget, every other request is refused.
+    auto largeAnswersLeaveRoomForSmallRequests() -> void
+    {
+        MemoryBudget budget(20 * Megabyte);
+        auto bodies = budget.grant(MemoryUse::Bodies);
+        CPPUNIT_ASSERT(bodies.tryResize(15 * Megabyte));
+        auto first = budget.grant(MemoryUse::Answers);
+        CPPUNIT_ASSERT_MESSAGE("one large answer always goes on", first.tryResize(4 * Megabyte));
+        bodies.set(0);
+        std::vector<MemoryGrant> answers;
+        for (int answer = 0; answer < 10; ++answer) {
+            answers.push_back(budget.grant(MemoryUse::Answers));
+            answers.back().tryResize(4 * Megabyte);
+        }
+        CPPUNIT_ASSERT_EQUAL(16 * Megabyte, budget.inUse(MemoryUse::Answers));
+        CPPUNIT_ASSERT(budget.grant(MemoryUse::Requests).tryResize(MemoryBudget::RequestBytes));
+        CPPUNIT_ASSERT(budget.grant(MemoryUse::Answers).tryResize(MemoryBudget::SmallBodyBytes));
+    }
+
     auto aGrowingTextIsAccountedWithItsCopy() -> void
     {
         MemoryBudget budget(16 * Megabyte); // 12 MB for bodies
