Large fleets divide the last capacity of engines among the VMs that wait

In a peak, all VMs of a place tried to reserve each place that a stream had left, and places of other regions that had been taken before they were known. A stream lost up to a round trip between regions, and an engine's time, with each.

--- a/include/currantstack/decisions/engine_placement.h
+++ b/include/currantstack/decisions/engine_placement.h
@@ -138,6 +138,9 @@
 auto freeStreams(const PlacementInputs &inputs) -> double;
 auto totalStreams(const PlacementInputs &inputs) -> double;
 
+/// Returns whether the decode engines have capacity for a new stream beside `reservedStreams`.
+auto leavesReserve(const PlacementInputs &inputs) -> bool;
+
 /// Returns the plan with the shortest expected time to the first token, or nothing if no decode engine has capacity. Decode engines
 /// also run prefills when the load exceeds what the prefill engines can handle.
 auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>;
--- a/include/currantstack/decisions/load_table.h
+++ b/include/currantstack/decisions/load_table.h
@@ -51,6 +51,12 @@
     /// Returns the work of all VMs at the upstream.
     auto total(std::string_view upstream, TimePoint now) const -> InFlightWork;
 
+    /// Returns the VMs of this place, besides this one, that report requests at the upstream, or waiting for it if it is a service.
+    auto localReporters(std::string_view upstream, TimePoint now) const -> std::vector<std::string_view>;
+
+    /// Returns the requests that the VMs of another place report together at the upstream, or waiting for it if it is a service.
+    auto requestsOfPlace(std::string_view place, std::string_view upstream, TimePoint now) const -> int;
+
     /// Returns this VM's own work, without idle upstreams.
     auto own() const -> std::vector<UpstreamLoad>;
 
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -14,6 +14,7 @@
 #include "currantstack/decisions/load_table.h"
 #include "currantstack/decisions/memory_budget.h"
 #include "currantstack/decisions/peer_protocol.h"
+#include "currantstack/decisions/placement_pace.h"
 #include "currantstack/decisions/relay_choice.h"
 #include "currantstack/decisions/request_attempts.h"
 #include "currantstack/decisions/route_history.h"
@@ -118,6 +119,7 @@
     std::map<std::string, EventIdPattern, std::less<>> eventIds = {}; // by service
     std::map<std::string, EndChecks, std::less<>> endChecks = {}; // by service
     ExclusionList exclusions = {};
+    RemoteRefusals remoteRefusals = {}; // of reservations
     UpstreamNotices notices = {};
     Quarantine quarantine = Quarantine();
     CrashDetector crashDetector = {};
--- a/src/decisions/engine_placement.cc
+++ b/src/decisions/engine_placement.cc
@@ -293,9 +293,14 @@
     return ofEngine * static_cast<double>(inputs.decode.size());
 }
 
+auto leavesReserve(const PlacementInputs &inputs) -> bool
+{
+    return inputs.reservedStreams <= 0 || freeStreams(inputs) >= inputs.reservedStreams + 1;
+}
+
 auto planStream(const PlacementInputs &inputs, Random &random) -> std::optional<StreamPlan>
 {
-    if (inputs.reservedStreams > 0 && freeStreams(inputs) < inputs.reservedStreams + 1) {
+    if (!leavesReserve(inputs)) {
         return std::nullopt;
     }
     const auto mixed = cheapestDecode(inputs, {nullptr, NewPrefillGapShare, "", AnySoftwareVersion}, random);
--- a/src/decisions/load_table.cc
+++ b/src/decisions/load_table.cc
@@ -5,6 +5,14 @@
 namespace currantstack
 {
 
+namespace
+{
+
+constexpr std::string_view AggregatePrefix = "place:"; // of the source of a report that adds up another place
+constexpr char PartSeparator = '#'; // before the number of a further part of a report
+
+} // namespace
+
 auto InFlightWork::operator+=(const InFlightWork &other) -> InFlightWork &
 {
     promptTokens += other.promptTokens;
@@ -83,6 +91,34 @@
     return sum;
 }
 
+auto LoadTable::localReporters(std::string_view upstream, TimePoint now) const -> std::vector<std::string_view>
+{
+    std::vector<std::string_view> reporters;
+    for (const auto &[source, report] : m_reports) {
+        const auto found = report.work.find(upstream);
+        if (now - report.receivedAt < ReportLifetime && !source.starts_with(AggregatePrefix) && found != report.work.end()
+            && found->second.requests > 0) {
+            reporters.push_back(std::string_view(source).substr(0, source.find(PartSeparator)));
+        }
+    }
+    return reporters;
+}
+
+auto LoadTable::requestsOfPlace(std::string_view place, std::string_view upstream, TimePoint now) const -> int
+{
+    const auto first = std::string(AggregatePrefix) + std::string(place); // further parts of an aggregate have a suffix
+    int requests = 0;
+    for (auto entry = m_reports.lower_bound(first); entry != m_reports.end() && entry->first.starts_with(first); ++entry) {
+        const auto &[source, report] = *entry;
+        const bool isOfPlace = source.size() == first.size() || source[first.size()] == PartSeparator;
+        const auto found = report.work.find(upstream);
+        if (isOfPlace && now - report.receivedAt < ReportLifetime && found != report.work.end()) {
+            requests += found->second.requests;
+        }
+    }
+    return requests;
+}
+
 auto LoadTable::own() const -> std::vector<UpstreamLoad>
 {
     std::vector<UpstreamLoad> loads;
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -71,6 +71,32 @@
     }));
 }
 
+/// Leaves out the decode engines whose last capacity other VMs are to take. In a small fleet all VMs hear each other directly, and few
+/// reservations are refused.
+auto StreamRequest::withoutOthersCapacity(std::vector<EngineView> views) const -> std::vector<EngineView>
+{
+    const auto *service = m_request.routeTable->service(m_request.service);
+    if (!m_context.remoteLoadsAreAggregates || hasBegunElsewhere() || service == nullptr || !service->engine) {
+        return views;
+    }
+    const auto now = m_context.clock.now();
+    const auto &spec = *service->engine;
+    const auto kvOfStream = std::max(1.0, m_context.speedsOf(m_request.service).expectedKvTokens(m_request.metadata.shape));
+    const auto waitingVms = m_context.loads.localReporters(m_request.service, now);
+    const auto left = std::erase_if(views, [&](const EngineView &view) {
+        const auto &upstream = *view.upstream;
+        if (view.isAggregate) {
+            return m_context.loads.requestsOfPlace(upstream.place, m_request.service, now) > 0
+                || !m_context.remoteRefusals.mayTry(upstream.place, now);
+        }
+        const auto free = std::min(static_cast<double>(spec.slots - view.work.requests),
+                                   (static_cast<double>(spec.kvTokens) - view.work.kvTokens) / kvOfStream);
+        return view.work.requests > 0 && !mayTakeCapacity(upstream.id, std::floor(free), m_context.settings.vm, waitingVms);
+    });
+    m_context.counters.at("engines_left_to_other_vms").add(static_cast<std::int64_t>(left));
+    return views;
+}
+
 auto StreamRequest::plan(const PlanFunction &planFunction) const -> std::optional<StreamPlan>
 {
     const auto *service = m_request.routeTable->service(m_request.service);
@@ -163,8 +189,14 @@
     if (m_done || leaveIfCutOff()) {
         return true;
     }
-    const auto chosen = plan([this, isTurn](PlacementInputs inputs) {
+    const auto chosen = plan([this, isTurn](PlacementInputs inputs) -> std::optional<StreamPlan> {
         inputs.reservedStreams = isTurn ? 0 : reservedStreams(inputs);
+        if (!leavesReserve(inputs)) {
+            return std::nullopt;
+        }
+        inputs.reservedStreams = 0; // the reserve is a part of all capacity, also of what is left to other VMs
+        const auto decode = withoutOthersCapacity({inputs.decode.begin(), inputs.decode.end()});
+        inputs.decode = decode;
         return planStream(inputs, m_context.random);
     });
     if (!chosen || !isSoonEnough(*chosen)) {
--- a/src/edge/stream_request.h
+++ b/src/edge/stream_request.h
@@ -97,6 +97,7 @@
     auto growDecodeClaim() -> void;
     auto tokensPerEvent() const -> std::int64_t;
     auto plan(const PlanFunction &planFunction) const -> std::optional<StreamPlan>;
+    auto withoutOthersCapacity(std::vector<EngineView> views) const -> std::vector<EngineView>;
     auto engineViews(EngineRole role) const -> std::vector<EngineView>;
     auto isAwaited(const Upstream &engine) const -> bool;
     auto enginesOfVersion() const -> std::size_t;
--- a/src/edge/stream_reservation.cc
+++ b/src/edge/stream_reservation.cc
@@ -98,6 +98,9 @@
     m_context.log.write(
         "stream", "reservation_refused",
         {{"request", m_request.metadata.requestId}, {"engine", engine.id}, {"error", describe(error)}, {"kv_booked", load.kvTokens}});
+    if (error.code == ErrorCode::Overloaded && engine.place != m_context.settings.place) {
+        m_context.remoteRefusals.onRefused(engine.place, now);
+    }
     if (error.code == ErrorCode::Overloaded && isBusy(engine)) {
         m_context.exclusions.onFull(engine.id, load.requests, m_context.speedsOf(m_request.service).streamDuration(), now);
     } else if (error.code == ErrorCode::Overloaded) {
--- a/test/load_table-test.cc
+++ b/test/load_table-test.cc
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(urgentWorkIsReported);
     CPPUNIT_TEST(malformedDatagramsAreRejected);
     CPPUNIT_TEST(numbersBeyondTheirBoundsAreRejected);
+    CPPUNIT_TEST(waitingStreamsAreKnownByVmAndByPlace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,6 +165,26 @@
         });
         CPPUNIT_ASSERT(!decodeLoad(""));
     }
+
+    auto waitingStreamsAreKnownByVmAndByPlace() -> void
+    {
+        const TimePoint now{seconds(10)};
+        LoadTable table;
+        const std::vector<UpstreamLoad> waiting = {{"service", {0, 0, 2}}};
+        table.merge("vm1", 1, waiting, now);
+        table.merge("vm2#1", 1, waiting, now);
+        table.merge("vm3", 1, std::vector<UpstreamLoad>{{"engine", {0, 0, 1}}}, now);
+        table.merge("place:a", 1, waiting, now);
+        table.merge("place:a#1", 1, waiting, now);
+        table.merge("place:ab", 1, waiting, now);
+        CPPUNIT_ASSERT((std::vector<std::string_view>{"vm1", "vm2"} == table.localReporters("service", now)));
+        CPPUNIT_ASSERT_EQUAL(4, table.requestsOfPlace("a", "service", now));
+        CPPUNIT_ASSERT_EQUAL(2, table.requestsOfPlace("ab", "service", now));
+        CPPUNIT_ASSERT_EQUAL(0, table.requestsOfPlace("b", "service", now));
+        const auto later = now + LoadTable::ReportLifetime;
+        CPPUNIT_ASSERT(table.localReporters("service", later).empty());
+        CPPUNIT_ASSERT_EQUAL(0, table.requestsOfPlace("a", "service", later));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadTableTest);
