Capacity left to other VMs: one name for the module, one copy of the prefix of aggregates

placement_pace is contended_capacity now, after what it decides about, and the prefix of the source of an aggregate stands in load_table.h alone. No behaviour changes.

--- a/include/currantstack/decisions/load_table.h
+++ b/include/currantstack/decisions/load_table.h
@@ -34,6 +34,9 @@
     InFlightWork work;
 };
 
+/// Begins the source of a report that adds up the VMs of a place; the place's name follows.
+inline constexpr std::string_view AggregatePrefix = "place:";
+
 /// Combines this VM's current work with the last reports of other VMs.
 class LoadTable
 {
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "currantstack/counters.h"
+#include "currantstack/decisions/contended_capacity.h"
 #include "currantstack/decisions/cost_table.h"
 #include "currantstack/decisions/counted_calls.h"
 #include "currantstack/decisions/crash_detector.h"
@@ -14,7 +15,6 @@
 #include "currantstack/decisions/load_table.h"
 #include "currantstack/decisions/memory_budget.h"
 #include "currantstack/decisions/peer_protocol.h"
-#include "currantstack/decisions/placement_pace.h"
 #include "currantstack/decisions/relay_choice.h"
 #include "currantstack/decisions/request_attempts.h"
 #include "currantstack/decisions/route_history.h"
--- a/src/decisions/placement_pace.cc
+++ b/src/decisions/contended_capacity.cc
@@ -1,4 +1,4 @@
-#include "currantstack/decisions/placement_pace.h"
+#include "currantstack/decisions/contended_capacity.h"
 
 #include "currantstack/codec.h"
 
--- a/src/decisions/load_table.cc
+++ b/src/decisions/load_table.cc
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr std::string_view AggregatePrefix = "place:"; // of the source of a report that adds up another place
 constexpr char PartSeparator = '#'; // before the number of a further part of a report
 
 } // namespace
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -18,7 +18,6 @@
 {
 
 constexpr std::size_t MaxDatagramBytes = 8192;
-constexpr std::string_view AggregatePrefix = "place:"; // of the source of an aggregate
 constexpr int MaxReceivesPerWakeup = 64; // so that datagrams do not starve callers' requests
 
 auto toNative(const SocketAddress &address) -> sockaddr_in
--- a/test/placement_at_scale-test.cc
+++ b/test/placement_at_scale-test.cc
@@ -1,6 +1,6 @@
+#include "currantstack/decisions/contended_capacity.h"
 #include "currantstack/decisions/engine_placement.h"
 #include "currantstack/decisions/exclusion_list.h"
-#include "currantstack/decisions/placement_pace.h"
 
 #include "check.h"
 
@@ -24,7 +24,6 @@
 constexpr Duration AggregateDelay = milliseconds(25);
 constexpr Duration LongestWait = milliseconds(750); // in the queue
 constexpr std::string_view Service = "s"; // in reports of waiting streams
-constexpr std::string_view AggregatePrefix = "place:";
 constexpr double PromptTokens = 3200;
 constexpr double OutputTokens = 70;
 constexpr Duration Peak = milliseconds(2500);
@@ -65,10 +64,10 @@
 class Fleet
 {
 public:
-    Fleet(std::size_t vms, std::size_t engines, double peak, bool isPaced, std::uint64_t seed)
+    Fleet(std::size_t vms, std::size_t engines, double peak, bool dividesCapacity, std::uint64_t seed)
         : m_random(seed)
         , m_peak(peak)
-        , m_isPaced(isPaced)
+        , m_dividesCapacity(dividesCapacity)
     {
         for (std::size_t place = 0; place < Places; ++place) {
             m_regions[placeName(place)] = fmt::format("r{}", place / 2);
@@ -186,12 +185,12 @@
             }
             const auto distance = m_places.distance(placeName(vm.place), upstream.place);
             const auto place = std::string_view(upstream.place).substr(AggregatePrefix.size());
-            if (m_isPaced && distance != Distance::SamePlace
+            if (m_dividesCapacity && distance != Distance::SamePlace
                 && (vm.loads.requestsOfPlace(place, Service, m_now) > 0 || !vm.refusals.mayTry(place, m_now))) {
                 continue;
             }
             const auto free = (static_cast<double>(m_spec.kvTokens) - work.kvTokens) / m_speeds.expectedKvTokens(shape());
-            if (m_isPaced && distance == Distance::SamePlace && !mayTakeCapacity(upstream.id, std::floor(free), vm.name, waiting)) {
+            if (m_dividesCapacity && distance == Distance::SamePlace && !mayTakeCapacity(upstream.id, std::floor(free), vm.name, waiting)) {
                 continue;
             }
             result.push_back({&upstream, work, 1, distance, distance != Distance::SamePlace});
@@ -300,7 +299,7 @@
 
     Random m_random;
     double m_peak;
-    bool m_isPaced;
+    bool m_dividesCapacity;
     TimePoint m_now{seconds(100)};
     std::map<std::string, std::string, std::less<>> m_regions;
     PlaceMap m_places;
@@ -330,15 +329,15 @@
         return std::getenv("CURRANT_TABLES") != nullptr;
     }
 
-    static auto play(std::size_t vms, double peak, bool isPaced) -> Figures
+    static auto play(std::size_t vms, double peak, bool dividesCapacity) -> Figures
     {
         Figures sum;
         for (const std::uint64_t seed : printsTable() ? std::vector<std::uint64_t>{3, 4, 5} : std::vector<std::uint64_t>{3}) {
-            sum.add(Fleet(vms, vms * 98 / 86, peak, isPaced, seed).run());
+            sum.add(Fleet(vms, vms * 98 / 86, peak, dividesCapacity, seed).run());
         }
         if (printsTable()) {
             fmt::print("| {} | {} | {} | {} | {:.2f} | {:.2f} | {:.3f} | {:.0f} | {:.0f} |\n", vms, peak,
-                       isPaced ? "divided" : "all at once", sum.placed, sum.perStream(),
+                       dividesCapacity ? "divided" : "all at once", sum.placed, sum.perStream(),
                        static_cast<double>(sum.refusedFar) / std::max(1, sum.placed), static_cast<double>(sum.expired) / sum.arrived,
                        sum.wait(0.5), sum.wait(0.95));
         }
