Logs of when and from whom a VM learns of a software version

caller_continues said what a VM relies on that takes a stream up, but nothing said what a VM relies on that begins one. version_learned has the teller, the age, and the times from which this VM begins streams at the version and from which others can have begun some; stream_placed has for how long the version is known and whether the VM may have missed versions; caller_continues has the number of possible origins.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -6,8 +6,11 @@
 #include "currantstack/decisions/version_currency.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace currantstack
@@ -22,6 +25,17 @@
     Duration knownFor = Duration::zero(); // since a VM first knew the version
 };
 
+/// A version that this VM has just learned of, for logs.
+struct LearnedVersion
+{
+    std::string_view service;
+    std::string_view version;
+    std::string_view toldBy; // the VM that told it; empty if an upstream's entry names it
+    Duration knownFor = Duration::zero(); // since a VM first knew it, as far as this VM can tell
+    TimePoint settledAt; // from which this VM begins streams there
+    TimePoint usedAt; // from which other VMs may have begun streams there
+};
+
 /// Remembers the versions of each service for longer than a stream lives. While a service had one version only, each of its streams is
 /// of that version; otherwise the version of a stream must be known.
 class SoftwareVersions
@@ -38,7 +52,17 @@
     /// Records that an upstream with this version is registered, or was until `lastSeen`.
     auto observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void;
 
-    auto merge(const SoftwareVersionNotice &notice, TimePoint now) -> void;
+    /// Records what another VM tells.
+    auto merge(const SoftwareVersionNotice &notice, std::string_view toldBy, TimePoint now) -> void;
+
+    /// Sets what runs when a version becomes known, once its times are set.
+    auto setLearnedHook(std::function<void(const LearnedVersion &version)> hook) -> void
+    {
+        m_onLearned = std::move(hook);
+    }
+
+    /// Returns since when a VM has known the version, as far as this VM can tell.
+    auto knownSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>;
 
     /// Drops the versions that were not seen for `Lifetime`.
     auto expire(TimePoint now) -> void;
@@ -98,11 +122,16 @@
 
     using Versions = std::map<std::string, Version, std::less<>>;
 
-    auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> Version &;
+    /// Returns the version and whether it has just become known.
+    auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>;
+
+    auto find(std::string_view service, std::string_view version) const -> const Version *;
+    auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void;
 
     std::map<std::string, Versions, std::less<>> m_services;
     VersionCurrency m_currency;
     std::uint64_t m_generation = 0;
+    std::function<void(const LearnedVersion &version)> m_onLearned = [](const LearnedVersion & /*version*/) {};
 };
 
 } // namespace currantstack
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -64,7 +64,8 @@
     auto resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void;
     auto onDatagram(std::string_view bytes, const SocketAddress &from) -> void;
     auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
-    auto onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered) -> void;
+    auto onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void;
+    auto logLearned(const LearnedVersion &version) -> void;
     auto endSettledInquiries() -> void;
     auto observeContact() -> void;
     auto mayMissVersions() -> bool;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -15,7 +15,7 @@
 
 } // namespace
 
-auto SoftwareVersions::versionOf(std::string_view service, std::string_view version, TimePoint now) -> Version &
+auto SoftwareVersions::versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>
 {
     auto &versions = m_services[std::string(service)];
     const bool isFirst =
@@ -27,25 +27,53 @@
                          isFirst ? now : knownSince + EarliestUse};
         ++m_generation;
     }
-    return found->second;
+    return {found->second, isNew};
+}
+
+auto SoftwareVersions::find(std::string_view service, std::string_view version) const -> const Version *
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return nullptr;
+    }
+    const auto entry = found->second.find(version);
+    return entry == found->second.end() ? nullptr : &entry->second;
+}
+
+auto SoftwareVersions::reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void
+{
+    m_onLearned({notice.service, notice.version, toldBy, notice.knownFor, entry.settledAt, entry.usedAt});
 }
 
 auto SoftwareVersions::observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void
 {
-    auto &entry = versionOf(service, version, now);
+    const auto [entry, isNew] = versionOf(service, version, now);
     entry.lastSeen = std::max(entry.lastSeen, lastSeen);
+    if (isNew) {
+        reportLearned({std::string(service), std::string(version), now - lastSeen, Duration::zero()}, entry, {});
+    }
 }
 
-auto SoftwareVersions::merge(const SoftwareVersionNotice &notice, TimePoint now) -> void
+auto SoftwareVersions::merge(const SoftwareVersionNotice &notice, std::string_view toldBy, TimePoint now) -> void
 {
-    if (notice.age < Lifetime) {
-        observe(notice.service, notice.version, now - notice.age, now);
-        auto &entry = versionOf(notice.service, notice.version, now);
-        entry.settledAt = std::min(entry.settledAt, now - notice.knownFor + SettlingTime);
-        entry.usedAt = std::min(entry.usedAt, now - notice.knownFor + EarliestUse);
+    if (notice.age >= Lifetime) {
+        return;
+    }
+    const auto [entry, isNew] = versionOf(notice.service, notice.version, now);
+    entry.lastSeen = std::max(entry.lastSeen, now - notice.age);
+    entry.settledAt = std::min(entry.settledAt, now - notice.knownFor + SettlingTime);
+    entry.usedAt = std::min(entry.usedAt, now - notice.knownFor + EarliestUse);
+    if (isNew) {
+        reportLearned(notice, entry, toldBy);
     }
 }
 
+auto SoftwareVersions::knownSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>
+{
+    const auto *entry = find(service, version);
+    return entry == nullptr ? std::nullopt : std::optional(entry->settledAt - SettlingTime);
+}
+
 auto SoftwareVersions::expire(TimePoint now) -> void
 {
     for (auto &[service, versions] : m_services) {
@@ -68,12 +96,8 @@
 
 auto SoftwareVersions::isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool
 {
-    const auto found = m_services.find(service);
-    if (found == m_services.end()) {
-        return true;
-    }
-    const auto entry = found->second.find(version);
-    return entry == found->second.end() || now >= entry->second.settledAt;
+    const auto *entry = find(service, version);
+    return entry == nullptr || now >= entry->settledAt;
 }
 
 auto SoftwareVersions::possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -199,7 +199,7 @@
         m_context.tenantQuotas.merge(message.source, message.vm, report, now);
     }
     for (const auto &notice : message.versions) {
-        m_context.versions.merge(notice, now);
+        m_context.versions.merge(notice, message.vm, now);
     }
     if (!message.costs.empty()) {
         m_context.costs.merge(message.source, message.costs, now);
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -31,6 +31,7 @@
         },
     };
     exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
+    context.versions.setLearnedHook([this](const LearnedVersion &version) { logLearned(version); });
     directory.setUpstreamsReadHandler([this]() { endSettledInquiries(); });
 }
 
@@ -82,6 +83,21 @@
     m_outdatedSince = isOutdated ? std::optional(now) : std::nullopt;
 }
 
+auto OriginController::logLearned(const LearnedVersion &version) -> void
+{
+    const auto now = m_context.clock.now();
+    m_context.counters.at("software_versions_learned").add();
+    m_context.log.write("origins", "version_learned",
+                        {{"service", version.service},
+                         {"software_version", version.version},
+                         {"told_by", version.toldBy.empty() ? "upstream" : version.toldBy},
+                         {"known_for_ms", toMilliseconds(version.knownFor)},
+                         {"settles_in_ms", std::max(0.0, toMilliseconds(version.settledAt - now))},
+                         {"may_have_streams_in_ms", std::max(0.0, toMilliseconds(version.usedAt - now))},
+                         {"others_known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
+                         {"started_or_suspended", m_gap.isOpen(m_bootClock.now())}});
+}
+
 auto OriginController::announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void
 {
     const auto stream = streamKey(firstAttemptId);
@@ -193,7 +209,7 @@
         return;
     }
     if (message->report) {
-        onReport(*message->report, message->told);
+        onReport(*message->report, message->told, from);
     }
     for (const auto &row : message->told) {
         onTold(row, from);
@@ -203,10 +219,10 @@
     }
 }
 
-auto OriginController::onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered) -> void
+auto OriginController::onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void
 {
     for (const auto &notice : report.versions) {
-        m_context.versions.merge(notice, m_context.clock.now());
+        m_context.versions.merge(notice, from.text(), m_context.clock.now());
     }
     for (const auto &row : answered) {
         for (const auto stream : row.streams) {
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -103,6 +103,7 @@
                                               : "peer"},
                          {"known_for_ms", origin ? toMilliseconds(now - origin->at) : 0.0},
                          {"several_versions", knowledge.isMixed},
+                         {"possible_origins", m_context.versions.possibleOrigins(m_request.service, now).size()},
                          {"versions_may_be_outdated", knowledge.mayBeOutdated},
                          {"most_vms_heard_ms_ago", toMilliseconds(now - evidence.mostHeardAt)},
                          {"upstreams_read_ms_ago", toMilliseconds(now - evidence.upstreamsReadAt)}});
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -467,6 +467,9 @@
     const auto &shape = m_request.metadata.shape;
     LogFields fields = {{"request", m_request.metadata.requestId}, {"route", m_request.route->name}, {"decode", plan.decode->id}};
     fields["software_version"] = plan.decode->softwareVersion;
+    const auto knownSince = m_context.versions.knownSince(plan.decode->service, plan.decode->softwareVersion);
+    fields["version_known_ms"] = knownSince ? toMilliseconds(now - *knownSince) : 0.0;
+    fields["versions_may_be_outdated"] = m_context.originHooks.mayMissVersions();
     if (plan.prefill != nullptr) {
         fields["prefill"] = plan.prefill->id;
         fields["prefill_software_version"] = plan.prefill->softwareVersion;
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -100,7 +100,7 @@
         late.observe("llm", "v2", m_now, m_now);
         CPPUNIT_ASSERT(!late.isSettled("llm", "v2", m_now));
         for (const auto &notice : m_versions.notices(m_now)) {
-            late.merge(notice, m_now);
+            late.merge(notice, "vm1", m_now);
         }
         CPPUNIT_ASSERT(late.isSettled("llm", "v2", m_now));
     }
@@ -113,12 +113,12 @@
         SoftwareVersions other;
         other.observe("llm", "v2", m_now, m_now);
         for (const auto &notice : m_versions.notices(m_now)) {
-            other.merge(notice, m_now);
+            other.merge(notice, "vm1", m_now);
         }
         CPPUNIT_ASSERT(other.isMixed("llm"));
         other.expire(m_now + SoftwareVersions::Lifetime - milliseconds(500));
         CPPUNIT_ASSERT_MESSAGE("the age of a version that is told is lost", !other.isMixed("llm"));
-        other.merge({"llm", "v0", SoftwareVersions::Lifetime}, m_now);
+        other.merge({"llm", "v0", SoftwareVersions::Lifetime}, "vm1", m_now);
         CPPUNIT_ASSERT(!other.has("llm", softwareVersionKey("llm", "v0")));
     }
 };
