A version that a VM finds at its start is not known to all others

Callers got streams with events of two software versions. A VM that started within the second of a release took all versions of its first read of the store for settled and began streams at the new one at once; when these broke, a VM in step, which had not heard of the version and may rely on that for 1.3 s, went on at the former one. The same held for a service whose first engines come in two versions, and the notices of such a VM claimed that it had known the versions for 1.5 s.

Cause: the time from which a version may be used was judged from when this VM learned of it, and the time from which it may have been used from when others did. Now a version settles 1.5 s after the first VM knew it, at every VM, without an exception for what is read together. So that a start costs callers no wait, a VM asks others at its start for how long they have known the versions, also of services that have only one (a question says so; VMs of earlier builds ignore that and tell only of services with several). A VM without others does not wait.

onlyAFurtherVersionSettles asserted that versions of one read are settled, which is the fault; aFurtherVersionSettles keeps the rest, and versionsOfAFirstReadAreNotSettled and versionsThatAppearTogetherSettle assert the contrary.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -25,6 +25,13 @@
     Duration knownFor = Duration::zero(); // since a VM first knew the version
 };
 
+/// The services whose versions one VM tells another.
+enum class NoticeScope
+{
+    MixedServices, // those that have several versions
+    AllServices, // for a VM that may have missed versions
+};
+
 /// A version that this VM has just learned of, for logs.
 struct LearnedVersion
 {
@@ -43,8 +50,8 @@
 public:
     /// Longer than a caller keeps trying to complete one stream.
     static constexpr Duration Lifetime = seconds(60);
-    /// Another version gets no streams for this time after a VM first knows it, so that all VMs know it when the first stream begins, or
-    /// know that they may have missed it (`VersionCurrency`).
+    /// A version gets no streams for this time after a VM first knows it, so that all VMs know it when the first stream begins, or know
+    /// that they may have missed it (`VersionCurrency`). That a VM has just started says nothing about how long the others have known it.
     static constexpr Duration SettlingTime = milliseconds(1500);
     /// Streams may begin this long after a VM first knows their version: at VMs of earlier builds.
     static constexpr Duration EarliestUse = seconds(1);
@@ -73,6 +80,9 @@
     /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
     auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
 
+    /// Lets streams begin at all known versions, because no other VM can take them up.
+    auto settleAll(TimePoint now) -> void;
+
     /// Returns whether streams may begin at upstreams of this version.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
@@ -107,14 +117,13 @@
 
     auto mixedServices() const -> std::vector<std::string>;
 
-    /// Returns what to tell other VMs: all versions of the services that have more than one.
-    auto notices(TimePoint now) const -> std::vector<SoftwareVersionNotice>;
+    /// Returns what to tell other VMs.
+    auto notices(NoticeScope scope, TimePoint now) const -> std::vector<SoftwareVersionNotice>;
 
 private:
     struct Version
     {
         SoftwareVersionKey key = AnySoftwareVersion;
-        TimePoint firstSeen;
         TimePoint lastSeen;
         TimePoint settledAt;
         TimePoint usedAt; // by streams of any VM, at the earliest
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -65,11 +65,17 @@
         return m_peers.isHolder(key, count, m_context.clock.now());
     }
 
+    /// Returns whether the store's list names no other VM, and none has been heard.
+    auto isAlone() const -> bool
+    {
+        return m_peersListed && m_peers.size() == 0;
+    }
+
     /// Returns whether there may be other VMs that find the end of an upstream as well. VMs that this one does not hear count, because
     /// its links to them may be lost together with those to upstreams.
     auto mayHaveWitnesses() const -> bool
     {
-        return !m_peersListed || m_peers.size() > 0;
+        return !isAlone();
     }
 
     /// Sets the receiver of the datagrams that begin with `OriginMagic`.
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -58,6 +58,7 @@
         }
     };
 
+    auto askForVersions() -> void;
     auto announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void;
     auto find(std::string_view firstAttemptId, OriginFound callback) -> void;
     auto ask(Fingerprint stream) -> void;
@@ -71,7 +72,8 @@
     auto mayMissVersions() -> bool;
     auto readStoreIfOutdated() -> void;
     auto closeGap() -> void;
-    auto answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void;
+    auto versionsFor(const OriginMessage &question) const -> std::vector<SoftwareVersionNotice>;
+    auto answer(const OriginMessage &question, const SocketAddress &from) -> void;
     auto check() -> void;
     auto logCurrency(TimePoint now) -> void;
     auto refreshVersions(TimePoint now) -> void;
@@ -84,6 +86,7 @@
     KnowledgeGap m_gap;
     std::optional<TimePoint> m_outdatedSince; // as last logged
     std::unique_ptr<Timer> m_timer;
+    bool m_hasAskedForVersions = false;
     TimePoint m_refreshedAt;
     std::vector<std::string> m_mixedServices; // at the last check
     std::unordered_map<Fingerprint, Inquiry> m_inquiries;
--- a/include/currantstack/edge/origin_message.h
+++ b/include/currantstack/edge/origin_message.h
@@ -25,7 +25,7 @@
 struct VersionReport
 {
     bool isComplete = false; // the sender can have missed none, but for `age`
-    std::vector<SoftwareVersionNotice> versions; // of the services that have several
+    std::vector<SoftwareVersionNotice> versions; // of the services that have several, or of all
     Duration age = Duration::zero(); // of what the sender knows; zero: its build does not say
 };
 
@@ -35,6 +35,7 @@
     std::vector<StreamsOfVersion> told; // what the sender knows, or that it does not know
     std::vector<Fingerprint> asked;
     std::optional<VersionReport> report; // in answers only
+    bool asksForAllVersions = false; // because the sender may have missed some
 };
 
 auto encodeOrigins(const OriginMessage &message) -> std::string;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -8,23 +8,16 @@
 namespace
 {
 
-// Versions that are first seen within this time are those of one read of the store.
-constexpr Duration SnapshotSpread = milliseconds(500);
-
 constexpr std::string_view Unnamed = "unnamed"; // in logs, a version that its upstreams do not name
 
 } // namespace
 
 auto SoftwareVersions::versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>
 {
-    auto &versions = m_services[std::string(service)];
-    const bool isFirst =
-        std::all_of(versions.begin(), versions.end(), [now](const auto &entry) { return now - entry.second.firstSeen < SnapshotSpread; });
-    const auto [found, isNew] = versions.try_emplace(std::string(version));
+    const auto [found, isNew] = m_services[std::string(service)].try_emplace(std::string(version));
     if (isNew) {
-        const auto knownSince = std::min(m_currency.currentAt(), now);
-        found->second = {softwareVersionKey(service, version), now, TimePoint::min(), isFirst ? now : now + SettlingTime,
-                         isFirst ? now : knownSince + EarliestUse};
+        const auto absentAt = std::min(m_currency.currentAt(), now);
+        found->second = {softwareVersionKey(service, version), TimePoint::min(), now + SettlingTime, absentAt + EarliestUse};
         ++m_generation;
     }
     return {found->second, isNew};
@@ -74,6 +67,15 @@
     return entry == nullptr ? std::nullopt : std::optional(entry->settledAt - SettlingTime);
 }
 
+auto SoftwareVersions::settleAll(TimePoint now) -> void
+{
+    for (auto &[service, versions] : m_services) {
+        for (auto &[name, entry] : versions) {
+            entry.settledAt = std::min(entry.settledAt, now);
+        }
+    }
+}
+
 auto SoftwareVersions::expire(TimePoint now) -> void
 {
     for (auto &[service, versions] : m_services) {
@@ -136,15 +138,15 @@
     return result;
 }
 
-auto SoftwareVersions::notices(TimePoint now) const -> std::vector<SoftwareVersionNotice>
+auto SoftwareVersions::notices(NoticeScope scope, TimePoint now) const -> std::vector<SoftwareVersionNotice>
 {
     std::vector<SoftwareVersionNotice> result;
     for (const auto &[service, versions] : m_services) {
+        if (scope == NoticeScope::MixedServices && versions.size() < 2) {
+            continue;
+        }
         for (const auto &[version, entry] : versions) {
-            if (versions.size() > 1) {
-                result.push_back(
-                    {service, version, std::max(Duration::zero(), now - entry.lastSeen), now + SettlingTime - entry.settledAt});
-            }
+            result.push_back({service, version, std::max(Duration::zero(), now - entry.lastSeen), now + SettlingTime - entry.settledAt});
         }
     }
     return result;
--- a/src/edge/load_exchange.cc
+++ b/src/edge/load_exchange.cc
@@ -250,7 +250,7 @@
     if (hasNewVersion || now - m_versionsSentAt >= VersionsPeriod) {
         m_versionsSentAt = now;
         m_versionsSent = m_context.versions.generation();
-        versions = m_context.versions.notices(now);
+        versions = m_context.versions.notices(NoticeScope::MixedServices, now);
     }
     m_lastLoads = std::move(bytes);
     m_lastExcluded = std::move(excluded);
@@ -309,7 +309,7 @@
           understood(m_context.exclusions.notices(now)),
           std::move(loads),
           m_context.rateLimiter.aggregate(AggregatePrefix, now),
-          m_context.versions.notices(now),
+          m_context.versions.notices(NoticeScope::MixedServices, now),
           m_peers.placeCutOff(m_context.reach.cutOffServices(), now),
           {},
           m_context.tenantQuotas.aggregate(AggregatePrefix, now)},
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -32,7 +32,10 @@
     };
     exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
     context.versions.setLearnedHook([this](const LearnedVersion &version) { logLearned(version); });
-    directory.setUpstreamsReadHandler([this]() { endSettledInquiries(); });
+    directory.setUpstreamsReadHandler([this]() {
+        askForVersions();
+        endSettledInquiries();
+    });
 }
 
 auto OriginController::start() -> void
@@ -108,6 +111,18 @@
     }
 }
 
+/// Asks other VMs at the start for how long they have known the versions, so that streams need not wait for versions to settle.
+auto OriginController::askForVersions() -> void
+{
+    if (!std::exchange(m_hasAskedForVersions, true)) {
+        find({}, [this](const auto & /*origin*/) {
+            if (m_exchange.isAlone()) {
+                m_context.versions.settleAll(m_context.clock.now());
+            }
+        });
+    }
+}
+
 auto OriginController::find(std::string_view firstAttemptId, OriginFound callback) -> void
 {
     const auto stream = streamKey(firstAttemptId);
@@ -152,7 +167,7 @@
         return;
     }
     m_context.counters.at("stream_origins_asked").add();
-    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}}), stream, AskedVms);
+    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}, m_gap.isOpen(m_bootClock.now())}), stream, AskedVms);
     inquiry.timer->startOnce(inquiry.asked == 0 && !isAlone ? Duration::zero() : AskPeriod);
 }
 
@@ -215,7 +230,7 @@
         onTold(row, from);
     }
     if (!message->asked.empty()) {
-        answer(message->asked, from);
+        answer(*message, from);
     }
 }
 
@@ -255,12 +270,24 @@
     endSettledInquiries();
 }
 
-auto OriginController::answer(std::span<const Fingerprint> streams, const SocketAddress &from) -> void
+/// Returns the versions to tell a VM that asks, those of plain services left out unless there are several.
+auto OriginController::versionsFor(const OriginMessage &question) const -> std::vector<SoftwareVersionNotice>
+{
+    const auto scope = question.asksForAllVersions ? NoticeScope::AllServices : NoticeScope::MixedServices;
+    auto notices = m_context.versions.notices(scope, m_context.clock.now());
+    std::erase_if(notices, [this](const auto &notice) {
+        const auto *service = m_context.routeTable ? m_context.routeTable->service(notice.service) : nullptr;
+        return !m_context.versions.isMixed(notice.service) && (service == nullptr || !service->engine);
+    });
+    return notices;
+}
+
+auto OriginController::answer(const OriginMessage &question, const SocketAddress &from) -> void
 {
     OriginMessage message;
     const auto now = m_context.clock.now();
-    message.report = {!mayMissVersions(), m_context.versions.notices(now), now - m_context.versions.currency().currentAt()};
-    for (const auto stream : streams) {
+    message.report = {!mayMissVersions(), versionsFor(question), now - m_context.versions.currency().currentAt()};
+    for (const auto stream : question.asked) {
         const auto origin = m_context.origins.find(stream, now);
         message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
     }
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -13,6 +13,7 @@
 {
 
 constexpr std::string_view AgeField = "age"; // of what the sender knows, in ms
+constexpr std::string_view AllVersionsField = "all"; // whether the sender asks for the versions of all services
 
 auto isStreams(const nlohmann::json &value) -> bool
 {
@@ -61,6 +62,10 @@
         document.push_back(AgeField);
         document.push_back(encodeDuration(message.report->age));
     }
+    if (message.asksForAllVersions) {
+        document.push_back(AllVersionsField);
+        document.push_back(true);
+    }
     std::string bytes(OriginMagic);
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -86,6 +91,7 @@
             if (document[index] == AgeField && message.report && isDuration(document[index + 1])) {
                 message.report->age = decodeDuration(document[index + 1]);
             }
+            message.asksForAllVersions = message.asksForAllVersions || (document[index] == AllVersionsField && document[index + 1] == true);
             continue;
         }
         if (!isVersion(document[index]) || !isStreams(document[index + 1])) {
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -10,7 +10,11 @@
     CPPUNIT_TEST_SUITE(SoftwareVersionsTest);
     CPPUNIT_TEST(keysDifferByServiceAndVersion);
     CPPUNIT_TEST(aServiceStaysMixedForLongerThanItsStreamsLive);
-    CPPUNIT_TEST(onlyAFurtherVersionSettles);
+    CPPUNIT_TEST(versionsOfAFirstReadAreNotSettled);
+    CPPUNIT_TEST(versionsThatAppearTogetherSettle);
+    CPPUNIT_TEST(aFurtherVersionSettles);
+    CPPUNIT_TEST(aVmThatStartsLearnsForHowLongVersionsAreKnown);
+    CPPUNIT_TEST(aVmWithoutOthersNeedNotWaitAtItsStart);
     CPPUNIT_TEST(aVersionThatIsLearnedOfLateMayHaveStreams);
     CPPUNIT_TEST(noStreamBeginsBeforeOtherVmsKnowThatTheyAreOutdated);
     CPPUNIT_TEST(aVersionIsSettledOnceItIsSettledAtAnyVm);
@@ -41,13 +45,13 @@
     {
         see("llm", "v1");
         see("other", "v1");
-        CPPUNIT_ASSERT(!m_versions.isMixed("llm") && m_versions.notices(m_now).empty());
+        CPPUNIT_ASSERT(!m_versions.isMixed("llm") && m_versions.notices(NoticeScope::MixedServices, m_now).empty());
         CPPUNIT_ASSERT_EQUAL(softwareVersionKey("llm", "v1"), m_versions.onlyVersion("llm"));
         see("llm", "v2");
         CPPUNIT_ASSERT_EQUAL(AnySoftwareVersion, m_versions.onlyVersion("llm"));
         CPPUNIT_ASSERT_EQUAL(AnySoftwareVersion, m_versions.onlyVersion("unknown"));
         CPPUNIT_ASSERT(m_versions.isMixed("llm") && !m_versions.isMixed("other"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.notices(m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.notices(NoticeScope::MixedServices, m_now).size());
         m_now += SoftwareVersions::Lifetime - seconds(1);
         see("llm", "v2");
         m_versions.expire(m_now);
@@ -59,13 +63,40 @@
         CPPUNIT_ASSERT(!m_versions.has("llm", softwareVersionKey("llm", "v1")));
     }
 
-    auto onlyAFurtherVersionSettles() -> void
+    // Load: a VM starts within the second of a release and reads old and new versions together.
+    auto versionsOfAFirstReadAreNotSettled() -> void
+    {
+        for (const auto *version : {"v1", "v2"}) {
+            m_versions.observe("llm", version, m_now, m_now);
+            CPPUNIT_ASSERT(!m_versions.isSettled("llm", version, m_now + SoftwareVersions::SettlingTime - milliseconds(1)));
+            CPPUNIT_ASSERT(m_versions.isSettled("llm", version, m_now + SoftwareVersions::SettlingTime));
+            m_now += milliseconds(20);
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("either can have streams of other VMs", std::size_t(2),
+                                     m_versions.possibleOrigins("llm", m_now).size());
+    }
+
+    // Load: a service gets its first engines, in two versions.
+    auto versionsThatAppearTogetherSettle() -> void
+    {
+        see("other", "v1");
+        m_now += seconds(100);
+        for (const auto *version : {"v1", "v2"}) {
+            see("llm", version);
+            CPPUNIT_ASSERT(!m_versions.isSettled("llm", version, m_now));
+            m_now += milliseconds(20);
+        }
+        m_now += SoftwareVersions::SettlingTime;
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now) && m_versions.isSettled("llm", "v2", m_now));
+    }
+
+    auto aFurtherVersionSettles() -> void
     {
         see("llm", "v1");
-        m_now += milliseconds(20); // of the same read
+        m_now += milliseconds(20);
         see("llm", "v2");
-        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now) && m_versions.isSettled("llm", "v2", m_now));
         m_now += seconds(5);
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now) && m_versions.isSettled("llm", "v2", m_now));
         see("llm", "v3");
         CPPUNIT_ASSERT(!m_versions.isSettled("llm", "v3", m_now));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.possibleOrigins("llm", m_now).size());
@@ -73,6 +104,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_versions.possibleOrigins("llm", m_now + SoftwareVersions::EarliestUse).size());
     }
 
+    // Load: a VM is replaced in calm; its callers must not wait until the versions settle.
+    auto aVmThatStartsLearnsForHowLongVersionsAreKnown() -> void
+    {
+        see("llm", "v1");
+        m_now += seconds(30);
+        SoftwareVersions started;
+        started.observe("llm", "v1", m_now, m_now);
+        CPPUNIT_ASSERT(!started.isSettled("llm", "v1", m_now));
+        CPPUNIT_ASSERT_MESSAGE("a VM in step is not told again and again", m_versions.notices(NoticeScope::MixedServices, m_now).empty());
+        const auto told = m_versions.notices(NoticeScope::AllServices, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
+        started.merge(told.front(), "vm1", m_now);
+        CPPUNIT_ASSERT(started.isSettled("llm", "v1", m_now));
+        const auto passedOn = started.notices(NoticeScope::AllServices, m_now);
+        CPPUNIT_ASSERT_MESSAGE("the age is passed on", passedOn.front().knownFor == told.front().knownFor);
+    }
+
+    auto aVmWithoutOthersNeedNotWaitAtItsStart() -> void
+    {
+        m_versions.observe("llm", "v1", m_now, m_now);
+        m_versions.settleAll(m_now);
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now));
+        m_versions.observe("llm", "v2", m_now, m_now);
+        CPPUNIT_ASSERT_MESSAGE("another VM may have started", !m_versions.isSettled("llm", "v2", m_now));
+    }
+
     auto aVersionThatIsLearnedOfLateMayHaveStreams() -> void
     {
         see("llm", "v1");
@@ -99,7 +156,7 @@
         m_now += SoftwareVersions::SettlingTime;
         late.observe("llm", "v2", m_now, m_now);
         CPPUNIT_ASSERT(!late.isSettled("llm", "v2", m_now));
-        for (const auto &notice : m_versions.notices(m_now)) {
+        for (const auto &notice : m_versions.notices(NoticeScope::MixedServices, m_now)) {
             late.merge(notice, "vm1", m_now);
         }
         CPPUNIT_ASSERT(late.isSettled("llm", "v2", m_now));
@@ -112,7 +169,7 @@
         see("llm", "v2");
         SoftwareVersions other;
         other.observe("llm", "v2", m_now, m_now);
-        for (const auto &notice : m_versions.notices(m_now)) {
+        for (const auto &notice : m_versions.notices(NoticeScope::MixedServices, m_now)) {
             other.merge(notice, "vm1", m_now);
         }
         CPPUNIT_ASSERT(other.isMixed("llm"));
--- a/test/stream_origins-test.cc
+++ b/test/stream_origins-test.cc
@@ -75,6 +75,8 @@
                            RC_ASSERT(read->asked == asked && read->told.size() == 1U);
                            RC_ASSERT(read->told[0].version == version && read->told[0].streams == streams);
                        });
+        CPPUNIT_ASSERT(decodeOrigins(encodeOrigins({{}, {1}, {}, true}))->asksForAllVersions);
+        CPPUNIT_ASSERT(!decodeOrigins(encodeOrigins({{}, {1}, {}}))->asksForAllVersions);
         CPPUNIT_ASSERT(encodeOrigins({{{0xffffffffU, {0xffffffffffffffffULL}}}, {}, {}}).size() <= 20);
     }
 
