A VM that has become known has not been heard

A VM's knowledge of the software versions stays current while it hears most of the fleet, and a peer counted as heard from when the list of VMs named it, also if nothing ever came from it. A list that is read anew while the peers are silent, with VMs that are new in it, made knowledge current that was not.

The unit tests asserted that a listed VM counts as heard, which is the fault; they now assert that it does not (peersThatWereOnlyListedAreNotHeard, aPlaceThatIsCutOffDoesNotHearMostOfTheFleet).

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -103,8 +103,8 @@
     /// Returns whether rendezvous hashing assigns the key to this VM as one of `count`, among itself and the VMs that report to it.
     auto isHolder(std::uint64_t key, std::size_t count, TimePoint now) const -> bool;
 
-    /// Returns the time since which most VMs of the fleet, this one included, have sent a datagram or become known. In a large fleet,
-    /// these are most VMs of this place, and aggregates of most places.
+    /// Returns the time since which most VMs of the fleet, this one included, have sent a datagram. In a large fleet, these are most VMs of
+    /// this place, and aggregates of most places. That a VM has become known proves no contact.
     auto mostHeardAt(TimePoint now) const -> TimePoint;
 
     /// Returns whether the VM's notice confirms the end of an upstream that this VM does not reach. VMs of one place may have lost the
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -252,12 +252,12 @@
     std::map<std::string_view, TimePoint> places;
     for (const auto &[vm, peer] : m_peers) {
         if (isSmall() || peer.place == m_place) {
-            vms.push_back(std::max(peer.receivedAt, peer.knownSince));
+            vms.push_back(peer.receivedAt);
         } else {
             const auto report = m_placeReports.find(peer.place);
             const auto reportedAt = report == m_placeReports.end() ? TimePoint() : report->second.at;
             auto &heardAt = places.try_emplace(peer.place, TimePoint()).first->second;
-            heardAt = std::max({heardAt, reportedAt, peer.knownSince});
+            heardAt = std::max(heardAt, reportedAt);
         }
     }
     std::vector<TimePoint> ofPlaces;
--- a/test/peer_table-test.cc
+++ b/test/peer_table-test.cc
@@ -12,7 +12,7 @@
     CPPUNIT_TEST(smallFleetsReportToAllVms);
     CPPUNIT_TEST(largeFleetsReportToTheirPlace);
     CPPUNIT_TEST(messagesDoNotGrowWithTheSquareOfTheFleet);
-    CPPUNIT_TEST(peersAreSilentOnceTheyHaveHadTimeToReport);
+    CPPUNIT_TEST(peersThatWereOnlyListedAreNotHeard);
     CPPUNIT_TEST(oneVmThatIsHeardIsNotMostOfTheFleet);
     CPPUNIT_TEST(aPlaceThatIsCutOffDoesNotHearMostOfTheFleet);
     CPPUNIT_TEST(eachPlaceHasOneAggregator);
@@ -94,20 +94,19 @@
         for (const auto &[holder, count] : told) {
             CPPUNIT_ASSERT_MESSAGE(holder, count > 100 && count < 220); // 154 on average
         }
-        CPPUNIT_ASSERT(teller.mostHeardAt(clock.now() + PeerTable::ReportLifetime) == clock.now());
+        CPPUNIT_ASSERT_MESSAGE("VMs that were only listed are not heard", teller.mostHeardAt(clock.now()) == TimePoint());
     }
 
-    auto peersAreSilentOnceTheyHaveHadTimeToReport() -> void
+    auto peersThatWereOnlyListedAreNotHeard() -> void
     {
         ManualClock clock;
         PeerTable table("vm0", "p");
         CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
         table.mergeListed("vm1", "p", {"10.0.0.1", 1}, clock.now());
-        const auto listedAt = clock.now();
-        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == listedAt);
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == TimePoint());
         clock.advance(PeerTable::ReportLifetime);
         table.mergeListed("vm1", "p", {"10.0.0.1", 1}, clock.now());
-        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == listedAt);
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == TimePoint());
         table.merge("vm1", "p", {"10.0.0.1", 1}, clock.now());
         CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
     }
@@ -131,12 +130,11 @@
     {
         ManualClock clock;
         auto table = fleet(90, 3, clock.now());
-        const auto begin = clock.now();
         clock.advance(seconds(3));
         for (int vm = 0; vm < 90; vm += 3) {
             table.merge(vmName(vm), placeOf(vm, 3), {"10.0.0.1", 1}, clock.now());
         }
-        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == begin);
+        CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == TimePoint());
         table.setPlaceCutOff(placeOf(1, 3), {}, clock.now());
         CPPUNIT_ASSERT(table.mostHeardAt(clock.now()) == clock.now());
     }
