A version is used only if half of the fleet can know it

Callers got streams with events of two software versions: a VM that reached the store, but not the others, began streams at a new version; VMs that hear most of the fleet, but not the store, rely on being told of each version, and continued them at the former one.

Cause: that a VM knows a version says nothing about the others. A VM now uses a version only if it has heard at least half of the fleet since it learned of it: any half shares a VM with any majority. One that hears less uses the version if the service has no other, or after 10 s more, so that VMs that outlive most others are not kept from new engines.

--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -8,6 +8,7 @@
 #include "currantstack/socket_address.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -107,6 +108,9 @@
     /// this place, and aggregates of most places. That a VM has become known proves no contact.
     auto mostHeardAt(TimePoint now) const -> TimePoint;
 
+    /// The same for at least half of the fleet: any such part shares a VM with any part that is most of the fleet.
+    auto halfHeardAt(TimePoint now) const -> TimePoint;
+
     /// Returns whether the VM's notice confirms the end of an upstream that this VM does not reach. VMs of one place may have lost the
     /// same links, so only those of other places count if any reports to this VM. VMs of builds before `VerifyingProtocol` repeat
     /// notices of others as their own.
@@ -149,6 +153,10 @@
         TimePoint relayRefusedAt = {};
     };
 
+    /// Returns the time since which enough VMs have been heard, and, in a large fleet, enough places; `needed` tells how many others are,
+    /// of how many.
+    auto heardAt(const std::function<std::size_t(std::size_t others)> &needed, TimePoint now) const -> TimePoint;
+
     static auto mayTakeRelays(const Peer &peer, TimePoint now) -> bool;
 
     struct PlaceReport
--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -55,6 +55,11 @@
     static constexpr Duration SettlingTime = milliseconds(1500);
     /// Streams may begin this long after a VM first knows their version: at VMs of earlier builds.
     static constexpr Duration EarliestUse = seconds(1);
+    /// A VM that hears less than half of the fleet uses a version of which it could tell nobody after this further time, in which a VM that
+    /// is cut off from the store as well ceases to be listed.
+    static constexpr Duration IsolationTime = seconds(10);
+    /// A version whose upstreams were registered within this time is in use; VMs look twice in it.
+    static constexpr Duration PresenceTime = milliseconds(2500);
 
     /// Records that an upstream with this version is registered, or was until `lastSeen`.
     auto observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void;
@@ -83,7 +88,15 @@
     /// Lets streams begin at all known versions, because no other VM can take them up.
     auto settleAll(TimePoint now) -> void;
 
-    /// Returns whether streams may begin at upstreams of this version.
+    /// Records that at least half of the fleet has been heard since the time.
+    auto onHalfHeard(TimePoint since) -> void
+    {
+        m_halfHeardAt = since;
+    }
+
+    /// Returns whether streams may begin at upstreams of this version. VMs that hear most of the fleet rely on being told of each version
+    /// (`VersionCurrency`). One that has not heard half of it since it learned of the version may be unable to tell any of them, and uses
+    /// the version if the service has no other, or after `IsolationTime`.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
     /// Returns the versions at which streams of the service can have begun at any VM. A version that this VM learns of may have appeared
@@ -124,6 +137,7 @@
     struct Version
     {
         SoftwareVersionKey key = AnySoftwareVersion;
+        TimePoint learnedAt; // by this VM
         TimePoint lastSeen;
         TimePoint settledAt;
         TimePoint usedAt; // by streams of any VM, at the earliest
@@ -135,10 +149,12 @@
     auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>;
 
     auto find(std::string_view service, std::string_view version) const -> const Version *;
+    auto hasOther(std::string_view service, std::string_view version, TimePoint now) const -> bool;
     auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void;
 
     std::map<std::string, Versions, std::less<>> m_services;
     VersionCurrency m_currency;
+    TimePoint m_halfHeardAt;
     std::uint64_t m_generation = 0;
     std::function<void(const LearnedVersion &version)> m_onLearned = [](const LearnedVersion & /*version*/) {};
 };
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -104,6 +104,12 @@
         return m_peers.mostHeardAt(m_context.clock.now());
     }
 
+    /// Returns the time since which at least half of the VMs, this one included, have been heard.
+    auto halfHeardAt() const -> TimePoint
+    {
+        return m_peers.halfHeardAt(m_context.clock.now());
+    }
+
     /// Sends the datagram to the VMs that receive this VM's loads, and to one VM of each other place in a large fleet.
     auto sendToAll(std::string_view bytes) -> void;
 
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -12,10 +12,21 @@
 namespace
 {
 
-/// Returns the time since which a VM and the others that were heard at these times are a majority.
-auto majoritySince(std::vector<TimePoint> heardAt, TimePoint now) -> TimePoint
+/// Returns how many others are, together with one VM, most of all.
+auto neededForMost(std::size_t others) -> std::size_t
+{
+    return (others + 1) / 2;
+}
+
+/// Returns how many others are, together with one VM, at least half of all.
+auto neededForHalf(std::size_t others) -> std::size_t
+{
+    return others / 2;
+}
+
+/// Returns the time since which as many were heard as are needed.
+auto heardSince(std::vector<TimePoint> heardAt, std::size_t needed, TimePoint now) -> TimePoint
 {
-    const auto needed = (heardAt.size() + 1) / 2;
     if (needed == 0) {
         return now;
     }
@@ -247,6 +258,16 @@
 }
 
 auto PeerTable::mostHeardAt(TimePoint now) const -> TimePoint
+{
+    return heardAt(neededForMost, now);
+}
+
+auto PeerTable::halfHeardAt(TimePoint now) const -> TimePoint
+{
+    return heardAt(neededForHalf, now);
+}
+
+auto PeerTable::heardAt(const std::function<std::size_t(std::size_t others)> &needed, TimePoint now) const -> TimePoint
 {
     std::vector<TimePoint> vms;
     std::map<std::string_view, TimePoint> places;
@@ -256,13 +277,14 @@
         } else {
             const auto report = m_placeReports.find(peer.place);
             const auto reportedAt = report == m_placeReports.end() ? TimePoint() : report->second.at;
-            auto &heardAt = places.try_emplace(peer.place, TimePoint()).first->second;
-            heardAt = std::max(heardAt, reportedAt);
+            places[peer.place] = std::max(places[peer.place], reportedAt);
         }
     }
     std::vector<TimePoint> ofPlaces;
     std::transform(places.begin(), places.end(), std::back_inserter(ofPlaces), [](const auto &place) { return place.second; });
-    return std::min(majoritySince(std::move(vms), now), majoritySince(std::move(ofPlaces), now));
+    const auto neededVms = needed(vms.size());
+    const auto neededPlaces = needed(ofPlaces.size());
+    return std::min(heardSince(std::move(vms), neededVms, now), heardSince(std::move(ofPlaces), neededPlaces, now));
 }
 
 auto PeerTable::isWitness(std::string_view vm, TimePoint now) const -> bool
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -17,7 +17,7 @@
     const auto [found, isNew] = m_services[std::string(service)].try_emplace(std::string(version));
     if (isNew) {
         const auto absentAt = std::min(m_currency.currentAt(), now);
-        found->second = {softwareVersionKey(service, version), TimePoint::min(), now + SettlingTime, absentAt + EarliestUse};
+        found->second = {softwareVersionKey(service, version), now, TimePoint::min(), now + SettlingTime, absentAt + EarliestUse};
         ++m_generation;
     }
     return {found->second, isNew};
@@ -67,6 +67,15 @@
     return entry == nullptr ? std::nullopt : std::optional(entry->settledAt - SettlingTime);
 }
 
+/// Returns whether the service has upstreams of another version.
+auto SoftwareVersions::hasOther(std::string_view service, std::string_view version, TimePoint now) const -> bool
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [version, now](const auto &entry) {
+               return entry.first != version && now - entry.second.lastSeen < PresenceTime;
+           });
+}
+
 auto SoftwareVersions::settleAll(TimePoint now) -> void
 {
     for (auto &[service, versions] : m_services) {
@@ -99,7 +108,11 @@
 auto SoftwareVersions::isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool
 {
     const auto *entry = find(service, version);
-    return entry == nullptr || now >= entry->settledAt;
+    if (entry == nullptr) {
+        return true;
+    }
+    const bool mayHaveTold = m_halfHeardAt >= entry->learnedAt || now - entry->settledAt >= IsolationTime;
+    return now >= entry->settledAt && (mayHaveTold || !hasOther(service, version, now));
 }
 
 auto SoftwareVersions::possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -47,6 +47,7 @@
 {
     if (m_exchange.knowsPeers()) {
         m_context.versions.currency().onMostHeard(m_exchange.mostHeardAt(), m_context.clock.now());
+        m_context.versions.onHalfHeard(m_exchange.halfHeardAt());
     }
 }
 
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(aFurtherVersionSettles);
     CPPUNIT_TEST(aVmThatStartsLearnsForHowLongVersionsAreKnown);
     CPPUNIT_TEST(aVmWithoutOthersNeedNotWaitAtItsStart);
+    CPPUNIT_TEST(aVersionThatHalfOfTheFleetCannotKnowIsNotUsed);
+    CPPUNIT_TEST(aVersionThatHasNoAlternativeIsUsed);
     CPPUNIT_TEST(aVersionThatIsLearnedOfLateMayHaveStreams);
     CPPUNIT_TEST(noStreamBeginsBeforeOtherVmsKnowThatTheyAreOutdated);
     CPPUNIT_TEST(aVersionIsSettledOnceItIsSettledAtAnyVm);
@@ -27,6 +29,7 @@
     auto see(std::string_view service, std::string_view version) -> void
     {
         m_versions.currency().confirm(m_now);
+        m_versions.onHalfHeard(m_now);
         m_versions.observe(service, version, m_now, m_now);
     }
 
@@ -66,6 +69,7 @@
     // Load: a VM starts within the second of a release and reads old and new versions together.
     auto versionsOfAFirstReadAreNotSettled() -> void
     {
+        m_versions.onHalfHeard(m_now + seconds(1));
         for (const auto *version : {"v1", "v2"}) {
             m_versions.observe("llm", version, m_now, m_now);
             CPPUNIT_ASSERT(!m_versions.isSettled("llm", version, m_now + SoftwareVersions::SettlingTime - milliseconds(1)));
@@ -86,6 +90,7 @@
             CPPUNIT_ASSERT(!m_versions.isSettled("llm", version, m_now));
             m_now += milliseconds(20);
         }
+        m_versions.onHalfHeard(m_now);
         m_now += SoftwareVersions::SettlingTime;
         CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now) && m_versions.isSettled("llm", "v2", m_now));
     }
@@ -130,6 +135,34 @@
         CPPUNIT_ASSERT_MESSAGE("another VM may have started", !m_versions.isSettled("llm", "v2", m_now));
     }
 
+    // Load: a VM reaches the store, but not the others, while engines of a new version join.
+    auto aVersionThatHalfOfTheFleetCannotKnowIsNotUsed() -> void
+    {
+        see("llm", "v1");
+        m_now += seconds(10);
+        m_versions.observe("llm", "v2", m_now, m_now);
+        const auto learnedAt = m_now;
+        while (m_now - learnedAt < SoftwareVersions::IsolationTime) {
+            m_now += seconds(1);
+            m_versions.observe("llm", "v1", m_now, m_now);
+            CPPUNIT_ASSERT(!m_versions.isSettled("llm", "v2", m_now));
+            CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now));
+        }
+        m_versions.onHalfHeard(learnedAt);
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v2", m_now));
+    }
+
+    // Load: the same, and the engines of the former version leave.
+    auto aVersionThatHasNoAlternativeIsUsed() -> void
+    {
+        see("llm", "v1");
+        m_now += seconds(10);
+        m_versions.observe("llm", "v1", m_now, m_now);
+        m_versions.observe("llm", "v2", m_now, m_now);
+        m_now += SoftwareVersions::PresenceTime;
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v2", m_now));
+    }
+
     auto aVersionThatIsLearnedOfLateMayHaveStreams() -> void
     {
         see("llm", "v1");
@@ -154,6 +187,7 @@
         m_now += seconds(5);
         see("llm", "v2");
         m_now += SoftwareVersions::SettlingTime;
+        late.onHalfHeard(m_now);
         late.observe("llm", "v2", m_now, m_now);
         CPPUNIT_ASSERT(!late.isSettled("llm", "v2", m_now));
         for (const auto &notice : m_versions.notices(NoticeScope::MixedServices, m_now)) {
