--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -85,6 +86,13 @@
     /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
     auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
 
+    /// Records that a VM which knows all versions as of the time has told only these. A service that is not among them has only one version
+    /// there, and had no other within `Lifetime`, so that streams may begin at it.
+    auto settleSingleVersions(std::span<const SoftwareVersionNotice> told, TimePoint asOf, TimePoint now) -> void;
+
+    /// Returns whether streams may begin at all known versions.
+    auto areSettled(TimePoint now) const -> bool;
+
     /// Lets streams begin at all known versions, because no other VM can take them up.
     auto settleAll(TimePoint now) -> void;
 
@@ -99,6 +107,9 @@
     /// the version if the service has no other, or after `IsolationTime`.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
+    /// Returns whether streams may begin at any version of the service.
+    auto hasSettled(std::string_view service, TimePoint now) const -> bool;
+
     /// Returns the versions at which streams of the service can have begun at any VM. A version that this VM learns of may have appeared
     /// at any time since its knowledge was current.
     auto possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>;
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -86,7 +86,7 @@
     KnowledgeGap m_gap;
     std::optional<TimePoint> m_outdatedSince; // as last logged
     std::unique_ptr<Timer> m_timer;
-    bool m_hasAskedForVersions = false;
+    std::optional<TimePoint> m_firstReadAt; // of the store
     TimePoint m_refreshedAt;
     std::vector<std::string> m_mixedServices; // at the last check
     std::unordered_map<Fingerprint, Inquiry> m_inquiries;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -67,6 +67,14 @@
     return entry == nullptr ? std::nullopt : std::optional(entry->settledAt - SettlingTime);
 }
 
+auto SoftwareVersions::hasSettled(std::string_view service, TimePoint now) const -> bool
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() || std::any_of(found->second.begin(), found->second.end(), [this, service, now](const auto &entry) {
+               return isSettled(service, entry.first, now);
+           });
+}
+
 /// Returns whether the service has upstreams of another version.
 auto SoftwareVersions::hasOther(std::string_view service, std::string_view version, TimePoint now) const -> bool
 {
@@ -76,6 +84,25 @@
            });
 }
 
+auto SoftwareVersions::settleSingleVersions(std::span<const SoftwareVersionNotice> told, TimePoint asOf, TimePoint now) -> void
+{
+    for (auto &[service, versions] : m_services) {
+        auto &entry = versions.begin()->second;
+        const bool isTold = std::any_of(told.begin(), told.end(), [&service](const auto &notice) { return notice.service == service; });
+        if (versions.size() == 1 && !isTold && entry.learnedAt <= asOf) {
+            entry.settledAt = std::min(entry.settledAt, now);
+        }
+    }
+}
+
+auto SoftwareVersions::areSettled(TimePoint now) const -> bool
+{
+    return std::all_of(m_services.begin(), m_services.end(), [now](const auto &service) {
+        return std::all_of(service.second.begin(), service.second.end(),
+                           [now](const auto &entry) { return now >= entry.second.settledAt; });
+    });
+}
+
 auto SoftwareVersions::settleAll(TimePoint now) -> void
 {
     for (auto &[service, versions] : m_services) {
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -114,16 +114,19 @@
     }
 }
 
-/// Asks other VMs at the start for how long they have known the versions, so that streams need not wait for versions to settle.
+/// Asks other VMs after the start for how long they have known the versions, so that streams need not wait for versions to settle.
 auto OriginController::askForVersions() -> void
 {
-    if (!std::exchange(m_hasAskedForVersions, true)) {
-        find({}, [this](const auto & /*origin*/) {
-            if (m_exchange.isAlone()) {
-                m_context.versions.settleAll(m_context.clock.now());
-            }
-        });
+    const auto now = m_context.clock.now();
+    m_firstReadAt = m_firstReadAt.value_or(now);
+    if (now - *m_firstReadAt >= SoftwareVersions::SettlingTime || m_context.versions.areSettled(now)) {
+        return;
     }
+    find({}, [this](const auto & /*origin*/) {
+        if (m_exchange.isAlone()) {
+            m_context.versions.settleAll(m_context.clock.now());
+        }
+    });
 }
 
 auto OriginController::find(std::string_view firstAttemptId, OriginFound callback) -> void
@@ -246,7 +249,9 @@
         for (const auto stream : row.streams) {
             if (const auto inquiry = m_inquiries.find(stream); report.isComplete && inquiry != m_inquiries.end()) {
                 m_gap.close(inquiry->second.bootBegunAt, m_bootClock.now());
-                m_context.versions.currency().confirm(inquiry->second.begunAt - report.age);
+                const auto asOf = inquiry->second.begunAt - report.age;
+                m_context.versions.currency().confirm(asOf);
+                m_context.versions.settleSingleVersions(report.versions, asOf, m_context.clock.now());
             }
         }
     }
@@ -302,6 +307,7 @@
     const auto now = m_context.clock.now();
     if (m_context.directory.size() > 0) {
         m_gap.tick(m_bootClock.now()); // it opens when the store has been read
+        askForVersions();
     }
     logCurrency(now);
     if (now - m_refreshedAt >= RefreshPeriod) {
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -392,9 +392,11 @@
 
 auto StreamRequest::queueKey() const -> QueueKey
 {
-    // While there is one version, all streams wait in one queue.
-    const bool isOnlyVersion = m_version == m_context.versions.onlyVersion(m_request.service);
-    return {m_request.service, isOnlyVersion ? AnySoftwareVersion : m_version};
+    // While there is one version, all streams wait in one queue, unless those that begin there wait for it to settle.
+    const auto &versions = m_context.versions;
+    const bool isOnlyVersion = m_version == versions.onlyVersion(m_request.service);
+    const bool sharesQueue = isOnlyVersion && versions.hasSettled(m_request.service, m_context.clock.now());
+    return {m_request.service, sharesQueue ? AnySoftwareVersion : m_version};
 }
 
 auto StreamRequest::leaveQueue() -> void
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(versionsThatAppearTogetherSettle);
     CPPUNIT_TEST(aFurtherVersionSettles);
     CPPUNIT_TEST(aVmThatStartsLearnsForHowLongVersionsAreKnown);
+    CPPUNIT_TEST(theOnlyVersionAtAnInformedVmIsSettled);
     CPPUNIT_TEST(aVmWithoutOthersNeedNotWaitAtItsStart);
     CPPUNIT_TEST(aVersionThatHalfOfTheFleetCannotKnowIsNotUsed);
     CPPUNIT_TEST(aVersionThatHasNoAlternativeIsUsed);
@@ -126,6 +127,19 @@
         CPPUNIT_ASSERT_MESSAGE("the age is passed on", passedOn.front().knownFor == told.front().knownFor);
     }
 
+    // Load: a VM starts beside VMs of an earlier build, which tell of no service that has one version.
+    auto theOnlyVersionAtAnInformedVmIsSettled() -> void
+    {
+        m_versions.observe("llm", "v1", m_now, m_now);
+        m_versions.observe("mixed", "v1", m_now, m_now);
+        const std::vector<SoftwareVersionNotice> told{{"mixed", "v1"}, {"mixed", "v2"}};
+        m_versions.settleSingleVersions(told, m_now - milliseconds(1), m_now);
+        CPPUNIT_ASSERT_MESSAGE("the other VM need not know the version yet", !m_versions.isSettled("llm", "v1", m_now));
+        m_versions.settleSingleVersions(told, m_now, m_now);
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now) && !m_versions.areSettled(m_now));
+        CPPUNIT_ASSERT(!m_versions.isSettled("mixed", "v1", m_now));
+    }
+
     auto aVmWithoutOthersNeedNotWaitAtItsStart() -> void
     {
         m_versions.observe("llm", "v1", m_now, m_now);
