Only a VM that names a version vouches for it; streams wait for versions to settle instead of being refused

A VM that had just started let streams begin at the only version that it had found if an informed VM named no several versions of the service. That VM may itself not know the version yet: VMs are told of services with several versions only, so that contact does not tell it of a single one, and it may still rely on the version that has just left.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -86,11 +85,7 @@
     /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
     auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
 
-    /// Records that a VM which knows all versions as of the time has told only these. A service that is not among them has only one version
-    /// there, and had no other within `Lifetime`, so that streams may begin at it.
-    auto settleSingleVersions(std::span<const SoftwareVersionNotice> told, TimePoint asOf, TimePoint now) -> void;
-
-    /// Returns whether streams may begin at all known versions.
+    /// Returns whether all known versions have been known to a VM for `SettlingTime`.
     auto areSettled(TimePoint now) const -> bool;
 
     /// Lets streams begin at all known versions, because no other VM can take them up.
@@ -107,6 +102,9 @@
     /// the version if the service has no other, or after `IsolationTime`.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
+    /// Returns after what time streams may begin at a version of the service, if it is known to others as expected; zero if they may now.
+    auto settlesIn(std::string_view service, TimePoint now) const -> Duration;
+
     /// Returns whether streams may begin at any version of the service.
     auto hasSettled(std::string_view service, TimePoint now) const -> bool;
 
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -67,6 +67,19 @@
     return entry == nullptr ? std::nullopt : std::optional(entry->settledAt - SettlingTime);
 }
 
+auto SoftwareVersions::settlesIn(std::string_view service, TimePoint now) const -> Duration
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || hasSettled(service, now)) {
+        return Duration::zero();
+    }
+    auto settledAt = TimePoint::max();
+    for (const auto &[name, entry] : found->second) {
+        settledAt = std::min(settledAt, entry.settledAt);
+    }
+    return std::max(Duration::zero(), settledAt - now);
+}
+
 auto SoftwareVersions::hasSettled(std::string_view service, TimePoint now) const -> bool
 {
     const auto found = m_services.find(service);
@@ -84,17 +97,6 @@
            });
 }
 
-auto SoftwareVersions::settleSingleVersions(std::span<const SoftwareVersionNotice> told, TimePoint asOf, TimePoint now) -> void
-{
-    for (auto &[service, versions] : m_services) {
-        auto &entry = versions.begin()->second;
-        const bool isTold = std::any_of(told.begin(), told.end(), [&service](const auto &notice) { return notice.service == service; });
-        if (versions.size() == 1 && !isTold && entry.learnedAt <= asOf) {
-            entry.settledAt = std::min(entry.settledAt, now);
-        }
-    }
-}
-
 auto SoftwareVersions::areSettled(TimePoint now) const -> bool
 {
     return std::all_of(m_services.begin(), m_services.end(), [now](const auto &service) {
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -242,6 +242,7 @@
 
 auto OriginController::onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void
 {
+    const bool wereSettled = m_context.versions.areSettled(m_context.clock.now());
     for (const auto &notice : report.versions) {
         m_context.versions.merge(notice, from.text(), m_context.clock.now());
     }
@@ -249,12 +250,13 @@
         for (const auto stream : row.streams) {
             if (const auto inquiry = m_inquiries.find(stream); report.isComplete && inquiry != m_inquiries.end()) {
                 m_gap.close(inquiry->second.bootBegunAt, m_bootClock.now());
-                const auto asOf = inquiry->second.begunAt - report.age;
-                m_context.versions.currency().confirm(asOf);
-                m_context.versions.settleSingleVersions(report.versions, asOf, m_context.clock.now());
+                m_context.versions.currency().confirm(inquiry->second.begunAt - report.age);
             }
         }
     }
+    if (!wereSettled) {
+        m_context.loop.defer([&context = m_context]() { context.pendingQueue.retryHeads(); });
+    }
 }
 
 auto OriginController::onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -363,8 +363,10 @@
         return;
     }
     const bool begun = atHead || hasBegunElsewhere();
-    const bool mayJoin =
-        hasBegunElsewhere() || mayWait(expectedWait(estimate), onTimeWait - age) || mayWaitLate(estimate, longestWait() - age);
+    const auto settlesIn = m_context.versions.settlesIn(m_request.service, m_context.clock.now());
+    const bool awaitsVersion = settlesIn > Duration::zero() && m_version == AnySoftwareVersion && mayWait(settlesIn, longestWait() - age);
+    const bool mayJoin = hasBegunElsewhere() || awaitsVersion || mayWait(expectedWait(estimate), onTimeWait - age)
+        || mayWaitLate(estimate, longestWait() - age);
     if (atHead ? age > longestWait() : !mayJoin) {
         if (handOverIfUnreached("no engine that this VM reaches is expected to have capacity in time")) {
             return;
