A VM counts as able to notify others only after a report period, and is not kept from all versions

By review, of the rule that a VM uses a version only if it has heard half of the fleet since it learned of it: a single datagram that was on its way when the VM learned of the version satisfied it, and a VM that started in a release while most others were down got no version that it could use for 11.5 s. Half of the fleet must have been heard for as long as VMs need to report to each other, unless others have known the version for long; and the rule applies only if there is another version that the VM may use. The test of a VM that alone reaches the store also checks that the VM has read of the version. Unit tests and the tests of out_of_step_tests.py pass (x86-64).

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -55,10 +55,10 @@
     static constexpr Duration SettlingTime = milliseconds(1500);
     /// Streams may begin this long after a VM first knows their version: at VMs of earlier builds.
     static constexpr Duration EarliestUse = seconds(1);
-    /// A VM that hears less than half of the fleet uses a version of which it could tell nobody after this further time, in which a VM that
-    /// is cut off from the store as well ceases to be listed.
+    /// Further time after which an isolated VM uses a new version although it could not notify its peers. A VM that is also cut off from
+    /// the store is no longer listed by then.
     static constexpr Duration IsolationTime = seconds(10);
-    /// A version whose upstreams were registered within this time is in use; VMs look twice in it.
+    /// A version whose upstreams were registered within this time is in use. Covers two refreshes of the directory.
     static constexpr Duration PresenceTime = milliseconds(2500);
 
     /// Records that an upstream with this version is registered, or was until `lastSeen`.
@@ -98,8 +98,8 @@
     }
 
     /// Returns whether streams may begin at upstreams of this version. VMs that hear most of the fleet rely on being told of each version
-    /// (`VersionCurrency`). One that has not heard half of it since it learned of the version may be unable to tell any of them, and uses
-    /// the version if the service has no other, or after `IsolationTime`.
+    /// (`VersionCurrency`). One that has not heard half of it for long enough to notify it may have told nobody, and uses the version if
+    /// the service has no other that it may use, or after `IsolationTime`.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
     /// Returns after what time streams may begin at a version of the service, if it is known to others as expected; zero if they may now.
@@ -158,7 +158,8 @@
     auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>;
 
     auto find(std::string_view service, std::string_view version) const -> const Version *;
-    auto hasOther(std::string_view service, std::string_view version, TimePoint now) const -> bool;
+    auto mayBeKnownToOthers(const Version &entry, TimePoint now) const -> bool;
+    auto hasAlternative(std::string_view service, std::string_view version, TimePoint now) const -> bool;
     auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void;
 
     std::map<std::string, Versions, std::less<>> m_services;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -88,12 +88,19 @@
            });
 }
 
-/// Returns whether the service has upstreams of another version.
-auto SoftwareVersions::hasOther(std::string_view service, std::string_view version, TimePoint now) const -> bool
+/// Returns whether half of the fleet was heard for as long as VMs need to report the version to each other, or until it settled.
+auto SoftwareVersions::mayBeKnownToOthers(const Version &entry, TimePoint now) const -> bool
+{
+    const auto reportedAt = std::max(entry.learnedAt, std::min(entry.learnedAt + VersionCurrency::ContactTime, entry.settledAt));
+    return m_halfHeardAt >= reportedAt || now - entry.settledAt >= IsolationTime;
+}
+
+/// Returns whether the service has upstreams of another version that other VMs can know.
+auto SoftwareVersions::hasAlternative(std::string_view service, std::string_view version, TimePoint now) const -> bool
 {
     const auto found = m_services.find(service);
-    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [version, now](const auto &entry) {
-               return entry.first != version && now - entry.second.lastSeen < PresenceTime;
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [this, version, now](const auto &entry) {
+               return entry.first != version && now - entry.second.lastSeen < PresenceTime && mayBeKnownToOthers(entry.second, now);
            });
 }
 
@@ -140,8 +147,7 @@
     if (entry == nullptr) {
         return true;
     }
-    const bool mayHaveTold = m_halfHeardAt >= entry->learnedAt || now - entry->settledAt >= IsolationTime;
-    return now >= entry->settledAt && (mayHaveTold || !hasOther(service, version, now));
+    return now >= entry->settledAt && (mayBeKnownToOthers(*entry, now) || !hasAlternative(service, version, now));
 }
 
 auto SoftwareVersions::possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
--- a/test/edge/out_of_step_tests.py
+++ b/test/edge/out_of_step_tests.py
@@ -122,6 +122,7 @@
         try:
             streams = await rig.begin_at_new_version()
         except NoStreamBegins:
+            assert '"software_version":"v2"' in rig.vms[0].log_text(), "the VM has not read of the new version"
             return
         assert 200 not in await take_up(streams, rig.outsiders)
 
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(aVmThatStartsLearnsForHowLongVersionsAreKnown);
     CPPUNIT_TEST(aVmWithoutOthersNeedNotWaitAtItsStart);
     CPPUNIT_TEST(aVersionThatHalfOfTheFleetCannotKnowIsNotUsed);
+    CPPUNIT_TEST(aVmThatKnowsOnlyUnconfirmedVersionsUsesThem);
     CPPUNIT_TEST(aVersionThatHasNoAlternativeIsUsed);
     CPPUNIT_TEST(aVersionThatIsLearnedOfLateMayHaveStreams);
     CPPUNIT_TEST(noStreamBeginsBeforeOtherVmsKnowThatTheyAreOutdated);
@@ -149,9 +150,21 @@
             CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now));
         }
         m_versions.onHalfHeard(learnedAt);
+        CPPUNIT_ASSERT_MESSAGE("a datagram that was on its way is no contact", !m_versions.isSettled("llm", "v2", m_now));
+        m_versions.onHalfHeard(learnedAt + VersionCurrency::ContactTime);
         CPPUNIT_ASSERT(m_versions.isSettled("llm", "v2", m_now));
     }
 
+    // Load: a VM starts in a release while most others are down.
+    auto aVmThatKnowsOnlyUnconfirmedVersionsUsesThem() -> void
+    {
+        for (const auto *version : {"v1", "v2"}) {
+            m_versions.observe("llm", version, m_now, m_now);
+        }
+        m_now += SoftwareVersions::SettlingTime;
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v1", m_now) && m_versions.isSettled("llm", "v2", m_now));
+    }
+
     // Load: a VM reaches only the store, and the engines of the former version leave.
     auto aVersionThatHasNoAlternativeIsUsed() -> void
     {
