The soak lets software versions join while a VM starts

The fault "join", only by name, restarts a decode engine and at times another engine with a version that is new to the run, while a VM has been killed and starts about when their entries appear; another VM is suspended or cut off at times. Callers begin streams at the started VM and return to others 50 ms to 900 ms later. A join waits until all VMs know one another, and runs with it begin with one version. The draws of the other faults are as before.

--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -10,7 +10,8 @@
 With --releases each start of a VM draws its build, the current or the released one.
 With --processes engines and services are processes of their own, which are also killed, also behind a listener that stays, and suspended, and
 engines break streams off. A share of the streams lasts seconds, a share of the answers ends with the connection, and a third of the requests on
-new connections use HTTP/1.0. For example, a large run: --processes --vms 12 --engines 24 --services 6 --clients 2 --seconds 60.
+new connections use HTTP/1.0. A run with the fault "join" begins with one software version, and others join while VMs start.
+For example, a large run: --processes --vms 12 --engines 24 --services 6 --clients 2 --seconds 60.
 """
 
 import argparse
@@ -27,8 +28,8 @@
 from memory_tests import metrics
 from restore_tests import restore
 from rig import PROGRAM, RELEASED, Rig
-from soak_callers import (CALLER_LIMIT_S, DEADLINE_S, SOFTWARE_VERSIONS, Impairments, call_and_return, call_on_kept_connections, draw_shape,
-                          is_ambiguous, is_whole, outlasts_process, reaches_deadline, unexcused)
+from soak_callers import (CALLER_LIMIT_S, DEADLINE_S, SOFTWARE_VERSIONS, Impairments, call_after_start, call_and_return, call_on_kept_connections,
+                          draw_shape, is_ambiguous, is_whole, outlasts_process, reaches_deadline, unexcused)
 
 from engine_process import SUCCESSORS  # noqa: E402
 from links import MODES  # noqa: E402
@@ -41,7 +42,8 @@
           "silent", "series", "narrow")
 PROCESS_FAULTS = ("kill_engine", "stop_engine", "kill_behind_listener", "break_off")  # of engines and services that are processes of their own
 PARTITION = "partition"  # of one VM from the others and the store, while a software version appears; only by name
-OTHER_FAULTS = (EARLY_END, PARTITION)  # the first is of processes too, only by name
+JOIN = "join"  # of engines of a new software version while a VM starts; only by name
+OTHER_FAULTS = (EARLY_END, PARTITION, JOIN)  # the first is of processes too, only by name
 UPSTREAM_FAULTS = ("torn", "stall", "shed", "hang", "lost", "half_head", "error", "foreign", "surplus")
 BREAK_SHARE = (0.005, 0.05)  # of the events of a stream at an engine that breaks streams off
 KINDS = ("book", "check", "stream", "digest")
@@ -56,6 +58,7 @@
 START_S = 0.2  # of a process, until it handles signals
 RETURN_SHARE = 0.3  # of the streams whose callers close the connection and come back
 LONG_DOCUMENT_BYTES, DOCUMENT_S = 370_000, (0.5, 3.0)  # of a configuration with many routes; in which a narrow link passes it
+ENTRY_AFTER_S, JOIN_OFFSET_S = 0.2, (-0.1, 0.15)  # from the restart of an engine to its new entry; from this to what happens to VMs
 DELIVERY_S = 0.5  # from the end of a cut until what was sent before has arrived
 GRACE_S, STREAM_TIMEOUT_MS = 6, 13_000
 # Of the seeds in which callers need a key; their quota holds more than they ask for, so that none may be refused for it.
@@ -80,7 +83,7 @@
         if tenants:
             self.fleet.tenants = [TENANT]
             self.caller_headers = {"Authorization": f"Bearer {TENANT['api_keys'][0]}"}
-        self.starting = asyncio.Lock()
+        self.starting, self.joining = asyncio.Lock(), asyncio.Lock()
         self.store_faults, self.stopping = False, False
         self.partition = None  # links of the last VM to the others, if they may be cut; they pass datagrams, no forwarded requests
         self.delayed = []  # times in which requests that were sent earlier may arrive at an upstream: its id, begin, end
@@ -92,14 +95,14 @@
         await super().__aenter__()
         for service in self.fleet.services:
             service.crashes_on = lambda request: request.path.endswith("/poison")
-        if self.seed % 2:
+        if self.seed % 2 and JOIN not in self.faults:  # a VM that knows several versions relies on no guess, which hides the fault
             for number, engine in enumerate(self.fleet.engines):
                 engine.software_version = SOFTWARE_VERSIONS[number % 2]
                 engine.register()
         if self.processes:
             for upstream in self.fleet.upstreams:
                 upstream.unframed_share, upstream.EVENT_INTERVAL_S, upstream.BODY_PAUSE_S = UNFRAMED_SHARE, PROCESS_PAUSE_S, PROCESS_PAUSE_S
-        if PARTITION in self.faults:
+        if {PARTITION, JOIN} & set(self.faults):
             self.partition = PeerLinks(self, self.vms[-1:])
             await asyncio.gather(*(self.kill(vm) for vm in self.vms))  # so that none knows an address that is no link
         await self.relay_upstreams(self.vms, self.partition)
@@ -231,10 +234,7 @@
                 await vm.process.wait()
                 await self.start_vm(vm)
         elif fault == "freeze":
-            with self.impairments.of(vm.name):
-                vm.signal(signal.SIGSTOP)
-                await asyncio.sleep(duration_s)
-                vm.signal(signal.SIGCONT)
+            await self.put_out_of_step(vm, duration_s)
         elif fault == "store":
             await self.inject_store_fault(duration_s)
         elif fault == "relay":
@@ -268,6 +268,11 @@
             await self.make_series(SERIES_ROUNDS)
         elif fault == PARTITION:
             await self.partition_vm(duration_s)
+        elif fault == JOIN and not self.joining.locked():
+            async with self.joining:
+                await self.join_while_vm_starts(vm, duration_s)
+        elif fault == JOIN:
+            return  # the next VM would be killed before the started one is in touch
         elif fault == "narrow":
             await self.send_documents_over_narrow_link(self.relay_of[vm.name], duration_s)
         else:
@@ -281,6 +286,43 @@
             await asyncio.sleep(duration_s)
             self.partition.cut(peers=False, store=False)
 
+    async def join_while_vm_starts(self, vm, duration_s):
+        """Lets engines of a new software version join while a VM starts, and callers return from there to VMs, one of which may be out of step."""
+        end = time.monotonic() + RECOVERY_LIMIT_S
+        while not self.are_in_touch() and time.monotonic() < end:  # VMs that do not know their peers continue no stream, which hides the fault
+            await asyncio.sleep(0.05)
+        decode = [engine for engine in self.fleet.engines if engine.role == "decode"]
+        engines = {self.random.choice(decode or self.fleet.engines), self.random.choice(self.fleet.engines)}
+        out_of_step = self.random.choice((None, *(other for other in self.vms if other is not vm)))
+        is_cut = out_of_step is self.vms[-1] and self.random.random() < 0.5
+        start_s, impair_s = (ENTRY_AFTER_S + self.random.uniform(*JOIN_OFFSET_S) for _ in range(2))
+        version = f"v{time.time_ns() // 1_000_000}"
+        tasks = [asyncio.create_task(self.put_out_of_step(out_of_step, duration_s / 2, is_cut, impair_s))] if out_of_step else []
+        with self.impairments.of(vm.name, *(engine.id for engine in engines)):
+            vm.signal(signal.SIGKILL)
+            await vm.process.wait()
+            restarts = [asyncio.create_task(engine.restart(version)) for engine in engines]
+            await asyncio.sleep(start_s)
+            await self.start_vm(vm)
+            tasks.append(asyncio.create_task(call_after_start(self, vm)))
+            await asyncio.gather(*restarts)
+        await asyncio.gather(*tasks)
+
+    async def put_out_of_step(self, vm, duration_s, is_cut=False, after_s=0.0):
+        """Suspends a VM, or cuts the last one off from the others and the store."""
+        if after_s:
+            await asyncio.sleep(after_s)
+        with self.impairments.of(vm.name):
+            if is_cut:
+                self.store_faults = True
+                self.partition.cut()
+                await asyncio.sleep(duration_s)
+                self.partition.cut(peers=False, store=False)
+            else:
+                vm.signal(signal.SIGSTOP)
+                await asyncio.sleep(duration_s)
+                vm.signal(signal.SIGCONT)
+
     def choose_upstreams(self):
         fleet = self.fleet
         return self.random.choice((fleet.upstreams, fleet.engines, fleet.services, self.random.sample(fleet.upstreams, len(fleet.upstreams) // 2)))
@@ -508,8 +550,8 @@
     parser.add_argument("--services", type=int, default=3)
     arguments = parser.parse_args()
     faults = arguments.faults or FAULTS + 4 * PROCESS_FAULTS * arguments.processes
-    if set(faults) - set(FAULTS) - {PARTITION} and not arguments.processes:
-        parser.error(f"{PROCESS_FAULTS + OTHER_FAULTS} need --processes")
+    if set(faults) - set(FAULTS) - {PARTITION, JOIN} and not arguments.processes:
+        parser.error(f"{(*PROCESS_FAULTS, EARLY_END)} need --processes")
     if arguments.releases and not os.path.exists(RELEASED):
         print(f"skipped: there is no released build at {RELEASED}")
         return
--- a/test/edge/soak_callers.py
+++ b/test/edge/soak_callers.py
@@ -20,6 +20,9 @@
 AFTERMATH_S = 1.5  # after an impairment, in which requests that it has disturbed may still end
 SOFTWARE_VERSIONS = ("v1", "v2")
 PAUSE_S = 0.08  # mean time between two requests on a connection
+READY_LIMIT_S, READY_POLL_S = 5.0, 0.01  # from the start of a VM until its callers give it up; between two checks
+STREAMS_AT_START, GAP_AT_START_S = 12, 0.01  # of a VM; between two of them
+READ_AT_START = (1, 6)  # events at each VM, so that callers return 50 to 300 ms after the begin, and up to 900 ms after it
 SMALL_BODY, LARGE_BODY = b"b" * 50, b"b" * 20000
 
 
@@ -29,6 +32,9 @@
     path: str = "x"  # tells the engine both
 
 
+SHAPE_AT_START = StreamShape(40, 2.0, "x?events=40&interval_s=0.05")
+
+
 def draw_shape(soak, kind, request):
     soak.shapes[request] = StreamShape()
     if soak.processes and kind in ("stream", "digest") and soak.shape_draw.random() < LONG_SHARE:
@@ -75,10 +81,11 @@
         return any(names & impaired and begin < until and end > since for impaired, since, until in self.times)
 
 
-async def call_and_return(soak, vm):
-    """A caller that closes its connection after some events, or loses it, and continues the stream at any VM."""
+async def call_and_return(soak, vm, shape=None, read_events=None):
+    """A caller that closes its connection after some events, or loses it, and continues the stream at any VM, or at any other if `read_events` is set:
+    the least and the most events that it reads at a VM."""
     stream = Stream(soak)
-    shape = draw_shape(soak, "stream", stream.id)
+    shape = shape or draw_shape(soak, "stream", stream.id)
     stream.EVENTS, stream.PATH, stream.DEADLINE_MS = shape.events, shape.path, int(Stream.DEADLINE_MS + 1000 * shape.seconds)
     limit_s = CALLER_LIMIT_S + shape.seconds
     soak.returning.append(stream)
@@ -88,7 +95,8 @@
                 stream.id = soak.request_id()  # the caller has nothing to continue
             status = await asyncio.wait_for(stream.come_back(vm) if stream.numbers else stream.open(vm), limit_s)
             if status == 200:
-                count = soak.random.randint(1, stream.EVENTS - 2) if attempt < MAX_ATTEMPTS - 1 else stream.EVENTS
+                least, most = (len(stream.numbers) + count for count in read_events) if read_events else (1, stream.EVENTS - 2)
+                count = soak.random.randint(least, most) if attempt < MAX_ATTEMPTS - 1 else stream.EVENTS
                 await asyncio.wait_for(stream.read(max(count, len(stream.numbers))), limit_s)
             elif stream.numbers and soak.are_in_touch() and "software version" in await asyncio.wait_for(stream.read_body(), limit_s):
                 soak.version_refusals.append(f"{stream.id} of {stream.first_attempt} at {vm.name}")
@@ -96,10 +104,21 @@
             pass  # the caller comes back
         if len(stream.numbers) == stream.EVENTS or stream.is_complete:
             return
-        ready = [vm for vm in soak.vms if vm.process.returncode is None and not getattr(vm, "draining", 0)]
+        ready = [each for each in soak.vms if each.process.returncode is None and not getattr(each, "draining", 0) and not (read_events and each is vm)]
         vm = soak.random.choice(ready or soak.vms)
 
 
+async def call_after_start(soak, vm):
+    """Begins streams at a VM as soon as it is ready, whose callers return to other VMs while these may not know what it has found at its start."""
+    end, callers = time.monotonic() + READY_LIMIT_S, []
+    while time.monotonic() < end and not await vm.is_ready():
+        await asyncio.sleep(READY_POLL_S)
+    for _ in range(STREAMS_AT_START):
+        callers.append(asyncio.create_task(call_and_return(soak, vm, SHAPE_AT_START, READ_AT_START)))
+        await asyncio.sleep(GAP_AT_START_S)
+    await asyncio.gather(*callers)
+
+
 async def call_on_kept_connections(soak, kinds):
     """Sends requests on one connection after another, each of which is used until the VM closes it or its process is gone."""
     while not soak.stopping:
