After a restart of all VMs, the only version that all of them name is used at once

A VM now asks all VMs of a small fleet at its start, and uses the only version of a service once all that are listed have told that it is the only one there: none of them can continue its streams at another.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -85,6 +87,13 @@
     /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
     auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
 
+    /// Records all versions that another VM knows.
+    auto onAllTold(const std::string &vm, std::span<const SoftwareVersionNotice> told) -> void;
+
+    /// Lets streams begin at the only version of each service of which all these VMs have told that it is the only one there as well: none
+    /// of them can continue the streams at another. After a restart of the whole fleet, nobody has known a version for long.
+    auto settleShared(std::span<const std::string> vms, TimePoint now) -> void;
+
     /// Returns whether all known versions have been known to a VM for `SettlingTime`.
     auto areSettled(TimePoint now) const -> bool;
 
@@ -163,6 +172,7 @@
     auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void;
 
     std::map<std::string, Versions, std::less<>> m_services;
+    std::map<std::string, std::map<std::string, std::set<std::string>>> m_told; // versions by service, by the VM that told them
     VersionCurrency m_currency;
     TimePoint m_halfHeardAt;
     std::uint64_t m_generation = 0;
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -65,6 +65,12 @@
         return m_peers.isHolder(key, count, m_context.clock.now());
     }
 
+    /// Returns the addresses of all other VMs in a small fleet, and none in a large one.
+    auto smallFleet() const -> std::vector<SocketAddress>
+    {
+        return m_peers.isSmall() ? m_peers.reportTargets() : std::vector<SocketAddress>();
+    }
+
     /// Returns whether the store's list names no other VM, and none has been heard.
     auto isAlone() const -> bool
     {
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -67,6 +67,7 @@
     auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
     auto onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void;
     auto logLearned(const LearnedVersion &version) -> void;
+    auto settleSharedVersions() -> void;
     auto endSettledInquiries() -> void;
     auto observeContact() -> void;
     auto mayMissVersions() -> bool;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -104,6 +104,33 @@
            });
 }
 
+auto SoftwareVersions::onAllTold(const std::string &vm, std::span<const SoftwareVersionNotice> told) -> void
+{
+    auto &services = m_told[vm];
+    services.clear();
+    for (const auto &notice : told) {
+        services[notice.service].insert(notice.version);
+    }
+}
+
+auto SoftwareVersions::settleShared(std::span<const std::string> vms, TimePoint now) -> void
+{
+    for (auto &[service, versions] : m_services) {
+        const std::set<std::string> own{versions.begin()->first};
+        const bool isShared = versions.size() == 1 && std::all_of(vms.begin(), vms.end(), [this, &service = service, &own](const auto &vm) {
+                                  const auto told = m_told.find(vm);
+                                  if (told == m_told.end()) {
+                                      return false;
+                                  }
+                                  const auto ofService = told->second.find(service);
+                                  return ofService != told->second.end() && ofService->second == own;
+                              });
+        if (isShared) {
+            versions.begin()->second.settledAt = std::min(versions.begin()->second.settledAt, now);
+        }
+    }
+}
+
 auto SoftwareVersions::areSettled(TimePoint now) const -> bool
 {
     return std::all_of(m_services.begin(), m_services.end(), [now](const auto &service) {
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -171,7 +171,9 @@
         return;
     }
     m_context.counters.at("stream_origins_asked").add();
-    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}, m_gap.isOpen(m_bootClock.now())}), stream, AskedVms);
+    const bool isAboutVersions = stream == streamKey({});
+    const auto question = encodeOrigins({{}, {stream}, {}, isAboutVersions || m_gap.isOpen(m_bootClock.now())});
+    inquiry.asked = m_exchange.sendToHolders(question, stream, isAboutVersions ? PeerTable::SmallFleet : AskedVms);
     inquiry.timer->startOnce(inquiry.asked == 0 && !isAlone ? Duration::zero() : AskPeriod);
 }
 
@@ -254,11 +256,29 @@
             }
         }
     }
+    const bool isAboutVersions = std::any_of(answered.begin(), answered.end(), [](const auto &row) {
+        return std::find(row.streams.begin(), row.streams.end(), streamKey({})) != row.streams.end();
+    });
+    if (isAboutVersions && !wereSettled) {
+        m_context.versions.onAllTold(from.text(), report.versions);
+        settleSharedVersions();
+    }
     if (!wereSettled) {
         m_context.loop.defer([&context = m_context]() { context.pendingQueue.retryHeads(); });
     }
 }
 
+auto OriginController::settleSharedVersions() -> void
+{
+    std::vector<std::string> vms;
+    for (const auto &address : m_exchange.smallFleet()) {
+        vms.push_back(address.text());
+    }
+    if (!vms.empty()) {
+        m_context.versions.settleShared(vms, m_context.clock.now());
+    }
+}
+
 auto OriginController::onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void
 {
     const auto now = m_context.clock.now();
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(versionsThatAppearTogetherSettle);
     CPPUNIT_TEST(aFurtherVersionSettles);
     CPPUNIT_TEST(aVmThatStartsLearnsForHowLongVersionsAreKnown);
+    CPPUNIT_TEST(theOnlyVersionOfAllVmsIsSettled);
     CPPUNIT_TEST(aVmWithoutOthersNeedNotWaitAtItsStart);
     CPPUNIT_TEST(aVersionThatHalfOfTheFleetCannotKnowIsNotUsed);
     CPPUNIT_TEST(aVmThatKnowsOnlyUnconfirmedVersionsUsesThem);
@@ -127,6 +128,27 @@
         CPPUNIT_ASSERT_MESSAGE("the age is passed on", passedOn.front().knownFor == told.front().knownFor);
     }
 
+    // Load: all VMs start together, so that nobody has known a version for long.
+    auto theOnlyVersionOfAllVmsIsSettled() -> void
+    {
+        m_versions.observe("llm", "v2", m_now, m_now);
+        const std::vector<std::string> vms{"vm1", "vm2"};
+        const std::vector<SoftwareVersionNotice> same{{"llm", "v2"}};
+        const std::vector<SoftwareVersionNotice> former{{"llm", "v1"}};
+        const std::vector<SoftwareVersionNotice> both{{"llm", "v1"}, {"llm", "v2"}};
+        m_versions.onAllTold("vm1", same);
+        m_versions.settleShared(vms, m_now);
+        CPPUNIT_ASSERT_MESSAGE("one VM has not told", !m_versions.isSettled("llm", "v2", m_now));
+        for (const auto &other : {former, both, {}}) {
+            m_versions.onAllTold("vm2", other);
+            m_versions.settleShared(vms, m_now);
+            CPPUNIT_ASSERT(!m_versions.isSettled("llm", "v2", m_now));
+        }
+        m_versions.onAllTold("vm2", same);
+        m_versions.settleShared(vms, m_now);
+        CPPUNIT_ASSERT(m_versions.isSettled("llm", "v2", m_now));
+    }
+
     auto aVmWithoutOthersNeedNotWaitAtItsStart() -> void
     {
         m_versions.observe("llm", "v1", m_now, m_now);
