review: show a VM that outgrows its memory on heads with many fields

Case 9 (LOST). Streams whose heads have 15,639 bytes (16,384 are allowed) in 437 fields arrive at the rate of the site's largest burst on one VM. Each takes about 260 KB, of which a grant covers 104 KiB: the fields are kept as texts by the server, copied for the call, and kept by libcurl until the stream ends. At about 420 streams the VM exceeds the 110 MB of its settings and is killed as the platform does; 12 bookings that a sound server runs are lost (3 are allowed).

With as many bytes in 8 fields the same load needs 73 MB, and the rule holds. Ruled out: bodies (800 of 60 KB, 400 of 500 KB and 100 of 4 MB stay below 52 MB).

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import os
 import shutil
 import signal
@@ -23,6 +24,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 LONGEST_RUN_S = 110
+BOOKERS = 12  # clients with a kept channel each, beside a load
+LOST_ALLOWED = 3  # of the rule LOST
 VM_PORTS = 20  # ports from the first one of a VM that have to be free: callers, readiness, the range between VMs, metrics
 
 SETTINGS = """node_name: "{name}"
@@ -182,6 +185,109 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def head_of(kind, request_id, deadline_ms, extra=""):
+    """Returns the head and the body of a small request on the route of this kind; `extra` holds further header fields."""
+    return (f"POST /{kind}/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: {request_id}\r\nDeadline-Ms: {deadline_ms}\r\n{extra}"
+            "Content-Length: 5\r\n\r\nhello").encode()
+
+
+async def stream(vm, number, results, extra):
+    """A client of the model engines, which reads all that it gets."""
+    try:
+        reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+        writer.write(head_of("digest", f"stream-{number}", 14000, extra))
+        results[number] = (await reader.readline()).decode("latin-1").strip() or "closed without an answer"
+        while await reader.read(65536):
+            pass
+        writer.close()
+    except OSError as error:
+        results[number] = repr(error)
+
+
+async def book(vm, number, outcomes, is_over):
+    """A client that sends one booking after the other on a kept channel, and records how each ended."""
+    writer = None
+    count = 0
+    while not is_over():
+        try:
+            if writer is None:
+                reader, writer = await asyncio.open_connection(vm.ip, vm.port)
+                on_channel = 0
+            count += 1
+            on_channel += 1
+            request_id = f"booking-{number}-{count}"
+            outcomes[request_id] = "sent on a kept channel" if on_channel > 1 else "sent on a new channel"
+            writer.write(head_of("book", request_id, 3000))
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            length = next(int(line.split(":")[1]) for line in head.split("\r\n") if line.lower().startswith("content-length"))
+            await reader.readexactly(length)
+            outcomes[request_id] = head.split("\r\n")[0]
+            await asyncio.sleep(next((float(line.split(":")[1]) for line in head.split("\r\n") if line.lower().startswith("retry-after")), 0))
+            if "connection: close" in head.lower():
+                writer.close()
+                writer = None
+        except (asyncio.IncompleteReadError, OSError):
+            if writer:
+                outcomes[request_id] += ", closed without an answer"
+                writer.close()
+            writer = None
+            await asyncio.sleep(0.3)
+
+
+def lost_bookings(outcomes, history):
+    """Returns the bookings that a server ran and whose kept channel was closed without an answer."""
+    ran = {entry["request"] for entry in history if entry["event"] == "run"}
+    return [name for name, outcome in outcomes.items() if outcome == "sent on a kept channel, closed without an answer" and name in ran]
+
+
+def anonymous_mb(vm):
+    """Returns the process's memory without pages of files and bytes in the kernel, in units of 1,000,000 bytes."""
+    try:
+        with open(f"/proc/{vm.process.pid}/status", encoding="utf-8") as file:
+            return next((int(line.split()[1]) for line in file if line.startswith("RssAnon")), 0) * 1024 / 1e6
+    except OSError:
+        return 0
+
+
+async def load_vm(record, system, memory_mb, streams, streams_per_s, seconds, fields):
+    """Sends streams with these header fields to the first VM, beside clients that book on kept channels.
+
+    Ends the process and starts it again when it exceeds its memory, as the platform does. Returns how often, and the bookings that were lost.
+    """
+    vm, history = system.vms[0], system.fleet.history
+    is_over, outcomes, results, tasks, highest, killed, shown = False, {}, {}, [], 0.0, 0, 0
+    bookers = [asyncio.create_task(book(vm, number, outcomes, lambda: is_over)) for number in range(BOOKERS)]
+    await asyncio.sleep(2)
+    begin = time.monotonic()
+    while (elapsed := time.monotonic() - begin) < seconds:
+        while len(tasks) < min(streams, int(elapsed * streams_per_s)):
+            tasks.append(asyncio.create_task(stream(vm, len(tasks), results, fields)))
+        used = anonymous_mb(vm)
+        highest = max(highest, used)
+        if elapsed > shown:
+            record.write(f"memory {used:.1f} MB; {len(tasks)} streams sent, {len(results)} with an answer; {len(outcomes)} bookings sent")
+            shown += 1
+        if used > memory_mb:
+            killed += 1
+            record.write(f"memory {used:.1f} MB exceeds memory_mb {memory_mb}: the platform kills the process and starts it again")
+            vm.signal(signal.SIGKILL)
+            await vm.process.wait()
+            await asyncio.sleep(0.5)
+            await vm.start()
+        await asyncio.sleep(0.02)
+    is_over = True
+    for task in (*bookers, *tasks):
+        task.cancel()
+    await asyncio.gather(*bookers, *tasks, return_exceptions=True)
+    lost = lost_bookings(outcomes, history)
+    record.write(f"highest memory {highest:.1f} MB; the process was killed {killed} times")
+    for kind, values in (("streams", results.values()), ("bookings", outcomes.values())):
+        for outcome, count in sorted(collections.Counter(values).items()):
+            record.write(f"{kind} '{outcome}': {count}")
+    record.write(f"bookings that a sound server ran, and whose kept channel was closed without an answer: {len(lost)}, allowed {LOST_ALLOWED}: {lost}")
+    return killed, lost
+
+
 class Record:
     """The record of a run: what was sent, answered and run, with the seconds since its begin."""
 
