Log lines that explain a belief are not displaced by lines about single requests

Lines that say what a VM knows of software versions, and on what a returning caller's stream goes on, have a rate and a part of the buffer in reserve (50 lines a second, a burst of 200, 64 KB).

Test: evidenceOutlastsACrowdOfOtherLines.

--- a/include/currantstack/event_log.h
+++ b/include/currantstack/event_log.h
@@ -19,13 +19,17 @@
 auto descriptorSink(int descriptor) -> LogSink;
 
 /// Writes event lines, limited by a token bucket. Lines beyond the rate, and lines that arrive while the buffer is full because the
-/// sink blocks, are dropped and counted; the next line written is preceded by a "lines_dropped" event with the count.
+/// sink blocks, are dropped and counted; the next line written is preceded by a "lines_dropped" event with the count. Evidence has a
+/// bucket and a part of the buffer in reserve.
 class EventLog
 {
 public:
     static constexpr double LinesPerSecond = 400; // bounds the CPU time spent on logging
     static constexpr double BurstLines = 800; // lines
+    static constexpr double EvidencePerSecond = 50; // lines of evidence beyond `LinesPerSecond`
+    static constexpr double EvidenceBurst = 200; // lines
     static constexpr std::size_t MaxPendingBytes = 256U << 10; // bytes buffered while the sink blocks
+    static constexpr std::size_t EvidenceBytes = 64U << 10; // buffered beyond these, of evidence only
 
     EventLog(const Clock &clock, std::string vm, LogSink sink);
 
@@ -33,6 +37,11 @@
     auto write(std::string_view component, std::string_view event, nlohmann::ordered_json fields = nlohmann::ordered_json::object())
         -> void;
 
+    /// Writes one line that says what a VM knew and from where, without which decisions about many requests cannot be explained. It is not
+    /// displaced by lines about single requests.
+    auto writeEvidence(std::string_view component, std::string_view event, nlohmann::ordered_json fields = nlohmann::ordered_json::object())
+        -> void;
+
     /// Writes buffered lines until the sink blocks.
     auto flush() -> void;
 
@@ -43,7 +52,9 @@
     }
 
 private:
-    auto admit() -> bool;
+    auto refill() -> void;
+    auto admit(bool isEvidence) -> bool;
+    auto writeIf(bool isAdmitted, std::string_view component, std::string_view event, const nlohmann::ordered_json &fields) -> void;
     auto append(std::string_view component, std::string_view event, const nlohmann::ordered_json &fields) -> void;
 
     const Clock &m_clock;
@@ -52,6 +63,7 @@
     std::string m_pending;
     TimePoint m_refilledAt;
     double m_tokens = BurstLines;
+    double m_evidenceTokens = EvidenceBurst;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_reportedDropped = 0;
 };
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -26,16 +26,27 @@
     , m_refilledAt(clock.now())
 { }
 
-auto EventLog::admit() -> bool
+auto EventLog::refill() -> void
 {
     const auto now = m_clock.now();
-    m_tokens = std::min(BurstLines, m_tokens + LinesPerSecond * toSeconds(now - m_refilledAt));
+    const auto elapsed = toSeconds(now - m_refilledAt);
+    m_tokens = std::min(BurstLines, m_tokens + LinesPerSecond * elapsed);
+    m_evidenceTokens = std::min(EvidenceBurst, m_evidenceTokens + EvidencePerSecond * elapsed);
     m_refilledAt = now;
-    if (m_tokens < 1 || m_pending.size() > MaxPendingBytes) {
-        return false;
+}
+
+auto EventLog::admit(bool isEvidence) -> bool
+{
+    refill();
+    if (m_tokens >= 1 && m_pending.size() <= MaxPendingBytes) {
+        m_tokens -= 1;
+        return true;
     }
-    m_tokens -= 1;
-    return true;
+    if (isEvidence && m_evidenceTokens >= 1 && m_pending.size() <= MaxPendingBytes + EvidenceBytes) {
+        m_evidenceTokens -= 1;
+        return true;
+    }
+    return false;
 }
 
 auto EventLog::append(std::string_view component, std::string_view event, const LogFields &fields) -> void
@@ -48,7 +59,17 @@
 
 auto EventLog::write(std::string_view component, std::string_view event, LogFields fields) -> void
 {
-    if (!admit()) {
+    writeIf(admit(false), component, event, fields);
+}
+
+auto EventLog::writeEvidence(std::string_view component, std::string_view event, LogFields fields) -> void
+{
+    writeIf(admit(true), component, event, fields);
+}
+
+auto EventLog::writeIf(bool isAdmitted, std::string_view component, std::string_view event, const LogFields &fields) -> void
+{
+    if (!isAdmitted) {
         ++m_dropped;
         return;
     }
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -78,13 +78,13 @@
     if (isOutdated == m_outdatedSince.has_value()) {
         return;
     }
-    m_context.log.write("origins", isOutdated ? "versions_outdated" : "versions_current",
-                        {{"outdated_ms", m_outdatedSince ? toMilliseconds(now - *m_outdatedSince) : 0.0},
-                         {"known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
-                         {"most_vms_heard_ms_ago", toMilliseconds(now - m_exchange.mostHeardAt())},
-                         {"upstreams_read_ms_ago", toMilliseconds(now - m_context.upstreamsReadAt)},
-                         {"started_or_suspended", m_gap.isOpen(m_bootClock.now())},
-                         {"store_unreachable", m_context.storeUnreachable}});
+    m_context.log.writeEvidence("origins", isOutdated ? "versions_outdated" : "versions_current",
+                                {{"outdated_ms", m_outdatedSince ? toMilliseconds(now - *m_outdatedSince) : 0.0},
+                                 {"known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
+                                 {"most_vms_heard_ms_ago", toMilliseconds(now - m_exchange.mostHeardAt())},
+                                 {"upstreams_read_ms_ago", toMilliseconds(now - m_context.upstreamsReadAt)},
+                                 {"started_or_suspended", m_gap.isOpen(m_bootClock.now())},
+                                 {"store_unreachable", m_context.storeUnreachable}});
     m_context.counters.at("versions_outdated").set(isOutdated ? 1 : 0);
     m_outdatedSince = isOutdated ? std::optional(now) : std::nullopt;
 }
@@ -93,15 +93,15 @@
 {
     const auto now = m_context.clock.now();
     m_context.counters.at("software_versions_learned").add();
-    m_context.log.write("origins", "version_learned",
-                        {{"service", version.service},
-                         {"software_version", version.version},
-                         {"told_by", version.toldBy.empty() ? "upstream" : version.toldBy},
-                         {"known_for_ms", toMilliseconds(version.knownFor)},
-                         {"settles_in_ms", std::max(0.0, toMilliseconds(version.settledAt - now))},
-                         {"may_have_streams_in_ms", std::max(0.0, toMilliseconds(version.usedAt - now))},
-                         {"others_known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
-                         {"started_or_suspended", m_gap.isOpen(m_bootClock.now())}});
+    m_context.log.writeEvidence("origins", "version_learned",
+                                {{"service", version.service},
+                                 {"software_version", version.version},
+                                 {"told_by", version.toldBy.empty() ? "upstream" : version.toldBy},
+                                 {"known_for_ms", toMilliseconds(version.knownFor)},
+                                 {"settles_in_ms", std::max(0.0, toMilliseconds(version.settledAt - now))},
+                                 {"may_have_streams_in_ms", std::max(0.0, toMilliseconds(version.usedAt - now))},
+                                 {"others_known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
+                                 {"started_or_suspended", m_gap.isOpen(m_bootClock.now())}});
 }
 
 auto OriginController::announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void
@@ -339,7 +339,8 @@
     const bool anyNew =
         std::any_of(mixed.begin(), mixed.end(), [this](const auto &service) { return !std::ranges::count(m_mixedServices, service); });
     if (mixed != m_mixedServices) {
-        m_context.log.write("origins", "mixed_services_changed", {{"services", mixed}, {"streams_known", m_context.origins.size()}});
+        m_context.log.writeEvidence("origins", "mixed_services_changed",
+                                    {{"services", mixed}, {"streams_known", m_context.origins.size()}});
         m_context.counters.at("services_of_several_versions").set(static_cast<std::int64_t>(mixed.size()));
         m_mixedServices = std::move(mixed);
     }
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -89,24 +89,24 @@
         continuation == Continuation::AtAnyEngine || (continuation == Continuation::AtItsVersion && enginesOfVersion() > 0);
     m_context.counters.at(fmt::format("streams_continued_by_callers{{outcome=\"{}\"}}", isPossible ? name(continuation) : "nowhere")).add();
     const auto evidence = m_context.originHooks.versionEvidence();
-    m_context.log.write("stream", "caller_continues",
-                        {{"request", m_request.metadata.requestId},
-                         {"first_attempt", m_request.metadata.firstAttemptId},
-                         {"after_event", eventField(m_request.metadata.lastEventId)},
-                         {"continues", name(continuation)},
-                         {"service", m_request.service},
-                         {"software_version", m_context.versions.nameOf(m_request.service, version)},
-                         {"engines_of_version", enginesOfVersion()},
-                         {"known_from",
-                          !origin             ? "nobody"
-                              : origin->isOwn ? "own"
-                                              : "peer"},
-                         {"known_for_ms", origin ? toMilliseconds(now - origin->at) : 0.0},
-                         {"several_versions", knowledge.isMixed},
-                         {"possible_origins", m_context.versions.possibleOrigins(m_request.service, now).size()},
-                         {"versions_may_be_outdated", knowledge.mayBeOutdated},
-                         {"most_vms_heard_ms_ago", toMilliseconds(now - evidence.mostHeardAt)},
-                         {"upstreams_read_ms_ago", toMilliseconds(now - evidence.upstreamsReadAt)}});
+    m_context.log.writeEvidence("stream", "caller_continues",
+                                {{"request", m_request.metadata.requestId},
+                                 {"first_attempt", m_request.metadata.firstAttemptId},
+                                 {"after_event", eventField(m_request.metadata.lastEventId)},
+                                 {"continues", name(continuation)},
+                                 {"service", m_request.service},
+                                 {"software_version", m_context.versions.nameOf(m_request.service, version)},
+                                 {"engines_of_version", enginesOfVersion()},
+                                 {"known_from",
+                                  !origin             ? "nobody"
+                                      : origin->isOwn ? "own"
+                                                      : "peer"},
+                                 {"known_for_ms", origin ? toMilliseconds(now - origin->at) : 0.0},
+                                 {"several_versions", knowledge.isMixed},
+                                 {"possible_origins", m_context.versions.possibleOrigins(m_request.service, now).size()},
+                                 {"versions_may_be_outdated", knowledge.mayBeOutdated},
+                                 {"most_vms_heard_ms_ago", toMilliseconds(now - evidence.mostHeardAt)},
+                                 {"upstreams_read_ms_ago", toMilliseconds(now - evidence.upstreamsReadAt)}});
     if (continuation == Continuation::Nowhere) {
         fail(false, "the software version that began the stream is not known", Duration::zero());
     } else if (isPossible) {
--- a/test/event_log-test.cc
+++ b/test/event_log-test.cc
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(EventLogTest);
     CPPUNIT_TEST(linesAreJsonWithFixedKeys);
     CPPUNIT_TEST(linesBeyondTheRateAreCounted);
+    CPPUNIT_TEST(evidenceOutlastsACrowdOfOtherLines);
     CPPUNIT_TEST(fullPipeDropsLinesWithoutBlocking);
     CPPUNIT_TEST(malformedUtf8IsReplaced);
     CPPUNIT_TEST_SUITE_END();
@@ -64,6 +65,22 @@
         CPPUNIT_ASSERT_EQUAL(5000 - static_cast<int>(EventLog::BurstLines), report["count"].get<int>());
     }
 
+    // Load: thousands of requests fail while a VM learns what explains it.
+    auto evidenceOutlastsACrowdOfOtherLines() -> void
+    {
+        EventLog log(m_clock, "vm1", sink());
+        for (int line = 0; line < 5000; ++line) {
+            log.write("part", "flood");
+        }
+        for (int line = 0; line < 1000; ++line) {
+            log.writeEvidence("part", "learned");
+        }
+        const auto all = lines();
+        const auto isEvidence = [](const auto &line) { return line["event"] == "learned"; };
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::ptrdiff_t>(EventLog::EvidenceBurst), std::count_if(all.begin(), all.end(), isEvidence));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(6000 - EventLog::BurstLines - EventLog::EvidenceBurst), log.dropped());
+    }
+
     auto fullPipeDropsLinesWithoutBlocking() -> void
     {
         int ends[2] = {-1, -1};
