--- a/test/edge/edge_test.py
+++ b/test/edge/edge_test.py
@@ -18,6 +18,7 @@
 import end_trial_tests
 import engine_process_tests
 import entry_tests
+import forgotten_version_tests
 import held_end_tests
 import leaving_tests
 import limit_tests
@@ -480,7 +481,7 @@
          requests_are_served_while_the_store_is_unreachable, killed_vms_restart, ports_of_a_killed_vm_are_not_given_to_another_rig, vms_end_with_the_process_of_their_rig, restarted_upstreams_serve_requests,
          prefilled_prompts_go_to_another_decode_engine, orders_have_one_holder,
          long_prompts_are_served_and_too_long_ones_refused_at_once, logs_explain_a_request, *quarantine_tests.TESTS, *limit_tests.TESTS, *restore_tests.TESTS,
-         *version_tests.TESTS, *out_of_step_tests.TESTS, *starting_vm_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *silent_stream_tests.TESTS, *silent_upstream_tests.TESTS, *resumption_tests.TESTS, *retry_budget_tests.TESTS, *stranded_tests.TESTS, *partial_cut_tests.TESTS, *relay_tests.TESTS,
+         *version_tests.TESTS, *out_of_step_tests.TESTS, *forgotten_version_tests.TESTS, *starting_vm_tests.TESTS, *answer_tests.TESTS, *silence_tests.TESTS, *silent_stream_tests.TESTS, *silent_upstream_tests.TESTS, *resumption_tests.TESTS, *retry_budget_tests.TESTS, *stranded_tests.TESTS, *partial_cut_tests.TESTS, *relay_tests.TESTS,
          *release_tests.TESTS, *entry_tests.TESTS, *leaving_tests.TESTS, *stop_tests.TESTS, *connection_tests.TESTS, *loss_tests.TESTS, *change_tests.TESTS, *outdated_plan_tests.TESTS, *cut_watch_tests.TESTS, *memory_tests.TESTS,
          *answer_end_tests.TESTS, *early_answer_tests.TESTS, *held_end_tests.TESTS, *end_trial_tests.TESTS, *listener_tests.TESTS, *engine_process_tests.TESTS, *order_tests.TESTS, *caller_tests.TESTS, *long_document_tests.TESTS, *soak_tests.TESTS, *tenant_tests.TESTS]
 
--- a/test/edge/out_of_step_tests.py
+++ b/test/edge/out_of_step_tests.py
@@ -5,7 +5,7 @@
 
 from peer_links import PeerLinks
 from platform_upstreams import Engine
-from version_tests import MixedRig, Stream, take_up
+from version_tests import MixedRig, Stream, begin_streams, take_up
 
 ENTRY_AFTER_S = 0.2  # from the restart of an engine to its new entry
 
@@ -46,6 +46,11 @@
                 group.create_task(begin())
                 await asyncio.sleep(0.05)
 
+    async def begin_at_only_version(self, count):
+        """Returns streams that have just begun through a VM that is in step."""
+        self.traffic.cancel()
+        return await begin_streams(self, self.vms[0], count, events=1)
+
     async def begin_at_new_version(self, count=4):
         """Replaces a prefill and two decode engines by ones of v2; returns the first streams that begin there, as the others are full."""
         former = self.fleet.engines[4:]
