Streams are continued only at versions that the store's record, or a VM that knows them, shows

Callers saw streams with events of two software versions: a VM that was out of step while a version came and left, or after all VMs that knew it had restarted, continued unknown streams at the only version that it knew. Knowledge of versions was in the memory of VMs and in entries that leave with their upstreams, so that no rule on its age could make up for what nobody remembers or lists any more.

The store now keeps a record of each service's versions. A VM begins streams at a version only after the record has named it for 1.5 s, and takes a service for one of a single version only if it, or a peer that tells it, has begun to read the record within the last 0.8 s. Such a read names each version that any VM can have used by then, whoever was cut off or has restarted since. Otherwise the stream's origin must be known: in small fleets every origin is told and all VMs are asked, in large ones also while the store does not answer.

--- a/include/currantstack/decisions/peer_protocol.h
+++ b/include/currantstack/decisions/peer_protocol.h
@@ -8,7 +8,7 @@
 
 /// Number of the messages that this build exchanges with other VMs. It rises with each release that changes one of them; what may change
 /// in one release is in docs/design/20-releases-side-by-side.md.
-inline constexpr std::int64_t ProtocolNumber = 4;
+inline constexpr std::int64_t ProtocolNumber = 5;
 
 /// Number of the builds that do not report theirs.
 inline constexpr std::int64_t UnreportedProtocol = 1;
--- a/include/currantstack/decisions/peer_table.h
+++ b/include/currantstack/decisions/peer_table.h
@@ -41,6 +41,7 @@
     static constexpr std::int64_t VerifyingProtocol = 2;
     static constexpr std::int64_t TenantProtocol = 4; // from which on VMs take requests whose keys another VM has verified
     static constexpr std::int64_t SilenceProtocol = 3; // from which on VMs know notices of silent upstreams
+    static constexpr std::int64_t RecordProtocol = 5; // from which on VMs rely on the store's record of software versions alone
 
     PeerTable(std::string self, std::string place)
         : m_self(std::move(self))
@@ -108,9 +109,6 @@
     /// this place, and aggregates of most places. That a VM has become known proves no contact.
     auto mostHeardAt(TimePoint now) const -> TimePoint;
 
-    /// The same for at least half of the fleet: any such part shares a VM with any part that is most of the fleet.
-    auto halfHeardAt(TimePoint now) const -> TimePoint;
-
     /// Returns whether the VM's notice confirms the end of an upstream that this VM does not reach. VMs of one place may have lost the
     /// same links, so only those of other places count if any reports to this VM. VMs of builds before `VerifyingProtocol` repeat
     /// notices of others as their own.
@@ -153,10 +151,6 @@
         TimePoint relayRefusedAt = {};
     };
 
-    /// Returns the time since which enough VMs have been heard, and, in a large fleet, enough places; `needed` tells how many others are,
-    /// of how many.
-    auto heardAt(const std::function<std::size_t(std::size_t others)> &needed, TimePoint now) const -> TimePoint;
-
     static auto mayTakeRelays(const Peer &peer, TimePoint now) -> bool;
 
     struct PlaceReport
--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -4,6 +4,7 @@
 #include "currantstack/clock.h"
 #include "currantstack/decisions/software_version.h"
 #include "currantstack/decisions/version_currency.h"
+#include "currantstack/decisions/version_record.h"
 
 #include <cstdint>
 #include <functional>
@@ -39,29 +40,28 @@
 {
     std::string_view service;
     std::string_view version;
-    std::string_view toldBy; // the VM that told it; empty if an upstream's entry names it
+    std::string_view toldBy; // the VM that told it, or the record; empty if an upstream's entry names it
     Duration knownFor = Duration::zero(); // since a VM first knew it, as far as this VM can tell
-    TimePoint settledAt; // from which this VM begins streams there
+    bool isRecorded = false; // in the store
+    bool isSettled = false; // this VM may begin streams there
     TimePoint usedAt; // from which other VMs may have begun streams there
 };
 
-/// Remembers the versions of each service for longer than a stream lives. While a service had one version only, each of its streams is
-/// of that version; otherwise the version of a stream must be known.
+/// Remembers the versions of each service for longer than a stream lives, and which of them the store's record names. While the record
+/// names one version only, each stream of the service is of that version; otherwise the version of a stream must be known.
 class SoftwareVersions
 {
 public:
     /// Longer than a caller keeps trying to complete one stream.
     static constexpr Duration Lifetime = seconds(60);
-    /// A version gets no streams for this time after a VM first knows it, so that all VMs know it when the first stream begins, or know
-    /// that they may have missed it (`VersionCurrency`). That a VM has just started says nothing about how long the others have known it.
+    /// A version gets no streams for this time after the record first names it, so that each VM that continues a stream has read of it, or
+    /// knows that its knowledge is older (`VersionCurrency`).
     static constexpr Duration SettlingTime = milliseconds(1500);
-    /// Streams may begin this long after a VM first knows their version: at VMs of earlier builds.
+    /// Streams may begin this long after a VM first knows their version: at VMs of earlier builds, which read no record.
     static constexpr Duration EarliestUse = seconds(1);
-    /// Further time after which an isolated VM uses a new version although it could not notify its peers. A VM that is also cut off from
-    /// the store is no longer listed by then.
-    static constexpr Duration IsolationTime = seconds(10);
-    /// A version whose upstreams were registered within this time is in use. Covers two refreshes of the directory.
-    static constexpr Duration PresenceTime = milliseconds(2500);
+    /// The record names a version for this time after its last upstream has left. A VM that lists an upstream for longer than the store
+    /// does, because it does not reach the store, may begin streams there; those end well within the remaining time.
+    static constexpr Duration RecordRetention = seconds(300);
 
     /// Records that an upstream with this version is registered, or was until `lastSeen`.
     auto observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void;
@@ -78,40 +78,42 @@
     /// Returns since when a VM has known the version, as far as this VM can tell.
     auto knownSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>;
 
-    /// Drops the versions that were not seen for `Lifetime`.
+    /// Returns since when this VM has known that the record names the version.
+    auto recordedSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>;
+
+    /// Drops the versions that the record does not name and that were not seen for `Lifetime`.
     auto expire(TimePoint now) -> void;
 
-    /// Returns whether the service has more than one version, or had within `Lifetime`.
-    auto isMixed(std::string_view service) const -> bool;
+    /// Records what a complete read of the record shows; it was begun at `asOf`. With `isWhole`, the record names all versions that streams
+    /// can have begun at; otherwise the store may have lost some.
+    auto onRecordRead(std::span<const VersionRecord> records, bool isWhole, TimePoint asOf, TimePoint now) -> void;
 
-    /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
-    auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
+    /// Records that the store's record of a service is this one.
+    auto onRecorded(const VersionRecord &record, TimePoint now) -> void;
 
-    /// Records all versions that another VM knows.
-    auto onAllTold(const std::string &vm, std::span<const SoftwareVersionNotice> told) -> void;
+    /// Returns the record that the store should have, given the one that it has, if any. `isFirstSettled`: no VM relies on anything but the
+    /// record, so that the versions which the first record of a service names can have streams at once: until then nobody can take a stream
+    /// for one of another version. `absentSince`: this VM has seen all entries of upstreams since then.
+    auto planRecord(std::string_view service, const VersionRecord *stored, bool isFirstSettled, TimePoint absentSince, TimePoint now) const
+        -> VersionRecord;
 
-    /// Lets streams begin at the only version of each service of which all these VMs have told that it is the only one there as well: none
-    /// of them can continue the streams at another. After a restart of the whole fleet, nobody has known a version for long.
-    auto settleShared(std::span<const std::string> vms, TimePoint now) -> void;
+    /// Returns the services that have or had versions.
+    auto services() const -> std::vector<std::string>;
 
-    /// Returns whether all known versions have been known to a VM for `SettlingTime`.
-    auto areSettled(TimePoint now) const -> bool;
+    /// Returns whether the record names a version of the service, or none of its versions is known. Without one, nobody knows which
+    /// versions streams of the service can have begun at.
+    auto hasRecord(std::string_view service) const -> bool;
 
-    /// Lets streams begin at all known versions, because no other VM can take them up.
-    auto settleAll(TimePoint now) -> void;
+    /// Returns whether the service has more than one version, or had lately.
+    auto isMixed(std::string_view service) const -> bool;
 
-    /// Records that at least half of the fleet has been heard since the time.
-    auto onHalfHeard(TimePoint since) -> void
-    {
-        m_halfHeardAt = since;
-    }
+    /// Returns the version of a service that has and had no other, or `AnySoftwareVersion`.
+    auto onlyVersion(std::string_view service) const -> SoftwareVersionKey;
 
-    /// Returns whether streams may begin at upstreams of this version. VMs that hear most of the fleet rely on being told of each version
-    /// (`VersionCurrency`). One that has not heard half of it for long enough to notify it may have told nobody, and uses the version if
-    /// the service has no other that it may use, or after `IsolationTime`.
+    /// Returns whether streams may begin at upstreams of this version: the record has named it for `SettlingTime`.
     auto isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool;
 
-    /// Returns after what time streams may begin at a version of the service, if it is known to others as expected; zero if they may now.
+    /// Returns after what time streams may begin at a version of the service, if it is recorded at once; zero if they may now.
     auto settlesIn(std::string_view service, TimePoint now) const -> Duration;
 
     /// Returns whether streams may begin at any version of the service.
@@ -155,10 +157,11 @@
     struct Version
     {
         SoftwareVersionKey key = AnySoftwareVersion;
-        TimePoint learnedAt; // by this VM
         TimePoint lastSeen;
-        TimePoint settledAt;
+        TimePoint knownSince; // at any VM
         TimePoint usedAt; // by streams of any VM, at the earliest
+        std::optional<TimePoint> recordedAt; // known to this VM; none: the record does not name it
+        TimePoint settledAt = TimePoint::max(); // if recorded
     };
 
     using Versions = std::map<std::string, Version, std::less<>>;
@@ -167,14 +170,11 @@
     auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>;
 
     auto find(std::string_view service, std::string_view version) const -> const Version *;
-    auto mayBeKnownToOthers(const Version &entry, TimePoint now) const -> bool;
-    auto hasAlternative(std::string_view service, std::string_view version, TimePoint now) const -> bool;
-    auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void;
+    auto recordVersion(std::string_view service, const RecordedVersion &recorded, TimePoint now) -> void;
+    auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy, TimePoint now) const -> void;
 
     std::map<std::string, Versions, std::less<>> m_services;
-    std::map<std::string, std::map<std::string, std::set<std::string>>> m_told; // versions by service, by the VM that told them
     VersionCurrency m_currency;
-    TimePoint m_halfHeardAt;
     std::uint64_t m_generation = 0;
     std::function<void(const LearnedVersion &version)> m_onLearned = [](const LearnedVersion & /*version*/) {};
 };
--- a/include/currantstack/decisions/version_currency.h
+++ b/include/currantstack/decisions/version_currency.h
@@ -1,4 +1,4 @@
-// As of when a VM knows all software versions that upstreams have.
+// As of when a VM knows all software versions that streams can have begun at.
 #pragma once
 
 #include "currantstack/clock.h"
@@ -8,31 +8,17 @@
 namespace currantstack
 {
 
-/// Contact with most of the fleet keeps a VM's knowledge current, because VMs tell each other at once of a version that appears. After
-/// an interruption, it is current again once the store or a peer has told what there is, or once the contact has lasted for so long
-/// that each VM has told.
+/// A version gets streams only some time after the store's record names it (`SoftwareVersions::SettlingTime`). So whoever has read the
+/// record lately knows all versions that streams can have begun at. Nothing else shows that there is no further one: not what peers do not
+/// tell, nor what the store does not list any more.
 class VersionCurrency
 {
 public:
-    /// Knowledge of this age is outdated. Longer than the time between two reports of an idle VM, and, together with the longest
-    /// suspension that goes unnoticed (`KnowledgeGap`), shorter than the time for which a new version gets no streams.
+    /// Knowledge of this age is outdated. Together with the longest suspension that goes unnoticed (`KnowledgeGap`), shorter than the time
+    /// for which a new version gets no streams.
     static constexpr Duration MaxAge = milliseconds(800);
-    /// Contact in which each VM has reported all versions that it knows.
-    static constexpr Duration ContactTime = seconds(1);
 
-    /// Records that most VMs have been heard since the time. To be called several times per `MaxAge`.
-    auto onMostHeard(TimePoint since, TimePoint now) -> void
-    {
-        if (now - m_heardAt >= MaxAge) {
-            m_contactSince = now;
-        }
-        m_heardAt = since;
-        if (isCurrent(now) || now - m_contactSince >= ContactTime) {
-            confirm(since);
-        }
-    }
-
-    /// Records that all versions which there were at the time are known.
+    /// Records that all versions are known that the record named at the time.
     auto confirm(TimePoint asOf) -> void
     {
         m_currentAt = std::max(m_currentAt, asOf);
@@ -51,8 +37,6 @@
 
 private:
     TimePoint m_currentAt;
-    TimePoint m_heardAt; // most VMs, as of the last check
-    TimePoint m_contactSince; // without interruption
 };
 
 } // namespace currantstack
--- a/include/currantstack/edge/context.h
+++ b/include/currantstack/edge/context.h
@@ -62,8 +62,9 @@
 /// What a VM's knowledge of the software versions rests on.
 struct VersionEvidence
 {
+    TimePoint recordedAsOf; // when the store's record named all versions that this VM knows
     TimePoint mostHeardAt; // since when most VMs have been heard
-    TimePoint upstreamsReadAt; // completely, from the store
+    bool isStoreSilent = false; // the last reads of the record were not answered
 };
 
 /// Access to the origins of streams that other VMs relayed.
@@ -74,6 +75,8 @@
     std::function<void(std::string_view firstAttemptId, OriginFound callback)> find;
     /// Returns whether a version may have appeared of which this VM cannot know.
     std::function<bool()> mayMissVersions;
+    /// Returns whether upstreams may have joined of which this VM cannot know.
+    std::function<bool()> mayMissUpstreams;
     std::function<VersionEvidence()> versionEvidence; // for logs
 };
 
--- a/include/currantstack/edge/directory_controller.h
+++ b/include/currantstack/edge/directory_controller.h
@@ -34,12 +34,6 @@
         m_upstreams.start();
     }
 
-    /// Sets a function that runs after each complete read of the upstreams.
-    auto setUpstreamsReadHandler(std::function<void()> handler) -> void
-    {
-        m_onUpstreamsRead = std::move(handler);
-    }
-
     /// Records which store revisions another VM has observed.
     auto observeRevisions(const StoreRevisions &revisions) -> void;
 
@@ -66,7 +60,6 @@
     EdgeContext &m_context;
     const StoreCodec &m_codec;
     RoutesHook m_onRoutesInForce;
-    std::function<void()> m_onUpstreamsRead = []() {};
     StoreFollower m_routes;
     StoreFollower m_upstreams;
     UnreadableEntries m_unreadableRoutes;
--- a/include/currantstack/edge/load_exchange.h
+++ b/include/currantstack/edge/load_exchange.h
@@ -22,7 +22,7 @@
 {
 public:
     static constexpr Duration Period = milliseconds(60); // between reports while the load changes; well under the duration of a prefill
-    static constexpr Duration IdlePeriod = milliseconds(300); // while nothing changes; under half of `VersionCurrency::MaxAge`
+    static constexpr Duration IdlePeriod = milliseconds(300); // while nothing changes
     static constexpr Duration AggregatePeriod = milliseconds(300); // between aggregates to other places; that traffic is expensive
     /// Between reports of software versions, while a service has several and none has appeared.
     static constexpr Duration VersionsPeriod = milliseconds(500);
@@ -71,6 +71,18 @@
         return m_peers.isSmall() ? m_peers.reportTargets() : std::vector<SocketAddress>();
     }
 
+    /// Returns the number of known VMs, this one included.
+    auto vms() const -> std::size_t
+    {
+        return m_peers.size() + 1;
+    }
+
+    /// Returns whether no VM is known to have a lower protocol.
+    auto allHaveProtocol(std::int64_t number) const -> bool
+    {
+        return m_peers.allHaveProtocol(number);
+    }
+
     /// Returns whether the store's list names no other VM, and none has been heard.
     auto isAlone() const -> bool
     {
@@ -110,12 +122,6 @@
         return m_peers.mostHeardAt(m_context.clock.now());
     }
 
-    /// Returns the time since which at least half of the VMs, this one included, have been heard.
-    auto halfHeardAt() const -> TimePoint
-    {
-        return m_peers.halfHeardAt(m_context.clock.now());
-    }
-
     /// Sends the datagram to the VMs that receive this VM's loads, and to one VM of each other place in a large fleet.
     auto sendToAll(std::string_view bytes) -> void;
 
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -1,25 +1,27 @@
-// Shares between VMs which software version began each stream, while a service has more than one.
+// Shares between VMs which software version began each stream.
 #pragma once
 
 #include "currantstack/decisions/knowledge_gap.h"
-#include "currantstack/edge/directory_controller.h"
 #include "currantstack/edge/load_exchange.h"
 #include "currantstack/edge/origin_message.h"
+#include "currantstack/edge/version_recorder.h"
 
+#include <set>
 #include <span>
 #include <unordered_map>
 
 namespace currantstack
 {
 
-/// Tells the origin of each stream to a few VMs that follow from a hash of the stream, and asks these when a caller comes back. While a
-/// service has one software version, nothing is told, as the origin does not matter; when a second one appears, each VM tells the
-/// origins of the streams that it has relayed lately.
+/// Tells the origin of each stream to a few VMs that follow from a hash of the stream, and asks these when a caller comes back. In a large
+/// fleet, nothing is told while each service has one software version and the store answers, as the store's record then shows that the
+/// origin does not matter; when that changes, each VM tells the origins of the streams that it has relayed lately.
 class OriginController
 {
 public:
     static constexpr std::size_t Copies = 3; // VMs that are told of a stream, beside the one that relays it
-    /// VMs that are asked: more than hold copies, as the VMs known to the teller and to the asker may differ by a few.
+    /// VMs of a large fleet that are asked: more than hold copies, as the VMs known to the teller and to the asker may differ by a few. In
+    /// a small one all are, and so the one that relayed the stream.
     static constexpr std::size_t AskedVms = 5;
     static constexpr Duration AskPeriod = milliseconds(100); // over twice the way between regions
     static constexpr int MaxAsks = 3;
@@ -34,7 +36,7 @@
     static constexpr Duration ToldAge = seconds(20);
 
     /// `bootClock` also advances while the process or its machine is suspended; `readVms` reads the store's list of VMs.
-    OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock,
+    OriginController(EdgeContext &context, LoadExchange &exchange, VersionRecorder &recorder, const Clock &bootClock,
                      std::function<void()> readVms);
 
     auto start() -> void;
@@ -58,7 +60,6 @@
         }
     };
 
-    auto askForVersions() -> void;
     auto announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void;
     auto find(std::string_view firstAttemptId, OriginFound callback) -> void;
     auto ask(Fingerprint stream) -> void;
@@ -67,12 +68,13 @@
     auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
     auto onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void;
     auto logLearned(const LearnedVersion &version) -> void;
-    auto settleSharedVersions() -> void;
     auto endSettledInquiries() -> void;
-    auto observeContact() -> void;
-    auto mayMissVersions() -> bool;
-    auto readStoreIfOutdated() -> void;
-    auto closeGapAfter(const Inquiry &inquiry) -> void;
+    auto onRecordRead(TimePoint bootBegunAt, bool isWhole) -> void;
+    auto mayMissVersions() const -> bool;
+    auto mayMissUpstreams() const -> bool;
+    auto readRecordIfOutdated() -> void;
+    auto askedVms() const -> std::size_t;
+    auto isStoreSilent() const -> bool;
     auto versionsFor(const OriginMessage &question) const -> std::vector<SoftwareVersionNotice>;
     auto answer(const OriginMessage &question, const SocketAddress &from) -> void;
     auto check() -> void;
@@ -82,14 +84,15 @@
 
     EdgeContext &m_context;
     LoadExchange &m_exchange;
+    VersionRecorder &m_recorder;
     const Clock &m_bootClock;
     std::function<void()> m_readVms;
     KnowledgeGap m_gap;
     std::optional<TimePoint> m_outdatedSince; // as last logged
     std::unique_ptr<Timer> m_timer;
-    std::optional<TimePoint> m_firstReadAt; // of the store
     TimePoint m_refreshedAt;
     std::vector<std::string> m_mixedServices; // at the last check
+    bool m_wasSilent = false; // at the last check, the store did not answer
     std::unordered_map<Fingerprint, Inquiry> m_inquiries;
 };
 
--- a/include/currantstack/edge/origin_message.h
+++ b/include/currantstack/edge/origin_message.h
@@ -27,6 +27,7 @@
     bool isComplete = false; // the sender can have missed none, but for `age`
     std::vector<SoftwareVersionNotice> versions; // of the services that have several, or of all
     Duration age = Duration::zero(); // of what the sender knows; zero: its build does not say
+    bool isOfRecord = false; // what the sender knows is what the store's record named; builds before `RecordProtocol` rely on less
 };
 
 /// Tells origins, or asks for them.
--- a/include/currantstack/edge/protocol.h
+++ b/include/currantstack/edge/protocol.h
@@ -193,6 +193,7 @@
     virtual auto upstreamsPrefix() const -> std::string = 0;
     virtual auto vmsPrefix() const -> std::string = 0;
     virtual auto quarantinePrefix() const -> std::string = 0;
+    virtual auto versionsPrefix() const -> std::string = 0;
 
     /// Returns the key that names the VM that may send orders.
     virtual auto orderHolderKey() const -> std::string = 0;
--- a/src/decisions/peer_table.cc
+++ b/src/decisions/peer_table.cc
@@ -18,12 +18,6 @@
     return (others + 1) / 2;
 }
 
-/// Returns how many others are, together with one VM, at least half of all.
-auto neededForHalf(std::size_t others) -> std::size_t
-{
-    return others / 2;
-}
-
 /// Returns the time since which as many were heard as are needed.
 auto heardSince(std::vector<TimePoint> heardAt, std::size_t needed, TimePoint now) -> TimePoint
 {
@@ -258,16 +252,6 @@
 }
 
 auto PeerTable::mostHeardAt(TimePoint now) const -> TimePoint
-{
-    return heardAt(neededForMost, now);
-}
-
-auto PeerTable::halfHeardAt(TimePoint now) const -> TimePoint
-{
-    return heardAt(neededForHalf, now);
-}
-
-auto PeerTable::heardAt(const std::function<std::size_t(std::size_t others)> &needed, TimePoint now) const -> TimePoint
 {
     std::vector<TimePoint> vms;
     std::map<std::string_view, TimePoint> places;
@@ -282,8 +266,8 @@
     }
     std::vector<TimePoint> ofPlaces;
     std::transform(places.begin(), places.end(), std::back_inserter(ofPlaces), [](const auto &place) { return place.second; });
-    const auto neededVms = needed(vms.size());
-    const auto neededPlaces = needed(ofPlaces.size());
+    const auto neededVms = neededForMost(vms.size());
+    const auto neededPlaces = neededForMost(ofPlaces.size());
     return std::min(heardSince(std::move(vms), neededVms, now), heardSince(std::move(ofPlaces), neededPlaces, now));
 }
 
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -9,6 +9,7 @@
 {
 
 constexpr std::string_view Unnamed = "unnamed"; // in logs, a version that its upstreams do not name
+constexpr std::string_view ToldByRecord = "record"; // in logs, where a version was learned from
 
 } // namespace
 
@@ -17,7 +18,10 @@
     const auto [found, isNew] = m_services[std::string(service)].try_emplace(std::string(version));
     if (isNew) {
         const auto absentAt = std::min(m_currency.currentAt(), now);
-        found->second = {softwareVersionKey(service, version), now, TimePoint::min(), now + SettlingTime, absentAt + EarliestUse};
+        found->second.key = softwareVersionKey(service, version);
+        found->second.lastSeen = now - Lifetime;
+        found->second.knownSince = now;
+        found->second.usedAt = absentAt + EarliestUse;
         ++m_generation;
     }
     return {found->second, isNew};
@@ -33,9 +37,11 @@
     return entry == found->second.end() ? nullptr : &entry->second;
 }
 
-auto SoftwareVersions::reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy) const -> void
+auto SoftwareVersions::reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy,
+                                     TimePoint now) const -> void
 {
-    m_onLearned({notice.service, notice.version, toldBy, notice.knownFor, entry.settledAt, entry.usedAt});
+    m_onLearned(
+        {notice.service, notice.version, toldBy, notice.knownFor, entry.recordedAt.has_value(), now >= entry.settledAt, entry.usedAt});
 }
 
 auto SoftwareVersions::observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void
@@ -43,7 +49,7 @@
     const auto [entry, isNew] = versionOf(service, version, now);
     entry.lastSeen = std::max(entry.lastSeen, lastSeen);
     if (isNew) {
-        reportLearned({std::string(service), std::string(version), now - lastSeen, Duration::zero()}, entry, {});
+        reportLearned({std::string(service), std::string(version), now - lastSeen, Duration::zero()}, entry, {}, now);
     }
 }
 
@@ -54,104 +60,132 @@
     }
     const auto [entry, isNew] = versionOf(notice.service, notice.version, now);
     entry.lastSeen = std::max(entry.lastSeen, now - notice.age);
-    entry.settledAt = std::min(entry.settledAt, now - notice.knownFor + SettlingTime);
+    entry.knownSince = std::min(entry.knownSince, now - notice.knownFor);
     entry.usedAt = std::min(entry.usedAt, now - notice.knownFor + EarliestUse);
     if (isNew) {
-        reportLearned(notice, entry, toldBy);
+        reportLearned(notice, entry, toldBy, now);
     }
 }
 
 auto SoftwareVersions::knownSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>
 {
     const auto *entry = find(service, version);
-    return entry == nullptr ? std::nullopt : std::optional(entry->settledAt - SettlingTime);
+    return entry == nullptr ? std::nullopt : std::optional(entry->knownSince);
+}
+
+auto SoftwareVersions::recordedSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>
+{
+    const auto *entry = find(service, version);
+    return entry == nullptr ? std::nullopt : entry->recordedAt;
 }
 
 auto SoftwareVersions::settlesIn(std::string_view service, TimePoint now) const -> Duration
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end() || hasSettled(service, now)) {
+    if (found == m_services.end() || found->second.empty()) {
         return Duration::zero();
     }
-    auto settledAt = TimePoint::max();
+    auto result = SettlingTime;
     for (const auto &[name, entry] : found->second) {
-        settledAt = std::min(settledAt, entry.settledAt);
+        result = std::min<Duration>(result, entry.settledAt - std::min(now, entry.settledAt));
     }
-    return std::max(Duration::zero(), settledAt - now);
+    return result;
 }
 
 auto SoftwareVersions::hasSettled(std::string_view service, TimePoint now) const -> bool
 {
-    const auto found = m_services.find(service);
-    return found == m_services.end() || std::any_of(found->second.begin(), found->second.end(), [this, service, now](const auto &entry) {
-               return isSettled(service, entry.first, now);
-           });
+    return settlesIn(service, now) == Duration::zero();
 }
 
-/// Returns whether half of the fleet was heard for as long as VMs need to report the version to each other, or until it settled.
-auto SoftwareVersions::mayBeKnownToOthers(const Version &entry, TimePoint now) const -> bool
+auto SoftwareVersions::recordVersion(std::string_view service, const RecordedVersion &recorded, TimePoint now) -> void
 {
-    const auto reportedAt = std::max(entry.learnedAt, std::min(entry.learnedAt + VersionCurrency::ContactTime, entry.settledAt));
-    return m_halfHeardAt >= reportedAt || now - entry.settledAt >= IsolationTime;
+    const auto [entry, isNew] = versionOf(service, recorded.version, now);
+    entry.recordedAt = entry.recordedAt.value_or(now);
+    const auto settledAt = recorded.isSettled ? now : *entry.recordedAt + SettlingTime;
+    entry.settledAt = std::min(entry.settledAt, settledAt);
+    if (recorded.isSettled) {
+        entry.knownSince = std::min(entry.knownSince, now - SettlingTime);
+        entry.usedAt = std::min(entry.usedAt, now);
+    }
+    if (isNew) {
+        reportLearned({std::string(service), recorded.version, Duration::zero(), now - entry.knownSince}, entry, ToldByRecord, now);
+    }
 }
 
-/// Returns whether the service has upstreams of another version that other VMs can know.
-auto SoftwareVersions::hasAlternative(std::string_view service, std::string_view version, TimePoint now) const -> bool
+auto SoftwareVersions::onRecordRead(std::span<const VersionRecord> records, bool isWhole, TimePoint asOf, TimePoint now) -> void
 {
-    const auto found = m_services.find(service);
-    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [this, version, now](const auto &entry) {
-               return entry.first != version && now - entry.second.lastSeen < PresenceTime && mayBeKnownToOthers(entry.second, now);
-           });
+    for (const auto &record : records) {
+        onRecorded(record, now);
+    }
+    if (!isWhole) {
+        return;
+    }
+    for (auto &[service, versions] : m_services) {
+        const auto record =
+            std::find_if(records.begin(), records.end(), [&service = service](const auto &entry) { return entry.service == service; });
+        for (auto &[version, entry] : versions) {
+            const bool isNamed = record != records.end()
+                && std::any_of(record->versions.begin(), record->versions.end(),
+                               [&version = version](const auto &named) { return named.version == version; });
+            if (!isNamed) {
+                entry.recordedAt.reset();
+                entry.settledAt = TimePoint::max();
+            }
+            if (!isNamed && record != records.end()) {
+                entry.usedAt = std::max(entry.usedAt, asOf + EarliestUse);
+            }
+        }
+    }
+    m_currency.confirm(asOf);
 }
 
-auto SoftwareVersions::onAllTold(const std::string &vm, std::span<const SoftwareVersionNotice> told) -> void
+auto SoftwareVersions::onRecorded(const VersionRecord &record, TimePoint now) -> void
 {
-    auto &services = m_told[vm];
-    services.clear();
-    for (const auto &notice : told) {
-        services[notice.service].insert(notice.version);
+    for (const auto &version : record.versions) {
+        recordVersion(record.service, version, now);
     }
 }
 
-auto SoftwareVersions::settleShared(std::span<const std::string> vms, TimePoint now) -> void
+auto SoftwareVersions::planRecord(std::string_view service, const VersionRecord *stored, bool isFirstSettled, TimePoint absentSince,
+                                  TimePoint now) const -> VersionRecord
 {
-    for (auto &[service, versions] : m_services) {
-        const std::set<std::string> own{versions.begin()->first};
-        const bool isShared = versions.size() == 1 && std::all_of(vms.begin(), vms.end(), [this, &service = service, &own](const auto &vm) {
-                                  const auto told = m_told.find(vm);
-                                  if (told == m_told.end()) {
-                                      return false;
-                                  }
-                                  const auto ofService = told->second.find(service);
-                                  return ofService != told->second.end() && ofService->second == own;
-                              });
-        if (isShared) {
-            versions.begin()->second.settledAt = std::min(versions.begin()->second.settledAt, now);
+    VersionRecord result{std::string(service), {}};
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return stored == nullptr ? result : *stored;
+    }
+    const auto isInUse = [now](const Version &entry) { return now - entry.lastSeen < Lifetime; };
+    const bool anyInUse = std::any_of(found->second.begin(), found->second.end(), [&](const auto &entry) { return isInUse(entry.second); });
+    const bool isFirst = stored == nullptr
+        && std::none_of(found->second.begin(), found->second.end(), [](const auto &entry) { return entry.second.recordedAt.has_value(); });
+    for (const auto &[version, entry] : found->second) {
+        const bool hasLeft = now - std::max(entry.lastSeen, absentSince) >= RecordRetention;
+        const bool isKept = entry.recordedAt && !(hasLeft && anyInUse);
+        if (isKept || isInUse(entry)) {
+            result.versions.push_back({version, (isFirst && isFirstSettled) || now >= entry.settledAt});
         }
     }
+    return result;
 }
 
-auto SoftwareVersions::areSettled(TimePoint now) const -> bool
+auto SoftwareVersions::services() const -> std::vector<std::string>
 {
-    return std::all_of(m_services.begin(), m_services.end(), [now](const auto &service) {
-        return std::all_of(service.second.begin(), service.second.end(),
-                           [now](const auto &entry) { return now >= entry.second.settledAt; });
-    });
+    std::vector<std::string> result;
+    std::transform(m_services.begin(), m_services.end(), std::back_inserter(result), [](const auto &entry) { return entry.first; });
+    return result;
 }
 
-auto SoftwareVersions::settleAll(TimePoint now) -> void
+auto SoftwareVersions::hasRecord(std::string_view service) const -> bool
 {
-    for (auto &[service, versions] : m_services) {
-        for (auto &[name, entry] : versions) {
-            entry.settledAt = std::min(entry.settledAt, now);
-        }
-    }
+    const auto found = m_services.find(service);
+    return found == m_services.end()
+        || std::any_of(found->second.begin(), found->second.end(), [](const auto &entry) { return entry.second.recordedAt.has_value(); });
 }
 
 auto SoftwareVersions::expire(TimePoint now) -> void
 {
     for (auto &[service, versions] : m_services) {
-        std::erase_if(versions, [now](const auto &entry) { return now - entry.second.lastSeen >= Lifetime; });
+        std::erase_if(versions, [now](const auto &entry) { return !entry.second.recordedAt && now - entry.second.lastSeen >= Lifetime; });
     }
     std::erase_if(m_services, [](const auto &entry) { return entry.second.empty(); });
 }
@@ -171,10 +205,7 @@
 auto SoftwareVersions::isSettled(std::string_view service, std::string_view version, TimePoint now) const -> bool
 {
     const auto *entry = find(service, version);
-    if (entry == nullptr) {
-        return true;
-    }
-    return now >= entry->settledAt && (mayBeKnownToOthers(*entry, now) || !hasAlternative(service, version, now));
+    return entry != nullptr && now >= entry->settledAt;
 }
 
 auto SoftwareVersions::possibleOrigins(std::string_view service, TimePoint now) const -> std::vector<SoftwareVersionKey>
@@ -221,7 +252,7 @@
             continue;
         }
         for (const auto &[version, entry] : versions) {
-            result.push_back({service, version, std::max(Duration::zero(), now - entry.lastSeen), now + SettlingTime - entry.settledAt});
+            result.push_back({service, version, std::max(Duration::zero(), now - entry.lastSeen), now - entry.knownSince});
         }
     }
     return result;
--- a/src/edge/directory_controller.cc
+++ b/src/edge/directory_controller.cc
@@ -128,7 +128,6 @@
     if (!interruption.returnedFromCopy) { // otherwise entries of live upstreams may be missing
         confirmUpstreams();
     }
-    m_onUpstreamsRead();
 }
 
 auto DirectoryController::onUpstreamEvents(std::span<const StoreEvent> events) -> void
@@ -147,7 +146,6 @@
 auto DirectoryController::confirmUpstreams() -> void
 {
     m_context.upstreamsCurrentAt = m_upstreams.currentSince();
-    m_context.versions.currency().confirm(m_context.upstreamsCurrentAt);
 }
 
 auto DirectoryController::applyRoutes(const StoreValue &value) -> void
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -66,7 +66,10 @@
         , quarantine(context, *adapter.codec, *store, exchange)
         , reach(context, exchange)
         , relayEntrance(context, exchange, [this](const ExchangePtr &request, RelayInfo info) { chain.handle(request, std::move(info)); })
-        , origins(context, exchange, directory, bootClock, [this]() { registry.readNow(); })
+        , versionRecorder(context, *adapter.codec, *store, bootClock,
+                          {[this]() { return exchange.knowsPeers(); }, [this]() { return exchange.vms(); },
+                           [this]() { return exchange.allHaveProtocol(PeerTable::RecordProtocol); }, [this]() { registry.readNow(); }})
+        , origins(context, exchange, versionRecorder, bootClock, [this]() { registry.readNow(); })
         , registry(context, *adapter.codec, *store, [this](const VmRecords &records) { onVms(records); })
         , orderHolder(context, *adapter.codec, *store, bootClock)
         , roles(context, orderHolder)
@@ -110,6 +113,7 @@
     QuarantineController quarantine;
     ReachController reach;
     RelayEntrance relayEntrance;
+    VersionRecorder versionRecorder;
     OriginController origins;
     VmRegistry registry;
     OrderHolder orderHolder;
@@ -352,6 +356,7 @@
     parts.directory.start();
     parts.quarantine.start();
     parts.reach.start();
+    parts.versionRecorder.start();
     parts.origins.start();
     parts.registry.start();
     parts.orderHolder.start();
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -12,10 +12,11 @@
 
 } // namespace
 
-OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, DirectoryController &directory, const Clock &bootClock,
+OriginController::OriginController(EdgeContext &context, LoadExchange &exchange, VersionRecorder &recorder, const Clock &bootClock,
                                    std::function<void()> readVms)
     : m_context(context)
     , m_exchange(exchange)
+    , m_recorder(recorder)
     , m_bootClock(bootClock)
     , m_readVms(std::move(readVms))
     , m_timer(context.loop.timer([this]() { check(); }))
@@ -26,16 +27,17 @@
         },
         [this](std::string_view firstAttemptId, OriginFound callback) { find(firstAttemptId, std::move(callback)); },
         [this]() { return mayMissVersions(); },
+        [this]() { return mayMissUpstreams(); },
         [this]() -> VersionEvidence {
-            return {m_exchange.mostHeardAt(), m_context.upstreamsReadAt};
+            return {m_context.versions.currency().currentAt(), m_exchange.mostHeardAt(), m_recorder.isSilent()};
         },
     };
     exchange.setOriginHandler([this](std::string_view bytes, const SocketAddress &from) { onDatagram(bytes, from); });
-    context.versions.setLearnedHook([this](const LearnedVersion &version) { logLearned(version); });
-    directory.setUpstreamsReadHandler([this]() {
-        askForVersions();
-        endSettledInquiries();
+    context.versions.setLearnedHook([this](const LearnedVersion &version) {
+        logLearned(version);
+        m_context.loop.defer([&recorder = m_recorder]() { recorder.check(); });
     });
+    recorder.setReadHandler([this](TimePoint bootBegunAt, bool isWhole) { onRecordRead(bootBegunAt, isWhole); });
 }
 
 auto OriginController::start() -> void
@@ -43,46 +45,52 @@
     m_timer->startRepeating(CheckPeriod, CheckPeriod);
 }
 
-auto OriginController::observeContact() -> void
+auto OriginController::mayMissVersions() const -> bool
 {
-    if (m_exchange.knowsPeers()) {
-        m_context.versions.currency().onMostHeard(m_exchange.mostHeardAt(), m_context.clock.now());
-        m_context.versions.onHalfHeard(m_exchange.halfHeardAt());
-    }
+    return m_gap.isOpen(m_bootClock.now()) || !m_context.versions.currency().isCurrent(m_context.clock.now());
 }
 
-auto OriginController::mayMissVersions() -> bool
+auto OriginController::mayMissUpstreams() const -> bool
 {
-    observeContact();
-    return m_gap.isOpen(m_bootClock.now()) || !m_context.versions.currency().isCurrent(m_context.clock.now());
+    const auto knownAt = std::max(m_exchange.mostHeardAt(), m_context.upstreamsCurrentAt);
+    return m_gap.isOpen(m_bootClock.now()) || isStoreSilent() || m_context.clock.now() - knownAt >= VersionCurrency::MaxAge;
 }
 
-auto OriginController::readStoreIfOutdated() -> void
+auto OriginController::readRecordIfOutdated() -> void
 {
-    if (!m_context.versions.currency().isCurrent(m_context.clock.now())) {
-        m_context.readUpstreams();
+    if (mayMissVersions()) {
+        m_recorder.read();
     }
 }
 
-/// Ends the gap if most VMs that were asked know no more than this one, or there is none to ask.
-auto OriginController::closeGapAfter(const Inquiry &inquiry) -> void
+auto OriginController::onRecordRead(TimePoint bootBegunAt, bool isWhole) -> void
 {
-    if (m_exchange.isAlone() || 2 * inquiry.unaware.size() > inquiry.asked) {
-        m_gap.close(m_bootClock.now(), m_bootClock.now());
+    if (isWhole) {
+        m_gap.close(bootBegunAt, m_bootClock.now());
+        endSettledInquiries();
     }
 }
 
+auto OriginController::askedVms() const -> std::size_t
+{
+    return std::max(AskedVms, m_exchange.smallFleet().size());
+}
+
+auto OriginController::isStoreSilent() const -> bool
+{
+    return m_context.storeUnreachable || m_recorder.isSilent();
+}
+
 auto OriginController::logCurrency(TimePoint now) -> void
 {
-    const bool isOutdated = mayMissVersions();
+    const bool isOutdated = m_recorder.isSilent();
     if (isOutdated == m_outdatedSince.has_value()) {
         return;
     }
     m_context.log.writeEvidence("origins", isOutdated ? "versions_outdated" : "versions_current",
                                 {{"outdated_ms", m_outdatedSince ? toMilliseconds(now - *m_outdatedSince) : 0.0},
-                                 {"known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
+                                 {"recorded_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
                                  {"most_vms_heard_ms_ago", toMilliseconds(now - m_exchange.mostHeardAt())},
-                                 {"upstreams_read_ms_ago", toMilliseconds(now - m_context.upstreamsReadAt)},
                                  {"started_or_suspended", m_gap.isOpen(m_bootClock.now())},
                                  {"store_unreachable", m_context.storeUnreachable}});
     m_context.counters.at("versions_outdated").set(isOutdated ? 1 : 0);
@@ -98,9 +106,10 @@
                                  {"software_version", version.version},
                                  {"told_by", version.toldBy.empty() ? "upstream" : version.toldBy},
                                  {"known_for_ms", toMilliseconds(version.knownFor)},
-                                 {"settles_in_ms", std::max(0.0, toMilliseconds(version.settledAt - now))},
+                                 {"recorded", version.isRecorded},
+                                 {"settled", version.isSettled},
                                  {"may_have_streams_in_ms", std::max(0.0, toMilliseconds(version.usedAt - now))},
-                                 {"others_known_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
+                                 {"recorded_as_of_ms_ago", toMilliseconds(now - m_context.versions.currency().currentAt())},
                                  {"started_or_suspended", m_gap.isOpen(m_bootClock.now())}});
 }
 
@@ -108,27 +117,12 @@
 {
     const auto stream = streamKey(firstAttemptId);
     m_context.origins.record(stream, {version, m_context.clock.now(), true});
-    if (m_context.versions.isMixed(service)) {
+    if (m_context.versions.isMixed(service) || !m_exchange.smallFleet().empty() || isStoreSilent()) {
         m_context.counters.at("stream_origins_told").add();
         m_exchange.sendToHolders(encodeOrigins({{{version, {stream}}}, {}, {}}), stream, Copies);
     }
 }
 
-/// Asks other VMs after the start for how long they have known the versions, so that streams need not wait for versions to settle.
-auto OriginController::askForVersions() -> void
-{
-    const auto now = m_context.clock.now();
-    m_firstReadAt = m_firstReadAt.value_or(now);
-    if (now - *m_firstReadAt >= SoftwareVersions::SettlingTime || m_context.versions.areSettled(now)) {
-        return;
-    }
-    find({}, [this](const auto & /*origin*/) {
-        if (m_exchange.isAlone()) {
-            m_context.versions.settleAll(m_context.clock.now());
-        }
-    });
-}
-
 auto OriginController::find(std::string_view firstAttemptId, OriginFound callback) -> void
 {
     const auto stream = streamKey(firstAttemptId);
@@ -146,6 +140,7 @@
     inquiry.begunAt = now;
     inquiry.bootBegunAt = m_bootClock.now();
     inquiry.timer = m_context.loop.timer([this, stream]() { ask(stream); });
+    readRecordIfOutdated();
     ask(stream);
 }
 
@@ -160,35 +155,27 @@
         inquiry.timer->startOnce(ListWaitPeriod);
         return;
     }
-    if (inquiry.asks > 0) {
-        readStoreIfOutdated(); // no peer has told what it knows within a period
-    }
-    const bool isCurrent = m_context.versions.currency().isCurrent(m_context.clock.now());
+    readRecordIfOutdated();
+    const bool isCurrent = !mayMissVersions();
     const bool isAlone = inquiry.asks > 0 && inquiry.asked == 0;
     if ((isAlone && isCurrent) || inquiry.asks++ >= (isCurrent ? MaxAsks : MaxAsksIfOutdated)) {
-        closeGapAfter(inquiry);
         resolve(stream, std::nullopt);
         return;
     }
     m_context.counters.at("stream_origins_asked").add();
-    const bool isAboutVersions = stream == streamKey({});
-    const auto question = encodeOrigins({{}, {stream}, {}, isAboutVersions || m_gap.isOpen(m_bootClock.now())});
-    inquiry.asked = m_exchange.sendToHolders(question, stream, isAboutVersions ? PeerTable::SmallFleet : AskedVms);
+    // The other VMs are asked to read the record only after the store has not answered this one for a period.
+    const bool asksForAllVersions = inquiry.asks > 1 && !isCurrent;
+    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}, asksForAllVersions}), stream, askedVms());
     inquiry.timer->startOnce(inquiry.asked == 0 && !isAlone ? Duration::zero() : AskPeriod);
 }
 
 /// Ends the inquiries that no VM can answer, and all of them if the origin of a stream no longer matters.
 auto OriginController::endSettledInquiries() -> void
 {
-    if (!m_context.versions.currency().isCurrent(m_context.clock.now())) {
+    if (mayMissVersions()) {
         return;
     }
-    for (const auto &[stream, inquiry] : m_inquiries) {
-        if (inquiry.isUnknown()) {
-            closeGapAfter(inquiry);
-        }
-    }
-    const bool matters = !m_context.versions.mixedServices().empty() || mayMissVersions();
+    const bool matters = !m_context.versions.mixedServices().empty();
     std::vector<Fingerprint> settled;
     for (const auto &[stream, inquiry] : m_inquiries) {
         if (!matters || inquiry.isUnknown()) {
@@ -244,39 +231,20 @@
 
 auto OriginController::onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void
 {
-    const bool wereSettled = m_context.versions.areSettled(m_context.clock.now());
     for (const auto &notice : report.versions) {
         m_context.versions.merge(notice, from.text(), m_context.clock.now());
     }
+    if (!report.isComplete || !report.isOfRecord) {
+        return;
+    }
     for (const auto &row : answered) {
         for (const auto stream : row.streams) {
-            if (const auto inquiry = m_inquiries.find(stream); report.isComplete && inquiry != m_inquiries.end()) {
+            if (const auto inquiry = m_inquiries.find(stream); inquiry != m_inquiries.end()) {
                 m_gap.close(inquiry->second.bootBegunAt, m_bootClock.now());
                 m_context.versions.currency().confirm(inquiry->second.begunAt - report.age);
             }
         }
     }
-    const bool isAboutVersions = std::any_of(answered.begin(), answered.end(), [](const auto &row) {
-        return std::find(row.streams.begin(), row.streams.end(), streamKey({})) != row.streams.end();
-    });
-    if (isAboutVersions && !wereSettled) {
-        m_context.versions.onAllTold(from.text(), report.versions);
-        settleSharedVersions();
-    }
-    if (!wereSettled) {
-        m_context.loop.defer([&context = m_context]() { context.pendingQueue.retryHeads(); });
-    }
-}
-
-auto OriginController::settleSharedVersions() -> void
-{
-    std::vector<std::string> vms;
-    for (const auto &address : m_exchange.smallFleet()) {
-        vms.push_back(address.text());
-    }
-    if (!vms.empty()) {
-        m_context.versions.settleShared(vms, m_context.clock.now());
-    }
 }
 
 auto OriginController::onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void
@@ -293,9 +261,6 @@
             continue;
         }
         inquiry->second.unaware.insert(from.text());
-        if (inquiry->second.isUnknown()) {
-            readStoreIfOutdated();
-        }
     }
     endSettledInquiries();
 }
@@ -316,7 +281,11 @@
 {
     OriginMessage message;
     const auto now = m_context.clock.now();
-    message.report = {!mayMissVersions(), versionsFor(question), now - m_context.versions.currency().currentAt()};
+    if (question.asksForAllVersions) {
+        readRecordIfOutdated();
+    }
+    message.report = {!mayMissVersions(), versionsFor(question), now - m_context.versions.currency().currentAt(),
+                      question.asksForAllVersions};
     for (const auto stream : question.asked) {
         const auto origin = m_context.origins.find(stream, now);
         message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
@@ -329,8 +298,14 @@
     const auto now = m_context.clock.now();
     if (m_context.directory.size() > 0) {
         m_gap.tick(m_bootClock.now()); // it opens when the store has been read
-        askForVersions();
     }
+    if (m_gap.isOpen(m_bootClock.now())) {
+        m_recorder.read();
+    }
+    if (m_gap.isOpen(m_bootClock.now()) || isStoreSilent()) {
+        m_recorder.onInterrupted();
+    }
+    m_recorder.check();
     logCurrency(now);
     if (now - m_refreshedAt >= RefreshPeriod) {
         refreshVersions(now);
@@ -344,7 +319,10 @@
         m_context.counters.at("services_of_several_versions").set(static_cast<std::int64_t>(mixed.size()));
         m_mixedServices = std::move(mixed);
     }
-    if (anyNew) {
+    const bool isSilent = isStoreSilent();
+    const bool hasFallenSilent = isSilent && !std::exchange(m_wasSilent, isSilent);
+    m_wasSilent = isSilent;
+    if (anyNew || hasFallenSilent) {
         tellRelayedStreams(now);
     }
 }
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -13,6 +13,7 @@
 {
 
 constexpr std::string_view AgeField = "age"; // of what the sender knows, in ms
+constexpr std::string_view RecordField = "record"; // whether what the sender knows is what the store's record named
 constexpr std::string_view AllVersionsField = "all"; // whether the sender asks for the versions of all services
 
 auto isStreams(const nlohmann::json &value) -> bool
@@ -62,6 +63,10 @@
         document.push_back(AgeField);
         document.push_back(encodeDuration(message.report->age));
     }
+    if (message.report && message.report->isOfRecord) {
+        document.push_back(RecordField);
+        document.push_back(true);
+    }
     if (message.asksForAllVersions) {
         document.push_back(AllVersionsField);
         document.push_back(true);
@@ -91,6 +96,9 @@
             if (document[index] == AgeField && message.report && isDuration(document[index + 1])) {
                 message.report->age = decodeDuration(document[index + 1]);
             }
+            if (document[index] == RecordField && message.report) {
+                message.report->isOfRecord = document[index + 1] == true;
+            }
             message.asksForAllVersions = message.asksForAllVersions || (document[index] == AllVersionsField && document[index + 1] == true);
             continue;
         }
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -40,6 +40,7 @@
     std::set<SoftwareVersionKey> origins;
     for (const auto &target : m_request.route->targets) {
         knowledge.isMixed = knowledge.isMixed || versions.isMixed(target.service);
+        knowledge.mayBeOutdated = knowledge.mayBeOutdated || !versions.hasRecord(target.service);
         const auto ofService = versions.possibleOrigins(target.service, m_context.clock.now());
         origins.insert(ofService.begin(), ofService.end());
     }
@@ -105,13 +106,14 @@
                                  {"several_versions", knowledge.isMixed},
                                  {"possible_origins", m_context.versions.possibleOrigins(m_request.service, now).size()},
                                  {"versions_may_be_outdated", knowledge.mayBeOutdated},
+                                 {"recorded_as_of_ms_ago", toMilliseconds(now - evidence.recordedAsOf)},
                                  {"most_vms_heard_ms_ago", toMilliseconds(now - evidence.mostHeardAt)},
-                                 {"upstreams_read_ms_ago", toMilliseconds(now - evidence.upstreamsReadAt)}});
+                                 {"store_silent", evidence.isStoreSilent}});
     if (continuation == Continuation::Nowhere) {
         fail(false, "the software version that began the stream is not known", Duration::zero());
     } else if (isPossible) {
         admit();
-    } else if (knowledge.mayBeOutdated) {
+    } else if (m_context.originHooks.mayMissUpstreams()) {
         waitForEngines();
     } else {
         fail(false, "no engine of the software version that began the stream is left", Duration::zero());
--- a/src/edge/stream_placement.cc
+++ b/src/edge/stream_placement.cc
@@ -474,7 +474,8 @@
     fields["software_version"] = plan.decode->softwareVersion;
     const auto knownSince = m_context.versions.knownSince(plan.decode->service, plan.decode->softwareVersion);
     fields["version_known_ms"] = knownSince ? toMilliseconds(now - *knownSince) : 0.0;
-    fields["versions_may_be_outdated"] = m_context.originHooks.mayMissVersions();
+    const auto recordedSince = m_context.versions.recordedSince(plan.decode->service, plan.decode->softwareVersion);
+    fields["version_recorded_ms"] = recordedSince ? toMilliseconds(now - *recordedSince) : 0.0;
     if (plan.prefill != nullptr) {
         fields["prefill"] = plan.prefill->id;
         fields["prefill_software_version"] = plan.prefill->softwareVersion;
