A VM that tells another what it knows names the versions that only the record names

A version that a VM has read of in the record, and not in an entry, had the age of one that nobody uses, and the VM that was told dropped it: it took the service for one of a single version.

--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -26,6 +26,7 @@
     std::string version;
     Duration age = Duration::zero(); // since an upstream with this version was last registered
     Duration knownFor = Duration::zero(); // since a VM first knew the version
+    bool isRecorded = false; // the store's record names it, so that it matters at any age
 };
 
 /// The services whose versions one VM tells another.
@@ -81,7 +82,7 @@
     /// Returns since when this VM has known that the record names the version.
     auto recordedSince(std::string_view service, std::string_view version) const -> std::optional<TimePoint>;
 
-    /// Drops the versions that the record does not name and that were not seen for `Lifetime`.
+    /// Drops the versions that the record does not name, and that were neither seen nor told as recorded for `Lifetime`.
     auto expire(TimePoint now) -> void;
 
     /// Records what a complete read of the record shows; it was begun at `asOf`. With `isWhole`, the record names all versions that streams
@@ -161,6 +162,7 @@
         TimePoint knownSince; // at any VM
         TimePoint usedAt; // by streams of any VM, at the earliest
         std::optional<TimePoint> recordedAt; // known to this VM; none: the record does not name it
+        std::optional<TimePoint> toldRecordedAt; // another VM has last told that the record names it
         TimePoint settledAt = TimePoint::max(); // if recorded
     };
 
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -55,10 +55,13 @@
 
 auto SoftwareVersions::merge(const SoftwareVersionNotice &notice, std::string_view toldBy, TimePoint now) -> void
 {
-    if (notice.age >= Lifetime) {
+    if (notice.age >= Lifetime && !notice.isRecorded) {
         return;
     }
     const auto [entry, isNew] = versionOf(notice.service, notice.version, now);
+    if (notice.isRecorded) {
+        entry.toldRecordedAt = now;
+    }
     entry.lastSeen = std::max(entry.lastSeen, now - notice.age);
     entry.knownSince = std::min(entry.knownSince, now - notice.knownFor);
     entry.usedAt = std::min(entry.usedAt, now - notice.knownFor + EarliestUse);
@@ -252,7 +255,8 @@
             continue;
         }
         for (const auto &[version, entry] : versions) {
-            result.push_back({service, version, std::max(Duration::zero(), now - entry.lastSeen), now - entry.knownSince});
+            result.push_back(
+                {service, version, std::max(Duration::zero(), now - entry.lastSeen), now - entry.knownSince, entry.recordedAt.has_value()});
         }
     }
     return result;
--- a/src/edge/software_version_codec.cc
+++ b/src/edge/software_version_codec.cc
@@ -37,6 +37,9 @@
     auto rows = nlohmann::json::array();
     for (const auto &notice : notices) {
         rows.push_back({notice.service, notice.version, encodeDuration(notice.age), encodeDuration(notice.knownFor)});
+        if (notice.isRecorded && notice.age >= SoftwareVersions::Lifetime) {
+            rows.back().push_back(true);
+        }
     }
     return rows;
 }
@@ -48,7 +51,9 @@
     }
     std::vector<SoftwareVersionNotice> result;
     for (const auto &row : rows) {
-        result.push_back({row[0].get<std::string>(), row[1].get<std::string>(), decodeDuration(row[2]), decodeDuration(row[3])});
+        const bool isRecorded = row.size() > 4 && row[4] == true;
+        result.push_back(
+            {row[0].get<std::string>(), row[1].get<std::string>(), decodeDuration(row[2]), decodeDuration(row[3]), isRecorded});
     }
     return result;
 }
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -1,5 +1,6 @@
 #include "currantstack/decisions/knowledge_gap.h"
 #include "currantstack/decisions/software_versions.h"
+#include "currantstack/edge/software_version_codec.h"
 
 #include "check.h"
 
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(aVersionThatIsLearnedOfLateMayHaveStreams);
     CPPUNIT_TEST(noStreamBeginsBeforeOtherVmsKnowThatTheyAreOutdated);
     CPPUNIT_TEST(noticesCarryAVersionToAVmThatHasNotSeenIt);
+    CPPUNIT_TEST(noticesCarryAVersionThatOnlyTheRecordNames);
     CPPUNIT_TEST_SUITE_END();
 
     SoftwareVersions m_versions;
@@ -246,6 +248,25 @@
         other.merge({"llm", "v0", SoftwareVersions::Lifetime}, "vm1", m_now);
         CPPUNIT_ASSERT(!other.has("llm", softwareVersionKey("llm", "v0")));
     }
+
+    // Load: a VM that has lost the store asks one that has read the record, but not the entries yet.
+    auto noticesCarryAVersionThatOnlyTheRecordNames() -> void
+    {
+        const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
+        m_versions.onRecordRead({&both, 1}, true, m_now, m_now);
+        const auto notices = decodeVersions(encodeVersions(m_versions.notices(NoticeScope::AllServices, m_now)));
+        SoftwareVersions other;
+        for (const auto &notice : *notices) {
+            other.merge(notice, "vm1", m_now);
+        }
+        CPPUNIT_ASSERT(other.isMixed("llm"));
+        CPPUNIT_ASSERT_MESSAGE("only a VM that has read the record writes it",
+                               other.planRecord("llm", nullptr, true, m_now, m_now).versions.empty());
+        other.expire(m_now + SoftwareVersions::Lifetime - milliseconds(1));
+        CPPUNIT_ASSERT(other.isMixed("llm"));
+        other.expire(m_now + SoftwareVersions::Lifetime);
+        CPPUNIT_ASSERT(!other.isMixed("llm"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoftwareVersionsTest);
