--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -188,7 +188,11 @@
 auto SoftwareVersions::expire(TimePoint now) -> void
 {
     for (auto &[service, versions] : m_services) {
-        std::erase_if(versions, [now](const auto &entry) { return !entry.second.recordedAt && now - entry.second.lastSeen >= Lifetime; });
+        std::erase_if(versions, [now](const auto &entry) {
+            const auto &version = entry.second;
+            const auto neededAt = std::max(version.lastSeen, version.toldRecordedAt.value_or(version.lastSeen));
+            return !version.recordedAt && now - neededAt >= Lifetime;
+        });
     }
     std::erase_if(m_services, [](const auto &entry) { return entry.second.empty(); });
 }
--- a/test/edge/release_tests.py
+++ b/test/edge/release_tests.py
@@ -20,7 +20,7 @@
 from version_tests import begin_streams, take_up
 
 CURRENT = PROGRAM
-PROTOCOLS = {RELEASED: 4, CURRENT: 4}
+PROTOCOLS = {RELEASED: 4, CURRENT: 5}
 IN_FORCE_S = 2.5  # from a change of the configuration until all VMs follow it
 NOTICE_S = 1.0  # from SIGTERM until callers send a VM no new requests
 GONE_S = 0.5  # from SIGKILL until callers send a VM no new requests
