The record is read again while the store is silent and while a service is mixed, and overtaken reads hold up no write

Reads that no caller waits for have periods of their own, and a write is not repeated while one is in flight.

--- a/include/currantstack/edge/version_recorder.h
+++ b/include/currantstack/edge/version_recorder.h
@@ -19,6 +19,10 @@
     static constexpr Duration ReadPeriod = milliseconds(50); // between reads, however many streams ask for them
     static constexpr Duration ReadPatience = milliseconds(300); // until a read is repeated beside the ones in flight
     static constexpr int MostReads = 4; // in flight
+    static constexpr Duration ReadAgainPeriod = milliseconds(500); // between reads that no caller waits for
+    static constexpr Duration SilentReadPeriod = seconds(1); // between reads while the store does not answer
+    /// Between reads while a service is mixed, by which VMs learn that another one has dropped a version.
+    static constexpr Duration MixedReadPeriod = seconds(30);
     /// In which all VMs have written again what the store lost when it returned from an older copy.
     static constexpr Duration ReturnDoubt = seconds(6);
     /// A VM that has just started reads the list of VMs before it writes the first record of a service.
@@ -50,6 +54,9 @@
     /// Reads the record, unless a read has just begun.
     auto read() -> void;
 
+    /// Reads the record, unless a read has begun lately.
+    auto readAgain() -> void;
+
     /// Writes what the record lacks, after a random delay. To be called periodically, and when a version becomes known.
     auto check() -> void;
 
@@ -74,7 +81,10 @@
     auto onValue(const StoreValue &value) -> void;
     auto dueRecords() const -> std::vector<VersionRecord>;
     auto isFirstSettled() const -> bool;
+    auto refresh() -> void;
+    auto schedule(Duration delay) -> void;
     auto act() -> void;
+    auto writeDue() -> void;
     auto write(const VersionRecord &record) -> void;
     auto onWritten(const VersionRecord &record, const std::string &key, const Result<StoreOutcome> &outcome) -> void;
     auto keyOf(std::string_view service) const -> std::string;
@@ -96,6 +106,7 @@
     std::int64_t m_revision = 0; // of the store, the highest that a read or a write has shown
     bool m_hasRead = false;
     int m_reads = 0; // in flight
+    int m_writes = 0; // in flight
     std::optional<TimePoint> m_readBegunAt; // of the last one
     std::optional<TimePoint> m_silentSince; // when the first read that was not answered began
     TimePoint m_doubtUntil;
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -300,7 +300,7 @@
         m_gap.tick(m_bootClock.now()); // it opens when the store has been read
     }
     if (m_gap.isOpen(m_bootClock.now())) {
-        m_recorder.read();
+        m_recorder.readAgain();
     }
     if (m_gap.isOpen(m_bootClock.now()) || isStoreSilent()) {
         m_recorder.onInterrupted();
--- a/src/edge/version_recorder.cc
+++ b/src/edge/version_recorder.cc
@@ -85,6 +85,13 @@
                  });
 }
 
+auto VersionRecorder::readAgain() -> void
+{
+    if (!m_readBegunAt || m_context.clock.now() - *m_readBegunAt >= ReadAgainPeriod) {
+        read();
+    }
+}
+
 auto VersionRecorder::onReturnedFromCopy() -> void
 {
     m_doubtUntil = m_context.clock.now() + ReturnDoubt;
@@ -99,8 +106,10 @@
     if (m_revision != 0 && !StoreHistory::isSame(m_revision, range.revision)) {
         onReturnedFromCopy();
     }
-    if (range.revision < m_revision) {
-        return; // another read or a write was answered first, and is newer
+    if (range.revision < m_revision) { // another read or a write was answered first, and is newer
+        m_writesAfterRead = false;
+        check();
+        return;
     }
     m_revision = range.revision;
     m_hasRead = true;
@@ -120,9 +129,7 @@
     m_unreadable.retain(range.values);
     m_context.versions.onRecordRead(records, isWhole, begunAt, m_context.clock.now());
     if (std::exchange(m_writesAfterRead, false)) {
-        for (const auto &record : dueRecords()) {
-            write(record);
-        }
+        writeDue();
     }
     check();
     m_onRead(bootBegunAt, isWhole);
@@ -178,12 +185,27 @@
 
 auto VersionRecorder::check() -> void
 {
-    if (m_isScheduled || m_writesAfterRead || dueRecords().empty()) {
-        return;
+    refresh();
+    if (!m_isScheduled && !m_writesAfterRead && m_writes == 0 && !dueRecords().empty()) {
+        schedule(Duration::zero());
+    }
+}
+
+/// Reads the record again while the store does not answer, and while a service is mixed, so that this ends.
+auto VersionRecorder::refresh() -> void
+{
+    const bool isMixed = !m_context.versions.mixedServices().empty();
+    const auto age = m_context.clock.now() - m_readBegunAt.value_or(m_startedAt);
+    if ((isSilent() && age >= SilentReadPeriod) || (isMixed && age >= MixedReadPeriod)) {
+        read();
     }
+}
+
+auto VersionRecorder::schedule(Duration delay) -> void
+{
     m_isScheduled = true;
     const auto longest = std::min<Duration>(LongestDelay, DelayPerVm * static_cast<int>(m_fleet.vms()));
-    m_timer->startOnce(fromMilliseconds(std::uniform_real_distribution<double>(0, toMilliseconds(longest))(m_context.random)));
+    m_timer->startOnce(delay + fromMilliseconds(std::uniform_real_distribution<double>(0, toMilliseconds(longest))(m_context.random)));
 }
 
 auto VersionRecorder::act() -> void
@@ -201,9 +223,14 @@
     read();
     if (m_reads == 0) { // one has just been answered
         m_writesAfterRead = false;
-        for (const auto &record : dueRecords()) {
-            write(record);
-        }
+        writeDue();
+    }
+}
+
+auto VersionRecorder::writeDue() -> void
+{
+    for (const auto &record : dueRecords()) {
+        write(record);
     }
 }
 
@@ -214,8 +241,10 @@
     StoreTransaction transaction;
     transaction.compares.push_back({key, stored == m_stored.end() ? 0 : stored->second.revision});
     transaction.puts.push_back({key, encodeVersionRecord(record), 0});
+    ++m_writes;
     m_store.commit(std::move(transaction), [this, alive = m_alive, record, key](const Result<StoreOutcome> &outcome) {
         if (*alive) {
+            --m_writes;
             onWritten(record, key, outcome);
         }
     });
@@ -253,8 +282,7 @@
 {
     m_context.log.write("versions", "store_call_failed", {{"step", step}, {"error", describe(error)}});
     if (!m_hasRead || std::exchange(m_writesAfterRead, false) || step == "write") {
-        m_isScheduled = true;
-        m_timer->startOnce(RetryDelay);
+        schedule(RetryDelay);
     }
 }
 
