An answer for all versions counts from the question that it names

By the review: an answer that came late was counted from a newer inquiry for the same stream, so that what a VM had known long before made another one current; datagrams that wait while a VM stands still come late as well. Questions for all versions have a number, which the answer names. While a VM knows that the store has returned from an older copy, no answer makes it current. The model delays some messages by seconds.

--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -6,6 +6,7 @@
 #include "currantstack/edge/origin_message.h"
 #include "currantstack/edge/version_recorder.h"
 
+#include <deque>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -32,6 +33,8 @@
     static constexpr int MaxListWaits = 20;
     static constexpr Duration CheckPeriod = milliseconds(100); // well under `KnowledgeGap::SuspensionTime`
     static constexpr Duration RefreshPeriod = seconds(1);
+    /// Answers to earlier questions are too old to show anything.
+    static constexpr Duration QuestionLifetime = VersionCurrency::MaxAge;
     /// Streams that began earlier have ended when a second version appears.
     static constexpr Duration ToldAge = seconds(20);
 
@@ -47,7 +50,6 @@
         std::vector<OriginFound> callbacks;
         std::unique_ptr<Timer> timer;
         TimePoint begunAt;
-        TimePoint bootBegunAt; // on the boot clock
         int listWaits = 0;
         int asks = 0;
         std::size_t asked = 0; // VMs
@@ -60,13 +62,22 @@
         }
     };
 
+    /// A question for all versions that another VM may answer.
+    struct Question
+    {
+        std::uint32_t number = 0;
+        TimePoint askedAt;
+        TimePoint bootAskedAt; // on the boot clock
+    };
+
     auto announce(std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) -> void;
     auto find(std::string_view firstAttemptId, OriginFound callback) -> void;
     auto ask(Fingerprint stream) -> void;
     auto resolve(Fingerprint stream, std::optional<StreamOrigin> origin) -> void;
     auto onDatagram(std::string_view bytes, const SocketAddress &from) -> void;
     auto onTold(const StreamsOfVersion &row, const SocketAddress &from) -> void;
-    auto onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void;
+    auto onReport(const VersionReport &report, const SocketAddress &from) -> void;
+    auto askForAllVersions() -> std::uint32_t;
     auto logLearned(const LearnedVersion &version) -> void;
     auto endSettledInquiries() -> void;
     auto onRecordRead(TimePoint bootBegunAt, bool isWhole) -> void;
@@ -94,6 +105,8 @@
     std::vector<std::string> m_mixedServices; // at the last check
     bool m_wasSilent = false; // at the last check, the store did not answer
     std::unordered_map<Fingerprint, Inquiry> m_inquiries;
+    std::deque<Question> m_questions; // that were asked within `QuestionLifetime`
+    std::uint32_t m_nextQuestion; // begins at random, so that no answer to the process before counts
 };
 
 } // namespace currantstack
--- a/include/currantstack/edge/origin_message.h
+++ b/include/currantstack/edge/origin_message.h
@@ -27,7 +27,9 @@
     bool isComplete = false; // the sender can have missed none, but for `age`
     std::vector<SoftwareVersionNotice> versions; // of the services that have several, or of all
     Duration age = Duration::zero(); // of what the sender knows; zero: its build does not say
-    bool isOfRecord = false; // what the sender knows is what the store's record named; builds before `RecordProtocol` rely on less
+    /// The question that the sender answers with all versions that the store's record named; none: its build relies on less, or it was
+    /// not asked for all.
+    std::optional<std::uint32_t> question;
 };
 
 /// Tells origins, or asks for them.
@@ -37,6 +39,7 @@
     std::vector<Fingerprint> asked;
     std::optional<VersionReport> report; // in answers only
     bool asksForAllVersions = false; // because the sender may have missed some
+    std::optional<std::uint32_t> question = std::nullopt; // number that the answer names, as datagrams may come late
 };
 
 auto encodeOrigins(const OriginMessage &message) -> std::string;
--- a/include/currantstack/edge/version_recorder.h
+++ b/include/currantstack/edge/version_recorder.h
@@ -66,6 +66,9 @@
         m_absentSince = m_context.clock.now();
     }
 
+    /// Returns whether the store has returned from an older copy, so that the record may lack what other VMs have not written again.
+    auto isInDoubt() const -> bool;
+
     /// Returns whether the store has left reads unanswered for so long that this VM may have missed a version.
     auto isSilent() const -> bool;
 
@@ -88,7 +91,6 @@
     auto write(const VersionRecord &record) -> void;
     auto onWritten(const VersionRecord &record, const std::string &key, const Result<StoreOutcome> &outcome) -> void;
     auto keyOf(std::string_view service) const -> std::string;
-    auto isInDoubt() const -> bool;
     auto onFailure(std::string_view step, const Error &error) -> void;
 
     EdgeContext &m_context;
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -20,6 +20,7 @@
     , m_bootClock(bootClock)
     , m_readVms(std::move(readVms))
     , m_timer(context.loop.timer([this]() { check(); }))
+    , m_nextQuestion(std::uniform_int_distribution<std::uint32_t>()(context.random))
 {
     context.originHooks = {
         [this](std::string_view firstAttemptId, std::string_view service, SoftwareVersionKey version) {
@@ -138,7 +139,6 @@
         return; // asked already, for an earlier return of the caller
     }
     inquiry.begunAt = now;
-    inquiry.bootBegunAt = m_bootClock.now();
     inquiry.timer = m_context.loop.timer([this, stream]() { ask(stream); });
     readRecordIfOutdated();
     ask(stream);
@@ -164,11 +164,26 @@
     }
     m_context.counters.at("stream_origins_asked").add();
     // The other VMs are asked to read the record only after the store has not answered this one for a period.
-    const bool asksForAllVersions = inquiry.asks > 1 && !isCurrent;
-    inquiry.asked = m_exchange.sendToHolders(encodeOrigins({{}, {stream}, {}, asksForAllVersions}), stream, askedVms());
+    OriginMessage question{{}, {stream}, {}};
+    if (inquiry.asks > 1 && !isCurrent) {
+        question.asksForAllVersions = true;
+        question.question = askForAllVersions();
+    }
+    inquiry.asked = m_exchange.sendToHolders(encodeOrigins(question), stream, askedVms());
     inquiry.timer->startOnce(inquiry.asked == 0 && !isAlone ? Duration::zero() : AskPeriod);
 }
 
+/// Returns the number of a question that is asked now.
+auto OriginController::askForAllVersions() -> std::uint32_t
+{
+    const auto now = m_context.clock.now();
+    while (!m_questions.empty() && now - m_questions.front().askedAt >= QuestionLifetime) {
+        m_questions.pop_front();
+    }
+    m_questions.push_back({m_nextQuestion++, now, m_bootClock.now()});
+    return m_questions.back().number;
+}
+
 /// Ends the inquiries that no VM can answer, and all of them if the origin of a stream no longer matters.
 auto OriginController::endSettledInquiries() -> void
 {
@@ -219,7 +234,7 @@
         return;
     }
     if (message->report) {
-        onReport(*message->report, message->told, from);
+        onReport(*message->report, from);
     }
     for (const auto &row : message->told) {
         onTold(row, from);
@@ -229,21 +244,16 @@
     }
 }
 
-auto OriginController::onReport(const VersionReport &report, std::span<const StreamsOfVersion> answered, const SocketAddress &from) -> void
+auto OriginController::onReport(const VersionReport &report, const SocketAddress &from) -> void
 {
     for (const auto &notice : report.versions) {
         m_context.versions.merge(notice, from.text(), m_context.clock.now());
     }
-    if (!report.isComplete || !report.isOfRecord) {
-        return;
-    }
-    for (const auto &row : answered) {
-        for (const auto stream : row.streams) {
-            if (const auto inquiry = m_inquiries.find(stream); inquiry != m_inquiries.end()) {
-                m_gap.close(inquiry->second.bootBegunAt, m_bootClock.now());
-                m_context.versions.currency().confirm(inquiry->second.begunAt - report.age);
-            }
-        }
+    const auto asked = std::find_if(m_questions.begin(), m_questions.end(),
+                                    [&report](const auto &question) { return question.number == report.question; });
+    if (report.isComplete && asked != m_questions.end() && !m_recorder.isInDoubt()) {
+        m_gap.close(asked->bootAskedAt, m_bootClock.now());
+        m_context.versions.currency().confirm(asked->askedAt - report.age);
     }
 }
 
@@ -272,7 +282,7 @@
     auto notices = m_context.versions.notices(scope, m_context.clock.now());
     std::erase_if(notices, [this](const auto &notice) {
         const auto *service = m_context.routeTable ? m_context.routeTable->service(notice.service) : nullptr;
-        return !m_context.versions.isMixed(notice.service) && (service == nullptr || !service->engine);
+        return !notice.isRecorded && !m_context.versions.isMixed(notice.service) && (service == nullptr || !service->engine);
     });
     return notices;
 }
@@ -284,8 +294,7 @@
     if (question.asksForAllVersions) {
         readRecordIfOutdated();
     }
-    message.report = {!mayMissVersions(), versionsFor(question), now - m_context.versions.currency().currentAt(),
-                      question.asksForAllVersions};
+    message.report = {!mayMissVersions(), versionsFor(question), now - m_context.versions.currency().currentAt(), question.question};
     for (const auto stream : question.asked) {
         const auto origin = m_context.origins.find(stream, now);
         message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
--- a/src/edge/origin_message.cc
+++ b/src/edge/origin_message.cc
@@ -13,7 +13,8 @@
 {
 
 constexpr std::string_view AgeField = "age"; // of what the sender knows, in ms
-constexpr std::string_view RecordField = "record"; // whether what the sender knows is what the store's record named
+constexpr std::string_view QuestionField = "question"; // number of a question
+constexpr std::string_view RecordField = "record"; // number of the question that is answered by what the store's record named
 constexpr std::string_view AllVersionsField = "all"; // whether the sender asks for the versions of all services
 
 auto isStreams(const nlohmann::json &value) -> bool
@@ -21,9 +22,14 @@
     return value.is_array() && std::all_of(value.begin(), value.end(), [](const auto &stream) { return stream.is_number_unsigned(); });
 }
 
+auto isNumber(const nlohmann::json &value) -> bool
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
+}
+
 auto isVersion(const nlohmann::json &value) -> bool
 {
-    return value.is_number_unsigned() && value.get<std::uint64_t>() <= std::numeric_limits<SoftwareVersionKey>::max();
+    return isNumber(value);
 }
 
 auto encodeReport(const std::optional<VersionReport> &report) -> nlohmann::json
@@ -63,9 +69,13 @@
         document.push_back(AgeField);
         document.push_back(encodeDuration(message.report->age));
     }
-    if (message.report && message.report->isOfRecord) {
+    if (message.report && message.report->question) {
         document.push_back(RecordField);
-        document.push_back(true);
+        document.push_back(*message.report->question);
+    }
+    if (message.question) {
+        document.push_back(QuestionField);
+        document.push_back(*message.question);
     }
     if (message.asksForAllVersions) {
         document.push_back(AllVersionsField);
@@ -96,8 +106,11 @@
             if (document[index] == AgeField && message.report && isDuration(document[index + 1])) {
                 message.report->age = decodeDuration(document[index + 1]);
             }
-            if (document[index] == RecordField && message.report) {
-                message.report->isOfRecord = document[index + 1] == true;
+            if (document[index] == RecordField && message.report && isNumber(document[index + 1])) {
+                message.report->question = document[index + 1].get<std::uint32_t>();
+            }
+            if (document[index] == QuestionField && isNumber(document[index + 1])) {
+                message.question = document[index + 1].get<std::uint32_t>();
             }
             message.asksForAllVersions = message.asksForAllVersions || (document[index] == AllVersionsField && document[index + 1] == true);
             continue;
--- a/test/version_fleet-test.cc
+++ b/test/version_fleet-test.cc
@@ -62,7 +62,6 @@
 
 struct Inquiry
 {
-    TimePoint begunAt;
     TimePoint timerAt;
     int listWaits = 0;
     int asks = 0;
@@ -118,6 +117,7 @@
     TimePoint absentSince;
     std::vector<Fingerprint> returns; // of callers, not taken up yet
     std::map<Fingerprint, Inquiry> inquiries;
+    std::map<std::uint32_t, TimePoint> questions; // for all versions, when they were asked
 };
 
 struct Vm
@@ -294,7 +294,7 @@
     auto send(Message message) -> void
     {
         for (auto copies = draw(50) == 0 ? 0 : draw(50) == 0 ? 2 : 1; copies > 0; --copies) {
-            message.at = m_now + Step + drawTime(draw(30) == 0 ? 200 : 40);
+            message.at = m_now + Step + drawTime(draw(200) == 0 ? 3000 : draw(30) == 0 ? 200 : 40);
             if (sideOf(m_vms[message.from]) == sideOf(m_vms[message.to])) {
                 m_messages.push_back(message);
             }
@@ -509,16 +509,10 @@
         for (const auto &notice : message.report->versions) {
             memory.versions.merge(notice, name(from), m_now);
         }
-        if (!message.report->isComplete || !message.report->isOfRecord) {
-            return;
-        }
-        for (const auto &row : message.told) {
-            for (const auto stream : row.streams) {
-                if (const auto inquiry = memory.inquiries.find(stream); inquiry != memory.inquiries.end()) {
-                    memory.gap.close(inquiry->second.begunAt, m_now);
-                    memory.versions.currency().confirm(inquiry->second.begunAt - message.report->age);
-                }
-            }
+        const auto asked = message.report->question ? memory.questions.find(*message.report->question) : memory.questions.end();
+        if (message.report->isComplete && asked != memory.questions.end()) {
+            memory.gap.close(asked->second, m_now);
+            memory.versions.currency().confirm(asked->second - message.report->age);
         }
     }
 
@@ -545,7 +539,7 @@
             readRecordIfOutdated(index);
         }
         message.report = {!mayMissVersions(index), memory.versions.notices(scope, m_now), m_now - memory.versions.currency().currentAt(),
-                          question.asksForAllVersions};
+                          question.question};
         for (const auto stream : question.asked) {
             const auto origin = memory.origins.find(stream, m_now);
             message.told.push_back({origin ? origin->version : AnySoftwareVersion, {stream}});
@@ -601,7 +595,7 @@
             return;
         }
         memory.gap.begin(m_now);
-        if (memory.inquiries.try_emplace(stream, Inquiry{m_now, m_now}).second) {
+        if (memory.inquiries.try_emplace(stream, Inquiry{m_now}).second) {
             readRecordIfOutdated(index);
             ask(index, stream);
         }
@@ -627,7 +621,12 @@
             resolve(index, stream, std::nullopt);
             return;
         }
-        const OriginMessage question{{}, {stream}, {}, inquiry.asks > 1 && !isCurrent};
+        OriginMessage question{{}, {stream}, {}};
+        if (inquiry.asks > 1 && !isCurrent) {
+            question.asksForAllVersions = true;
+            question.question = m_nextQuestion++;
+            memory.questions[*question.question] = m_now;
+        }
         inquiry.asked = sendToHolders(index, question, stream, PeerTable::SmallFleet);
         inquiry.timerAt = m_now + (inquiry.asked == 0 && !isAlone ? Duration::zero() : OriginController::AskPeriod);
     }
@@ -756,6 +755,7 @@
     std::set<std::string> m_store; // versions that engines of the service have
     StoredRecord m_record;
     std::vector<RecordWrite> m_writes; // on their way
+    std::uint32_t m_nextQuestion = 0;
     std::string m_shortLived; // version whose engines crash soon
     int m_version = 2;
     int m_sides = 0;
