A version that returns after a minute is recorded anew, and what another VM has written replaces what was known

By the review of the record: a VM that had dropped a version from the record while another one still held it for settled let that one begin streams at once when the version came back, and a late drop could remove it again; now it has no streams until it is written anew, which changes the revision that a drop depends on, and for 1.5 s after. A write that another VM overtook only added to what a VM knew. Further findings: the first record of a service is settled at once only when the whole system starts for the first time; beside earlier builds each read put off the time from which a new version may have streams; an unreadable key that belongs to no service made all reads incomplete; streams did not wait for a version that had replaced all others; a continued stream of a service without known versions went on anywhere; calls that the store refuses are repeated after growing times; entries that the watch has not confirmed for a minute drop no version.

--- a/include/currantstack/decisions/knowledge_gap.h
+++ b/include/currantstack/decisions/knowledge_gap.h
@@ -8,8 +8,8 @@
 namespace currantstack
 {
 
-/// Opens at the start of a VM and after each suspension, and is closed by a peer that tells what it knows. All times are of a clock that
-/// also advances during a suspension.
+/// Opens at the start of a VM and after each suspension, and is closed by a read of the version record, its own or that of a peer. All
+/// times are of a clock that also advances during a suspension.
 class KnowledgeGap
 {
 public:
@@ -36,7 +36,8 @@
         m_tickedAt = now;
     }
 
-    /// Records that a peer has told what it knows, asked at the time. An answer to a question of before a suspension closes no gap.
+    /// Records that a read that was begun, or a question that was asked, at the time has been answered. One of before a suspension closes
+    /// no gap.
     auto close(TimePoint askedAt, TimePoint now) -> void
     {
         if (!wasSuspended(now) && (!m_openedAt || askedAt >= *m_openedAt)) {
--- a/include/currantstack/decisions/software_versions.h
+++ b/include/currantstack/decisions/software_versions.h
@@ -63,6 +63,8 @@
     /// The record names a version for this time after its last upstream has left. A VM that lists an upstream for longer than the store
     /// does, because it does not reach the store, may begin streams there; those end well within the remaining time.
     static constexpr Duration RecordRetention = seconds(300);
+    /// A version whose upstreams were registered within this time is in use. Covers two refreshes of the directory.
+    static constexpr Duration PresenceTime = milliseconds(2500);
 
     /// Records that an upstream with this version is registered, or was until `lastSeen`.
     auto observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void;
@@ -85,13 +87,18 @@
     /// Drops the versions that the record does not name, and that were neither seen nor told as recorded for `Lifetime`.
     auto expire(TimePoint now) -> void;
 
-    /// Records what a complete read of the record shows; it was begun at `asOf`. With `isWhole`, the record names all versions that streams
-    /// can have begun at; otherwise the store may have lost some.
-    auto onRecordRead(std::span<const VersionRecord> records, bool isWhole, TimePoint asOf, TimePoint now) -> void;
+    /// Records what a read of the record shows.
+    auto onRecordRead(std::span<const VersionRecord> records, const RecordRead &read, TimePoint now) -> void;
 
-    /// Records that the store's record of a service is this one.
+    /// Records that the store's record of a service is this one, as this VM has written it.
     auto onRecorded(const VersionRecord &record, TimePoint now) -> void;
 
+    /// Records that the store's record of a service is this one, as another VM has written it.
+    auto onReplaced(const VersionRecord &record, TimePoint now) -> void;
+
+    /// Returns whether a version of the service is in use that the record does not name, as far as this VM knows.
+    auto hasUnrecorded(std::string_view service, TimePoint now) const -> bool;
+
     /// Returns the record that the store should have, given the one that it has, if any. `isFirstSettled`: no VM relies on anything but the
     /// record, so that the versions which the first record of a service names can have streams at once: until then nobody can take a stream
     /// for one of another version. `absentSince`: this VM has seen all entries of upstreams since then.
@@ -172,6 +179,7 @@
     auto versionOf(std::string_view service, std::string_view version, TimePoint now) -> std::pair<Version &, bool>;
 
     auto find(std::string_view service, std::string_view version) const -> const Version *;
+    static auto withdrawUnnamed(Versions &versions, const VersionRecord &record) -> std::vector<Version *>;
     auto recordVersion(std::string_view service, const RecordedVersion &recorded, TimePoint now) -> void;
     auto reportLearned(const SoftwareVersionNotice &notice, const Version &entry, std::string_view toldBy, TimePoint now) const -> void;
 
--- a/include/currantstack/decisions/version_record.h
+++ b/include/currantstack/decisions/version_record.h
@@ -1,6 +1,8 @@
 // The store's record of the software versions that streams of a service can have begun at.
 #pragma once
 
+#include "currantstack/clock.h"
+
 #include <string>
 #include <vector>
 
@@ -25,4 +27,12 @@
     auto operator==(const VersionRecord &other) const -> bool = default;
 };
 
+/// A read of the records of all services.
+struct RecordRead
+{
+    TimePoint begunAt;
+    bool isComplete = false; // the records name all versions that streams can have begun at when the read was begun
+    bool isUsedByAllVms = false; // none is of an earlier build, which begins streams at versions that are not recorded
+};
+
 } // namespace currantstack
--- a/include/currantstack/edge/origin_controller.h
+++ b/include/currantstack/edge/origin_controller.h
@@ -80,7 +80,7 @@
     auto askForAllVersions() -> std::uint32_t;
     auto logLearned(const LearnedVersion &version) -> void;
     auto endSettledInquiries() -> void;
-    auto onRecordRead(TimePoint bootBegunAt, bool isWhole) -> void;
+    auto onRecordRead(TimePoint bootBegunAt, bool isComplete) -> void;
     auto mayMissVersions() const -> bool;
     auto mayMissUpstreams() const -> bool;
     auto readRecordIfOutdated() -> void;
--- a/include/currantstack/edge/software_version_codec.h
+++ b/include/currantstack/edge/software_version_codec.h
@@ -19,8 +19,8 @@
 /// Returns the duration, limited to `SoftwareVersions::Lifetime`.
 auto decodeDuration(const nlohmann::json &value) -> Duration;
 
-/// Returns one row [service, version, age in ms, known for ms] for each notice. A version that only the record still names has a further
-/// column, true.
+/// Returns one row [service, version, age in ms, known for ms] for each notice. A version that is recorded and has not been
+/// seen lately has a further column, true.
 auto encodeVersions(std::span<const SoftwareVersionNotice> notices) -> nlohmann::json;
 
 /// Returns nothing if a row is malformed.
--- a/include/currantstack/edge/version_recorder.h
+++ b/include/currantstack/edge/version_recorder.h
@@ -15,7 +15,8 @@
     /// VMs that learn of a version together act after a random part of this time for each VM, so that few of them write.
     static constexpr Duration DelayPerVm = milliseconds(5);
     static constexpr Duration LongestDelay = milliseconds(1500);
-    static constexpr Duration RetryDelay = milliseconds(300); // after a call to the store failed
+    static constexpr Duration RetryDelay = milliseconds(300); // after a call to the store failed, at first
+    static constexpr Duration LongestRetryDelay = seconds(3);
     static constexpr Duration ReadPeriod = milliseconds(50); // between reads, however many streams ask for them
     static constexpr Duration ReadPatience = milliseconds(300); // until a read is repeated beside the ones in flight
     static constexpr int MostReads = 4; // in flight
@@ -39,7 +40,7 @@
     };
 
     /// Receives, after a read, when it was begun on the boot clock, and whether it shows all versions that streams can have begun at.
-    using ReadHandler = std::function<void(TimePoint bootBegunAt, bool isWhole)>;
+    using ReadHandler = std::function<void(TimePoint bootBegunAt, bool isComplete)>;
 
     /// `bootClock` also advances while the process or its machine is suspended.
     VersionRecorder(EdgeContext &context, const StoreCodec &codec, Store &store, const Clock &bootClock, Fleet fleet);
@@ -82,6 +83,9 @@
     auto onRange(const StoreRange &range, TimePoint begunAt, TimePoint bootBegunAt) -> void;
     auto onReturnedFromCopy() -> void;
     auto onValue(const StoreValue &value) -> void;
+    auto services() const -> std::vector<std::string>;
+    auto isOfKnownService(std::string_view key) const -> bool;
+    auto isDue() const -> bool;
     auto dueRecords() const -> std::vector<VersionRecord>;
     auto isFirstSettled() const -> bool;
     auto refresh() -> void;
@@ -98,7 +102,7 @@
     Store &m_store;
     const Clock &m_bootClock;
     Fleet m_fleet;
-    ReadHandler m_onRead = [](TimePoint /*bootBegunAt*/, bool /*isWhole*/) {};
+    ReadHandler m_onRead = [](TimePoint /*bootBegunAt*/, bool /*isComplete*/) {};
     std::unique_ptr<Timer> m_timer;
     bool m_isScheduled = false;
     bool m_isListRequested = false; // of VMs
@@ -109,6 +113,7 @@
     bool m_hasRead = false;
     int m_reads = 0; // in flight
     int m_writes = 0; // in flight
+    int m_failures = 0; // of calls in a row
     std::optional<TimePoint> m_readBegunAt; // of the last one
     std::optional<TimePoint> m_silentSince; // when the first read that was not answered began
     TimePoint m_doubtUntil;
--- a/src/decisions/software_versions.cc
+++ b/src/decisions/software_versions.cc
@@ -47,6 +47,10 @@
 auto SoftwareVersions::observe(std::string_view service, std::string_view version, TimePoint lastSeen, TimePoint now) -> void
 {
     const auto [entry, isNew] = versionOf(service, version, now);
+    if (entry.recordedAt && lastSeen - std::max(entry.lastSeen, *entry.recordedAt) >= Lifetime) { // another VM may have dropped it
+        entry.recordedAt.reset();
+        entry.settledAt = TimePoint::max();
+    }
     entry.lastSeen = std::max(entry.lastSeen, lastSeen);
     if (isNew) {
         reportLearned({std::string(service), std::string(version), now - lastSeen, Duration::zero()}, entry, {}, now);
@@ -88,9 +92,13 @@
     if (found == m_services.end() || found->second.empty()) {
         return Duration::zero();
     }
+    const auto isPresent = [now](const auto &entry) { return now - entry.second.lastSeen < PresenceTime; };
+    const bool anyPresent = std::any_of(found->second.begin(), found->second.end(), isPresent);
     auto result = SettlingTime;
-    for (const auto &[name, entry] : found->second) {
-        result = std::min<Duration>(result, entry.settledAt - std::min(now, entry.settledAt));
+    for (const auto &entry : found->second) {
+        if (!anyPresent || isPresent(entry)) {
+            result = std::min<Duration>(result, entry.second.settledAt - std::min(now, entry.second.settledAt));
+        }
     }
     return result;
 }
@@ -115,31 +123,40 @@
     }
 }
 
-auto SoftwareVersions::onRecordRead(std::span<const VersionRecord> records, bool isWhole, TimePoint asOf, TimePoint now) -> void
+auto SoftwareVersions::onRecordRead(std::span<const VersionRecord> records, const RecordRead &read, TimePoint now) -> void
 {
     for (const auto &record : records) {
         onRecorded(record, now);
     }
-    if (!isWhole) {
+    if (!read.isComplete) {
         return;
     }
+    const VersionRecord none;
     for (auto &[service, versions] : m_services) {
-        const auto record =
-            std::find_if(records.begin(), records.end(), [&service = service](const auto &entry) { return entry.service == service; });
-        for (auto &[version, entry] : versions) {
-            const bool isNamed = record != records.end()
-                && std::any_of(record->versions.begin(), record->versions.end(),
-                               [&version = version](const auto &named) { return named.version == version; });
-            if (!isNamed) {
-                entry.recordedAt.reset();
-                entry.settledAt = TimePoint::max();
-            }
-            if (!isNamed && record != records.end()) {
-                entry.usedAt = std::max(entry.usedAt, asOf + EarliestUse);
+        const auto found =
+            std::find_if(records.begin(), records.end(), [&service = service](const auto &record) { return record.service == service; });
+        for (auto *version : withdrawUnnamed(versions, found == records.end() ? none : *found)) {
+            if (read.isUsedByAllVms && found != records.end()) {
+                version->usedAt = std::max(version->usedAt, read.begunAt + EarliestUse);
             }
         }
     }
-    m_currency.confirm(asOf);
+    m_currency.confirm(read.begunAt);
+}
+
+/// Records that the versions which the record does not name may have no streams; returns them.
+auto SoftwareVersions::withdrawUnnamed(Versions &versions, const VersionRecord &record) -> std::vector<Version *>
+{
+    std::vector<Version *> result;
+    for (auto &[name, entry] : versions) {
+        const auto isThis = [&name = name](const auto &recorded) { return recorded.version == name; };
+        if (std::none_of(record.versions.begin(), record.versions.end(), isThis)) {
+            entry.recordedAt.reset();
+            entry.settledAt = TimePoint::max();
+            result.push_back(&entry);
+        }
+    }
+    return result;
 }
 
 auto SoftwareVersions::onRecorded(const VersionRecord &record, TimePoint now) -> void
@@ -149,6 +166,14 @@
     }
 }
 
+auto SoftwareVersions::onReplaced(const VersionRecord &record, TimePoint now) -> void
+{
+    onRecorded(record, now);
+    if (const auto found = m_services.find(record.service); found != m_services.end()) {
+        withdrawUnnamed(found->second, record);
+    }
+}
+
 auto SoftwareVersions::planRecord(std::string_view service, const VersionRecord *stored, bool isFirstSettled, TimePoint absentSince,
                                   TimePoint now) const -> VersionRecord
 {
@@ -171,6 +196,14 @@
     return result;
 }
 
+auto SoftwareVersions::hasUnrecorded(std::string_view service, TimePoint now) const -> bool
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [now](const auto &entry) {
+               return !entry.second.recordedAt && now - entry.second.lastSeen < Lifetime;
+           });
+}
+
 auto SoftwareVersions::services() const -> std::vector<std::string>
 {
     std::vector<std::string> result;
--- a/src/edge/origin_controller.cc
+++ b/src/edge/origin_controller.cc
@@ -38,7 +38,7 @@
         logLearned(version);
         m_context.loop.defer([&recorder = m_recorder]() { recorder.check(); });
     });
-    recorder.setReadHandler([this](TimePoint bootBegunAt, bool isWhole) { onRecordRead(bootBegunAt, isWhole); });
+    recorder.setReadHandler([this](TimePoint bootBegunAt, bool isComplete) { onRecordRead(bootBegunAt, isComplete); });
 }
 
 auto OriginController::start() -> void
@@ -64,9 +64,9 @@
     }
 }
 
-auto OriginController::onRecordRead(TimePoint bootBegunAt, bool isWhole) -> void
+auto OriginController::onRecordRead(TimePoint bootBegunAt, bool isComplete) -> void
 {
-    if (isWhole) {
+    if (isComplete) {
         m_gap.close(bootBegunAt, m_bootClock.now());
         endSettledInquiries();
     }
--- a/src/edge/software_version_codec.cc
+++ b/src/edge/software_version_codec.cc
@@ -37,7 +37,7 @@
     auto rows = nlohmann::json::array();
     for (const auto &notice : notices) {
         rows.push_back({notice.service, notice.version, encodeDuration(notice.age), encodeDuration(notice.knownFor)});
-        if (notice.isRecorded && notice.age >= SoftwareVersions::Lifetime) {
+        if (notice.isRecorded && notice.age >= SoftwareVersions::Lifetime / 2) {
             rows.back().push_back(true);
         }
     }
--- a/src/edge/stream_continuation.cc
+++ b/src/edge/stream_continuation.cc
@@ -44,6 +44,7 @@
         const auto ofService = versions.possibleOrigins(target.service, m_context.clock.now());
         origins.insert(ofService.begin(), ofService.end());
     }
+    knowledge.mayBeOutdated = knowledge.mayBeOutdated || (!knowledge.isMixed && knowledge.onlyVersion == AnySoftwareVersion);
     if (knowledge.isMixed) {
         knowledge.onlyVersion = origins.size() == 1 ? *origins.begin() : AnySoftwareVersion;
     }
--- a/src/edge/version_recorder.cc
+++ b/src/edge/version_recorder.cc
@@ -2,6 +2,7 @@
 
 #include "currantstack/decisions/store_history.h"
 #include "currantstack/edge/version_record_codec.h"
+#include "currantstack/retry.h"
 
 #include <algorithm>
 
@@ -63,7 +64,8 @@
 auto VersionRecorder::read() -> void
 {
     const auto now = m_context.clock.now();
-    const bool isTooSoon = m_readBegunAt && now - *m_readBegunAt < (m_reads > 0 ? ReadPatience : ReadPeriod);
+    const bool isUnanswered = m_reads > 0 || m_failures > 0;
+    const bool isTooSoon = m_readBegunAt && now - *m_readBegunAt < (isUnanswered ? ReadPatience : ReadPeriod);
     if (isTooSoon || m_reads >= MostReads) {
         return;
     }
@@ -103,6 +105,7 @@
 auto VersionRecorder::onRange(const StoreRange &range, TimePoint begunAt, TimePoint bootBegunAt) -> void
 {
     m_silentSince.reset();
+    m_failures = 0;
     if (m_revision != 0 && !StoreHistory::isSame(m_revision, range.revision)) {
         onReturnedFromCopy();
     }
@@ -115,7 +118,7 @@
     m_hasRead = true;
     std::set<std::string> seen;
     std::vector<VersionRecord> records;
-    bool isWhole = !isInDoubt();
+    bool isComplete = !isInDoubt();
     for (const auto &value : range.values) {
         seen.insert(value.key);
         onValue(value);
@@ -123,16 +126,16 @@
         if (stored.record) {
             records.push_back(*stored.record);
         }
-        isWhole = isWhole && stored.record;
+        isComplete = isComplete && (stored.record || !isOfKnownService(value.key));
     }
     std::erase_if(m_stored, [&seen](const auto &entry) { return !seen.contains(entry.first); });
     m_unreadable.retain(range.values);
-    m_context.versions.onRecordRead(records, isWhole, begunAt, m_context.clock.now());
+    m_context.versions.onRecordRead(records, {begunAt, isComplete, m_fleet.isListed() && m_fleet.allUseRecord()}, m_context.clock.now());
     if (std::exchange(m_writesAfterRead, false)) {
         writeDue();
     }
     check();
-    m_onRead(bootBegunAt, isWhole);
+    m_onRead(bootBegunAt, isComplete);
 }
 
 auto VersionRecorder::onValue(const StoreValue &value) -> void
@@ -160,18 +163,39 @@
 
 auto VersionRecorder::isFirstSettled() const -> bool
 {
-    return m_hasRead && !isInDoubt() && m_fleet.isListed() && m_fleet.allUseRecord();
+    return m_context.settings.bootstrap && m_hasRead && !isInDoubt() && m_fleet.isListed() && m_fleet.allUseRecord();
+}
+
+/// Returns the services that have a record.
+auto VersionRecorder::services() const -> std::vector<std::string>
+{
+    auto result = m_context.versions.services();
+    std::erase_if(result, [this](const auto &service) {
+        const auto *known = m_context.routeTable ? m_context.routeTable->service(service) : nullptr;
+        return known == nullptr || !known->engine;
+    });
+    return result;
+}
+
+auto VersionRecorder::isOfKnownService(std::string_view key) const -> bool
+{
+    const auto all = services();
+    return std::any_of(all.begin(), all.end(), [this, key](const auto &service) { return keyOf(service) == key; });
+}
+
+auto VersionRecorder::isDue() const -> bool
+{
+    const auto all = services();
+    return !dueRecords().empty() || std::any_of(all.begin(), all.end(), [this](const auto &service) {
+        return m_context.versions.hasUnrecorded(service, m_context.clock.now());
+    });
 }
 
 /// Returns the records that the store should have and does not.
 auto VersionRecorder::dueRecords() const -> std::vector<VersionRecord>
 {
     std::vector<VersionRecord> result;
-    for (const auto &service : m_context.versions.services()) {
-        const auto *known = m_context.routeTable ? m_context.routeTable->service(service) : nullptr;
-        if (known == nullptr || !known->engine) {
-            continue;
-        }
+    for (const auto &service : services()) {
         const auto found = m_stored.find(keyOf(service));
         const bool isReadable = found != m_stored.end() && found->second.record;
         auto planned = m_context.versions.planRecord(service, isReadable ? &*found->second.record : nullptr,
@@ -185,8 +209,11 @@
 
 auto VersionRecorder::check() -> void
 {
+    if (m_context.clock.now() - m_context.upstreamsCurrentAt >= SoftwareVersions::Lifetime) {
+        onInterrupted(); // the watch of the entries may be silent
+    }
     refresh();
-    if (!m_isScheduled && !m_writesAfterRead && m_writes == 0 && !dueRecords().empty()) {
+    if (!m_isScheduled && !m_writesAfterRead && m_writes == 0 && isDue()) {
         schedule(Duration::zero());
     }
 }
@@ -269,10 +296,11 @@
     } else if (outcome->current.empty()) {
         m_stored.erase(key);
         read();
-    } else { // another VM was faster
+    } else if (outcome->current.front().modRevision >= m_revision) { // another VM was faster
+        m_revision = outcome->current.front().modRevision;
         onValue(outcome->current.front());
         if (const auto &stored = m_stored[key]; stored.record) {
-            m_context.versions.onRecorded(*stored.record, m_context.clock.now());
+            m_context.versions.onReplaced(*stored.record, m_context.clock.now());
         }
     }
     check();
@@ -281,8 +309,9 @@
 auto VersionRecorder::onFailure(std::string_view step, const Error &error) -> void
 {
     m_context.log.write("versions", "store_call_failed", {{"step", step}, {"error", describe(error)}});
+    const auto wait = RetryDelay + backoff(m_failures++, RetryDelay, LongestRetryDelay, m_context.random);
     if (!m_hasRead || std::exchange(m_writesAfterRead, false) || step == "write") {
-        schedule(RetryDelay);
+        schedule(wait);
     }
 }
 
--- a/test/software_versions-test.cc
+++ b/test/software_versions-test.cc
@@ -19,6 +19,10 @@
     CPPUNIT_TEST(aVersionThatHasLeftStaysInTheRecord);
     CPPUNIT_TEST(aVersionIsNotDroppedByAVmThatMayHaveMissedIt);
     CPPUNIT_TEST(aVersionThatLeavesTheRecordIsForgotten);
+    CPPUNIT_TEST(aVersionThatReturnsIsRecordedAnew);
+    CPPUNIT_TEST(whatAnotherVmHasWrittenReplacesWhatWasKnown);
+    CPPUNIT_TEST(besideEarlierBuildsAVersionMayHaveStreamsBeforeItIsRecorded);
+    CPPUNIT_TEST(streamsWaitForTheVersionThatReplacesTheLast);
     CPPUNIT_TEST(whatTheStoreHasLostIsRecordedAgain);
     CPPUNIT_TEST(aVersionThatTheRecordDoesNotNameHasNoStreams);
     CPPUNIT_TEST(aVersionThatIsLearnedOfLateMayHaveStreams);
@@ -83,7 +87,7 @@
     auto aVersionGetsNoStreamsBeforeTheRecordHasNamedItForAWhile() -> void
     {
         const VersionRecord former{"llm", {{"v1", true}}};
-        m_versions.onRecordRead({&former, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&former, 1}, {m_now, true, true}, m_now);
         see("llm", "v2");
         m_now += seconds(30);
         see("llm", "v2");
@@ -92,6 +96,7 @@
         CPPUNIT_ASSERT((planned == VersionRecord{"llm", {{"v1", true}, {"v2", false}}}));
         m_versions.onRecorded(planned, m_now);
         m_now += SoftwareVersions::SettlingTime - milliseconds(1);
+        see("llm", "v1");
         CPPUNIT_ASSERT(!isSettled("v2") && plan(&planned) == planned);
         CPPUNIT_ASSERT(m_versions.settlesIn("llm", m_now) == Duration::zero());
         m_now += milliseconds(1);
@@ -118,7 +123,7 @@
     auto aVmThatStartsUsesSettledVersionsAtOnce() -> void
     {
         const VersionRecord record{"llm", {{"v1", true}, {"v2", false}}};
-        m_versions.onRecordRead({&record, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&record, 1}, {m_now, true, true}, m_now);
         CPPUNIT_ASSERT(isSettled("v1") && !isSettled("v2"));
         CPPUNIT_ASSERT(*m_versions.knownSince("llm", "v1") == m_now - SoftwareVersions::SettlingTime);
         CPPUNIT_ASSERT_MESSAGE("v2 may be settled at other VMs", m_versions.isMixed("llm"));
@@ -129,7 +134,7 @@
     auto aFurtherVersionSettles() -> void
     {
         const VersionRecord former{"llm", {{"v1", true}, {"v2", true}}};
-        m_versions.onRecordRead({&former, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&former, 1}, {m_now, true, true}, m_now);
         see("llm", "v3");
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.possibleOrigins("llm", m_now).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_versions.possibleOrigins("llm", m_now + SoftwareVersions::EarliestUse).size());
@@ -154,7 +159,7 @@
     auto aVersionThatHasLeftStaysInTheRecord() -> void
     {
         const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
-        m_versions.onRecordRead({&both, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
         const auto readAt = m_now;
         while (m_now - readAt < SoftwareVersions::RecordRetention - seconds(1)) {
             m_now += seconds(1);
@@ -171,10 +176,14 @@
     auto aVersionIsNotDroppedByAVmThatMayHaveMissedIt() -> void
     {
         const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
-        m_versions.onRecordRead({&both, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
         m_now += 2 * SoftwareVersions::RecordRetention;
         CPPUNIT_ASSERT_MESSAGE("no version is in use that could replace it", plan(&both) == both);
-        see("llm", "v1");
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
+        for (const auto end = m_now + 2 * SoftwareVersions::RecordRetention; m_now < end; m_now += SoftwareVersions::Lifetime / 2) {
+            see("llm", "v1");
+            m_versions.onRecorded({"llm", {{"v1", true}}}, m_now);
+        }
         CPPUNIT_ASSERT(plan(&both, true, SoftwareVersions::RecordRetention - milliseconds(1)) == both);
         CPPUNIT_ASSERT(plan(&both, true, SoftwareVersions::RecordRetention) != both);
     }
@@ -183,23 +192,70 @@
     {
         const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
         const VersionRecord one{"llm", {{"v2", true}}};
-        m_versions.onRecordRead({&both, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
         m_now += SoftwareVersions::Lifetime;
-        m_versions.onRecordRead({&one, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&one, 1}, {m_now, true, true}, m_now);
         m_versions.expire(m_now);
         CPPUNIT_ASSERT_EQUAL(softwareVersionKey("llm", "v2"), m_versions.onlyVersion("llm"));
         see("llm", "v1");
         CPPUNIT_ASSERT_MESSAGE("it is new when it returns", !isSettled("v1"));
     }
 
+    // Load: a release is rolled back minutes later, while another VM drops the former version from the record.
+    auto aVersionThatReturnsIsRecordedAnew() -> void
+    {
+        const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
+        see("llm", "v2");
+        m_now += SoftwareVersions::Lifetime;
+        see("llm", "v2");
+        CPPUNIT_ASSERT(!isSettled("v2") && m_versions.hasUnrecorded("llm", m_now));
+        const auto planned = plan(&both);
+        CPPUNIT_ASSERT((planned == VersionRecord{"llm", {{"v1", true}, {"v2", false}}}));
+        m_versions.onRecorded(planned, m_now);
+        CPPUNIT_ASSERT(!isSettled("v2") && !m_versions.hasUnrecorded("llm", m_now));
+        m_now += SoftwareVersions::SettlingTime;
+        CPPUNIT_ASSERT(isSettled("v2"));
+    }
+
+    // Load: two VMs write the record at once.
+    auto whatAnotherVmHasWrittenReplacesWhatWasKnown() -> void
+    {
+        const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
+        m_versions.onReplaced({"llm", {{"v2", true}, {"v3"}}}, m_now);
+        CPPUNIT_ASSERT(!isSettled("v1") && isSettled("v2") && !isSettled("v3"));
+    }
+
+    // Load: the store takes no writes beside VMs that do not need them.
+    auto besideEarlierBuildsAVersionMayHaveStreamsBeforeItIsRecorded() -> void
+    {
+        const VersionRecord record{"llm", {{"v1", true}}};
+        m_versions.onRecordRead({&record, 1}, {m_now, true, false}, m_now);
+        see("llm", "v2");
+        m_now += SoftwareVersions::EarliestUse;
+        m_versions.onRecordRead({&record, 1}, {m_now, true, false}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.possibleOrigins("llm", m_now).size());
+    }
+
+    // Load: all engines are replaced at once by ones of another version.
+    auto streamsWaitForTheVersionThatReplacesTheLast() -> void
+    {
+        const VersionRecord record{"llm", {{"v1", true}}};
+        m_versions.onRecordRead({&record, 1}, {m_now, true, true}, m_now);
+        CPPUNIT_ASSERT(m_versions.settlesIn("llm", m_now) == Duration::zero());
+        see("llm", "v2");
+        CPPUNIT_ASSERT(m_versions.settlesIn("llm", m_now) == SoftwareVersions::SettlingTime);
+    }
+
     // Load: the store returns from an older copy.
     auto whatTheStoreHasLostIsRecordedAgain() -> void
     {
         const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
         const VersionRecord older{"llm", {{"v1", true}}};
-        m_versions.onRecordRead({&both, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
         m_now += seconds(100);
-        m_versions.onRecordRead({&older, 1}, false, m_now, m_now);
+        m_versions.onRecordRead({&older, 1}, {m_now, false, true}, m_now);
         CPPUNIT_ASSERT(m_versions.isMixed("llm") && !m_versions.currency().isCurrent(m_now));
         CPPUNIT_ASSERT(plan(&older) == both);
         see("llm", "v3");
@@ -212,7 +268,7 @@
         const VersionRecord record{"llm", {{"v1", true}}};
         m_versions.observe("llm", "v2", m_now, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_versions.possibleOrigins("llm", m_now).size());
-        m_versions.onRecordRead({&record, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&record, 1}, {m_now, true, true}, m_now);
         CPPUNIT_ASSERT_EQUAL(softwareVersionKey("llm", "v1"), m_versions.possibleOrigins("llm", m_now).front());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_versions.possibleOrigins("llm", m_now).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_versions.possibleOrigins("llm", m_now + SoftwareVersions::EarliestUse).size());
@@ -253,7 +309,7 @@
     auto noticesCarryAVersionThatOnlyTheRecordNames() -> void
     {
         const VersionRecord both{"llm", {{"v1", true}, {"v2", true}}};
-        m_versions.onRecordRead({&both, 1}, true, m_now, m_now);
+        m_versions.onRecordRead({&both, 1}, {m_now, true, true}, m_now);
         const auto notices = decodeVersions(encodeVersions(m_versions.notices(NoticeScope::AllServices, m_now)));
         SoftwareVersions other;
         for (const auto &notice : *notices) {
--- a/test/version_fleet-test.cc
+++ b/test/version_fleet-test.cc
@@ -44,7 +44,7 @@
     int revision = 0;
 };
 
-struct RecordRead
+struct ReadInFlight
 {
     TimePoint begunAt;
     TimePoint at;
@@ -108,7 +108,7 @@
     bool wasMixed = false;
     std::set<std::string> directory;
     std::vector<Read> reads;
-    std::vector<RecordRead> recordReads;
+    std::vector<ReadInFlight> recordReads;
     std::optional<TimePoint> recordReadAt; // when the last one was begun
     std::optional<TimePoint> recordDueAt; // when it is read in order to be written
     bool writesAfterRead = false;
@@ -341,7 +341,8 @@
             auto &vm = m_vms[write.vm];
             if (vm.memory && m_now >= vm.noStoreUntil && draw(20) != 0) {
                 vm.memory->stored = m_record.revision > vm.memory->stored.revision ? m_record : vm.memory->stored;
-                vm.memory->versions.onRecorded(*m_record.record, m_now);
+                isApplied ? vm.memory->versions.onRecorded(*m_record.record, m_now)
+                          : vm.memory->versions.onReplaced(*m_record.record, m_now);
             }
         }
     }
@@ -357,7 +358,7 @@
     auto checkRecord(std::size_t index) -> void
     {
         auto &memory = *m_vms[index].memory;
-        if (!memory.recordDueAt && !memory.writesAfterRead && dueRecord(index)) {
+        if (!memory.recordDueAt && !memory.writesAfterRead && (dueRecord(index) || memory.versions.hasUnrecorded(Service, m_now))) {
             memory.recordDueAt = m_now + drawTime(1 + 5 * m_vms.size());
         }
         if (memory.recordDueAt && m_now >= *memory.recordDueAt) {
@@ -370,7 +371,7 @@
     auto finishRecordReads(std::size_t index) -> void
     {
         auto &memory = *m_vms[index].memory;
-        std::vector<RecordRead> done;
+        std::vector<ReadInFlight> done;
         std::erase_if(memory.recordReads, [&](const auto &read) { return read.at <= m_now && (done.push_back(read), true); });
         for (const auto &read : done) {
             if (read.stored.revision < memory.stored.revision) {
@@ -380,7 +381,7 @@
             memory.stored = read.stored;
             const std::span<const VersionRecord> records =
                 read.stored.record ? std::span(&*read.stored.record, 1) : std::span<const VersionRecord>();
-            memory.versions.onRecordRead(records, true, read.begunAt, m_now);
+            memory.versions.onRecordRead(records, {read.begunAt, true, true}, m_now);
             memory.gap.close(read.begunAt, m_now);
             if (const auto due = dueRecord(index); due && std::exchange(memory.writesAfterRead, false)) {
                 m_writes.push_back({m_now + Step + drawTime(80), index, *due, memory.stored.revision});
