A due write of the version record is not held up by an older answer

A write waits for a read. If that read was answered with an older revision than a write or another read had shown, its answer was ignored, and `check` took the write for under way until a caller caused another read. The new version got no streams until then.

--- a/src/edge/version_recorder.cc
+++ b/src/edge/version_recorder.cc
@@ -99,8 +99,10 @@
     if (m_revision != 0 && !StoreHistory::isSame(m_revision, range.revision)) {
         onReturnedFromCopy();
     }
-    if (range.revision < m_revision) {
-        return; // another read or a write was answered first, and is newer
+    if (range.revision < m_revision) { // another read or a write was answered first, and is newer
+        m_writesAfterRead = false; // what is due is written after another read, or it would wait for ever
+        check();
+        return;
     }
     m_revision = range.revision;
     m_hasRead = true;
