--- a/include/currantstack/edge/version_recorder.h
+++ b/include/currantstack/edge/version_recorder.h
@@ -113,7 +113,8 @@
     bool m_hasRead = false;
     int m_reads = 0; // in flight
     int m_writes = 0; // in flight
-    int m_failures = 0; // of calls in a row
+    int m_failures = 0; // of attempts to write, in a row
+    bool m_hasReadFailed = false; // the last read that was answered
     std::optional<TimePoint> m_readBegunAt; // of the last one
     std::optional<TimePoint> m_silentSince; // when the first read that was not answered began
     TimePoint m_doubtUntil;
--- a/src/edge/version_record_codec.cc
+++ b/src/edge/version_record_codec.cc
@@ -28,6 +28,9 @@
     for (auto &version : reader.objects("versions")) {
         record.versions.push_back({version.text("version"), version.boolean("settled")});
     }
+    if (!json->is_object() || !json->contains("versions")) {
+        reader.addError("versions", "is missing");
+    }
     if (!errors.empty()) {
         return fail(ErrorCode::BadInput, "decode version record", "", describe(errors));
     }
--- a/src/edge/version_recorder.cc
+++ b/src/edge/version_recorder.cc
@@ -2,7 +2,6 @@
 
 #include "currantstack/decisions/store_history.h"
 #include "currantstack/edge/version_record_codec.h"
-#include "currantstack/retry.h"
 
 #include <algorithm>
 
@@ -12,6 +11,8 @@
 namespace
 {
 
+constexpr int MostDoublings = 10; // of the delay after failed calls, without overflow
+
 auto describeVersions(const VersionRecord &record) -> LogFields
 {
     auto versions = LogFields::array();
@@ -64,7 +65,7 @@
 auto VersionRecorder::read() -> void
 {
     const auto now = m_context.clock.now();
-    const bool isUnanswered = m_reads > 0 || m_failures > 0;
+    const bool isUnanswered = m_reads > 0 || m_hasReadFailed;
     const bool isTooSoon = m_readBegunAt && now - *m_readBegunAt < (isUnanswered ? ReadPatience : ReadPeriod);
     if (isTooSoon || m_reads >= MostReads) {
         return;
@@ -105,7 +106,7 @@
 auto VersionRecorder::onRange(const StoreRange &range, TimePoint begunAt, TimePoint bootBegunAt) -> void
 {
     m_silentSince.reset();
-    m_failures = 0;
+    m_hasReadFailed = false;
     if (m_revision != 0 && !StoreHistory::isSame(m_revision, range.revision)) {
         onReturnedFromCopy();
     }
@@ -179,8 +180,11 @@
 
 auto VersionRecorder::isOfKnownService(std::string_view key) const -> bool
 {
-    const auto all = services();
-    return std::any_of(all.begin(), all.end(), [this, key](const auto &service) { return keyOf(service) == key; });
+    if (!m_context.routeTable) {
+        return true;
+    }
+    const auto &all = m_context.routeTable->services;
+    return std::any_of(all.begin(), all.end(), [this, key](const auto &service) { return service.engine && keyOf(service.name) == key; });
 }
 
 auto VersionRecorder::isDue() const -> bool
@@ -288,6 +292,7 @@
                          {"versions", describeVersions(record)},
                          {"written", outcome->applied},
                          {"revision", outcome->revision}});
+    m_failures = 0;
     if (outcome->applied) {
         m_revision = std::max(m_revision, outcome->revision);
         m_stored[key] = {record, outcome->revision};
@@ -309,9 +314,10 @@
 auto VersionRecorder::onFailure(std::string_view step, const Error &error) -> void
 {
     m_context.log.write("versions", "store_call_failed", {{"step", step}, {"error", describe(error)}});
-    const auto wait = RetryDelay + backoff(m_failures++, RetryDelay, LongestRetryDelay, m_context.random);
+    m_hasReadFailed = m_hasReadFailed || step == "read";
     if (!m_hasRead || std::exchange(m_writesAfterRead, false) || step == "write") {
-        schedule(wait);
+        schedule(std::min<Duration>(LongestRetryDelay, RetryDelay * (1 << std::min(m_failures, MostDoublings))));
+        ++m_failures;
     }
 }
 
