Soak: versions that join may leave again, and VMs that know them restart

Change: in a share of the joins the engines of the new version crash 0.5 to 3 s after it has streams, and return later at the former or the new version. In most of these joins the last VM is cut off from peers and store meanwhile; the other VMs restart together, or 0.3 to 0.8 s apart, or not at all, and the cut ends with the store first, the peers first, or both. Callers with streams of the version return to the last VM when the cut ends. The checks are unchanged; the times of the cut, the crashes and the restarts are recorded as impairments.

--- a/test/edge/soak.py
+++ b/test/edge/soak.py
@@ -10,12 +10,14 @@
 With --releases each start of a VM draws its build, the current or the released one.
 With --processes engines and services are processes of their own, which are also killed, also behind a listener that stays, and suspended, and
 engines break streams off. A share of the streams lasts seconds, a share of the answers ends with the connection, and a third of the requests on
-new connections use HTTP/1.0. A run with the fault "join" begins with one software version, and others join while VMs start.
+new connections use HTTP/1.0. A run with the fault "join" begins with one software version, and others join while VMs start. In a share of the
+joins their engines crash while a VM is cut off, and the other VMs restart.
 For example, a large run: --processes --vms 12 --engines 24 --services 6 --clients 2 --seconds 60.
 """
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import shutil
@@ -28,8 +30,9 @@
 from memory_tests import metrics
 from restore_tests import restore
 from rig import PROGRAM, RELEASED, Rig
-from soak_callers import (CALLER_LIMIT_S, DEADLINE_S, SOFTWARE_VERSIONS, Impairments, call_after_start, call_and_return, call_on_kept_connections,
-                          draw_shape, is_ambiguous, is_whole, outlasts_process, reaches_deadline, unexcused)
+from soak_callers import (CALLER_LIMIT_S, DEADLINE_S, SOFTWARE_VERSIONS, Impairments, call_and_return, call_on_kept_connections, draw_shape,
+                          is_ambiguous, is_whole, outlasts_process, reaches_deadline, unexcused)
+from soak_joins import join_while_vm_starts
 
 from engine_process import SUCCESSORS  # noqa: E402
 from links import MODES  # noqa: E402
@@ -58,7 +61,6 @@
 START_S = 0.2  # of a process, until it handles signals
 RETURN_SHARE = 0.3  # of the streams whose callers close the connection and come back
 LONG_DOCUMENT_BYTES, DOCUMENT_S = 370_000, (0.5, 3.0)  # of a configuration with many routes; in which a narrow link passes it
-ENTRY_AFTER_S, JOIN_OFFSET_S = 0.2, (-0.1, 0.15)  # from the restart of an engine to its new entry; from this to what happens to VMs
 DELIVERY_S = 0.5  # from the end of a cut until what was sent before has arrived
 GRACE_S, STREAM_TIMEOUT_MS = 6, 13_000
 # Of the seeds in which callers need a key; their quota holds more than they ask for, so that none may be refused for it.
@@ -84,6 +86,8 @@
             self.fleet.tenants = [TENANT]
             self.caller_headers = {"Authorization": f"Bearer {TENANT['api_keys'][0]}"}
         self.starting, self.joining = asyncio.Lock(), asyncio.Lock()
+        self.join_draw = random.Random(seed)  # so that the kinds of the joins of a seed do not depend on the callers
+        self.joins = collections.Counter()  # joins of a new software version, those whose engines crash, and what restarts beside these
         self.store_faults, self.stopping = False, False
         self.partition = None  # links of the last VM to the others, if they may be cut; they pass datagrams, no forwarded requests
         self.delayed = []  # times in which requests that were sent earlier may arrive at an upstream: its id, begin, end
@@ -185,6 +189,11 @@
             if vm.process.returncode is not None:
                 await vm.start()
 
+    async def kill_and_start(self, vm):
+        with self.impairments.of(vm.name):
+            await self.kill(vm)
+            await self.start_vm(vm)
+
     async def make_series(self, rounds):
         """Lets upstreams fall silent one time after the other, while the configuration changes and VMs reload and restart."""
         restarts = []
@@ -229,12 +238,9 @@
         fault = self.random.choice(self.faults)
         vm, duration_s = self.random.choice(self.vms), self.random.uniform(0.5, 3)
         if fault == "kill":
-            with self.impairments.of(vm.name):
-                vm.signal(signal.SIGKILL)
-                await vm.process.wait()
-                await self.start_vm(vm)
+            await self.kill_and_start(vm)
         elif fault == "freeze":
-            await self.put_out_of_step(vm, duration_s)
+            await self.suspend(vm, duration_s)
         elif fault == "store":
             await self.inject_store_fault(duration_s)
         elif fault == "relay":
@@ -270,7 +276,7 @@
             await self.partition_vm(duration_s)
         elif fault == JOIN and not self.joining.locked():
             async with self.joining:
-                await self.join_while_vm_starts(vm, duration_s)
+                await join_while_vm_starts(self, self.join_draw.choice(self.vms), duration_s)
         elif fault == JOIN:
             return  # the next VM would be killed before the started one is in touch
         elif fault == "narrow":
@@ -286,42 +292,12 @@
             await asyncio.sleep(duration_s)
             self.partition.cut(peers=False, store=False)
 
-    async def join_while_vm_starts(self, vm, duration_s):
-        """Lets engines of a new software version join while a VM starts, and callers return from there to VMs, one of which may be out of step."""
-        end = time.monotonic() + RECOVERY_LIMIT_S
-        while not self.are_in_touch() and time.monotonic() < end:  # VMs that do not know their peers continue no stream, which hides the fault
-            await asyncio.sleep(0.05)
-        decode = [engine for engine in self.fleet.engines if engine.role == "decode"]
-        engines = {self.random.choice(decode or self.fleet.engines), self.random.choice(self.fleet.engines)}
-        out_of_step = self.random.choice((None, *(other for other in self.vms if other is not vm)))
-        is_cut = out_of_step is self.vms[-1] and self.random.random() < 0.5
-        start_s, impair_s = (ENTRY_AFTER_S + self.random.uniform(*JOIN_OFFSET_S) for _ in range(2))
-        version = f"v{time.time_ns() // 1_000_000}"
-        tasks = [asyncio.create_task(self.put_out_of_step(out_of_step, duration_s / 2, is_cut, impair_s))] if out_of_step else []
-        with self.impairments.of(vm.name, *(engine.id for engine in engines)):
-            vm.signal(signal.SIGKILL)
-            await vm.process.wait()
-            restarts = [asyncio.create_task(engine.restart(version)) for engine in engines]
-            await asyncio.sleep(start_s)
-            await self.start_vm(vm)
-            tasks.append(asyncio.create_task(call_after_start(self, vm)))
-            await asyncio.gather(*restarts)
-        await asyncio.gather(*tasks)
-
-    async def put_out_of_step(self, vm, duration_s, is_cut=False, after_s=0.0):
-        """Suspends a VM, or cuts the last one off from the others and the store."""
-        if after_s:
-            await asyncio.sleep(after_s)
+    async def suspend(self, vm, duration_s, after_s=0.0):
+        await asyncio.sleep(after_s)
         with self.impairments.of(vm.name):
-            if is_cut:
-                self.store_faults = True
-                self.partition.cut()
-                await asyncio.sleep(duration_s)
-                self.partition.cut(peers=False, store=False)
-            else:
-                vm.signal(signal.SIGSTOP)
-                await asyncio.sleep(duration_s)
-                vm.signal(signal.SIGCONT)
+            vm.signal(signal.SIGSTOP)
+            await asyncio.sleep(duration_s)
+            vm.signal(signal.SIGCONT)
 
     def choose_upstreams(self):
         fleet = self.fleet
@@ -523,7 +499,7 @@
         print(f"seed {seed}: {len(soak.responses)} responses, {served} served, {len(soak.cut)} without an answer, "
               f"{sum(len(stream.numbers) == stream.EVENTS for stream in soak.returning)} of {len(soak.returning)} returning streams complete, "
               f"{sum(shape.seconds > 0 for shape in soak.shapes.values())} long streams, {len(soak.ambiguous)} parts that HTTP cannot tell from whole "
-              f"streams, {len(violations)} violations",
+              f"streams, {dict(soak.joins) or 'no joins'}, {len(violations)} violations",
               flush=True)
         for line in violations[:10]:
             print(f"  {line}")
--- a/test/edge/soak_callers.py
+++ b/test/edge/soak_callers.py
@@ -81,9 +81,9 @@
         return any(names & impaired and begin < until and end > since for impaired, since, until in self.times)
 
 
-async def call_and_return(soak, vm, shape=None, read_events=None):
+async def call_and_return(soak, vm, shape=None, read_events=None, next_vm=None):
     """A caller that closes its connection after some events, or loses it, and continues the stream at any VM, or at any other if `read_events` is set:
-    the least and the most events that it reads at a VM."""
+    the least and the most events that it reads at a VM. With `next_vm`, it continues when and where that says."""
     stream = Stream(soak)
     shape = shape or draw_shape(soak, "stream", stream.id)
     stream.EVENTS, stream.PATH, stream.DEADLINE_MS = shape.events, shape.path, int(Stream.DEADLINE_MS + 1000 * shape.seconds)
@@ -105,7 +105,7 @@
         if len(stream.numbers) == stream.EVENTS or stream.is_complete:
             return
         ready = [each for each in soak.vms if each.process.returncode is None and not getattr(each, "draining", 0) and not (read_events and each is vm)]
-        vm = soak.random.choice(ready or soak.vms)
+        vm = await next_vm() if next_vm else soak.random.choice(ready or soak.vms)
 
 
 async def call_after_start(soak, vm):
--- a/test/edge/soak_tests.py
+++ b/test/edge/soak_tests.py
@@ -1,8 +1,10 @@
 """Process tests of the soak itself."""
 
 import asyncio
+import unittest.mock
 
-from soak import Soak
+import soak_joins
+from soak import JOIN, Soak
 
 CRASH_AFTER_S = 0.5  # from the begin of a replacement
 RESTART_S = 1.0
@@ -39,5 +41,24 @@
         assert list(soak.check_drains()) == []
 
 
+async def joins_of_a_version_that_leaves_again_restore_what_they_disturb():
+    """Guards against joins that leave an engine down or a VM cut off, and against disturbed processes that are not recorded as impaired."""
+    shares = {"CRASH_SHARE": 1.0, "CUT_SHARE": 1.0, "RESTART_WEIGHTS": (0, 1, 0)}
+    async with Soak(seed=2, vms=3, faults=(JOIN,)) as soak:
+        with unittest.mock.patch.multiple(soak_joins, **shares):
+            started_at = {vm: vm.started_at for vm in soak.vms}
+            await soak_joins.join_while_vm_starts(soak, soak.vms[0], 1.0)
+        streams = soak.joins.pop("streams of these versions")
+        assert streams and soak.joins == {"joins": 1, "crashes": 1, soak_joins.TOGETHER: 1}, (streams, soak.joins)
+        assert [vm.started_at > started_at[vm] for vm in soak.vms] == [True, True, False]
+        assert all(engine.server.is_listening and engine.state == "ready" for engine in soak.fleet.engines)
+        assert not soak.partition.are_cut and not any(relay.cut for relay in soak.partition.store_relays)
+        impaired = set().union(*(names for names, _, _ in soak.impairments.times))
+        assert impaired >= {vm.name for vm in soak.vms} and any(name.startswith("i-") for name in impaired), impaired
+        assert all(until < float("inf") for _, _, until in soak.impairments.times)
+        assert soak.store_faults and await soak.recover()
+        soak.partition.close()
+
+
 TESTS = [upstreams_that_crash_while_they_are_replaced_are_left_running,
-         upstreams_that_crash_while_they_drain_take_requests_when_they_are_back]
+         upstreams_that_crash_while_they_drain_take_requests_when_they_are_back, joins_of_a_version_that_leaves_again_restore_what_they_disturb]
