--- a/test/edge/soak_joins.py
+++ b/test/edge/soak_joins.py
@@ -14,6 +14,7 @@
 RESTART_WEIGHTS = (1, 2, 2)  # of these three, in the joins with a crash and a cut
 STREAMS_LIMIT_S = 2.5  # from the join until streams run at the version, which begin 1.5 s after the store's record names it
 CRASH_AFTER_S, EXPIRY_S, ABSENCE_S = (0.5, 3.0), (0.01, 0.3), (2.0, 4.0)  # from the streams to the crash; then to the end of the entry, the return
+READ_S = 0.1  # from the end of an entry until the VMs know
 VM_GAP_S = (0.3, 0.8)  # between the restarts of two VMs
 HEAL_GAP_S = (0.3, 1.0)  # between the ends of the two parts of a cut
 HELD_STREAMS, HELD_GAP_S = 16, 0.03  # streams whose callers return after a cut; between the begins of two of them
@@ -77,6 +78,7 @@
     await asyncio.sleep(soak.join_draw.uniform(*CRASH_AFTER_S))
     for engine, former in formers.items():
         crash_engine(soak, engine, soak.join_draw.choice((former, version)))
+    await asyncio.sleep(EXPIRY_S[1] + READ_S)  # a VM that reads an entry of the version when it starts, or when its cut ends, knows it
     if how == TOGETHER:
         await asyncio.gather(*(soak.kill_and_start(vm) for vm in vms))
     elif how == ONE_BY_ONE:
