--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -26,6 +26,8 @@
 constexpr Duration DrainCheckPeriod = milliseconds(100); // also the period in which the log is flushed
 constexpr Duration AbortTime = milliseconds(50); // in which aborted streams are closed before the process ends
 constexpr Duration SettingsCheckPeriod = seconds(2);
+/// A VM that starts is ready after this time although streams may not begin at some service yet.
+constexpr Duration LongestVersionWait = seconds(3);
 constexpr std::size_t MaxBodyBytes = 8U << 20; // bound on request bodies, independent of the configured limit
 
 auto randomSeed() -> std::uint64_t
@@ -83,7 +85,8 @@
 
     auto openServers() -> Result<void>;
     auto onVms(const VmRecords &records) -> void;
-    auto isReady() const -> bool;
+    auto isReady() -> bool;
+    auto mayBeginStreams() const -> bool;
     auto updatePollWait() -> void;
     auto onRoutes(const RouteTable &routeTable) -> void;
     auto drain() -> void;
@@ -122,6 +125,8 @@
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> metricsServer;
     std::unique_ptr<Timer> drainTimer;
+    TimePoint startedAt = clock.now();
+    bool hasBegun = false; // the VM was ready to begin streams once; afterwards they may wait for a new version
     bool vmsListed = false; // the other VMs were read from the store
     bool peersRequested = false; // ahead of the usual time
     std::optional<TimePoint> answeredAt; // when the open requests got their answers because of the stop
@@ -136,9 +141,21 @@
     store->setPollWait(revocation.isStrict ? PollWait::confirmingWithin(revocation.limit, average) : average);
 }
 
-auto EdgeNode::Parts::isReady() const -> bool
+auto EdgeNode::Parts::isReady() -> bool
 {
-    return !context.draining && directory.isComplete();
+    if (!directory.isComplete()) {
+        return false;
+    }
+    hasBegun = hasBegun || mayBeginStreams() || clock.now() - startedAt >= LongestVersionWait;
+    return !context.draining && hasBegun;
+}
+
+/// Returns whether streams may begin at each service of engines that has upstreams.
+auto EdgeNode::Parts::mayBeginStreams() const -> bool
+{
+    const auto &services = context.routeTable->services;
+    return std::all_of(services.begin(), services.end(),
+                       [this](const auto &service) { return !service.engine || context.versions.hasSettled(service.name, clock.now()); });
 }
 
 auto EdgeNode::Parts::openServers() -> Result<void>
